--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool of vanillabeam."""
--- /dev/null
+++ b/src/vanillabeam/exceptions.py
@@ -0,0 +1,200 @@
+"""The failures of vanillabeam: one base class, one name for each."""
+
+from enum import StrEnum
+from http import HTTPStatus
+from typing import ClassVar
+
+__all__ = [
+    "BodyTooLarge",
+    "DeadlineExceeded",
+    "Draining",
+    "InvariantBroken",
+    "MalformedBody",
+    "NoEligibleTarget",
+    "NotReady",
+    "Overloaded",
+    "Run",
+    "SettingsInvalid",
+    "TargetFailed",
+    "TargetUnreachable",
+    "Unauthenticated",
+    "UnknownModel",
+    "UnknownPath",
+    "UnknownService",
+    "VanillabeamError",
+]
+
+
+class Run(StrEnum):
+    """What is known of a request's run when it fails."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class VanillabeamError(Exception):
+    """Base of every failure.
+
+    A failure is a value first: cores return it in a ``returns`` ``Failure``
+    and shells raise it only where nobody waits for a value.
+
+    :cvar type: stable name, the last part of the problem document's ``type``.
+    :cvar status: HTTP status that a caller sees.
+    :cvar run: what the failure says of the request's run.
+    :cvar advice: what whoever sees the failure should do next.
+    :cvar retry_after_s: seconds until a retry makes sense, ``None`` where
+        none does.
+    :param detail: what happened this time, without keys or prompts.
+    """
+
+    type: ClassVar[str] = "internal"
+    status: ClassVar[HTTPStatus] = HTTPStatus.INTERNAL_SERVER_ERROR
+    run: ClassVar[Run] = Run.UNKNOWN
+    advice: ClassVar[str] = "Report the request id to the operators."
+    retry_after_s: ClassVar[float | None] = None
+
+    def __init__(self, detail: str = ""):
+        super().__init__(detail or self.type)
+        self.detail = detail
+
+
+class InvariantBroken(VanillabeamError):
+    """An invariant of a core does not hold; that piece of work stops."""
+
+    type = "invariant-broken"
+
+
+class MalformedBody(VanillabeamError):
+    """A body is not the JSON document that its path takes."""
+
+    type = "malformed-body"
+    status = HTTPStatus.BAD_REQUEST
+    run = Run.NOT_RUN
+    advice = "Correct the body; the detail names the field."
+
+
+class BodyTooLarge(VanillabeamError):
+    """A body is larger than its listener's limit."""
+
+    type = "body-too-large"
+    status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+    run = Run.NOT_RUN
+    advice = "Send a smaller body."
+
+
+class Unauthenticated(VanillabeamError):
+    """No key, or one that no workspace or operator has."""
+
+    type = "unauthenticated"
+    status = HTTPStatus.UNAUTHORIZED
+    run = Run.NOT_RUN
+    advice = "Send a valid key as Authorization: Bearer KEY."
+
+
+class UnknownPath(VanillabeamError):
+    """A path that this listener does not serve."""
+
+    type = "unknown-path"
+    status = HTTPStatus.NOT_FOUND
+    run = Run.NOT_RUN
+    advice = "See the callers' page for the paths that are served."
+
+
+class UnknownModel(VanillabeamError):
+    """A model or adapter that is not in force or not this workspace's."""
+
+    type = "unknown-model"
+    status = HTTPStatus.NOT_FOUND
+    run = Run.NOT_RUN
+    advice = "List the models with GET /v1/models."
+
+
+class UnknownService(VanillabeamError):
+    """A plain service that is not in force or not this workspace's."""
+
+    type = "unknown-service"
+    status = HTTPStatus.NOT_FOUND
+    run = Run.NOT_RUN
+    advice = "Ask the operators for the services of your workspace."
+
+
+class NotReady(VanillabeamError):
+    """This VM does not know the configuration yet."""
+
+    type = "not-ready"
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    run = Run.NOT_RUN
+    advice = "Send the request again; another VM may be ready."
+    retry_after_s = 1.0
+
+
+class Draining(VanillabeamError):
+    """This VM is stopping and takes no new work."""
+
+    type = "draining"
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    run = Run.NOT_RUN
+    advice = "Send the request again; another VM takes it."
+    retry_after_s = 1.0
+
+
+class NoEligibleTarget(VanillabeamError):
+    """No target in service can run the request now."""
+
+    type = "no-eligible-target"
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    run = Run.NOT_RUN
+    advice = "Send the request again after the time in Retry-After."
+    retry_after_s = 2.0
+
+
+class Overloaded(VanillabeamError):
+    """The request was shed before it started."""
+
+    type = "overloaded"
+    status = HTTPStatus.TOO_MANY_REQUESTS
+    run = Run.NOT_RUN
+    advice = "Send the request again after the time in Retry-After."
+    retry_after_s = 2.0
+
+
+class DeadlineExceeded(VanillabeamError):
+    """The request's deadline passed before its answer was whole."""
+
+    type = "deadline-exceeded"
+    status = HTTPStatus.GATEWAY_TIMEOUT
+    advice = "The request may have run; a model prompt may be sent again."
+
+
+class TargetFailed(VanillabeamError):
+    """The target answered with a failure of its own."""
+
+    type = "target-failed"
+    status = HTTPStatus.BAD_GATEWAY
+    advice = "The request may have run; a model prompt may be sent again."
+
+
+class TargetUnreachable(VanillabeamError):
+    """The connection to the target ended before its answer was whole."""
+
+    type = "target-unreachable"
+    status = HTTPStatus.BAD_GATEWAY
+    advice = "The request may have run; a model prompt may be sent again."
+
+
+class SettingsInvalid(VanillabeamError):
+    """The settings file does not hold; the detail lists every fault.
+
+    :param detail: one line a fault.
+    :param faults: ``path: what is wrong`` for each fault.
+    """
+
+    type = "settings-invalid"
+    status = HTTPStatus.BAD_REQUEST
+    run = Run.NOT_RUN
+    advice = "Correct the paths that are named and run settings check again."
+
+    def __init__(self, detail: str = "", faults: tuple[str, ...] = ()):
+        super().__init__(detail or "\n".join(faults))
+        self.faults = faults
--- /dev/null
+++ b/src/vanillabeam/readiness.py
@@ -0,0 +1,181 @@
+"""Whether this VM takes work: ready, draining, stopped.
+
+The core of a VM's life. The daemon feeds it events and carries out the
+effects; see :mod:`vanillabeam.daemon`.
+"""
+
+from enum import StrEnum
+from functools import singledispatch
+from typing import NamedTuple
+
+from vanillabeam.exceptions import InvariantBroken
+
+__all__ = [
+    "CloseListeners",
+    "ConfigKnown",
+    "DrainRequested",
+    "Effect",
+    "Exit",
+    "Phase",
+    "Readiness",
+    "ReportCut",
+    "RequestEnded",
+    "RequestStarted",
+    "Tick",
+    "handle",
+]
+
+
+class Phase(StrEnum):
+    """Phases of a VM's life, in order."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+class ConfigKnown(NamedTuple):
+    """The VM has a configuration that is fresh enough to serve by."""
+
+    index: int
+
+
+class DrainRequested(NamedTuple):
+    """A planned stop begins; a second one ends it at once."""
+
+
+class RequestStarted(NamedTuple):
+    """A caller's request was taken in."""
+
+    request_id: str
+
+
+class RequestEnded(NamedTuple):
+    """A caller's request has its whole answer."""
+
+    request_id: str
+
+
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+class CloseListeners(NamedTuple):
+    """Take no new connections: the balancer has had time to notice."""
+
+
+class ReportCut(NamedTuple):
+    """Requests that the stop cut off.
+
+    :param request_ids: sorted ids.
+    """
+
+    request_ids: tuple[str, ...]
+
+
+class Exit(NamedTuple):
+    """End the process.
+
+    :param code: exit code; 0 if nothing was cut off.
+    """
+
+    code: int
+
+
+Event = ConfigKnown | DrainRequested | RequestStarted | RequestEnded | Tick
+Effect = CloseListeners | ReportCut | Exit
+
+EXIT_OK = 0
+EXIT_CUT = 3
+
+
+class Readiness:
+    """State of a VM's life.
+
+    :param notice_s: seconds between unready and closed listeners, so that
+        the balancer stops sending.
+    :param deadline_s: seconds after which a drain cuts off what still runs.
+
+    >>> state = Readiness(notice_s=5.0, deadline_s=60.0)
+    >>> handle(ConfigKnown(index=1), state, now_s=0.0)
+    []
+    >>> state.phase
+    <Phase.READY: 'ready'>
+    """
+
+    def __init__(self, notice_s: float, deadline_s: float):
+        self.notice_s = notice_s
+        self.deadline_s = deadline_s
+        self.phase = Phase.STARTING
+        self.open_requests: set[str] = set()
+        self.drain_began_s: float | None = None
+        self.listeners_closed = False
+
+
+@singledispatch
+def handle(event: Event, state: Readiness, now_s: float) -> list[Effect]:
+    """Change ``state`` by ``event`` and return what the shell must do.
+
+    :param now_s: monotonic time in seconds.
+    :raises InvariantBroken: on an event that no shell sends.
+    """
+    raise InvariantBroken(f"readiness does not take {type(event).__name__}")
+
+
+@handle.register
+def _(event: ConfigKnown, state: Readiness, now_s: float) -> list[Effect]:
+    if state.phase is Phase.STARTING:
+        state.phase = Phase.READY
+    return []
+
+
+@handle.register
+def _(event: RequestStarted, state: Readiness, now_s: float) -> list[Effect]:
+    if event.request_id in state.open_requests:
+        raise InvariantBroken(f"request {event.request_id} started twice")
+    state.open_requests.add(event.request_id)
+    return []
+
+
+@handle.register
+def _(event: RequestEnded, state: Readiness, now_s: float) -> list[Effect]:
+    state.open_requests.discard(event.request_id)
+    return _progress_drain(state, now_s)
+
+
+@handle.register
+def _(event: DrainRequested, state: Readiness, now_s: float) -> list[Effect]:
+    if state.phase is Phase.DRAINING:
+        return _stop(state)
+    if state.phase is Phase.STOPPED:
+        return []
+    state.phase = Phase.DRAINING
+    state.drain_began_s = now_s
+    return _progress_drain(state, now_s)
+
+
+@handle.register
+def _(event: Tick, state: Readiness, now_s: float) -> list[Effect]:
+    return _progress_drain(state, now_s)
+
+
+def _progress_drain(state: Readiness, now_s: float) -> list[Effect]:
+    if state.phase is not Phase.DRAINING:
+        return []
+    effects: list[Effect] = []
+    drained_s = now_s - state.drain_began_s
+    if drained_s >= state.notice_s and not state.listeners_closed:
+        state.listeners_closed = True
+        effects.append(CloseListeners())
+    finished = state.listeners_closed and not state.open_requests
+    if finished or drained_s >= state.deadline_s:
+        effects.extend(_stop(state))
+    return effects
+
+
+def _stop(state: Readiness) -> list[Effect]:
+    state.phase = Phase.STOPPED
+    if not state.open_requests:
+        return [Exit(EXIT_OK)]
+    return [ReportCut(tuple(sorted(state.open_requests))), Exit(EXIT_CUT)]
--- /dev/null
+++ b/tests/test_readiness.py
@@ -0,0 +1,69 @@
+import pytest
+
+from tests.builders import DEADLINE_S, NOTICE_S, make_readiness
+from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.readiness import (
+    CloseListeners,
+    ConfigKnown,
+    DrainRequested,
+    Exit,
+    Phase,
+    ReportCut,
+    RequestEnded,
+    RequestStarted,
+    Tick,
+    handle,
+)
+
+
+def test_unready_until_config_is_known():
+    state = make_readiness()
+    assert state.phase is Phase.STARTING
+    handle(ConfigKnown(1), state, 0.0)
+    assert state.phase is Phase.READY
+
+
+def test_drain_waits_for_the_balancer_and_for_open_requests():
+    state = make_readiness()
+    handle(ConfigKnown(1), state, 0.0)
+    handle(RequestStarted("a"), state, 0.0)
+    assert handle(DrainRequested(), state, 10.0) == []
+    assert handle(Tick(), state, 10.0 + NOTICE_S) == [CloseListeners()]
+    assert handle(RequestEnded("a"), state, 20.0) == [Exit(0)]
+
+
+def test_drain_without_requests_still_gives_the_balancer_notice():
+    state = make_readiness()
+    assert handle(DrainRequested(), state, 0.0) == []
+    assert handle(Tick(), state, NOTICE_S - 0.1) == []
+    assert handle(Tick(), state, NOTICE_S) == [CloseListeners(), Exit(0)]
+
+
+def test_deadline_reports_what_was_cut():
+    state = make_readiness()
+    handle(RequestStarted("b"), state, 0.0)
+    handle(RequestStarted("a"), state, 0.0)
+    handle(DrainRequested(), state, 0.0)
+    effects = handle(Tick(), state, DEADLINE_S)
+    assert effects == [CloseListeners(), ReportCut(("a", "b")), Exit(3)]
+
+
+def test_second_stop_request_ends_at_once():
+    state = make_readiness()
+    handle(RequestStarted("a"), state, 0.0)
+    handle(DrainRequested(), state, 0.0)
+    assert handle(DrainRequested(), state, 1.0) == [ReportCut(("a",)), Exit(3)]
+
+
+def test_a_config_during_a_drain_does_not_make_it_ready():
+    state = make_readiness()
+    handle(DrainRequested(), state, 0.0)
+    handle(ConfigKnown(7), state, 1.0)
+    assert state.phase is Phase.DRAINING
+
+
+def test_request_started_twice_breaks_an_invariant():
+    state = make_readiness()
+    handle(RequestStarted("a"), state, 0.0)
+    with pytest.raises(InvariantBroken):
+        handle(RequestStarted("a"), state, 0.0)
