Add a fake target that speaks the target's protocol

Tests, the demo and the measurements all need engines that batch, cache prefixes, go cold, resume, cancel and break in the ways that callers must not notice. One fake in process serves them all: it keeps what it ran, so that a test can ask how often an order was carried out, and its faults are switched on by attribute or by POST /fake/command.

--- /dev/null
+++ b/bench/fake_target.py
@@ -0,0 +1,437 @@
+"""A fake target over HTTP, for the demo, the tests and the measurements.
+
+It speaks the whole of ``docs/targets.md``. Whoever runs it in process keeps
+the :class:`FakeTarget` and steers it by its attributes and methods; others
+send ``POST /fake/command`` with ``{"command": ..., "faults": {...}}``.
+"""
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from typing import Any
+
+import httpcore
+import msgspec
+import trio
+from hypercorn.config import Config as HypercornConfig
+from hypercorn.trio import serve as serve_http
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from bench.fake_engine import FakeEngine, FakeTargetSettings, Faults, Refusal, Run
+
+__all__ = ["FakeTarget", "FakeTargetSettings", "Faults", "serve"]
+
+ALIVE_EVERY_S = 5.0
+CALL_TIMEOUT_S = 5.0
+GRACEFUL_TIMEOUT_S = 1.0
+METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+
+
+class FakeTarget:
+    """The fake's state that outlives connections.
+
+    :ivar engine: runs, cache, boot id; ``engine.faults`` switches faults on.
+    :ivar executions: how often each idempotency key and each order ran, as
+        ``key:K`` and ``order:O``.
+
+    >>> target = FakeTarget(FakeTargetSettings(service="refunds"))
+    >>> target.engine.faults = Faults(cut_after=3)
+    >>> target.executions["order:17"]
+    0
+    """
+
+    def __init__(self, settings: FakeTargetSettings):
+        self.settings = settings
+        self._announce_now = trio.Event()
+        self.engine = FakeEngine(settings, self._changed)
+        self.executions: Counter[str] = Counter()
+        self.connections = 0
+        self.address = ""
+        self.owner = settings.listener
+        self._answers: dict[str, bytes] = {}
+        self._silenced: list[trio.Event] = []
+        self._nursery: trio.Nursery | None = None
+
+    def silence_connections(self) -> None:
+        """Let the streams that are open now go silent; new ones work."""
+        for silenced in self._silenced:
+            silenced.set()
+
+    def leave(self) -> None:
+        """Announce that no new work is wanted, and refuse it."""
+        self.engine.leaving = True
+        self._changed()
+
+    def _changed(self) -> None:
+        self._announce_now.set()
+
+    def app(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/v1/chat/completions", self._complete, methods=["POST"]),
+                Route("/v1/completions", self._complete, methods=["POST"]),
+                Route("/runs/{run}", self._resume, methods=["GET"]),
+                Route("/runs/{run}", self._cancel, methods=["DELETE"]),
+                Route("/order", self._order, methods=["PUT"]),
+                Route("/blocks/export", self._export, methods=["POST"]),
+                Route("/blocks/import", self._import, methods=["POST"]),
+                Route("/blocks/summary", self._summary, methods=["POST"]),
+                Route("/services/{name}/{path:path}", self._service, methods=METHODS),
+                Route("/fake/command", self._command, methods=["POST"]),
+            ]
+        )
+
+    async def run(self, address: str, nursery: trio.Nursery) -> None:
+        """Generate, announce and report in ``nursery`` from now on."""
+        self.address = address
+        self._nursery = nursery
+        if self.settings.listener:
+            nursery.start_soon(self._announce)
+            nursery.start_soon(self._report)
+
+    # Runs and their streams.
+
+    async def _complete(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body())
+        await trio.sleep(self.engine.faults.delay_s)
+        run = self.engine.admit(request.headers, body)
+        if isinstance(run, Refusal):
+            return _problem(run)
+        self._nursery.start_soon(self.engine.generate, run, body, request.headers)
+        model = str(body["model"]).partition(":")[0]
+        return self._stream(run, 0, self.engine.models[model])
+
+    async def _resume(self, request: Request) -> Response:
+        run = self.engine.runs.get(request.path_params["run"])
+        if run is None or self.engine.faults.forget_runs:
+            return _problem(Refusal(404, "unknown-run"))
+        after = int(request.query_params.get("after", "0"))
+        version = next(iter(self.engine.models.values()))
+        return self._stream(run, after, version)
+
+    async def _cancel(self, request: Request) -> Response:
+        run_id = request.path_params["run"]
+        run = self.engine.runs.pop(run_id, None)
+        if run is None:
+            return _problem(Refusal(404, "unknown-run"))
+        self.engine.cancelled.append(run_id)
+        run.scope.cancel()
+        return Response(status_code=204)
+
+    def _stream(self, run: Run, after: int, version: str) -> Response:
+        headers = {"vanillabeam-model-version": version}
+        events = self._events(run, after, version)
+        return StreamingResponse(
+            events, media_type="text/event-stream", headers=headers
+        )
+
+    async def _events(self, run: Run, after: int, version: str) -> AsyncIterator[bytes]:
+        self.connections += 1
+        silenced = trio.Event()
+        self._silenced.append(silenced)
+        faults = self.engine.faults
+        hit = self.connections <= (faults.first_connections or self.connections)
+        boot_id = self.engine.boot_id
+        sent = after
+        try:
+            while True:
+                await self._break_connection(silenced, sent if hit else -1)
+                fresh = run.pieces[sent:]
+                if fresh:
+                    fresh = fresh[: _room(faults, sent)] if hit else fresh
+                    yield b"".join(self._numbered(sent, fresh, hit))
+                    sent += len(fresh)
+                elif run.done:
+                    end = {"pieces": sent, "version": version, "boot_id": boot_id}
+                    yield b"event: end\ndata: " + msgspec.json.encode(end) + b"\n\n"
+                    return
+                elif run.broken:
+                    raise ConnectionAbortedError(run.run_id)
+                elif not await run.changed(ALIVE_EVERY_S):
+                    yield b": alive\n\n"
+        finally:
+            self._silenced.remove(silenced)
+
+    async def _break_connection(self, silenced: trio.Event, sent: int) -> None:
+        faults = self.engine.faults
+        if faults.cut_after is not None and sent >= faults.cut_after:
+            raise ConnectionAbortedError("cut on command")
+        if faults.silent_after is not None and sent >= faults.silent_after:
+            await trio.sleep_forever()
+        if silenced.is_set():
+            await trio.sleep_forever()
+
+    def _numbered(self, sent: int, pieces: list[bytes], faulty: bool) -> list[bytes]:
+        events = [
+            b"id: %d\ndata: %b\n\n" % (number, piece)
+            for number, piece in enumerate(pieces, sent + 1)
+        ]
+        return self._shuffled(events) if faulty else events
+
+    def _shuffled(self, events: list[bytes]) -> list[bytes]:
+        rng, faults = self.engine.rng, self.engine.faults
+        if not (faults.duplicate or faults.reorder or faults.lose):
+            return events
+        events = [event for event in events if rng.random() >= faults.lose]
+        for i in range(len(events) - 1):
+            if rng.random() < faults.reorder:
+                events[i], events[i + 1] = events[i + 1], events[i]
+        copies = [2 if rng.random() < faults.duplicate else 1 for _ in events]
+        return [e for e, n in zip(events, copies, strict=True) for _ in range(n)]
+
+    # Orders and blocks.
+
+    async def _order(self, request: Request) -> Response:
+        order = msgspec.json.decode(await request.body())
+        engine = self.engine
+        if order["index"] < engine.order_index and self.settings.checks_fencing:
+            return _json({"status": "stale", "order_index": engine.order_index})
+        if engine.loading:
+            return _json({"status": "in-progress", "order_index": engine.order_index})
+        engine.order_index = order["index"]
+        wanted = {name: model["version"] for name, model in order["models"].items()}
+        engine.role = order["role"]
+        engine.adapters = {k: a["version"] for k, a in order["adapters"].items()}
+        if wanted == engine.models:
+            self._changed()
+            return _json({"status": "obeyed", "order_index": engine.order_index})
+        self._nursery.start_soon(self._load, wanted)
+        return _json({"status": "in-progress", "order_index": engine.order_index})
+
+    async def _load(self, models: dict[str, str]) -> None:
+        changed = [m for m, v in models.items() if self.engine.models.get(m) != v]
+        self.engine.loading = True
+        await trio.sleep(self.settings.load_s * len(changed))
+        self.engine.loading = False
+        self.engine.models = models
+        self.engine.go_cold()
+        self._changed()
+
+    async def _export(self, request: Request) -> Response:
+        return await self._transfer(request, "PUT")
+
+    async def _import(self, request: Request) -> Response:
+        return await self._transfer(request, "GET")
+
+    async def _transfer(self, request: Request, method: str) -> Response:
+        order = msgspec.json.decode(await request.body())
+        reply = {"transfer": order["transfer"], "blocks": [], "bytes": 0}
+        version = self.engine.models.get(order["model"])
+        if order["boot_id"] != self.engine.boot_id or order["version"] != version:
+            return _json({**reply, "status": "stale", "seconds": 0.0})
+        began_s = trio.current_time()
+        for block in order["blocks"]:
+            moved = await self._move(method, order["store"], block)
+            if moved is None:
+                break
+            reply["blocks"].append(block)
+            reply["bytes"] += moved
+        seconds = trio.current_time() - began_s
+        whole = len(reply["blocks"]) == len(order["blocks"])
+        status = "done" if whole else "partial" if reply["blocks"] else "failed"
+        return _json({**reply, "status": status, "seconds": seconds})
+
+    async def _move(self, method: str, store: str, block: str) -> int | None:
+        if method == "PUT" and block not in self.engine.cache:
+            return None
+        seed = block.encode() or b"0"
+        size = self.settings.block_bytes
+        content = (seed * (size // len(seed) + 1))[:size] if method == "PUT" else None
+        reply = await _call(method, f"http://{store}/blocks/{block}", content)
+        if reply is None or reply.status >= 300:
+            return None
+        if method == "GET":
+            size = len(reply.content)
+            self.engine.import_blocks([block])
+        await trio.sleep(size / self.settings.link_bytes_s)
+        return size
+
+    async def _summary(self, request: Request) -> Response:
+        held = {"kind": "stored", "blocks": list(self.engine.cache)}
+        self.engine.events.clear()
+        return _json({**self._event_head(), "events": [held], "summary": True})
+
+    # Plain services.
+
+    async def _service(self, request: Request) -> Response:
+        if request.path_params["name"] != self.settings.service:
+            return _problem(Refusal(404, "unknown-service"))
+        if self.engine.leaving:
+            return _problem(Refusal(503, "leaving"))
+        body = await request.body()
+        key = request.headers.get("idempotency-key", "")
+        if key and self.settings.dedup_keys and key in self._answers:
+            return Response(self._answers[key], media_type="application/json")
+        order = _order_of(body)
+        self.executions.update([f"key:{key}"] if key else [])
+        self.executions.update([f"order:{order}"])
+        ran = self.executions[f"order:{order}"]
+        path = request.path_params["path"]
+        answer = msgspec.json.encode({"path": path, "order": order, "ran": ran})
+        self._answers[key] = answer
+        await trio.sleep(self.engine.faults.delay_s)
+        if self.engine.faults.silent_after is not None:
+            await trio.sleep_forever()
+        return Response(answer, media_type="application/json")
+
+    async def _command(self, request: Request) -> Response:
+        message = msgspec.json.decode(await request.body())
+        if "faults" in message:
+            self.engine.faults = Faults(**message["faults"])
+        commands = {
+            "cold": self.engine.go_cold,
+            "restart": self.engine.restart,
+            "silence": self.silence_connections,
+            "leave": self.leave,
+        }
+        commands.get(message.get("command"), lambda: None)()
+        return _json({"executions": dict(self.executions)})
+
+    # What a target sends.
+
+    def announcement(self) -> dict[str, Any]:
+        """Return the announcement of this moment."""
+        service = self.settings.service
+        return {
+            "target": self.settings.target,
+            "boot_id": self.engine.boot_id,
+            "data_centre": self.settings.data_centre,
+            "address": self.address,
+            "kind": "service" if service else "engine",
+            **({"service": service} if service else {}),
+            "models": {} if service else self.engine.models,
+            "adapters": self.engine.adapters,
+            "capacity": self.settings.capacity,
+            "cold_capacity": self.settings.cold_capacity,
+            "checks_fencing": self.settings.checks_fencing,
+            "order_index": self.engine.order_index,
+            "cached_tokens": self.settings.cached_tokens,
+            "leaving": self.engine.leaving,
+        }
+
+    def _event_head(self) -> dict[str, Any]:
+        return {
+            "target": self.settings.target,
+            "boot_id": self.engine.boot_id,
+            "first": self.engine.next_event,
+        }
+
+    async def _announce(self) -> None:
+        while True:
+            self._announce_now = trio.Event()
+            reply = await self._send("announce", self.announcement())
+            if reply is None:
+                self.owner = self.settings.listener
+            else:
+                self.owner = reply.get("owner") or self.owner
+            with trio.move_on_after(self.settings.announce_every_s):
+                await self._announce_now.wait()
+
+    async def _report(self) -> None:
+        sequence = 0
+        while True:
+            await trio.sleep(self.settings.load_every_s)
+            sequence += 1
+            await self._send("load", self._load_report(sequence))
+            await self._send_events()
+
+    def _load_report(self, sequence: int) -> dict[str, Any]:
+        running = min(self.engine.active, self.settings.capacity)
+        return {
+            "target": self.settings.target,
+            "boot_id": self.engine.boot_id,
+            "sequence": sequence,
+            "running": running,
+            "queued": self.engine.active - running,
+            "queued_prefill_tokens": self.engine.waiting_prefill_tokens,
+            "cached_tokens": len(self.engine.cache) * self.settings.block_tokens,
+            "age_s": 0.0,
+        }
+
+    async def _send_events(self) -> None:
+        events, self.engine.events = self.engine.events, []
+        if not events:
+            return
+        message = {**self._event_head(), "events": events}
+        self.engine.next_event += len(events)
+        await self._send("events", message)
+
+    async def _send(self, kind: str, message: dict[str, Any]) -> dict[str, Any] | None:
+        url = f"http://{self.owner}/target/{kind}"
+        reply = await _call("POST", url, msgspec.json.encode(message))
+        if reply is None or reply.status >= 300:
+            return None
+        try:
+            value = msgspec.json.decode(reply.content or b"{}")
+        except msgspec.DecodeError:
+            return {}
+        return value if isinstance(value, dict) else {}
+
+
+async def serve(
+    settings: FakeTargetSettings,
+    *,
+    target: FakeTarget | None = None,
+    task_status: Any = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve one fake target on loopback until cancelled; report its port.
+
+    :param target: the fake to serve, for callers that steer it.
+
+    Usage: ``port = await nursery.start(serve, settings)``, or
+    ``await nursery.start(functools.partial(serve, settings, target=fake))``.
+    """
+    target = target or FakeTarget(settings)
+    http = HypercornConfig()
+    http.bind = ["127.0.0.1:0"]
+    http.graceful_timeout = GRACEFUL_TIMEOUT_S
+    http.errorlog = None
+    async with trio.open_nursery() as nursery:
+        binds = await nursery.start(serve_http, target.app(), http)
+        address = binds[0].removeprefix("http://")
+        await target.run(address, nursery)
+        task_status.started(int(address.rpartition(":")[2]))
+
+
+async def _call(
+    method: str, url: str, content: bytes | None
+) -> httpcore.Response | None:
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), CALL_TIMEOUT_S)
+    try:
+        async with httpcore.AsyncConnectionPool() as pool:
+            return await pool.request(
+                method, url, content=content, extensions={"timeout": timeout}
+            )
+    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
+        return None
+
+
+def _room(faults: Faults, sent: int) -> int | None:
+    """Return how many pieces may follow before a connection breaks."""
+    limits = [n for n in (faults.cut_after, faults.silent_after) if n is not None]
+    return min(limits) - sent if limits else None
+
+
+def _order_of(body: bytes) -> str:
+    try:
+        value = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return ""
+    return str(value.get("order", "")) if isinstance(value, dict) else ""
+
+
+def _json(value: Any) -> Response:
+    return Response(msgspec.json.encode(value), media_type="application/json")
+
+
+def _problem(refusal: Refusal) -> Response:
+    body = msgspec.json.encode({"type": refusal.type, "status": refusal.status})
+    return Response(
+        body,
+        refusal.status,
+        headers={"vanillabeam-run": "not-run"},
+        media_type="application/problem+json",
+    )
