--- a/src/vanillabeam/exceptions.py
+++ b/src/vanillabeam/exceptions.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "BodyTooLarge",
+    "BodyTooSlow",
     "DeadlineExceeded",
     "Draining",
     "InvariantBroken",
@@ -13,6 +14,9 @@
     "NoEligibleTarget",
     "NotReady",
     "Overloaded",
+    "PeerSilent",
+    "PeerUnreachable",
+    "RemoteFailure",
     "Run",
     "SettingsInvalid",
     "TargetFailed",
@@ -83,6 +87,15 @@
     advice = "Send a smaller body."
 
 
+class BodyTooSlow(VanillabeamError):
+    """A body did not arrive within its listener's time."""
+
+    type = "body-too-slow"
+    status = HTTPStatus.REQUEST_TIMEOUT
+    run = Run.NOT_RUN
+    advice = "Send the body faster or smaller."
+
+
 class Unauthenticated(VanillabeamError):
     """No key, or one that no workspace or operator has."""
 
@@ -183,6 +196,31 @@
     advice = "The request may have run; a model prompt may be sent again."
 
 
+class PeerUnreachable(VanillabeamError):
+    """Another VM could not be connected to; nothing was sent."""
+
+    type = "peer-unreachable"
+    status = HTTPStatus.BAD_GATEWAY
+    run = Run.NOT_RUN
+    advice = "Look at the status of that VM; send the request again."
+    retry_after_s = 1.0
+
+
+class PeerSilent(VanillabeamError):
+    """Another VM took the message and did not answer in time."""
+
+    type = "peer-silent"
+    status = HTTPStatus.GATEWAY_TIMEOUT
+    advice = "It is not known whether the message took effect; ask again."
+
+
+class RemoteFailure(VanillabeamError):
+    """Another VM failed in a way that this release does not know."""
+
+    type = "remote-failure"
+    status = HTTPStatus.BAD_GATEWAY
+
+
 class SettingsInvalid(VanillabeamError):
     """The settings file does not hold; the detail lists every fault.
 
--- /dev/null
+++ b/src/vanillabeam/limits.py
@@ -0,0 +1,86 @@
+"""Limits on what a listener takes: bodies, time, requests at once."""
+
+import trio
+from returns.result import Failure, Result, Success
+from starlette.types import ASGIApp, Receive, Scope, Send
+
+from vanillabeam.exceptions import (
+    BodyTooLarge,
+    BodyTooSlow,
+    InvariantBroken,
+    MalformedBody,
+    Overloaded,
+    VanillabeamError,
+)
+from vanillabeam.problems import problem_response
+from vanillabeam.settings import Limits
+
+__all__ = ["Limited", "read_body"]
+
+
+class Limited:
+    """An ASGI application behind a listener's limits.
+
+    Requests past the limit are refused at once, as not run.
+
+    :param app: what serves the requests within the limits.
+    :param limits: the listener's limits.
+    """
+
+    def __init__(self, app: ASGIApp, limits: Limits):
+        self.app = app
+        self.limits = limits
+        self.open_requests = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request, or refuse it."""
+        if scope["type"] != "http":
+            raise InvariantBroken(f"no {scope['type']} here")
+        refusal = self._refusal(scope)
+        if refusal is not None:
+            await problem_response(refusal)(scope, receive, send)
+            return
+        self.open_requests += 1
+        try:
+            scope["vanillabeam.limits"] = self.limits
+            await self.app(scope, receive, send)
+        finally:
+            self.open_requests -= 1
+
+    def _refusal(self, scope: Scope) -> VanillabeamError | None:
+        if self.open_requests >= self.limits["requests"]:
+            return Overloaded("this VM has too many requests open")
+        headers = dict(scope["headers"])
+        if b"transfer-encoding" in headers and b"content-length" in headers:
+            return MalformedBody("both Content-Length and Transfer-Encoding")
+        length = headers.get(b"content-length", b"0")
+        if not length.isdigit():
+            return MalformedBody("Content-Length is not a number")
+        if int(length) > self.limits["body_bytes"]:
+            return BodyTooLarge(f"the limit is {self.limits['body_bytes']} bytes")
+        return None
+
+
+async def read_body(scope: Scope, receive: Receive) -> Result[bytes, VanillabeamError]:
+    """Read a request's body within the listener's limits.
+
+    :returns: the body; :class:`BodyTooLarge`, :class:`BodyTooSlow` or
+        :class:`MalformedBody` if the caller left before its end.
+    """
+    limits = scope["vanillabeam.limits"]
+    parts: list[bytes] = []
+    size = 0
+    with trio.move_on_after(limits["body_s"]):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return Failure(MalformedBody("the body ended early"))
+            parts.append(message.get("body", b""))
+            size += len(parts[-1])
+            if size > limits["body_bytes"]:
+                return Failure(
+                    BodyTooLarge(f"the limit is {limits['body_bytes']} bytes")
+                )
+            if not message.get("more_body", False):
+                return Success(b"".join(parts))
+    return Failure(BodyTooSlow(f"the limit is {limits['body_s']:g} s"))
--- /dev/null
+++ b/src/vanillabeam/logs.py
@@ -0,0 +1,86 @@
+"""Structured logs: one JSON object or one line of text for each event."""
+
+import sys
+from datetime import UTC
+
+from loguru import logger
+
+from vanillabeam import wire
+from vanillabeam.settings import Logs
+
+__all__ = ["FIELDS", "configure"]
+
+#: The fields that a log line may carry; anything else is dropped, so that no
+#: key or prompt gets into a log by way of a new field.
+FIELDS = (
+    "vm",
+    "data_centre",
+    "request_id",
+    "workspace",
+    "model",
+    "service",
+    "target",
+    "boot_id",
+    "version",
+    "ticket",
+    "index",
+    "group",
+    "term",
+    "peer",
+    "path",
+    "status",
+    "run",
+    "failure",
+    "detail",
+    "attempts",
+    "first_token_s",
+    "total_s",
+    "transfer",
+    "store",
+    "bytes",
+    "count",
+    "request_ids",
+    "address",
+    "role",
+    "code",
+)
+
+
+def configure(cfg: Logs, vm: str, data_centre: str) -> None:
+    """Send this process's logs where ``cfg`` says.
+
+    :param vm: this VM's name, a field of every line.
+    """
+    logger.remove()
+    sink = cfg["file"] or _write_stderr
+    render = _as_json if cfg["format"] == "json" else _as_text
+    logger.configure(extra={"vm": vm, "data_centre": data_centre})
+    logger.add(sink, level=cfg["level"], format=render, catch=True)
+
+
+def _write_stderr(message: str) -> None:
+    sys.stderr.write(message)
+
+
+def _as_json(record) -> str:
+    line = {
+        "time": record["time"].astimezone(UTC).isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "event": record["message"],
+    }
+    line.update(_fields(record))
+    if record["exception"] is not None:
+        line["exception"] = record["exception"].type.__name__
+    record["extra"]["_line"] = wire.encode(line).decode()
+    return "{extra[_line]}\n"
+
+
+def _as_text(record) -> str:
+    fields = " ".join(f"{name}={value}" for name, value in _fields(record).items())
+    record["extra"]["_line"] = fields
+    return "{time:HH:mm:ss.SSS} {level: <7} {message} {extra[_line]}\n{exception}"
+
+
+def _fields(record) -> dict[str, object]:
+    extra = record["extra"]
+    return {name: extra[name] for name in FIELDS if name in extra}
--- /dev/null
+++ b/src/vanillabeam/peerhttp.py
@@ -0,0 +1,146 @@
+"""HTTP between shells: the calling half and the answering half."""
+
+import ssl
+from collections.abc import Mapping
+
+import httpcore
+import trio
+from returns.result import Failure, Result, Success
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from vanillabeam.exceptions import (
+    InvariantBroken,
+    PeerSilent,
+    PeerUnreachable,
+    VanillabeamError,
+)
+from vanillabeam.limits import read_body
+from vanillabeam.peercall import PeerHandler, PeerRoutes
+from vanillabeam.problems import from_problem, problem_response
+
+__all__ = ["PeerClient", "peer_routes"]
+
+CONNECT_TIMEOUT_S = 1.0
+SILENCE_TIMEOUT_S = 5.0
+IDLE_EXPIRY_S = 4.0
+MAX_CONNECTIONS = 64
+JSON_TYPE = b"application/json"
+
+
+class PeerClient:
+    """Calls other VMs; a :data:`~vanillabeam.peercall.PeerCall`.
+
+    Idle connections are dropped after a few seconds, as one that something
+    in between has forgotten would only be noticed by its silence.
+
+    :param key: secret that all VMs share, or ``None``.
+    :param tls: context that verifies the far end, or ``None`` for plain HTTP.
+
+    >>> client = PeerClient(key=None, tls=None)
+    >>> answer = await client("10.0.0.2:7003", "/peer/ping", b"{}")
+    """
+
+    def __init__(
+        self,
+        key: str | None,
+        tls: ssl.SSLContext | None,
+        silence_timeout_s: float = SILENCE_TIMEOUT_S,
+    ):
+        self.scheme = "http" if tls is None else "https"
+        self.silence_timeout_s = silence_timeout_s
+        self.headers = [(b"Content-Type", JSON_TYPE)]
+        if key is not None:
+            self.headers.append((b"Authorization", b"Bearer " + key.encode()))
+        self.pool = httpcore.AsyncConnectionPool(
+            ssl_context=tls,
+            max_connections=MAX_CONNECTIONS,
+            keepalive_expiry=IDLE_EXPIRY_S,
+        )
+
+    async def __call__(
+        self, address: str, path: str, body: bytes
+    ) -> Result[bytes, VanillabeamError]:
+        """Post ``body`` and return the answer's body or its typed failure."""
+        return await self.request("POST", address, path, body)
+
+    async def request(
+        self, method: str, address: str, path: str, body: bytes
+    ) -> Result[bytes, VanillabeamError]:
+        """Send one request and return the answer's body or its typed failure.
+
+        :param address: ``host:port``.
+        :returns: :class:`PeerUnreachable` if nothing was sent,
+            :class:`PeerSilent` if the message may have arrived.
+        """
+        url = f"{self.scheme}://{address}{path}"
+        timeout = {
+            "connect": CONNECT_TIMEOUT_S,
+            "pool": self.silence_timeout_s,
+            "read": self.silence_timeout_s,
+            "write": self.silence_timeout_s,
+        }
+        try:
+            with trio.fail_after(2 * self.silence_timeout_s):
+                res = await self.pool.request(
+                    method,
+                    url,
+                    headers=self.headers,
+                    content=body,
+                    extensions={"timeout": timeout},
+                )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout):
+            return Failure(PeerUnreachable(address))
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            trio.TooSlowError,
+        ) as exc:
+            return Failure(PeerSilent(f"{address}: {type(exc).__name__}"))
+        if res.status >= 300:
+            return Failure(from_problem(res.status, res.content))
+        return Success(res.content)
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self.pool.aclose()
+
+
+def peer_routes(routes: PeerRoutes, on_broken=None) -> list[Route]:
+    """Return starlette routes for ``routes``.
+
+    :param on_broken: called with each :class:`InvariantBroken` that a handler
+        raises; the request ends with it and the process goes on.
+    """
+    return [
+        Route(path, _endpoint(handler, on_broken), methods=["POST"])
+        for path, handler in routes.items()
+    ]
+
+
+def _endpoint(handler: PeerHandler, on_broken):
+    async def endpoint(request: Request) -> Response:
+        body = await read_body(request.scope, request.receive)
+        if isinstance(body, Failure):
+            return problem_response(body.failure())
+        try:
+            answer = await handler(body.unwrap())
+        except InvariantBroken as exc:
+            if on_broken is not None:
+                on_broken(exc)
+            answer = Failure(exc)
+        if isinstance(answer, Failure):
+            return problem_response(answer.failure())
+        return Response(answer.unwrap(), media_type="application/json")
+
+    return endpoint
+
+
+def bearer(headers: Mapping[str, str]) -> str | None:
+    """Return the key of an ``Authorization: Bearer`` header, if there is one."""
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        return None
+    return key.strip()
--- /dev/null
+++ b/src/vanillabeam/settings.py
@@ -0,0 +1,371 @@
+"""The settings file of a VM: its shape, defaults and checks."""
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
+from returns.result import Failure, Result, Success
+from typing_extensions import TypedDict
+
+from vanillabeam.exceptions import SettingsInvalid
+
+__all__ = [
+    "Claims",
+    "Control",
+    "Drain",
+    "Limits",
+    "Listener",
+    "Listeners",
+    "Logs",
+    "Metrics",
+    "Objective",
+    "Operator",
+    "Peer",
+    "Routing",
+    "Settings",
+    "Store",
+    "Tls",
+    "check",
+    "load",
+    "schema",
+]
+
+SETTINGS_VERSION = 1
+_STRICT = ConfigDict(extra="forbid", strict=True)
+
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+Host = Annotated[str, Field(min_length=1, max_length=255)]
+Port = Annotated[int, Field(ge=0, le=65535)]
+Address = Annotated[str, Field(pattern=r"^(\[[0-9A-Fa-f:]+\]|[0-9A-Za-z.-]+):[0-9]+$")]
+KeyDigest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Seconds = Annotated[float, Field(gt=0, le=86_400)]
+Count = Annotated[int, Field(ge=1, le=10_000_000)]
+Bytes = Annotated[int, Field(ge=1)]
+
+
+def _default(factory):
+    return Field(default_factory=factory)
+
+
+@with_config(_STRICT)
+class Tls(TypedDict):
+    """Certificate, key and CA files of a listener, in PEM."""
+
+    certificate: Annotated[str, Field(description="file of the chain")]
+    key: Annotated[str, Field(description="file of the private key")]
+    ca: Annotated[
+        str | None,
+        Field(default=None, description="file of the CA that clients must be from"),
+    ]
+
+
+@with_config(_STRICT)
+class Limits(TypedDict):
+    """What one listener accepts."""
+
+    body_bytes: Annotated[Bytes, Field(default=16_777_216)]
+    body_s: Annotated[Seconds, Field(default=30.0, description="to read a body")]
+    requests: Annotated[Count, Field(default=2_000, description="at once")]
+
+
+@with_config(_STRICT)
+class Listener(TypedDict):
+    """An address that this VM listens on; port 0 takes a free one."""
+
+    host: Annotated[Host, Field(default="127.0.0.1")]
+    port: Port
+    tls: Annotated[Tls | None, Field(default=None)]
+    limits: Annotated[Limits, _default(lambda: _default_of(Limits))]
+
+
+@with_config(_STRICT)
+class Listeners(TypedDict):
+    """The three listeners of a VM."""
+
+    callers: Listener
+    targets: Listener
+    peers: Listener
+
+
+@with_config(_STRICT)
+class Peer(TypedDict):
+    """Another VM of the system, by its peers' listener."""
+
+    vm: Name
+    data_centre: Name
+    address: Address
+    roles: Annotated[
+        list[Literal["entry", "control", "store"]], _default(lambda: ["entry"])
+    ]
+
+
+@with_config(_STRICT)
+class Control(TypedDict):
+    """The control quorum that a first start begins with."""
+
+    members: Annotated[
+        list[Name], Field(min_length=1, description="3, 5 or 7 VMs; 1 on one VM")
+    ]
+    bootstrap: Annotated[
+        bool,
+        Field(
+            default=False,
+            description="true only for the first start of a new system; "
+            "a VM whose disk was replaced starts with false",
+        ),
+    ]
+
+
+@with_config(_STRICT)
+class Operator(TypedDict):
+    """Somebody who may send tickets."""
+
+    name: Name
+    key_digest: Annotated[KeyDigest, Field(description="SHA-256 of the key, hex")]
+
+
+@with_config(_STRICT)
+class Drain(TypedDict):
+    """How a planned stop proceeds."""
+
+    notice_s: Annotated[
+        Annotated[float, Field(ge=0, le=300)],
+        Field(default=5.0, description="unready before the listeners close"),
+    ]
+    deadline_s: Annotated[Seconds, Field(default=600.0)]
+
+
+@with_config(_STRICT)
+class Routing(TypedDict):
+    """Prices in the score of a target, in seconds of first token."""
+
+    recomputed_token_price_s: Annotated[
+        Annotated[float, Field(ge=0)], Field(default=0.0)
+    ]
+    link_byte_price_s: Annotated[Annotated[float, Field(ge=0)], Field(default=0.0)]
+
+
+@with_config(_STRICT)
+class Store(TypedDict):
+    """Sizes of the store role."""
+
+    listener: Listener
+    memory_bytes: Annotated[Bytes, Field(default=1_073_741_824)]
+    disk_bytes: Annotated[Bytes, Field(default=10_737_418_240)]
+
+
+@with_config(_STRICT)
+class Claims(TypedDict):
+    """How long outcomes of calls with an Idempotency-Key are kept."""
+
+    shards: Annotated[Annotated[int, Field(ge=1, le=64)], Field(default=1)]
+    retention_s: Annotated[
+        Annotated[float, Field(ge=3_600)], Field(default=30 * 86_400.0)
+    ]
+
+
+@with_config(_STRICT)
+class Logs(TypedDict):
+    """Where structured logs go."""
+
+    format: Annotated[Literal["json", "text"], Field(default="json")]
+    level: Annotated[
+        Literal["DEBUG", "INFO", "WARNING", "ERROR"], Field(default="INFO")
+    ]
+    file: Annotated[str | None, Field(default=None, description="else stderr")]
+
+
+@with_config(_STRICT)
+class Metrics(TypedDict):
+    """The statsd daemon that takes the metrics."""
+
+    host: Host
+    port: Annotated[Port, Field(default=8125)]
+    prefix: Annotated[str, Field(default="vanillabeam")]
+
+
+@with_config(_STRICT)
+class Objective(TypedDict):
+    """A service-level objective."""
+
+    name: Name
+    measure: Literal["first_token", "token_gap", "success"]
+    within_s: Annotated[Seconds | None, Field(default=None)]
+    share: Annotated[
+        float, Field(gt=0, lt=1, description="share that must be good, as 0.95")
+    ]
+
+
+@with_config(_STRICT)
+class Settings(TypedDict):
+    """Everything that one VM is told."""
+
+    version: Literal[1]
+    vm: Name
+    data_centre: Name
+    region: Annotated[Name, Field(default="default")]
+    roles: Annotated[list[Literal["entry", "control", "store"]], Field(min_length=1)]
+    data_folder: Annotated[
+        str | None, Field(default=None, description="none: nothing survives a stop")
+    ]
+    listeners: Listeners
+    peers: Annotated[list[Peer], _default(list)]
+    peer_key_file: Annotated[
+        str | None, Field(default=None, description="secret that all VMs share")
+    ]
+    control: Control
+    operators: Annotated[list[Operator], _default(list)]
+    drain: Annotated[Drain, _default(lambda: _default_of(Drain))]
+    routing: Annotated[Routing, _default(lambda: _default_of(Routing))]
+    store: Annotated[Store | None, Field(default=None)]
+    claims: Annotated[Claims, _default(lambda: _default_of(Claims))]
+    logs: Annotated[Logs, _default(lambda: _default_of(Logs))]
+    metrics: Annotated[Metrics | None, Field(default=None)]
+    objectives: Annotated[list[Objective], _default(lambda: list(DEFAULT_OBJECTIVES))]
+
+
+DEFAULT_OBJECTIVES = (
+    Objective(name="first-token", measure="first_token", within_s=1.2, share=0.95),
+    Objective(name="token-gap", measure="token_gap", within_s=0.038, share=0.95),
+    Objective(name="success", measure="success", within_s=None, share=0.999),
+)
+
+
+def _default_of(kind: type) -> Any:
+    return TypeAdapter(kind).validate_python({})
+
+
+_ADAPTER = TypeAdapter(Settings)
+
+
+def schema() -> dict[str, Any]:
+    """Return the JSON Schema of a settings file."""
+    return _ADAPTER.json_schema()
+
+
+def load(path: Path) -> Result[Settings, SettingsInvalid]:
+    """Read and check a settings file.
+
+    Relative paths in it count from the file's own folder.
+
+    :returns: the settings with defaults filled in, or every fault at once.
+    """
+    try:
+        text = path.read_bytes()
+    except OSError as exc:
+        return Failure(SettingsInvalid(f"{path}: {exc.strerror}"))
+    return check(text, folder=path.parent)
+
+
+def check(text: bytes, folder: Path) -> Result[Settings, SettingsInvalid]:
+    """Check the text of a settings file.
+
+    :param folder: where relative paths begin.
+    """
+    try:
+        cfg = _ADAPTER.validate_json(text)
+    except ValidationError as exc:
+        return Failure(SettingsInvalid(faults=tuple(_shape_faults(exc))))
+    _resolve_paths(cfg, folder)
+    faults = tuple(_cross_faults(cfg))
+    if faults:
+        return Failure(SettingsInvalid(faults=faults))
+    return Success(cfg)
+
+
+def _shape_faults(exc: ValidationError) -> Iterator[str]:
+    for error in exc.errors(include_url=False, include_input=False):
+        path = ".".join(str(part) for part in error["loc"]) or "(document)"
+        yield f"{path}: {error['msg']}"
+
+
+def _resolve_paths(cfg: Settings, folder: Path) -> None:
+    for key in ("data_folder", "peer_key_file"):
+        if cfg[key] is not None:
+            cfg[key] = str(folder / cfg[key])
+    if cfg["logs"]["file"] is not None:
+        cfg["logs"]["file"] = str(folder / cfg["logs"]["file"])
+    for _, listener in _all_listeners(cfg):
+        tls = listener["tls"]
+        if tls is None:
+            continue
+        for key in ("certificate", "key", "ca"):
+            if tls[key] is not None:
+                tls[key] = str(folder / tls[key])
+
+
+def _all_listeners(cfg: Settings) -> Iterator[tuple[str, Listener]]:
+    for name, listener in cfg["listeners"].items():
+        yield f"listeners.{name}", listener
+    if cfg["store"] is not None:
+        yield "store.listener", cfg["store"]["listener"]
+
+
+def _cross_faults(cfg: Settings) -> Iterator[str]:
+    yield from _port_faults(cfg)
+    yield from _file_faults(cfg)
+    yield from _member_faults(cfg)
+    yield from _role_faults(cfg)
+    yield from _objective_faults(cfg)
+
+
+def _port_faults(cfg: Settings) -> Iterator[str]:
+    taken: dict[tuple[str, int], str] = {}
+    for path, listener in _all_listeners(cfg):
+        address = (listener["host"], listener["port"])
+        if listener["port"] and address in taken:
+            yield f"{path}.port: {address[1]} is also {taken[address]}'s"
+        taken[address] = path
+
+
+def _file_faults(cfg: Settings) -> Iterator[str]:
+    named = [("peer_key_file", cfg["peer_key_file"])]
+    for path, listener in _all_listeners(cfg):
+        tls = listener["tls"] or {}
+        named.extend((f"{path}.tls.{key}", tls.get(key)) for key in tls)
+    for path, name in named:
+        if name is None:
+            continue
+        try:
+            Path(name).read_bytes()
+        except OSError as exc:
+            yield f"{path}: {name}: {exc.strerror}"
+
+
+def _member_faults(cfg: Settings) -> Iterator[str]:
+    members = cfg["control"]["members"]
+    if len(members) not in (1, 3, 5, 7):
+        yield f"control.members: {len(members)} members; allowed are 1, 3, 5 or 7"
+    known = [peer["vm"] for peer in cfg["peers"]] + [cfg["vm"]]
+    for index, vm in enumerate(known):
+        if vm in known[:index]:
+            yield f"peers: {vm} is named twice (a VM does not list itself)"
+    for vm in members:
+        if vm not in known:
+            yield f"control.members: {vm} is not among the peers"
+
+
+def _role_faults(cfg: Settings) -> Iterator[str]:
+    is_member = cfg["vm"] in cfg["control"]["members"]
+    if ("control" in cfg["roles"]) and cfg["data_folder"] is None:
+        yield "data_folder: the control role needs one"
+    if is_member and "control" not in cfg["roles"]:
+        yield f"roles: {cfg['vm']} is a control member; add control"
+    if ("store" in cfg["roles"]) != (cfg["store"] is not None):
+        yield "store: the store role and this part go together"
+    if "store" in cfg["roles"] and cfg["data_folder"] is None:
+        yield "data_folder: the store role needs one"
+
+
+def _objective_faults(cfg: Settings) -> Iterator[str]:
+    for index, objective in enumerate(cfg["objectives"]):
+        timed = objective["measure"] != "success"
+        if timed != (objective["within_s"] is not None):
+            yield f"objectives.{index}.within_s: goes with timed measures only"
+
+
+def write_schema(path: Path) -> None:
+    """Write the JSON Schema to ``path``."""
+    path.write_text(json.dumps(schema(), indent=2, sort_keys=True) + "\n")
--- /dev/null
+++ b/tests/test_peerhttp.py
@@ -0,0 +1,89 @@
+from functools import partial
+
+import trio
+from returns.result import Failure, Success
+from starlette.applications import Starlette
+
+from tests.builders import make_listener
+from vanillabeam.exceptions import InvariantBroken, Overloaded, Run
+from vanillabeam.listeners import ListenerTask
+from vanillabeam.peerhttp import PeerClient, peer_routes
+
+SILENCE_S = 0.2
+
+
+async def echo(body):
+    return Success(body)
+
+
+async def refuse(body):
+    return Failure(Overloaded("full"))
+
+
+async def break_invariant(body):
+    raise InvariantBroken("two leaders")
+
+
+async def stay_silent(body):
+    await trio.sleep_forever()
+
+
+ROUTES = {
+    "/peer/echo": echo,
+    "/peer/refuse": refuse,
+    "/peer/broken": break_invariant,
+    "/peer/silent": stay_silent,
+}
+
+
+async def _serve_and_call(calls, **limits):
+    app = Starlette(routes=peer_routes(ROUTES))
+    listener = ListenerTask("peers", app, make_listener(**limits), graceful_s=0.0)
+    client = PeerClient(key=None, tls=None, silence_timeout_s=SILENCE_S)
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(listener.run)
+        answers = [await client(address, path, body) for path, body in calls]
+        await client.aclose()
+        nursery.cancel_scope.cancel()
+    return answers
+
+
+def serve_and_call(*calls, **limits):
+    return trio.run(partial(_serve_and_call, calls, **limits))
+
+
+def test_an_answer_comes_back_whole():
+    assert serve_and_call(("/peer/echo", b"x" * 100_000)) == [Success(b"x" * 100_000)]
+
+
+def test_a_typed_failure_comes_back_as_the_same_type():
+    exc = serve_and_call(("/peer/refuse", b"{}"))[0].failure()
+    assert isinstance(exc, Overloaded)
+    assert exc.detail == "full"
+    assert exc.run is Run.NOT_RUN
+
+
+def test_a_broken_invariant_ends_the_request_only():
+    broken, after = serve_and_call(("/peer/broken", b""), ("/peer/echo", b"on"))
+    assert isinstance(broken.failure(), InvariantBroken)
+    assert after == Success(b"on")
+
+
+def test_silence_is_not_taken_for_not_sent():
+    exc = serve_and_call(("/peer/silent", b"{}"))[0].failure()
+    assert exc.type == "peer-silent"
+    assert exc.run is Run.UNKNOWN
+
+
+def test_nothing_listening_is_not_run():
+    async def call():
+        return await PeerClient(key=None, tls=None)("127.0.0.1:1", "/", b"")
+
+    exc = trio.run(call).failure()
+    assert exc.type == "peer-unreachable"
+    assert exc.run is Run.NOT_RUN
+
+
+def test_a_body_over_the_limit_is_refused():
+    exc = serve_and_call(("/peer/echo", b"x" * 11), body_bytes=10)[0].failure()
+    assert exc.type == "body-too-large"
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,94 @@
+import json
+
+from hypothesis import given, settings as hypothesis_settings, strategies as st
+from returns.result import Failure, Success
+
+from tests.builders import make_settings, make_settings_document
+from vanillabeam.exceptions import SettingsInvalid
+from vanillabeam.settings import check, load
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(sorted(make_settings_document())) | st.text(max_size=6),
+            inner,
+            max_size=6,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+def faults(folder, **changes):
+    text = json.dumps(make_settings_document(**changes)).encode()
+    return check(text, folder).failure().faults
+
+
+def test_defaults_are_filled_in(tmp_path):
+    cfg = make_settings(tmp_path)
+    assert cfg["drain"]["notice_s"] == 5.0
+    assert cfg["listeners"]["callers"]["host"] == "127.0.0.1"
+    assert cfg["data_folder"] == str(tmp_path / "data")
+
+
+def test_every_fault_is_named_at_once(tmp_path):
+    found = faults(tmp_path, vm=3, colour="red", roles=["cook"])
+    assert [fault.split(":")[0] for fault in found] == ["vm", "roles.0", "colour"]
+    assert "'entry', 'control' or 'store'" in found[1]
+
+
+def test_wrong_type_is_not_coerced(tmp_path):
+    listeners = make_settings_document()["listeners"]
+    listeners["callers"]["port"] = "80"
+    assert faults(tmp_path, listeners=listeners)[0].startswith("listeners.callers.port")
+
+
+def test_port_clash_names_both_listeners(tmp_path):
+    listeners = {name: {"port": 7000} for name in ("callers", "targets", "peers")}
+    assert faults(tmp_path, listeners=listeners) == (
+        "listeners.targets.port: 7000 is also listeners.callers's",
+        "listeners.peers.port: 7000 is also listeners.targets's",
+    )
+
+
+def test_unreadable_key_file_is_named(tmp_path):
+    (fault,) = faults(tmp_path, peer_key_file="missing.key")
+    assert fault.startswith("peer_key_file: ")
+    assert fault.endswith("No such file or directory")
+
+
+def test_control_members_must_be_odd_and_known(tmp_path):
+    assert faults(tmp_path, control={"members": ["vm-1", "vm-2"]}) == (
+        "control.members: 2 members; allowed are 1, 3, 5 or 7",
+        "control.members: vm-2 is not among the peers",
+    )
+
+
+def test_a_member_needs_role_and_disk(tmp_path):
+    assert faults(tmp_path, roles=["entry"]) == (
+        "roles: vm-1 is a control member; add control",
+    )
+    assert faults(tmp_path, data_folder=None) == (
+        "data_folder: the control role needs one",
+    )
+
+
+def test_missing_file_is_a_typed_failure(tmp_path):
+    assert isinstance(load(tmp_path / "no.json").failure(), SettingsInvalid)
+
+
+@given(JSON)
+@hypothesis_settings(derandomize=True, max_examples=200)
+def test_any_document_gives_settings_or_a_typed_failure(tmp_path_factory, document):
+    result = check(json.dumps(document).encode(), tmp_path_factory.getbasetemp())
+    assert isinstance(result, Success) or isinstance(result.failure(), SettingsInvalid)
+
+
+@given(st.binary(max_size=64))
+@hypothesis_settings(derandomize=True, max_examples=200)
+def test_any_bytes_give_a_typed_failure(tmp_path_factory, text):
+    result = check(text, tmp_path_factory.getbasetemp())
+    assert isinstance(result, Failure)
+    assert result.failure().faults
