Claim idempotency keys on a replicated log

A refund that is sent twice costs money and one that is lost hurts as much, and a repeat may come to any entry. Before a call that may not be repeated is sent, its key is claimed in a state machine that the log replicates: the first claim is granted, repeats get the recorded outcome, 'in progress' or 'unknown', another body is refused, and without a quorum nothing is sent.

An entry that dies leaves its claim to run out into 'unknown', which only a service that recognises keys, or people by a ticket, opens again. Time comes in the commands, as the lower median of the latest proposers, so that one wrong clock expires nothing. Keys that carry their time are refused once their record may be gone.

--- /dev/null
+++ b/src/vanillabeam/claims/__init__.py
@@ -0,0 +1,55 @@
+"""Claims on idempotency keys: a call that may not be repeated is sent once."""
+
+from vanillabeam.claims.commands import (
+    Abandon,
+    Claim,
+    Finish,
+    Outcome,
+    Reply,
+    ReplyStatus,
+    Withdraw,
+)
+from vanillabeam.claims.exceptions import (
+    ClaimError,
+    ClaimInProgress,
+    ClaimsFull,
+    ClaimsUnavailable,
+    ClaimUnknown,
+    KeyFromFuture,
+    KeyReused,
+    KeyTooLong,
+    KeyTooOld,
+)
+from vanillabeam.claims.keys import key_time_ms, request_digest, shard_of
+from vanillabeam.claims.machine import ClaimMachine, ClaimSettings, OpenClaim
+from vanillabeam.claims.shell import Claims, ClaimsTimes, Granted, Propose, Recorded
+
+__all__ = [
+    "Abandon",
+    "Claim",
+    "ClaimError",
+    "ClaimInProgress",
+    "ClaimMachine",
+    "ClaimSettings",
+    "ClaimUnknown",
+    "Claims",
+    "ClaimsFull",
+    "ClaimsTimes",
+    "ClaimsUnavailable",
+    "Finish",
+    "Granted",
+    "KeyFromFuture",
+    "KeyReused",
+    "KeyTooLong",
+    "KeyTooOld",
+    "OpenClaim",
+    "Outcome",
+    "Propose",
+    "Recorded",
+    "Reply",
+    "ReplyStatus",
+    "Withdraw",
+    "key_time_ms",
+    "request_digest",
+    "shard_of",
+]
