Route requests to targets by permits of one owner each

Each target has one owner, chosen by rendezvous hashing among the live entries of its data centre. The owner counts permits within a window that opens with completions; other entries ask it. Entries pick the target with the lowest expected time to first token. Queues are bounded, fair between workspaces and shed batch work first.

--- /dev/null
+++ b/src/vanillabeam/admission/__init__.py
@@ -0,0 +1,14 @@
+"""Who waits, who goes first and who is shed when targets are full."""
+
+from vanillabeam.admission.budget import RetryBudget
+from vanillabeam.admission.queue import FairQueue, Waiting
+from vanillabeam.admission.shares import ReservedShares, Shares, WeightedShares
+
+__all__ = [
+    "FairQueue",
+    "ReservedShares",
+    "RetryBudget",
+    "Shares",
+    "Waiting",
+    "WeightedShares",
+]
--- /dev/null
+++ b/src/vanillabeam/routing/hints.py
@@ -0,0 +1,55 @@
+"""Where this entry's own requests left their blocks."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+__all__ = ["PlacedBlocks"]
+
+LIMIT_BLOCKS = 50_000
+TARGETS_PER_BLOCK = 3
+
+
+class PlacedBlocks:
+    """The last few targets that computed each block, least recent dropped.
+
+    >>> placed = PlacedBlocks()
+    >>> placed.note("engine-1", ["a", "b"])
+    >>> placed.leading("engine-1", ["a", "b", "c"])
+    2
+    """
+
+    def __init__(self, limit: int = LIMIT_BLOCKS):
+        self.limit = limit
+        self._targets: OrderedDict[str, tuple[str, ...]] = OrderedDict()
+
+    def note(self, target: str, blocks: Sequence[str]) -> None:
+        """Remember that ``target`` should hold ``blocks`` now."""
+        for block in blocks:
+            before = self._targets.pop(block, ())
+            others = tuple(name for name in before if name != target)
+            self._targets[block] = (target, *others[: TARGETS_PER_BLOCK - 1])
+        while len(self._targets) > self.limit:
+            self._targets.popitem(last=False)
+
+    def forget(self, target: str, blocks: Sequence[str]) -> None:
+        """Drop a hint that turned out wrong."""
+        for block in blocks:
+            names = self._targets.get(block)
+            if names is not None:
+                self._targets[block] = tuple(n for n in names if n != target)
+
+    def holders(self, blocks: Sequence[str]) -> dict[str, int]:
+        """Return how many leading blocks each target should hold."""
+        held: dict[str, int] = {}
+        for count, block in enumerate(blocks, start=1):
+            names = self._targets.get(block, ())
+            grown = [name for name in names if held.get(name, 0) == count - 1]
+            if not grown:
+                return held
+            for name in grown:
+                held[name] = count
+        return held
+
+    def leading(self, target: str, blocks: Sequence[str]) -> int:
+        """Return how many leading blocks ``target`` should hold."""
+        return self.holders(blocks).get(target, 0)
--- /dev/null
+++ b/src/vanillabeam/routing/score.py
@@ -0,0 +1,92 @@
+"""Expected time to first token of a request at a target, and its price."""
+
+from typing import NamedTuple
+
+from vanillabeam.routing.records import BLOCK_TOKENS, RouteRequest, TargetView
+from vanillabeam.routing.weights import Weights
+
+__all__ = ["Score", "Since", "score"]
+
+BASE_S = 0.05
+LEAST_RATE_TOKENS_S = 10.0
+
+
+class Since(NamedTuple):
+    """What this entry was granted since a view was true."""
+
+    runs: int = 0
+    tokens: float = 0.0
+
+
+class Score(NamedTuple):
+    """How well a target suits a request; the lowest cost wins.
+
+    :param cost_s: first token plus prices, in seconds.
+    :param first_token_s: expected seconds to the first token.
+    :param wait_s: the part of it spent in the owner's queue.
+    :param cached_tokens: prompt tokens that should be cached there.
+    :param import_tokens: prompt tokens that should come from a store.
+    """
+
+    cost_s: float
+    first_token_s: float
+    wait_s: float
+    cached_tokens: int
+    import_tokens: int
+
+
+def score(
+    request: RouteRequest,
+    view: TargetView,
+    held_blocks: int,
+    since: Since,
+    weights: Weights,
+    far: bool,
+    now_s: float,
+) -> Score:
+    """Return the score of ``view`` for ``request``.
+
+    :param held_blocks: leading blocks that the target should hold.
+    :param since: what the view can't know yet.
+    :param far: whether the target is in another data centre.
+    """
+    rate = max(LEAST_RATE_TOKENS_S, view.prefill_tokens_s)
+    prompt = request.prompt_tokens
+    cached = min(prompt, held_blocks * BLOCK_TOKENS)
+    import_tokens, import_s = _import(request, view, cached, rate, weights)
+    computed = prompt - cached - import_tokens
+    pending = view.pending_tokens + since.tokens
+    pending = max(0.0, pending - rate * (now_s - view.seen_s))
+    wait_s = _wait_s(view, since)
+    first_token_s = BASE_S + wait_s + import_s + (pending + computed) / rate
+    cost_s = first_token_s + weights.recomputed_token_s * computed
+    cost_s += weights.link_byte_s * import_tokens * weights.token_bytes
+    cost_s += weights.far_s * far + weights.cold_s * view.cold
+    return Score(cost_s, first_token_s, wait_s, cached, import_tokens)
+
+
+def _import(
+    request: RouteRequest,
+    view: TargetView,
+    cached: int,
+    rate: float,
+    weights: Weights,
+) -> tuple[int, float]:
+    """Return tokens to import and the seconds, 0 where recompute is cheaper."""
+    stored = min(request.prompt_tokens, request.stored_blocks * BLOCK_TOKENS)
+    tokens = stored - cached
+    if tokens <= 0 or view.link_bytes_s <= 0:
+        return 0, 0.0
+    import_s = tokens * weights.token_bytes / view.link_bytes_s
+    import_cost_s = import_s + tokens * weights.token_bytes * weights.link_byte_s
+    recompute_cost_s = tokens / rate + tokens * weights.recomputed_token_s
+    if import_cost_s >= recompute_cost_s:
+        return 0, 0.0
+    return tokens, import_s
+
+
+def _wait_s(view: TargetView, since: Since) -> float:
+    excess = view.in_use + view.queued + since.runs + 1 - view.limit
+    if excess <= 0:
+        return 0.0
+    return excess * view.run_s / max(1, view.limit)
--- /dev/null
+++ b/src/vanillabeam/targets/client.py
@@ -0,0 +1,78 @@
+"""Calls to the owners of targets, this VM among them."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from returns.result import Failure, Result, Success
+
+from vanillabeam import wire
+from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.peercall import PeerCall
+from vanillabeam.targets import messages
+from vanillabeam.targets.exceptions import OwnerUnreachable
+from vanillabeam.targets.records import Ask, Entry
+from vanillabeam.targets.settings import TargetsSettings
+
+__all__ = ["OwnerClient"]
+
+
+class OwnerClient:
+    """Reaches owners by peer call, or directly where this VM is the owner.
+
+    :param me: this VM.
+    :param here: answers an ask on this VM.
+    """
+
+    def __init__(
+        self,
+        me: Entry,
+        call: PeerCall,
+        settings: TargetsSettings,
+        here: Callable[[Ask], Awaitable[messages.AskReply]],
+    ):
+        self._me = me
+        self._call = call
+        self._settings = settings
+        self._here = here
+
+    async def ask(
+        self, entry: Entry, ask: Ask
+    ) -> Result[messages.AskReply, VanillabeamError]:
+        """Ask ``entry`` for a permit; it may answer that the ask waits."""
+        if entry.vm == self._me.vm:
+            return Success(await self._here(ask))
+        limit_s = self._settings.poll_s + self._settings.call_s
+        body = wire.encode(messages.pack_ask(ask))
+        return await self.send(
+            entry, "/peer/targets/ask", body, messages.AskReply, limit_s
+        )
+
+    async def send(
+        self,
+        entry: Entry,
+        path: str,
+        body: bytes,
+        kind: type = dict,
+        limit_s: float | None = None,
+    ) -> Result[object, VanillabeamError]:
+        """Call ``path`` at ``entry`` and decode the answer as ``kind``."""
+        with trio.move_on_after(limit_s or self._settings.call_s):
+            reply = await self._call(entry.address, path, body)
+            if isinstance(reply, Failure):
+                return reply
+            return wire.decode(kind, reply.unwrap())
+        return Failure(OwnerUnreachable(entry.vm))
+
+    def job(
+        self, entry: Entry, path: str, message: object, tries: int = 1
+    ) -> Callable[[], Awaitable[None]]:
+        """Return a call of ``path`` at ``entry`` for the outbox."""
+        body = wire.encode(message)
+
+        async def job() -> None:
+            for _ in range(tries):
+                result = await self.send(entry, path, body)
+                if isinstance(result, Success):
+                    return
+
+        return job
--- /dev/null
+++ b/src/vanillabeam/targets/grants.py
@@ -0,0 +1,286 @@
+"""What an owner keeps of one target, counted exactly."""
+
+import math
+import random
+from collections import deque
+from typing import NamedTuple
+
+from vanillabeam.admission import FairQueue, Shares
+from vanillabeam.config import Priority
+from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.routing.records import BLOCK_TOKENS, TargetView
+from vanillabeam.targets.blocks import BlockHints
+from vanillabeam.targets.breaker import Breaker
+from vanillabeam.targets.estimates import Estimates
+from vanillabeam.targets.records import Ask, Entry, Outcome, OutcomeKind
+from vanillabeam.targets.settings import TargetsSettings
+from vanillabeam.targets.window import Window
+from vanillabeam.targetwire import Announcement, LoadReport
+
+__all__ = ["Grant", "OwnedTarget"]
+
+BATCH_SPARE = 0.2
+REPORT_SLACK_S = 3.0
+EMPTY_RUNS = 2
+
+
+class Grant(NamedTuple):
+    """A permit as its owner counts it.
+
+    :param tokens: prompt tokens that were expected to be computed.
+    :param work_tokens: the same with what was pending before it.
+    :param first_token_s: seconds to the first token that were expected.
+    :param adopted: whether a predecessor gave it.
+    """
+
+    permit_id: str
+    holder: str
+    workspace: str
+    priority: Priority
+    epoch: int
+    granted_s: float
+    expires_s: float
+    tokens: float = 0.0
+    work_tokens: float = 0.0
+    first_token_s: float = 0.0
+    cached_tokens: int = 0
+    adopted: bool = False
+
+
+class OwnedTarget:
+    """One target of an owner: its window, permits, queue and estimates.
+
+    :param epoch: numbers the permits of this ownership.
+    :param shares: fair shares among the workspaces that wait.
+    """
+
+    def __init__(
+        self,
+        announcement: Announcement,
+        epoch: int,
+        settings: TargetsSettings,
+        shares: Shares,
+        rng: random.Random,
+        now_s: float,
+    ):
+        self.announcement = announcement
+        self.epoch = epoch
+        self.settings = settings
+        self.heard_s = now_s
+        self.window = Window(announcement["capacity"], announcement["cold_capacity"])
+        self.permits: dict[str, Grant] = {}
+        self.queue = FairQueue(self._queue_limit(), shares)
+        self.breaker = Breaker(rng)
+        self.blocks = BlockHints()
+        self.estimates = Estimates()
+        self.unaccounted = 0
+        self.stranger_s = float("-inf")
+        self.quiet_until_s = float("-inf")
+        self.hold_until_s = float("-inf")
+        self.next_report = 0
+        self.reported_s = float("-inf")
+        self.reported_cached = 0
+        self._ended: deque[float] = deque(maxlen=256)
+
+    @property
+    def name(self) -> str:
+        """Return the target's name."""
+        return self.announcement["target"]
+
+    @property
+    def data_centre(self) -> str:
+        """Return the target's data centre."""
+        return self.announcement["data_centre"]
+
+    @property
+    def in_use(self) -> int:
+        """Return how many permits are out."""
+        return len(self.permits)
+
+    def announced(self, announcement: Announcement, now_s: float) -> bool:
+        """Take an announcement in and return whether it is a new boot."""
+        rebooted = announcement["boot_id"] != self.announcement["boot_id"]
+        self.announcement = announcement
+        self.heard_s = now_s
+        self.window.resize(announcement["capacity"], announcement["cold_capacity"])
+        self.queue.limit = self._queue_limit()
+        if rebooted:
+            self.permits.clear()
+            self.next_report = 0
+            self.unaccounted = 0
+            self._turn_cold(now_s)
+        return rebooted
+
+    def loaded(self, report: LoadReport, now_s: float) -> None:
+        """Take a load report of this boot in; late ones are dropped."""
+        if report["boot_id"] != self.announcement["boot_id"]:
+            return
+        if report["sequence"] < self.next_report:
+            return
+        self.next_report = report["sequence"] + 1
+        self.reported_s = now_s - report["age_s"]
+        if self._is_empty(report, now_s):
+            self._turn_cold(now_s)
+        self.reported_cached = report["cached_tokens"]
+        self.estimates.reported(report, now_s)
+        self._count_strangers(report, now_s)
+
+    def limit(self, share: float, now_s: float) -> int:
+        """Return how many permits may be out at once.
+
+        :param share: part of the window that is safe to give out.
+        """
+        if now_s < self.quiet_until_s:
+            return 0
+        size = self.window.size
+        if now_s < self.hold_until_s:
+            if self.reported_s < self.quiet_until_s:
+                return 0
+            size = min(size, self.window.cold_capacity)
+        return max(0, math.floor(size * share + 1e-9) - self.unaccounted)
+
+    def batch_limit(self, limit: int) -> int:
+        """Return how much of ``limit`` batch work may take."""
+        if limit <= 1:
+            return limit
+        return limit - max(1, int(limit * BATCH_SPARE))
+
+    def grant(self, ask: Ask, share: float, now_s: float) -> Grant:
+        """Give a permit; the caller has checked that there is room.
+
+        :raises InvariantBroken: if there is none.
+        """
+        if self.in_use >= self.limit(share, now_s):
+            raise InvariantBroken(f"window of {self.name} overfilled")
+        cached = self.blocks.leading(ask.blocks) * BLOCK_TOKENS
+        cached = min(cached, ask.prompt_tokens)
+        tokens = ask.prompt_tokens - cached
+        expires_s = now_s + self.settings.permit_s + self.settings.permit_margin_s
+        grant = Grant(
+            permit_id=ask.permit_id,
+            holder=ask.holder,
+            workspace=ask.workspace,
+            priority=ask.priority,
+            epoch=self.epoch,
+            granted_s=now_s,
+            expires_s=expires_s,
+            tokens=tokens,
+            work_tokens=self.estimates.pending_tokens(now_s) + tokens,
+            first_token_s=self.estimates.first_token_s(tokens, now_s),
+            cached_tokens=cached,
+        )
+        self.permits[ask.permit_id] = grant
+        self.estimates.granted(ask.permit_id, tokens, now_s)
+        self.breaker.granted(ask.permit_id)
+        return grant
+
+    def renew(self, permit_id: str, now_s: float) -> Grant | None:
+        """Prolong a permit and return it, ``None`` if it is not out."""
+        grant = self.permits.get(permit_id)
+        if grant is None:
+            return None
+        life_s = self.settings.permit_s + self.settings.permit_margin_s
+        grant = grant._replace(expires_s=now_s + life_s)
+        self.permits[permit_id] = grant
+        return grant
+
+    def adopt(self, grant: Grant) -> None:
+        """Count a run that a predecessor permitted; it can't be refused."""
+        if grant.permit_id not in self.permits:
+            self.permits[grant.permit_id] = grant._replace(adopted=True)
+            self.unaccounted = max(0, self.unaccounted - 1)
+
+    def release(self, permit_id: str, outcome: Outcome, now_s: float) -> bool:
+        """End a permit and learn from its run; ``False`` if it is not out."""
+        grant = self.permits.pop(permit_id, None)
+        if grant is None:
+            return False
+        self._ended.append(now_s)
+        self.estimates.ended(permit_id)
+        if outcome.kind is OutcomeKind.COMPLETED:
+            self._learn(grant, outcome, now_s)
+        elif outcome.kind is OutcomeKind.FAILED:
+            self.breaker.failed(permit_id, now_s)
+        else:
+            self.breaker.ended(permit_id)
+        return True
+
+    def expire(self, now_s: float) -> list[Grant]:
+        """Remove and return the permits that nobody renewed."""
+        late = [g for g in self.permits.values() if g.expires_s <= now_s]
+        for grant in late:
+            del self.permits[grant.permit_id]
+            self.estimates.ended(grant.permit_id)
+            self.breaker.ended(grant.permit_id)
+        return late
+
+    def wait_s(self, limit: int, ahead: int) -> float:
+        """Return the queue wait that a new ask should expect."""
+        excess = self.in_use + ahead + 1 - limit
+        if excess <= 0:
+            return 0.0
+        return excess * self.estimates.run_s.value / max(1, limit)
+
+    def view(self, me: Entry, share: float, is_open: bool, now_s: float) -> TargetView:
+        """Return what other entries may know of the target."""
+        limit = self.limit(share, now_s)
+        said = self.announcement
+        return TargetView(
+            target=self.name,
+            boot_id=said["boot_id"],
+            address=said["address"],
+            data_centre=self.data_centre,
+            owner=me.vm,
+            epoch=self.epoch,
+            models=said["models"],
+            adapters=said.get("adapters", {}),
+            service=said.get("service", ""),
+            limit=limit,
+            in_use=self.in_use,
+            queued=len(self.queue),
+            run_s=self.estimates.run_s.value,
+            pending_tokens=int(self.estimates.pending_tokens(now_s)),
+            prefill_tokens_s=self.estimates.prefill_tokens_s.value,
+            link_bytes_s=self.estimates.link_bytes_s.value,
+            open=is_open,
+            cold=self.window.cold,
+            seen_s=now_s,
+        )
+
+    def _learn(self, grant: Grant, outcome: Outcome, now_s: float) -> None:
+        self.breaker.succeeded(grant.permit_id)
+        self.estimates.run_s.add(now_s - grant.granted_s)
+        self.window.completed(
+            grant.granted_s, outcome.first_token_s, grant.first_token_s, now_s
+        )
+        if outcome.first_token_s is None or grant.adopted:
+            return
+        computed = max(0, outcome.prompt_tokens - outcome.cached_tokens)
+        before = grant.work_tokens - grant.tokens
+        self.estimates.saw_first_token(before + computed, outcome.first_token_s)
+
+    def _queue_limit(self) -> int:
+        slots = max(1, self.announcement["capacity"])
+        return max(2, int(slots * self.settings.queue_per_slot))
+
+    def _turn_cold(self, now_s: float) -> None:
+        self.window.shut(now_s)
+        self.blocks.clear()
+        self.reported_cached = 0
+
+    def _is_empty(self, report: LoadReport, now_s: float) -> bool:
+        if self.reported_cached > 0 and report["cached_tokens"] == 0:
+            return True
+        if report["running"] or report["queued"]:
+            return False
+        before_s = now_s - report["age_s"] - REPORT_SLACK_S
+        old = sum(g.granted_s < before_s for g in self.permits.values())
+        return old >= EMPTY_RUNS
+
+    def _count_strangers(self, report: LoadReport, now_s: float) -> None:
+        since_s = now_s - report["age_s"] - REPORT_SLACK_S
+        ended = sum(ended_s > since_s for ended_s in self._ended)
+        seen = report["running"] + report["queued"]
+        self.unaccounted = max(0, seen - self.in_use - ended)
+        if self.unaccounted:
+            self.stranger_s = now_s
--- /dev/null
+++ b/src/vanillabeam/targets/holdings.py
@@ -0,0 +1,133 @@
+"""The permits that this entry holds: renewed while held, given back once."""
+
+from typing import NamedTuple
+
+import trio
+from returns.result import Failure
+
+from vanillabeam import wire
+from vanillabeam.routing.records import RouteRequest
+from vanillabeam.targets import messages
+from vanillabeam.targets.client import OwnerClient
+from vanillabeam.targets.desk import OwnerDesk
+from vanillabeam.targets.grants import Grant
+from vanillabeam.targets.outbox import Outbox
+from vanillabeam.targets.ownership import Ownership
+from vanillabeam.targets.records import Entry, Outcome, Permit
+from vanillabeam.targets.settings import TargetsSettings
+
+__all__ = ["Held", "Holdings"]
+
+RENEWALS_PER_LIFE = 4
+RELEASE_TRIES = 2
+
+
+class Held(NamedTuple):
+    """A permit that this entry holds, as its owner counts it."""
+
+    permit: Permit
+    grant: Grant
+    request: RouteRequest
+
+
+class Holdings:
+    """Keeps permits alive at whichever entry owns their targets now."""
+
+    def __init__(
+        self,
+        ownership: Ownership,
+        desk: OwnerDesk,
+        client: OwnerClient,
+        outbox: Outbox,
+        settings: TargetsSettings,
+    ):
+        self.held: dict[str, Held] = {}
+        self._ownership = ownership
+        self._desk = desk
+        self._client = client
+        self._outbox = outbox
+        self._settings = settings
+
+    def add(self, held: Held) -> None:
+        """Begin to keep a permit alive."""
+        self.held[held.permit.id] = held
+
+    def release(self, permit: Permit, outcome: Outcome) -> Held | None:
+        """Give a permit back; ``None`` if it was given back before."""
+        held = self.held.pop(permit.id, None)
+        if held is None:
+            return None
+        owner = self._owner_of(permit)
+        if owner is None or owner.vm == self._ownership.me.vm:
+            self._desk.release(permit.id, permit.target, outcome)
+            return held
+        message = messages.ReleaseMessage(
+            permit_id=permit.id, target=permit.target, **outcome._asdict()
+        )
+        path = "/peer/targets/release"
+        self._outbox.put(self._client.job(owner, path, message, RELEASE_TRIES))
+        return held
+
+    async def run(self) -> None:
+        """Renew what is held, until cancelled."""
+        while True:
+            await trio.sleep(self._settings.permit_s / RENEWALS_PER_LIFE)
+            for owner, permits in self._by_owner().items():
+                self._outbox.put(lambda o=owner, p=permits: self.renew(o, p))
+
+    async def renew_one(self, permit: Permit) -> Permit | None:
+        """Renew a permit now and return it, ``None`` if it is not held."""
+        held = self.held.get(permit.id)
+        if held is None:
+            return None
+        await self.renew(self._owner_of(permit), [held])
+        held = self.held.get(permit.id, held)
+        return held.permit
+
+    async def renew(self, owner: Entry | None, permits: list[Held]) -> None:
+        """Renew ``permits`` at ``owner`` in one call."""
+        if owner is None:
+            return
+        asked_s = trio.current_time()
+        renewals = [_renewal(held, asked_s) for held in permits]
+        if owner.vm == self._ownership.me.vm:
+            self._renewed(self._renew_here(renewals, asked_s), asked_s)
+            return
+        message = wire.encode(messages.RenewMessage(renewals=renewals))
+        result = await self._client.send(
+            owner, "/peer/targets/renew", message, messages.RenewReply
+        )
+        if not isinstance(result, Failure):
+            self._renewed(result.unwrap()["renewed"], asked_s)
+
+    def _renew_here(
+        self, renewals: list[messages.RenewalMessage], now_s: float
+    ) -> list[str]:
+        unpacked = [messages.unpack_renewal(m, now_s) for m in renewals]
+        return [r.grant.permit_id for r in unpacked if self._desk.renew(r)]
+
+    def _renewed(self, permit_ids: list[str], asked_s: float) -> None:
+        for permit_id in permit_ids:
+            held = self.held.get(permit_id)
+            if held is None:
+                continue
+            expires_s = asked_s + self._settings.permit_s
+            permit = held.permit._replace(expires_s=expires_s)
+            self.held[permit_id] = held._replace(permit=permit)
+
+    def _by_owner(self) -> dict[Entry | None, list[Held]]:
+        by_owner: dict[Entry | None, list[Held]] = {}
+        for held in self.held.values():
+            by_owner.setdefault(self._owner_of(held.permit), []).append(held)
+        return by_owner
+
+    def _owner_of(self, permit: Permit) -> Entry | None:
+        return self._ownership.owner_of(permit.target, permit.data_centre)
+
+
+def _renewal(held: Held, now_s: float) -> messages.RenewalMessage:
+    return messages.RenewalMessage(
+        target=held.permit.target,
+        boot_id=held.permit.boot_id,
+        grant=messages.pack_grant(held.grant, now_s),
+    )
--- /dev/null
+++ b/src/vanillabeam/targets/messages.py
@@ -0,0 +1,246 @@
+"""Messages between entries about targets and permits."""
+
+from typing import TypedDict
+
+from vanillabeam.config import Priority
+from vanillabeam.routing.records import TargetView
+from vanillabeam.targets.events import Handover, Renewal
+from vanillabeam.targets.grants import Grant
+from vanillabeam.targets.records import Ask, Outcome, OutcomeKind
+
+__all__ = [
+    "AskMessage",
+    "AskReply",
+    "GrantMessage",
+    "HandoverMessage",
+    "HandoverQuery",
+    "ReleaseMessage",
+    "RenewMessage",
+    "RenewReply",
+    "RenewalMessage",
+    "SummaryMessage",
+    "ViewMessage",
+    "WithdrawMessage",
+]
+
+
+class AskMessage(TypedDict):
+    """``/peer/targets/ask``: see :class:`~vanillabeam.targets.records.Ask`."""
+
+    permit_id: str
+    target: str
+    holder: str
+    workspace: str
+    model: str
+    version: str
+    adapter: str
+    adapter_version: str
+    service: str
+    priority: Priority
+    deadline_s: float
+    prompt_tokens: int
+    blocks: tuple[str, ...]
+
+
+class GrantMessage(TypedDict):
+    """A permit as its owner counts it; times are seconds ago and from now."""
+
+    permit_id: str
+    holder: str
+    workspace: str
+    priority: Priority
+    epoch: int
+    granted_ago_s: float
+    expires_in_s: float
+    tokens: float
+    work_tokens: float
+    first_token_s: float
+    cached_tokens: int
+
+
+class ViewMessage(TypedDict):
+    """What an owner says of a target."""
+
+    target: str
+    boot_id: str
+    address: str
+    data_centre: str
+    owner: str
+    epoch: int
+    models: dict[str, str]
+    adapters: dict[str, str]
+    service: str
+    limit: int
+    in_use: int
+    queued: int
+    run_s: float
+    pending_tokens: int
+    prefill_tokens_s: float
+    link_bytes_s: float
+    open: bool
+    cold: bool
+
+
+class AskReply(TypedDict):
+    """Answer to an ask.
+
+    :param status: ``granted``, ``waiting`` or the type of the refusal.
+    :param grant: only when granted.
+    :param view: the target as it is now, if it is owned there.
+    """
+
+    status: str
+    grant: GrantMessage | None
+    version: str
+    retry_after_s: float
+    view: ViewMessage | None
+
+
+class WithdrawMessage(TypedDict):
+    """``/peer/targets/withdraw``: a permit is not wanted any more."""
+
+    permit_id: str
+    target: str
+
+
+class RenewalMessage(TypedDict):
+    """One permit to prolong."""
+
+    target: str
+    boot_id: str
+    grant: GrantMessage
+
+
+class RenewMessage(TypedDict):
+    """``/peer/targets/renew``: all permits that a holder has of one owner."""
+
+    renewals: list[RenewalMessage]
+
+
+class RenewReply(TypedDict):
+    """Ids of the permits that were prolonged."""
+
+    renewed: list[str]
+
+
+class ReleaseMessage(TypedDict):
+    """``/peer/targets/release``: a permitted run ended."""
+
+    permit_id: str
+    target: str
+    kind: OutcomeKind
+    first_token_s: float | None
+    prompt_tokens: int
+    cached_tokens: int
+
+
+class HandoverQuery(TypedDict):
+    """``/peer/targets/handover/ask``: a new owner asks for a target."""
+
+    target: str
+    entry: str
+    data_centre: str
+    address: str
+
+
+class HandoverMessage(TypedDict):
+    """``/peer/targets/handover``: what a predecessor knows of a target."""
+
+    target: str
+    boot_id: str
+    epoch: int
+    window: int
+    grants: list[GrantMessage]
+    sure: bool
+    entry: str
+    leaving: bool
+
+
+class SummaryMessage(TypedDict):
+    """``/peer/targets/summary``: an owner's targets as they are now."""
+
+    vm: str
+    views: list[ViewMessage]
+
+
+def pack_ask(ask: Ask) -> AskMessage:
+    """Return ``ask`` for the wire."""
+    return AskMessage(**ask._asdict())
+
+
+def unpack_ask(message: AskMessage) -> Ask:
+    """Return the ask in ``message``."""
+    return Ask(**message)
+
+
+def pack_grant(grant: Grant, now_s: float) -> GrantMessage:
+    """Return ``grant`` for the wire, times relative to now."""
+    values = grant._asdict()
+    del values["adopted"]
+    values["granted_ago_s"] = now_s - values.pop("granted_s")
+    values["expires_in_s"] = values.pop("expires_s") - now_s
+    return GrantMessage(**values)
+
+
+def unpack_grant(message: GrantMessage, now_s: float) -> Grant:
+    """Return the grant in ``message`` in this VM's time."""
+    values = dict(message)
+    values["granted_s"] = now_s - values.pop("granted_ago_s")
+    values["expires_s"] = now_s + values.pop("expires_in_s")
+    return Grant(**values)
+
+
+def pack_view(view: TargetView) -> ViewMessage:
+    """Return ``view`` for the wire."""
+    values = view._asdict()
+    del values["seen_s"]
+    return ViewMessage(**values)
+
+
+def unpack_view(message: ViewMessage, now_s: float) -> TargetView:
+    """Return the view in ``message`` as seen now."""
+    return TargetView(**message, seen_s=now_s)
+
+
+def pack_handover(
+    handover: Handover, entry: str, leaving: bool, now_s: float
+) -> HandoverMessage:
+    """Return ``handover`` for the wire."""
+    return HandoverMessage(
+        target=handover.target,
+        boot_id=handover.boot_id,
+        epoch=handover.epoch,
+        window=handover.window,
+        grants=[pack_grant(grant, now_s) for grant in handover.grants],
+        sure=handover.sure,
+        entry=entry,
+        leaving=leaving,
+    )
+
+
+def unpack_handover(message: HandoverMessage, now_s: float) -> Handover:
+    """Return the handover in ``message`` in this VM's time."""
+    return Handover(
+        target=message["target"],
+        boot_id=message["boot_id"],
+        epoch=message["epoch"],
+        window=message["window"],
+        grants=tuple(unpack_grant(grant, now_s) for grant in message["grants"]),
+        sure=message["sure"],
+    )
+
+
+def unpack_renewal(message: RenewalMessage, now_s: float) -> Renewal:
+    """Return the renewal in ``message`` in this VM's time."""
+    grant = unpack_grant(message["grant"], now_s)
+    return Renewal(message["target"], message["boot_id"], grant)
+
+
+def unpack_outcome(message: ReleaseMessage) -> Outcome:
+    """Return the outcome in ``message``."""
+    return Outcome(
+        kind=message["kind"],
+        first_token_s=message["first_token_s"],
+        prompt_tokens=message["prompt_tokens"],
+        cached_tokens=message["cached_tokens"],
+    )
--- /dev/null
+++ b/src/vanillabeam/targets/ownership.py
@@ -0,0 +1,155 @@
+"""Which entry owns a target, and what share of its window is safe."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from vanillabeam.routing.rendezvous import rank
+from vanillabeam.targets.records import Entry
+from vanillabeam.targets.settings import TargetsSettings
+
+__all__ = ["Ownership"]
+
+
+class Absence(NamedTuple):
+    """A VM that is, or was until just now, out of sight.
+
+    :param since_s: when it was lost.
+    :param back_s: when it was seen again, ``None`` while it is lost.
+    """
+
+    entry: Entry
+    since_s: float
+    back_s: float | None = None
+
+
+class Ownership:
+    """This VM's view of the live entries, and what follows from it.
+
+    :param me: this VM.
+
+    >>> me = Entry("e1", "dc1", "10.0.0.1:7003")
+    >>> view = Ownership(me, TargetsSettings())
+    >>> view.members_changed([me], now_s=0.0)
+    >>> view.owner_of("engine-1", "dc1").vm
+    'e1'
+    """
+
+    def __init__(self, me: Entry, settings: TargetsSettings):
+        self.me = me
+        self.settings = settings
+        self.live: dict[str, Entry] = {}
+        self.absent: dict[str, Absence] = {}
+        self.first_view_s: float | None = None
+
+    @property
+    def known(self) -> bool:
+        """Return whether a first view of the entries has come."""
+        return bool(self.live)
+
+    def members_changed(self, live: Iterable[Entry], now_s: float) -> None:
+        """Take a new view of the live entries; this VM is always in it."""
+        if self.first_view_s is None:
+            self.first_view_s = now_s
+        view = {entry.vm: entry for entry in live}
+        view[self.me.vm] = self.me
+        for vm, entry in self.live.items():
+            if vm not in view:
+                self.absent[vm] = Absence(entry, now_s)
+        for vm, absence in self.absent.items():
+            if vm in view and absence.back_s is None:
+                self.absent[vm] = absence._replace(back_s=now_s)
+        self.live = view
+        self._forget(now_s)
+
+    def left(self, vm: str) -> None:
+        """Note a VM that handed over what it owned: nothing of it is missing."""
+        self.live.pop(vm, None)
+        self.absent.pop(vm, None)
+
+    def owner_of(self, target: str, data_centre: str) -> Entry | None:
+        """Return the entry that owns ``target`` in this view."""
+        candidates = self._candidates(data_centre)
+        if not candidates:
+            return None
+        return self.live[rank(target, candidates)[0]]
+
+    def peers(self, data_centre: str) -> list[Entry]:
+        """Return the other live entries that may have owned a target there."""
+        names = self._candidates(data_centre)
+        return [self.live[vm] for vm in names if vm != self.me.vm]
+
+    def lost_above(self, target: str, data_centre: str) -> bool:
+        """Return whether a VM out of sight would own ``target`` if it lives."""
+        lost = self._lost(data_centre)
+        if data_centre != self.me.data_centre:
+            return bool(lost)
+        return rank(target, [self.me.vm, *lost])[0] != self.me.vm
+
+    def may_have_peers(self, data_centre: str) -> bool:
+        """Return whether other entries could own targets there."""
+        return bool(self.peers(data_centre)) or self.settings.entries_expected > 1
+
+    def share(self, data_centre: str, stranger_s: float, now_s: float) -> float:
+        """Return the part of a window that this VM may give out.
+
+        A VM out of sight may serve the same target, so its part is left free:
+        until it has been lost for ``forget_s`` while no load but this VM's was
+        seen at the target, or has been back for ``hold_s``.
+
+        :param stranger_s: when load of others was last seen at the target.
+        """
+        counted = [
+            absence.entry
+            for absence in self.absent.values()
+            if self._counts(absence, stranger_s, now_s)
+        ]
+        if data_centre == self.me.data_centre:
+            return self._local_share(counted, stranger_s, now_s)
+        if any(entry.data_centre == data_centre for entry in counted):
+            return 0.0
+        return self._part(len(self.live), counted)
+
+    def _local_share(
+        self, counted: list[Entry], stranger_s: float, now_s: float
+    ) -> float:
+        here = self.me.data_centre
+        live = sum(entry.data_centre == here for entry in self.live.values())
+        missing = [entry for entry in counted if entry.data_centre == here]
+        share = self._part(live, missing)
+        quiet_s = now_s - max(self.first_view_s, stranger_s)
+        if quiet_s < self.settings.forget_s and self.settings.entries_expected:
+            share = min(share, live / max(live, self.settings.entries_expected))
+        return share
+
+    def _part(self, live: int, missing: list[Entry]) -> float:
+        back = sum(entry.vm in self.live for entry in missing)
+        visible = max(1, live - back)
+        return visible / (visible + len(missing))
+
+    def _counts(self, absence: Absence, stranger_s: float, now_s: float) -> bool:
+        if absence.back_s is not None:
+            return now_s - absence.back_s < self.settings.hold_s
+        quiet_s = now_s - max(absence.since_s, stranger_s)
+        return quiet_s < self.settings.forget_s
+
+    def _candidates(self, data_centre: str) -> list[str]:
+        local = [vm for vm, e in self.live.items() if e.data_centre == data_centre]
+        return local or list(self.live)
+
+    def _lost(self, data_centre: str) -> dict[str, Entry]:
+        return {
+            vm: absence.entry
+            for vm, absence in self.absent.items()
+            if absence.back_s is None and absence.entry.data_centre == data_centre
+        }
+
+    def _forget(self, now_s: float) -> None:
+        keep_s = 100 * self.settings.forget_s
+        self.absent = {
+            vm: absence
+            for vm, absence in self.absent.items()
+            if now_s - absence.since_s < keep_s
+            and (
+                absence.back_s is None or now_s - absence.back_s < self.settings.hold_s
+            )
+        }
--- /dev/null
+++ b/src/vanillabeam/targets/server.py
@@ -0,0 +1,159 @@
+"""What an owner answers to other entries."""
+
+import trio
+from returns.result import Failure, Result, Success
+
+from vanillabeam import wire
+from vanillabeam.exceptions import InvariantBroken, VanillabeamError
+from vanillabeam.peercall import PeerHandler, PeerRoutes
+from vanillabeam.targets import messages
+from vanillabeam.targets.desk import OwnerDesk
+from vanillabeam.targets.events import (
+    Announced,
+    BlocksChanged,
+    HandoverAsked,
+    HandoverReceived,
+    LoadReported,
+    SendHandover,
+    Withdrawn,
+)
+from vanillabeam.targets.records import Ask, Entry
+from vanillabeam.targetwire import Announcement, CacheEvents, LoadReport
+
+__all__ = ["OwnerServer"]
+
+Reply = Result[bytes, VanillabeamError]
+DONE = Success(b"{}")
+
+
+class OwnerServer:
+    """Handlers of the paths that other entries call.
+
+    :param desk: the owner's core.
+    :param take_summary: takes the views that another owner sends.
+    """
+
+    def __init__(self, desk: OwnerDesk, take_summary):
+        self._desk = desk
+        self._take_summary = take_summary
+
+    def routes(self) -> PeerRoutes:
+        """Return the handlers by path."""
+        return {
+            "/peer/targets/ask": _decoding(messages.AskMessage, self.ask),
+            "/peer/targets/withdraw": _decoding(messages.WithdrawMessage, self._drop),
+            "/peer/targets/renew": _decoding(messages.RenewMessage, self._renew),
+            "/peer/targets/release": _decoding(messages.ReleaseMessage, self._release),
+            "/peer/targets/announce": _decoding(Announcement, self._announce),
+            "/peer/targets/load": _decoding(LoadReport, self._load),
+            "/peer/targets/events": _decoding(CacheEvents, self._events),
+            "/peer/targets/summary": _decoding(messages.SummaryMessage, self._summary),
+            "/peer/targets/handover/ask": _decoding(
+                messages.HandoverQuery, self._hand_over
+            ),
+            "/peer/targets/handover": _decoding(
+                messages.HandoverMessage, self._handed_over
+            ),
+        }
+
+    async def ask(self, message: messages.AskMessage) -> Reply:
+        """Answer an ask: granted, waiting or refused, with the target's view."""
+        return Success(wire.encode(await self.answer(messages.unpack_ask(message))))
+
+    async def answer(self, ask: Ask) -> messages.AskReply:
+        """Return the answer to ``ask`` as a message."""
+        result = await self._desk.ask(ask)
+        now_s = trio.current_time()
+        view = self._view(ask.target, now_s)
+        if result is None:
+            return _unsettled("waiting", 0.0, view)
+        if isinstance(result, Failure):
+            exc = result.failure()
+            return _unsettled(exc.type, exc.retry_after_s or 1.0, view)
+        decision = result.unwrap()
+        return messages.AskReply(
+            status="granted",
+            grant=messages.pack_grant(decision.grant, now_s),
+            version=decision.version,
+            retry_after_s=0.0,
+            view=view,
+        )
+
+    def _view(self, name: str, now_s: float) -> messages.ViewMessage | None:
+        target = self._desk.owner.owned.get(name)
+        if target is None:
+            return None
+        return messages.pack_view(self._desk.owner.view(target, now_s))
+
+    async def _drop(self, message: messages.WithdrawMessage) -> Reply:
+        self._desk.post(Withdrawn(message["permit_id"], message["target"]))
+        return DONE
+
+    async def _renew(self, message: messages.RenewMessage) -> Reply:
+        now_s = trio.current_time()
+        renewals = [messages.unpack_renewal(m, now_s) for m in message["renewals"]]
+        renewed = [r.grant.permit_id for r in renewals if self._desk.renew(r)]
+        return Success(wire.encode(messages.RenewReply(renewed=renewed)))
+
+    async def _release(self, message: messages.ReleaseMessage) -> Reply:
+        outcome = messages.unpack_outcome(message)
+        self._desk.release(message["permit_id"], message["target"], outcome)
+        return DONE
+
+    async def _announce(self, message: Announcement) -> Reply:
+        self._desk.post(Announced(message))
+        return DONE
+
+    async def _load(self, message: LoadReport) -> Reply:
+        self._desk.post(LoadReported(message))
+        return DONE
+
+    async def _events(self, message: CacheEvents) -> Reply:
+        self._desk.post(BlocksChanged(message))
+        return DONE
+
+    async def _summary(self, message: messages.SummaryMessage) -> Reply:
+        self._take_summary(message)
+        return DONE
+
+    async def _hand_over(self, message: messages.HandoverQuery) -> Reply:
+        entry = Entry(message["entry"], message["data_centre"], message["address"])
+        effects = self._desk.post(HandoverAsked(message["target"], entry))
+        sent = [effect for effect in effects if isinstance(effect, SendHandover)]
+        if len(sent) != 1:
+            raise InvariantBroken("an asked handover has one answer")
+        me = self._desk.owner.me.vm
+        now_s = trio.current_time()
+        reply = messages.pack_handover(sent[0].handover, me, False, now_s)
+        return Success(wire.encode(reply))
+
+    async def _handed_over(self, message: messages.HandoverMessage) -> Reply:
+        handover = messages.unpack_handover(message, trio.current_time())
+        self._desk.post(
+            HandoverReceived(handover, message["entry"], message["leaving"])
+        )
+        return DONE
+
+
+def _decoding(kind: type, handler) -> PeerHandler:
+    """Return a handler of bytes that decodes them as ``kind``."""
+
+    async def decoded(body: bytes) -> Reply:
+        message = wire.decode(kind, body)
+        if isinstance(message, Failure):
+            return message
+        return await handler(message.unwrap())
+
+    return decoded
+
+
+def _unsettled(
+    status: str, retry_after_s: float, view: messages.ViewMessage | None
+) -> messages.AskReply:
+    return messages.AskReply(
+        status=status,
+        grant=None,
+        version="",
+        retry_after_s=retry_after_s,
+        view=view,
+    )
--- /dev/null
+++ b/src/vanillabeam/targets/summaries.py
@@ -0,0 +1,106 @@
+"""What owners tell the other entries of their targets, within a byte rate."""
+
+import trio
+
+from vanillabeam.routing.records import TargetView
+from vanillabeam.routing.router import Router
+from vanillabeam.targets import messages
+from vanillabeam.targets.client import OwnerClient
+from vanillabeam.targets.outbox import Outbox
+from vanillabeam.targets.owner import Owner
+from vanillabeam.targets.settings import TargetsSettings
+
+__all__ = ["Summaries"]
+
+VIEW_BYTES = 400
+VIEW_PERIODS = 4
+
+
+class Summaries:
+    """Sends the views of this VM's targets and takes in those of others."""
+
+    def __init__(
+        self,
+        owner: Owner,
+        router: Router,
+        client: OwnerClient,
+        outbox: Outbox,
+        settings: TargetsSettings,
+    ):
+        self._owner = owner
+        self._router = router
+        self._client = client
+        self._outbox = outbox
+        self._settings = settings
+        self._sent_s = float("-inf")
+        self._sent: list[tuple] = []
+
+    def take(self, message: messages.SummaryMessage) -> None:
+        """Take another owner's views in, unless newer ones are known."""
+        now_s = trio.current_time()
+        for packed in message["views"]:
+            view = messages.unpack_view(packed, now_s)
+            if view.target not in self._owner.owned and self._is_newer(view):
+                self._router.update(view)
+
+    def refresh(self, name: str) -> None:
+        """Let this entry's own router see a target that is owned here."""
+        target = self._owner.owned.get(name)
+        if target is not None:
+            self._router.update(self._owner.view(target, trio.current_time()))
+
+    def tick(self) -> None:
+        """Refresh, forget and send what is due."""
+        now_s = trio.current_time()
+        for name in self._owner.owned:
+            self.refresh(name)
+        self._forget(now_s)
+        self._send(now_s)
+
+    @property
+    def period_s(self) -> float:
+        """Return the time between summaries: it grows with the fleet."""
+        stretched_s = len(self._router.views) * VIEW_BYTES
+        stretched_s /= self._settings.summary_bytes_s
+        return max(self._settings.summary_s, stretched_s)
+
+    def _send(self, now_s: float) -> None:
+        views = self._owner.views(now_s)
+        lasting = [_lasting(view) for view in views]
+        due = now_s - self._sent_s >= self.period_s
+        if not views or not (due or lasting != self._sent):
+            return
+        self._sent_s = now_s
+        self._sent = lasting
+        me = self._owner.me.vm
+        packed = [messages.pack_view(view) for view in views]
+        message = messages.SummaryMessage(vm=me, views=packed)
+        for entry in self._owner.ownership.live.values():
+            if entry.vm != me:
+                job = self._client.job(entry, "/peer/targets/summary", message)
+                self._outbox.put(job)
+
+    def _is_newer(self, view: TargetView) -> bool:
+        known = self._router.views.get(view.target)
+        if known is None or view.epoch >= known.epoch:
+            return True
+        return view.seen_s - known.seen_s > self.period_s
+
+    def _forget(self, now_s: float) -> None:
+        oldest_s = now_s - VIEW_PERIODS * self.period_s
+        for name, view in list(self._router.views.items()):
+            if view.seen_s < oldest_s:
+                self._router.remove(name)
+
+
+def _lasting(view: TargetView) -> tuple:
+    """Return what other entries must hear of at once when it changes."""
+    return (
+        view.target,
+        view.boot_id,
+        view.epoch,
+        tuple(view.models.items()),
+        tuple(view.adapters.items()),
+        view.open,
+        view.limit == 0,
+    )
--- /dev/null
+++ b/tests/targets/test_shell.py
@@ -0,0 +1,205 @@
+import trio
+from returns.result import Success
+
+from tests.targets.builders import (
+    Network,
+    make_announcement,
+    make_config,
+    make_entries,
+    make_report,
+    make_request,
+    run,
+)
+from vanillabeam.targets import Outcome, OutcomeKind, TargetsSettings
+
+DONE = Outcome(OutcomeKind.COMPLETED, 0.2, 1000, 0)
+
+
+async def start_one(nursery, **changes):
+    network = Network()
+    targets = network.add("e1")
+    await nursery.start(targets.run)
+    targets.members_changed(make_entries("e1"))
+    await targets.announce(make_announcement(**changes))
+    return targets
+
+
+def test_one_entry_and_one_target_work_at_once():
+    async def main(nursery):
+        targets = await start_one(nursery)
+        began_s = trio.current_time()
+        permit = (await targets.acquire(make_request())).unwrap()
+        assert trio.current_time() == began_s
+        assert (permit.target, permit.boot_id) == ("engine-1", "b1")
+        targets.release(permit, DONE)
+        assert targets.status()["owned"][0]["in_use"] == 0
+
+    run(main)
+
+
+def test_a_waiting_request_gets_the_permit_that_another_gives_back():
+    async def main(nursery):
+        targets = await start_one(nursery, cold_capacity=1, capacity=1)
+        first = (await targets.acquire(make_request())).unwrap()
+
+        async def give_back():
+            await trio.sleep(3.3)
+            targets.release(first, DONE)
+
+        nursery.start_soon(give_back)
+        second = await targets.acquire(make_request(request_id="r2"))
+        assert isinstance(second, Success)
+
+    run(main)
+
+
+def test_a_request_that_cannot_make_it_is_refused_at_once_with_a_retry_time():
+    async def main(nursery):
+        targets = await start_one(nursery, cold_capacity=1, capacity=1)
+        await targets.acquire(make_request())
+        began_s = trio.current_time()
+        refused = await targets.acquire(make_request(deadline_s=1.0))
+        assert refused.failure().type == "overloaded"
+        assert refused.failure().retry_after_s >= 1.0
+        assert trio.current_time() == began_s
+
+    run(main)
+
+
+def test_a_wrong_version_is_refused_at_once():
+    async def main(nursery):
+        targets = await start_one(nursery)
+        refused = await targets.acquire(make_request(version="v2"))
+        assert refused.failure().type == "no-eligible-target"
+        assert refused.failure().run == "not-run"
+
+    run(main)
+
+
+def test_permits_outlive_their_first_life_while_they_are_held():
+    async def main(nursery):
+        targets = await start_one(nursery)
+        permit = (await targets.acquire(make_request())).unwrap()
+        for _ in range(60):
+            await trio.sleep(1.0)
+            await targets.announce(make_announcement())
+        assert targets.status()["owned"][0]["in_use"] == 1
+        targets.release(permit, DONE)
+
+    run(main)
+
+
+def test_a_cancelled_acquire_leaves_nothing_behind():
+    async def main(nursery):
+        targets = await start_one(nursery, cold_capacity=1, capacity=1)
+        first = (await targets.acquire(make_request())).unwrap()
+        with trio.move_on_after(2.5):
+            await targets.acquire(make_request())
+        status = targets.status()
+        assert status["owned"][0]["queued"] == 0
+        assert status["waiting"] == {"interactive": 0}
+        targets.release(first, DONE)
+        assert targets.status()["owned"][0]["in_use"] == 0
+
+    run(main)
+
+
+def test_plain_services_are_found_by_name():
+    async def main(nursery):
+        targets = await start_one(nursery, kind="service", service="refunds", models={})
+        request = make_request(service="refunds", model="", version="")
+        permit = (await targets.acquire(request)).unwrap()
+        assert permit.target == "engine-1"
+        other = make_request(service="orders", model="", version="")
+        assert (await targets.acquire(other)).failure().type == "no-eligible-target"
+
+    run(main)
+
+
+async def start_two(nursery, settings=None):
+    network = Network()
+    settings = settings or TargetsSettings(view_lag_s=0.0)
+    shells = [network.add(name, settings) for name in ("e1", "e2")]
+    for shell in shells:
+        await nursery.start(shell.run)
+        shell.members_changed({"dc1": make_entries("e1", "e2")})
+    return network, shells
+
+
+def test_announcements_and_permits_pass_between_entries():
+    async def main(nursery):
+        network, (one, two) = await start_two(nursery)
+        for number in range(4):
+            said = make_announcement(target=f"engine-{number}")
+            reply = (await one.announce(said)).unwrap()
+            assert reply["owner"] in ("e1:7002", "e2:7002")
+        await trio.sleep(3.0)
+        assert len(one.owned()) + len(two.owned()) == 4
+        assert one.owned() and two.owned()
+        for shell in (one, two):
+            held = [await shell.acquire(make_request()) for _ in range(4)]
+            assert {p.unwrap().owner for p in held} <= {"e1", "e2"}
+            for permit in held:
+                shell.release(permit.unwrap(), DONE)
+        await trio.sleep(1.0)
+        in_use = [v["in_use"] for s in (one, two) for v in s.status()["owned"]]
+        assert in_use == [0, 0, 0, 0]
+
+    run(main)
+
+
+def test_a_drained_entry_hands_its_permits_over():
+    async def main(nursery):
+        network, (one, two) = await start_two(nursery)
+        said = make_announcement(target="engine-1")
+        await one.announce(said)
+        await trio.sleep(3.0)
+        owner, other = (one, two) if one.owned() else (two, one)
+        permit = (await other.acquire(make_request())).unwrap()
+        await owner.drain()
+        await trio.sleep(0.1)
+        name = "e1" if other is one else "e2"
+        other.members_changed(make_entries(name))
+        await other.announce(said)
+        assert other.status()["owned"][0]["in_use"] == 1
+        assert (await other.acquire(make_request())).unwrap().owner == name
+        other.release(permit, DONE)
+        assert other.status()["owned"][0]["in_use"] == 1
+
+    run(main)
+
+
+def test_a_lost_entry_is_waited_out_before_its_targets_are_used():
+    async def main(nursery):
+        settings = TargetsSettings(view_lag_s=5.0)
+        network, (one, two) = await start_two(nursery, settings)
+        said = make_announcement(target="engine-1")
+        await trio.sleep(6.0)
+        await one.announce(said)
+        await trio.sleep(3.0)
+        owner, other = (one, two) if one.owned() else (two, one)
+        name = "e1" if other is one else "e2"
+        network.cut.add(frozenset(("e1:7003", "e2:7003")))
+        other.members_changed(make_entries(name))
+        lost_s = trio.current_time()
+        await other.announce(said)
+        for sequence in range(8):
+            await other.load(make_report(sequence=sequence))
+            await trio.sleep(1.0)
+        permit = await other.acquire(make_request())
+        assert isinstance(permit, Success)
+        assert trio.current_time() >= lost_s + settings.view_lag_s
+
+    run(main)
+
+
+def test_nothing_goes_to_a_data_centre_out_of_service():
+    async def main(nursery):
+        targets = await start_one(nursery)
+        targets.config_changed(make_config(out=["dc1"]))
+        refused = await targets.acquire(make_request())
+        assert refused.failure().type == "no-eligible-target"
+        targets.config_changed(make_config())
+        assert isinstance(await targets.acquire(make_request()), Success)
+
+    run(main)
