--- /dev/null
+++ b/src/vanillabeam/log/__init__.py
@@ -0,0 +1,32 @@
+"""The replicated log: one group of replicas for each log.
+
+:class:`LogNode` is a replica, :class:`LogClient` asks a group from a VM that
+holds none. The core is :func:`vanillabeam.log.core.handle`.
+"""
+
+from vanillabeam.log.client import LogClient
+from vanillabeam.log.exceptions import LogError
+from vanillabeam.log.node import LogNode, group_folder
+from vanillabeam.log.records import (
+    Address,
+    Applied,
+    LogSettings,
+    Member,
+    Membership,
+    StateMachine,
+)
+from vanillabeam.log.requests import LogStatus
+
+__all__ = [
+    "Address",
+    "Applied",
+    "LogClient",
+    "LogError",
+    "LogNode",
+    "LogSettings",
+    "LogStatus",
+    "Member",
+    "Membership",
+    "StateMachine",
+    "group_folder",
+]
--- /dev/null
+++ b/src/vanillabeam/log/client.py
@@ -0,0 +1,165 @@
+"""Requests to a group from any VM: find the leader, never propose twice."""
+
+from collections.abc import Sequence
+
+import trio
+from returns.result import Failure, Result, Success
+
+from vanillabeam import wire
+from vanillabeam.exceptions import Run, VanillabeamError
+from vanillabeam.log.exceptions import (
+    ChangePending,
+    LeaderChanged,
+    LogError,
+    NoLeader,
+    NotLeader,
+    OutcomeUnknown,
+    ProposalLost,
+    ReplicaStopped,
+    StorageFailed,
+)
+from vanillabeam.log.records import DEFAULT_SETTINGS, Address, Applied, LogSettings
+from vanillabeam.log.requests import (
+    GroupRequest,
+    Outcome,
+    failure_of,
+    request_path,
+)
+from vanillabeam.peercall import PeerCall
+
+__all__ = ["LogClient"]
+
+RETRY_S = 0.1
+_RETRIED = (
+    ChangePending,
+    LeaderChanged,
+    NoLeader,
+    NotLeader,
+    ProposalLost,
+    ReplicaStopped,
+    StorageFailed,
+)
+
+
+class LogClient:
+    """Asks a group for commands and reads, from a VM with or without control.
+
+    :param group: the group's name.
+    :param members: VMs to ask; one that is reached names the leader.
+    :param call: how other VMs are called.
+
+    >>> client = LogClient("tickets", members, call)
+    >>> result = await client.propose('{"number": 7}')
+    >>> result.unwrap().index
+    12
+    """
+
+    def __init__(
+        self,
+        group: str,
+        members: Sequence[Address],
+        call: PeerCall,
+        settings: LogSettings = DEFAULT_SETTINGS,
+    ):
+        self.group = group
+        self.settings = settings
+        self.leader = ""
+        self._addresses = [member.address for member in members]
+        self._call = call
+
+    def members_changed(self, members: Sequence[Address]) -> None:
+        """Ask these VMs from now on."""
+        if members:
+            self._addresses = [member.address for member in members]
+
+    async def propose(self, command: str) -> Result[Applied, LogError]:
+        """Have a command committed and applied.
+
+        :returns: what it was applied as. A failure whose ``run`` is
+            ``NOT_RUN`` was certainly not proposed and never will be; any
+            other leaves it open.
+        """
+        outcome = await self.request(GroupRequest(kind="propose", command=command))
+        return outcome.map(_applied)
+
+    async def read(self) -> Result[int, LogError]:
+        """Return an index that holds everything committed before the call."""
+        outcome = await self.request(GroupRequest(kind="read"))
+        return outcome.map(lambda found: found["index"])
+
+    async def add_member(self, vm: str) -> Result[None, LogError]:
+        """Let a VM join; it votes once it holds the log."""
+        outcome = await self.request(GroupRequest(kind="add", vm=vm))
+        return outcome.map(lambda _: None)
+
+    async def remove_member(self, vm: str) -> Result[None, LogError]:
+        """Take a VM out of the group."""
+        outcome = await self.request(GroupRequest(kind="remove", vm=vm))
+        return outcome.map(lambda _: None)
+
+    async def request(self, request: GroupRequest) -> Result[Outcome, LogError]:
+        """Ask the leader, whoever it is, within ``propose_timeout_s``."""
+        body = wire.encode(request)
+        last: LogError = NoLeader("no member was reached")
+        asked = 0
+        with trio.move_on_after(self.settings.propose_timeout_s):
+            while True:
+                address = self._next_address(asked)
+                last = OutcomeUnknown("no answer in time")
+                result = await self._ask(address, body, self._try_s(request))
+                asked += 1
+                if isinstance(result, Success):
+                    self.leader = address
+                    return result
+                last = result.failure()
+                if not _may_retry(last, request):
+                    return result
+                self._learn(last, address)
+                await trio.sleep(RETRY_S)
+        return Failure(last)
+
+    def _try_s(self, request: GroupRequest) -> float:
+        """Return how long one try may take; a proposal is not tried twice."""
+        if request["kind"] == "propose":
+            return self.settings.propose_timeout_s
+        return self.settings.election_s
+
+    def _next_address(self, asked: int) -> str:
+        if self.leader:
+            return self.leader
+        return self._addresses[asked % len(self._addresses)]
+
+    def _learn(self, failure: LogError, address: str) -> None:
+        hint = failure.leader if isinstance(failure, NotLeader) else ""
+        self.leader = hint if hint != address else ""
+
+    async def _ask(
+        self, address: str, body: bytes, try_s: float
+    ) -> Result[Outcome, LogError]:
+        answer: Result[bytes, VanillabeamError] = Failure(OutcomeUnknown(address))
+        with trio.move_on_after(try_s):
+            answer = await self._call(address, request_path(self.group), body)
+        if isinstance(answer, Failure):
+            return Failure(_unreached(answer.failure()))
+        decoded = wire.decode(Outcome, answer.unwrap())
+        if isinstance(decoded, Failure):
+            return Failure(OutcomeUnknown(str(decoded.failure())))
+        failure = failure_of(decoded.unwrap())
+        return Success(decoded.unwrap()) if failure is None else Failure(failure)
+
+
+def _unreached(failure: VanillabeamError) -> LogError:
+    if failure.run is Run.NOT_RUN:
+        return NoLeader(str(failure))
+    return OutcomeUnknown(str(failure))
+
+
+def _may_retry(failure: LogError, request: GroupRequest) -> bool:
+    """Return whether asking again can neither repeat nor hide anything."""
+    if isinstance(failure, _RETRIED):
+        return True
+    return isinstance(failure, OutcomeUnknown) and request["kind"] != "propose"
+
+
+def _applied(outcome: Outcome) -> Applied:
+    return Applied(outcome["index"], outcome["term"], outcome["reply"])
--- /dev/null
+++ b/src/vanillabeam/log/contents.py
@@ -0,0 +1,260 @@
+"""Reading of a replica's data folder, without changing it."""
+
+from typing import NamedTuple, TypedDict
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from vanillabeam.log.exceptions import DataFolderDamaged
+from vanillabeam.log.folder import TEMPORARY_SUFFIX, Folder
+from vanillabeam.log.frames import Frame, Scan, scan
+from vanillabeam.log.records import NO_SNAPSHOT, Entry, Membership, Snapshot
+
+__all__ = ["Contents", "Identity", "read_contents"]
+
+FORMAT = 1
+MEMBER_NAME = "member"
+SEGMENT_PREFIX = "log."
+SNAPSHOT_PREFIX = "snapshot."
+
+HEADER = b"H"
+TERM = b"T"
+ENTRY = b"E"
+COMMIT = b"C"
+SNAPSHOT = b"S"
+DATA = b"D"
+
+
+class Identity(TypedDict):
+    """Who the data folder is.
+
+    :param group_id: empty until the replica is part of a group.
+    :param promised: member id that was told that this folder is empty and
+        may found the group, else empty.
+    """
+
+    format: int
+    group: str
+    member_id: str
+    group_id: str
+    promised: str
+
+
+class SegmentHeader(TypedDict):
+    """First record of a log file: its entries follow ``base_index``."""
+
+    format: int
+    member_id: str
+    base_index: int
+
+
+class TermRecord(TypedDict):
+    """The term and the vote given in it."""
+
+    term: int
+    voted_for: str
+
+
+class CommitRecord(TypedDict):
+    """An index that was known to be committed."""
+
+    commit: int
+
+
+class SnapshotHeader(TypedDict):
+    """What a snapshot file says of its data."""
+
+    format: int
+    member_id: str
+    index: int
+    term: int
+    membership: Membership
+
+
+class Contents(NamedTuple):
+    """All that a data folder holds.
+
+    :param identity: ``None`` for a new disk.
+    :param segment: number of the log file.
+    :param base_index: where that file begins; behind the snapshot after a
+        crash between the two.
+    :param batch: number of the last whole batch in it.
+    :param good_bytes: where that batch ends.
+    :param torn_bytes: what a crash left behind it.
+    :param leftovers: files that a crash left, to be removed.
+    """
+
+    identity: Identity | None
+    snapshot: Snapshot = NO_SNAPSHOT
+    entries: tuple[Entry, ...] = ()
+    term: int = 0
+    voted_for: str = ""
+    commit: int = 0
+    segment: int = 0
+    base_index: int = 0
+    batch: int = 0
+    good_bytes: int = 0
+    torn_bytes: int = 0
+    leftovers: tuple[str, ...] = ()
+
+
+class _Damaged(Exception):
+    """Carries what is wrong to the one place that returns the failure."""
+
+
+def read_contents(folder: Folder) -> Result[Contents, DataFolderDamaged]:
+    """Return what the folder holds, or what is damaged in it."""
+    try:
+        return Success(_read(folder))
+    except _Damaged as exc:
+        return Failure(DataFolderDamaged(str(exc)))
+    except (OSError, msgspec.MsgspecError) as exc:
+        return Failure(DataFolderDamaged(f"unreadable: {exc}"))
+
+
+def segment_name(number: int) -> str:
+    """Return the name of a log file."""
+    return f"{SEGMENT_PREFIX}{number:010d}"
+
+
+def snapshot_name(index: int) -> str:
+    """Return the name of a snapshot file."""
+    return f"{SNAPSHOT_PREFIX}{index:020d}"
+
+
+def _read(folder: Folder) -> Contents:
+    names = folder.names()
+    temporary = [name for name in names if name.endswith(TEMPORARY_SUFFIX)]
+    whole = [name for name in names if name not in temporary]
+    segments = [name for name in whole if name.startswith(SEGMENT_PREFIX)]
+    snapshots = [name for name in whole if name.startswith(SNAPSHOT_PREFIX)]
+    if MEMBER_NAME not in whole:
+        return _read_new(folder, segments, snapshots, temporary)
+    identity = _read_identity(folder)
+    if not segments:
+        raise _Damaged("the log file is missing")
+    snapshot = _read_snapshot(folder, snapshots, identity)
+    contents = _read_segment(folder, segments[-1], snapshot, identity)
+    leftovers = (*temporary, *segments[:-1], *snapshots[:-1])
+    return contents._replace(leftovers=leftovers)
+
+
+def _read_new(
+    folder: Folder, segments: list[str], snapshots: list[str], temporary: list[str]
+) -> Contents:
+    """Accept an empty folder, or one whose making was interrupted."""
+    for name in segments:
+        kinds = [frame.kind for frame in _whole(scan(folder.read(name)), name)]
+        if kinds != [HEADER]:
+            raise _Damaged("the member file is missing")
+    if snapshots:
+        raise _Damaged("the member file is missing")
+    return Contents(None, leftovers=(*temporary, *segments))
+
+
+def _read_identity(folder: Folder) -> Identity:
+    frames = _whole(scan(folder.read(MEMBER_NAME)), MEMBER_NAME)
+    identity = msgspec.json.decode(frames[0].payload, type=Identity)
+    _check_format(identity["format"], MEMBER_NAME)
+    return identity
+
+
+def _read_snapshot(folder: Folder, names: list[str], identity: Identity) -> Snapshot:
+    if not names:
+        return NO_SNAPSHOT
+    name = names[-1]
+    frames = _whole(scan(folder.read(name)), name)
+    if [frame.kind for frame in frames] != [SNAPSHOT, DATA]:
+        raise _Damaged(f"{name}: not a header and its data")
+    header = msgspec.json.decode(frames[0].payload, type=SnapshotHeader)
+    _check_format(header["format"], name)
+    _check_owner(header["member_id"], name, identity)
+    return Snapshot(
+        header["index"], header["term"], header["membership"], frames[1].payload
+    )
+
+
+def _read_segment(
+    folder: Folder, name: str, snapshot: Snapshot, identity: Identity
+) -> Contents:
+    found = scan(folder.read(name))
+    if found.damage:
+        raise _Damaged(f"{name}: {found.damage}")
+    if not found.frames or found.frames[0].kind != HEADER:
+        raise _Damaged(f"{name}: no header")
+    header = msgspec.json.decode(found.frames[0].payload, type=SegmentHeader)
+    _check_format(header["format"], name)
+    _check_owner(header["member_id"], name, identity)
+    if header["base_index"] > snapshot.index:
+        raise _Damaged(f"the snapshot at {header['base_index']} is missing")
+    contents = Contents(
+        identity,
+        snapshot,
+        segment=int(name.removeprefix(SEGMENT_PREFIX)),
+        base_index=header["base_index"],
+        batch=found.frames[-1].batch,
+        good_bytes=found.good_bytes,
+        torn_bytes=found.torn_bytes,
+    )
+    return _replay(contents, found.frames[1:], name)
+
+
+def _replay(contents: Contents, frames: list[Frame], name: str) -> Contents:
+    entries: list[Entry] = []
+    term, voted_for, commit = 0, "", contents.snapshot.index
+    for frame in frames:
+        if frame.kind == TERM:
+            record = msgspec.json.decode(frame.payload, type=TermRecord)
+            term, voted_for = record["term"], record["voted_for"]
+        elif frame.kind == COMMIT:
+            mark = msgspec.json.decode(frame.payload, type=CommitRecord)
+            commit = max(commit, mark["commit"])
+        elif frame.kind == ENTRY:
+            entry = msgspec.json.decode(frame.payload, type=Entry)
+            _place(entry, entries, contents.base_index, name)
+        else:
+            raise _Damaged(f"{name}: record of kind {frame.kind!r}")
+    entries = _after_snapshot(entries, contents.snapshot)
+    last_index = entries[-1].index if entries else contents.snapshot.index
+    if commit > last_index:
+        raise _Damaged(f"{name}: committed up to {commit}, held up to {last_index}")
+    return contents._replace(
+        entries=tuple(entries), term=term, voted_for=voted_for, commit=commit
+    )
+
+
+def _place(entry: Entry, entries: list[Entry], base_index: int, name: str) -> None:
+    """Put an entry in; it replaces all from its index on."""
+    place = entry.index - base_index - 1
+    if not 0 <= place <= len(entries):
+        raise _Damaged(f"{name}: entry {entry.index} leaves a gap")
+    del entries[place:]
+    entries.append(entry)
+
+
+def _after_snapshot(entries: list[Entry], snapshot: Snapshot) -> list[Entry]:
+    """Return the entries after a snapshot that may be newer than the file.
+
+    A tail that does not agree with the snapshot was replaced by it.
+    """
+    held = {entry.index: entry.term for entry in entries}
+    newer = [entry for entry in entries if entry.index > snapshot.index]
+    if newer and held.get(snapshot.index, snapshot.term) != snapshot.term:
+        return []
+    return newer
+
+
+def _whole(found: Scan, name: str) -> list[Frame]:
+    if found.damage or found.torn_bytes or not found.frames:
+        raise _Damaged(f"{name}: {found.damage or 'cut short'}")
+    return found.frames
+
+
+def _check_format(number: int, name: str) -> None:
+    if number != FORMAT:
+        raise _Damaged(f"{name}: format {number}, this release reads {FORMAT}")
+
+
+def _check_owner(member_id: str, name: str, identity: Identity) -> None:
+    if member_id != identity["member_id"]:
+        raise _Damaged(f"{name}: belongs to member {member_id}")
--- /dev/null
+++ b/src/vanillabeam/log/core.py
@@ -0,0 +1,175 @@
+"""The replicated log's core: one ``handle`` for every event.
+
+A replica that is driven through here needs no clock, disk or network: a
+harness stores, sends and applies what the effects say.
+"""
+
+from functools import singledispatch
+
+from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.log import elections, members, replication, snapshots
+from vanillabeam.log.events import (
+    AllowVm,
+    Compacted,
+    Effect,
+    Event,
+    Flush,
+    HandOver,
+    Joined,
+    Knock,
+    Propose,
+    Proposed,
+    Read,
+    Received,
+    Refused,
+    RemoveVm,
+    Role,
+    Tick,
+)
+from vanillabeam.log.exceptions import GroupNotOpen
+from vanillabeam.log.messages import (
+    AppendReply,
+    AppendRequest,
+    Message,
+    SnapshotChunk,
+    SnapshotReply,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+from vanillabeam.log.records import EntryKind
+from vanillabeam.log.replica import Replica
+
+__all__ = ["handle", "next_tick_s"]
+
+
+@singledispatch
+def handle(event: Event, state: Replica, now_s: float) -> list[Effect]:
+    """Change ``state`` by ``event`` and return what the shell must do.
+
+    Effects are carried out in order: whatever is to be stored is synced
+    before anything after it is sent, applied or answered. After a batch of
+    events the shell hands in :class:`~vanillabeam.log.events.Flush`.
+
+    :param now_s: monotonic time in seconds.
+    :raises InvariantBroken: when a rule of the log does not hold.
+    """
+    raise InvariantBroken(f"the log does not take {type(event).__name__}")
+
+
+def next_tick_s(state: Replica) -> float:
+    """Return the monotonic time at which a ``Tick`` is due."""
+    if state.role is not Role.LEADER:
+        return state.election_due_s
+    return state.round_sent_s + state.settings.heartbeat_s
+
+
+@handle.register
+def _(event: Tick, state: Replica, now_s: float) -> list[Effect]:
+    if state.role is not Role.LEADER:
+        return elections.stand_when_due(state, now_s)
+    members.end_hand_over_when_due(state, now_s)
+    return elections.check_quorum(state, now_s)
+
+
+@handle.register
+def _(event: Flush, state: Replica, now_s: float) -> list[Effect]:
+    if state.role is not Role.LEADER:
+        return []
+    promoted = members.promote_learner(state, now_s)
+    return promoted + replication.replicate(state, now_s)
+
+
+@handle.register
+def _(event: Propose, state: Replica, now_s: float) -> list[Effect]:
+    refused = members.refuse_unless_leader(state, event.request_id)
+    if refused:
+        return refused
+    if not state.membership.opened:
+        return [Refused(event.request_id, GroupNotOpen())]
+    effects = replication.add_entry(state, EntryKind.COMMAND, event.command)
+    return [*effects, Proposed(event.request_id, state.log.last_index, state.term)]
+
+
+@handle.register
+def _(event: Read, state: Replica, now_s: float) -> list[Effect]:
+    refused = members.refuse_unless_leader(state, event.request_id)
+    return refused or replication.wait_for_read(state, event.request_id)
+
+
+@handle.register
+def _(event: AllowVm, state: Replica, now_s: float) -> list[Effect]:
+    refused = members.refuse_unless_leader(state, event.request_id)
+    return refused or members.allow_vm(event, state, now_s)
+
+
+@handle.register
+def _(event: RemoveVm, state: Replica, now_s: float) -> list[Effect]:
+    refused = members.refuse_unless_leader(state, event.request_id)
+    return refused or members.remove_vm(event, state, now_s)
+
+
+@handle.register
+def _(event: Knock, state: Replica, now_s: float) -> list[Effect]:
+    refused = members.refuse_unless_leader(state, event.request_id)
+    return refused or members.knock(event, state, now_s)
+
+
+@handle.register
+def _(event: HandOver, state: Replica, now_s: float) -> list[Effect]:
+    return members.begin_hand_over(state, now_s)
+
+
+@handle.register
+def _(event: Compacted, state: Replica, now_s: float) -> list[Effect]:
+    snapshots.compact(state, event.index)
+    return []
+
+
+@handle.register
+def _(event: Received, state: Replica, now_s: float) -> list[Effect]:
+    envelope = event.envelope
+    if envelope.to != state.member_id:
+        return []
+    effects: list[Effect] = []
+    joins = isinstance(envelope.message, AppendRequest | SnapshotChunk)
+    if not state.group_id and joins:
+        state.group_id = envelope.group_id
+        effects.append(Joined(envelope.group_id))
+    if envelope.group_id != state.group_id:
+        return []
+    return effects + _receive(envelope.message, envelope.sender, state, now_s)
+
+
+@singledispatch
+def _receive(
+    message: Message, sender: str, state: Replica, now_s: float
+) -> list[Effect]:
+    raise InvariantBroken(f"the log does not take {type(message).__name__}")
+
+
+_receive.register(VoteRequest, elections.on_vote_request)
+_receive.register(VoteReply, elections.on_vote_reply)
+_receive.register(TimeoutNow, elections.on_timeout_now)
+_receive.register(AppendRequest, replication.on_append_request)
+_receive.register(SnapshotChunk, snapshots.on_chunk)
+
+
+@_receive.register
+def _(message: AppendReply, sender: str, state: Replica, now_s: float) -> list[Effect]:
+    if message.term > state.term:
+        return elections.step_down(state, message.term, now_s)
+    if message.term < state.term:
+        return []
+    return replication.on_append_reply(message, sender, state, now_s)
+
+
+@_receive.register
+def _(
+    message: SnapshotReply, sender: str, state: Replica, now_s: float
+) -> list[Effect]:
+    if message.term > state.term:
+        return elections.step_down(state, message.term, now_s)
+    if message.term < state.term:
+        return []
+    return snapshots.on_chunk_reply(message, sender, state, now_s)
--- /dev/null
+++ b/src/vanillabeam/log/founding.py
@@ -0,0 +1,104 @@
+"""How a replica with a new disk becomes part of a group.
+
+A group is founded once, by one VM alone, and only while every other initial
+VM answers that it knows of no group. Everyone else joins as a learner.
+"""
+
+import secrets
+from collections.abc import Sequence
+
+import trio
+from loguru import logger
+from returns.result import Failure
+
+from vanillabeam import wire
+from vanillabeam.log.client import LogClient
+from vanillabeam.log.loop import Found, Loop
+from vanillabeam.log.records import Address, Member, Membership
+from vanillabeam.log.requests import (
+    GroupRequest,
+    IdentityReply,
+    IdentityRequest,
+    identity_path,
+)
+from vanillabeam.peercall import PeerCall
+
+__all__ = ["Founding"]
+
+RETRY_S = 0.5
+ASK_TIMEOUT_S = 2.0
+
+
+class Founding:
+    """Founds the group or asks to join it, until it is part of it.
+
+    :param me: this VM.
+    :param initial: the VMs that the group is founded for.
+    :param may_found: whether the settings allow this VM to found the group.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        me: Address,
+        initial: Sequence[Address],
+        may_found: bool,
+        loop: Loop,
+        client: LogClient,
+        call: PeerCall,
+    ):
+        self._group = group
+        self._me = me
+        self._initial = sorted(set(initial) | {me} if may_found else set(initial))
+        self._others = [vm for vm in self._initial if vm.vm != me.vm]
+        self._founds = may_found and self._initial[0].vm == me.vm
+        self._loop = loop
+        self._client = client
+        self._call = call
+
+    async def run(self) -> None:
+        """Try until this replica is part of the group."""
+        while not self._loop.replica.group_id:
+            if self._founds and await self._nobody_has_a_group():
+                await self._found()
+            elif self._others:
+                await self._knock()
+            await trio.sleep(RETRY_S)
+
+    async def _nobody_has_a_group(self) -> bool:
+        """Return whether every other initial VM says that it knows no group."""
+        for other in self._others:
+            identity = await self._identity(other)
+            if identity is None or identity["group_id"]:
+                return False
+        return True
+
+    async def _identity(self, other: Address) -> IdentityReply | None:
+        founder = self._loop.replica.member_id
+        body = wire.encode(IdentityRequest(founder=founder))
+        with trio.move_on_after(ASK_TIMEOUT_S):
+            path = identity_path(self._group)
+            answer = await self._call(other.address, path, body)
+            if isinstance(answer, Failure):
+                return None
+            return wire.decode(IdentityReply, answer.unwrap()).value_or(None)
+        return None
+
+    async def _found(self) -> None:
+        member = Member(self._loop.replica.member_id, *self._me)
+        membership = Membership(
+            index=1,
+            voters=(member,),
+            allowed=tuple(vm.vm for vm in self._initial),
+            founding=len(self._initial),
+            opened=len(self._initial) == 1,
+        )
+        logger.warning("{} founds group {}", self._me.vm, self._group)
+        await self._loop.put(Found(secrets.token_hex(16), membership))
+
+    async def _knock(self) -> None:
+        member = Member(self._loop.replica.member_id, *self._me)
+        outcome = await self._client.request(GroupRequest(kind="knock", member=member))
+        if isinstance(outcome, Failure):
+            failure = outcome.failure()
+            logger.warning("{} is not in yet: {}", self._me.vm, failure)
--- /dev/null
+++ b/src/vanillabeam/log/loop.py
@@ -0,0 +1,415 @@
+"""One replica's loop: events in, the disk first, then messages and answers."""
+
+import random
+from functools import partial
+from typing import NamedTuple
+
+import trio
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.log.contents import Contents
+from vanillabeam.log.core import handle, next_tick_s
+from vanillabeam.log.entries import EntryLog, encode_membership
+from vanillabeam.log.events import (
+    Accepted,
+    Apply,
+    Compacted,
+    Effect,
+    Event,
+    Flush,
+    Joined,
+    Proposed,
+    ReadConfirmed,
+    Refused,
+    Restore,
+    Role,
+    SaveEntries,
+    SaveSnapshot,
+    SaveTerm,
+    Send,
+    SendChunk,
+    Tick,
+)
+from vanillabeam.log.exceptions import LogError, ReplicaStopped
+from vanillabeam.log.messages import Envelope, SnapshotChunk
+from vanillabeam.log.outbox import Outbox
+from vanillabeam.log.records import (
+    Entry,
+    EntryKind,
+    LogSettings,
+    Membership,
+    Snapshot,
+    StateMachine,
+)
+from vanillabeam.log.replica import Replica
+from vanillabeam.log.snapshots import is_sending_snapshot
+from vanillabeam.log.storage import Storage
+from vanillabeam.log.waiters import Waiters
+
+__all__ = ["Loop", "Work", "carry_to_disk", "load_replica", "take_snapshot"]
+
+INBOX_ITEMS = 1024
+FOUNDING_TERM = 1
+
+
+class Work(NamedTuple):
+    """Events for the core.
+
+    :param sender: member id of the replica whose call brought them.
+    :param answer: takes the messages that go back in that call's answer.
+    """
+
+    events: tuple[Event, ...]
+    sender: str = ""
+    answer: trio.MemorySendChannel[list[Envelope]] | None = None
+
+
+class Found(NamedTuple):
+    """Found the group with this replica as its only voter."""
+
+    group_id: str
+    membership: Membership
+
+
+class Promise(NamedTuple):
+    """Tell a founder who this replica is; it will not found the group itself."""
+
+    founder: str
+    answer: trio.MemorySendChannel[None]
+
+
+def load_replica(
+    storage: Storage,
+    contents: Contents,
+    settings: LogSettings,
+    rng: random.Random,
+    now_s: float,
+) -> Replica:
+    """Return the replica that a data folder holds.
+
+    What a founding that was cut short left behind does not count.
+    """
+    identity = storage.identity
+    if not identity["group_id"]:
+        contents = Contents(identity)
+    return Replica(
+        identity["member_id"],
+        identity["group_id"],
+        settings,
+        rng,
+        EntryLog(contents.snapshot, list(contents.entries)),
+        term=contents.term,
+        voted_for=contents.voted_for,
+        commit=contents.commit,
+        now_s=now_s,
+    )
+
+
+def carry_to_disk(
+    storage: Storage, effects: list[Effect], state: Replica
+) -> Result[None, LogError]:
+    """Store and sync what a batch of effects asks for, at once."""
+    result: Result[None, LogError] = Success(None)
+    joined = [effect for effect in effects if isinstance(effect, Joined)]
+    if joined:
+        result = storage.save_identity(group_id=joined[-1].group_id)
+    snapshots = [e for e in effects if isinstance(e, SaveSnapshot)]
+    if snapshots and isinstance(result, Success):
+        return _save_snapshot(storage, snapshots[-1].snapshot, state)
+    records = [e for e in effects if isinstance(e, SaveTerm | SaveEntries)]
+    if records and isinstance(result, Success):
+        return storage.write(records, state.commit)
+    return result
+
+
+def take_snapshot(
+    storage: Storage, state: Replica, data: bytes
+) -> Result[None, LogError]:
+    """Store the state machine's state at the index that is applied."""
+    index = state.applied
+    term = state.log.term_at(index)
+    membership = state.log.membership_at(index)
+    return _save_snapshot(storage, Snapshot(index, term, membership, data), state)
+
+
+def _save_snapshot(
+    storage: Storage, snapshot: Snapshot, state: Replica
+) -> Result[None, LogError]:
+    entries = state.log.after(snapshot.index)
+    return storage.save_snapshot(
+        snapshot, state.term, state.voted_for, entries, state.commit
+    )
+
+
+class Loop:
+    """Owns a replica, its storage and its state machine.
+
+    :ivar applied: highest index in the state machine.
+    :ivar failure: why the loop has stopped, ``None`` while it runs.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        storage: Storage,
+        machine: StateMachine,
+        waiters: Waiters,
+        outbox: Outbox,
+    ):
+        self.replica = replica
+        self.storage = storage
+        self.applied = 0
+        self.failure: LogError | None = None
+        self._machine = machine
+        self._waiters = waiters
+        self._outbox = outbox
+        self._changed = trio.Event()
+        self._send, self._receive = trio.open_memory_channel[Work | Found | Promise](
+            INBOX_ITEMS
+        )
+
+    async def put(self, work: Work | Found | Promise) -> Result[None, LogError]:
+        """Hand in work; a loop that has stopped refuses it."""
+        if self.failure is not None:
+            return Failure(ReplicaStopped(self.failure.type))
+        await self._send.send(work)
+        return Success(None)
+
+    async def wait_applied(self, index: int) -> None:
+        """Return once the state machine holds ``index``."""
+        while self.applied < index:
+            await self._changed.wait()
+
+    async def wait_not_leading(self) -> None:
+        """Return once the replica does not lead."""
+        while self.failure is None and self.replica.role is Role.LEADER:
+            await self._changed.wait()
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Bring the state machine to what the disk holds as committed."""
+        if snapshot.index:
+            self._machine.restore(snapshot.data)
+            self.applied = snapshot.index
+        for effect in self.replica.advance_commit(self.replica.commit):
+            self._react(effect)
+
+    async def run(self) -> None:
+        """Handle work until a write fails or an invariant breaks."""
+        while self.failure is None:
+            batch = await self._next_batch()
+            await self._handle_batch(batch)
+            self._changed.set()
+            self._changed = trio.Event()
+        logger.critical("replica stopped: {}: {}", self.failure.type, self.failure)
+        self._waiters.fail_all(self.failure)
+        async for work in self._receive:
+            self._refuse(work)
+
+    async def _next_batch(self) -> list[Work | Found | Promise]:
+        batch: list[Work | Found | Promise] = []
+        with trio.move_on_at(next_tick_s(self.replica)):
+            batch.append(await self._receive.receive())
+        while len(batch) < INBOX_ITEMS:
+            try:
+                batch.append(self._receive.receive_nowait())
+            except trio.WouldBlock:
+                break
+        return batch
+
+    async def _handle_batch(self, batch: list[Work | Found | Promise]) -> None:
+        works = [work for work in batch if isinstance(work, Work)]
+        for other in batch:
+            if not isinstance(other, Work):
+                await self._prepare(other)
+        try:
+            effects = self._effects(works)
+        except InvariantBroken as exc:
+            self.failure = ReplicaStopped(f"{exc.type}: {exc}")
+            self._refuse_all(works)
+            return
+        stored = await self._store(effects)
+        if isinstance(stored, Failure):
+            self._stop(stored.failure(), effects)
+            self._refuse_all(works)
+            return
+        await self._carry_out(effects, works)
+        await self._snapshot_when_due()
+
+    def _effects(self, works: list[Work]) -> list[Effect]:
+        now_s = trio.current_time()
+        effects: list[Effect] = []
+        if now_s >= next_tick_s(self.replica):
+            effects += handle(Tick(), self.replica, now_s)
+        for work in works:
+            for event in work.events:
+                effects += handle(event, self.replica, now_s)
+        return effects + handle(Flush(), self.replica, now_s)
+
+    async def _store(self, effects: list[Effect]) -> Result[None, LogError]:
+        if not any(isinstance(effect, _STORED) for effect in effects):
+            return Success(None)
+        return await trio.to_thread.run_sync(
+            carry_to_disk, self.storage, effects, self.replica
+        )
+
+    async def _carry_out(self, effects: list[Effect], works: list[Work]) -> None:
+        answers: dict[str, list[Envelope]] = {work.sender: [] for work in works}
+        for effect in effects:
+            envelope = await self._envelope(effect)
+            if envelope is None:
+                self._react(effect)
+            elif envelope.to in answers:
+                answers[envelope.to].append(envelope)
+            else:
+                self._post(envelope)
+        for work in works:
+            if work.answer is not None:
+                work.answer.send_nowait(answers.pop(work.sender, []))
+
+    async def _envelope(self, effect: Effect) -> Envelope | None:
+        if isinstance(effect, Send):
+            return effect.envelope
+        if isinstance(effect, SendChunk):
+            return await self._chunk(effect)
+        return None
+
+    async def _chunk(self, effect: SendChunk) -> Envelope | None:
+        state, storage = self.replica, self.storage
+        size_bytes = state.settings.chunk_bytes
+        read = await trio.to_thread.run_sync(
+            storage.read_chunk, effect.offset, size_bytes
+        )
+        if isinstance(read, Failure):
+            self.failure = read.failure()
+            return None
+        return Envelope(
+            state.group_id,
+            state.member_id,
+            effect.to,
+            make_chunk(state.term, storage, effect, read.unwrap()),
+        )
+
+    def _react(self, effect: Effect) -> None:
+        if isinstance(effect, Apply):
+            self._waiters.apply(effect)
+            self._set_applied(effect.entries[-1].index)
+        elif isinstance(effect, Restore):
+            self._waiters.restore(effect)
+            self._set_applied(effect.snapshot.index)
+        elif isinstance(effect, Proposed | Accepted | Refused | ReadConfirmed):
+            self._waiters.answer(effect)
+
+    def _set_applied(self, index: int) -> None:
+        if index <= self.applied:
+            raise InvariantBroken(f"applied {index} after {self.applied}")
+        self.applied = index
+
+    def _post(self, envelope: Envelope) -> None:
+        member = self.replica.membership.member(envelope.to)
+        if member is not None:
+            self._outbox.put(member.address, envelope)
+
+    async def _snapshot_when_due(self) -> None:
+        state, storage = self.replica, self.storage
+        new_entries = state.applied - storage.snapshot.index
+        busy = is_sending_snapshot(state, trio.current_time())
+        if new_entries < state.settings.snapshot_entries or busy:
+            return
+        data = self._machine.snapshot()
+        index = state.applied
+        saved = await trio.to_thread.run_sync(take_snapshot, storage, state, data)
+        if isinstance(saved, Failure):
+            self._stop(saved.failure(), [])
+            return
+        handle(Compacted(index), state, trio.current_time())
+
+    async def _prepare(self, work: Found | Promise) -> None:
+        if isinstance(work, Promise):
+            if not self.replica.group_id:
+                await self._save(partial(_promise, self.storage, work))
+            work.answer.send_nowait(None)
+            return
+        if self.replica.group_id or self.storage.identity["promised"]:
+            return
+        contents = founding_contents(self.storage.identity, work)
+        await self._save(partial(found, self.storage, contents))
+        self.replica = load_replica(
+            self.storage,
+            contents,
+            self.replica.settings,
+            self.replica.rng,
+            trio.current_time(),
+        )
+
+    async def _save(self, save: partial) -> None:
+        saved = await trio.to_thread.run_sync(save)
+        if isinstance(saved, Failure):
+            self._stop(saved.failure(), [])
+
+    def _stop(self, failure: LogError, effects: list[Effect]) -> None:
+        """Stop; what was proposed in the failed batch may be on the disk."""
+        self.failure = failure
+        for effect in effects:
+            if isinstance(effect, Proposed):
+                self._waiters.answer(effect)
+
+    def _refuse_all(self, works: list[Work]) -> None:
+        for work in works:
+            self._refuse(work)
+
+    def _refuse(self, work: Work | Found | Promise) -> None:
+        if isinstance(work, Work) and work.answer is not None:
+            work.answer.send_nowait([])
+        if isinstance(work, Promise):
+            work.answer.close()
+        self._waiters.fail_all(self.failure)
+
+
+_STORED = (SaveTerm, SaveEntries, SaveSnapshot, Joined)
+
+
+def make_chunk(
+    term: int, storage: Storage, effect: SendChunk, data: bytes
+) -> SnapshotChunk:
+    """Return the message with a piece of the newest snapshot."""
+    snapshot = storage.snapshot
+    return SnapshotChunk(
+        term,
+        snapshot.index,
+        snapshot.term,
+        snapshot.membership,
+        effect.offset,
+        data,
+        storage.snapshot_bytes,
+        storage.snapshot_crc,
+        effect.round,
+    )
+
+
+def founding_contents(identity: dict, work: Found) -> Contents:
+    """Return what a founder's folder holds: the first membership, committed."""
+    body = encode_membership(work.membership)
+    entry = Entry(work.membership.index, FOUNDING_TERM, EntryKind.MEMBERS, body)
+    return Contents(
+        identity | {"group_id": work.group_id},
+        entries=(entry,),
+        term=FOUNDING_TERM,
+        voted_for=identity["member_id"],
+    )
+
+
+def found(storage: Storage, contents: Contents) -> Result[None, LogError]:
+    """Store a founder's folder; the group exists once its id is stored."""
+    term = SaveTerm(contents.term, contents.voted_for)
+    stored = storage.write([term, SaveEntries(contents.entries)], 0)
+    if isinstance(stored, Failure):
+        return stored
+    return storage.save_identity(group_id=contents.identity["group_id"])
+
+
+def _promise(storage: Storage, work: Promise) -> Result[None, LogError]:
+    if storage.identity["promised"] == work.founder:
+        return Success(None)
+    return storage.save_identity(promised=work.founder)
--- /dev/null
+++ b/src/vanillabeam/log/members.py
@@ -0,0 +1,208 @@
+"""Change of members, one at a time: learners first, then voters."""
+
+from vanillabeam.log.entries import encode_membership
+from vanillabeam.log.events import (
+    Accepted,
+    AllowVm,
+    Effect,
+    Knock,
+    Proposed,
+    Refused,
+    RemoveVm,
+    Role,
+)
+from vanillabeam.log.exceptions import (
+    ChangePending,
+    LeaderChanged,
+    LogError,
+    NotAllowed,
+    NotLeader,
+    UnknownMember,
+    WouldLoseQuorum,
+)
+from vanillabeam.log.messages import TimeoutNow
+from vanillabeam.log.records import EntryKind, Member, Membership
+from vanillabeam.log.replica import Progress, Replica
+from vanillabeam.log.replication import add_entry
+
+__all__ = [
+    "allow_vm",
+    "begin_hand_over",
+    "end_hand_over_when_due",
+    "knock",
+    "losses_left",
+    "promote_learner",
+    "refuse_unless_leader",
+    "remove_vm",
+]
+
+
+def refuse_unless_leader(state: Replica, request_id: int) -> list[Effect]:
+    """Return the refusal of a request that only a leader takes, if it is due."""
+    if state.role is not Role.LEADER:
+        leader = state.membership.member(state.leader)
+        address = leader.address if leader else ""
+        return [Refused(request_id, NotLeader(leader=address))]
+    if state.transfer_to:
+        return [Refused(request_id, LeaderChanged("leadership is handed over"))]
+    return []
+
+
+def allow_vm(event: AllowVm, state: Replica, now_s: float) -> list[Effect]:
+    """Let a VM's new disk join; it votes once it holds the log."""
+    if event.vm in state.membership.allowed:
+        return [Accepted(event.request_id)]
+    allowed = (*state.membership.allowed, event.vm)
+    changed = state.membership._replace(allowed=allowed)
+    return _change(event.request_id, changed, state, now_s)
+
+
+def remove_vm(event: RemoveVm, state: Replica, now_s: float) -> list[Effect]:
+    """Take out a VM and its replica."""
+    membership = state.membership
+    member = membership.named(event.vm)
+    if member is None and event.vm not in membership.allowed:
+        return [Refused(event.request_id, UnknownMember(event.vm))]
+    if member and member.member_id == state.member_id:
+        handed = begin_hand_over(state, now_s)
+        failure = LeaderChanged("the leader hands over before it is removed")
+        return [*handed, Refused(event.request_id, failure)]
+    allowed = tuple(vm for vm in membership.allowed if vm != event.vm)
+    changed = _without(membership._replace(allowed=allowed), event.vm)
+    return _change(event.request_id, changed, state, now_s)
+
+
+def knock(event: Knock, state: Replica, now_s: float) -> list[Effect]:
+    """Take in a replica with a new disk.
+
+    Under the name of a member that is silent, the old member goes out first;
+    the new one is taken in as a learner when it asks again.
+    """
+    membership, member = state.membership, event.member
+    if membership.member(member.member_id):
+        return [Accepted(event.request_id)]
+    if member.vm not in membership.allowed:
+        return [Refused(event.request_id, NotAllowed(member.vm))]
+    old = membership.named(member.vm)
+    if old is None:
+        learners = (*membership.learners, member)
+        changed = membership._replace(learners=learners)
+        return _change(event.request_id, changed, state, now_s)
+    if old.member_id == state.member_id or _is_active(state, old, now_s):
+        failure = NotAllowed(f"{member.vm} is a member with another disk")
+        return [Refused(event.request_id, failure)]
+    changed = _without(membership, member.vm)
+    return _change(event.request_id, changed, state, now_s)
+
+
+def promote_learner(state: Replica, now_s: float) -> list[Effect]:
+    """Make a learner that holds all that is committed a voter."""
+    membership = state.membership
+    if not membership.learners or _change_failure(membership, state, now_s):
+        return []
+    for learner in membership.learners:
+        caught_up = state.progress[learner.member_id].match >= state.commit
+        if caught_up and _is_active(state, learner, now_s):
+            changed = _promoted(membership, learner)
+            return _append_change(changed, state, now_s)
+    return []
+
+
+def begin_hand_over(state: Replica, now_s: float) -> list[Effect]:
+    """Ask the voter that holds most to take over."""
+    if state.role is not Role.LEADER:
+        return []
+    candidates = [
+        voter
+        for voter in state.membership.voters
+        if voter.member_id != state.member_id and _is_active(state, voter, now_s)
+    ]
+    if not candidates:
+        return []
+    best = max(candidates, key=lambda m: state.progress[m.member_id].match)
+    state.transfer_to = best.member_id
+    state.transfer_until_s = now_s + state.settings.election_s
+    if state.progress[best.member_id].match < state.log.last_index:
+        return []
+    return [state.send(best.member_id, TimeoutNow(state.term))]
+
+
+def end_hand_over_when_due(state: Replica, now_s: float) -> None:
+    """Take requests again if nobody has taken over in time."""
+    if state.transfer_to and now_s >= state.transfer_until_s:
+        state.transfer_to = ""
+
+
+def losses_left(state: Replica, now_s: float) -> int | None:
+    """Return how many voters can be lost now, one after the other at once.
+
+    Counts only voters that answer and hold all that is committed.
+
+    :returns: ``None`` on a replica that does not lead; below 0 never.
+    """
+    if state.role is not Role.LEADER:
+        return None
+    sound = sum(
+        1
+        for voter in state.membership.voters
+        if voter.member_id == state.member_id
+        or (
+            _is_active(state, voter, now_s)
+            and state.progress[voter.member_id].match >= state.commit
+        )
+    )
+    return max(sound - state.membership.quorum, 0)
+
+
+def _change(
+    request_id: int, changed: Membership, state: Replica, now_s: float
+) -> list[Effect]:
+    failure = _change_failure(changed, state, now_s)
+    if failure is not None:
+        return [Refused(request_id, failure)]
+    effects = _append_change(changed, state, now_s)
+    return [*effects, Proposed(request_id, state.log.last_index, state.term)]
+
+
+def _change_failure(
+    changed: Membership, state: Replica, now_s: float
+) -> LogError | None:
+    pending = state.membership.index > state.commit
+    if pending or state.commit < state.term_start:
+        return ChangePending()
+    active = sum(1 for voter in changed.voters if _is_active(state, voter, now_s))
+    if active < changed.quorum:
+        return WouldLoseQuorum(f"{active} of {len(changed.voters)} voters answer")
+    return None
+
+
+def _append_change(changed: Membership, state: Replica, now_s: float) -> list[Effect]:
+    opened = changed.opened or len(changed.voters) > changed.founding // 2
+    changed = changed._replace(index=state.log.last_index + 1, opened=opened)
+    effects = add_entry(state, EntryKind.MEMBERS, encode_membership(changed))
+    known = state.progress
+    state.progress = {
+        peer.member_id: known.get(peer.member_id)
+        or Progress(state.log.last_index + 1, now_s)
+        for peer in state.peers
+    }
+    return effects
+
+
+def _promoted(membership: Membership, learner: Member) -> Membership:
+    learners = tuple(m for m in membership.learners if m != learner)
+    return membership._replace(voters=(*membership.voters, learner), learners=learners)
+
+
+def _without(membership: Membership, vm: str) -> Membership:
+    return membership._replace(
+        voters=tuple(m for m in membership.voters if m.vm != vm),
+        learners=tuple(m for m in membership.learners if m.vm != vm),
+    )
+
+
+def _is_active(state: Replica, member: Member, now_s: float) -> bool:
+    if member.member_id == state.member_id:
+        return True
+    silent_s = now_s - state.progress[member.member_id].contact_s
+    return silent_s < state.settings.election_s
--- /dev/null
+++ b/src/vanillabeam/log/node.py
@@ -0,0 +1,329 @@
+"""The shell of one replica: what its VM and the other VMs ask of it."""
+
+import random
+import secrets
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import trio
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from vanillabeam import wire
+from vanillabeam.exceptions import MalformedBody, VanillabeamError
+from vanillabeam.log.client import LogClient
+from vanillabeam.log.contents import Contents
+from vanillabeam.log.events import HandOver, Received, Role
+from vanillabeam.log.exceptions import LogError, OutcomeUnknown, ReplicaStopped
+from vanillabeam.log.folder import DiskFolder, Folder
+from vanillabeam.log.founding import Founding
+from vanillabeam.log.loop import Loop, Promise, Work, load_replica
+from vanillabeam.log.messages import Envelope, decode_parcel, encode_parcel
+from vanillabeam.log.outbox import Outbox
+from vanillabeam.log.records import (
+    DEFAULT_SETTINGS,
+    Address,
+    Applied,
+    LogSettings,
+    StateMachine,
+)
+from vanillabeam.log.requests import (
+    GroupRequest,
+    IdentityReply,
+    IdentityRequest,
+    LogStatus,
+    Outcome,
+    failed,
+    identity_path,
+    messages_path,
+    request_event,
+    request_path,
+    status_path,
+)
+from vanillabeam.log.status import replica_status, stopped_status
+from vanillabeam.log.storage import Storage, open_storage
+from vanillabeam.log.waiters import Waiters
+from vanillabeam.peercall import PeerCall, PeerRoutes
+
+__all__ = ["LogNode", "group_folder", "make_random_id"]
+
+ID_BYTES = 16
+
+
+def make_random_id() -> str:
+    """Return an id that nothing else has."""
+    return secrets.token_hex(ID_BYTES)
+
+
+def group_folder(data_folder: Path, group: str) -> Path:
+    """Return where a group's replica keeps its files."""
+    return data_folder / "log" / group
+
+
+class LogNode:
+    """One replica of a group.
+
+    :param group: the group's name; several live in one process.
+    :param vm: this VM's name.
+    :param address: ``host:port`` of this VM's peers' listener.
+    :param data_folder: the VM's data folder; the group has its own in it.
+    :param machine: what committed commands are applied to.
+    :param initial_members: the VMs that the group is founded for, or for a
+        later member those that it may ask.
+    :param call: how other VMs are called.
+    :param rng: seeded; spreads election timeouts.
+    :param bootstrap: whether the group may be founded, at its first start.
+    :param folder: where the files live, if not on disk.
+    :param make_id: returns an id that no other replica ever had.
+
+    >>> node = LogNode("tickets", "vm-1", "10.0.0.1:7003", Path("/data"), machine,
+    ...                members, call, random.Random(), bootstrap=True)
+    >>> await nursery.start(node.run)
+    >>> result = await node.propose('{"number": 7}')
+    >>> result.unwrap().reply
+    'accepted'
+    """
+
+    def __init__(
+        self,
+        group: str,
+        vm: str,
+        address: str,
+        data_folder: Path,
+        machine: StateMachine,
+        initial_members: Sequence[Address],
+        call: PeerCall,
+        rng: random.Random,
+        settings: LogSettings = DEFAULT_SETTINGS,
+        *,
+        bootstrap: bool = False,
+        folder: Folder | None = None,
+        make_id: Callable[[], str] = make_random_id,
+    ):
+        self.group = group
+        self.vm = vm
+        self.address = address
+        self.settings = settings
+        self.failure: LogError | None = None
+        self._data_folder = data_folder
+        self._folder = folder
+        self._machine = machine
+        self._initial = tuple(Address(*member) for member in initial_members)
+        self._peer_call = call
+        self._rng = rng
+        self._bootstrap = bootstrap
+        self._make_id = make_id
+        self._waiters = Waiters(machine)
+        self._loop: Loop | None = None
+        known = self._initial or (Address(vm, address),)
+        self._client = LogClient(group, known, self._call, settings)
+        self._routes: PeerRoutes = {
+            messages_path(group): self._on_messages,
+            request_path(group): self._on_request,
+            identity_path(group): self._on_identity,
+            status_path(group): self._on_status,
+        }
+
+    def routes(self) -> PeerRoutes:
+        """Return the handlers for other VMs' calls."""
+        return dict(self._routes)
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Run until cancelled. A replica that cannot go on says so in status."""
+        opened = await trio.to_thread.run_sync(self._open)
+        if isinstance(opened, Failure):
+            self.failure = opened.failure()
+            logger.critical("{}: {}: {}", self.group, self.failure.type, self.failure)
+            task_status.started()
+            await trio.sleep_forever()
+        storage, contents = opened.unwrap()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._loop = self._make_loop(storage, contents, nursery)
+                nursery.start_soon(self._loop.run)
+                nursery.start_soon(self._founding().run)
+                task_status.started()
+        finally:
+            storage.close()
+
+    async def propose(self, command: str) -> Result[Applied, LogError]:
+        """Have a command committed and applied, wherever the leader is.
+
+        :returns: what it was applied as. A failure whose ``run`` is
+            ``NOT_RUN`` was certainly not proposed and never will be; any
+            other leaves it open.
+        """
+        self._hint_leader()
+        return await self._client.propose(command)
+
+    async def read(self) -> Result[int, LogError]:
+        """Wait until all that was committed before the call is applied here.
+
+        :returns: the index up to which that is so.
+        """
+        self._hint_leader()
+        confirmed = await self._client.read()
+        if isinstance(confirmed, Failure):
+            return confirmed
+        if self._loop is None:
+            return Failure(ReplicaStopped())
+        with trio.move_on_after(self.settings.propose_timeout_s):
+            await self._loop.wait_applied(confirmed.unwrap())
+            return confirmed
+        return Failure(ReplicaStopped("this replica is behind"))
+
+    async def add_member(self, vm: str) -> Result[None, LogError]:
+        """Let a VM's new disk join; it votes once it holds the log."""
+        self._hint_leader()
+        return await self._client.add_member(vm)
+
+    async def remove_member(self, vm: str) -> Result[None, LogError]:
+        """Take a VM out of the group; a leader hands over first."""
+        self._hint_leader()
+        return await self._client.remove_member(vm)
+
+    async def hand_over(self) -> bool:
+        """Give leadership away before a planned stop.
+
+        :returns: whether this replica does not lead any longer.
+        """
+        if self._loop is None:
+            return True
+        await self._loop.put(Work((HandOver(),)))
+        with trio.move_on_after(self.settings.election_s):
+            await self._loop.wait_not_leading()
+        return not self.is_leader
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica takes itself for the leader."""
+        return self._loop is not None and self._loop.replica.role is Role.LEADER
+
+    @property
+    def applied(self) -> int:
+        """Return the highest index in the state machine."""
+        return self._loop.applied if self._loop else 0
+
+    def status(self) -> LogStatus:
+        """Return this replica's view of its group."""
+        if self._loop is None:
+            return stopped_status(self.group, self.failure)
+        snapshot_index = self._loop.storage.snapshot.index
+        failure = self._loop.failure
+        now_s = trio.current_time()
+        state = self._loop.replica
+        return replica_status(self.group, state, snapshot_index, failure, now_s)
+
+    def _open(self) -> Result[tuple[Storage, Contents], LogError]:
+        folder = self._folder
+        if folder is None:
+            folder = DiskFolder(group_folder(self._data_folder, self.group))
+        return open_storage(folder, self.group, self._make_id)
+
+    def _make_loop(
+        self, storage: Storage, contents: Contents, nursery: trio.Nursery
+    ) -> Loop:
+        now_s = trio.current_time()
+        replica = load_replica(storage, contents, self.settings, self._rng, now_s)
+        outbox = Outbox(
+            self.group, self._call, nursery, self._take_answer, self._peer_timeout_s
+        )
+        loop = Loop(replica, storage, self._machine, self._waiters, outbox)
+        if replica.group_id:
+            loop.restore(contents.snapshot)
+        return loop
+
+    @property
+    def _peer_timeout_s(self) -> float:
+        return self.settings.election_s / 2
+
+    def _founding(self) -> Founding:
+        me = Address(self.vm, self.address)
+        return Founding(
+            self.group,
+            me,
+            self._initial,
+            self._bootstrap,
+            self._loop,
+            self._client,
+            self._peer_call,
+        )
+
+    def _hint_leader(self) -> None:
+        if self._loop is None:
+            return
+        state = self._loop.replica
+        leader = state.membership.member(state.leader)
+        if leader is not None:
+            self._client.leader = leader.address
+
+    async def _call(
+        self, address: str, path: str, body: bytes
+    ) -> Result[bytes, VanillabeamError]:
+        if address == self.address and path in self._routes:
+            return await self._routes[path](body)
+        return await self._peer_call(address, path, body)
+
+    async def _take_answer(self, envelopes: list[Envelope]) -> None:
+        await self._loop.put(Work(tuple(Received(e) for e in envelopes)))
+
+    async def _on_messages(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        decoded = decode_parcel(body)
+        if isinstance(decoded, Failure):
+            return decoded
+        envelopes = decoded.unwrap()
+        if self._loop is None:
+            return Failure(ReplicaStopped())
+        if not envelopes:
+            return Success(encode_parcel([]))
+        send, receive = trio.open_memory_channel[list[Envelope]](1)
+        events = tuple(Received(envelope) for envelope in envelopes)
+        put = await self._loop.put(Work(events, envelopes[0].sender, send))
+        if isinstance(put, Failure):
+            return put
+        return Success(encode_parcel(await receive.receive()))
+
+    async def _on_request(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        decoded = wire.decode(GroupRequest, body)
+        if isinstance(decoded, Failure):
+            return decoded
+        outcome = await self._ask_core(decoded.unwrap())
+        return outcome.map(wire.encode)
+
+    async def _ask_core(self, request: GroupRequest) -> Result[Outcome, MalformedBody]:
+        if self._loop is None:
+            return Success(failed(ReplicaStopped()))
+        request_id, answers = self._waiters.add()
+        event = request_event(request, request_id)
+        if event is None:
+            self._waiters.drop(request_id)
+            return Failure(MalformedBody(f"{request['kind']} lacks a field"))
+        put = await self._loop.put(Work((event,)))
+        if isinstance(put, Failure):
+            self._waiters.drop(request_id)
+            return Success(failed(put.failure()))
+        with trio.move_on_after(self.settings.propose_timeout_s):
+            return Success(await answers.receive())
+        self._waiters.drop(request_id)
+        return Success(failed(OutcomeUnknown("not committed in time")))
+
+    async def _on_identity(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        decoded = wire.decode(IdentityRequest, body)
+        if isinstance(decoded, Failure):
+            return decoded
+        if self._loop is None:
+            return Failure(ReplicaStopped())
+        send, receive = trio.open_memory_channel[None](1)
+        put = await self._loop.put(Promise(decoded.unwrap()["founder"], send))
+        if isinstance(put, Failure):
+            return put
+        try:
+            await receive.receive()
+        except trio.EndOfChannel:
+            return Failure(ReplicaStopped())
+        state = self._loop.replica
+        reply = IdentityReply(member_id=state.member_id, group_id=state.group_id)
+        return Success(wire.encode(reply))
+
+    async def _on_status(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        return Success(wire.encode(self.status()))
--- /dev/null
+++ b/src/vanillabeam/log/requests.py
@@ -0,0 +1,167 @@
+"""What a group is asked for from elsewhere, and its answers, as JSON."""
+
+from typing import Literal, NotRequired, TypedDict
+
+from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.log.events import AllowVm, Knock, Propose, Read, RemoveVm
+from vanillabeam.log.exceptions import (
+    LogError,
+    NotLeader,
+    OutcomeUnknown,
+    failure_types,
+)
+from vanillabeam.log.records import Member
+
+__all__ = [
+    "GroupRequest",
+    "IdentityReply",
+    "IdentityRequest",
+    "LogStatus",
+    "MemberStatus",
+    "Outcome",
+    "failed",
+    "failure_of",
+    "identity_path",
+    "messages_path",
+    "request_event",
+    "request_path",
+    "status_path",
+]
+
+
+class GroupRequest(TypedDict):
+    """Body of a request to a group's leader.
+
+    :param command: of ``propose``.
+    :param vm: of ``add`` and ``remove``.
+    :param member: of ``knock``.
+    """
+
+    kind: Literal["propose", "read", "add", "remove", "knock"]
+    command: NotRequired[str]
+    vm: NotRequired[str]
+    member: NotRequired[Member]
+
+
+class Outcome(TypedDict):
+    """Answer to a :class:`GroupRequest`.
+
+    :param failure: type of the failure, empty on success.
+    :param leader: address of the leader as far as it is known.
+    """
+
+    failure: str
+    detail: NotRequired[str]
+    leader: NotRequired[str]
+    index: NotRequired[int]
+    term: NotRequired[int]
+    reply: NotRequired[str]
+
+
+class IdentityRequest(TypedDict):
+    """A VM that is to found the group asks whether it exists.
+
+    :param founder: member id of the VM that asks.
+    """
+
+    founder: str
+
+
+class IdentityReply(TypedDict):
+    """Who a replica is; ``group_id`` is empty while it is in no group."""
+
+    member_id: str
+    group_id: str
+
+
+class MemberStatus(TypedDict):
+    """A member as the leader sees it.
+
+    :param match: highest index that it is known to hold.
+    :param active: it has answered lately.
+    """
+
+    vm: str
+    address: str
+    member_id: str
+    votes: bool
+    match: int | None
+    active: bool | None
+
+
+class LogStatus(TypedDict):
+    """A replica's view of its group.
+
+    :param leader: name of the leader's VM, empty if unknown.
+    :param losses_left: voters that can be lost now; only the leader knows.
+    :param failure: type of what stopped the replica, else empty.
+    """
+
+    group: str
+    group_id: str
+    member_id: str
+    role: str
+    term: int
+    leader: str
+    commit: int
+    applied: int
+    snapshot_index: int
+    opened: bool
+    members: list[MemberStatus]
+    losses_left: int | None
+    failure: str
+
+
+def messages_path(group: str) -> str:
+    """Return the path for messages between replicas."""
+    return f"/peer/log/{group}"
+
+
+def request_path(group: str) -> str:
+    """Return the path for :class:`GroupRequest`."""
+    return f"/peer/log/{group}/request"
+
+
+def identity_path(group: str) -> str:
+    """Return the path for :class:`IdentityRequest`."""
+    return f"/peer/log/{group}/identity"
+
+
+def status_path(group: str) -> str:
+    """Return the path for :class:`LogStatus`."""
+    return f"/peer/log/{group}/status"
+
+
+def request_event(
+    request: GroupRequest, request_id: int
+) -> Propose | Read | AllowVm | RemoveVm | Knock | None:
+    """Return the core's event for a request; ``None`` if a field is missing."""
+    kind = request["kind"]
+    if kind == "read":
+        return Read(request_id)
+    if kind == "propose" and "command" in request:
+        return Propose(request_id, request["command"])
+    if kind == "add" and "vm" in request:
+        return AllowVm(request_id, request["vm"])
+    if kind == "remove" and "vm" in request:
+        return RemoveVm(request_id, request["vm"])
+    if kind == "knock" and "member" in request:
+        return Knock(request_id, request["member"])
+    return None
+
+
+def failed(failure: VanillabeamError, leader: str = "") -> Outcome:
+    """Return the outcome that carries a failure."""
+    leader = getattr(failure, "leader", "") or leader
+    return Outcome(failure=failure.type, detail=failure.detail, leader=leader)
+
+
+def failure_of(outcome: Outcome) -> LogError | None:
+    """Return the failure in an outcome; an unknown type counts as unknown."""
+    if not outcome["failure"]:
+        return None
+    kind = failure_types().get(outcome["failure"], OutcomeUnknown)
+    detail = outcome.get("detail", "")
+    if kind is NotLeader:
+        return NotLeader(detail, outcome.get("leader", ""))
+    return kind(detail)
--- /dev/null
+++ b/src/vanillabeam/log/snapshots.py
@@ -0,0 +1,97 @@
+"""Snapshots that a leader sends to a member whose log is too far behind."""
+
+import zlib
+
+from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.log.events import Effect, Restore, Role, SaveSnapshot
+from vanillabeam.log.messages import SnapshotChunk, SnapshotReply
+from vanillabeam.log.records import Snapshot
+from vanillabeam.log.replica import Replica
+from vanillabeam.log.replication import advance_leader, confirm_reads, follow_leader
+
+__all__ = ["compact", "is_sending_snapshot", "on_chunk", "on_chunk_reply"]
+
+
+def compact(state: Replica, index: int) -> None:
+    """Drop entries that a snapshot on disk holds, but for the kept ones.
+
+    :raises InvariantBroken: if the snapshot is ahead of what was applied.
+    """
+    if index > state.applied:
+        raise InvariantBroken(f"snapshot {index} ahead of {state.applied}")
+    kept_from = index - state.settings.kept_entries
+    state.log.compact(max(kept_from, state.log.base_index))
+
+
+def is_sending_snapshot(state: Replica, now_s: float) -> bool:
+    """Return whether a live member is in the middle of a snapshot."""
+    return state.role is Role.LEADER and any(
+        progress.snapshot_offset is not None
+        and now_s - progress.contact_s < state.settings.election_s
+        for progress in state.progress.values()
+    )
+
+
+def on_chunk(
+    message: SnapshotChunk, sender: str, state: Replica, now_s: float
+) -> list[Effect]:
+    """Collect a piece; install the snapshot when it is whole."""
+    if message.term < state.term:
+        return [state.send(sender, SnapshotReply(state.term, 0, 0, False, 0))]
+    effects = follow_leader(state, sender, message.term, now_s)
+    if state.log.term_at(message.index) == message.index_term:
+        effects += state.advance_commit(max(state.commit, message.index))
+    elif message.index > state.commit:
+        effects += _collect(message, state)
+    done = state.commit >= message.index
+    offset = len(state.incoming[2]) if state.incoming and not done else 0
+    reply = SnapshotReply(state.term, message.index, offset, done, message.round)
+    return [*effects, state.send(sender, reply)]
+
+
+def _collect(message: SnapshotChunk, state: Replica) -> list[Effect]:
+    key = (message.index, message.index_term)
+    if state.incoming is None or state.incoming[:2] != key:
+        state.incoming = (*key, bytearray())
+    held = state.incoming[2]
+    if message.offset != len(held):
+        return []
+    held += message.data
+    if len(held) < message.total:
+        return []
+    data = bytes(held)
+    state.incoming = None
+    if zlib.crc32(data) != message.crc:
+        return []
+    return _install(
+        Snapshot(message.index, message.index_term, message.membership, data), state
+    )
+
+
+def _install(snapshot: Snapshot, state: Replica) -> list[Effect]:
+    if snapshot.index <= state.applied:
+        raise InvariantBroken(f"snapshot {snapshot.index} behind {state.applied}")
+    state.log.reset(snapshot)
+    state.commit = state.applied = snapshot.index
+    return [SaveSnapshot(snapshot), Restore(snapshot)]
+
+
+def on_chunk_reply(
+    message: SnapshotReply, sender: str, state: Replica, now_s: float
+) -> list[Effect]:
+    """Go on with the next piece, or with the log once the member is done."""
+    progress = state.progress.get(sender)
+    if state.role is not Role.LEADER or progress is None:
+        return []
+    progress.contact_s = now_s
+    progress.round = max(progress.round, message.round)
+    if not message.done:
+        progress.snapshot_offset = message.offset
+        progress.sent_s = None
+        return confirm_reads(state)
+    if message.index > progress.match:
+        progress.match = message.index
+        progress.sent_s = None
+    progress.next = max(progress.next, progress.match + 1)
+    progress.snapshot_offset = None
+    return advance_leader(state) + confirm_reads(state)
--- /dev/null
+++ b/tests/log/builders.py
@@ -0,0 +1,140 @@
+import random
+from pathlib import Path
+
+import msgspec
+import trio
+from returns.result import Failure
+
+from vanillabeam.exceptions import Run, VanillabeamError
+from vanillabeam.log import Address, LogNode, LogSettings
+
+SETTINGS = LogSettings(snapshot_entries=50, kept_entries=5)
+
+
+class Unreachable(VanillabeamError):
+    type = "unreachable"
+    run = Run.NOT_RUN
+
+
+class ListMachine:
+    """Keeps all commands; a reply is the command's place."""
+
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, index, command):
+        self.commands.append([index, command])
+        return str(len(self.commands))
+
+    def snapshot(self):
+        return msgspec.json.encode(self.commands)
+
+    def restore(self, snapshot):
+        self.commands = msgspec.json.decode(snapshot)
+
+
+class MemoryFolder:
+    """A folder whose unsynced bytes are lost in a crash.
+
+    :ivar fail_writes: every write raises, as on a full disk.
+    """
+
+    def __init__(self):
+        self.files = {}
+        self.synced = {}
+        self.fail_writes = False
+        self.fail_syncs = False
+
+    def names(self):
+        return sorted(self.files)
+
+    def read(self, name):
+        return bytes(self.files[name])
+
+    def read_part(self, name, offset, size):
+        return bytes(self.files[name][offset : offset + size])
+
+    def append(self, name, data):
+        self._check()
+        self.files.setdefault(name, bytearray()).extend(data)
+
+    def sync(self, name):
+        if self.fail_syncs:
+            raise OSError("sync failed")
+        self.synced[name] = len(self.files[name])
+
+    def replace(self, name, data):
+        self._check()
+        self.files[name] = bytearray(data)
+        self.synced[name] = len(data)
+
+    def truncate(self, name, size):
+        self._check()
+        del self.files[name][size:]
+        self.synced[name] = size
+
+    def remove(self, name):
+        self.files.pop(name, None)
+        self.synced.pop(name, None)
+
+    def close(self):
+        pass
+
+    def crash(self, rng):
+        """Lose what was not synced, but for a part that may be torn."""
+        for name, data in self.files.items():
+            kept = rng.randint(self.synced[name], len(data))
+            del data[kept:]
+            self.synced[name] = kept
+
+    def _check(self):
+        if self.fail_writes:
+            raise OSError("no space left")
+
+
+class Network:
+    """Connects nodes directly; ``cut`` holds the ways that are silent."""
+
+    def __init__(self):
+        self.routes = {}
+        self.cut = set()
+        self.calls = 0
+
+    def call_from(self, source):
+        async def call(address, path, body):
+            self.calls += 1
+            await trio.sleep(0.0005)
+            if (source, address) in self.cut:
+                await trio.sleep_forever()
+            handler = self.routes.get(address, {}).get(path)
+            if handler is None:
+                return Failure(Unreachable(address))
+            answer = await handler(body)
+            if (address, source) in self.cut:
+                await trio.sleep_forever()
+            return answer
+
+        return call
+
+
+def members(count):
+    return [Address(f"vm-{n}", f"vm-{n}:1") for n in range(1, count + 1)]
+
+
+def make_node(vm, count, network, folder=None, seed=1, bootstrap=True, **settings):
+    address = f"{vm}:1"
+    node = LogNode(
+        "tickets",
+        vm,
+        address,
+        Path("unused"),
+        ListMachine(),
+        members(count),
+        network.call_from(address),
+        random.Random(f"{vm}/{seed}"),
+        SETTINGS._replace(**settings),
+        bootstrap=bootstrap,
+        folder=MemoryFolder() if folder is None else folder,
+    )
+    network.routes[address] = node.routes()
+    return node
