Count service-level burn in bounded memory and report it

Each VM counts requests against the objectives in four windows, by workspace and data centre, with HDR histograms in the two long ones. At 35,000 workspaces a row each would not fit, so the rows go to the workspaces with most requests, misses weighing more, and the rest of a data centre share one; a row that loses its place is added to the shared one, which keeps every sum exact. Summaries merge across VMs; the report is text, JSON or one HTML page.

--- a/src/vanillabeam/burn/__init__.py
+++ b/src/vanillabeam/burn/__init__.py
@@ -1,5 +1,39 @@
 """Service-level burn: objectives, windows, reports."""
 
+from vanillabeam.burn.core import REST, Burn, RowWire, SeriesWire, Summary
+from vanillabeam.burn.exceptions import SummaryInvalid
+from vanillabeam.burn.objectives import (
+    ALERT_RULES,
+    WINDOWS,
+    AlertRule,
+    Objective,
+    Objectives,
+    Outcome,
+    Window,
+)
+from vanillabeam.burn.render import html_page, text_report
+from vanillabeam.burn.reporting import ALL, Report, report
 from vanillabeam.burn.svg import Series, line_plot
 
-__all__ = ["Series", "line_plot"]
+__all__ = [
+    "ALERT_RULES",
+    "ALL",
+    "REST",
+    "WINDOWS",
+    "AlertRule",
+    "Burn",
+    "Objective",
+    "Objectives",
+    "Outcome",
+    "Report",
+    "RowWire",
+    "Series",
+    "SeriesWire",
+    "Summary",
+    "SummaryInvalid",
+    "Window",
+    "html_page",
+    "line_plot",
+    "report",
+    "text_report",
+]
