Add the ticket document, its rules and the desk

A ticket is decoded strictly, with every fault and its path at once. The state machine of the ticket log applies the number rules (resend, number taken, stale, expired), checks references against the whole configuration that would result, and changes nothing on a refusal. Its configuration has a hash that a change updates by what it touches.

--- /dev/null
+++ b/src/vanillabeam/tickets/__init__.py
@@ -0,0 +1,43 @@
+"""Tickets: the operators' documents, their rules and the configuration."""
+
+from vanillabeam.tickets.changes import change, config_hash
+from vanillabeam.tickets.desk import Accepted, Propose, TicketDesk, TicketShown
+from vanillabeam.tickets.document import Ticket, parse
+from vanillabeam.tickets.exceptions import (
+    SnapshotInvalid,
+    TicketExpired,
+    TicketInvalid,
+    TicketNumberTaken,
+    TicketOutcomeUnknown,
+    TicketRefused,
+    TicketStale,
+    TicketUnresolved,
+    UnknownTicket,
+)
+from vanillabeam.tickets.keys import WorkspaceKey, key_digest, make_workspace_key
+from vanillabeam.tickets.machine import ConfigStep, TicketMachine
+
+__all__ = [
+    "Accepted",
+    "ConfigStep",
+    "Propose",
+    "SnapshotInvalid",
+    "Ticket",
+    "TicketDesk",
+    "TicketExpired",
+    "TicketInvalid",
+    "TicketMachine",
+    "TicketNumberTaken",
+    "TicketOutcomeUnknown",
+    "TicketRefused",
+    "TicketShown",
+    "TicketStale",
+    "TicketUnresolved",
+    "UnknownTicket",
+    "WorkspaceKey",
+    "change",
+    "config_hash",
+    "key_digest",
+    "make_workspace_key",
+    "parse",
+]
--- /dev/null
+++ b/src/vanillabeam/tickets/document.py
@@ -0,0 +1,317 @@
+"""The ticket document: what an operator sends, decoded strictly."""
+
+import json
+from hashlib import blake2b
+from typing import Annotated, Any, NamedTuple
+
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints, ValidationError
+from returns.result import Failure, Result, Success
+
+from vanillabeam.config import (
+    Adapter,
+    ClaimSettlement,
+    ControlMember,
+    DataCentre,
+    Model,
+    Priority,
+    Repeats,
+    Service,
+    TargetRole,
+    TargetRoleKind,
+    Workspace,
+    adapter_key,
+)
+from vanillabeam.tickets.exceptions import TicketInvalid
+
+__all__ = ["MAX_TICKET_BYTES", "SECTIONS", "Ticket", "parse"]
+
+MAX_TICKET_BYTES = 128 * 1024
+MAX_NUMBER = 2**53 - 1
+MAX_NAME_CHARS = 128
+MAX_KEY_CHARS = 255
+MAX_LIST_ITEMS = 1024
+DIGEST_BYTES = 16
+
+_PLAIN = r"^[A-Za-z0-9][A-Za-z0-9._-]*$"
+_MODEL = r"^[A-Za-z0-9][A-Za-z0-9._/-]*$"
+_ADAPTER = r"^[A-Za-z0-9][A-Za-z0-9._/-]*:[A-Za-z0-9][A-Za-z0-9._-]*$"
+_MODEL_OR_ADAPTER = r"^[A-Za-z0-9][A-Za-z0-9._/-]*(:[A-Za-z0-9][A-Za-z0-9._-]*)?$"
+_TARGET = r"^[A-Za-z0-9][A-Za-z0-9._:-]*$"
+_CLAIM = r"^[A-Za-z0-9][A-Za-z0-9._-]*/[!-~]+$"
+_ADDRESS = r"^[^\s/:]+:[0-9]{1,5}$|^\[[0-9A-Fa-f:]+\]:[0-9]{1,5}$"
+_TEXT = r"^[^\x00-\x1f\x7f]*$"
+_HEX_32_BYTES = r"^[0-9a-f]{64}$"
+
+
+def _text(pattern: str, min_length: int = 1, max_length: int = MAX_NAME_CHARS) -> Any:
+    constraints = StringConstraints(
+        pattern=pattern, min_length=min_length, max_length=max_length
+    )
+    return Annotated[str, constraints]
+
+
+_PlainName = _text(_PLAIN)
+_ModelName = _text(_MODEL)
+_AdapterName = _text(_ADAPTER, max_length=2 * MAX_NAME_CHARS)
+_ModelOrAdapterName = _text(_MODEL_OR_ADAPTER, max_length=2 * MAX_NAME_CHARS)
+_TargetName = _text(_TARGET)
+_ClaimName = _text(_CLAIM, max_length=MAX_NAME_CHARS + MAX_KEY_CHARS)
+_Location = _text(_TEXT, min_length=0, max_length=1024)
+_Secret = _text(_HEX_32_BYTES)
+
+
+def _names(kind: Any) -> Any:
+    return Annotated[tuple[kind, ...], Field(max_length=MAX_LIST_ITEMS)]
+
+
+class _Part(BaseModel):
+    model_config = ConfigDict(
+        extra="forbid", strict=True, frozen=True, allow_inf_nan=False
+    )
+
+
+class _Model(_Part):
+    version: _text(_TEXT)
+    weights: _Location = ""
+    min_ready: Annotated[int, Field(ge=0, le=100_000)] = 0
+
+
+class _Adapter(_Part):
+    version: _text(_TEXT)
+    weights: _Location = ""
+
+
+class _Workspace(_Part):
+    key_digests: Annotated[tuple[_Secret, ...], Field(min_length=1, max_length=64)]
+    cache_secret: _Secret
+    weight: Annotated[float, Field(gt=0, le=1e6)] = 1.0
+    reservation_tokens_s: Annotated[float, Field(ge=0, le=1e9)] = 0.0
+    priority: Priority = Priority.INTERACTIVE
+    quota_bytes: Annotated[int, Field(ge=0, le=2**60)] = 0
+    models: _names(_ModelOrAdapterName) = ()
+    services: _names(_PlainName) = ()
+
+
+class _Service(_Part):
+    repeats: Repeats = Repeats.NEVER
+
+
+class _TargetRole(_Part):
+    kind: TargetRoleKind = TargetRoleKind.SERVING
+    models: _names(_ModelName) = ()
+    adapters: _names(_AdapterName) = ()
+
+
+class _DataCentre(_Part):
+    in_service: bool = True
+    region: _text(_TEXT, min_length=0) = ""
+
+
+class _ControlMember(_Part):
+    address: _text(_ADDRESS)
+    member_id: _text(_PLAIN)
+
+
+class _Settlement(_Part):
+    ran: bool
+
+
+class _Set(_Part):
+    models: dict[_ModelName, _Model] = {}
+    adapters: dict[_AdapterName, _Adapter] = {}
+    workspaces: dict[_PlainName, _Workspace] = {}
+    services: dict[_PlainName, _Service] = {}
+    target_roles: dict[_TargetName, _TargetRole] = {}
+    data_centres: dict[_PlainName, _DataCentre] = {}
+    control: dict[_PlainName, _ControlMember] = {}
+    settlements: dict[_ClaimName, _Settlement] = {}
+
+
+class _Remove(_Part):
+    models: _names(_ModelName) = ()
+    adapters: _names(_AdapterName) = ()
+    workspaces: _names(_PlainName) = ()
+    services: _names(_PlainName) = ()
+    target_roles: _names(_TargetName) = ()
+    data_centres: _names(_PlainName) = ()
+    control: _names(_PlainName) = ()
+    settlements: _names(_ClaimName) = ()
+
+
+class _Document(_Part):
+    number: Annotated[int, Field(ge=1, le=MAX_NUMBER)]
+    author: _text(_TEXT)
+    note: _text(_TEXT, min_length=0, max_length=2000) = ""
+    set: _Set = _Set()
+    remove: _Remove = _Remove()
+
+
+#: The sections of a ticket and of the configuration, in a fixed order.
+SECTIONS = tuple(_Set.model_fields)
+
+
+class Ticket(NamedTuple):
+    """A ticket whose document holds by itself.
+
+    :param set: the new records, by section and name.
+    :param remove: the names that end, by section.
+    :param canonical: the document in its one spelling; this goes into the log.
+    :param digest: hex, 16 bytes, of ``canonical``.
+    """
+
+    number: int
+    author: str
+    note: str
+    set: dict[str, dict[str, Any]]
+    remove: dict[str, tuple[str, ...]]
+    canonical: str
+    digest: str
+
+    def touched(self) -> tuple[tuple[str, str], ...]:
+        """Return section and name of everything that the ticket changes."""
+        names = [(s, name) for s, records in self.set.items() for name in records]
+        names += [(s, name) for s, gone in self.remove.items() for name in gone]
+        return tuple(sorted(names))
+
+
+def parse(body: bytes | str) -> Result[Ticket, TicketInvalid]:
+    """Return the ticket that ``body`` holds, or all its faults at once.
+
+    :param body: JSON text.
+    :returns: the ticket, or :class:`TicketInvalid` with a path for each fault.
+
+    >>> parse(b'{"number": 1, "author": "ama", "set": {"models": {}}}').failure().faults
+    ('set: the ticket touches nothing',)
+    """
+    if len(body) > MAX_TICKET_BYTES:
+        fault = f"ticket: {len(body)} bytes, at most {MAX_TICKET_BYTES} are taken"
+        return Failure(TicketInvalid(faults=(fault,)))
+    try:
+        doubled = _doubled_keys(body)
+        document = _Document.model_validate_json(body)
+    except ValidationError as exc:
+        return Failure(TicketInvalid(faults=_faults(exc)))
+    except (ValueError, RecursionError) as exc:
+        return Failure(TicketInvalid(faults=(f"ticket: not JSON: {exc}",)))
+    faults = doubled + _own_faults(document)
+    if faults:
+        return Failure(TicketInvalid(faults=faults))
+    return Success(_ticket(document))
+
+
+def _doubled_keys(body: bytes | str) -> tuple[str, ...]:
+    doubled: list[str] = []
+
+    def check(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        found = dict(pairs)
+        if len(found) < len(pairs):
+            keys = [key for key, _ in pairs]
+            doubled.extend(sorted({key for key in keys if keys.count(key) > 1}))
+        return found
+
+    json.loads(body, object_pairs_hook=check)
+    return tuple(f"{key}: given twice" for key in doubled)
+
+
+def _faults(exc: ValidationError) -> tuple[str, ...]:
+    errors = exc.errors(include_url=False, include_input=False, include_context=False)
+    paths = [error["loc"] for error in errors]
+    return tuple(
+        f"{_path(error['loc'])}: {error['msg']}"
+        for error in errors
+        if not _follows_from_items(error["type"], error["loc"], paths)
+    )
+
+
+def _follows_from_items(kind: str, loc: tuple, paths: list[tuple]) -> bool:
+    # A list of faulty items only is reported as too short besides.
+    inner = (path for path in paths if len(path) > len(loc))
+    return kind == "too_short" and any(path[: len(loc)] == loc for path in inner)
+
+
+def _path(loc: tuple[int | str, ...]) -> str:
+    return ".".join(str(step) for step in loc) or "ticket"
+
+
+def _own_faults(document: _Document) -> tuple[str, ...]:
+    faults = []
+    for section in SECTIONS:
+        names = getattr(document.remove, section)
+        both = set(names) & set(getattr(document.set, section))
+        faults += [f"remove.{section}.{name}: set too" for name in sorted(both)]
+        if len(set(names)) < len(names):
+            faults.append(f"remove.{section}: a name twice")
+    faults += _workspace_faults(document)
+    empty = document.set == _Set() and document.remove == _Remove()
+    if empty:
+        faults.append("set: the ticket touches nothing")
+    return tuple(faults)
+
+
+def _workspace_faults(document: _Document) -> list[str]:
+    faults = []
+    holders: dict[str, str] = {}
+    for name, part in document.set.workspaces.items():
+        for digest in part.key_digests:
+            holder = holders.setdefault(digest, name)
+            if holder != name or part.key_digests.count(digest) > 1:
+                path = f"set.workspaces.{name}.key_digests"
+                faults.append(f"{path}: also a key of {holder}")
+    return faults
+
+
+def _ticket(document: _Document) -> Ticket:
+    plain = document.model_dump(mode="json", exclude_defaults=True)
+    # A record that has only defaults is dropped by its section's own default.
+    plain["set"] = {
+        section: {
+            name: part.model_dump(mode="json", exclude_defaults=True)
+            for name, part in getattr(document.set, section).items()
+        }
+        for section in SECTIONS
+        if getattr(document.set, section)
+    }
+    canonical = json.dumps(
+        plain, sort_keys=True, separators=(",", ":"), ensure_ascii=False
+    )
+    return Ticket(
+        number=document.number,
+        author=document.author,
+        note=document.note,
+        set=_records(document.set),
+        remove={s: getattr(document.remove, s) for s in SECTIONS},
+        canonical=canonical,
+        digest=blake2b(canonical.encode(), digest_size=DIGEST_BYTES).hexdigest(),
+    )
+
+
+def _records(parts: _Set) -> dict[str, dict[str, Any]]:
+    found = {}
+    for section in SECTIONS:
+        make = _MAKERS[section]
+        items = getattr(parts, section).items()
+        found[section] = {name: make(name, dict(part)) for name, part in items}
+    return found
+
+
+def _make_adapter(name: str, fields: dict[str, Any]) -> Adapter:
+    model, _, adapter = name.partition(":")
+    assert adapter_key(model, adapter) == name
+    return Adapter(adapter, model, **fields)
+
+
+def _make_settlement(name: str, fields: dict[str, Any]) -> ClaimSettlement:
+    workspace, _, key = name.partition("/")
+    return ClaimSettlement(workspace, key, **fields)
+
+
+_MAKERS = {
+    "models": lambda name, fields: Model(name, **fields),
+    "adapters": _make_adapter,
+    "workspaces": lambda name, fields: Workspace(name, **fields),
+    "services": lambda name, fields: Service(name, **fields),
+    "target_roles": lambda name, fields: TargetRole(name, **fields),
+    "data_centres": lambda name, fields: DataCentre(name, **fields),
+    "control": lambda name, fields: ControlMember(name, **fields),
+    "settlements": _make_settlement,
+}
--- /dev/null
+++ b/src/vanillabeam/tickets/machine.py
@@ -0,0 +1,235 @@
+"""The ticket log's state machine: number rules, the configuration, snapshots."""
+
+import json
+from collections.abc import Callable
+from typing import NamedTuple, NotRequired, TypedDict
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from vanillabeam.config import Config
+from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.tickets.changes import (
+    EMPTY_HASH,
+    change,
+    check_references,
+    config_hash,
+    rehash,
+)
+from vanillabeam.tickets.document import Ticket, parse
+from vanillabeam.tickets.exceptions import (
+    SnapshotInvalid,
+    TicketExpired,
+    TicketNumberTaken,
+    TicketRefused,
+    TicketStale,
+)
+
+__all__ = ["ConfigStep", "Holder", "MachineReply", "TicketMachine"]
+
+KEPT_TICKETS = 65_536
+SNAPSHOT_FORMAT = 1
+
+
+class Holder(NamedTuple):
+    """An accepted ticket, as it is remembered for resends.
+
+    :param index: index at which it was accepted.
+    :param digest: of its canonical document.
+    """
+
+    index: int
+    digest: str
+    author: str
+
+
+class ConfigStep(NamedTuple):
+    """One accepted ticket as other VMs apply it.
+
+    :param previous: index of the configuration that it applies to.
+    :param index: index after it.
+    :param hash: hash of the configuration after it.
+    :param command: the ticket's canonical document.
+    """
+
+    previous: int
+    index: int
+    hash: str
+    command: str
+
+
+class MachineReply(TypedDict):
+    """What :meth:`TicketMachine.apply` says, as JSON.
+
+    :param type: type of the refusal.
+    """
+
+    status: str
+    index: NotRequired[int]
+    type: NotRequired[str]
+    faults: NotRequired[list[str]]
+
+
+class _Snapshot(NamedTuple):
+    format: int
+    config: Config
+    hash: str
+    floor: int
+    tickets: dict[int, Holder]
+    touched: dict[str, dict[str, int]]
+
+
+class TicketMachine:
+    """State that every control VM builds from the same log.
+
+    Accepted steps and restored configurations are handed to ``on_change``;
+    a restored one comes without a step.
+
+    :param on_change: called after each change with the step, if there is one.
+    :param kept: accepted numbers that are remembered, the highest ones.
+
+    >>> machine = TicketMachine()
+    >>> set_m = '{"number":7,"author":"a","set":{"models":{"m":{"version":"1"}}}}'
+    >>> machine.apply(1, set_m)
+    '{"status":"accepted","index":1}'
+    >>> machine.config.models["m"].version
+    '1'
+    """
+
+    def __init__(
+        self,
+        on_change: Callable[[ConfigStep | None], None] | None = None,
+        kept: int = KEPT_TICKETS,
+    ):
+        self.on_change = on_change
+        self.kept = kept
+        self.config = Config()
+        self.hash = EMPTY_HASH
+        self.floor = 0
+        self.tickets: dict[int, Holder] = {}
+        self._touched: dict[str, dict[str, int]] = {}
+
+    def apply(self, index: int, command: str) -> str:
+        """Apply the command at ``index`` and return the reply as JSON.
+
+        :param command: a ticket's document; anything else is refused.
+        :raises InvariantBroken: if ``index`` is not above the last change.
+        """
+        if index <= self.config.index:
+            raise InvariantBroken(f"index {index} after {self.config.index}")
+        result = parse(command).bind(lambda ticket: self._apply(index, ticket))
+        match result:
+            case Success(accepted):
+                return _reply({"status": "accepted", "index": accepted})
+            case Failure(exc):
+                return _reply(_refusal(exc))
+
+    def _apply(self, index: int, ticket: Ticket) -> Result[int, TicketRefused]:
+        holder = self.tickets.get(ticket.number)
+        if holder is not None and holder.digest == ticket.digest:
+            return Success(holder.index)
+        refusal = self.judge_number(ticket)
+        if refusal is not None:
+            return Failure(refusal)
+        after = change(self.config, ticket, index)
+        refusal = check_references(self.config, after, ticket)
+        if refusal is not None:
+            return Failure(refusal)
+        self._accept(index, ticket, after)
+        return Success(index)
+
+    def judge_number(self, ticket: Ticket) -> TicketRefused | None:
+        """Return why the number rules refuse ``ticket``, if they do.
+
+        A refusal holds for good: none of these rules ever turns back.
+        """
+        holder = self.tickets.get(ticket.number)
+        if holder is not None and holder.digest != ticket.digest:
+            fault = f"number: {ticket.number} is held by a ticket of {holder.author}"
+            return TicketNumberTaken(faults=(f"{fault}, index {holder.index}",))
+        if holder is None and ticket.number <= self.floor:
+            fault = f"number: only numbers above {self.floor} are taken"
+            return TicketExpired(faults=(fault,))
+        faults = tuple(
+            f"{section}.{name}: changed by ticket {last}"
+            for section, name in ticket.touched()
+            if (last := self._touched.get(section, {}).get(name, 0)) > ticket.number
+        )
+        return TicketStale(faults=faults) if faults and holder is None else None
+
+    def _accept(self, index: int, ticket: Ticket, after: Config) -> None:
+        if ticket.number in self.tickets:
+            raise InvariantBroken(f"ticket {ticket.number} accepted twice")
+        before, old_hash = self.config, self.hash
+        self.config = after
+        self.hash = rehash(old_hash, before, after, ticket)
+        self.tickets[ticket.number] = Holder(index, ticket.digest, ticket.author)
+        for section, name in ticket.touched():
+            self._touched.setdefault(section, {})[name] = ticket.number
+        self._forget_lowest()
+        step = ConfigStep(before.index, index, self.hash, ticket.canonical)
+        self._tell(step)
+
+    def _forget_lowest(self) -> None:
+        if len(self.tickets) <= self.kept + self.kept // 8:
+            return
+        gone = sorted(self.tickets)[: len(self.tickets) - self.kept]
+        for number in gone:
+            del self.tickets[number]
+        self.floor = gone[-1]
+        # What is gone needs no number of its own below the floor.
+        for section, names in self._touched.items():
+            there = getattr(self.config, section)
+            ended = [n for n, at in names.items() if at <= self.floor]
+            for name in ended:
+                if name not in there:
+                    del names[name]
+
+    def _tell(self, step: ConfigStep | None) -> None:
+        if self.on_change is not None:
+            self.on_change(step)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes, the same on every control VM."""
+        state = _Snapshot(
+            SNAPSHOT_FORMAT,
+            self.config,
+            self.hash,
+            self.floor,
+            {str(number): holder for number, holder in self.tickets.items()},
+            self._touched,
+        )
+        return msgspec.json.encode(state, order="sorted")
+
+    def restore(self, snapshot: bytes) -> None:
+        """Take over the state of ``snapshot``.
+
+        :raises SnapshotInvalid: if it is not what :meth:`snapshot` made.
+        :raises InvariantBroken: if it is older than what was applied.
+        """
+        try:
+            state = msgspec.json.decode(snapshot, type=_Snapshot)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            raise SnapshotInvalid(str(exc)) from exc
+        if state.format != SNAPSHOT_FORMAT:
+            raise SnapshotInvalid(f"format {state.format} is not known here")
+        if config_hash(state.config) != state.hash:
+            raise SnapshotInvalid("the hash does not fit the records")
+        if state.config.index < self.config.index:
+            raise InvariantBroken(
+                f"snapshot of {state.config.index} after {self.config.index}"
+            )
+        self.config = state.config
+        self.hash = state.hash
+        self.floor = state.floor
+        self.tickets = state.tickets
+        self._touched = state.touched
+        self._tell(None)
+
+
+def _reply(reply: MachineReply) -> str:
+    return json.dumps(reply, separators=(",", ":"))
+
+
+def _refusal(exc: TicketRefused) -> MachineReply:
+    return {"status": "refused", "type": exc.type, "faults": list(exc.faults)}
--- /dev/null
+++ b/tests/tickets/test_desk.py
@@ -0,0 +1,96 @@
+import trio
+from returns.result import Failure, Success
+
+from tests.tickets.builders import Applied, make_body
+from vanillabeam.exceptions import NotReady, TargetFailed
+from vanillabeam.tickets import (
+    Accepted,
+    TicketDesk,
+    TicketInvalid,
+    TicketMachine,
+    TicketNumberTaken,
+    TicketOutcomeUnknown,
+    TicketShown,
+    UnknownTicket,
+)
+
+
+class OneVmLog:
+    """Applies what is proposed at once; can lose the answer."""
+
+    def __init__(self, machine: TicketMachine):
+        self.machine = machine
+        self.index = 0
+        self.failure = None
+        self.applies = True
+
+    async def propose(self, command):
+        await trio.lowlevel.checkpoint()
+        reply = ""
+        if self.applies:
+            self.index += 1
+            reply = self.machine.apply(self.index, command)
+        if self.failure is not None:
+            return Failure(self.failure)
+        return Success(Applied(self.index, reply))
+
+
+def make_desk():
+    machine = TicketMachine()
+    log = OneVmLog(machine)
+    return TicketDesk(machine, log.propose), log
+
+
+def run(async_fn):
+    return trio.run(async_fn)
+
+
+def test_a_ticket_is_accepted_shown_and_in_the_config():
+    desk, _ = make_desk()
+    assert run(lambda: desk.apply(make_body(3))) == Success(Accepted(3, 1))
+    shown = desk.show(3).unwrap()
+    assert isinstance(shown, TicketShown)
+    assert (shown.author, shown.index) == ("ama", 1)
+    assert desk.config().models["m"].version == "1"
+    assert isinstance(desk.show(4).failure(), UnknownTicket)
+
+
+def test_a_lost_answer_is_unknown_and_the_resend_gets_the_index():
+    desk, log = make_desk()
+    log.failure = TargetFailed()
+    lost = run(lambda: desk.apply(make_body(3)))
+    assert isinstance(lost.failure(), TicketOutcomeUnknown)
+    log.failure = None
+    assert run(lambda: desk.apply(make_body(3))) == Success(Accepted(3, 1))
+    assert log.index == 1
+
+
+def test_what_was_certainly_not_proposed_says_so():
+    desk, log = make_desk()
+    log.failure, log.applies = NotReady(), False
+    assert isinstance(run(lambda: desk.apply(make_body(3))).failure(), NotReady)
+
+
+def test_refusals_keep_their_type_also_through_the_log():
+    desk, log = make_desk()
+    assert isinstance(run(lambda: desk.apply(b"{}")).failure(), TicketInvalid)
+    assert log.index == 0
+    run(lambda: desk.apply(make_body(3)))
+    desk._known_answer = lambda ticket: None
+    taken = run(lambda: desk.apply(make_body(3, "kofi"))).failure()
+    assert isinstance(taken, TicketNumberTaken)
+    assert "ama" in taken.faults[0]
+
+
+def test_listeners_hear_of_each_change_before_the_answer():
+    desk, _ = make_desk()
+    steps = []
+    desk.listen(steps.append)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(desk.apply, make_body(3))
+            config = await desk.config_after(0)
+            assert (config.index, steps[0].index) == (1, 1)
+
+    run(main)
