Send metrics by statsd from a socket that never waits

Parts of names that come from outside are reduced to safe characters, since a colon or newline would start a second metric.

--- /dev/null
+++ b/src/vanillabeam/metrics.py
@@ -0,0 +1,160 @@
+"""Metrics over statsd: the names there are, and one class that sends them."""
+
+import ipaddress
+import re
+from enum import StrEnum
+from typing import Self
+
+from statsd import StatsClient
+
+from vanillabeam.exceptions import SettingsInvalid
+
+__all__ = ["Counter", "Gauge", "Metrics", "Timer"]
+
+PREFIX = "vanillabeam"
+DEFAULT_PORT = 8125
+_MS_PER_S = 1000.0
+_UNSAFE = re.compile(r"[^A-Za-z0-9_-]+")
+
+
+class _Metric(StrEnum):
+    """A metric's name; :attr:`meaning` is its line in ``docs/metrics.md``."""
+
+    meaning: str
+
+    def __new__(cls, name: str, meaning: str) -> Self:
+        member = str.__new__(cls, name)
+        member._value_ = name
+        member.meaning = meaning
+        return member
+
+
+class Counter(_Metric):
+    """Counters: sums of what happened."""
+
+    REQUESTS = "requests", "callers' requests that ended, by outcome"
+    SERVED = "served", "requests answered whole, by data centre of the target"
+    PROMPT_TOKENS = "prompt_tokens", "prompt tokens of requests that ran"
+    RECOMPUTED_TOKENS = (
+        "recomputed_tokens",
+        "prompt tokens computed again although they had been before",
+    )
+    LINK_BYTES = "link_bytes", "bytes of KV blocks moved, by link"
+    PERMITS = "permits", "permits granted by this VM as owner"
+    PERMITS_REFUSED = "permits_refused", "permits refused by this VM as owner"
+    COLD_STARTS = "cold_starts", "owned targets whose window went back to cold"
+    SHEDS = "sheds", "requests refused before they started, by reason"
+    RETRIES = "retries", "attempts after the first, by reason"
+    RETRIES_DENIED = "retries_denied", "retries that the budget did not allow"
+    RESUMES = "resumes", "streams resumed after a silent or lost connection"
+    CLAIMS = "claims", "claims written, by outcome"
+    CLAIMS_UNKNOWN = "claims_unknown", "claims whose outcome stays unknown"
+    LOG_COMMITS = "log_commits", "entries committed, by log"
+    ELECTIONS = "elections", "elections begun by this VM, by log"
+    REQUESTS_CUT = "requests_cut", "requests that a planned stop cut off"
+    INVARIANT_BROKEN = "invariant_broken", "invariants found broken, by module"
+
+
+class Gauge(_Metric):
+    """Gauges: values as they stand."""
+
+    CONFIG_INDEX = "config_index", "ticket index in force on this VM"
+    CONFIG_INDEX_SEEN = "config_index_seen", "highest ticket index heard of"
+    COMMIT_INDEX = "commit_index", "last index committed, by log"
+    LOSSES_LEFT = "losses_left", "control VMs that the quorum can still lose, by log"
+    IN_SERVICE = "in_service", "1 if this VM has a data centre in service, by name"
+    READY_TARGETS = "ready_targets", "targets that take work, by data centre"
+    TARGETS_OWNED = "targets_owned", "targets that this VM owns"
+    PEERS_ALIVE = "peers_alive", "VMs that this one holds alive"
+    OPEN_REQUESTS = "open_requests", "callers' requests under way"
+    QUEUED = "queued", "requests that wait for a permit, by priority"
+    LINK_USE = "link_use", "share of a link's rate in use, by link"
+    RECOMPUTED_SHARE = "recomputed_share", "recomputed among prompt tokens, last minute"
+    STORE_BYTES = "store_bytes", "bytes held by this store, by tier"
+
+
+class Timer(_Metric):
+    """Timers, sent in milliseconds."""
+
+    FIRST_TOKEN = "first_token", "from the request to its first token"
+    TOKEN_GAP = "token_gap", "mean time between tokens of one answer"
+    QUEUE_WAIT = "queue_wait", "from the request to its permit"
+    CLAIM = "claim", "time to write a claim"
+    LOG_COMMIT = "log_commit", "from a proposal to its commit, by log"
+    CONFIG_LAG = "config_lag", "from hearing of a ticket index to having it in force"
+    BLOCK_TRANSFER = "block_transfer", "one order's export or import, by link"
+    DRAIN = "drain", "from the stop signal to the last answer"
+
+
+class Metrics:
+    """Sends metrics to statsd; without a host it does nothing.
+
+    Sending is one UDP datagram from a socket that never waits: a statsd that
+    is down, or a full socket buffer, loses metrics and costs nothing else.
+
+    :param host: IP number of statsd; ``None`` sends nothing.
+    :param data_centre: second part of each name, after ``vanillabeam``.
+    :param vm: third part of each name.
+    :raises SettingsInvalid: if ``host`` is no IP number; names would be
+        resolved by a call that blocks.
+
+    >>> metrics = Metrics("127.0.0.1", data_centre="kigali-1", vm="a1")
+    >>> metrics.count(Counter.SHEDS, by="overloaded")
+    >>> metrics.time(Timer.FIRST_TOKEN, 0.412)
+    """
+
+    def __init__(
+        self,
+        host: str | None = None,
+        port: int = DEFAULT_PORT,
+        data_centre: str = "",
+        vm: str = "",
+    ):
+        self._client: StatsClient | None = None
+        if host is None:
+            return
+        parts = (PREFIX, _clean(data_centre), _clean(vm))
+        prefix = ".".join(part for part in parts if part)
+        ipv6 = _is_ipv6(host)
+        self._client = StatsClient(host, port, prefix=prefix, ipv6=ipv6)
+        # The library's socket blocks while the kernel's send buffer is full.
+        self._client._sock.setblocking(False)
+
+    def count(self, counter: Counter, number: int = 1, by: str = "") -> None:
+        """Add ``number`` to ``counter``.
+
+        :param by: last part of the name, such as a link's name.
+        """
+        if self._client is not None:
+            self._client.incr(_name(counter, by), number)
+
+    def gauge(self, gauge: Gauge, value: float, by: str = "") -> None:
+        """Set ``gauge`` to ``value``."""
+        if self._client is not None:
+            self._client.gauge(_name(gauge, by), value)
+
+    def time(self, timer: Timer, seconds: float, by: str = "") -> None:
+        """Record a duration of ``seconds``."""
+        if self._client is not None:
+            self._client.timing(_name(timer, by), seconds * _MS_PER_S)
+
+    def close(self) -> None:
+        """Close the socket; later calls do nothing."""
+        if self._client is not None:
+            self._client.close()
+            self._client = None
+
+
+def _name(metric: _Metric, by: str) -> str:
+    return f"{metric}.{_clean(by)}" if by else str(metric)
+
+
+def _clean(part: str) -> str:
+    return _UNSAFE.sub("_", part)
+
+
+def _is_ipv6(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host).version == 6
+    except ValueError as exc:
+        raise SettingsInvalid(f"statsd host {host!r} is no IP number") from exc
