Run prompts and service calls to a whole answer or a true word on them

A request's life is a core with three facts for each attempt (not sent, may have run, answered), and 'not run' is said only when every attempt was unsent or refused by the target itself. A prompt whose connection breaks or goes silent is resumed on a new one at the same engine, else continued from the emitted text on another of the same version, else ended by an error event. Pieces are put in order, doubled ones dropped, and the end mark's count is checked against what was given out.

Nothing is sent after the time for which its claim was granted.

Each connection is read by a task of its own into a bounded buffer: what one read brought goes out in one write, a slow caller holds the engine back, and closing never waits.

--- /dev/null
+++ b/src/vanillabeam/answers/background.py
@@ -0,0 +1,51 @@
+"""Tasks that outlive the caller's request: connections, cancels, records."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+from loguru import logger
+
+from vanillabeam.exceptions import InvariantBroken
+
+__all__ = ["Background"]
+
+
+class Background:
+    """A nursery that is there while the runner runs.
+
+    >>> background = Background()
+    >>> background.running
+    False
+    """
+
+    def __init__(self):
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def running(self) -> bool:
+        """Return whether tasks can be started."""
+        return self._nursery is not None
+
+    async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        """Hold the tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    def spawn(self, task: Callable[..., Awaitable[None]], *args: Any) -> None:
+        """Start ``task``; a broken invariant in it ends it alone.
+
+        :raises InvariantBroken: before the runner runs.
+        """
+        if self._nursery is None:
+            raise InvariantBroken("the runner does not run")
+        self._nursery.start_soon(_guarded, task, args)
+
+
+async def _guarded(task: Callable[..., Awaitable[None]], args: tuple) -> None:
+    try:
+        await task(*args)
+    except InvariantBroken:
+        logger.exception("invariant broken in the background")
--- /dev/null
+++ b/src/vanillabeam/answers/call.py
@@ -0,0 +1,241 @@
+"""One call of a plain service, carried out to its end whoever waits for it."""
+
+import contextlib
+from collections import deque
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import trio
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from vanillabeam.admission import RetryBudget
+from vanillabeam.answers import callrun as cr
+from vanillabeam.answers.background import Background
+from vanillabeam.answers.link import Head, Link, LinkTimes, Request
+from vanillabeam.answers.promptwire import problem_type
+from vanillabeam.answers.records import (
+    Acquire,
+    Release,
+    ServiceAnswer,
+    ServiceRequest,
+    Trace,
+)
+from vanillabeam.answers.traces import TraceBuilder
+from vanillabeam.exceptions import InvariantBroken, Run, VanillabeamError
+from vanillabeam.targets import Outcome
+
+__all__ = ["Call", "CallParts", "CallTimes"]
+
+ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+RUN_HEADER = "vanillabeam-run"
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class CallTimes(NamedTuple):
+    """Times of a call, in seconds.
+
+    :param link: its ``silence_s`` bounds the wait for an answer's next byte.
+    :param record_first_s: how long an answer waits for its record.
+    :param late_s: how long past its deadline a claimed call's answer is still
+        waited for, so that it can be recorded; below the lease's margin.
+    """
+
+    link: LinkTimes = LinkTimes(connect_s=2.0, silence_s=30.0)
+    record_first_s: float = 1.0
+    late_s: float = 10.0
+
+
+class CallParts(NamedTuple):
+    """What every call of a VM uses.
+
+    :param budget: retries of all calls of this VM.
+    """
+
+    acquire: Acquire
+    release: Release
+    background: Background
+    budget: RetryBudget
+    times: CallTimes
+    trace: Trace
+
+
+class Call:
+    """A call on its way.
+
+    :param send_by_s: monotonic time from which on nothing is sent.
+    :param end_by_s: monotonic time until which an answer is waited for.
+    :ivar head: the answer's head, as far as it came.
+    """
+
+    def __init__(
+        self,
+        request: ServiceRequest,
+        parts: CallParts,
+        send_by_s: float,
+        end_by_s: float,
+    ):
+        self.request = request
+        self.head: Head | None = None
+        self._parts = parts
+        self._send_by_s = send_by_s
+        self._end_by_s = end_by_s
+        repeatable = cr.may_repeat(
+            request.method, request.repeats, request.idempotency_key
+        )
+        self._run = cr.CallRun(repeatable, parts.budget)
+        self._trace = TraceBuilder(
+            "service", request.route, request.ticket_index, trio.current_time()
+        )
+        self._todo: deque[cr.Effect] = deque()
+        self._body = b""
+        self._result: Result[ServiceAnswer, VanillabeamError] | None = None
+
+    @property
+    def run(self) -> Run:
+        """Return what is known of the call's run."""
+        return self._run.life.run
+
+    def tell(self, failure: VanillabeamError) -> VanillabeamError:
+        """Return ``failure`` saying what is known of the call's run."""
+        return self._run.life.tell(failure)
+
+    async def perform(self) -> Result[ServiceAnswer, VanillabeamError]:
+        """Carry the call out to its end."""
+        try:
+            return await self._perform_all()
+        finally:
+            if self._run.permit is not None:
+                self._abandon()
+
+    async def _perform_all(self) -> Result[ServiceAnswer, VanillabeamError]:
+        try:
+            self._handle(cr.Start())
+            while self._result is None:
+                with trio.move_on_at(self._end_by_s) as scope:
+                    await self._step(self._todo.popleft())
+                if scope.cancelled_caught:
+                    self._handle(cr.DeadlinePassed())
+        except InvariantBroken as exc:
+            logger.exception("invariant broken in a call")
+            self._result = Failure(self._run.life.tell(exc))
+        self._report(self._result)
+        return self._result
+
+    def _abandon(self) -> None:
+        """Give the permit back after the task was cancelled."""
+        kind = cr.OutcomeKind.CANCELLED
+        self._parts.release(self._run.permit, Outcome(kind))
+        self._run.permit = None
+
+    def _handle(self, event: cr.Event) -> None:
+        self._todo.extend(cr.handle(event, self._run, trio.current_time()))
+
+    async def _step(self, effect: cr.Effect) -> None:
+        match effect:
+            case cr.Acquire():
+                await self._acquire(effect)
+            case cr.Send():
+                await self._send(effect)
+            case cr.Release():
+                self._trace.released(str(effect.kind), trio.current_time())
+                self._parts.release(effect.permit, Outcome(effect.kind))
+            case cr.Deliver():
+                headers = tuple(_end_to_end(self.head))
+                answer = ServiceAnswer(self.head.status, headers, self._body)
+                self._result = Success(answer)
+            case cr.Fail():
+                self._result = Failure(effect.failure)
+
+    async def _acquire(self, effect: cr.Acquire) -> None:
+        route = self.request.route._replace(
+            excluded=self.request.route.excluded | effect.excluded,
+            deadline_s=self._send_by_s - trio.current_time(),
+        )
+        with trio.move_on_at(self._send_by_s) as scope:
+            result = await self._parts.acquire(route)
+        if scope.cancelled_caught:
+            self._handle(cr.DeadlinePassed())
+        elif isinstance(result, Success):
+            self._handle(cr.Granted(result.unwrap()))
+        else:
+            self._handle(cr.Denied(result.failure()))
+
+    async def _send(self, effect: cr.Send) -> None:
+        run_id = f"{self.request.route.request_id}-{effect.attempt}"
+        self._trace.attempt(run_id, effect.permit, trio.current_time())
+        link = Link(
+            self._wire_request(effect, run_id),
+            self._parts.times.link,
+            on_sending=lambda: self._handle(cr.Sent(effect.attempt)),
+            send_by_s=self._send_by_s,
+        )
+        self._parts.background.spawn(link.run)
+        try:
+            await self._receive(effect.attempt, link)
+        finally:
+            link.close()
+
+    async def _receive(self, attempt: int, link: Link) -> None:
+        self.head = await link.head()
+        if self.head is None:
+            self._handle(cr.Lost(attempt, link.lost))
+            return
+        refused = self.head.get(RUN_HEADER) == Run.NOT_RUN
+        if not refused:
+            self._handle(cr.Began(attempt))
+        body = await link.read_all(ANSWER_LIMIT_BYTES)
+        if refused:
+            self._handle(cr.Refused(attempt, problem_type(body or b"")))
+        elif body is None:
+            self._handle(cr.Oversized(attempt))
+        elif link.lost:
+            self._handle(cr.Lost(attempt, link.lost))
+        else:
+            self._body = body
+            self._handle(cr.Answered(attempt))
+
+    def _wire_request(self, effect: cr.Send, run_id: str) -> Request:
+        headers = dict(self.request.headers)
+        headers["Vanillabeam-Run-Id"] = run_id
+        if self.request.idempotency_key:
+            headers["Idempotency-Key"] = self.request.idempotency_key
+        name = self.request.route.service
+        path = self.request.path.lstrip("/")
+        return Request(
+            self.request.method,
+            effect.permit.address,
+            f"/services/{name}/{path}",
+            headers,
+            self.request.body,
+        )
+
+    def _report(self, result: Result[ServiceAnswer, VanillabeamError]) -> None:
+        failure = result.failure() if isinstance(result, Failure) else None
+        with contextlib.suppress(InvariantBroken):
+            record = self._trace.finish(self.run, failure, trio.current_time())
+            self._parts.trace(self.request.route.request_id, record)
+
+
+def _end_to_end(head: Head) -> Iterator[tuple[str, str]]:
+    named = {
+        token.strip().lower()
+        for name, value in head.headers
+        if name == "connection"
+        for token in value.split(",")
+    }
+    for name, value in head.headers:
+        if name not in HOP_BY_HOP and name not in named:
+            yield name, value
--- /dev/null
+++ b/src/vanillabeam/answers/callrun.py
@@ -0,0 +1,317 @@
+"""The life of one call of a plain service: sent once unless it may be repeated.
+
+A core. The shell in :mod:`vanillabeam.answers.services` carries out the
+effects. Attempts are numbered; what an earlier one still says is dropped.
+"""
+
+from functools import singledispatch
+from typing import NamedTuple
+
+from vanillabeam.admission import RetryBudget
+from vanillabeam.answers.exceptions import (
+    AnswerLost,
+    AnswerTooLarge,
+    CallNotRepeated,
+    RetriesDenied,
+    TargetRefused,
+)
+from vanillabeam.answers.life import Fact, Life
+from vanillabeam.config import Repeats
+from vanillabeam.exceptions import DeadlineExceeded, InvariantBroken, VanillabeamError
+from vanillabeam.targets import OutcomeKind, Permit
+
+__all__ = [
+    "Acquire",
+    "Answered",
+    "Began",
+    "CallRun",
+    "DeadlinePassed",
+    "Deliver",
+    "Denied",
+    "Fail",
+    "Granted",
+    "Lost",
+    "Oversized",
+    "Refused",
+    "Release",
+    "Send",
+    "Sent",
+    "Start",
+    "handle",
+    "is_safe",
+    "may_repeat",
+    "needs_claim",
+]
+
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+ATTEMPTS = 4
+
+
+class Start(NamedTuple):
+    """The call was taken in and, where it has to be, claimed."""
+
+
+class Granted(NamedTuple):
+    """A permit came."""
+
+    permit: Permit
+
+
+class Denied(NamedTuple):
+    """There is no permit."""
+
+    failure: VanillabeamError
+
+
+class Sent(NamedTuple):
+    """The first byte of the request is about to leave."""
+
+    attempt: int
+
+
+class Refused(NamedTuple):
+    """The target answered that it did not run the call."""
+
+    attempt: int
+    type: str
+
+
+class Began(NamedTuple):
+    """The head of an answer came."""
+
+    attempt: int
+
+
+class Answered(NamedTuple):
+    """The whole answer is there."""
+
+    attempt: int
+
+
+class Oversized(NamedTuple):
+    """The answer is larger than is taken."""
+
+    attempt: int
+
+
+class Lost(NamedTuple):
+    """The connection ended, or went silent, before the whole answer."""
+
+    attempt: int
+    detail: str
+
+
+class DeadlinePassed(NamedTuple):
+    """The call's time is over."""
+
+
+class Acquire(NamedTuple):
+    """Ask for a permit."""
+
+    excluded: frozenset[str]
+
+
+class Send(NamedTuple):
+    """Send the call on a fresh connection."""
+
+    attempt: int
+    permit: Permit
+
+
+class Release(NamedTuple):
+    """Give a permit back."""
+
+    permit: Permit
+    kind: OutcomeKind
+
+
+class Deliver(NamedTuple):
+    """Give the answer to the caller."""
+
+
+class Fail(NamedTuple):
+    """End with a failure."""
+
+    failure: VanillabeamError
+
+
+Event = (
+    Start
+    | Granted
+    | Denied
+    | Sent
+    | Refused
+    | Began
+    | Answered
+    | Oversized
+    | Lost
+    | DeadlinePassed
+)
+Effect = Acquire | Send | Release | Deliver | Fail
+
+
+def is_safe(method: str) -> bool:
+    """Return whether HTTP says that ``method`` changes nothing."""
+    return method.upper() in SAFE_METHODS
+
+
+def may_repeat(method: str, repeats: Repeats, key: str) -> bool:
+    """Return whether a call that may have run may be sent again.
+
+    :param repeats: the ticket's word on the service.
+    :param key: idempotency key, or empty.
+    """
+    if is_safe(method) or repeats is Repeats.SAFE:
+        return True
+    return repeats is Repeats.BY_KEY and bool(key)
+
+
+def needs_claim(method: str, repeats: Repeats, key: str) -> bool:
+    """Return whether the key is claimed before the call is sent."""
+    return bool(key) and not is_safe(method) and repeats is not Repeats.SAFE
+
+
+class CallRun:
+    """State of one call.
+
+    :param repeatable: from :func:`may_repeat`.
+    :param budget: what all calls of this VM may spend on retries.
+
+    >>> run = CallRun(False, RetryBudget())
+    >>> handle(Start(), run, now_s=0.0)
+    [Acquire(excluded=frozenset())]
+    """
+
+    def __init__(self, repeatable: bool, budget: RetryBudget):
+        self.life = Life(repeatable)
+        self.budget = budget
+        self.attempt = 0
+        self.permit: Permit | None = None
+        self.excluded: frozenset[str] = frozenset()
+        self.failure: VanillabeamError | None = None
+        self.over = False
+
+
+@singledispatch
+def handle(event: Event, state: CallRun, now_s: float) -> list[Effect]:
+    """Change ``state`` by ``event`` and return what the shell must do.
+
+    :param now_s: monotonic time in seconds.
+    :raises InvariantBroken: on an event that no shell sends.
+    """
+    raise InvariantBroken(f"a call does not take {type(event).__name__}")
+
+
+@handle.register
+def _(event: Start, state: CallRun, now_s: float) -> list[Effect]:
+    state.budget.earn()
+    return [Acquire(state.excluded)]
+
+
+@handle.register
+def _(event: Granted, state: CallRun, now_s: float) -> list[Effect]:
+    if state.over:
+        return [Release(event.permit, OutcomeKind.NOT_RUN)]
+    if state.permit is not None:
+        raise InvariantBroken("a call holds two permits")
+    state.life.begin()
+    state.permit = event.permit
+    state.attempt += 1
+    return [Send(state.attempt, event.permit)]
+
+
+@handle.register
+def _(event: Denied, state: CallRun, now_s: float) -> list[Effect]:
+    if state.over:
+        return []
+    return _fail(state, state.failure or event.failure)
+
+
+@handle.register
+def _(event: Sent, state: CallRun, now_s: float) -> list[Effect]:
+    if _current(event.attempt, state):
+        state.life.sent()
+    return []
+
+
+@handle.register
+def _(event: Began, state: CallRun, now_s: float) -> list[Effect]:
+    if _current(event.attempt, state):
+        state.life.answered()
+    return []
+
+
+@handle.register
+def _(event: Refused, state: CallRun, now_s: float) -> list[Effect]:
+    if not _current(event.attempt, state):
+        return []
+    state.life.refused()
+    state.failure = TargetRefused(event.type)
+    return _try_elsewhere(state, OutcomeKind.NOT_RUN)
+
+
+@handle.register
+def _(event: Answered, state: CallRun, now_s: float) -> list[Effect]:
+    if not _current(event.attempt, state):
+        return []
+    state.over = True
+    return [*_release(state, OutcomeKind.COMPLETED), Deliver()]
+
+
+@handle.register
+def _(event: Oversized, state: CallRun, now_s: float) -> list[Effect]:
+    if not _current(event.attempt, state):
+        return []
+    released = _release(state, OutcomeKind.COMPLETED)
+    return released + _fail(state, AnswerTooLarge())
+
+
+@handle.register
+def _(event: Lost, state: CallRun, now_s: float) -> list[Effect]:
+    if not _current(event.attempt, state):
+        return []
+    if state.life.facts[-1] is Fact.NOT_SENT:
+        state.failure = state.failure or TargetRefused("no connection")
+        return _try_elsewhere(state, OutcomeKind.NOT_RUN)
+    if not state.life.repeatable:
+        released = _release(state, OutcomeKind.FAILED)
+        return released + _fail(state, CallNotRepeated(event.detail))
+    state.failure = AnswerLost(event.detail)
+    return _try_elsewhere(state, OutcomeKind.FAILED)
+
+
+@handle.register
+def _(event: DeadlinePassed, state: CallRun, now_s: float) -> list[Effect]:
+    if state.over:
+        return []
+    released = _release(state, OutcomeKind.CANCELLED)
+    return released + _fail(state, DeadlineExceeded())
+
+
+def _current(attempt: int, state: CallRun) -> bool:
+    return not state.over and state.permit is not None and attempt == state.attempt
+
+
+def _try_elsewhere(state: CallRun, kind: OutcomeKind) -> list[Effect]:
+    target = state.permit.target
+    effects = _release(state, kind)
+    if state.attempt >= ATTEMPTS:
+        return effects + _fail(state, state.failure)
+    if kind is not OutcomeKind.NOT_RUN and not state.budget.spend():
+        return effects + _fail(state, RetriesDenied())
+    state.excluded |= {target}
+    return [*effects, Acquire(state.excluded)]
+
+
+def _release(state: CallRun, kind: OutcomeKind) -> list[Effect]:
+    if state.permit is None:
+        return []
+    permit, state.permit = state.permit, None
+    return [Release(permit, kind)]
+
+
+def _fail(state: CallRun, failure: VanillabeamError) -> list[Effect]:
+    if state.over:
+        raise InvariantBroken("a call ended twice")
+    state.over = True
+    return [Fail(state.life.tell(failure))]
--- /dev/null
+++ b/src/vanillabeam/answers/link.py
@@ -0,0 +1,210 @@
+"""One connection for one request to a target, with silence limits.
+
+Each run and each call goes out on a fresh connection: one that lay idle in a
+pool may have been forgotten by something between the two ends, which shows
+only after a silence limit, and then nobody knows what was sent.
+"""
+
+import math
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+import httpcore
+import trio
+
+__all__ = ["Head", "Link", "LinkTimes", "Request"]
+
+BUFFER_LIMIT_BYTES = 256 * 1024
+SENDING_EVENT = "http11.send_request_headers.started"
+_ENDED = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.UnsupportedProtocol,
+    OSError,
+    ValueError,
+)
+
+
+class LinkTimes(NamedTuple):
+    """Limits of one connection, in seconds.
+
+    :param connect_s: to open it.
+    :param silence_s: between two reads, and to take one write.
+    """
+
+    connect_s: float = 2.0
+    silence_s: float = 12.0
+
+
+class Request(NamedTuple):
+    """What is sent.
+
+    :param address: ``host:port``.
+    :param target: path and query.
+    """
+
+    method: str
+    address: str
+    target: str
+    headers: Mapping[str, str]
+    content: bytes = b""
+
+
+class Head(NamedTuple):
+    """Status and headers of an answer; names are in lower case."""
+
+    status: int
+    headers: list[tuple[str, str]]
+
+    def get(self, name: str) -> str:
+        """Return the header ``name``, or an empty string."""
+        return next((value for key, value in self.headers if key == name), "")
+
+
+class Link:
+    """A connection that a task of its own reads into a bounded buffer.
+
+    :param on_sending: called when the first byte is about to leave.
+    :param send_by_s: monotonic time from which on nothing may be sent.
+    :ivar sent: whether bytes of the request may have left.
+    :ivar lost: why the connection ended early, empty while it has not.
+    :ivar silent: whether it ended for its silence.
+
+    Usage::
+
+        link = Link(request, LinkTimes())
+        nursery.start_soon(link.run)
+        head = await link.head()
+        while data := await link.read():
+            ...
+    """
+
+    def __init__(
+        self,
+        request: Request,
+        times: LinkTimes,
+        on_sending: Callable[[], None] = lambda: None,
+        send_by_s: float = math.inf,
+    ):
+        self.request = request
+        self.times = times
+        self.sent = False
+        self.lost = ""
+        self.silent = False
+        self._on_sending = on_sending
+        self._send_by_s = send_by_s
+        self._head: Head | None = None
+        self._over = False
+        self._buffer: list[bytes] = []
+        self._buffered = 0
+        self._changed = trio.Event()
+        self._scope = trio.CancelScope()
+
+    async def run(self) -> None:
+        """Send the request and read the answer until it ends."""
+        try:
+            with self._scope:
+                await self._exchange()
+        except _ENDED as exc:
+            self.lost = f"{type(exc).__name__}: {exc}"
+            self.silent = isinstance(exc, httpcore.ReadTimeout | httpcore.WriteTimeout)
+        finally:
+            if self._scope.cancelled_caught:
+                self.lost = self.lost or "closed"
+            self._over = True
+            self._notify()
+
+    async def run_within(self, limit_s: float) -> None:
+        """Run, for ``limit_s`` at most."""
+        with trio.move_on_after(limit_s):
+            await self.run()
+
+    def close(self) -> None:
+        """Close the connection; at once, without waiting for it."""
+        self._scope.cancel()
+
+    async def head(self) -> Head | None:
+        """Return the answer's head; ``None`` if the connection ended first."""
+        while self._head is None and not self._over:
+            await self._changed.wait()
+        return self._head
+
+    async def read(self) -> bytes:
+        """Return everything that has come; empty at the end or once lost."""
+        while not self._buffer and not self._over:
+            await self._changed.wait()
+        data = b"".join(self._buffer)
+        self._buffer.clear()
+        self._buffered = 0
+        self._notify()
+        return data
+
+    async def read_all(self, limit_bytes: int) -> bytes | None:
+        """Return the whole body; ``None`` if it is larger than the limit.
+
+        A lost connection ends the body early: see :attr:`lost`.
+        """
+        parts = []
+        size = 0
+        while data := await self.read():
+            parts.append(data)
+            size += len(data)
+            if size > limit_bytes:
+                return None
+        return b"".join(parts)
+
+    async def _exchange(self) -> None:
+        host, _, port = self.request.address.rpartition(":")
+        origin = httpcore.Origin(b"http", host.strip("[]").encode(), int(port))
+        timeout = {
+            "connect": self.times.connect_s,
+            "read": self.times.silence_s,
+            "write": self.times.silence_s,
+        }
+        async with (
+            httpcore.AsyncHTTPConnection(origin, retries=0) as connection,
+            connection.stream(
+                self.request.method,
+                f"http://{self.request.address}{self.request.target}",
+                headers=self._headers(),
+                content=self.request.content,
+                extensions={"timeout": timeout, "trace": self._trace},
+            ) as response,
+        ):
+            self._head = Head(response.status, _decode(response.headers))
+            self._notify()
+            async for data in response.aiter_stream():
+                await self._put(data)
+
+    def _headers(self) -> list[tuple[str, str]]:
+        headers = [("Host", self.request.address), *self.request.headers.items()]
+        if self.request.content or self.request.method in ("POST", "PUT", "PATCH"):
+            headers.append(("Content-Length", str(len(self.request.content))))
+        return headers
+
+    async def _trace(self, name: str, info: dict) -> None:
+        if name == SENDING_EVENT:
+            if trio.current_time() >= self._send_by_s:
+                raise TimeoutError("too late to send")
+            self.sent = True
+            self._on_sending()
+
+    async def _put(self, data: bytes) -> None:
+        while self._buffered >= BUFFER_LIMIT_BYTES:
+            await self._changed.wait()
+        self._buffer.append(data)
+        self._buffered += len(data)
+        if len(self._buffer) == 1:
+            self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _decode(headers: list[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
+    return [
+        (name.decode("latin-1").lower(), value.decode("latin-1"))
+        for name, value in headers
+    ]
--- /dev/null
+++ b/src/vanillabeam/answers/promptrun.py
@@ -0,0 +1,330 @@
+"""The life of one model prompt: attempts, resumes, the whole answer.
+
+A core. The shell in :mod:`vanillabeam.answers.prompts` carries out the
+effects and reports what came of them. Each connection has a number (``link``);
+what an earlier connection still says is dropped.
+"""
+
+from functools import singledispatch
+from typing import NamedTuple
+
+from vanillabeam.admission import RetryBudget
+from vanillabeam.answers.events import End, Piece
+from vanillabeam.answers.exceptions import (
+    AnswerCut,
+    AnswerLost,
+    CallerLeft,
+    PromptRejected,
+    RetriesDenied,
+    TargetRefused,
+)
+from vanillabeam.answers.life import Fact, Life
+from vanillabeam.answers.order import PieceOrder
+from vanillabeam.answers.promptevents import (
+    Acquire,
+    Cancel,
+    Close,
+    DeadlinePassed,
+    Denied,
+    Effect,
+    Emit,
+    Event,
+    Exhausted,
+    Finish,
+    GiveUp,
+    Gone,
+    Granted,
+    Left,
+    Lost,
+    Opened,
+    Read,
+    Refused,
+    Rejected,
+    Release,
+    Resume,
+    Send,
+    Sent,
+    Start,
+)
+from vanillabeam.exceptions import DeadlineExceeded, InvariantBroken, VanillabeamError
+from vanillabeam.targets import OutcomeKind, Permit
+
+__all__ = ["PromptLimits", "PromptRun", "abort", "handle"]
+
+CALLER_FAULTS = range(400, 500)
+
+
+class PromptLimits(NamedTuple):
+    """How often a prompt is tried.
+
+    :param attempts: runs, on any target.
+    :param resumes: connections to one run in a row that bring nothing new.
+    """
+
+    attempts: int = 4
+    resumes: int = 2
+
+
+class PromptRun:
+    """State of one prompt.
+
+    :param budget: what all prompts of this VM may spend on retries.
+
+    >>> run = PromptRun("r1", PromptLimits(), RetryBudget())
+    >>> handle(Start(), run, now_s=0.0)
+    [Acquire(version='', excluded=frozenset())]
+    """
+
+    def __init__(self, request_id: str, limits: PromptLimits, budget: RetryBudget):
+        self.request_id = request_id
+        self.limits = limits
+        self.budget = budget
+        self.life = Life(repeatable=True)
+        self.link = 0
+        self.attempts = 0
+        self.resumes = 0
+        self.resumed = 0
+        self.permit: Permit | None = None
+        self.order = PieceOrder()
+        self.emitted = 0
+        self.continued = False
+        self.continuable = True
+        self.last_seen = False
+        self.version = ""
+        self.excluded: frozenset[str] = frozenset()
+        self.failure: VanillabeamError | None = None
+        self.over = False
+
+    @property
+    def run_id(self) -> str:
+        """Return the name of the current run; unique for each attempt."""
+        return f"{self.request_id}-{self.attempts}"
+
+
+@singledispatch
+def handle(event: Event, state: PromptRun, now_s: float) -> list[Effect]:
+    """Change ``state`` by ``event`` and return what the shell must do.
+
+    :param now_s: monotonic time in seconds.
+    :raises InvariantBroken: on an event that no shell sends.
+    """
+    raise InvariantBroken(f"a prompt does not take {type(event).__name__}")
+
+
+@handle.register
+def _(event: Start, state: PromptRun, now_s: float) -> list[Effect]:
+    state.budget.earn()
+    return [Acquire(state.version, state.excluded)]
+
+
+@handle.register
+def _(event: Granted, state: PromptRun, now_s: float) -> list[Effect]:
+    if state.over:
+        return [Release(event.permit, OutcomeKind.NOT_RUN)]
+    if state.permit is not None:
+        raise InvariantBroken("a prompt holds two permits")
+    if state.emitted and event.permit.version != state.version:
+        raise InvariantBroken("an answer was to go on in another weight version")
+    state.permit = event.permit
+    state.life.begin()
+    state.attempts += 1
+    state.resumes = 0
+    state.order = PieceOrder()
+    state.continued = state.emitted > 0
+    state.link += 1
+    return [Send(state.link, state.run_id, event.permit, state.continued)]
+
+
+@handle.register
+def _(event: Denied, state: PromptRun, now_s: float) -> list[Effect]:
+    if state.over:
+        return []
+    return _give_up(state, state.failure or event.failure)
+
+
+@handle.register
+def _(event: Sent, state: PromptRun, now_s: float) -> list[Effect]:
+    if _current(event.link, state):
+        state.life.sent()
+    return []
+
+
+@handle.register
+def _(event: Refused, state: PromptRun, now_s: float) -> list[Effect]:
+    if not _current(event.link, state):
+        return []
+    state.life.refused()
+    state.failure = TargetRefused(event.type)
+    return _try_elsewhere(state, OutcomeKind.NOT_RUN)
+
+
+@handle.register
+def _(event: Rejected, state: PromptRun, now_s: float) -> list[Effect]:
+    if not _current(event.link, state):
+        return []
+    if event.status in CALLER_FAULTS and not state.emitted:
+        rejected = PromptRejected(event.detail, event.status)
+        return _stop(state, OutcomeKind.COMPLETED) + _give_up(state, rejected)
+    state.failure = AnswerLost(f"status {event.status}")
+    return _try_elsewhere(state, OutcomeKind.FAILED)
+
+
+@handle.register
+def _(event: Opened, state: PromptRun, now_s: float) -> list[Effect]:
+    if not _current(event.link, state):
+        return []
+    state.life.answered()
+    admitted = state.permit.version
+    if not event.version or not admitted or event.version == admitted:
+        state.version = admitted or event.version
+        return []
+    state.failure = AnswerLost("the engine runs another weight version")
+    return _try_elsewhere(state, OutcomeKind.FAILED)
+
+
+@handle.register
+def _(event: Read, state: PromptRun, now_s: float) -> list[Effect]:
+    if not _current(event.link, state):
+        return []
+    ready = state.order.take(event.pieces, now_s)
+    effects: list[Effect] = []
+    if ready:
+        effects.append(_emit(state, ready))
+    if event.end is not None:
+        return effects + _end(state, event.end)
+    if state.order.lacks(now_s):
+        return effects + _resume(state, "a piece is missing")
+    return effects
+
+
+@handle.register
+def _(event: Lost, state: PromptRun, now_s: float) -> list[Effect]:
+    if not _current(event.link, state):
+        return []
+    if state.life.facts[-1] is Fact.NOT_SENT:
+        state.failure = state.failure or TargetRefused("no connection")
+        return _try_elsewhere(state, OutcomeKind.NOT_RUN)
+    return _resume(state, event.detail)
+
+
+@handle.register
+def _(event: Gone, state: PromptRun, now_s: float) -> list[Effect]:
+    if not _current(event.link, state):
+        return []
+    state.failure = AnswerLost("the engine has lost the run")
+    return _try_elsewhere(state, OutcomeKind.FAILED)
+
+
+@handle.register
+def _(event: Exhausted, state: PromptRun, now_s: float) -> list[Effect]:
+    state.continuable = False
+    return []
+
+
+@handle.register
+def _(event: Left, state: PromptRun, now_s: float) -> list[Effect]:
+    if state.over:
+        return []
+    return _stop(state, OutcomeKind.CANCELLED) + _give_up(state, CallerLeft())
+
+
+@handle.register
+def _(event: DeadlinePassed, state: PromptRun, now_s: float) -> list[Effect]:
+    if state.over:
+        return []
+    stopped = _stop(state, OutcomeKind.CANCELLED)
+    return stopped + _give_up(state, DeadlineExceeded())
+
+
+def abort(state: PromptRun, exc: VanillabeamError) -> list[Effect]:
+    """Stop at once because of ``exc``; whatever is held is given back."""
+    stopped = _stop(state, OutcomeKind.FAILED)
+    state.over = True
+    return [*stopped, GiveUp(state.life.tell(exc))]
+
+
+def _current(link: int, state: PromptRun) -> bool:
+    return not state.over and state.permit is not None and link == state.link
+
+
+def _emit(state: PromptRun, ready: list[Piece]) -> Emit:
+    if state.last_seen:
+        raise InvariantBroken("a piece came after the last one")
+    state.emitted += len(ready)
+    state.resumes = 0
+    state.last_seen = ready[-1].last
+    for piece in ready:
+        state.continuable = state.continuable and piece.plain
+    return Emit(ready, state.continued)
+
+
+def _end(state: PromptRun, end: End) -> list[Effect]:
+    if end.pieces > state.order.count:
+        return _resume(state, "the end came before the last piece")
+    if end.pieces < state.order.count:
+        state.failure = AnswerCut("the engine's count is lower than what it sent")
+        return _stop(state, OutcomeKind.FAILED) + _give_up(state, state.failure)
+    return _finish(state)
+
+
+def _finish(state: PromptRun) -> list[Effect]:
+    state.over = True
+    permit = state.permit
+    state.permit = None
+    return [
+        Close(state.link),
+        Release(permit, OutcomeKind.COMPLETED),
+        Finish(),
+    ]
+
+
+def _resume(state: PromptRun, detail: str) -> list[Effect]:
+    state.failure = AnswerLost(detail)
+    if state.resumes >= state.limits.resumes:
+        return _try_elsewhere(state, OutcomeKind.FAILED)
+    state.resumes += 1
+    state.resumed += 1
+    state.order.reconnect()
+    closed = state.link
+    state.link += 1
+    return [
+        Close(closed),
+        Resume(state.link, state.run_id, state.permit, state.order.count),
+    ]
+
+
+def _try_elsewhere(state: PromptRun, kind: OutcomeKind) -> list[Effect]:
+    if state.last_seen:
+        # Every piece up to the last is out; only the end mark is missing.
+        return _finish(state)
+    target = state.permit.target
+    effects = _stop(state, kind)
+    if state.emitted and not state.continuable:
+        return effects + _give_up(state, AnswerCut("it can't be continued"))
+    if state.attempts >= state.limits.attempts:
+        return effects + _give_up(state, state.failure)
+    if kind is not OutcomeKind.NOT_RUN and not state.budget.spend():
+        return effects + _give_up(state, RetriesDenied())
+    state.excluded |= {target}
+    version = state.version if state.emitted else ""
+    return [*effects, Acquire(version, state.excluded)]
+
+
+def _stop(state: PromptRun, kind: OutcomeKind) -> list[Effect]:
+    """Let go of the current run, if there is one."""
+    if state.permit is None:
+        return []
+    permit, state.permit = state.permit, None
+    effects: list[Effect] = [Close(state.link)]
+    if state.life.facts[-1] is not Fact.NOT_SENT:
+        effects.append(Cancel(state.run_id, permit))
+    return [*effects, Release(permit, kind)]
+
+
+def _give_up(state: PromptRun, failure: VanillabeamError) -> list[Effect]:
+    if state.over:
+        raise InvariantBroken("a request ended twice")
+    state.over = True
+    if state.emitted and not isinstance(failure, AnswerCut | CallerLeft):
+        failure = AnswerCut(failure.type)
+    return [GiveUp(state.life.tell(failure))]
--- /dev/null
+++ b/src/vanillabeam/answers/prompts.py
@@ -0,0 +1,43 @@
+"""Model prompts: from a request to an answer that is whole or says why not."""
+
+from returns.result import Failure, Result, Success
+
+from vanillabeam.answers.answer import Answer, PromptParts
+from vanillabeam.answers.records import PromptRequest
+from vanillabeam.exceptions import VanillabeamError
+
+__all__ = ["Prompts"]
+
+
+class Prompts:
+    """Runs model prompts.
+
+    Usage::
+
+        match await prompts.open(request):
+            case Success(answer):
+                async with contextlib.aclosing(answer):
+                    async for data in answer:
+                        await send(data)
+            case Failure(failure):
+                ...
+    """
+
+    def __init__(self, parts: PromptParts):
+        self._parts = parts
+
+    async def open(self, request: PromptRequest) -> Result[Answer, VanillabeamError]:
+        """Return the answer once its first bytes are there.
+
+        :returns: an answer that must be closed, or a failure that says in
+            ``run`` what is known of the prompt.
+        """
+        answer = Answer(request, self._parts)
+        try:
+            await answer.begin()
+        except BaseException:
+            await answer.aclose()
+            raise
+        if answer.failure is not None:
+            return Failure(answer.failure)
+        return Success(answer)
--- /dev/null
+++ b/src/vanillabeam/answers/traces.py
@@ -0,0 +1,78 @@
+"""The record of one request: where it went, when, and what is known of it."""
+
+from typing import Any
+
+from vanillabeam.exceptions import Run, VanillabeamError
+from vanillabeam.targets import Permit, RouteRequest
+
+__all__ = ["TraceBuilder"]
+
+
+class TraceBuilder:
+    """Collects a trace while the request runs; keeps no prompt and no key.
+
+    :param now_s: monotonic time at which the request came.
+    """
+
+    def __init__(self, kind: str, route: RouteRequest, ticket_index: int, now_s: float):
+        self._began_s = now_s
+        self._attempts: list[dict[str, Any]] = []
+        self._record: dict[str, Any] = {
+            "request_id": route.request_id,
+            "kind": kind,
+            "workspace": route.workspace,
+            "model": route.model,
+            "service": route.service,
+            "ticket_index": ticket_index,
+            "attempts": self._attempts,
+            "first_token_s": None,
+        }
+
+    def attempt(self, run_id: str, permit: Permit, now_s: float) -> None:
+        """Note that a request goes out to a target."""
+        self._attempts.append(
+            {
+                "run_id": run_id,
+                "data_centre": permit.data_centre,
+                "target": permit.target,
+                "boot_id": permit.boot_id,
+                "version": permit.version,
+                "at_s": self._since(now_s),
+                "resumes": 0,
+                "outcome": None,
+            }
+        )
+
+    def resumed(self) -> None:
+        """Note a new connection to the run."""
+        self._attempts[-1]["resumes"] += 1
+
+    def released(self, outcome: str, now_s: float) -> None:
+        """Note how the attempt ended."""
+        if self._attempts and self._attempts[-1]["outcome"] is None:
+            self._attempts[-1]["outcome"] = outcome
+            self._attempts[-1]["ended_s"] = self._since(now_s)
+
+    def first_token(self, now_s: float) -> None:
+        """Note the first piece for the caller."""
+        if self._record["first_token_s"] is None:
+            self._record["first_token_s"] = self._since(now_s)
+
+    def finish(
+        self, run: Run, failure: VanillabeamError | None, now_s: float, **extra: Any
+    ) -> dict[str, Any]:
+        """Return the record.
+
+        :param failure: why there is no whole answer, ``None`` if there is.
+        """
+        return {
+            **self._record,
+            "run": str(run),
+            "failure": failure.type if failure else None,
+            "detail": failure.detail if failure else "",
+            "total_s": self._since(now_s),
+            **extra,
+        }
+
+    def _since(self, now_s: float) -> float:
+        return round(now_s - self._began_s, 6)
--- a/src/vanillabeam/claims/shell.py
+++ b/src/vanillabeam/claims/shell.py
@@ -230,11 +230,13 @@
         return Failure(ClaimsUnavailable(failure.type))
 
     async def _record(self, command: Command) -> None:
-        with trio.move_on_after(self.times.claim_s):
-            result = await self._propose(command)
-            if isinstance(result, Success):
-                return
-        self._queue(command)
+        recorded = False
+        try:
+            with trio.move_on_after(self.times.claim_s):
+                recorded = isinstance(await self._propose(command), Success)
+        finally:
+            if not recorded:
+                self._queue(command)
 
     def _queue(self, command: Command) -> None:
         until_s = trio.current_time() + self.times.record_s
