--- a/src/vanillabeam/targets/grants.py
+++ b/src/vanillabeam/targets/grants.py
@@ -20,7 +20,7 @@
 __all__ = ["Grant", "OwnedTarget"]
 
 BATCH_SPARE = 0.2
-REPORT_SLACK_S = 3.0
+EMPTY_SLACK_S = 3.0
 EMPTY_RUNS = 2
 
 
@@ -81,6 +81,7 @@
         self.reported_s = float("-inf")
         self.reported_cached = 0
         self._ended: deque[float] = deque(maxlen=256)
+        self._former_boots: dict[str, float] = {}
 
     @property
     def name(self) -> str:
@@ -99,12 +100,16 @@
 
     def announced(self, announcement: Announcement, now_s: float) -> bool:
         """Take an announcement in and return whether it is a new boot."""
-        rebooted = announcement["boot_id"] != self.announcement["boot_id"]
+        before = self.announcement["boot_id"]
+        rebooted = announcement["boot_id"] != before
+        if rebooted and self._is_late(announcement["boot_id"], now_s):
+            return False
         self.announcement = announcement
         self.heard_s = now_s
         self.window.resize(announcement["capacity"], announcement["cold_capacity"])
         self.queue.limit = self._queue_limit()
         if rebooted:
+            self._former_boots[before] = now_s
             self.permits.clear()
             self.next_report = 0
             self.unaccounted = 0
@@ -137,7 +142,8 @@
             if self.reported_s < self.quiet_until_s:
                 return 0
             size = min(size, self.window.cold_capacity)
-        return max(0, math.floor(size * share + 1e-9) - self.unaccounted)
+        mine = math.floor(size * share + 1e-9)
+        return max(0, min(mine, size - self.unaccounted))
 
     def batch_limit(self, limit: int) -> int:
         """Return how much of ``limit`` batch work may take."""
@@ -206,12 +212,17 @@
         return True
 
     def expire(self, now_s: float) -> list[Grant]:
-        """Remove and return the permits that nobody renewed."""
+        """Remove and return the permits that nobody renewed.
+
+        Their runs may go on, so they count as load of others until the next
+        report.
+        """
         late = [g for g in self.permits.values() if g.expires_s <= now_s]
         for grant in late:
             del self.permits[grant.permit_id]
             self.estimates.ended(grant.permit_id)
             self.breaker.ended(grant.permit_id)
+        self.unaccounted += len(late)
         return late
 
     def wait_s(self, limit: int, ahead: int) -> float:
@@ -259,6 +270,13 @@
         before = grant.work_tokens - grant.tokens
         self.estimates.saw_first_token(before + computed, outcome.first_token_s)
 
+    def _is_late(self, boot_id: str, now_s: float) -> bool:
+        """Return whether an announcement was overtaken by one of a newer boot."""
+        oldest_s = now_s - self.settings.target_gone_s
+        former = self._former_boots.items()
+        self._former_boots = {boot: s for boot, s in former if s > oldest_s}
+        return boot_id in self._former_boots
+
     def _queue_limit(self) -> int:
         slots = max(1, self.announcement["capacity"])
         return max(2, int(slots * self.settings.queue_per_slot))
@@ -273,14 +291,15 @@
             return True
         if report["running"] or report["queued"]:
             return False
-        before_s = now_s - report["age_s"] - REPORT_SLACK_S
+        before_s = now_s - report["age_s"] - EMPTY_SLACK_S
         old = sum(g.granted_s < before_s for g in self.permits.values())
         return old >= EMPTY_RUNS
 
     def _count_strangers(self, report: LoadReport, now_s: float) -> None:
-        since_s = now_s - report["age_s"] - REPORT_SLACK_S
-        ended = sum(ended_s > since_s for ended_s in self._ended)
+        true_s = now_s - report["age_s"]
+        ended = sum(ended_s > true_s for ended_s in self._ended)
+        known = sum(grant.granted_s <= true_s for grant in self.permits.values())
         seen = report["running"] + report["queued"]
-        self.unaccounted = max(0, seen - self.in_use - ended)
+        self.unaccounted = max(0, seen - known - ended)
         if self.unaccounted:
             self.stranger_s = now_s
--- a/src/vanillabeam/targets/owner.py
+++ b/src/vanillabeam/targets/owner.py
@@ -182,6 +182,8 @@
 
 @handle.register
 def _(event: ConfigChanged, state: Owner, now_s: float) -> list[Effect]:
+    if event.config.index < state.config.index:
+        return []
     state.config = event.config
     return _pump_all(state, now_s)
 
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,105 @@
+import random
+
+from tests.targets.builders import make_request, make_view
+from vanillabeam.routing import Router, Weights
+from vanillabeam.routing.rendezvous import rank
+
+
+def make_router(views, **weights):
+    router = Router("dc1", Weights(**weights), random.Random(1))
+    for view in views:
+        router.update(view)
+    return router
+
+
+def first(router, out=(), now_s=0.0, **changes):
+    choices = router.choose(make_request(**changes), out, now_s)
+    return choices[0].view.target if choices else None
+
+
+def test_the_earliest_first_token_wins():
+    busy = make_view("a", pending_tokens=9000)
+    router = make_router([busy, make_view("b")])
+    assert first(router) == "b"
+
+
+def test_pending_work_is_taken_as_done_after_its_time():
+    busy = make_view("a", pending_tokens=2000, prefill_tokens_s=1000.0)
+    idle = make_view("b", prefill_tokens_s=800.0)
+    router = make_router([busy, idle])
+    assert first(router, now_s=0.0) == "b"
+    assert first(router, now_s=2.0) == "a"
+
+
+def test_grants_since_the_report_count_until_a_newer_view():
+    router = make_router([make_view("a"), make_view("b", prefill_tokens_s=900.0)])
+    assert first(router) == "a"
+    router.granted("a", 5000)
+    assert first(router) == "b"
+    router.update(make_view("a"))
+    assert first(router) == "a"
+
+
+def test_blocks_that_a_target_holds_draw_the_conversation_back():
+    router = make_router([make_view("a"), make_view("b")])
+    blocks = ("x", "y", "z")
+    router.placed.note("b", blocks)
+    assert first(router, prompt_tokens=12_000, blocks=blocks) == "b"
+
+
+def test_an_import_is_taken_only_when_cheaper_than_computing():
+    slow_link = make_view("a", link_bytes_s=1e6)
+    fast_link = make_view("b", link_bytes_s=1e10)
+    router = make_router([slow_link, fast_link])
+    request = make_request(prompt_tokens=8192, stored_blocks=2)
+    scores = {c.view.target: c.score for c in router.choose(request, (), 0.0)}
+    assert scores["a"].import_tokens == 0
+    assert scores["b"].import_tokens == 8192
+    priced = make_router([fast_link], link_byte_s=1.0)
+    assert priced.choose(request, (), 0.0)[0].score.import_tokens == 0
+
+
+def test_wrong_versions_closed_and_excluded_targets_are_no_candidates():
+    router = make_router(
+        [
+            make_view("old", models={"ledger": "v0"}),
+            make_view("shut", open=False),
+            make_view("tried"),
+            make_view("out", data_centre="dc2"),
+        ]
+    )
+    assert first(router, out=["dc2"], excluded=frozenset(["tried"])) is None
+    router.update(make_view("old"))
+    assert first(router, out=["dc2"], excluded=frozenset(["tried"])) == "old"
+
+
+def test_another_data_centre_costs_the_way_there():
+    views = [make_view("far", data_centre="dc2"), make_view("near")]
+    assert first(make_router(views)) == "near"
+    views[1] = make_view("near", pending_tokens=5000)
+    assert first(make_router(views)) == "far"
+
+
+def test_a_favourite_beyond_the_load_bound_comes_last():
+    hot = make_view("hot", in_use=40, run_s=0.0)
+    router = make_router([hot, make_view("cool", prefill_tokens_s=100.0)])
+    assert first(router) == "cool"
+
+
+def test_entries_agree_where_a_conversation_goes_among_many_targets():
+    views = [make_view(f"t{number}") for number in range(50)]
+    homes = set()
+    for seed in range(5):
+        router = Router("dc1", Weights(), random.Random(seed))
+        for view in random.Random(seed).sample(views, len(views)):
+            router.update(view)
+        homes.add(tuple(router._ranked(make_request(), sorted(router.views))))
+    assert len(homes) == 1
+
+
+def test_a_lost_name_moves_only_its_own_keys():
+    names = [f"e{number}" for number in range(9)]
+    for key in map(str, range(100)):
+        order = rank(key, names)
+        rest = [name for name in names if name != order[0]]
+        assert rank(key, rest)[0] == order[1]
--- /dev/null
+++ b/tests/targets/test_owner.py
@@ -0,0 +1,230 @@
+import pytest
+from returns.result import Failure, Success
+
+from tests.targets.builders import (
+    ask,
+    make_announcement,
+    make_ask,
+    make_config,
+    make_entries,
+    make_owner,
+    report,
+)
+from vanillabeam.config import Priority
+from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.targets import Outcome, OutcomeKind, TargetsSettings
+from vanillabeam.targets.events import (
+    Announced,
+    Asked,
+    AskSummary,
+    BlocksChanged,
+    ConfigChanged,
+    MembersChanged,
+    Released,
+    Tick,
+)
+from vanillabeam.targets.owner import handle
+
+DONE = Outcome(OutcomeKind.COMPLETED, 0.2, 1000, 0)
+FAILED = Outcome(OutcomeKind.FAILED)
+
+
+def release(state, permit_id, now_s, outcome=DONE):
+    handle(Released(permit_id, "engine-1", outcome), state, now_s)
+
+
+def fill(state, now_s=0.0, prefix="f"):
+    """Ask until an ask waits and return the granted ids."""
+    granted = []
+    while True:
+        permit_id = f"{prefix}{len(granted)}"
+        if not isinstance(ask(state, now_s, permit_id=permit_id), Success):
+            return granted
+        granted.append(permit_id)
+
+
+def refusal(result):
+    assert isinstance(result, Failure)
+    return result.failure().type
+
+
+def open_window(state, runs=10):
+    for number in range(runs):
+        permit_id = f"w{number}"
+        assert isinstance(ask(state, 1.0, permit_id=permit_id), Success)
+        release(state, permit_id, 1.5)
+
+
+def test_a_cold_target_gets_its_cold_window_and_opens_with_completions():
+    state = make_owner()
+    assert len(fill(state)) == 2
+    for now_s in range(60):
+        handle(Announced(make_announcement()), state, float(now_s))
+        handle(Tick(), state, float(now_s))
+    assert state.owned["engine-1"].window.size == 2
+
+
+def test_completions_open_the_window_up_to_the_capacity():
+    state = make_owner()
+    open_window(state)
+    assert state.owned["engine-1"].window.size == 8
+
+
+def test_a_new_boot_shuts_the_window_and_runs_of_the_old_one_do_not_open_it():
+    state = make_owner()
+    open_window(state)
+    ask(state, 2.0, permit_id="old")
+    handle(Announced(make_announcement(boot_id="b2")), state, 3.0)
+    release(state, "old", 4.0)
+    assert state.owned["engine-1"].window.size == 2
+
+
+def test_an_emptied_cache_shuts_the_window():
+    state = make_owner()
+    open_window(state)
+    report(state, 2.0, sequence=1, cached_tokens=5000)
+    report(state, 3.0, sequence=2, cached_tokens=0)
+    assert state.owned["engine-1"].window.size == 2
+
+
+def test_an_empty_load_under_running_permits_shuts_the_window():
+    state = make_owner()
+    open_window(state)
+    for number in range(3):
+        ask(state, 2.0, permit_id=f"p{number}")
+    report(state, 10.0, sequence=1, running=0)
+    assert state.owned["engine-1"].window.size == 2
+
+
+def test_first_tokens_as_slow_as_cold_shut_the_window():
+    state = make_owner()
+    open_window(state)
+    slow = DONE._replace(first_token_s=20.0)
+    for number in range(2):
+        ask(state, 2.0, permit_id=f"p{number}")
+        release(state, f"p{number}", 22.0, slow)
+        handle(Announced(make_announcement()), state, 2.0)
+    assert state.owned["engine-1"].window.size == 2
+
+
+def test_runs_that_a_former_life_left_at_the_target_count():
+    state = make_owner()
+    report(state, 0.5, running=2)
+    assert not isinstance(ask(state, 0.5), Success)
+    report(state, 1.5, sequence=1, running=1)
+    assert isinstance(ask(state, 1.5, permit_id="p2"), Success)
+
+
+@pytest.mark.parametrize(
+    ("changes", "type"),
+    [
+        ({"version": "v2"}, "version-not-loaded"),
+        ({"model": "other"}, "version-not-loaded"),
+        ({"adapter": "ledger:kigali"}, "version-not-loaded"),
+        ({"service": "refunds"}, "version-not-loaded"),
+        ({"target": "engine-2"}, "not-owner"),
+    ],
+)
+def test_what_the_target_does_not_have_is_refused(changes, type):
+    assert refusal(ask(make_owner(), **changes)) == type
+
+
+def test_an_adapter_of_another_version_is_refused():
+    said = make_announcement(adapters={"ledger:kigali": "a1"})
+    state = make_owner(announcement=said)
+    wanted = {"adapter": "ledger:kigali", "adapter_version": "a2"}
+    assert refusal(ask(state, **wanted)) == "version-not-loaded"
+    wanted["adapter_version"] = "a1"
+    assert isinstance(ask(state, permit_id="p2", **wanted), Success)
+
+
+def test_a_leaving_target_gets_nothing_and_its_queue_is_refused():
+    state = make_owner()
+    fill(state)
+    leaving = Announced(make_announcement(leaving=True))
+    effects = handle(leaving, state, 1.0)
+    assert [refusal(effect.result) for effect in effects] == ["target-leaving"]
+    assert refusal(ask(state, 1.0)) == "target-leaving"
+
+
+def test_a_draining_target_and_a_data_centre_out_get_nothing():
+    state = make_owner()
+    handle(ConfigChanged(make_config(draining=["engine-1"])), state, 1.0)
+    assert refusal(ask(state, 1.0)) == "target-leaving"
+    handle(ConfigChanged(make_config(out=["dc1"])), state, 1.0)
+    assert refusal(ask(state, 1.0)) == "data-centre-out"
+
+
+def test_a_silent_target_is_gone():
+    state = make_owner()
+    assert refusal(ask(state, TargetsSettings().target_gone_s)) == "target-gone"
+
+
+def test_a_repeated_ask_gets_the_same_permit():
+    state = make_owner()
+    first = ask(state).unwrap().grant
+    assert ask(state, 1.0).unwrap().grant == first
+    assert state.owned["engine-1"].in_use == 1
+
+
+def test_an_ask_that_arrives_after_its_release_gets_nothing():
+    state = make_owner()
+    ask(state)
+    release(state, "p1", 1.0)
+    assert refusal(ask(state, 2.0)) == "permit-unknown"
+
+
+def test_an_ask_that_cannot_make_its_deadline_is_refused_at_once():
+    state = make_owner()
+    fill(state)
+    result = ask(state, 1.0, permit_id="late", deadline_s=0.5)
+    assert refusal(result) == "overloaded"
+    assert result.failure().retry_after_s > 0.5
+
+
+def test_interactive_work_passes_batch_work_that_waits():
+    state = make_owner(announcement=make_announcement(cold_capacity=1))
+    ask(state, permit_id="running")
+    batch = make_ask("batch", priority=Priority.BATCH)
+    handle(Asked(batch), state, 0.0)
+    handle(Asked(make_ask("clerk")), state, 0.0)
+    effects = handle(Released("running", "engine-1", DONE), state, 0.1)
+    assert effects[0].permit_id == "clerk"
+
+
+def test_failures_open_the_breaker_and_a_probe_closes_it():
+    state = make_owner()
+    for number in range(3):
+        ask(state, 0.0, permit_id=f"p{number}")
+        release(state, f"p{number}", 0.0, FAILED)
+    assert not isinstance(ask(state, 0.1, permit_id="p4"), Success)
+    assert isinstance(ask(state, 2.0, permit_id="probe"), Success)
+    assert not isinstance(ask(state, 2.0, permit_id="p5"), Success)
+    release(state, "probe", 2.5)
+    assert isinstance(ask(state, 2.5, permit_id="p6"), Success)
+
+
+def test_a_gap_in_cache_events_asks_for_a_summary():
+    state = make_owner()
+    events = {"target": "engine-1", "boot_id": "b1", "first": 0, "events": []}
+    stored = {"kind": "stored", "blocks": ["x"]}
+    handle(BlocksChanged({**events, "events": [stored]}), state, 0.0)
+    effects = handle(BlocksChanged({**events, "first": 5}), state, 0.0)
+    assert effects == [AskSummary("engine-1", "engine-1:80")]
+    assert state.owned["engine-1"].blocks.leading(["x", "y"]) == 1
+
+
+def test_a_new_view_gives_up_targets_and_refuses_their_queue():
+    state = make_owner(members=("e1",))
+    fill(state)
+    names = [f"e{n}" for n in range(1, 30)]
+    effects = handle(MembersChanged(make_entries(*names)), state, 1.0)
+    assert state.owned == {}
+    assert [refusal(effect.result) for effect in effects] == ["not-owner"]
+
+
+def test_granting_beyond_the_window_breaks_an_invariant():
+    state = make_owner()
+    fill(state)
+    with pytest.raises(InvariantBroken):
+        state.owned["engine-1"].grant(make_ask("p9"), 1.0, 0.0)
