--- /dev/null
+++ b/src/vanillabeam/spread/__init__.py
@@ -0,0 +1,23 @@
+"""Config spread: every VM comes to the newest configuration and stays there."""
+
+from vanillabeam.spread.exceptions import CopyBehind, StoreDamaged
+from vanillabeam.spread.shell import Spread
+from vanillabeam.spread.status import (
+    FleetStatus,
+    UnseenDataCentre,
+    VmStatus,
+    missing,
+)
+from vanillabeam.spread.store import DiskFiles, Files
+
+__all__ = [
+    "CopyBehind",
+    "DiskFiles",
+    "Files",
+    "FleetStatus",
+    "Spread",
+    "StoreDamaged",
+    "UnseenDataCentre",
+    "VmStatus",
+    "missing",
+]
--- /dev/null
+++ b/src/vanillabeam/spread/store.py
@@ -0,0 +1,176 @@
+"""The copy on disk: one file for the whole and one for the steps since."""
+
+import os
+from pathlib import Path
+from typing import Any, NamedTuple, Protocol
+from zlib import crc32
+
+import msgspec
+
+from vanillabeam.config import Config
+from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.spread.copy import ConfigCopy
+from vanillabeam.spread.exceptions import StoreDamaged
+from vanillabeam.tickets import ConfigStep, config_hash
+
+__all__ = ["CopyStore", "DiskFiles", "Files"]
+
+COPY_FILE = "copy.json"
+STEPS_FILE = "steps.log"
+STORE_FORMAT = 1
+MAX_STEPS = 256
+CRC_CHARS = 8
+
+
+class Files(Protocol):
+    """The few file operations that the store needs; every write is synced."""
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's bytes, ``None`` if there is none."""
+
+    def replace(self, name: str, content: bytes) -> None:
+        """Have the file hold ``content``, or what it held, never a part."""
+
+    def append(self, name: str, content: bytes) -> None:
+        """Add ``content`` to the file's end."""
+
+
+class DiskFiles:
+    """:class:`Files` in one folder.
+
+    :param folder: made if it is not there.
+    """
+
+    def __init__(self, folder: Path):
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's bytes, ``None`` if there is none."""
+        path = self._folder / name
+        return path.read_bytes() if path.exists() else None
+
+    def replace(self, name: str, content: bytes) -> None:
+        """Write a temporary file, sync it, rename it, sync the folder."""
+        temporary = self._folder / f"{name}.tmp"
+        with temporary.open("wb") as file:
+            file.write(content)
+            file.flush()
+            os.fsync(file.fileno())
+        temporary.replace(self._folder / name)
+        self._sync_folder()
+
+    def append(self, name: str, content: bytes) -> None:
+        """Append and sync."""
+        path = self._folder / name
+        is_new = not path.exists()
+        with path.open("ab") as file:
+            file.write(content)
+            file.flush()
+            os.fsync(file.fileno())
+        if is_new:
+            self._sync_folder()
+
+    def _sync_folder(self) -> None:
+        folder = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+
+class _Stored(NamedTuple):
+    format: int
+    config: Config
+    hash: str
+    after: list[str] | None
+
+
+class CopyStore:
+    """The highest configuration that this VM has put in force.
+
+    :param files: under the data folder.
+
+    >>> store = CopyStore(DiskFiles(data_folder / "spread"))
+    >>> copy = store.load()
+    """
+
+    def __init__(self, files: Files):
+        self._files = files
+        self._steps = 0
+
+    def load(self) -> ConfigCopy | None:
+        """Return the copy with the steps that follow it.
+
+        :returns: ``None`` if there is none yet.
+        :raises StoreDamaged: if more than a last, partly written step is bad.
+        """
+        content = self._files.read(COPY_FILE)
+        copy = ConfigCopy() if content is None else _copy_of(content)
+        steps, whole_bytes, all_bytes = _steps_of(self._files.read(STEPS_FILE) or b"")
+        try:
+            for step in steps:
+                if step.index > copy.index and not copy.apply(step):
+                    raise StoreDamaged(f"step {step.index} does not follow")
+        except InvariantBroken as exc:
+            raise StoreDamaged(exc.detail) from exc
+        self._steps = len(steps)
+        if whole_bytes < all_bytes:
+            self.save(copy.config, copy.hash, copy.after)
+        return copy if copy.index else None
+
+    def save(self, config: Config, hash: str, after: list[str] | None) -> None:
+        """Replace everything by this copy."""
+        stored = _Stored(STORE_FORMAT, config, hash, after)
+        text = msgspec.json.encode(stored)
+        self._files.replace(COPY_FILE, b"%08x\n" % crc32(text) + text)
+        # Steps that the copy holds already are skipped, should this fail.
+        self._files.replace(STEPS_FILE, b"")
+        self._steps = 0
+
+    def add(self, steps: tuple[ConfigStep, ...]) -> None:
+        """Add steps at the end."""
+        lines = [msgspec.json.encode(step) for step in steps]
+        content = b"".join(b"%08x %s\n" % (crc32(line), line) for line in lines)
+        self._files.append(STEPS_FILE, content)
+        self._steps += len(steps)
+
+    @property
+    def wants_copy(self) -> bool:
+        """Whether the steps have become many."""
+        return self._steps > MAX_STEPS
+
+
+def _copy_of(content: bytes) -> ConfigCopy:
+    checksum, _, text = content.partition(b"\n")
+    if checksum != b"%08x" % crc32(text):
+        raise StoreDamaged(f"{COPY_FILE}: checksum")
+    stored = _decoded(text, _Stored)
+    if stored.format != STORE_FORMAT:
+        raise StoreDamaged(f"{COPY_FILE}: format {stored.format}")
+    if stored.after is None and config_hash(stored.config) != stored.hash:
+        raise StoreDamaged(f"{COPY_FILE}: hash")
+    return ConfigCopy(stored.config, stored.hash, stored.after)
+
+
+def _steps_of(content: bytes) -> tuple[list[ConfigStep], int, int]:
+    steps = []
+    whole_bytes = 0
+    lines = content.split(b"\n")
+    # What follows the last line's end was never finished.
+    for place, line in enumerate(lines[:-1]):
+        text = line[CRC_CHARS + 1 :]
+        if line[:CRC_CHARS] != b"%08x" % crc32(text):
+            if place == len(lines) - 2:
+                break
+            raise StoreDamaged(f"{STEPS_FILE}: line {place + 1}")
+        steps.append(_decoded(text, ConfigStep))
+        whole_bytes += len(line) + 1
+    return steps, whole_bytes, len(content)
+
+
+def _decoded(text: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(text, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise StoreDamaged(str(exc)) from exc
