--- /dev/null
+++ b/tests/answers/test_random.py
@@ -0,0 +1,156 @@
+"""Randomised prompts and calls, and rules broken on purpose."""
+
+import os
+import random
+
+import pytest
+from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+
+from tests.answers.worlds import CallWorld, PromptWorld
+from vanillabeam.answers import callrun, promptrun
+from vanillabeam.answers.life import Life
+from vanillabeam.answers.order import PieceOrder
+from vanillabeam.exceptions import InvariantBroken, Run
+
+SEEDS = 2000
+BROKEN_SEEDS = 20_000
+
+
+class PromptMachine(RuleBasedStateMachine):
+    """The prompt world's steps, driven by hypothesis."""
+
+    @initialize(data=st.data())
+    def start(self, data):
+        self.world = PromptWorld(self.choose(data))
+
+    def choose(self, data):
+        return lambda options: data.draw(st.sampled_from(list(options)))
+
+    @rule(data=st.data())
+    def deliver(self, data):
+        self.world.choose = self.choose(data)
+        self.world.deliver()
+
+    @rule(data=st.data())
+    def deliver_old(self, data):
+        self.world.choose = self.choose(data)
+        self.world.deliver_old()
+
+    @rule(data=st.data())
+    def break_link(self, data):
+        self.world.choose = self.choose(data)
+        self.world.break_link()
+
+    @rule()
+    def pass_time(self):
+        self.world.pass_time()
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            self.world.stop()
+
+
+def prompt_walk(seed):
+    PromptWorld(random.Random(seed).choice).walk()
+
+
+def call_walk(seed):
+    CallWorld(random.Random(seed).choice, repeatable=seed % 2 == 0).walk()
+
+
+def find_seed(walk, seeds):
+    """Return the first seed that breaks an assertion or an invariant."""
+    for seed in range(seeds):
+        try:
+            walk(seed)
+        except (AssertionError, InvariantBroken):
+            return seed
+    return None
+
+
+class KeepsDoubled(PieceOrder):
+    def take(self, pieces, now_s):
+        ready = super().take(pieces, now_s)
+        return ready + [p for p in pieces if p.number <= self.count and p not in ready]
+
+
+class TakesAnyOrder(PieceOrder):
+    def take(self, pieces, now_s):
+        self.count += len(pieces)
+        return pieces
+
+
+class SaysNotRun(Life):
+    @property
+    def run(self):
+        known = super().run
+        return Run.NOT_RUN if known is Run.UNKNOWN else known
+
+
+class BeginsAgain(Life):
+    def begin(self):
+        self.repeatable = True
+        super().begin()
+
+
+def test_hypothesis_finds_no_wrong_answer():
+    quiet = settings(
+        derandomize=True,
+        max_examples=40,
+        stateful_step_count=30,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(PromptMachine, settings=quiet)
+
+
+@pytest.mark.parametrize("walk", [prompt_walk, call_walk])
+def test_random_walks_find_no_wrong_answer(walk):
+    assert find_seed(walk, SEEDS) is None
+
+
+@pytest.mark.parametrize("order", [KeepsDoubled, TakesAnyOrder])
+def test_random_walks_find_a_broken_order(order, monkeypatch):
+    monkeypatch.setattr(promptrun, "PieceOrder", order)
+    assert find_seed(prompt_walk, BROKEN_SEEDS) is not None
+
+
+def test_random_walks_find_that_old_connections_are_believed(monkeypatch):
+    def believe(link, state):
+        return not state.over and state.permit is not None
+
+    monkeypatch.setattr(promptrun, "_current", believe)
+    assert find_seed(prompt_walk, BROKEN_SEEDS) is not None
+
+
+def test_random_walks_find_an_end_that_is_not_checked(monkeypatch):
+    monkeypatch.setattr(promptrun, "_end", lambda state, end: promptrun._finish(state))
+    assert find_seed(prompt_walk, BROKEN_SEEDS) is not None
+
+
+@pytest.mark.parametrize(
+    ("module", "walk"), [(promptrun, prompt_walk), (callrun, call_walk)]
+)
+def test_random_walks_find_a_false_not_run(module, walk, monkeypatch):
+    monkeypatch.setattr(module, "Life", SaysNotRun)
+    assert find_seed(walk, BROKEN_SEEDS) is not None
+
+
+def test_random_walks_find_a_call_sent_twice(monkeypatch):
+    monkeypatch.setattr(callrun, "Life", BeginsAgain)
+    assert find_seed(call_walk, BROKEN_SEEDS) is not None
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize("walk", [prompt_walk, call_walk])
+def test_soak_random_walks(walk):
+    first = int(os.environ.get("SOAK_SEED", "1")) * 1_000_000
+    for seed in range(first, first + 200 * int(os.environ.get("SOAK_RUNS", "50"))):
+        walk(seed)
