--- a/src/vanillabeam/log/core.py
+++ b/src/vanillabeam/log/core.py
@@ -76,8 +76,10 @@
 def _(event: Flush, state: Replica, now_s: float) -> list[Effect]:
     if state.role is not Role.LEADER:
         return []
-    promoted = members.promote_learner(state, now_s)
-    return promoted + replication.replicate(state, now_s)
+    effects = members.finish_change(state, now_s)
+    effects += members.promote_learner(state, now_s)
+    effects += replication.replicate(state, now_s)
+    return effects
 
 
 @handle.register
--- a/src/vanillabeam/log/elections.py
+++ b/src/vanillabeam/log/elections.py
@@ -4,7 +4,7 @@
 from vanillabeam.log.exceptions import LeaderChanged
 from vanillabeam.log.messages import TimeoutNow, VoteReply, VoteRequest
 from vanillabeam.log.replica import Replica
-from vanillabeam.log.replication import become_leader, fail_reads
+from vanillabeam.log.replication import become_leader, fail_waiting
 
 __all__ = [
     "check_quorum",
@@ -82,8 +82,8 @@
 
 
 def step_down(state: Replica, term: int, now_s: float) -> list[Effect]:
-    """Follow nobody in ``term``; reads that wait are refused."""
-    effects: list[Effect] = fail_reads(state, LeaderChanged())
+    """Follow nobody in ``term``; requests that wait are refused."""
+    effects: list[Effect] = fail_waiting(state, LeaderChanged())
     if term > state.term:
         effects.append(state.set_term(term))
     state.follow("", now_s)
--- a/src/vanillabeam/log/founding.py
+++ b/src/vanillabeam/log/founding.py
@@ -25,12 +25,13 @@
 
 __all__ = ["Founding"]
 
-RETRY_S = 0.5
+RETRY_S = 0.25
+MEMBER_RETRY_S = 3.0
 ASK_TIMEOUT_S = 2.0
 
 
 class Founding:
-    """Founds the group or asks to join it, until it is part of it.
+    """Founds the group or asks to join it.
 
     :param me: this VM.
     :param initial: the VMs that the group is founded for.
@@ -57,13 +58,27 @@
         self._call = call
 
     async def run(self) -> None:
-        """Try until this replica is part of the group."""
-        while not self._loop.replica.group_id:
-            if self._founds and await self._nobody_has_a_group():
-                await self._found()
-            elif self._others:
+        """Try whenever this replica is in no group or hears no leader.
+
+        One that was taken out, and is let in again, may never have heard of
+        either; to one that is a member asking does nothing.
+        """
+        while True:
+            await trio.sleep(self._retry_s())
+            state = self._loop.replica
+            if not state.group_id and self._founds:
+                await self._found_or_join()
+            elif self._others and not state.leader:
                 await self._knock()
-            await trio.sleep(RETRY_S)
+
+    def _retry_s(self) -> float:
+        return MEMBER_RETRY_S if self._loop.replica.group_id else RETRY_S
+
+    async def _found_or_join(self) -> None:
+        if await self._nobody_has_a_group():
+            await self._found()
+        elif self._others:
+            await self._knock()
 
     async def _nobody_has_a_group(self) -> bool:
         """Return whether every other initial VM says that it knows no group."""
--- a/src/vanillabeam/log/loop.py
+++ b/src/vanillabeam/log/loop.py
@@ -86,15 +86,18 @@
     settings: LogSettings,
     rng: random.Random,
     now_s: float,
+    kind: type[Replica] = Replica,
 ) -> Replica:
     """Return the replica that a data folder holds.
 
     What a founding that was cut short left behind does not count.
+
+    :param kind: the class of its state.
     """
     identity = storage.identity
     if not identity["group_id"]:
         contents = Contents(identity)
-    return Replica(
+    return kind(
         identity["member_id"],
         identity["group_id"],
         settings,
--- a/src/vanillabeam/log/members.py
+++ b/src/vanillabeam/log/members.py
@@ -22,13 +22,14 @@
 )
 from vanillabeam.log.messages import TimeoutNow
 from vanillabeam.log.records import EntryKind, Member, Membership
-from vanillabeam.log.replica import Progress, Replica
+from vanillabeam.log.replica import PendingChange, Progress, Replica
 from vanillabeam.log.replication import add_entry
 
 __all__ = [
     "allow_vm",
     "begin_hand_over",
     "end_hand_over_when_due",
+    "finish_change",
     "knock",
     "losses_left",
     "promote_learner",
@@ -101,13 +102,48 @@
     if not membership.learners or _change_failure(membership, state, now_s):
         return []
     for learner in membership.learners:
-        caught_up = state.progress[learner.member_id].match >= state.commit
-        if caught_up and _is_active(state, learner, now_s):
-            changed = _promoted(membership, learner)
-            return _append_change(changed, state, now_s)
+        if _is_sound(state, learner, now_s):
+            return _change(None, _promoted(membership, learner), state, now_s)
     return []
 
 
+def finish_change(state: Replica, now_s: float) -> list[Effect]:
+    """Put a change of members into the log once its voters have answered.
+
+    What was heard before the change was asked for says nothing of a disk
+    that is lost since; so a quorum of the new voters, and each added one,
+    must answer a round that began after it.
+    """
+    change = state.change
+    if change is None:
+        return []
+    if _has_answers(state, change):
+        state.change = None
+        effects = _append_change(change.changed, state, now_s)
+        if change.request_id is None:
+            return effects
+        index = state.log.last_index
+        return [*effects, Proposed(change.request_id, index, state.term)]
+    if now_s < change.until_s:
+        return []
+    state.change = None
+    if change.request_id is None:
+        return []
+    return [Refused(change.request_id, WouldLoseQuorum("too few voters answer"))]
+
+
+def _has_answers(state: Replica, change: PendingChange) -> bool:
+    answered = {
+        member_id
+        for member_id, progress in state.progress.items()
+        if progress.round >= change.round
+    } | {state.member_id}
+    voters = {voter.member_id for voter in change.changed.voters}
+    added = voters - {voter.member_id for voter in state.membership.voters}
+    enough = len(voters & answered) >= change.changed.quorum
+    return enough and added <= answered
+
+
 def begin_hand_over(state: Replica, now_s: float) -> list[Effect]:
     """Ask the voter that holds most to take over."""
     if state.role is not Role.LEADER:
@@ -136,38 +172,38 @@
 def losses_left(state: Replica, now_s: float) -> int | None:
     """Return how many voters can be lost now, one after the other at once.
 
-    Counts only voters that answer and hold all that is committed.
+    Counts only voters that answer and hold all that is committed. While a
+    change of members is not committed, the members before it count too.
 
     :returns: ``None`` on a replica that does not lead; below 0 never.
     """
     if state.role is not Role.LEADER:
         return None
-    sound = sum(
-        1
-        for voter in state.membership.voters
-        if voter.member_id == state.member_id
-        or (
-            _is_active(state, voter, now_s)
-            and state.progress[voter.member_id].match >= state.commit
-        )
-    )
-    return max(sound - state.membership.quorum, 0)
+    committed = state.log.membership_at(state.commit)
+    spare = []
+    changed = state.change.changed if state.change else committed
+    for membership in (state.membership, committed, changed):
+        sound = sum(1 for m in membership.voters if _is_sound(state, m, now_s))
+        spare.append(sound - membership.quorum)
+    return max(min(spare), 0)
 
 
 def _change(
-    request_id: int, changed: Membership, state: Replica, now_s: float
+    request_id: int | None, changed: Membership, state: Replica, now_s: float
 ) -> list[Effect]:
     failure = _change_failure(changed, state, now_s)
     if failure is not None:
         return [Refused(request_id, failure)]
-    effects = _append_change(changed, state, now_s)
-    return [*effects, Proposed(request_id, state.log.last_index, state.term)]
+    until_s = now_s + state.settings.election_s
+    state.change = PendingChange(request_id, changed, state.read_round(), until_s)
+    state.round_wanted = True
+    return []
 
 
 def _change_failure(
     changed: Membership, state: Replica, now_s: float
 ) -> LogError | None:
-    pending = state.membership.index > state.commit
+    pending = state.change is not None or state.membership.index > state.commit
     if pending or state.commit < state.term_start:
         return ChangePending()
     active = sum(1 for voter in changed.voters if _is_active(state, voter, now_s))
@@ -201,8 +237,19 @@
     )
 
 
+def _is_sound(state: Replica, member: Member, now_s: float) -> bool:
+    if member.member_id == state.member_id:
+        return True
+    progress = state.progress.get(member.member_id)
+    holds_all = progress is not None and progress.match >= state.commit
+    return holds_all and _is_active(state, member, now_s)
+
+
 def _is_active(state: Replica, member: Member, now_s: float) -> bool:
     if member.member_id == state.member_id:
         return True
-    silent_s = now_s - state.progress[member.member_id].contact_s
+    progress = state.progress.get(member.member_id)
+    if progress is None:
+        return False
+    silent_s = now_s - progress.contact_s
     return silent_s < state.settings.election_s
--- a/src/vanillabeam/log/replica.py
+++ b/src/vanillabeam/log/replica.py
@@ -16,7 +16,7 @@
 from vanillabeam.log.messages import Envelope, Message
 from vanillabeam.log.records import Entry, LogSettings, Member, Membership
 
-__all__ = ["PendingRead", "Progress", "Replica"]
+__all__ = ["PendingChange", "PendingRead", "Progress", "Replica"]
 
 
 class Progress:
@@ -48,6 +48,18 @@
     round: int
 
 
+class PendingChange(NamedTuple):
+    """A change of members that waits for fresh answers to ``round``.
+
+    :param request_id: who asked for it; ``None`` if the leader itself did.
+    """
+
+    request_id: int | None
+    changed: Membership
+    round: int
+    until_s: float
+
+
 class Replica:
     """State of one replica.
 
@@ -92,6 +104,7 @@
         self.term_start = 0
         self.reads: list[PendingRead] = []
         self.round_wanted = False
+        self.change: PendingChange | None = None
         self.transfer_to = ""
         self.transfer_until_s = 0.0
         self.incoming: tuple[int, int, bytearray] | None = None
@@ -136,6 +149,10 @@
         """Return whether an election is preceded by a question."""
         return True
 
+    def read_round(self) -> int:
+        """Return the heartbeat round whose answers confirm a read from now."""
+        return self.round + 1
+
     def may_vote_for(self, candidate: str, term: int) -> bool:
         """Return whether the vote of ``term`` is free or ``candidate``'s."""
         return term == self.term and self.voted_for in ("", candidate)
--- a/src/vanillabeam/log/replication.py
+++ b/src/vanillabeam/log/replication.py
@@ -18,7 +18,7 @@
     "advance_leader",
     "become_leader",
     "confirm_reads",
-    "fail_reads",
+    "fail_waiting",
     "follow_leader",
     "on_append_reply",
     "on_append_request",
@@ -132,7 +132,7 @@
     known_term, known_leader = state.term_leader
     if known_term == term and known_leader != leader:
         raise InvariantBroken(f"two leaders in term {term}")
-    effects: list[Effect] = fail_reads(state, LeaderChanged())
+    effects: list[Effect] = fail_waiting(state, LeaderChanged())
     if term != state.term:
         effects.append(state.set_term(term))
     state.term_leader = (term, leader)
@@ -195,7 +195,8 @@
     progress.round = max(progress.round, message.round)
     if not message.success:
         progress.next = max(progress.match, min(message.hint, progress.next - 1)) + 1
-        progress.sent_s = None
+        if progress.snapshot_offset is None:
+            progress.sent_s = None
         return confirm_reads(state)
     if message.match > progress.match:
         progress.match = message.match
@@ -226,7 +227,7 @@
 def wait_for_read(state: Replica, request_id: int) -> list[Effect]:
     """Take a read; it is confirmed by a round that starts after now."""
     index = max(state.commit, state.term_start)
-    state.reads.append(PendingRead(request_id, index, state.round + 1))
+    state.reads.append(PendingRead(request_id, index, state.read_round()))
     state.round_wanted = True
     return []
 
@@ -247,11 +248,14 @@
     return [ReadConfirmed(read.request_id, read.index) for read in ready]
 
 
-def fail_reads(state: Replica, failure: LogError) -> list[Effect]:
-    """Refuse all reads that wait."""
-    refused = [Refused(read.request_id, failure) for read in state.reads]
+def fail_waiting(state: Replica, failure: LogError) -> list[Effect]:
+    """Refuse the reads and the change of members that wait for a round."""
+    waiting = [read.request_id for read in state.reads]
+    if state.change is not None and state.change.request_id is not None:
+        waiting.append(state.change.request_id)
     state.reads = []
-    return refused
+    state.change = None
+    return [Refused(request_id, failure) for request_id in waiting]
 
 
 def _finish_transfer(state: Replica) -> list[Effect]:
--- a/src/vanillabeam/log/snapshots.py
+++ b/src/vanillabeam/log/snapshots.py
@@ -86,8 +86,10 @@
     progress.contact_s = now_s
     progress.round = max(progress.round, message.round)
     if not message.done:
-        progress.snapshot_offset = message.offset
-        progress.sent_s = None
+        repeated = message.offset == progress.snapshot_offset
+        if progress.snapshot_offset is not None and not repeated:
+            progress.snapshot_offset = message.offset
+            progress.sent_s = None
         return confirm_reads(state)
     if message.index > progress.match:
         progress.match = message.index
--- a/tests/log/builders.py
+++ b/tests/log/builders.py
@@ -138,3 +138,11 @@
     )
     network.routes[address] = node.routes()
     return node
+
+
+async def until(condition, limit_s=60.0):
+    for _ in range(int(limit_s / 0.05)):
+        if condition():
+            return
+        await trio.sleep(0.05)
+    raise AssertionError("the condition did not come to hold")
--- a/tests/log/test_node.py
+++ b/tests/log/test_node.py
@@ -1,7 +1,7 @@
 import trio
 import trio.testing
 
-from tests.log.builders import Network, make_node
+from tests.log.builders import Network, make_node, until
 from vanillabeam.log import LogClient
 
 
@@ -11,12 +11,6 @@
     return trio.run(function, clock=clock)
 
 
-async def until(condition):
-    with trio.fail_after(60):
-        while not condition():
-            await trio.sleep(0.05)
-
-
 def test_a_single_vm_founds_its_group_and_commits():
     async def main():
         node = make_node("vm-1", 1, Network())
