--- /dev/null
+++ b/src/vanillabeam/cli/__init__.py
@@ -0,0 +1,25 @@
+"""The command-line tool of operators."""
+
+import typer
+
+from vanillabeam.cli import data, keys, reports, settings, status, tickets, traces
+
+__all__ = ["app", "main"]
+
+app = typer.Typer(
+    no_args_is_help=True,
+    help="Operate a vanillabeam system. Exit codes: 0 done, 1 refused, "
+    "2 wrong usage, 3 outcome unknown, 4 VM not reached, 5 not in force in time.",
+)
+app.add_typer(tickets.app, name="ticket")
+app.add_typer(settings.app, name="settings")
+app.add_typer(reports.app, name="report")
+app.add_typer(data.app, name="data")
+app.add_typer(keys.app, name="workspace")
+app.command("status")(status.status)
+app.command("trace")(traces.trace)
+
+
+def main() -> None:
+    """Run the tool."""
+    app()
--- /dev/null
+++ b/src/vanillabeam/cli/client.py
@@ -0,0 +1,158 @@
+"""Calls from the command-line tool to a VM's operators' paths."""
+
+import ssl
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple, NoReturn
+
+import httpcore
+import msgspec
+import typer
+from returns.result import Failure, Result, Success
+from rich.console import Console
+
+from vanillabeam.exceptions import (
+    PeerSilent,
+    PeerUnreachable,
+    RemoteFailure,
+    Run,
+    VanillabeamError,
+)
+from vanillabeam.problems import from_problem
+
+__all__ = [
+    "AddressOption",
+    "CaOption",
+    "JsonOption",
+    "KeyOption",
+    "OperatorClient",
+    "exit_with",
+    "print_json",
+]
+
+CONNECT_TIMEOUT_S = 3.0
+READ_TIMEOUT_S = 60.0
+
+EXIT_REFUSED = 1
+EXIT_UNKNOWN = 3
+EXIT_UNREACHABLE = 4
+EXIT_NOT_IN_FORCE = 5
+
+AddressOption = Annotated[
+    str,
+    typer.Option(
+        "--address",
+        envvar="VANILLABEAM_ADDRESS",
+        help="host:port of a VM's peers' listener.",
+    ),
+]
+KeyOption = Annotated[
+    Path | None,
+    typer.Option(
+        "--key-file",
+        envvar="VANILLABEAM_KEY_FILE",
+        help="File that holds your operator key.",
+    ),
+]
+CaOption = Annotated[
+    Path | None,
+    typer.Option(
+        "--ca",
+        envvar="VANILLABEAM_CA",
+        help="CA file; with it the VM is called over TLS.",
+    ),
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
+
+class OperatorClient(NamedTuple):
+    """Calls one VM as an operator.
+
+    :param address: ``host:port`` of its peers' listener.
+    :param key_file: file with the operator's key.
+    :param ca: CA file, or ``None`` for plain HTTP.
+    """
+
+    address: str
+    key_file: Path | None
+    ca: Path | None
+
+    def get(self, path: str) -> Result[Any, VanillabeamError]:
+        """Return the JSON document at ``path``."""
+        return self._request("GET", path, b"")
+
+    def post(self, path: str, body: bytes) -> Result[Any, VanillabeamError]:
+        """Post ``body`` and return the answer's JSON document."""
+        return self._request("POST", path, body)
+
+    def _request(
+        self, method: str, path: str, body: bytes
+    ) -> Result[Any, VanillabeamError]:
+        headers = [("Content-Type", "application/json")]
+        if self.key_file is not None:
+            headers.append(("Authorization", f"Bearer {_read_key(self.key_file)}"))
+        scheme = "http" if self.ca is None else "https"
+        tls = None if self.ca is None else ssl.create_default_context(cafile=self.ca)
+        try:
+            with httpcore.ConnectionPool(ssl_context=tls) as pool:
+                res = pool.request(
+                    method,
+                    f"{scheme}://{self.address}{path}",
+                    headers=headers,
+                    content=body,
+                    extensions={"timeout": _timeout()},
+                )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+            return Failure(PeerUnreachable(f"{self.address}: {exc}"))
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as exc:
+            return Failure(PeerSilent(f"{self.address}: {type(exc).__name__}"))
+        if res.status >= 300:
+            return Failure(from_problem(res.status, res.content))
+        try:
+            return Success(msgspec.json.decode(res.content))
+        except msgspec.DecodeError:
+            return Failure(RemoteFailure(f"{self.address} sent no JSON"))
+
+
+def exit_with(exc: VanillabeamError, as_json: bool = False) -> NoReturn:
+    """Print ``exc`` with what to do next, and end with its exit code."""
+    if as_json:
+        print_json({"type": exc.type, "detail": exc.detail, "run": str(exc.run)})
+    else:
+        console = Console(stderr=True, highlight=False)
+        console.print(f"[red]{exc.type}[/red]: {exc.detail}", soft_wrap=True)
+        console.print(exc.advice, soft_wrap=True)
+    raise typer.Exit(_exit_code(exc))
+
+
+def print_json(document: Any) -> None:
+    """Print ``document`` as indented JSON."""
+    text = msgspec.json.format(msgspec.json.encode(document), indent=2)
+    typer.echo(text.decode())
+
+
+def _exit_code(exc: VanillabeamError) -> int:
+    if isinstance(exc, PeerUnreachable):
+        return EXIT_UNREACHABLE
+    if exc.run is Run.UNKNOWN:
+        return EXIT_UNKNOWN
+    return EXIT_REFUSED
+
+
+def _read_key(path: Path) -> str:
+    try:
+        return path.read_text().strip()
+    except OSError as exc:
+        raise typer.BadParameter(f"{path}: {exc.strerror}") from exc
+
+
+def _timeout() -> dict[str, float]:
+    return {
+        "connect": CONNECT_TIMEOUT_S,
+        "read": READ_TIMEOUT_S,
+        "write": READ_TIMEOUT_S,
+        "pool": CONNECT_TIMEOUT_S,
+    }
--- /dev/null
+++ b/src/vanillabeam/cli/settings.py
@@ -0,0 +1,36 @@
+"""``vanillabeam settings``: check a file, print the schema."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from returns.result import Failure
+
+from vanillabeam.cli.client import JsonOption, exit_with, print_json
+from vanillabeam.settings import load, schema
+
+__all__ = ["app"]
+
+app = typer.Typer(no_args_is_help=True, help="Settings files.")
+
+
+@app.command("check")
+def check(
+    file: Annotated[Path, typer.Argument(help="A VM's settings file.")],
+    as_json: JsonOption = False,
+) -> None:
+    """Check a settings file; every fault is named at once."""
+    result = load(file)
+    if isinstance(result, Failure):
+        exit_with(result.failure(), as_json)
+    cfg = result.unwrap()
+    if as_json:
+        print_json(cfg)
+    else:
+        typer.echo(f"{file}: good ({cfg['vm']} in {cfg['data_centre']})")
+
+
+@app.command("schema")
+def print_schema() -> None:
+    """Print the JSON Schema of a settings file."""
+    print_json(schema())
--- a/src/vanillabeam/exceptions.py
+++ b/src/vanillabeam/exceptions.py
@@ -25,6 +25,7 @@
     "UnknownModel",
     "UnknownPath",
     "UnknownService",
+    "UnknownTrace",
     "VanillabeamError",
 ]
 
@@ -132,6 +133,14 @@
     advice = "Ask the operators for the services of your workspace."
 
 
+class UnknownTrace(VanillabeamError):
+    """No VM that was asked has a trace of this request."""
+
+    type = "unknown-trace"
+    status = HTTPStatus.NOT_FOUND
+    advice = "Traces of the newest requests are kept; the logs have the rest."
+
+
 class NotReady(VanillabeamError):
     """This VM does not know the configuration yet."""
 
--- /dev/null
+++ b/src/vanillabeam/lifecycle.py
@@ -0,0 +1,96 @@
+"""The shell round :mod:`vanillabeam.readiness`: one task, one inbox."""
+
+from collections.abc import Callable
+
+import trio
+from loguru import logger
+
+from vanillabeam.readiness import (
+    CloseListeners,
+    ConfigKnown,
+    DrainRequested,
+    Event,
+    Exit,
+    Phase,
+    Readiness,
+    ReportCut,
+    RequestEnded,
+    RequestStarted,
+    Tick,
+    handle,
+)
+
+__all__ = ["Lifecycle"]
+
+TICK_S = 0.1
+
+
+class Lifecycle:
+    """A VM's life, from unready to its exit code.
+
+    :param state: the core.
+    :param close_listeners: called once, when no new connection is to be taken.
+    :ivar exit_code: set when :meth:`run` has ended.
+
+    >>> lifecycle = Lifecycle(Readiness(5.0, 60.0), close_listeners)
+    >>> nursery.start_soon(lifecycle.run)
+    >>> lifecycle.drain()
+    """
+
+    def __init__(self, state: Readiness, close_listeners: Callable[[], None]):
+        self._state = state
+        self._close_listeners = close_listeners
+        self._stopped = trio.Event()
+        self.draining = trio.Event()
+        self.exit_code: int | None = None
+
+    @property
+    def phase(self) -> Phase:
+        """The phase that the VM is in."""
+        return self._state.phase
+
+    @property
+    def open_requests(self) -> int:
+        """Callers' requests that have no whole answer yet."""
+        return len(self._state.open_requests)
+
+    def config_known(self, index: int) -> None:
+        """Say that the configuration at ``index`` is good to serve by."""
+        self._feed(ConfigKnown(index))
+
+    def started(self, request_id: str) -> None:
+        """Count a caller's request in."""
+        self._feed(RequestStarted(request_id))
+
+    def ended(self, request_id: str) -> None:
+        """Count a caller's request out."""
+        self._feed(RequestEnded(request_id))
+
+    def drain(self) -> None:
+        """Begin a planned stop; the second time, end it at once."""
+        logger.info("drain requested")
+        self.draining.set()
+        self._feed(DrainRequested())
+
+    async def run(self) -> int:
+        """Drive time until the VM is to exit; return the exit code."""
+        while not self._stopped.is_set():
+            with trio.move_on_after(TICK_S):
+                await self._stopped.wait()
+            if not self._stopped.is_set():
+                self._feed(Tick())
+        return self.exit_code
+
+    def _feed(self, event: Event) -> None:
+        for effect in handle(event, self._state, trio.current_time()):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect) -> None:
+        match effect:
+            case CloseListeners():
+                self._close_listeners()
+            case ReportCut(request_ids):
+                logger.bind(request_ids=list(request_ids)).error("requests cut off")
+            case Exit(code):
+                self.exit_code = code
+                self._stopped.set()
--- /dev/null
+++ b/src/vanillabeam/traces.py
@@ -0,0 +1,37 @@
+"""Traces of finished requests, the newest ones, in memory."""
+
+from collections import OrderedDict
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from vanillabeam.exceptions import UnknownTrace
+
+__all__ = ["Traces"]
+
+KEPT_TRACES = 20_000
+
+
+class Traces:
+    """The newest traces by request id.
+
+    :param kept: traces that are kept; the oldest goes first.
+    """
+
+    def __init__(self, kept: int = KEPT_TRACES):
+        self._kept = kept
+        self._traces: OrderedDict[str, dict[str, Any]] = OrderedDict()
+
+    def add(self, request_id: str, trace: dict[str, Any]) -> None:
+        """Keep ``trace``, without prompts and keys, under its request's id."""
+        self._traces[request_id] = trace
+        self._traces.move_to_end(request_id)
+        if len(self._traces) > self._kept:
+            self._traces.popitem(last=False)
+
+    def get(self, request_id: str) -> Result[dict[str, Any], UnknownTrace]:
+        """Return the trace of ``request_id``."""
+        trace = self._traces.get(request_id)
+        if trace is None:
+            return Failure(UnknownTrace(request_id))
+        return Success(trace)
