--- /dev/null
+++ b/src/vanillabeam/cli/reports.py
@@ -0,0 +1,52 @@
+"""``vanillabeam report``: service-level burn."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from returns.result import Failure
+from rich.console import Console
+
+from vanillabeam.burn import html_page, text_report
+from vanillabeam.cli.client import (
+    AddressOption,
+    CaOption,
+    JsonOption,
+    KeyOption,
+    OperatorClient,
+    exit_with,
+    print_json,
+)
+
+__all__ = ["app"]
+
+app = typer.Typer(no_args_is_help=True, help="Reports.")
+
+
+@app.callback()
+def reports() -> None:
+    """Reports on what the system does."""
+
+
+@app.command("burn")
+def burn(
+    address: AddressOption,
+    key_file: KeyOption = None,
+    ca: CaOption = None,
+    as_json: JsonOption = False,
+    html: Annotated[
+        Path | None, typer.Option("--html", help="Write one HTML page.")
+    ] = None,
+) -> None:
+    """Show how fast the objectives' error budgets burn, over all VMs."""
+    result = OperatorClient(address, key_file, ca).get("/operator/burn")
+    if isinstance(result, Failure):
+        exit_with(result.failure(), as_json)
+    document = result.unwrap()
+    if html is not None:
+        html.write_text(html_page(document))
+        typer.echo(f"wrote {html}")
+    elif as_json:
+        print_json(document)
+    else:
+        Console().print(text_report(document))
--- a/src/vanillabeam/exceptions.py
+++ b/src/vanillabeam/exceptions.py
@@ -5,6 +5,7 @@
 from typing import ClassVar
 
 __all__ = [
+    "AuthorDiffers",
     "BodyTooLarge",
     "BodyTooSlow",
     "DeadlineExceeded",
@@ -106,6 +107,15 @@
     advice = "Send a valid key as Authorization: Bearer KEY."
 
 
+class AuthorDiffers(VanillabeamError):
+    """A ticket names another author than the operator who sends it."""
+
+    type = "author-differs"
+    status = HTTPStatus.FORBIDDEN
+    run = Run.NOT_RUN
+    advice = "Put your own operator name into the ticket's author."
+
+
 class UnknownPath(VanillabeamError):
     """A path that this listener does not serve."""
 
