--- /dev/null
+++ b/src/vanillabeam/parts.py
@@ -0,0 +1,210 @@
+"""The shells of a VM, made and connected to each other."""
+
+import random
+from pathlib import Path
+from typing import Any
+
+import trio
+from returns.result import Result
+
+from vanillabeam.claims import Claims
+from vanillabeam.config import Config
+from vanillabeam.control import Control, ControlClient, control_addresses
+from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.log import Address
+from vanillabeam.members import Members, Seed, View
+from vanillabeam.peercall import PeerCall, PeerRoutes
+from vanillabeam.peerhttp import PeerClient
+from vanillabeam.routing import Weights
+from vanillabeam.settings import Settings
+from vanillabeam.spread import DiskFiles, Spread
+from vanillabeam.targets import Entry, Targets, TargetsSettings
+from vanillabeam.targetwire import Announcement, CacheEvents, LoadReport
+
+__all__ = ["Parts"]
+
+
+class Parts:
+    """What a VM consists of, whatever its roles.
+
+    :param addresses: ``host:port`` of each listener of this VM.
+    :param call: reaches other VMs.
+    :param target_call: reaches targets.
+    :param first_epoch: larger at each start of this VM.
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        addresses: dict[str, str],
+        call: PeerCall,
+        target_call: PeerClient,
+        rng: random.Random,
+        first_epoch: int,
+    ):
+        self.cfg = cfg
+        self.addresses = addresses
+        self.call = call
+        self.target_call = target_call
+        self.rng = rng
+        self.control = self._make_control()
+        self.members = self._make_members()
+        self.spread = self._make_spread()
+        self.targets = self._make_targets(first_epoch)
+        self.claims = Claims(cfg["vm"], self.control.proposers(), rng)
+        self._listen()
+
+    @property
+    def is_control(self) -> bool:
+        """Whether this VM is one of the control VMs."""
+        return "control" in self.cfg["roles"]
+
+    def routes(self) -> PeerRoutes:
+        """Return the handlers for other VMs' calls."""
+        routes: PeerRoutes = {}
+        for part in (self.members, self.spread, self.targets):
+            routes.update(part.routes())
+        if self.is_control:
+            routes.update(self.control.routes())
+        return routes
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Run every shell until cancelled."""
+        async with trio.open_nursery() as nursery:
+            if self.is_control:
+                await nursery.start(self.control.run)
+            for part in (self.members, self.spread, self.targets, self.claims):
+                await nursery.start(part.run)
+            nursery.start_soon(self._follow_members)
+            task_status.started()
+
+    async def hand_over(self) -> None:
+        """Give away what others can take over, before a planned stop."""
+        self.members.update_state(ready=False)
+        await self.targets.drain()
+        if self.is_control:
+            await self.control.hand_over()
+
+    async def announce(self, message: Announcement) -> Result[Any, VanillabeamError]:
+        """Take a target's announcement; the answer names its owner."""
+        return await self.targets.announce(message)
+
+    async def load(self, message: LoadReport) -> Result[Any, VanillabeamError]:
+        """Take a target's load report."""
+        return await self.targets.load(message)
+
+    async def events(self, message: CacheEvents) -> Result[Any, VanillabeamError]:
+        """Take a target's cache events."""
+        return await self.targets.events(message)
+
+    def _make_control(self) -> Control | ControlClient:
+        address = self.addresses["peers"]
+        if self.is_control:
+            return Control(self.cfg, address, self.call, self.rng)
+        members = control_addresses(self.cfg, address)
+        return ControlClient(self.cfg, members, self.call)
+
+    def _make_members(self) -> Members:
+        members = Members(
+            self.cfg["vm"],
+            self.addresses["peers"],
+            self.cfg["data_centre"],
+            [Seed(peer["address"], peer["data_centre"]) for peer in self.cfg["peers"]],
+            self.call,
+            self.rng,
+        )
+        members.update_state(
+            roles=tuple(self.cfg["roles"]), ports=_ports(self.addresses)
+        )
+        return members
+
+    def _make_spread(self) -> Spread:
+        address = self.addresses["peers"]
+        control = [each.address for each in control_addresses(self.cfg, address)]
+        folder = self.cfg["data_folder"]
+        files = DiskFiles(Path(folder) / "spread") if folder else None
+        spread = Spread(address, control, self.members, self.call, self.rng, files)
+        if self.is_control:
+            spread.attach(self.control.desk, self.control.machine)
+        return spread
+
+    def _make_targets(self, first_epoch: int) -> Targets:
+        routing = self.cfg["routing"]
+        return Targets(
+            self.cfg["vm"],
+            self.cfg["data_centre"],
+            self.call,
+            TargetsSettings(),
+            self.rng,
+            address=self.addresses["peers"],
+            targets_address=self.addresses["targets"],
+            weights=Weights(
+                recomputed_token_s=routing["recomputed_token_price_s"],
+                link_byte_s=routing["link_byte_price_s"],
+            ),
+            first_epoch=first_epoch,
+            target_call=self.target_call,
+        )
+
+    def _listen(self) -> None:
+        listeners = [self.targets.config_changed, self.claims.config_changed]
+        if not self.is_control:
+            listeners.append(self.control.config_changed)
+        for listener in listeners:
+            self.spread.listen(listener)
+
+    async def _follow_members(self) -> None:
+        while True:
+            view = self.members.view()
+            self.targets.members_changed(_entries(view))
+            await self.members.view_after(view.version)
+
+    def control_addresses(self) -> list[Address]:
+        """Return the control VMs, as tickets name them or else the settings."""
+        named = self.config().control
+        if named:
+            return [Address(vm, member.address) for vm, member in named.items()]
+        return control_addresses(self.cfg, self.addresses["peers"])
+
+    def known_addresses(self) -> set[str]:
+        """Return the peers' listeners of every VM that this one knows of."""
+        view = self.members.view()
+        near = {member.address for member in view.alive}
+        far = {
+            address
+            for summary in view.summaries.values()
+            for _, address in summary.contacts
+        }
+        return near | far | {peer["address"] for peer in self.cfg["peers"]}
+
+    def config(self) -> Config:
+        """Return the configuration in force on this VM."""
+        return self.spread.config()
+
+
+def _entries(view: View) -> list[Entry]:
+    return [
+        Entry(
+            member.name,
+            member.data_centre,
+            member.address,
+            _at_port(member.address, member.state.ports.get("targets")),
+        )
+        for member in view.alive
+        if "entry" in member.state.roles
+    ]
+
+
+def _ports(addresses: dict[str, str]) -> dict[str, int]:
+    return {
+        name: int(address.rpartition(":")[2])
+        for name, address in addresses.items()
+        if name in ("targets", "store")
+    }
+
+
+def _at_port(address: str, port: int | None) -> str:
+    if port is None:
+        return ""
+    host, _, _ = address.rpartition(":")
+    return f"{host}:{port}"
--- a/src/vanillabeam/settings.py
+++ b/src/vanillabeam/settings.py
@@ -32,7 +32,7 @@
     "schema",
 ]
 
-SETTINGS_VERSION = 1
+_KEY_FILES = ("peer_key_file", "target_key_file")
 _STRICT = ConfigDict(extra="forbid", strict=True)
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
@@ -217,6 +217,9 @@
     peer_key_file: Annotated[
         str | None, Field(default=None, description="secret that all VMs share")
     ]
+    target_key_file: Annotated[
+        str | None, Field(default=None, description="secret that targets present")
+    ]
     control: Control
     operators: Annotated[list[Operator], _default(list)]
     drain: Annotated[Drain, _default(lambda: _default_of(Drain))]
@@ -277,7 +280,7 @@
 
 
 def _resolve_paths(cfg: Settings, folder: Path) -> None:
-    for key in ("data_folder", "peer_key_file"):
+    for key in ("data_folder", *_KEY_FILES):
         if cfg[key] is not None:
             cfg[key] = str(folder / cfg[key])
     if cfg["logs"]["file"] is not None:
@@ -315,7 +318,7 @@
 
 
 def _file_faults(cfg: Settings) -> Iterator[str]:
-    named = [("peer_key_file", cfg["peer_key_file"])]
+    named = [(key, cfg[key]) for key in _KEY_FILES]
     for path, listener in _all_listeners(cfg):
         tls = listener["tls"] or {}
         named.extend((f"{path}.tls.{key}", tls.get(key)) for key in tls)
--- /dev/null
+++ b/src/vanillabeam/vm.py
@@ -0,0 +1,175 @@
+"""One VM: its roles put together, its listeners, its life."""
+
+import random
+import time
+
+import trio
+from loguru import logger
+from returns.result import Failure
+from starlette.applications import Starlette
+
+from vanillabeam.auth import Operators
+from vanillabeam.burn import Burn, Objectives
+from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.gates import KeyGate, LateApp, read_key
+from vanillabeam.lifecycle import Lifecycle
+from vanillabeam.listeners import ListenerTask
+from vanillabeam.metrics import Counter, Gauge, Metrics
+from vanillabeam.operators import operator_routes
+from vanillabeam.overview import Overview
+from vanillabeam.parts import Parts
+from vanillabeam.peerhttp import PeerClient, peer_routes
+from vanillabeam.readiness import Phase, Readiness
+from vanillabeam.settings import Settings
+from vanillabeam.targetapp import target_app
+from vanillabeam.tls import client_context
+from vanillabeam.traces import Traces
+
+__all__ = ["Vm"]
+
+GAUGES_PERIOD_S = 10.0
+
+
+class Vm:
+    """A VM with every role that its settings name.
+
+    :param cfg: checked settings.
+    :param rng: source of all random choices; seeded in tests.
+
+    >>> vm = Vm(cfg)
+    >>> await nursery.start(vm.run)
+    >>> vm.address("callers")
+    '127.0.0.1:7001'
+    >>> vm.drain()
+    >>> await vm.wait_stopped()
+    0
+    """
+
+    def __init__(self, cfg: Settings, rng: random.Random | None = None):
+        self.cfg = cfg
+        self.rng = rng or random.Random()
+        self.traces = Traces()
+        self.burn = Burn(Objectives(**cfg["objectives"]), cfg["vm"])
+        self.metrics = _metrics(cfg)
+        readiness = Readiness(cfg["drain"]["notice_s"], cfg["drain"]["deadline_s"])
+        self.lifecycle = Lifecycle(readiness, self._close_callers)
+        self.apps = {name: LateApp() for name in _listener_settings(cfg)}
+        self.listeners = {
+            name: ListenerTask(name, self.apps[name], each, self._graceful_s)
+            for name, each in _listener_settings(cfg).items()
+        }
+        self.parts: Parts | None = None
+        self._stopped = trio.Event()
+
+    @property
+    def _graceful_s(self) -> float:
+        return self.cfg["drain"]["deadline_s"]
+
+    def address(self, listener: str) -> str:
+        """Return ``host:port`` of a listener, once the VM runs."""
+        return self.listeners[listener].address
+
+    def drain(self) -> None:
+        """Begin a planned stop; the second time, end it at once."""
+        self.lifecycle.drain()
+
+    def reload_tls(self) -> None:
+        """Load every listener's certificate again."""
+        for listener in self.listeners.values():
+            result = listener.reload_tls()
+            if isinstance(result, Failure):
+                logger.bind(detail=result.failure().detail).error("tls not reloaded")
+
+    async def wait_stopped(self) -> int:
+        """Wait for the end of a planned stop; return the exit code."""
+        await self._stopped.wait()
+        return self.lifecycle.exit_code
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Run until cancelled; ready for work once the configuration is known."""
+        async with trio.open_nursery() as nursery:
+            for listener in self.listeners.values():
+                await nursery.start(listener.run)
+            self.parts = self._make_parts()
+            self._connect()
+            await nursery.start(self.parts.run)
+            nursery.start_soon(self._become_ready)
+            nursery.start_soon(self._live)
+            nursery.start_soon(self._hand_over)
+            nursery.start_soon(self._report_gauges)
+            task_status.started()
+
+    def _make_parts(self) -> Parts:
+        peers_tls = self.cfg["listeners"]["peers"]["tls"]
+        context = client_context(peers_tls).unwrap()
+        call = PeerClient(read_key(self.cfg["peer_key_file"]), context)
+        target_call = PeerClient(read_key(self.cfg["target_key_file"]), None)
+        return Parts(
+            cfg=self.cfg,
+            addresses={name: each.address for name, each in self.listeners.items()},
+            call=call,
+            target_call=target_call,
+            rng=self.rng,
+            first_epoch=int(time.time()),
+        )
+
+    def _connect(self) -> None:
+        """Put the applications behind their listeners."""
+        overview = Overview(self)
+        routes = self.parts.routes() | overview.routes()
+        operators = Operators(self.cfg["operators"])
+        inner = Starlette(
+            routes=peer_routes(routes, self._broken)
+            + operator_routes(overview, operators)
+        )
+        peer_key = read_key(self.cfg["peer_key_file"])
+        self.apps["peers"].app = KeyGate(inner, "/peer/", peer_key)
+        target_key = read_key(self.cfg["target_key_file"])
+        targets = target_app(self.parts, self._broken)
+        self.apps["targets"].app = KeyGate(targets, "/", target_key)
+
+    def _broken(self, exc: InvariantBroken) -> None:
+        logger.bind(failure=exc.type, detail=exc.detail).critical("invariant broken")
+        self.metrics.count(Counter.INVARIANT_BROKEN)
+
+    def _close_callers(self) -> None:
+        self.listeners["callers"].close()
+
+    async def _become_ready(self) -> None:
+        config = await self.parts.spread.wait_ready()
+        self.lifecycle.config_known(config.index)
+        logger.bind(index=config.index).info("ready")
+
+    async def _live(self) -> None:
+        await self.lifecycle.run()
+        self._stopped.set()
+
+    async def _hand_over(self) -> None:
+        await self.lifecycle.draining.wait()
+        await self.parts.hand_over()
+
+    async def _report_gauges(self) -> None:
+        while True:
+            index = self.parts.spread.config().index
+            self.metrics.gauge(Gauge.CONFIG_INDEX, index)
+            self.metrics.gauge(Gauge.OPEN_REQUESTS, self.lifecycle.open_requests)
+            await trio.sleep(GAUGES_PERIOD_S)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer is to send requests here."""
+        return self.lifecycle.phase is Phase.READY
+
+
+def _listener_settings(cfg: Settings) -> dict:
+    found = dict(cfg["listeners"])
+    if cfg["store"] is not None:
+        found["store"] = cfg["store"]["listener"]
+    return found
+
+
+def _metrics(cfg: Settings) -> Metrics:
+    settings = cfg["metrics"]
+    if settings is None:
+        return Metrics()
+    return Metrics(settings["host"], settings["port"], cfg["data_centre"], cfg["vm"])
