--- a/Makefile
+++ b/Makefile
@@ -34,4 +34,4 @@
 	$(BIN)/python -m bench capacity
 
 demo: setup
-	$(BIN)/python -m vanillabeam.demo
+	$(BIN)/python -m bench.demo
--- /dev/null
+++ b/src/vanillabeam/reference.py
@@ -0,0 +1,142 @@
+"""Reference pages made from the code: failures and settings.
+
+``python -m vanillabeam.reference docs`` writes them again.
+"""
+
+import importlib
+import inspect
+import pkgutil
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import vanillabeam
+from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.problems import catalogue
+from vanillabeam.settings import schema, write_schema
+
+__all__ = ["failures_page", "settings_page", "write_pages"]
+
+FAILURES_INTRO = """# Failures
+
+Made from the code by `python -m vanillabeam.reference docs`.
+
+Every refusal is an `application/problem+json` document whose `type` is
+`urn:vanillabeam:` and a name from this table, with the header
+`Vanillabeam-Run`: `not-run` is certain, `unknown` means that the request may
+have run, `ran` that it did. `Retry-After` is sent where a retry makes sense.
+
+| type | status | run | retry after (s) | meaning | what to do |
+|---|---|---|---|---|---|
+"""
+
+SETTINGS_INTRO = """# Settings
+
+Made from the types by `python -m vanillabeam.reference docs`; the JSON Schema
+is `docs/settings.schema.json`. A settings file is one JSON document. Unknown
+keys, wrong types and values out of range are refused, all at once and by
+path: `vanillabeam settings check FILE`. Relative paths begin at the file's
+own folder.
+"""
+
+
+def failures_page() -> str:
+    """Return the page of all failures."""
+    _load_all()
+    rows = {kind.type: _failure_row(kind) for kind in catalogue()}
+    return FAILURES_INTRO + "".join(rows[name] for name in sorted(rows))
+
+
+def settings_page() -> str:
+    """Return the page of all settings."""
+    document = schema()
+    parts = [SETTINGS_INTRO, *_section("The document", document)]
+    for name, part in sorted(document["$defs"].items()):
+        parts.extend(_section(name, part))
+    return "".join(parts)
+
+
+def write_pages(folder: Path) -> None:
+    """Write the pages and the schema into ``folder``."""
+    (folder / "failures.md").write_text(failures_page())
+    (folder / "settings.md").write_text(settings_page())
+    write_schema(folder / "settings.schema.json")
+
+
+def _load_all() -> None:
+    for module in pkgutil.walk_packages(vanillabeam.__path__, "vanillabeam."):
+        importlib.import_module(module.name)
+
+
+def _failure_row(kind: type[VanillabeamError]) -> str:
+    retry = "" if kind.retry_after_s is None else f"{kind.retry_after_s:g}"
+    meaning = inspect.getdoc(kind).splitlines()[0]
+    cells = (
+        f"`{kind.type}`",
+        str(int(kind.status)),
+        str(kind.run),
+        retry,
+        meaning,
+        kind.advice,
+    )
+    return "| " + " | ".join(cells) + " |\n"
+
+
+def _section(title: str, part: dict[str, Any]) -> Iterator[str]:
+    yield f"\n## {title}\n\n"
+    if part.get("description"):
+        yield part["description"].splitlines()[0] + "\n\n"
+    yield "| key | type | default | allowed | meaning |\n|---|---|---|---|---|\n"
+    required = part.get("required", [])
+    for key, field in part["properties"].items():
+        default = "required" if key in required else _default(field)
+        row = (f"`{key}`", _type(field), default, _allowed(field), _meaning(field))
+        yield "| " + " | ".join(row) + " |\n"
+
+
+def _default(field: dict[str, Any]) -> str:
+    if "default" not in field:
+        return "as listed there"
+    return f"`{_json(field['default'])}`"
+
+
+def _json(value: Any) -> str:
+    return {None: "null", True: "true", False: "false"}.get(value, str(value))
+
+
+def _type(field: dict[str, Any]) -> str:
+    if "$ref" in field:
+        name = field["$ref"].rpartition("/")[2]
+        return f"[{name}](#{name.lower()})"
+    if "anyOf" in field:
+        return " or ".join(_type(each) for each in field["anyOf"])
+    if field.get("type") == "array":
+        return f"list of {_type(field['items'])}"
+    return field.get("type", "value")
+
+
+def _allowed(field: dict[str, Any]) -> str:
+    if "anyOf" in field:
+        return ", ".join(filter(None, map(_allowed, field["anyOf"])))
+    if field.get("type") == "array":
+        return _allowed(field["items"])
+    if "enum" in field:
+        return ", ".join(f"`{value}`" for value in field["enum"])
+    if "const" in field:
+        return f"`{field['const']}`"
+    bounds = {
+        "minimum": "≥",
+        "exclusiveMinimum": ">",
+        "maximum": "≤",
+        "exclusiveMaximum": "<",
+    }
+    return " ".join(f"{sign} {field[k]:g}" for k, sign in bounds.items() if k in field)
+
+
+def _meaning(field: dict[str, Any]) -> str:
+    return field.get("description", "")
+
+
+if __name__ == "__main__":
+    write_pages(Path(sys.argv[1]))
