--- /dev/null
+++ b/src/vanillabeam/accounting.py
@@ -0,0 +1,121 @@
+"""What is kept of each finished request: trace, log line, metrics, burn."""
+
+from typing import Any
+
+import trio
+from loguru import logger
+
+from vanillabeam.burn import Burn, Outcome
+from vanillabeam.exceptions import Run, VanillabeamError
+from vanillabeam.metrics import Counter, Metrics, Timer
+from vanillabeam.traces import Traces
+
+__all__ = ["Accounting"]
+
+CALLER_LEFT = "caller-left"
+
+
+class Accounting:
+    """Takes the record of each request that has ended.
+
+    :param traces: keeps the records.
+    :param burn: counts them against the objectives.
+    :param metrics: sends them to statsd.
+    """
+
+    def __init__(self, traces: Traces, burn: Burn, metrics: Metrics):
+        self._traces = traces
+        self._burn = burn
+        self._metrics = metrics
+
+    def finished(self, request_id: str, record: dict[str, Any]) -> None:
+        """Take the record of a request that targets were asked for."""
+        self._traces.add(request_id, record)
+        outcome = _outcome(record)
+        data_centre = _last(record, "data_centre")
+        now_s = trio.current_time()
+        gap_s = _token_gap_s(record)
+        prompt_tokens = record.get("prompt_tokens", 0)
+        self._burn.record(
+            now_s,
+            record["workspace"],
+            data_centre,
+            record["first_token_s"],
+            gap_s,
+            outcome,
+            prompt_tokens,
+            record.get("recomputed_tokens", 0),
+        )
+        self._measure(record, outcome, data_centre, gap_s)
+        self._log(request_id, record, outcome)
+
+    def refused(self, request_id: str, exc: VanillabeamError, **fields: Any) -> None:
+        """Take a request that was refused before any target was asked for."""
+        self._metrics.count(Counter.REQUESTS, by=str(Outcome.REFUSED))
+        self._metrics.count(Counter.SHEDS, by=exc.type)
+        logger.bind(
+            request_id=request_id,
+            failure=exc.type,
+            detail=exc.detail,
+            status=int(exc.status),
+            **fields,
+        ).info("refused")
+
+    def _measure(
+        self,
+        record: dict[str, Any],
+        outcome: Outcome,
+        data_centre: str,
+        gap_s: float | None,
+    ) -> None:
+        metrics = self._metrics
+        metrics.count(Counter.REQUESTS, by=str(outcome))
+        if outcome is Outcome.WHOLE:
+            metrics.count(Counter.SERVED, by=data_centre)
+        if record["first_token_s"] is not None:
+            metrics.time(Timer.FIRST_TOKEN, record["first_token_s"])
+        if gap_s is not None:
+            metrics.time(Timer.TOKEN_GAP, gap_s)
+        metrics.count(Counter.PROMPT_TOKENS, record.get("prompt_tokens", 0))
+        metrics.count(Counter.RECOMPUTED_TOKENS, record.get("recomputed_tokens", 0))
+        retries = len(record["attempts"]) - 1
+        if retries > 0:
+            metrics.count(Counter.RETRIES, retries)
+
+    def _log(self, request_id: str, record: dict[str, Any], outcome: Outcome) -> None:
+        bound = logger.bind(
+            request_id=request_id,
+            workspace=record["workspace"],
+            index=record["ticket_index"],
+            target=_last(record, "target"),
+            version=_last(record, "version"),
+            run=record["run"],
+            attempts=len(record["attempts"]),
+            first_token_s=record["first_token_s"],
+            total_s=record["total_s"],
+        )
+        if record["failure"] is not None:
+            bound = bound.bind(failure=record["failure"], detail=record["detail"])
+        bound.info(str(outcome))
+
+
+def _outcome(record: dict[str, Any]) -> Outcome:
+    if record["failure"] is None:
+        return Outcome.WHOLE
+    if record["failure"] == CALLER_LEFT:
+        return Outcome.CALLER_LEFT
+    if record["run"] == Run.NOT_RUN:
+        return Outcome.REFUSED
+    return Outcome.FAILED
+
+
+def _last(record: dict[str, Any], field: str) -> str:
+    attempts = record["attempts"]
+    return attempts[-1][field] if attempts else ""
+
+
+def _token_gap_s(record: dict[str, Any]) -> float | None:
+    pieces = record.get("pieces", 0)
+    if record["first_token_s"] is None or pieces < 2:
+        return None
+    return (record["total_s"] - record["first_token_s"]) / (pieces - 1)
--- a/src/vanillabeam/control.py
+++ b/src/vanillabeam/control.py
@@ -8,7 +8,7 @@
 from loguru import logger
 from returns.result import Failure, Result
 
-from vanillabeam.claims import ClaimMachine
+from vanillabeam.claims import ClaimMachine, ClaimSettings
 from vanillabeam.config import Config
 from vanillabeam.log import Address, Applied, LogClient, LogNode, LogStatus
 from vanillabeam.peercall import PeerCall, PeerRoutes
@@ -81,7 +81,7 @@
         self.machine = TicketMachine()
         self.tickets = self._node(TICKETS_GROUP, self.machine)
         self.claim_machines = [
-            ClaimMachine() for _ in range(cfg["claims"]["shards"])
+            ClaimMachine(ClaimSettings(cfg["claims"]["retention_s"])) for _ in range(cfg["claims"]["shards"])
         ]
         self.claims = [
             self._node(claims_group(shard), machine)
--- a/src/vanillabeam/exceptions.py
+++ b/src/vanillabeam/exceptions.py
@@ -12,6 +12,8 @@
     "Draining",
     "InvariantBroken",
     "MalformedBody",
+    "MalformedHeader",
+    "MalformedPath",
     "NoEligibleTarget",
     "NotReady",
     "Overloaded",
@@ -80,6 +82,24 @@
     advice = "Correct the body; the detail names the field."
 
 
+class MalformedHeader(VanillabeamError):
+    """A header of the request does not hold."""
+
+    type = "malformed-header"
+    status = HTTPStatus.BAD_REQUEST
+    run = Run.NOT_RUN
+    advice = "Correct the header that the detail names."
+
+
+class MalformedPath(VanillabeamError):
+    """A path that could be read in more than one way."""
+
+    type = "malformed-path"
+    status = HTTPStatus.BAD_REQUEST
+    run = Run.NOT_RUN
+    advice = "Send a path without empty, dot or encoded-slash segments."
+
+
 class BodyTooLarge(VanillabeamError):
     """A body is larger than its listener's limit."""
 
--- a/src/vanillabeam/lifecycle.py
+++ b/src/vanillabeam/lifecycle.py
@@ -49,6 +49,11 @@
         """The phase that the VM is in."""
         return self._state.phase
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer is to send requests here."""
+        return self._state.phase is Phase.READY
+
     @property
     def open_requests(self) -> int:
         """Callers' requests that have no whole answer yet."""
--- a/src/vanillabeam/members/records.py
+++ b/src/vanillabeam/members/records.py
@@ -35,6 +35,7 @@
     :param ready: whether it takes work.
     :param load: percent of its capacity that is in use.
     :param full: whether it holds the whole configuration.
+    :param ports: ports of its ``targets`` and ``store`` listeners.
     """
 
     config_index: int = 0
@@ -44,6 +45,7 @@
     ready: bool = False
     load: int = 0
     full: bool = False
+    ports: dict[str, int] = {}
 
 
 class Member(NamedTuple):
--- /dev/null
+++ b/src/vanillabeam/streaming.py
@@ -0,0 +1,65 @@
+"""Answers to callers: streamed while they come, or whole."""
+
+import contextlib
+
+import trio
+from starlette.responses import Response
+from starlette.types import ASGIApp, Receive, Scope, Send
+
+from vanillabeam.answers import Answer
+from vanillabeam.problems import RUN_HEADER, problem_response
+
+__all__ = ["StreamedAnswer", "whole_answer"]
+
+
+class StreamedAnswer:
+    """An ASGI application that passes an answer on while it comes.
+
+    A caller that leaves is noticed beside the stream, as sending goes on
+    without an error.
+
+    :param answer: opened; closed at the end, whatever the end is.
+    """
+
+    def __init__(self, answer: Answer):
+        self._answer = answer
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send the head and every piece, until the end or the caller leaves."""
+        async with contextlib.aclosing(self._answer), trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_left, receive, nursery.cancel_scope)
+            await send(self._head())
+            async for data in self._answer:
+                await send(_body(data, more=True))
+            await send(_body(b"", more=False))
+            nursery.cancel_scope.cancel()
+
+    def _head(self) -> dict:
+        headers = [
+            (b"content-type", self._answer.content_type.encode()),
+            (b"cache-control", b"no-store"),
+            (RUN_HEADER.lower().encode(), str(self._answer.run).encode()),
+        ]
+        return {"type": "http.response.start", "status": 200, "headers": headers}
+
+
+async def whole_answer(answer: Answer) -> ASGIApp:
+    """Return the whole answer, or its failure, as one response."""
+    async with contextlib.aclosing(answer):
+        data = b"".join([part async for part in answer])
+    if answer.failure is not None:
+        return problem_response(answer.failure)
+    headers = {RUN_HEADER: str(answer.run)}
+    return Response(data, media_type=answer.content_type, headers=headers)
+
+
+async def _cancel_when_left(receive: Receive, scope: trio.CancelScope) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
+def _body(data: bytes, more: bool) -> dict:
+    return {"type": "http.response.body", "body": data, "more_body": more}
--- a/src/vanillabeam/vm.py
+++ b/src/vanillabeam/vm.py
@@ -8,8 +8,11 @@
 from returns.result import Failure
 from starlette.applications import Starlette
 
+from vanillabeam.accounting import Accounting
 from vanillabeam.auth import Operators
 from vanillabeam.burn import Burn, Objectives
+from vanillabeam.callers import caller_app
+from vanillabeam.entry import Entry
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.gates import KeyGate, LateApp, read_key
 from vanillabeam.lifecycle import Lifecycle
@@ -19,7 +22,7 @@
 from vanillabeam.overview import Overview
 from vanillabeam.parts import Parts
 from vanillabeam.peerhttp import PeerClient, peer_routes
-from vanillabeam.readiness import Phase, Readiness
+from vanillabeam.readiness import Readiness
 from vanillabeam.settings import Settings
 from vanillabeam.targetapp import target_app
 from vanillabeam.tls import client_context
@@ -58,7 +61,9 @@
             name: ListenerTask(name, self.apps[name], each, self._graceful_s)
             for name, each in _listener_settings(cfg).items()
         }
+        self.accounting = Accounting(self.traces, self.burn, self.metrics)
         self.parts: Parts | None = None
+        self.entry: Entry | None = None
         self._stopped = trio.Event()
 
     @property
@@ -91,8 +96,10 @@
             for listener in self.listeners.values():
                 await nursery.start(listener.run)
             self.parts = self._make_parts()
+            self.entry = Entry(self.parts, self.lifecycle, self.accounting)
             self._connect()
             await nursery.start(self.parts.run)
+            await nursery.start(self.entry.runner.run)
             nursery.start_soon(self._become_ready)
             nursery.start_soon(self._live)
             nursery.start_soon(self._hand_over)
@@ -127,6 +134,8 @@
         target_key = read_key(self.cfg["target_key_file"])
         targets = target_app(self.parts, self._broken)
         self.apps["targets"].app = KeyGate(targets, "/", target_key)
+        if "entry" in self.cfg["roles"]:
+            self.apps["callers"].app = caller_app(self.entry)
 
     def _broken(self, exc: InvariantBroken) -> None:
         logger.bind(failure=exc.type, detail=exc.detail).critical("invariant broken")
@@ -155,11 +164,6 @@
             self.metrics.gauge(Gauge.OPEN_REQUESTS, self.lifecycle.open_requests)
             await trio.sleep(GAUGES_PERIOD_S)
 
-    @property
-    def is_ready(self) -> bool:
-        """Whether the balancer is to send requests here."""
-        return self.lifecycle.phase is Phase.READY
-
 
 def _listener_settings(cfg: Settings) -> dict:
     found = dict(cfg["listeners"])
