--- a/src/vanillabeam/callers.py
+++ b/src/vanillabeam/callers.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
@@ -151,9 +151,7 @@
         """Run a model prompt."""
         config = self._view.config()
         body = await read_body(request.scope, request.receive)
-        admitted = body.bind(
-            lambda data: parse_prompt(request.url.path, data)
-        ).bind(
+        admitted = body.bind(lambda data: parse_prompt(request.url.path, data)).bind(
             lambda prompt: prompt_request(
                 config, workspace, prompt, request.headers, request_id
             )
@@ -226,5 +224,3 @@
 
 async def _unknown_path(request: Request, exc: Exception) -> Response:
     return problem_response(UnknownPath(f"{request.method} {request.url.path}"))
-
-
--- a/src/vanillabeam/control.py
+++ b/src/vanillabeam/control.py
@@ -80,8 +80,9 @@
         self._members = control_addresses(cfg, own_address)
         self.machine = TicketMachine()
         self.tickets = self._node(TICKETS_GROUP, self.machine)
+        bounds = ClaimSettings(cfg["claims"]["retention_s"])
         self.claim_machines = [
-            ClaimMachine(ClaimSettings(cfg["claims"]["retention_s"])) for _ in range(cfg["claims"]["shards"])
+            ClaimMachine(bounds) for _ in range(cfg["claims"]["shards"])
         ]
         self.claims = [
             self._node(claims_group(shard), machine)
--- a/src/vanillabeam/operators.py
+++ b/src/vanillabeam/operators.py
@@ -101,9 +101,7 @@
             answer = await serve(request, operator.unwrap())
             if isinstance(answer, Failure):
                 return problem_response(answer.failure())
-            return Response(
-                wire.encode(answer.unwrap()), media_type="application/json"
-            )
+            return Response(wire.encode(answer.unwrap()), media_type="application/json")
 
         return Route(path, endpoint, methods=[method])
 
--- a/src/vanillabeam/overview.py
+++ b/src/vanillabeam/overview.py
@@ -71,8 +71,9 @@
             confirmed = await self._parts.control.tickets.read()
             shown = self._parts.control.desk.show(number)
             return shown.map(
-                lambda found: found._asdict()
-                | {"confirmed": isinstance(confirmed, Success)}
+                lambda found: (
+                    found._asdict() | {"confirmed": isinstance(confirmed, Success)}
+                )
             )
         return await self._ask_control(SHOW_PATH, wire.encode({"number": number}))
 
--- a/src/vanillabeam/parts.py
+++ b/src/vanillabeam/parts.py
@@ -78,13 +78,22 @@
             nursery.start_soon(self._follow_members)
             task_status.started()
 
-    async def hand_over(self) -> None:
-        """Give away what others can take over, before a planned stop."""
+    async def leave_control(self) -> None:
+        """Give leadership away at the first moment of a planned stop."""
         self.members.update_state(ready=False)
-        await self.targets.drain()
         if self.is_control:
             await self.control.hand_over()
 
+    async def leave_targets(self) -> None:
+        """Hand owned targets over, once no new request can come in.
+
+        Where no other entry is alive they are kept: the requests under way
+        still need permits for their retries.
+        """
+        entries = _entries(self.members.view())
+        if any(entry.vm != self.cfg["vm"] for entry in entries):
+            await self.targets.drain()
+
     async def announce(self, message: Announcement) -> Result[Any, VanillabeamError]:
         """Take a target's announcement; the answer names its owner."""
         return await self.targets.announce(message)
--- a/src/vanillabeam/vm.py
+++ b/src/vanillabeam/vm.py
@@ -64,6 +64,7 @@
         self.accounting = Accounting(self.traces, self.burn, self.metrics)
         self.parts: Parts | None = None
         self.entry: Entry | None = None
+        self._callers_closed = trio.Event()
         self._stopped = trio.Event()
 
     @property
@@ -143,6 +144,7 @@
 
     def _close_callers(self) -> None:
         self.listeners["callers"].close()
+        self._callers_closed.set()
 
     async def _become_ready(self) -> None:
         config = await self.parts.spread.wait_ready()
@@ -155,7 +157,9 @@
 
     async def _hand_over(self) -> None:
         await self.lifecycle.draining.wait()
-        await self.parts.hand_over()
+        await self.parts.leave_control()
+        await self._callers_closed.wait()
+        await self.parts.leave_targets()
 
     async def _report_gauges(self) -> None:
         while True:
--- /dev/null
+++ b/tests/path/test_drain.py
@@ -0,0 +1,62 @@
+import json
+
+import trio
+
+from tests.path.builders import with_vm
+from vanillabeam.readiness import Phase
+
+BODY = json.dumps(
+    {
+        "model": "m",
+        "messages": [{"role": "user", "content": "Read the ledger."}],
+        "max_tokens": 60,
+    }
+).encode()
+
+
+def test_a_planned_stop_cuts_off_no_request(tmp_path):
+    async def act(running):
+        await running.add_target(decode_tokens_s=40.0)
+        answers = []
+
+        async def ask():
+            answers.append(await running.call("POST", "/v1/chat/completions", BODY))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await running.wait_until(lambda: running.vm.lifecycle.open_requests)
+            running.vm.drain()
+            ready = await running.call("GET", "/readyz")
+            code = await running.vm.wait_stopped()
+        return ready, code, answers[0]
+
+    ready, code, answer = with_vm(tmp_path, act)
+    assert ready.status == 503
+    assert code == 0
+    assert answer.status == 200
+    assert json.loads(answer.content)["usage"]["completion_tokens"] == 60
+
+
+def test_requests_during_the_notice_are_still_served(tmp_path):
+    async def act(running):
+        await running.add_target()
+        running.vm.drain()
+        return await running.call("POST", "/v1/chat/completions", BODY)
+
+    assert with_vm(tmp_path, act).status == 200
+
+
+def test_a_second_signal_ends_at_once_and_says_so(tmp_path):
+    async def act(running):
+        await running.add_target(decode_tokens_s=1.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(running.call, "POST", "/v1/chat/completions", BODY)
+            await running.wait_until(lambda: running.vm.lifecycle.open_requests)
+            running.vm.drain()
+            running.vm.drain()
+            code = await running.vm.wait_stopped()
+            phase = running.vm.lifecycle.phase
+            nursery.cancel_scope.cancel()
+        return code, phase
+
+    assert with_vm(tmp_path, act) == (3, Phase.STOPPED)
