Try the only target again, trace unsent calls, and flush for a planned stop

A single target that was restarted between permit and run was excluded for the rest of the request, so that the caller got a failure although it was well again. The exclusions are forgotten once when nothing else is left.

Calls that a claim settles without a connection get a trace too, repeated request headers keep their copies, and a planned stop can wait for calls whose callers have left and for their records.

--- a/src/vanillabeam/answers/answer.py
+++ b/src/vanillabeam/answers/answer.py
@@ -80,7 +80,7 @@
 
     def cancel(self, run_id: str, permit: Permit) -> None:
         """Tell a target, in the background, that a run is not wanted."""
-        request = Request("DELETE", permit.address, f"/runs/{run_id}", {})
+        request = Request("DELETE", permit.address, f"/runs/{run_id}")
         link = Link(request, self.times.link)
         self.background.spawn(link.run_within, self.times.cancel_s)
 
@@ -235,7 +235,7 @@
     async def _resume(self, effect: pe.Resume) -> None:
         self._trace.resumed()
         target = f"/runs/{effect.run_id}?after={effect.after}"
-        request = Request("GET", effect.permit.address, target, {})
+        request = Request("GET", effect.permit.address, target)
         head = await self._connect(effect.link, request)
         if head is None:
             return
--- a/src/vanillabeam/answers/call.py
+++ b/src/vanillabeam/answers/call.py
@@ -208,17 +208,16 @@
             self._handle(cr.Answered(attempt))
 
     def _wire_request(self, effect: cr.Send, run_id: str) -> Request:
-        headers = dict(self.request.headers)
-        headers["Vanillabeam-Run-Id"] = run_id
+        headers = [*self.request.headers, ("Vanillabeam-Run-Id", run_id)]
         if self.request.idempotency_key:
-            headers["Idempotency-Key"] = self.request.idempotency_key
+            headers.append(("Idempotency-Key", self.request.idempotency_key))
         name = self.request.route.service
         path = self.request.path.lstrip("/")
         return Request(
             self.request.method,
             effect.permit.address,
             f"/services/{name}/{path}",
-            headers,
+            tuple(headers),
             self.request.body,
         )
 
--- a/src/vanillabeam/answers/callrun.py
+++ b/src/vanillabeam/answers/callrun.py
@@ -188,6 +188,7 @@
         self.attempt = 0
         self.permit: Permit | None = None
         self.excluded: frozenset[str] = frozenset()
+        self.forgave = False
         self.failure: VanillabeamError | None = None
         self.over = False
 
@@ -224,6 +225,11 @@
 def _(event: Denied, state: CallRun, now_s: float) -> list[Effect]:
     if state.over:
         return []
+    if state.excluded and not state.forgave:
+        # What failed may be the only target there is, and well again by now.
+        state.forgave = True
+        state.excluded = frozenset()
+        return [Acquire(state.excluded)]
     return _fail(state, state.failure or event.failure)
 
 
--- a/src/vanillabeam/answers/link.py
+++ b/src/vanillabeam/answers/link.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import NamedTuple
 
 import httpcore
@@ -47,7 +47,7 @@
     method: str
     address: str
     target: str
-    headers: Mapping[str, str]
+    headers: tuple[tuple[str, str], ...] = ()
     content: bytes = b""
 
 
@@ -180,7 +180,7 @@
                 await self._put(data)
 
     def _headers(self) -> list[tuple[str, str]]:
-        headers = [("Host", self.request.address), *self.request.headers.items()]
+        headers = [("Host", self.request.address), *self.request.headers]
         if self.request.content or self.request.method in ("POST", "PUT", "PATCH"):
             headers.append(("Content-Length", str(len(self.request.content))))
         return headers
--- a/src/vanillabeam/answers/promptrun.py
+++ b/src/vanillabeam/answers/promptrun.py
@@ -92,9 +92,15 @@
         self.last_seen = False
         self.version = ""
         self.excluded: frozenset[str] = frozenset()
+        self.forgave = False
         self.failure: VanillabeamError | None = None
         self.over = False
 
+    @property
+    def pinned(self) -> str:
+        """Return the only version that will do, empty while any will."""
+        return self.version if self.emitted else ""
+
     @property
     def run_id(self) -> str:
         """Return the name of the current run; unique for each attempt."""
@@ -114,7 +120,7 @@
 @handle.register
 def _(event: Start, state: PromptRun, now_s: float) -> list[Effect]:
     state.budget.earn()
-    return [Acquire(state.version, state.excluded)]
+    return [Acquire(state.pinned, state.excluded)]
 
 
 @handle.register
@@ -139,6 +145,11 @@
 def _(event: Denied, state: PromptRun, now_s: float) -> list[Effect]:
     if state.over:
         return []
+    if state.excluded and not state.forgave:
+        # What failed may be the only target there is, and well again by now.
+        state.forgave = True
+        state.excluded = frozenset()
+        return [Acquire(state.pinned, state.excluded)]
     return _give_up(state, state.failure or event.failure)
 
 
@@ -306,8 +317,7 @@
     if kind is not OutcomeKind.NOT_RUN and not state.budget.spend():
         return effects + _give_up(state, RetriesDenied())
     state.excluded |= {target}
-    version = state.version if state.emitted else ""
-    return [*effects, Acquire(version, state.excluded)]
+    return [*effects, Acquire(state.pinned, state.excluded)]
 
 
 def _stop(state: PromptRun, kind: OutcomeKind) -> list[Effect]:
--- a/src/vanillabeam/answers/promptwire.py
+++ b/src/vanillabeam/answers/promptwire.py
@@ -39,7 +39,7 @@
     usage: _Usage | None = None
 
 
-def run_headers(request: PromptRequest, effect: Send) -> dict[str, str]:
+def run_headers(request: PromptRequest, effect: Send) -> tuple[tuple[str, str], ...]:
     """Return the headers of a run."""
     route = request.route
     headers = {
@@ -52,7 +52,7 @@
         "Vanillabeam-Blocks": ",".join(route.blocks[:BLOCKS_LIMIT]),
         "Idempotency-Key": request.idempotency_key,
     }
-    return {name: value for name, value in headers.items() if value}
+    return tuple((name, value) for name, value in headers.items() if value)
 
 
 def problem_type(body: bytes) -> str:
--- a/src/vanillabeam/answers/runner.py
+++ b/src/vanillabeam/answers/runner.py
@@ -63,6 +63,10 @@
         self.prompts = Prompts(prompt_parts)
         self.services = Services(call_parts, claims)
 
+    async def flush(self) -> None:
+        """Wait for what goes on without a caller; for a planned stop."""
+        await self.services.flush()
+
     async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
         """Hold connections and unfinished calls until cancelled."""
         await self.background.run(task_status=task_status)
--- a/src/vanillabeam/answers/services.py
+++ b/src/vanillabeam/answers/services.py
@@ -11,6 +11,7 @@
 from vanillabeam.answers.exceptions import BodyNotKept
 from vanillabeam.answers.link import Head
 from vanillabeam.answers.records import ServiceAnswer, ServiceRequest
+from vanillabeam.answers.traces import TraceBuilder
 from vanillabeam.claims import Claims, Granted, Outcome, Recorded, request_digest
 from vanillabeam.config import Repeats
 from vanillabeam.exceptions import DeadlineExceeded, Run, VanillabeamError
@@ -35,6 +36,8 @@
     def __init__(self, parts: CallParts, claims: Claims):
         self._parts = parts
         self._claims = claims
+        self._unfinished = 0
+        self._finished = trio.Event()
 
     async def call(self, request: ServiceRequest) -> CallResult:
         """Carry out one call; the answer, or what is known of it.
@@ -45,12 +48,13 @@
         deadline_at_s = trio.current_time() + request.route.deadline_s
         if not needs_claim(request.method, request.repeats, request.idempotency_key):
             return await self._call_unclaimed(request, deadline_at_s)
+        began_s = trio.current_time()
         claimed = await self._claim(request)
         if isinstance(claimed, Failure):
-            return claimed
+            return self._report_unsent(request, claimed, began_s)
         granted = claimed.unwrap()
         if isinstance(granted, Recorded):
-            return _replay(granted)
+            return self._report_unsent(request, _replay(granted), began_s)
         send_by_s = min(deadline_at_s, granted.send_by_s)
         end_by_s = send_by_s + self._parts.times.late_s
         call = Call(request, self._parts, send_by_s, end_by_s)
@@ -69,11 +73,18 @@
     ) -> CallResult:
         """Let ``call`` run in the background and wait for it until ``until_s``."""
         send, receive = trio.open_memory_channel(1)
+        self._unfinished += 1
         self._parts.background.spawn(self._perform, call, granted, send)
         with trio.move_on_at(until_s):
             return await receive.receive()
         return Failure(call.tell(DeadlineExceeded()))
 
+    async def flush(self) -> None:
+        """Wait for calls whose callers have left, and for their records."""
+        while self._unfinished:
+            await self._finished.wait()
+        await self._claims.flush()
+
     async def _claim(
         self, request: ServiceRequest
     ) -> Result[Granted | Recorded, VanillabeamError]:
@@ -86,18 +97,35 @@
             by_key=request.repeats is Repeats.BY_KEY,
         )
 
+    def _report_unsent(
+        self, request: ServiceRequest, result: CallResult, began_s: float
+    ) -> CallResult:
+        """Trace a call that its claim settled without a connection."""
+        trace = TraceBuilder("service", request.route, request.ticket_index, began_s)
+        failure = result.failure() if isinstance(result, Failure) else None
+        run = failure.run if failure else Run.RAN
+        replayed = failure is None or isinstance(failure, BodyNotKept)
+        record = trace.finish(run, failure, trio.current_time(), replayed=replayed)
+        self._parts.trace(request.route.request_id, record)
+        return result
+
     async def _perform(
         self,
         call: Call,
         granted: Granted | None,
         send: trio.MemorySendChannel[CallResult],
     ) -> None:
-        with send:
-            result = await call.perform()
-            if granted is not None:
-                with trio.move_on_after(self._parts.times.record_first_s):
-                    await self._record(call, granted, result)
-            send.send_nowait(result)
+        try:
+            with send:
+                result = await call.perform()
+                if granted is not None:
+                    with trio.move_on_after(self._parts.times.record_first_s):
+                        await self._record(call, granted, result)
+                send.send_nowait(result)
+        finally:
+            self._unfinished -= 1
+            self._finished.set()
+            self._finished = trio.Event()
 
     async def _record(self, call: Call, granted: Granted, result: CallResult) -> None:
         if isinstance(result, Success):
--- a/tests/answers/test_prompts.py
+++ b/tests/answers/test_prompts.py
@@ -59,7 +59,7 @@
             assert failure.run is Run.NOT_RUN
             await world.fake()
             whole(await world.read(make_prompt()))
-        assert world.permits.outcomes == {"not-run": 2, "completed": 1}
+        assert world.permits.outcomes == {"not-run": 3, "completed": 1}
 
     in_world(scenario)
 
@@ -134,6 +134,28 @@
     in_world(scenario)
 
 
+def test_only_target_is_tried_again_after_a_restart():
+    async def scenario(world):
+        fake = await world.fake()
+        acquire = world.permits.acquire
+
+        async def acquire_then_restart(request):
+            result = await acquire(request)
+            if len(world.permits.asked) == 1:
+                fake.engine.restart()
+                return result
+            boot = {"boot_id": fake.engine.boot_id}
+            return result.map(lambda permit: permit._replace(**boot))
+
+        world.runner.prompts._parts = world.runner.prompts._parts._replace(
+            acquire=acquire_then_restart
+        )
+        whole(await world.read(make_prompt()))
+        assert world.permits.outcomes == {"not-run": 1, "completed": 1}
+
+    in_world(scenario)
+
+
 def test_without_another_engine_the_stream_ends_with_an_error_event():
     async def scenario(world):
         fake = await world.fake()
--- a/tests/answers/test_services.py
+++ b/tests/answers/test_services.py
@@ -31,6 +31,7 @@
         again = (await refund(world, key="k")).unwrap()
         assert (again.status, again.body) == (first.status, first.body)
         assert (first.replayed, again.replayed) == (False, True)
+        assert world.traces["r1"]["replayed"]
         assert first.run is Run.RAN
         other = await refund(world, key="k", body=b"{}")
         assert isinstance(other.failure(), KeyReused)
@@ -177,8 +178,7 @@
                 while not fake.executions:
                     await trio.testing.wait_all_tasks_blocked(0.001)
                 scope.cancel()
-        while not world.permits.outcomes:
-            await trio.testing.wait_all_tasks_blocked(0.001)
+        await world.runner.flush()
         assert world.permits.outcomes == {"completed": 1}
 
     in_world(scenario)
