Keep blocks in a store: life, tiers, quotas and what is worth keeping

Cause: gaps between a prompt and its return outlast accelerator memory. Change: a store core with writing, sealed, retired and freed blocks in memory and on disk, value by learnt return gaps, quotas, expiry and dropped workspaces; files that have their name only once they are synced; a start-up scan that serves while it scans; uploads and downloads in pieces with limits on silence, and a download whose last piece waits for the checksum. Findings: hypercorn never closes a connection whose request body nobody takes, so a refused upload reads the body away while the refusal leaves. A scan of one file twice could have brought back a freed block: it is done once, and a file found again under the same generation changes nothing.

--- /dev/null
+++ b/src/vanillabeam/store/__init__.py
@@ -0,0 +1,22 @@
+"""The store role: KV blocks in memory and on disk, outside the engines."""
+
+from vanillabeam.store.files import DiskFiles, FileLayer
+from vanillabeam.store.server import make_app
+from vanillabeam.store.shell import (
+    FindReply,
+    FindRequest,
+    Store,
+    StoreReport,
+    StoreSettings,
+)
+
+__all__ = [
+    "DiskFiles",
+    "FileLayer",
+    "FindReply",
+    "FindRequest",
+    "Store",
+    "StoreReport",
+    "StoreSettings",
+    "make_app",
+]
--- /dev/null
+++ b/src/vanillabeam/store/core.py
@@ -0,0 +1,388 @@
+"""The store core: block life, tiers, quotas and what is kept.
+
+No input or output: the shell feeds events and carries out the effects.
+"""
+
+from functools import singledispatch
+from itertools import islice
+
+from vanillabeam.cache.blocks import is_block_id, lineage, workspace_tag_of
+from vanillabeam.exceptions import InvariantBroken, VanillabeamError
+from vanillabeam.store.exceptions import (
+    BlockBusy,
+    BlockUnknown,
+    ChecksumMismatch,
+    HeaderInvalid,
+    NotWorthKeeping,
+    QuotaExceeded,
+    StoreFull,
+    WorkspaceNotInForce,
+)
+from vanillabeam.store.records import (
+    Accepted,
+    AlreadyHeld,
+    Asked,
+    Block,
+    BlockFound,
+    BlockState,
+    ConfigSeen,
+    Deleted,
+    DropDisk,
+    Effect,
+    Event,
+    Holding,
+    Persist,
+    Persisted,
+    ReadBegun,
+    ReadEnded,
+    ReadFailed,
+    Refused,
+    Sealed,
+    Serve,
+    StoresSeen,
+    Tick,
+    WriteAborted,
+    WriteBegun,
+    WriteEnded,
+)
+from vanillabeam.store.room import (
+    draw_leaves,
+    make_disk_room,
+    make_last_memory_room,
+    make_memory_room,
+    make_quota_room,
+    trim_workspace,
+)
+from vanillabeam.store.state import (
+    StoreState,
+    account,
+    free,
+    release_hold,
+    retire,
+    seal,
+    touch,
+)
+
+__all__ = ["handle"]
+
+DISK_FULL_PAUSE_S = 60.0
+EXPIRED_PER_TICK = 256
+PERSIST_RETRIES_PER_TICK = 8
+
+
+@singledispatch
+def handle(event: Event, state: StoreState, now_s: float) -> list[Effect]:
+    """Change ``state`` by ``event`` and return what the shell must do.
+
+    :param now_s: monotonic time in seconds.
+    :raises InvariantBroken: if block life would be violated.
+    """
+    raise InvariantBroken(f"a store does not take {type(event).__name__}")
+
+
+@handle.register
+def _(event: WriteBegun, state: StoreState, now_s: float) -> list[Effect]:
+    failure = _write_refusal(event, state)
+    if failure is not None:
+        return _refuse(state, failure)
+    if event.block_id in state.blocks:
+        touch(state, state.blocks[event.block_id], now_s)
+        return [AlreadyHeld(event.block_id)]
+    block = Block(event.block_id, 0, event.length, event.checksum, max(1, event.tokens))
+    block.used_s = now_s
+    effects: list[Effect] = []
+    failure = _admit(state, block, now_s, effects)
+    if failure is not None:
+        return effects + _refuse(state, failure)
+    block.generation = state.next_generation
+    state.next_generation += 1
+    state.writing[event.block_id] = block
+    state.used[block.workspace] += block.length
+    account(state, block, block.in_memory, block.on_disk)
+    _check_quota(state, block)
+    return [*effects, Accepted(block.block_id, block.generation, block.in_memory)]
+
+
+@handle.register
+def _(event: WriteEnded, state: StoreState, now_s: float) -> list[Effect]:
+    block = _written(state, event.block_id, event.generation)
+    del state.writing[event.block_id]
+    failure: VanillabeamError | None = None
+    if (event.length, event.checksum) != (block.length, block.checksum):
+        failure = ChecksumMismatch(f"{event.length} bytes of {block.length}")
+    elif not _in_force(state, block.block_id):
+        failure = WorkspaceNotInForce()
+    if failure is not None:
+        return free(state, block) + _refuse(state, failure)
+    block.used_s = now_s
+    seal(state, block, event.parent)
+    effects: list[Effect] = [Sealed(block.block_id, block.generation)]
+    if not block.on_disk:
+        effects.extend(_persist(state, block, now_s))
+    return effects
+
+
+@handle.register
+def _(event: WriteAborted, state: StoreState, now_s: float) -> list[Effect]:
+    block = _written(state, event.block_id, event.generation)
+    del state.writing[event.block_id]
+    state.counts["aborted"] += 1
+    effects = free(state, block)
+    if event.disk_full:
+        _disk_refused(state, now_s)
+    return effects
+
+
+@handle.register
+def _(event: ReadBegun, state: StoreState, now_s: float) -> list[Effect]:
+    block = state.blocks.get(event.block_id)
+    if block is None:
+        return _refuse(state, BlockUnknown())
+    if block.state is not BlockState.SEALED:
+        raise InvariantBroken(f"read of a block that is {block.state.name}")
+    if not (block.in_memory or block.on_disk):
+        raise InvariantBroken("read of a block without bytes")
+    block.holds += 1
+    state.counts["reads"] += 1
+    return [
+        Serve(
+            block.block_id,
+            block.generation,
+            block.length,
+            block.checksum,
+            block.tokens,
+            block.in_memory,
+        )
+    ]
+
+
+@handle.register
+def _(event: ReadEnded, state: StoreState, now_s: float) -> list[Effect]:
+    return release_hold(state, _held(state, event.block_id, event.generation))
+
+
+@handle.register
+def _(event: ReadFailed, state: StoreState, now_s: float) -> list[Effect]:
+    block = _held(state, event.block_id, event.generation)
+    state.counts["damaged"] += 1
+    if block.state is not BlockState.SEALED:
+        return []
+    return retire(state, block)
+
+
+@handle.register
+def _(event: Persisted, state: StoreState, now_s: float) -> list[Effect]:
+    block = _held(state, event.block_id, event.generation)
+    if not block.persisting:
+        raise InvariantBroken("a disk write ended that had not begun")
+    block.persisting = False
+    block.on_disk = event.kept
+    if not event.kept:
+        account(state, block, 0, -1)
+        _disk_refused(state, now_s)
+    return release_hold(state, block)
+
+
+@handle.register
+def _(event: BlockFound, state: StoreState, now_s: float) -> list[Effect]:
+    block = Block(
+        event.block_id, event.generation, event.length, event.checksum, event.tokens
+    )
+    state.next_generation = max(state.next_generation, event.generation + 1)
+    if state.find(event.block_id, event.generation) is not None:
+        return []
+    drop = [DropDisk(event.block_id, event.generation)]
+    held = event.block_id in state.blocks or event.block_id in state.writing
+    room = state.disk_used + event.length <= state.limits.disk_bytes
+    expired = event.idle_s > state.limits.ttl_s
+    if held or not room or expired or not _in_force(state, event.block_id):
+        return drop
+    if _over_quota(state, block.workspace, event.length):
+        return drop
+    block.on_disk = True
+    block.used_s = now_s - event.idle_s
+    state.used[block.workspace] += block.length
+    account(state, block, 0, 1)
+    seal(state, block, event.parent)
+    return [Sealed(block.block_id, block.generation)]
+
+
+@handle.register
+def _(event: Asked, state: StoreState, now_s: float) -> list[Effect]:
+    if len({lineage(block_id) for block_id in event.block_ids}) > 1:
+        return _refuse(state, HeaderInvalid("the blocks are of several chains"))
+    found = [state.blocks.get(block_id) for block_id in event.block_ids]
+    workspace = workspace_tag_of(event.block_ids[0]) if event.block_ids else ""
+    returns = _learn(state, event.block_ids, found, now_s)
+    for block in reversed(found):
+        if block is not None:
+            block.returns += 1
+            touch(state, block, now_s)
+    lengths = tuple(block.length if block else 0 for block in found)
+    return [Holding(lengths, state.worth.gaps.chance(workspace, returns))]
+
+
+@handle.register
+def _(event: Deleted, state: StoreState, now_s: float) -> list[Effect]:
+    block = state.blocks.get(event.block_id)
+    if block is None:
+        return _refuse(state, BlockUnknown())
+    return retire(state, block)
+
+
+@handle.register
+def _(event: ConfigSeen, state: StoreState, now_s: float) -> list[Effect]:
+    state.quotas = dict(event.quotas)
+    state.worth.releases = event.releases
+    effects: list[Effect] = []
+    for workspace in list(state.leaves):
+        if workspace not in state.quotas:
+            effects.extend(trim_workspace(state, workspace, 0, now_s))
+            state.worth.gaps.forget(workspace)
+        elif 0 < state.quotas[workspace] < state.used[workspace]:
+            quota = state.quotas[workspace]
+            effects.extend(trim_workspace(state, workspace, quota, now_s))
+    return effects
+
+
+@handle.register
+def _(event: StoresSeen, state: StoreState, now_s: float) -> list[Effect]:
+    state.worth.name = event.name
+    state.worth.stores = event.stores
+    return []
+
+
+@handle.register
+def _(event: Tick, state: StoreState, now_s: float) -> list[Effect]:
+    if now_s >= state.disk_limit_until_s:
+        state.disk_limit = state.limits.disk_bytes
+    effects = _expire(state, now_s)
+    for block in state.memory.draw(PERSIST_RETRIES_PER_TICK, state.rng):
+        if not block.on_disk and not block.persisting:
+            effects.extend(_persist(state, block, now_s))
+    return effects
+
+
+def _expire(state: StoreState, now_s: float) -> list[Effect]:
+    """Retire blocks past their time.
+
+    Blocks stand in order of use but for those that a scan has found, which
+    are met by drawing some leaves too.
+    """
+    effects: list[Effect] = []
+    oldest = list(islice(state.blocks.values(), EXPIRED_PER_TICK))
+    for block in oldest + draw_leaves(state):
+        expired = now_s - block.used_s > state.limits.ttl_s
+        if expired and block.state is BlockState.SEALED:
+            state.counts["expired"] += 1
+            effects.extend(retire(state, block))
+    return effects
+
+
+def _write_refusal(event: WriteBegun, state: StoreState) -> VanillabeamError | None:
+    if not is_block_id(event.block_id):
+        return HeaderInvalid("the path does not end in a block id")
+    if not 0 < event.length <= state.limits.max_block_bytes:
+        return HeaderInvalid(f"{event.length} bytes is no length of a block")
+    if event.parent and lineage(event.parent) != lineage(event.block_id):
+        return HeaderInvalid("the parent is of another chain")
+    if not _in_force(state, event.block_id):
+        return WorkspaceNotInForce()
+    if event.block_id in state.writing:
+        return BlockBusy()
+    return None
+
+
+def _admit(
+    state: StoreState, block: Block, now_s: float, effects: list[Effect]
+) -> VanillabeamError | None:
+    """Choose the tier of a new block, making room in it."""
+    if not make_quota_room(state, block, now_s, effects):
+        return QuotaExceeded()
+    if make_memory_room(state, block, now_s, effects):
+        block.in_memory = True
+        return None
+    if make_disk_room(state, block, now_s, effects):
+        block.on_disk = True
+        return None
+    if make_last_memory_room(state, block, now_s, effects):
+        block.in_memory = True
+        return None
+    largest = max(state.limits.memory_bytes, state.disk_limit)
+    return NotWorthKeeping() if block.length <= largest else StoreFull()
+
+
+def _persist(state: StoreState, block: Block, now_s: float) -> list[Effect]:
+    effects: list[Effect] = []
+    if not make_disk_room(state, block, now_s, effects):
+        return effects
+    block.holds += 1
+    block.persisting = True
+    account(state, block, 0, 1)
+    return [*effects, Persist(block.block_id, block.generation)]
+
+
+def _disk_refused(state: StoreState, now_s: float) -> None:
+    state.counts["disk_full"] += 1
+    state.disk_limit = min(state.disk_limit, state.disk_used)
+    state.disk_limit_until_s = now_s + DISK_FULL_PAUSE_S
+
+
+def _learn(
+    state: StoreState,
+    block_ids: tuple[str, ...],
+    found: list[Block | None],
+    now_s: float,
+) -> int:
+    """Count a return if most of the prompt was seen before.
+
+    :returns: how often the prompt has returned by now.
+    """
+    if not block_ids:
+        return 0
+    gaps = state.worth.gaps
+    workspace = workspace_tag_of(block_ids[0])
+    returns = 0
+    for position in reversed(range(len(block_ids) // 2, len(block_ids))):
+        block = found[position]
+        used_s = block.used_s if block else state.ghosts.get(block_ids[position])
+        if used_s is not None:
+            before = block.returns if block else 0
+            gaps.returned(workspace, before, now_s - used_s)
+            returns = before + 1
+            break
+    gaps.began(workspace, returns)
+    return returns
+
+
+def _check_quota(state: StoreState, block: Block) -> None:
+    if _over_quota(state, block.workspace, 0):
+        raise InvariantBroken("a workspace is above its quota")
+
+
+def _over_quota(state: StoreState, workspace: str, more_bytes: int) -> bool:
+    quota = (state.quotas or {}).get(workspace, 0)
+    return 0 < quota < state.used[workspace] + more_bytes
+
+
+def _in_force(state: StoreState, block_id: str) -> bool:
+    return state.quotas is None or workspace_tag_of(block_id) in state.quotas
+
+
+def _written(state: StoreState, block_id: str, generation: int) -> Block:
+    block = state.writing.get(block_id)
+    if block is None or block.generation != generation:
+        raise InvariantBroken(f"no upload of {block_id} is under way")
+    return block
+
+
+def _held(state: StoreState, block_id: str, generation: int) -> Block:
+    block = state.find(block_id, generation)
+    if block is None or block.state is BlockState.FREED:
+        raise InvariantBroken(f"block {block_id} was freed while it was held")
+    return block
+
+
+def _refuse(state: StoreState, failure: VanillabeamError) -> list[Effect]:
+    state.counts[failure.type] += 1
+    return [Refused(failure)]
--- /dev/null
+++ b/src/vanillabeam/store/server.py
@@ -0,0 +1,348 @@
+"""The store's HTTP: upload, download, look at and delete one block.
+
+Engines call it on the targets' listener. A block id is a capability: its
+digest is keyed by the workspace's secret, so only who was given the id, by an
+entry that serves that workspace, can name the block.
+"""
+
+from contextlib import aclosing
+
+import trio
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from vanillabeam import wire
+from vanillabeam.cache.blocks import is_block_id
+from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.store.disk import Checksum
+from vanillabeam.store.exceptions import (
+    BlockDamaged,
+    ChecksumMismatch,
+    HeaderInvalid,
+    StoreBusy,
+    StoreFull,
+    UploadSilent,
+)
+from vanillabeam.store.pieces import Sink
+from vanillabeam.store.records import (
+    Accepted,
+    AlreadyHeld,
+    Deleted,
+    ReadBegun,
+    ReadEnded,
+    ReadFailed,
+    Refused,
+    Serve,
+    WriteAborted,
+    WriteBegun,
+    WriteEnded,
+)
+from vanillabeam.store.shell import Store
+
+__all__ = [
+    "CHECKSUM_HEADER",
+    "PARENT_HEADER",
+    "TOKENS_HEADER",
+    "make_app",
+]
+
+CHECKSUM_HEADER = "Vanillabeam-Checksum"
+PARENT_HEADER = "Vanillabeam-Parent"
+TOKENS_HEADER = "Vanillabeam-Tokens"
+
+CHECKSUM_DIGITS = 32
+MAX_DIGITS = 18
+MAX_TOKENS = 10**6
+DRAIN_BYTES = 4 * 2**20
+DRAIN_S = 1.0
+MEDIA_TYPE = "application/octet-stream"
+PROBLEM_TYPE = "application/problem+json"
+
+
+def make_app(store: Store) -> Starlette:
+    """Return the application that serves ``/blocks/{block_id}``."""
+    handlers = _Handlers(store)
+    routes = [
+        Route("/blocks/{block_id}", handlers.put, methods=["PUT"]),
+        Route("/blocks/{block_id}", handlers.get, methods=["GET", "HEAD"]),
+        Route("/blocks/{block_id}", handlers.delete, methods=["DELETE"]),
+    ]
+    app = Starlette(routes=routes)
+    app.router.redirect_slashes = False
+    return app
+
+
+class _Handlers:
+    def __init__(self, store: Store):
+        self._store = store
+
+    async def put(self, request: Request) -> Response:
+        try:
+            event = _parse_upload(request)
+            self._admit_transfer()
+            self._store.transfers += 1
+            try:
+                return await self._upload(request, event)
+            finally:
+                self._store.transfers -= 1
+        except VanillabeamError as exc:
+            return _UploadRefusal(_problem(exc))
+
+    async def get(self, request: Request) -> Response:
+        block_id = request.path_params["block_id"]
+        try:
+            self._admit_transfer()
+            await self._store.find_on_disk([block_id])
+            reply = self._store.apply(ReadBegun(block_id))
+            if isinstance(reply, Refused):
+                raise reply.failure
+        except VanillabeamError as exc:
+            return _problem(exc)
+        if request.method == "HEAD":
+            self._store.apply(ReadEnded(reply.block_id, reply.generation))
+            return Response(headers=_headers(reply), media_type=MEDIA_TYPE)
+        return _Download(self._store, reply)
+
+    async def delete(self, request: Request) -> Response:
+        block_id = request.path_params["block_id"]
+        await self._store.find_on_disk([block_id])
+        reply = self._store.apply(Deleted(block_id))
+        if isinstance(reply, Refused):
+            return _problem(reply.failure)
+        return Response(status_code=204)
+
+    def _admit_transfer(self) -> None:
+        store = self._store
+        if not store.ready or store.transfers >= store.settings.max_transfers:
+            raise StoreBusy()
+
+    async def _upload(self, request: Request, event: WriteBegun) -> Response:
+        store = self._store
+        reply = store.apply(event)
+        if isinstance(reply, AlreadyHeld):
+            return Response(status_code=200)
+        if isinstance(reply, Refused):
+            raise reply.failure
+        try:
+            sink, checksum = await self._take(request, event, reply)
+        except BaseException as exc:
+            full = isinstance(exc, StoreFull)
+            store.apply(WriteAborted(reply.block_id, reply.generation, full))
+            raise
+        store.keep(reply, sink)
+        ended = WriteEnded(
+            event.block_id,
+            reply.generation,
+            checksum.length,
+            checksum.hex(),
+            event.parent,
+        )
+        sealed = store.apply(ended)
+        if isinstance(sealed, Refused):
+            raise sealed.failure
+        return Response(status_code=201)
+
+    async def _take(
+        self, request: Request, event: WriteBegun, accepted: Accepted
+    ) -> tuple[Sink, Checksum]:
+        """Take all bytes, and sync them where they go to disk."""
+        try:
+            sink = await self._store.open_sink(accepted, event)
+        except OSError as exc:
+            raise StoreFull(type(exc).__name__) from exc
+        try:
+            checksum = await self._receive(request, event, sink)
+            _check(event, checksum)
+            await sink.seal()
+        except BaseException as exc:
+            with trio.CancelScope(shield=True):
+                await _abandon(sink)
+            if isinstance(exc, OSError):
+                raise StoreFull(type(exc).__name__) from exc
+            raise
+        return sink, checksum
+
+    async def _receive(
+        self, request: Request, event: WriteBegun, sink: Sink
+    ) -> Checksum:
+        settings = self._store.settings
+        checksum = Checksum()
+        stream = request.stream()
+        longest_s = settings.silence_s + event.length / settings.min_bytes_s
+        try:
+            with trio.fail_after(longest_s):
+                while True:
+                    with trio.fail_after(settings.silence_s):
+                        data = await anext(stream, b"")
+                    if not data and checksum.length >= event.length:
+                        return checksum
+                    if not data:
+                        raise ChecksumMismatch("the upload ended early")
+                    await self._feed(event, checksum, sink, data)
+        except (trio.TooSlowError, ClientDisconnect) as exc:
+            raise UploadSilent(type(exc).__name__) from exc
+
+    async def _feed(
+        self, event: WriteBegun, checksum: Checksum, sink: Sink, data: bytes
+    ) -> None:
+        checksum.feed(data)
+        if checksum.length > event.length:
+            raise ChecksumMismatch("the upload is longer than stated")
+        await sink.write(data)
+
+
+class _UploadRefusal:
+    """Answers an upload whose body may still be coming.
+
+    A little of it is read away first, so that the uploader sees the answer.
+    The rest is read away while the answer leaves: hypercorn never closes a
+    connection whose request body nobody takes.
+    """
+
+    def __init__(self, response: Response):
+        self._response = response
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Send the refusal."""
+        with trio.move_on_after(DRAIN_S):
+            left = DRAIN_BYTES
+            while left > 0:
+                message = await receive()
+                if not message.get("more_body"):
+                    break
+                left -= len(message["body"])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_on_leave, receive, trio.CancelScope())
+            await self._response(scope, receive, send)
+            nursery.cancel_scope.cancel()
+
+
+class _Download(Response):
+    """Streams a block; the last piece leaves only if the checksum holds.
+
+    A connection that ends early thus tells the reader that the block is
+    damaged; it can't take a damaged one for whole.
+    """
+
+    def __init__(self, store: Store, serve: Serve):
+        super().__init__(headers=_headers(serve), media_type=MEDIA_TYPE)
+        self._store = store
+        self._serve = serve
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Send the response, until the reader leaves or goes silent."""
+        store = self._store
+        store.transfers += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_leave, receive, nursery.cancel_scope)
+                await self._send(send)
+                nursery.cancel_scope.cancel()
+        finally:
+            store.transfers -= 1
+            store.apply(ReadEnded(self._serve.block_id, self._serve.generation))
+
+    async def _send(self, send) -> None:
+        silence_s = self._store.settings.silence_s
+        start = {
+            "type": "http.response.start",
+            "status": self.status_code,
+            "headers": self.raw_headers,
+        }
+        try:
+            with trio.fail_after(silence_s):
+                await send(start)
+            async with aclosing(self._checked_pieces()) as pieces:
+                async for data, last in pieces:
+                    with trio.fail_after(silence_s):
+                        await send(_body(data, last))
+        except BlockDamaged:
+            self._store.apply(ReadFailed(self._serve.block_id, self._serve.generation))
+        except trio.TooSlowError:
+            return
+
+    async def _checked_pieces(self):
+        checksum = Checksum()
+        held = b""
+        async with aclosing(self._store.pieces(self._serve)) as pieces:
+            async for data in pieces:
+                checksum.feed(data)
+                if held:
+                    yield held, False
+                held = data
+        expected = (self._serve.length, self._serve.checksum)
+        if (checksum.length, checksum.hex()) != expected:
+            raise BlockDamaged()
+        yield held, True
+
+
+def _body(data: bytes, last: bool) -> dict:
+    return {"type": "http.response.body", "body": data, "more_body": not last}
+
+
+async def _cancel_on_leave(receive, scope: trio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
+async def _abandon(sink: Sink) -> None:
+    try:
+        await sink.abandon()
+    except OSError:
+        return
+
+
+def _check(event: WriteBegun, checksum: Checksum) -> None:
+    if checksum.hex() != event.checksum:
+        raise ChecksumMismatch("checksum")
+
+
+def _parse_upload(request: Request) -> WriteBegun:
+    headers = request.headers
+    block_id = request.path_params["block_id"]
+    checksum = headers.get(CHECKSUM_HEADER, "")
+    parent = headers.get(PARENT_HEADER, "")
+    if not is_block_id(block_id):
+        raise HeaderInvalid("the path does not end in a block id")
+    if len(checksum) != CHECKSUM_DIGITS or not set(checksum) <= set("0123456789abcdef"):
+        raise HeaderInvalid(CHECKSUM_HEADER)
+    if parent and not is_block_id(parent):
+        raise HeaderInvalid(PARENT_HEADER)
+    length = _number(headers.get("Content-Length", ""), "Content-Length")
+    tokens = _number(headers.get(TOKENS_HEADER, ""), TOKENS_HEADER)
+    if tokens > MAX_TOKENS:
+        raise HeaderInvalid(TOKENS_HEADER)
+    return WriteBegun(block_id, length, checksum, tokens, parent)
+
+
+def _number(text: str, name: str) -> int:
+    if not text.isascii() or not text.isdecimal() or len(text) > MAX_DIGITS:
+        raise HeaderInvalid(name)
+    return int(text)
+
+
+def _headers(serve: Serve) -> dict[str, str]:
+    return {
+        "Content-Length": str(serve.length),
+        CHECKSUM_HEADER: serve.checksum,
+        TOKENS_HEADER: str(serve.tokens),
+    }
+
+
+def _problem(exc: VanillabeamError) -> Response:
+    body = {
+        "type": exc.type,
+        "status": int(exc.status),
+        "run": exc.run,
+        "advice": exc.advice,
+        "detail": exc.detail,
+    }
+    headers = {}
+    if exc.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, round(exc.retry_after_s)))
+    return Response(
+        wire.encode(body), int(exc.status), headers, media_type=PROBLEM_TYPE
+    )
--- /dev/null
+++ b/src/vanillabeam/store/shell.py
@@ -0,0 +1,404 @@
+"""The store role: the core, its bytes in memory and its task for the disk."""
+
+import math
+import random
+from collections.abc import AsyncGenerator
+from typing import NamedTuple, TypedDict
+
+import trio
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from vanillabeam import wire
+from vanillabeam.cache.blocks import release_tag, workspace_tag
+from vanillabeam.config import Config, Workspace
+from vanillabeam.exceptions import NotReady, VanillabeamError
+from vanillabeam.peercall import PeerRoutes
+from vanillabeam.store.core import handle
+from vanillabeam.store.disk import (
+    BlockFile,
+    BlockWriter,
+    FileName,
+    open_block,
+    parse_name,
+    remove_block,
+)
+from vanillabeam.store.files import FileLayer
+from vanillabeam.store.pieces import (
+    PIECE_BYTES,
+    DiskSink,
+    MemorySink,
+    Sink,
+    disk_pieces,
+    memory_pieces,
+)
+from vanillabeam.store.records import (
+    Accepted,
+    AlreadyHeld,
+    Asked,
+    BlockFound,
+    ConfigSeen,
+    DropDisk,
+    DropMemory,
+    Effect,
+    Event,
+    Holding,
+    Persist,
+    Persisted,
+    Refused,
+    Sealed,
+    Serve,
+    StoresSeen,
+    Tick,
+    WriteBegun,
+)
+from vanillabeam.store.state import StoreLimits, StoreState
+
+__all__ = ["FindReply", "FindRequest", "Store", "StoreReport", "StoreSettings"]
+
+FIND_PATH = "/peer/store/find"
+TICK_S = 1.0
+DISK_RETRY_S = 1.0
+
+Reply = Accepted | AlreadyHeld | Refused | Sealed | Serve | Holding
+
+
+class StoreSettings(NamedTuple):
+    """Settings of a store.
+
+    :param memory_bytes: memory tier; 0 is none.
+    :param disk_bytes: disk tier; 0 is none.
+    :param max_block_bytes: largest block that is taken.
+    :param ttl_s: blocks idle for longer are freed.
+    :param max_transfers: uploads and downloads at once.
+    :param silence_s: a transfer that moves no byte for longer is ended.
+    :param min_bytes_s: an upload slower than this is ended.
+    """
+
+    memory_bytes: int = 2**30
+    disk_bytes: int = 0
+    max_block_bytes: int = 2**31
+    ttl_s: float = 14 * 86_400.0
+    max_transfers: int = 64
+    silence_s: float = 10.0
+    min_bytes_s: int = 64 * 2**10
+
+
+class FindRequest(TypedDict):
+    """``POST /peer/store/find``: which blocks of a chain are held.
+
+    :param blocks: ids, parents first.
+    """
+
+    blocks: list[str]
+
+
+class FindReply(TypedDict):
+    """Answer to :class:`FindRequest`.
+
+    :param lengths: bytes of each block, 0 where it is not held.
+    :param chance: chance that the prompt returns.
+    """
+
+    lengths: list[int]
+    chance: float
+
+
+class StoreReport(TypedDict):
+    """What a store's status shows.
+
+    :param unscanned: files that the start-up scan has not read yet.
+    :param counts: evictions, refusals and faults by name.
+    """
+
+    blocks: int
+    memory_used: int
+    memory_bytes: int
+    disk_used: int
+    disk_bytes: int
+    writing: int
+    unscanned: int
+    counts: dict[str, int]
+
+
+class Store:
+    """A store's state, bytes and disk; its HTTP is in :mod:`.server`.
+
+    :param name: the VM's name, as in the list of live stores.
+    :param files: the block folder; ``None`` for a store without a disk.
+
+    ::
+
+        store = Store("vm4", StoreSettings(), random.Random(), None)
+        await nursery.start(store.run)
+        serve(make_app(store))
+    """
+
+    def __init__(
+        self,
+        name: str,
+        settings: StoreSettings,
+        rng: random.Random,
+        files: FileLayer | None = None,
+    ):
+        disk_bytes = settings.disk_bytes if files is not None else 0
+        limits = StoreLimits(
+            settings.memory_bytes, disk_bytes, settings.max_block_bytes, settings.ttl_s
+        )
+        self.name = name
+        self.settings = settings
+        self.state = StoreState(limits, rng)
+        self.ready = False
+        self.transfers = 0
+        self._files = files
+        self._memory: dict[tuple[str, int], bytearray] = {}
+        self._unscanned: dict[str, FileName] = {}
+        self._scanning: dict[str, trio.Event] = {}
+        self._stores: tuple[str, ...] = (name,)
+        self._config = Config()
+        self._tags: dict[str, tuple[Workspace, str]] = {}
+        # Bounded by the number of blocks: each one is in it twice at most.
+        self._disk_in, self._disk_out = trio.open_memory_channel[Persist | DropDisk](
+            math.inf
+        )
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Scan the disk, then write, remove and expire until cancelled."""
+        await self._list_files()
+        self.ready = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._work_disk)
+            nursery.start_soon(self._scan)
+            nursery.start_soon(self._tick)
+            task_status.started()
+
+    def routes(self) -> PeerRoutes:
+        """Return the handlers for calls from entries."""
+        return {FIND_PATH: self._answer_find}
+
+    def config_changed(self, config: Config) -> None:
+        """Take quotas, workspaces and releases from ``config``.
+
+        An index of 0 says that nothing is known yet, not that all is gone.
+        """
+        if config.index == 0:
+            return
+        self._config = config
+        share = len(self._stores)
+        quotas = {
+            self._tag(workspace): -(-workspace.quota_bytes // share)
+            for workspace in config.workspaces.values()
+        }
+        self.apply(ConfigSeen(quotas, _releases(config)))
+
+    def stores_changed(self, stores: tuple[str, ...]) -> None:
+        """Take the names of the live stores of this data centre."""
+        self._stores = tuple(sorted({*stores, self.name}))
+        self.apply(StoresSeen(self.name, self._stores))
+        self.config_changed(self._config)
+
+    def report(self) -> StoreReport:
+        """Return what the status page and the metrics show."""
+        state = self.state
+        return {
+            "blocks": len(state.blocks),
+            "memory_used": state.memory_used,
+            "memory_bytes": state.limits.memory_bytes,
+            "disk_used": state.disk_used,
+            "disk_bytes": state.limits.disk_bytes,
+            "writing": len(state.writing),
+            "unscanned": len(self._unscanned),
+            "counts": dict(state.counts),
+        }
+
+    def apply(self, event: Event) -> Reply | None:
+        """Feed the core; return what answers ``event``, if anything does."""
+        reply: Reply | None = None
+        for effect in handle(event, self.state, trio.current_time()):
+            reply = self._carry_out(effect) or reply
+        return reply
+
+    async def find_on_disk(self, block_ids: list[str] | tuple[str, ...]) -> None:
+        """Scan the files of ``block_ids`` now if the scan is not there yet."""
+        for block_id in block_ids:
+            if block_id in self._scanning:
+                await self._scanning[block_id].wait()
+            elif block_id in self._unscanned:
+                self._scanning[block_id] = trio.Event()
+                await self._scan_one(self._unscanned[block_id])
+                del self._unscanned[block_id]
+                self._scanning.pop(block_id).set()
+
+    async def open_sink(self, accepted: Accepted, event: WriteBegun) -> Sink:
+        """Return where an accepted upload's bytes go; may raise ``OSError``."""
+        if accepted.in_memory:
+            return MemorySink(event.length)
+        header = _header(event, accepted.generation)
+        return await DiskSink.begin(self._files, header)
+
+    def keep(self, accepted: Accepted, sink: Sink) -> None:
+        """Keep the bytes of an upload that is about to be sealed."""
+        if isinstance(sink, MemorySink):
+            self._memory[accepted.block_id, accepted.generation] = sink.data
+
+    def pieces(self, serve: Serve) -> AsyncGenerator[bytes, None]:
+        """Return the bytes of a block that a reader was granted."""
+        named = FileName(serve.block_id, serve.generation)
+        if serve.in_memory:
+            return memory_pieces(self._memory[named])
+        return disk_pieces(self._files, named)
+
+    def _carry_out(self, effect: Effect) -> Reply | None:
+        if isinstance(effect, DropMemory):
+            self._memory.pop((effect.block_id, effect.generation), None)
+        elif isinstance(effect, Persist | DropDisk):
+            self._disk_in.send_nowait(effect)
+        else:
+            return effect
+        return None
+
+    async def _answer_find(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        request = wire.decode(FindRequest, body)
+        if isinstance(request, Failure):
+            return request
+        if not self.ready:
+            return Failure(NotReady("the store lists its disk"))
+        block_ids = tuple(request.unwrap()["blocks"])
+        await self.find_on_disk(block_ids)
+        reply = self.apply(Asked(block_ids))
+        if isinstance(reply, Refused):
+            return Failure(reply.failure)
+        answer: FindReply = {"lengths": list(reply.lengths), "chance": reply.chance}
+        return Success(wire.encode(answer))
+
+    def _tag(self, workspace: Workspace) -> str:
+        known = self._tags.get(workspace.name)
+        if known is None or known[0] != workspace:
+            known = (workspace, workspace_tag(workspace))
+            self._tags[workspace.name] = known
+        return known[1]
+
+    async def _list_files(self) -> None:
+        if self._files is None:
+            return
+        names = await trio.to_thread.run_sync(self._files.names)
+        found = [named for named in map(parse_name, names) if named is not None]
+        found.sort(key=lambda named: named.generation)
+        # Parents were written before their children. Of two generations the
+        # newer is scanned; the older one is removed.
+        for named in found:
+            older = self._unscanned.get(named.block_id)
+            if older is not None:
+                self._disk_in.send_nowait(DropDisk(*older))
+            self._unscanned[named.block_id] = named
+        highest = max((named.generation for named in found), default=0)
+        self.state.next_generation = highest + 1
+        sealed = {named for named in names if parse_name(named) is not None}
+        await trio.to_thread.run_sync(self._remove_leftovers, set(names) - sealed)
+
+    def _remove_leftovers(self, names: set[str]) -> None:
+        for name in names:
+            self._files.remove(name)
+
+    async def _scan(self) -> None:
+        for block_id in list(self._unscanned):
+            await self.find_on_disk([block_id])
+
+    async def _scan_one(self, named: FileName) -> None:
+        # One scan of a file, never two: a second could find a block that was
+        # freed in the meantime. It is not cancelled with the one who asked.
+        with trio.CancelScope(shield=True):
+            found = await trio.to_thread.run_sync(_read_found, self._files, named)
+        if found is not None:
+            self.apply(found)
+            return
+        logger.warning("removed a damaged block file", block=named.block_id)
+        self._disk_in.send_nowait(DropDisk(*named))
+
+    async def _tick(self) -> None:
+        while True:
+            await trio.sleep(TICK_S)
+            self.apply(Tick())
+
+    async def _work_disk(self) -> None:
+        async for effect in self._disk_out:
+            if isinstance(effect, Persist):
+                await self._persist(effect)
+            else:
+                await self._drop(effect)
+
+    async def _persist(self, effect: Persist) -> None:
+        block = self.state.find(*effect)
+        data = self._memory[effect.block_id, effect.generation]
+        event = WriteBegun(
+            block.block_id,
+            block.length,
+            block.checksum,
+            block.tokens,
+            block.parent.block_id if block.parent else "",
+        )
+        kept = True
+        try:
+            header = _header(event, block.generation)
+            await trio.to_thread.run_sync(_write_file, self._files, header, data)
+        except OSError as exc:
+            kept = False
+            logger.warning("a block was not written to disk", error=repr(exc))
+        self.apply(Persisted(*effect, kept=kept))
+
+    async def _drop(self, effect: DropDisk) -> None:
+        try:
+            await trio.to_thread.run_sync(remove_block, self._files, *effect)
+        except OSError as exc:
+            logger.warning("a block file was not removed", error=repr(exc))
+            await trio.sleep(DISK_RETRY_S)
+
+
+def _header(event: WriteBegun, generation: int) -> BlockFile:
+    return {
+        "block_id": event.block_id,
+        "generation": generation,
+        "length": event.length,
+        "checksum": event.checksum,
+        "tokens": max(1, event.tokens),
+        "parent": event.parent,
+    }
+
+
+def _write_file(files: FileLayer, header: BlockFile, data: bytearray) -> None:
+    writer = BlockWriter(files, header)
+    try:
+        view = memoryview(data)
+        for start in range(0, len(view), PIECE_BYTES):
+            writer.write(view[start : start + PIECE_BYTES])
+        writer.seal()
+    except OSError:
+        writer.abandon()
+        raise
+
+
+def _read_found(files: FileLayer, named: FileName) -> BlockFound | None:
+    opened = open_block(files, named)
+    if isinstance(opened, Failure):
+        return None
+    header, file = opened.unwrap()
+    file.close()
+    return BlockFound(
+        header["block_id"],
+        header["generation"],
+        header["length"],
+        header["checksum"],
+        header["tokens"],
+        header["parent"],
+        files.age_s(f"{named.block_id}.{named.generation}.block"),
+    )
+
+
+def _releases(config: Config) -> frozenset[str]:
+    tags = {release_tag(model.name, model.version) for model in config.models.values()}
+    for adapter in config.adapters.values():
+        model = config.models.get(adapter.model)
+        if model is not None:
+            suffix = f"{adapter.name}@{adapter.version}"
+            tags.add(release_tag(model.name, model.version, suffix))
+    return frozenset(tags)
--- /dev/null
+++ b/tests/store/builders.py
@@ -0,0 +1,135 @@
+import errno
+import random
+
+from tests.cache.builders import make_ids, make_workspace
+from vanillabeam.cache.blocks import release_tag, workspace_tag
+from vanillabeam.store.disk import Checksum
+from vanillabeam.store.records import ConfigSeen, WriteBegun
+from vanillabeam.store.state import StoreLimits, StoreState
+
+RELEASE = release_tag("ledger", "v1")
+
+
+class Crash(Exception):
+    pass
+
+
+class _Inode:
+    def __init__(self):
+        self.data = bytearray()
+        self.synced = 0
+
+
+class FakeFiles:
+    """A folder that loses what was not synced.
+
+    :param crash_at: the step at which :class:`Crash` is raised.
+    :param full_at: bytes in all after which writes meet a full disk.
+    """
+
+    def __init__(self, crash_at=None, full_at=None):
+        self.crash_at = crash_at
+        self.full_at = full_at
+        self.steps = 0
+        self.inodes = {}
+        self.durable = {}
+
+    def names(self):
+        return list(self.inodes)
+
+    def create(self, name):
+        self.step()
+        assert name not in self.inodes
+        self.inodes[name] = _Inode()
+        return _FakeWriter(self, self.inodes[name])
+
+    def open(self, name):
+        if name not in self.inodes:
+            raise FileNotFoundError(name)
+        return _FakeReader(bytes(self.inodes[name].data))
+
+    def age_s(self, name):
+        return 0.0
+
+    def rename(self, old, new):
+        self.step()
+        self.inodes[new] = self.inodes.pop(old)
+
+    def remove(self, name):
+        self.step()
+        self.inodes.pop(name, None)
+
+    def sync_folder(self):
+        self.step()
+        self.durable = dict(self.inodes)
+
+    def step(self):
+        self.steps += 1
+        if self.steps == self.crash_at:
+            raise Crash
+
+    def after_crash(self, rng):
+        """What may be found: changes of the folder kept or lost one by one."""
+        found = FakeFiles()
+        for name in {**self.durable, **self.inodes}:
+            choice = rng.choice([self.durable, self.inodes])
+            if name in choice:
+                found.inodes[name] = inode = _Inode()
+                was = choice[name]
+                inode.data = was.data[: rng.randint(was.synced, len(was.data))]
+                lost = len(was.data) - len(inode.data)
+                inode.data += bytes(rng.choice([0, lost]))
+        return found
+
+
+class _FakeWriter:
+    def __init__(self, files, inode):
+        self.files = files
+        self.inode = inode
+
+    def write(self, data):
+        self.files.step()
+        used = sum(len(inode.data) for inode in self.files.inodes.values())
+        if self.files.full_at is not None and used + len(data) > self.files.full_at:
+            raise OSError(errno.ENOSPC, "full")
+        self.inode.data += data
+
+    def sync(self):
+        self.files.step()
+        self.inode.synced = len(self.inode.data)
+
+    def close(self):
+        pass
+
+
+class _FakeReader:
+    def __init__(self, data):
+        self.data = data
+        self.size = len(data)
+
+    def read(self, size):
+        part, self.data = self.data[:size], self.data[size:]
+        return part
+
+    def close(self):
+        pass
+
+
+def make_state(memory=1_000, disk=0, seed=1, **limits):
+    return StoreState(StoreLimits(memory, disk, **limits), random.Random(seed))
+
+
+def make_config(*workspaces, quota=0, releases=(RELEASE,)):
+    workspaces = workspaces or (make_workspace(),)
+    quotas = {workspace_tag(workspace): quota for workspace in workspaces}
+    return ConfigSeen(quotas, frozenset(releases))
+
+
+def make_upload(block_id=None, length=100, parent="", tokens=4_000):
+    return WriteBegun(block_id or make_ids(1)[0], length, "00" * 16, tokens, parent)
+
+
+def checksum_of(data):
+    checksum = Checksum()
+    checksum.feed(data)
+    return checksum.hex()
