--- a/src/vanillabeam/exceptions.py
+++ b/src/vanillabeam/exceptions.py
@@ -5,14 +5,21 @@
 from typing import ClassVar
 
 __all__ = [
+    "AuthorDiffers",
     "BodyTooLarge",
+    "BodyTooSlow",
     "DeadlineExceeded",
     "Draining",
     "InvariantBroken",
     "MalformedBody",
+    "MalformedHeader",
+    "MalformedPath",
     "NoEligibleTarget",
     "NotReady",
     "Overloaded",
+    "PeerSilent",
+    "PeerUnreachable",
+    "RemoteFailure",
     "Run",
     "SettingsInvalid",
     "TargetFailed",
@@ -21,6 +28,7 @@
     "UnknownModel",
     "UnknownPath",
     "UnknownService",
+    "UnknownTrace",
     "VanillabeamError",
 ]
 
@@ -74,6 +82,24 @@
     advice = "Correct the body; the detail names the field."
 
 
+class MalformedHeader(VanillabeamError):
+    """A header of the request does not hold."""
+
+    type = "malformed-header"
+    status = HTTPStatus.BAD_REQUEST
+    run = Run.NOT_RUN
+    advice = "Correct the header that the detail names."
+
+
+class MalformedPath(VanillabeamError):
+    """A path that could be read in more than one way."""
+
+    type = "malformed-path"
+    status = HTTPStatus.BAD_REQUEST
+    run = Run.NOT_RUN
+    advice = "Send a path without empty, dot or encoded-slash segments."
+
+
 class BodyTooLarge(VanillabeamError):
     """A body is larger than its listener's limit."""
 
@@ -83,6 +109,15 @@
     advice = "Send a smaller body."
 
 
+class BodyTooSlow(VanillabeamError):
+    """A body did not arrive within its listener's time."""
+
+    type = "body-too-slow"
+    status = HTTPStatus.REQUEST_TIMEOUT
+    run = Run.NOT_RUN
+    advice = "Send the body faster or smaller."
+
+
 class Unauthenticated(VanillabeamError):
     """No key, or one that no workspace or operator has."""
 
@@ -92,6 +127,15 @@
     advice = "Send a valid key as Authorization: Bearer KEY."
 
 
+class AuthorDiffers(VanillabeamError):
+    """A ticket names another author than the operator who sends it."""
+
+    type = "author-differs"
+    status = HTTPStatus.FORBIDDEN
+    run = Run.NOT_RUN
+    advice = "Put your own operator name into the ticket's author."
+
+
 class UnknownPath(VanillabeamError):
     """A path that this listener does not serve."""
 
@@ -119,6 +163,14 @@
     advice = "Ask the operators for the services of your workspace."
 
 
+class UnknownTrace(VanillabeamError):
+    """No VM that was asked has a trace of this request."""
+
+    type = "unknown-trace"
+    status = HTTPStatus.NOT_FOUND
+    advice = "Traces of the newest requests are kept; the logs have the rest."
+
+
 class NotReady(VanillabeamError):
     """This VM does not know the configuration yet."""
 
@@ -183,6 +235,31 @@
     advice = "The request may have run; a model prompt may be sent again."
 
 
+class PeerUnreachable(VanillabeamError):
+    """Another VM could not be connected to; nothing was sent."""
+
+    type = "peer-unreachable"
+    status = HTTPStatus.BAD_GATEWAY
+    run = Run.NOT_RUN
+    advice = "Look at the status of that VM; send the request again."
+    retry_after_s = 1.0
+
+
+class PeerSilent(VanillabeamError):
+    """Another VM took the message and did not answer in time."""
+
+    type = "peer-silent"
+    status = HTTPStatus.GATEWAY_TIMEOUT
+    advice = "It is not known whether the message took effect; ask again."
+
+
+class RemoteFailure(VanillabeamError):
+    """Another VM failed in a way that this release does not know."""
+
+    type = "remote-failure"
+    status = HTTPStatus.BAD_GATEWAY
+
+
 class SettingsInvalid(VanillabeamError):
     """The settings file does not hold; the detail lists every fault.
 
