--- /dev/null
+++ b/bench/mechanisms/logs.py
@@ -0,0 +1,172 @@
+"""Costs of a replicated log's group: at rest by members, at work by rate."""
+
+import random
+import tempfile
+import time
+from pathlib import Path
+
+import trio
+from returns.result import Failure, Result
+from trio.testing import MockClock
+
+from bench.mechanisms.base import Mechanism
+from vanillabeam.exceptions import PeerUnreachable, VanillabeamError
+from vanillabeam.log import Address, LogNode
+from vanillabeam.peercall import PeerCall, PeerRoutes
+
+__all__ = ["MECHANISMS", "Traffic"]
+
+MEMBERS = (1, 3, 5, 7)
+RATES_S = (5, 10, 20, 40)
+WORKING_MEMBERS = 5
+REST_S = 12.0
+WORK_S = 4.0
+COMMAND_BYTES = 300
+#: Virtual seconds in a real one at rest. The clock never jumps: a log whose
+#: writes take real time would see its timeouts pass meanwhile.
+REST_CLOCK_RATE = 8.0
+POLL_S = 0.2
+JOIN_TIMEOUT_S = 90.0
+
+
+class CountingMachine:
+    """A state machine that keeps nothing but a number."""
+
+    def __init__(self) -> None:
+        self.applied = 0
+
+    def apply(self, index: int, command: str) -> str:
+        """Count one command."""
+        self.applied += 1
+        return "{}"
+
+    def snapshot(self) -> bytes:
+        """Return the number."""
+        return str(self.applied).encode()
+
+    def restore(self, snapshot: bytes) -> None:
+        """Take over the number."""
+        self.applied = int(snapshot)
+
+
+class Traffic:
+    """Connects shells directly and counts what goes between them.
+
+    :ivar calls: calls by the address of either end.
+    :ivar body_bytes: bytes of bodies, there and back, likewise.
+    """
+
+    def __init__(self) -> None:
+        self.routes: dict[str, PeerRoutes] = {}
+        self.calls: dict[str, int] = {}
+        self.body_bytes: dict[str, int] = {}
+
+    def call_from(self, source: str) -> PeerCall:
+        """Return what the shell at ``source`` calls others with."""
+
+        async def call(
+            address: str, path: str, body: bytes
+        ) -> Result[bytes, VanillabeamError]:
+            await trio.sleep(0.0005)
+            handler = self.routes.get(address, {}).get(path)
+            if handler is None:
+                return Failure(PeerUnreachable(address))
+            answer = await handler(body)
+            size = len(body)
+            if not isinstance(answer, Failure):
+                size += len(answer.unwrap())
+            for end in (source, address):
+                self.calls[end] = self.calls.get(end, 0) + 1
+                self.body_bytes[end] = self.body_bytes.get(end, 0) + size
+            return answer
+
+        return call
+
+    def clear(self) -> None:
+        """Begin to count anew."""
+        self.calls.clear()
+        self.body_bytes.clear()
+
+
+def _addresses(count: int) -> list[Address]:
+    return [Address(f"vm-{n}", f"vm-{n}:1") for n in range(1, count + 1)]
+
+
+def _make_nodes(count: int, seed: int, folder: Path, traffic: Traffic) -> list[LogNode]:
+    nodes = []
+    for vm, address in _addresses(count):
+        node = LogNode(
+            "claims-0",
+            vm,
+            address,
+            folder / vm,
+            CountingMachine(),
+            _addresses(count),
+            traffic.call_from(address),
+            random.Random(f"{vm}/{seed}"),
+            bootstrap=True,
+        )
+        traffic.routes[address] = node.routes()
+        nodes.append(node)
+    return nodes
+
+
+async def _measure(
+    members: int, rate_s: int, span_s: float, seed: int, folder: Path
+) -> dict[str, float]:
+    traffic = Traffic()
+    nodes = _make_nodes(members, seed, folder, traffic)
+    async with trio.open_nursery() as nursery:
+        for node in nodes:
+            await nursery.start(node.run)
+        leader = await _whole_group(nodes)
+        traffic.clear()
+        began_s = time.process_time()
+        await _propose_for(leader, rate_s, span_s)
+        cpu_s = time.process_time() - began_s
+        nursery.cancel_scope.cancel()
+    # Counted at the leader, the busiest; both ends of a call see its bytes.
+    return {
+        "leader_calls_per_s": traffic.calls.get(leader.address, 0) / span_s,
+        "leader_bytes_per_s": traffic.body_bytes.get(leader.address, 0) / span_s,
+        "group_cpu_s_per_s": cpu_s / span_s,
+    }
+
+
+async def _whole_group(nodes: list[LogNode]) -> LogNode:
+    with trio.fail_after(JOIN_TIMEOUT_S):
+        while True:
+            await trio.sleep(POLL_S)
+            for node in nodes:
+                votes = [each["votes"] for each in node.status()["members"]]
+                if node.is_leader and sum(votes) == len(nodes):
+                    return node
+
+
+async def _propose_for(leader: LogNode, rate_s: int, span_s: float) -> None:
+    async def propose() -> None:
+        (await leader.propose("c" * COMMAND_BYTES)).unwrap()
+
+    end_s = trio.current_time() + span_s
+    async with trio.open_nursery() as nursery:
+        while trio.current_time() < end_s:
+            if rate_s:
+                nursery.start_soon(propose)
+            await trio.sleep(1.0 / rate_s if rate_s else span_s)
+
+
+def _at_rest(size: int, seed: int) -> dict[str, float]:
+    with tempfile.TemporaryDirectory() as folder:
+        clock = MockClock(rate=REST_CLOCK_RATE)
+        return trio.run(_measure, size, 0, REST_S, seed, Path(folder), clock=clock)
+
+
+def _at_work(size: int, seed: int) -> dict[str, float]:
+    with tempfile.TemporaryDirectory() as folder:
+        return trio.run(_measure, WORKING_MEMBERS, size, WORK_S, seed, Path(folder))
+
+
+MECHANISMS = (
+    Mechanism("log group at rest", "members", MEMBERS, _at_rest),
+    Mechanism("log group of five", "entries a second", RATES_S, _at_work),
+)
