Measure slopes of membership, target ownership, permits and claims

Drives the cores, or shells connected directly in one process under virtual time, and counts calls, bytes of bodies and processor time for one VM.

--- a/bench/mechanisms/__init__.py
+++ b/bench/mechanisms/__init__.py
@@ -1,6 +1,15 @@
 """Mechanisms whose cost is measured against what drives it."""
 
-from bench.mechanisms import configuration, level, logs, peers, prompts
+from bench.mechanisms import (
+    claimed,
+    configuration,
+    level,
+    logs,
+    membership,
+    ownership,
+    peers,
+    prompts,
+)
 from bench.mechanisms.base import Measure, Mechanism
 
 __all__ = ["MECHANISMS", "Measure", "Mechanism"]
@@ -9,6 +18,9 @@
     *configuration.MECHANISMS,
     *peers.MECHANISMS,
     *logs.MECHANISMS,
+    *membership.MECHANISMS,
+    *ownership.MECHANISMS,
+    *claimed.MECHANISMS,
     *prompts.MECHANISMS,
     *level.MECHANISMS,
 )
--- a/bench/mechanisms/logs.py
+++ b/bench/mechanisms/logs.py
@@ -6,15 +6,13 @@
 from pathlib import Path
 
 import trio
-from returns.result import Failure, Result
 from trio.testing import MockClock
 
 from bench.mechanisms.base import Mechanism
-from vanillabeam.exceptions import PeerUnreachable, VanillabeamError
+from bench.mechanisms.traffic import Traffic
 from vanillabeam.log import Address, LogNode
-from vanillabeam.peercall import PeerCall, PeerRoutes
 
-__all__ = ["MECHANISMS", "Traffic"]
+__all__ = ["MECHANISMS"]
 
 MEMBERS = (1, 3, 5, 7)
 RATES_S = (5, 10, 20, 40)
@@ -49,45 +47,6 @@
         self.applied = int(snapshot)
 
 
-class Traffic:
-    """Connects shells directly and counts what goes between them.
-
-    :ivar calls: calls by the address of either end.
-    :ivar body_bytes: bytes of bodies, there and back, likewise.
-    """
-
-    def __init__(self) -> None:
-        self.routes: dict[str, PeerRoutes] = {}
-        self.calls: dict[str, int] = {}
-        self.body_bytes: dict[str, int] = {}
-
-    def call_from(self, source: str) -> PeerCall:
-        """Return what the shell at ``source`` calls others with."""
-
-        async def call(
-            address: str, path: str, body: bytes
-        ) -> Result[bytes, VanillabeamError]:
-            await trio.sleep(0.0005)
-            handler = self.routes.get(address, {}).get(path)
-            if handler is None:
-                return Failure(PeerUnreachable(address))
-            answer = await handler(body)
-            size = len(body)
-            if not isinstance(answer, Failure):
-                size += len(answer.unwrap())
-            for end in (source, address):
-                self.calls[end] = self.calls.get(end, 0) + 1
-                self.body_bytes[end] = self.body_bytes.get(end, 0) + size
-            return answer
-
-        return call
-
-    def clear(self) -> None:
-        """Begin to count anew."""
-        self.calls.clear()
-        self.body_bytes.clear()
-
-
 def _addresses(count: int) -> list[Address]:
     return [Address(f"vm-{n}", f"vm-{n}:1") for n in range(1, count + 1)]
 
--- /dev/null
+++ b/tests/bench/test_slopes.py
@@ -0,0 +1,33 @@
+import math
+
+import pytest
+
+from bench.mechanisms import MECHANISMS, Mechanism
+from bench.slopes import measure_slopes
+
+SMALL = 4
+
+
+@pytest.mark.parametrize("mechanism", MECHANISMS, ids=lambda each: each.name)
+def test_each_mechanism_measures_numbers_that_are_not_all_nothing(mechanism):
+    sample = mechanism.measure(SMALL, 1)
+    assert all(math.isfinite(value) for value in sample.values())
+    assert any(value > 0 for value in sample.values())
+
+
+def test_mechanisms_have_names_of_their_own_and_four_sizes_or_more():
+    names = [mechanism.name for mechanism in MECHANISMS]
+    assert len(set(names)) == len(names)
+    assert all(len(set(mechanism.sizes)) >= 4 for mechanism in MECHANISMS)
+
+
+def test_slope_is_that_of_what_was_measured():
+    def measure(size, seed):
+        return {"state_bytes": 100 + 3 * size, "cpu_s": seed * size}
+
+    mechanism = Mechanism("sample", "things", (1, 2, 4, 8), measure)
+    state, cpu = measure_slopes(seed=2, mechanisms=[mechanism])
+    assert (state.quantity, cpu.quantity) == ("state_bytes", "cpu_s")
+    assert state.line.base == pytest.approx(100)
+    assert state.line.slope == pytest.approx(3)
+    assert cpu.line.slope == pytest.approx(2)
