--- /dev/null
+++ b/bench/mechanisms/__init__.py
@@ -0,0 +1,26 @@
+"""Mechanisms whose cost is measured against what drives it."""
+
+from bench.mechanisms import (
+    claimed,
+    configuration,
+    level,
+    logs,
+    membership,
+    ownership,
+    peers,
+    prompts,
+)
+from bench.mechanisms.base import Measure, Mechanism
+
+__all__ = ["MECHANISMS", "Measure", "Mechanism"]
+
+MECHANISMS: tuple[Mechanism, ...] = (
+    *configuration.MECHANISMS,
+    *peers.MECHANISMS,
+    *logs.MECHANISMS,
+    *membership.MECHANISMS,
+    *ownership.MECHANISMS,
+    *claimed.MECHANISMS,
+    *prompts.MECHANISMS,
+    *level.MECHANISMS,
+)
