Move blocks between targets and stores within each link's bucket

Cause: links to the stores are limited, and what moves on them has to pay. Change: a transfers core with a token bucket for each link, imports that someone waits for before exports by worth, joined duplicates, bounded queues, cancel when the last caller leaves and void orders of another boot or version; a choice of how many leading blocks to import; a shell that finds blocks in the stores, imports, prefetches and offers finished prompts. Learnt rates count the transfers that share the link, and a transfer that is overdue lowers the rate while it still runs.

--- a/src/vanillabeam/cache/__init__.py
+++ b/src/vanillabeam/cache/__init__.py
@@ -10,12 +10,23 @@
     cut,
     salt,
 )
+from vanillabeam.cache.choice import Prices
+from vanillabeam.cache.finding import Found, StoreAddress
+from vanillabeam.cache.shell import Cache, CacheReport, CacheSettings
+from vanillabeam.cache.transferrecords import Place
 
 __all__ = [
     "BLOCK_TOKENS",
     "MAX_BLOCKS",
+    "Cache",
+    "CacheReport",
+    "CacheSettings",
     "Cutter",
+    "Found",
     "Piece",
+    "Place",
+    "Prices",
+    "StoreAddress",
     "block_ids",
     "conversation_root",
     "cut",
--- a/src/vanillabeam/cache/placement.py
+++ b/src/vanillabeam/cache/placement.py
@@ -4,31 +4,21 @@
 blocks of a chain have the same order, so one call finds them all.
 """
 
-import hashlib
 from collections.abc import Iterable
 
 from vanillabeam.cache.blocks import lineage
+from vanillabeam.routing.rendezvous import rank
 
-__all__ = ["COPIES", "place", "rank"]
+__all__ = ["COPIES", "place", "position"]
 
 COPIES = 2
 
 
-def place(block_id: str, nodes: Iterable[str]) -> tuple[str, ...]:
-    """Return ``nodes`` in the order in which they should hold ``block_id``.
+def place(block_id: str, stores: Iterable[str]) -> tuple[str, ...]:
+    """Return the live ``stores`` that should hold ``block_id``, first one first."""
+    return tuple(rank(lineage(block_id), stores)[:COPIES])
 
-    :param nodes: names of live stores, or of live entries for a directory.
-    """
-    chain = lineage(block_id)
-    return tuple(sorted(nodes, key=lambda node: _weight(chain, node), reverse=True))
 
-
-def rank(block_id: str, node: str, nodes: Iterable[str]) -> int:
-    """Return the position of ``node`` in the order, 0 for the first."""
-    chain = lineage(block_id)
-    own = _weight(chain, node)
-    return sum(_weight(chain, other) > own for other in nodes)
-
-
-def _weight(chain: str, node: str) -> bytes:
-    return hashlib.blake2b(f"{chain}/{node}".encode(), digest_size=8).digest()
+def position(block_id: str, store: str, stores: Iterable[str]) -> int:
+    """Return the place of ``store`` in the order, 0 for the first copy."""
+    return rank(lineage(block_id), stores).index(store)
--- /dev/null
+++ b/src/vanillabeam/cache/transferrecords.py
@@ -0,0 +1,207 @@
+"""Events, effects and records of the transfers core."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+__all__ = [
+    "Answer",
+    "AskLeft",
+    "Cancel",
+    "Effect",
+    "Ended",
+    "Event",
+    "ExportOffered",
+    "ImportAsked",
+    "Kind",
+    "LinkShared",
+    "Place",
+    "Sized",
+    "Start",
+    "StoreLost",
+    "TargetChanged",
+    "Tick",
+    "Transfer",
+]
+
+
+class Kind(IntEnum):
+    """Kinds of transfers, the most urgent first."""
+
+    IMPORT = 0
+    PREFETCH = 1
+    EXPORT = 2
+
+
+class Place(NamedTuple):
+    """A target as it was when the request was admitted.
+
+    :param address: ``host:port`` of the target.
+    :param index: index of the configuration; the order's fencing number.
+    """
+
+    target: str
+    address: str
+    boot_id: str
+    data_centre: str
+    model: str
+    version: str
+    index: int
+
+
+class Sized(NamedTuple):
+    """A block and its bytes, for an export as estimated."""
+
+    block_id: str
+    size: int
+
+
+class Transfer:
+    """Blocks that one order moves.
+
+    :ivar asks: who waits for an import.
+    :ivar worth: seconds saved a byte; exports go by it.
+    :ivar started_s: ``None`` while it waits for its link.
+    """
+
+    def __init__(
+        self,
+        transfer_id: int,
+        kind: Kind,
+        place: Place,
+        store: str,
+        blocks: tuple[Sized, ...],
+        worth: float = 0.0,
+    ):
+        self.transfer_id = transfer_id
+        self.kind = kind
+        self.place = place
+        self.store = store
+        self.blocks = blocks
+        self.worth = worth
+        self.size = sum(block.size for block in blocks)
+        self.asks: set[int] = set()
+        self.started_s: float | None = None
+
+    @property
+    def link_key(self) -> tuple[str, str]:
+        """Names the link: the target's data centre and the store."""
+        return (self.place.data_centre, self.store)
+
+    @property
+    def order(self) -> tuple[int, float, int]:
+        """Sorts transfers that wait for the same link."""
+        return (self.kind, -self.worth, self.transfer_id)
+
+
+class ImportAsked(NamedTuple):
+    """Someone wants blocks at a target.
+
+    :param ask: number that the answer carries.
+    :param blocks: parents first.
+    :param kind: ``IMPORT`` or ``PREFETCH``.
+    """
+
+    ask: int
+    place: Place
+    store: str
+    blocks: tuple[Sized, ...]
+    kind: Kind = Kind.IMPORT
+
+
+class AskLeft(NamedTuple):
+    """Whoever asked no longer waits."""
+
+    ask: int
+
+
+class ExportOffered(NamedTuple):
+    """A target holds blocks that a store lacks.
+
+    :param worth: expected seconds saved a byte.
+    """
+
+    place: Place
+    store: str
+    blocks: tuple[Sized, ...]
+    worth: float
+
+
+class Ended(NamedTuple):
+    """A transfer that was started has ended.
+
+    :param moved: ids that the target says it moved.
+    :param size: bytes that it says it moved.
+    :param seconds: time that it took; 0 for a failure.
+    """
+
+    transfer_id: int
+    moved: tuple[str, ...]
+    size: int
+    seconds: float
+
+
+class TargetChanged(NamedTuple):
+    """A target has another boot, or another version of a model, or is gone.
+
+    :param boot_id: the boot in force; empty if the target is gone.
+    :param versions: weight version by model.
+    """
+
+    target: str
+    boot_id: str
+    versions: dict[str, str]
+
+
+class StoreLost(NamedTuple):
+    """A store is no longer alive."""
+
+    store: str
+
+
+class LinkShared(NamedTuple):
+    """So many entries share each link with this one."""
+
+    entries: int
+
+
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+class Start(NamedTuple):
+    """Send the order."""
+
+    transfer_id: int
+    kind: Kind
+    place: Place
+    store: str
+    blocks: tuple[str, ...]
+
+
+class Cancel(NamedTuple):
+    """End a transfer that was started; its ``Ended`` still follows."""
+
+    transfer_id: int
+
+
+class Answer(NamedTuple):
+    """What became of an ask.
+
+    :param blocks: how many blocks from the first one on are imported.
+    """
+
+    ask: int
+    blocks: int
+
+
+Event = (
+    ImportAsked
+    | AskLeft
+    | ExportOffered
+    | Ended
+    | TargetChanged
+    | StoreLost
+    | LinkShared
+    | Tick
+)
+Effect = Start | Cancel | Answer
--- a/src/vanillabeam/store/__init__.py
+++ b/src/vanillabeam/store/__init__.py
@@ -1,10 +1,9 @@
 """The store role: KV blocks in memory and on disk, outside the engines."""
 
 from vanillabeam.store.files import DiskFiles, FileLayer
+from vanillabeam.store.messages import FindReply, FindRequest
 from vanillabeam.store.server import make_app
 from vanillabeam.store.shell import (
-    FindReply,
-    FindRequest,
     Store,
     StoreReport,
     StoreSettings,
--- a/src/vanillabeam/store/shell.py
+++ b/src/vanillabeam/store/shell.py
@@ -24,6 +24,7 @@
     remove_block,
 )
 from vanillabeam.store.files import FileLayer
+from vanillabeam.store.messages import FIND_PATH, FindReply, FindRequest
 from vanillabeam.store.pieces import (
     PIECE_BYTES,
     DiskSink,
@@ -54,9 +55,8 @@
 )
 from vanillabeam.store.state import StoreLimits, StoreState
 
-__all__ = ["FindReply", "FindRequest", "Store", "StoreReport", "StoreSettings"]
+__all__ = ["Store", "StoreReport", "StoreSettings"]
 
-FIND_PATH = "/peer/store/find"
 TICK_S = 1.0
 DISK_RETRY_S = 1.0
 
@@ -84,26 +84,6 @@
     min_bytes_s: int = 64 * 2**10
 
 
-class FindRequest(TypedDict):
-    """``POST /peer/store/find``: which blocks of a chain are held.
-
-    :param blocks: ids, parents first.
-    """
-
-    blocks: list[str]
-
-
-class FindReply(TypedDict):
-    """Answer to :class:`FindRequest`.
-
-    :param lengths: bytes of each block, 0 where it is not held.
-    :param chance: chance that the prompt returns.
-    """
-
-    lengths: list[int]
-    chance: float
-
-
 class StoreReport(TypedDict):
     """What a store's status shows.
 
--- a/tests/cache/builders.py
+++ b/tests/cache/builders.py
@@ -1,4 +1,5 @@
-from vanillabeam.cache import block_ids, cut
+from vanillabeam.cache import Place, block_ids, cut
+from vanillabeam.cache.transferrecords import ExportOffered, ImportAsked, Kind, Sized
 from vanillabeam.config import Workspace
 
 PIECE_CHARACTERS = 16_000
@@ -17,3 +18,20 @@
     workspace = workspace or make_workspace()
     cuts = cut(make_text(pieces, filler))
     return block_ids(workspace, "ledger", version, adapter, cuts)
+
+
+def make_place(target="engine-1", boot_id="b1", version="v1"):
+    return Place(target, "10.0.0.9:80", boot_id, "dc1", "ledger", version, 7)
+
+
+def make_sized(ids, size=1_000):
+    return tuple(Sized(block_id, size) for block_id in ids)
+
+
+def make_ask(ask=1, ids=None, size=1_000, kind=Kind.IMPORT, **place):
+    blocks = make_sized(ids or make_ids(3), size)
+    return ImportAsked(ask, make_place(**place), "s1", blocks, kind)
+
+
+def make_offer(ids, size=1_000, worth=1.0, **place):
+    return ExportOffered(make_place(**place), "s1", make_sized(ids, size), worth)
--- /dev/null
+++ b/tests/cache/test_transfers.py
@@ -0,0 +1,145 @@
+from tests.cache.builders import (
+    make_ask,
+    make_ids,
+    make_offer,
+    make_sized,
+)
+from vanillabeam.cache import transfers
+from vanillabeam.cache.choice import Prices, blocks_to_import, is_worth_export
+from vanillabeam.cache.link import Link
+from vanillabeam.cache.transferrecords import (
+    Answer,
+    AskLeft,
+    Cancel,
+    Ended,
+    Kind,
+    Start,
+    StoreLost,
+    TargetChanged,
+    Tick,
+)
+from vanillabeam.cache.transfers import Transfers, handle
+
+IDS = make_ids(6)
+
+
+def starts(effects):
+    return [effect for effect in effects if isinstance(effect, Start)]
+
+
+def test_two_asks_for_the_same_blocks_share_one_transfer():
+    state = Transfers(1e6)
+    (start,) = handle(make_ask(1, IDS[:2]), state, 0.0)
+    (rest,) = handle(make_ask(2, IDS[:3]), state, 0.0)
+    assert rest.blocks == IDS[2:3]
+    assert handle(Ended(1, IDS[:2], 2_000, 0.1), state, 0.1) == [Answer(1, 2)]
+    assert handle(Ended(2, IDS[2:3], 1_000, 0.1), state, 0.1) == [Answer(2, 3)]
+
+
+def test_a_part_that_failed_counts_from_the_beginning_only():
+    state = Transfers(1e6)
+    handle(make_ask(1, IDS[:3]), state, 0.0)
+    assert handle(Ended(1, IDS[1:3], 2_000, 0.1), state, 0.1) == [Answer(1, 0)]
+
+
+def test_a_transfer_is_cancelled_when_the_last_caller_left():
+    state = Transfers(1e6)
+    handle(make_ask(1), state, 0.0)
+    handle(make_ask(2), state, 0.0)
+    assert handle(AskLeft(1), state, 0.0) == []
+    assert handle(AskLeft(2), state, 0.0) == [Cancel(1)]
+    assert state.all() == [] and state.asks == {}
+
+
+def test_a_waited_for_import_starts_before_exports_by_worth():
+    state = Transfers(10_000)
+    (first,) = starts(handle(make_ask(1, IDS[:1], 10_000), state, 0.0))
+    handle(make_offer(IDS[:1], 1_000, worth=1.0), state, 0.0)
+    handle(make_offer(IDS[1:2], 1_000, worth=2.0), state, 0.0)
+    handle(make_ask(2, IDS[1:2], 1_000), state, 0.0)
+    effects = handle(Tick(), state, 0.9)
+    order = [(start.kind, start.blocks) for start in starts(effects)]
+    assert order[0] == (Kind.IMPORT, IDS[1:2])
+    assert order[1:] == [(Kind.EXPORT, IDS[1:2]), (Kind.EXPORT, IDS[:1])]
+
+
+def test_another_boot_or_version_voids_transfers():
+    for boot, versions in [("b2", {"ledger": "v1"}), ("b1", {"ledger": "v2"})]:
+        state = Transfers(1e6)
+        handle(make_ask(1), state, 0.0)
+        handle(make_offer(IDS), state, 0.0)
+        changed = TargetChanged("engine-1", boot, versions)
+        assert Answer(1, 0) in handle(changed, state, 0.0)
+        assert state.all() == []
+    state = Transfers(1e6)
+    handle(make_ask(1), state, 0.0)
+    assert handle(TargetChanged("engine-1", "b1", {"ledger": "v1"}), state, 0.0) == []
+
+
+def test_a_lost_store_answers_its_asks_at_once():
+    state = Transfers(1e6)
+    handle(make_ask(1), state, 0.0)
+    assert handle(StoreLost("s1"), state, 0.0) == [Cancel(1), Answer(1, 0)]
+
+
+def test_waiting_work_is_bounded(monkeypatch):
+    monkeypatch.setattr(transfers, "MAX_QUEUED_EXPORTS", 3)
+    monkeypatch.setattr(transfers, "MAX_QUEUED_IMPORTS", 2)
+    state = Transfers(1_000)
+    handle(make_offer(IDS, 1_000), state, 0.0)
+    assert sum(map(len, state.queued.values())) <= 3
+    chains = [make_ids(1, filler=letter) for letter in "abcdefgh"]
+    asks = [
+        handle(make_ask(n, ids, 900), state, 0.0) for n, ids in enumerate(chains, 2)
+    ]
+    assert asks[-1] == [Answer(9, 0)]
+
+
+def test_a_slow_link_is_seen_while_the_transfer_still_runs():
+    state = Transfers(1e6)
+    handle(make_ask(1, IDS[:1], 1_000_000), state, 0.0)
+    handle(Tick(), state, 3.0)
+    link = state.link("dc1", "s1", 3.0)
+    assert link.rate_bytes_s < 400_000
+    handle(Ended(1, IDS[:1], 1_000_000, 10.0), state, 10.0)
+    for _ in range(10):
+        link.moved(1_000_000, 1.0, sharing=1)
+    assert link.rate_bytes_s > 900_000
+
+
+def test_bytes_started_stay_within_the_bucket():
+    link = Link(1_000, now_s=0.0)
+    started = 0
+    for step in range(1_000):
+        size = 1 + (step * 7919) % 700
+        if link.take(size, reserve=step % 2 == 0, now_s=step / 100):
+            started += size
+        assert started <= link.burst + 1_000 * step / 100
+
+
+def test_import_is_chosen_by_time_and_price_and_may_be_a_part():
+    lengths = (1_000,) * 4
+
+    def linear(size):
+        return size / 4_000
+
+    def bucket(size):
+        return size / 1e6 + max(0, size - 2_000)
+
+    free = Prices()
+    assert blocks_to_import(lengths, 4_000, 1_000, linear, free) == 4
+    assert blocks_to_import(lengths, 4_000, 1e6, linear, free) == 0
+    assert blocks_to_import(lengths, 4_000, 1_000, bucket, free) == 2
+    dear = Prices(link_byte_s=1.0)
+    assert blocks_to_import(lengths, 4_000, 1_000, linear, dear) == 0
+    thrifty = Prices(recomputed_token_s=1.0)
+    assert blocks_to_import(lengths, 4_000, 1e6, linear, thrifty) == 4
+    assert is_worth_export(4_000, 1_000, 0.5, 1_000, free)
+    assert not is_worth_export(4_000, 1_000, 0.5, 1_000, dear)
+
+
+def test_blocks_are_exported_once():
+    state = Transfers(1e6)
+    assert len(handle(make_offer(IDS), state, 0.0)) == 4
+    assert handle(make_offer(IDS, boot_id="b2"), state, 0.0) == []
+    assert make_sized(IDS)[0].size == 1_000
