--- a/src/vanillabeam/targetwire.py
+++ b/src/vanillabeam/targetwire.py
@@ -95,12 +95,15 @@
     :param index: ticket index; the fencing number.
     :param owner: name of the VM that orders.
     :param epoch: ownership epoch of that VM.
+    :param boot_id: boot that it is meant for; a target that checks numbers
+        answers ``stale`` at any other.
     :param models: ``{model: {"version": ..., "weights": ...}}``.
     """
 
     index: int
     owner: str
     epoch: int
+    boot_id: NotRequired[str]
     role: Literal["serving", "draining", "standby"]
     models: dict[str, dict[str, str]]
     adapters: dict[str, dict[str, str]]
