--- a/src/vanillabeam/tickets/__init__.py
+++ b/src/vanillabeam/tickets/__init__.py
@@ -14,12 +14,15 @@
     TicketUnresolved,
     UnknownTicket,
 )
+from vanillabeam.tickets.freshness import FreshIndex, FreshReply
 from vanillabeam.tickets.keys import WorkspaceKey, key_digest, make_workspace_key
 from vanillabeam.tickets.machine import ConfigStep, TicketMachine
 
 __all__ = [
     "Accepted",
     "ConfigStep",
+    "FreshIndex",
+    "FreshReply",
     "Propose",
     "SnapshotInvalid",
     "Ticket",
--- /dev/null
+++ b/src/vanillabeam/tickets/freshness.py
@@ -0,0 +1,81 @@
+"""Proof that a configuration is fresh: an index that a quorum confirmed."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any, TypedDict
+
+import trio
+from returns.result import Failure, Result, Success
+
+from vanillabeam.exceptions import NotReady, VanillabeamError
+from vanillabeam.peercall import PeerCall, PeerRoutes
+from vanillabeam.tickets.machine import TicketMachine
+from vanillabeam.wire import decode, encode
+
+__all__ = ["FreshIndex", "FreshReply"]
+
+FRESH_PATH = "/peer/tickets/fresh"
+CALL_TIMEOUT_S = 1.0
+
+
+class FreshReply(TypedDict):
+    """``POST /peer/tickets/fresh``: ticket index confirmed by a quorum."""
+
+    index: int
+
+
+class FreshIndex:
+    """Asks for, and on a control VM answers, the newest accepted index.
+
+    :param control: addresses of the control VMs.
+    :param machine: this VM's own, if it is one of them.
+    :param read: the log's confirmed read; after it the machine holds all that
+        was accepted before the call.
+
+    >>> fresh = FreshIndex(control, call)
+    >>> await fresh.prove()
+    <Success: 12>
+    """
+
+    def __init__(
+        self,
+        control: Iterable[str],
+        call: PeerCall,
+        machine: TicketMachine | None = None,
+        read: Callable[[], Awaitable[Result[Any, VanillabeamError]]] | None = None,
+    ):
+        self._control = list(control)
+        self._call = call
+        self._machine = machine
+        self._read = read
+
+    def routes(self) -> PeerRoutes:
+        """Return the handlers for the peers' listener."""
+        return {FRESH_PATH: self._fresh}
+
+    async def prove(self) -> Result[int, VanillabeamError]:
+        """Return the index of the newest accepted ticket, confirmed now."""
+        if self._read is not None:
+            return await self._own()
+        for address in list(self._control):
+            result = await self._ask(address)
+            if isinstance(result, Success):
+                return result.map(lambda reply: reply["index"])
+            # Whoever answered last is asked first.
+            self._control.remove(address)
+            self._control.append(address)
+        return Failure(NotReady("no control VM has a quorum"))
+
+    async def _ask(self, address: str) -> Result[FreshReply, VanillabeamError]:
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            result = await self._call(address, FRESH_PATH, encode({}))
+            return result.bind(lambda body: decode(FreshReply, body))
+        return Failure(NotReady(f"{address} is silent"))
+
+    async def _own(self) -> Result[int, VanillabeamError]:
+        result = await self._read()
+        return result.map(lambda _: self._machine.config.index)
+
+    async def _fresh(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        if self._read is None:
+            return Failure(NotReady("not a control VM"))
+        return (await self._own()).map(lambda index: encode(FreshReply(index=index)))
