Add orders to targets with leases and floors

Each owner reconciles its targets with the configuration: whole desired states under the ticket index, one order in flight, repeated until the announcement agrees. Targets without fencing wait out the owner before and a proof from the quorum. Loads take turns under a lease of the log's leader, or of the data centre's own keeper when it is cut off, and no lease takes a model's ready targets below its floor. A standby role drains first.

--- /dev/null
+++ b/src/vanillabeam/orders/__init__.py
@@ -0,0 +1,23 @@
+"""Orders to targets: desired states, leases for loads, floors in a roll-out."""
+
+from vanillabeam.orders.exceptions import (
+    FloorReached,
+    LoadsLimited,
+    NotKeeper,
+    OrderTimedOut,
+)
+from vanillabeam.orders.keeper import LeaseKeeper
+from vanillabeam.orders.shell import Orders, OrderTarget, TargetStatus
+from vanillabeam.orders.state import OrdersConfig
+
+__all__ = [
+    "FloorReached",
+    "LeaseKeeper",
+    "LoadsLimited",
+    "NotKeeper",
+    "OrderTarget",
+    "OrderTimedOut",
+    "Orders",
+    "OrdersConfig",
+    "TargetStatus",
+]
--- /dev/null
+++ b/src/vanillabeam/orders/desired.py
@@ -0,0 +1,108 @@
+"""What a target should hold and do, by the configuration."""
+
+from typing import NamedTuple
+
+from vanillabeam.config import Config, TargetRole, TargetRoleKind
+from vanillabeam.targetwire import Announcement
+
+__all__ = [
+    "Desired",
+    "is_ready_for",
+    "matches",
+    "models_put_out",
+    "stores_used",
+    "want",
+]
+
+
+class Desired(NamedTuple):
+    """The state that an order carries.
+
+    :param exact: whether anything else that is loaded has to go.
+    """
+
+    role: str
+    models: dict[str, dict[str, str]]
+    adapters: dict[str, dict[str, str]]
+    exact: bool
+
+
+def want(config: Config, said: Announcement) -> Desired:
+    """Return what the target of ``said`` should be.
+
+    A role that names no models leaves the target those that it announces, in
+    the versions of the configuration.
+    """
+    role = config.target_roles.get(said["target"], TargetRole(said["target"]))
+    models = role.models or tuple(said["models"])
+    adapters = role.adapters or tuple(said.get("adapters", {}))
+    return Desired(
+        role=str(role.kind),
+        models={
+            name: _weights(config.models[name])
+            for name in models
+            if name in config.models
+        },
+        adapters={
+            name: _weights(config.adapters[name])
+            for name in adapters
+            if name in config.adapters
+        },
+        exact=bool(role.models),
+    )
+
+
+def _weights(record) -> dict[str, str]:
+    return {"version": record.version, "weights": record.weights}
+
+
+def matches(desired: Desired, said: Announcement) -> bool:
+    """Return whether the announced models and adapters are the desired ones.
+
+    The role isn't announced; who ordered it knows it.
+    """
+    if desired.exact and set(said["models"]) - set(desired.models):
+        return False
+    return not _to_load(desired, said)
+
+
+def _to_load(desired: Desired, said: Announcement) -> list[dict[str, str]]:
+    loaded = {**said["models"], **said.get("adapters", {})}
+    wanted = {**desired.models, **desired.adapters}
+    return [
+        weights
+        for name, weights in wanted.items()
+        if loaded.get(name) != weights["version"]
+    ]
+
+
+def stores_used(desired: Desired, said: Announcement) -> tuple[str, ...]:
+    """Return the weight stores that the target has to load from.
+
+    A weight store is what stands in a location before the path: scheme and
+    host, or all of it if there is no path.
+    """
+    stores = {_store_of(weights["weights"]) for weights in _to_load(desired, said)}
+    return tuple(sorted(stores))
+
+
+def _store_of(weights: str) -> str:
+    scheme, separator, rest = weights.rpartition("://")
+    return scheme + separator + rest.partition("/")[0]
+
+
+def models_put_out(desired: Desired, said: Announcement) -> tuple[str, ...]:
+    """Return the models that the target stops serving for the order's time."""
+    swapped = any(
+        name not in desired.models or desired.models[name]["version"] != version
+        for name, version in said["models"].items()
+        if desired.exact or name in desired.models
+    )
+    leaves = desired.role != TargetRoleKind.SERVING
+    return tuple(sorted(said["models"])) if swapped or leaves else ()
+
+
+def is_ready_for(config: Config, said: Announcement, model: str) -> bool:
+    """Return whether the target, if it serves, counts towards ``min_ready``."""
+    in_service = config.in_service(said["data_centre"])
+    return model in said["models"] and in_service and not said.get("leaving", False)
--- /dev/null
+++ b/src/vanillabeam/orders/keeper.py
@@ -0,0 +1,223 @@
+"""Who gives load leases, and how owners ask: control, or a cut-off share."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, TypedDict
+
+import trio
+from returns.result import Failure, Result, Success
+
+from vanillabeam.config import Config
+from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.members import Members, PeerSilent, Status
+from vanillabeam.orders.exceptions import FloorReached, LoadsLimited, NotKeeper
+from vanillabeam.orders.leases import (
+    LOADS_A_STORE,
+    LOADS_A_STORE_CUT_OFF,
+    LeaseAsk,
+    LeaseReply,
+    LeaseTable,
+    ReadyReport,
+)
+from vanillabeam.peercall import PeerCall, PeerRoutes
+from vanillabeam.wire import decode, encode
+
+__all__ = ["LeaseKeeper", "LeaseRelease"]
+
+LEASE_PATH = "/peer/orders/lease"
+LOCAL_LEASE_PATH = "/peer/orders/local-lease"
+RELEASE_PATH = "/peer/orders/release"
+READY_PATH = "/peer/orders/ready"
+TOTAL_PATH = "/peer/orders/total"
+CALL_TIMEOUT_S = 1.0
+
+
+class LeaseRelease(TypedDict):
+    """``POST /peer/orders/release``."""
+
+    lease: str
+
+
+class LeaseKeeper:
+    """Both tables of leases a VM may keep, and the calls to those of others.
+
+    The ticket log's leader keeps the fleet's leases. While no leader is
+    reached, the first VM of the data centre by name keeps leases for it alone.
+
+    :param name: this VM's name.
+    :param control: addresses of the control VMs.
+    :param is_leader: whether this VM leads the ticket log now.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        control: Iterable[str],
+        members: Members,
+        call: PeerCall,
+        is_leader: Callable[[], bool],
+    ):
+        self._name = name
+        self._address = address
+        self._control = list(control)
+        self._members = members
+        self._call = call
+        self._is_leader = is_leader
+        self._fleet: LeaseTable | None = None
+        self._local: LeaseTable | None = None
+        self._config = Config()
+        self._given_by: dict[str, str] = {}
+        self._sequence = 0
+
+    def routes(self) -> PeerRoutes:
+        """Return the handlers for the peers' listener."""
+        return {
+            LEASE_PATH: self._fleet_lease,
+            LOCAL_LEASE_PATH: self._local_lease,
+            RELEASE_PATH: self._released,
+            READY_PATH: self._ready,
+            TOTAL_PATH: self._total,
+        }
+
+    def config_changed(self, config: Config) -> None:
+        """Take the floors from this configuration."""
+        self._config = config
+
+    def _fleet_table(self) -> LeaseTable | None:
+        if not self._is_leader():
+            self._fleet = None
+        elif self._fleet is None:
+            began_s = trio.current_time()
+            self._fleet = LeaseTable(self._name, LOADS_A_STORE, began_s)
+        return self._fresh(self._fleet)
+
+    def _local_table(self) -> LeaseTable | None:
+        if self._local_keeper() != self._address:
+            self._local = None
+        elif self._local is None:
+            began_s = trio.current_time()
+            name = f"{self._name}-local"
+            self._local = LeaseTable(name, LOADS_A_STORE_CUT_OFF, began_s)
+        return self._fresh(self._local)
+
+    def _fresh(self, table: LeaseTable | None) -> LeaseTable | None:
+        if table is not None:
+            table.config = self._config
+        return table
+
+    def _local_keeper(self) -> str:
+        alive = self._members.view().alive
+        sure = [member for member in alive if member.status is Status.ALIVE]
+        return sure[0].address if sure else self._address
+
+    async def ask(self, ask: LeaseAsk) -> Result[LeaseReply, VanillabeamError]:
+        """Ask the leader, or the data centre's own keeper if cut off."""
+        cut_off = True
+        for address in list(self._control):
+            result = await self._ask(address, LEASE_PATH, ask, LeaseReply)
+            if isinstance(result, Success):
+                self._given_by[result.unwrap()["lease"]] = address
+                return result
+            if isinstance(result.failure(), LoadsLimited | FloorReached):
+                return result
+            cut_off = cut_off and not isinstance(result.failure(), NotKeeper)
+            self._control.remove(address)
+            self._control.append(address)
+        if not cut_off:
+            return Failure(NotKeeper("no control VM leads the ticket log"))
+        return await self._ask_local(ask)
+
+    async def _ask_local(self, ask: LeaseAsk) -> Result[LeaseReply, VanillabeamError]:
+        keeper = self._local_keeper()
+        local: LeaseAsk = {**ask, "reporter": ask["owner"]}
+        result = await self._ask(keeper, LOCAL_LEASE_PATH, local, LeaseReply)
+        if isinstance(result, Success):
+            self._given_by[result.unwrap()["lease"]] = keeper
+        return result
+
+    async def release(self, lease: str) -> None:
+        """Give a lease back to whoever gave it; it ends by itself otherwise."""
+        address = self._given_by.pop(lease, None)
+        if address is not None:
+            body = LeaseRelease(lease=lease)
+            await self._ask(address, RELEASE_PATH, body, dict)
+
+    async def report(self, ready: dict[str, int], leases: list[str]) -> None:
+        """Send this owner's ready counts to the data centre's keeper.
+
+        That one sends the data centre's total on to the leader.
+        """
+        self._sequence += 1
+        report: ReadyReport = {
+            "reporter": self._name,
+            "sequence": self._sequence,
+            "ready": ready,
+            "leases": leases,
+        }
+        await self._ask(self._local_keeper(), READY_PATH, report, dict)
+        table = self._local_table()
+        if table is None:
+            return
+        place = self._members.view().data_centre
+        total = table.total(place, self._sequence, trio.current_time())
+        for address in list(self._control):
+            result = await self._ask(address, TOTAL_PATH, total, dict)
+            if isinstance(result, Success):
+                return
+
+    async def _ask(
+        self, address: str, path: str, message: Any, kind: type
+    ) -> Result[Any, VanillabeamError]:
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            if address == self._address:
+                result = await self.routes()[path](encode(message))
+            else:
+                result = await self._call(address, path, encode(message))
+            return result.bind(lambda body: decode(kind, body))
+        return Failure(PeerSilent(address))
+
+    async def _fleet_lease(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        return _lease_from(self._fleet_table(), body)
+
+    async def _local_lease(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        return _lease_from(self._local_table(), body)
+
+    async def _released(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        def release(message: LeaseRelease) -> bytes:
+            for table in (self._fleet_table(), self._local_table()):
+                if table is not None:
+                    table.release(message["lease"], trio.current_time())
+            return encode({})
+
+        return decode(LeaseRelease, body).map(release)
+
+    async def _ready(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        return _report_to(self._local_table(), body)
+
+    async def _total(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        return _report_to(self._fleet_table(), body)
+
+
+def _lease_from(
+    table: LeaseTable | None, body: bytes
+) -> Result[bytes, VanillabeamError]:
+    if table is None:
+        return Failure(NotKeeper())
+    return (
+        decode(LeaseAsk, body)
+        .bind(lambda ask: table.ask(ask, trio.current_time()))
+        .map(encode)
+    )
+
+
+def _report_to(
+    table: LeaseTable | None, body: bytes
+) -> Result[bytes, VanillabeamError]:
+    if table is None:
+        return Failure(NotKeeper())
+
+    def take(report: ReadyReport) -> bytes:
+        table.report(report, trio.current_time())
+        return encode({})
+
+    return decode(ReadyReport, body).map(take)
--- /dev/null
+++ b/src/vanillabeam/orders/shell.py
@@ -0,0 +1,227 @@
+"""The orders task: watches owned targets and carries orders to them."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import trio
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from vanillabeam.config import Config
+from vanillabeam.exceptions import InvariantBroken, VanillabeamError
+from vanillabeam.orders.core import handle
+from vanillabeam.orders.counts import ready_counts
+from vanillabeam.orders.events import (
+    AskLease,
+    ConfigChanged,
+    Effect,
+    EndImports,
+    Event,
+    FreshnessProved,
+    FreshnessUnknown,
+    ImportsEnded,
+    LeaseGranted,
+    LeaseRefused,
+    OrderAnswered,
+    OrderFailed,
+    Owned,
+    OwnedSeen,
+    ProveFreshness,
+    ReleaseLease,
+    SendOrder,
+    Tick,
+)
+from vanillabeam.orders.exceptions import OrderTimedOut
+from vanillabeam.orders.keeper import LeaseKeeper
+from vanillabeam.orders.leases import LeaseAsk
+from vanillabeam.orders.state import OrdersConfig, OrdersState
+from vanillabeam.peercall import PeerRoutes
+from vanillabeam.targetwire import Announcement, Order, OrderReply
+
+__all__ = ["OrderTarget", "Orders", "TargetStatus"]
+
+TICK_S = 0.5
+REPORT_S = 5.0
+
+#: ``await order_target(address, order)``: the target's answer.
+OrderTarget = Callable[[str, Order], Awaitable[Result[OrderReply, VanillabeamError]]]
+
+
+class TargetStatus(NamedTuple):
+    """Where one owned target's order stands.
+
+    :param index: highest order given to it.
+    :param held_by: why it is not ordered now; empty if nothing holds it.
+    """
+
+    target: str
+    phase: str
+    index: int
+    held_by: str
+
+
+class Orders:
+    """Shell round :class:`OrdersState`.
+
+    :param name: this VM's name.
+    :param data_centre: this VM's data centre.
+    :param keeper: gives or asks for load leases.
+    :param order_target: sends an order to a target.
+    :param owned: the targets owned now: announcement and epoch by name.
+    :param running: runs on a target, as far as is known.
+    :param end_imports: ends or cancels a target's imports and returns then.
+    :param prove_fresh: index of the newest ticket, confirmed by a quorum.
+
+    >>> orders = Orders("vm-1", "kgl-1", keeper, order_target, targets.owned,
+    ...                 running, end_imports, fresh.prove, rng)
+    >>> await nursery.start(orders.run)
+    >>> orders.may_import("engine-1")
+    True
+    """
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        keeper: LeaseKeeper,
+        order_target: OrderTarget,
+        owned: Callable[[], dict[str, tuple[Announcement, int]]],
+        running: Callable[[str], int],
+        end_imports: Callable[[str], Awaitable[Any]],
+        prove_fresh: Callable[[], Awaitable[Result[int, VanillabeamError]]],
+        rng: random.Random,
+        cfg: OrdersConfig | None = None,
+    ):
+        self._state = OrdersState(name, rng, cfg)
+        self._data_centre = data_centre
+        self._keeper = keeper
+        self._order_target = order_target
+        self._owned = owned
+        self._running = running
+        self._end_imports = end_imports
+        self._prove_fresh = prove_fresh
+        self._nursery: trio.Nursery | None = None
+
+    def routes(self) -> PeerRoutes:
+        """Return the handlers for the peers' listener."""
+        return self._keeper.routes()
+
+    def config_changed(self, config: Config) -> None:
+        """Order by this configuration from now on."""
+        self._keeper.config_changed(config)
+        self._feed(ConfigChanged(config))
+
+    def serves(self, target: str) -> bool:
+        """Return whether new work may go to a target that is owned here.
+
+        Whoever grants work asks this too: a target whose role changes has no
+        runs when it leaves.
+        """
+        return self._state.serves(target, trio.current_time())
+
+    def may_import(self, target: str) -> bool:
+        """Return whether an import may begin at the target now.
+
+        Only its owner can say so, and not within its first half minute, in
+        which an order of the owner before may still arrive. Whoever begins
+        one asks first, and ends it when ``end_imports`` is called: a swap and
+        an import never overlap.
+        """
+        return self._state.may_import(target, trio.current_time())
+
+    def imports_ended(self, target: str) -> None:
+        """Say that no import is under way at the target."""
+        self._feed(ImportsEnded(target))
+
+    def status(self) -> tuple[TargetStatus, ...]:
+        """Return where the orders of the owned targets stand."""
+        return tuple(
+            TargetStatus(name, target.phase, target.highest_index, target.held_by)
+            for name, target in sorted(self._state.targets.items())
+        )
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Reconcile until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._report)
+            task_status.started()
+            while True:
+                self._look()
+                self._feed(Tick())
+                await trio.sleep(TICK_S)
+
+    def _look(self) -> None:
+        owned = {
+            name: Owned(said, epoch, self._running(name))
+            for name, (said, epoch) in self._owned().items()
+        }
+        self._feed(OwnedSeen(owned))
+
+    def _feed(self, event: Event) -> None:
+        try:
+            effects = handle(event, self._state, trio.current_time())
+        except InvariantBroken as exc:
+            logger.critical("orders, {}: {}", type(event).__name__, exc.detail)
+            return
+        if self._nursery is None:
+            return
+        for effect in effects:
+            self._nursery.start_soon(self._carry_out, effect)
+
+    async def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case EndImports(target):
+                await self._end_imports(target)
+                self._feed(ImportsEnded(target))
+            case AskLease():
+                await self._ask_lease(effect)
+            case ReleaseLease(lease):
+                await self._keeper.release(lease)
+            case ProveFreshness(target):
+                await self._prove(target)
+            case SendOrder():
+                await self._send_order(effect)
+
+    async def _ask_lease(self, effect: AskLease) -> None:
+        asked_s = trio.current_time()
+        ask: LeaseAsk = {
+            "owner": self._state.name,
+            "reporter": self._data_centre,
+            "target": effect.target,
+            "stores": list(effect.stores),
+            "models": list(effect.models),
+        }
+        match await self._keeper.ask(ask):
+            case Success(reply):
+                lasts_s = reply["lasts_s"] - (trio.current_time() - asked_s)
+                self._feed(LeaseGranted(effect.target, reply["lease"], lasts_s))
+            case Failure(exc):
+                self._feed(LeaseRefused(effect.target, f"{exc.type}: {exc.detail}"))
+
+    async def _prove(self, target: str) -> None:
+        match await self._prove_fresh():
+            case Success(index):
+                self._feed(FreshnessProved(target, index))
+            case Failure(_):
+                self._feed(FreshnessUnknown(target))
+
+    async def _send_order(self, effect: SendOrder) -> None:
+        result: Result[OrderReply, VanillabeamError] = Failure(OrderTimedOut())
+        with trio.move_on_after(self._state.cfg.longest_order_s):
+            result = await self._order_target(effect.address, effect.order)
+        match result:
+            case Success(reply):
+                self._feed(OrderAnswered(effect.target, effect.attempt, reply))
+            case Failure(exc):
+                logger.info("order to {}: {}", effect.target, exc.type)
+                self._feed(OrderFailed(effect.target, effect.attempt))
+
+    async def _report(self) -> None:
+        while True:
+            ready = ready_counts(self._state, trio.current_time())
+            if ready:
+                held = (target.lease for target in self._state.targets.values())
+                await self._keeper.report(ready, [name for name in held if name])
+            await trio.sleep(REPORT_S)
--- /dev/null
+++ b/tests/orders/builders.py
@@ -0,0 +1,311 @@
+"""Owners, targets and a lease table on virtual time."""
+
+import random
+from typing import Any
+
+from returns.result import Success
+
+from tests.members.builders import Network
+from vanillabeam.config import Config, Model, TargetRole, TargetRoleKind
+from vanillabeam.orders import core
+from vanillabeam.orders.counts import ready_counts
+from vanillabeam.orders.events import (
+    AskLease,
+    ConfigChanged,
+    EndImports,
+    FreshnessProved,
+    FreshnessUnknown,
+    ImportsEnded,
+    LeaseGranted,
+    LeaseRefused,
+    OrderAnswered,
+    OrderFailed,
+    Owned,
+    OwnedSeen,
+    ProveFreshness,
+    ReleaseLease,
+    SendOrder,
+    Tick,
+)
+from vanillabeam.orders.leases import LOADS_A_STORE, LeaseTable
+from vanillabeam.orders.state import OrdersConfig, OrdersState
+from vanillabeam.targetwire import Announcement
+
+STORE = "store://weights"
+LOAD_S = 1.0
+CFG = OrdersConfig()
+
+
+def make_announcement(target: str = "t", **fields: Any) -> Announcement:
+    said: Announcement = {
+        "target": target,
+        "boot_id": "b1",
+        "data_centre": "kgl-1",
+        "address": target,
+        "kind": "engine",
+        "models": {"m": "1"},
+        "capacity": 8,
+        "cold_capacity": 1,
+        "checks_fencing": True,
+    }
+    return {**said, **fields}
+
+
+def make_orders_config(index: int, version: str = "1", floor: int = 0, **roles: str):
+    model = Model("m", version, f"{STORE}/m/{version}", floor)
+    kinds = {t: TargetRole(t, TargetRoleKind(kind)) for t, kind in roles.items()}
+    return Config(index=index, models={"m": model}, target_roles=kinds)
+
+
+class FakeTarget:
+    """Obeys orders after a load time; with or without a look at the number."""
+
+    def __init__(self, world: "World", name: str, fencing: bool):
+        self.world, self.name, self.fencing = world, name, fencing
+        self.boots = 0
+        self.highest_ever = 0
+        self.loading: set[str] = set()
+        self.in_flight = 0
+        self.restart()
+
+    def restart(self) -> None:
+        self.boots += 1
+        if self.fencing:
+            # The number that it checked is gone with the boot.
+            self.highest_ever = 0
+        self.models = {"m": "0"}
+        self.index = 0
+        self.role = "serving"
+        self.running = 0
+        self.loading = set()
+
+    def announcement(self) -> Announcement:
+        said = make_announcement(
+            self.name,
+            boot_id=f"b{self.boots}",
+            models=dict(self.models),
+            checks_fencing=self.fencing,
+        )
+        if self.index:
+            said["order_index"] = self.index
+        return said
+
+    def order(self, order: dict) -> dict:
+        same_boot = order["boot_id"] == f"b{self.boots}"
+        if self.fencing and (order["index"] < self.index or not same_boot):
+            return {"status": "stale", "order_index": self.index}
+        assert order["index"] >= self.highest_ever, f"{self.name} obeyed an old order"
+        if order["role"] == "standby":
+            assert self.running == 0, "runs were not drained"
+        self.highest_ever = max(self.highest_ever, order["index"])
+        self.index, self.role = order["index"], order["role"]
+        if same_boot and self.role != "serving":
+            self.world.check_floor()
+        wanted = {name: model["version"] for name, model in order["models"].items()}
+        if wanted == self.models:
+            return {"status": "obeyed", "order_index": self.index}
+        assert not self.world.imports.get(self.name), "swap and import overlap"
+        self.loading |= set(wanted)
+        # Without a check, an order of an earlier boot loads beside its lease.
+        if same_boot:
+            self.world.check_loads()
+        boot = self.boots
+        world = self.world
+
+        def loaded():
+            if self.boots == boot:
+                self.models = wanted
+                self.loading = set()
+
+        world.net.at(world.net.now_s + LOAD_S, loaded)
+        return {"status": "in-progress", "order_index": self.index}
+
+
+class Owner:
+    """The orders core of one VM."""
+
+    def __init__(self, world: "World", name: str, state_class=OrdersState):
+        self.world, self.name = world, name
+        self.orders = state_class(name, random.Random(name), CFG)
+        self.view: dict[str, Owned] = {}
+        self.cut_off = False
+        self.sequence = 0
+        self.tick()
+
+    def tick(self) -> None:
+        net = self.world.net
+        for name in list(self.view):
+            target = self.world.targets[name]
+            said = target.announcement()
+            owned = self.view[name]._replace(announcement=said, running=target.running)
+            self.view[name] = owned
+        self.feed(OwnedSeen(dict(self.view)))
+        self.feed(Tick())
+        if not self.cut_off:
+            self.report()
+        net.at(net.now_s + 1.0, self.tick)
+
+    def report(self) -> None:
+        self.sequence += 1
+        held = [t.lease for t in self.orders.targets.values() if t.lease]
+        report = {
+            "reporter": self.name,
+            "sequence": self.sequence,
+            "ready": ready_counts(self.orders, self.world.net.now_s),
+            "leases": held,
+        }
+        self.world.table.report(report, self.world.net.now_s)
+
+    def feed(self, event: Any) -> None:
+        for effect in core.handle(event, self.orders, self.world.net.now_s):
+            self.carry_out(effect)
+
+    def soon(self, event: Any) -> None:
+        net = self.world.net
+        net.at(net.now_s + net.rng.uniform(0.01, 0.5), lambda: self.feed(event))
+
+    def carry_out(self, effect: Any) -> None:
+        world = self.world
+        match effect:
+            case EndImports(target):
+                world.imports[target] = False
+                self.soon(ImportsEnded(target))
+            case AskLease(target, stores, models):
+                self.ask_lease(target, stores, models)
+            case ReleaseLease(lease):
+                if not self.cut_off:
+                    world.table.release(lease, world.net.now_s)
+            case ProveFreshness(target):
+                index = world.config.index
+                proved = FreshnessProved(target, index)
+                self.soon(FreshnessUnknown(target) if self.cut_off else proved)
+            case SendOrder():
+                world.deliver(self, effect)
+
+    def ask_lease(self, target, stores, models) -> None:
+        ask = {
+            "owner": self.name,
+            "reporter": self.name,
+            "target": target,
+            "stores": list(stores),
+            "models": list(models),
+        }
+        refused = LeaseRefused(target, "no keeper")
+        if self.cut_off:
+            return self.soon(refused)
+        match self.world.table.ask(ask, self.world.net.now_s):
+            case Success(reply):
+                return self.soon(LeaseGranted(target, reply["lease"], 29.0))
+        return self.soon(refused)
+
+
+class World:
+    """Targets shared out among owners."""
+
+    def __init__(
+        self,
+        seed: int,
+        fencing: tuple[bool, ...],
+        state_class=OrdersState,
+        table_class=LeaseTable,
+    ):
+        self.net = Network(seed)
+        self.table = table_class("keeper", LOADS_A_STORE, began_s=-100.0)
+        self.imports: dict[str, bool] = {}
+        self.config = Config()
+        self.loss = 0.0
+        self.targets = {
+            f"t{n}": FakeTarget(self, f"t{n}", checks)
+            for n, checks in enumerate(fencing)
+        }
+        self.owners = {name: Owner(self, name, state_class) for name in ("x", "y")}
+        self.epoch = 0
+        for name in self.targets:
+            self.own(name, self.net.rng.choice("xy"))
+
+    def own(self, target: str, owner: str) -> None:
+        """Move ownership; the former owner learns of it late."""
+        self.epoch += 1
+        for other in self.owners.values():
+            if other.name != owner and target in other.view:
+                wait_s = self.net.rng.uniform(0, CFG.predecessor_lease_s - 2.5)
+                self.net.at(
+                    self.net.now_s + wait_s,
+                    lambda other=other, epoch=other.view[target].epoch: (
+                        other.view.pop(target)
+                        if target in other.view and other.view[target].epoch == epoch
+                        else None
+                    ),
+                )
+        said = self.targets[target].announcement()
+        self.owners[owner].view[target] = Owned(said, self.epoch, 0)
+
+    def accept(self, config: Config) -> None:
+        """Bring a configuration in force, at each owner in its time."""
+        self.config = config
+        self.table.config = config
+        for owner in self.owners.values():
+            self.send_config(owner)
+
+    def send_config(self, owner: Owner) -> None:
+        def arrive(config=self.config):
+            if owner.cut_off:
+                return
+            if config.index >= owner.orders.config.index:
+                owner.feed(ConfigChanged(config))
+
+        self.net.at(self.net.now_s + self.net.rng.uniform(0, 3), arrive)
+
+    def deliver(self, owner: Owner, sent: SendOrder) -> None:
+        target = self.targets[sent.target]
+        arrives_s = self.net.now_s + self.net.rng.choice([0.05, 0.05, 12.0])
+        lost = self.net.rng.random() < self.loss
+        target.in_flight += 1
+
+        def arrive():
+            target.in_flight -= 1
+            if not lost:
+                reply = target.order(sent.order)
+                if self.net.rng.random() >= self.loss:
+                    answer = OrderAnswered(sent.target, sent.attempt, reply)
+                    return owner.feed(answer)
+            failed = OrderFailed(sent.target, sent.attempt)
+            left_s = max(0.0, CFG.longest_order_s - 12.0)
+            return self.net.at(self.net.now_s + left_s, lambda: owner.feed(failed))
+
+        if not target.fencing:
+            assert target.in_flight == 1, f"two orders on their way to {target.name}"
+        self.net.at(arrives_s, arrive)
+
+    def import_if_allowed(self, target: str) -> None:
+        """Begin an import that lasts until it is ended, if an owner allows it."""
+        now_s = self.net.now_s
+        allowed = [
+            o for o in self.owners.values() if o.orders.may_import(target, now_s)
+        ]
+        self.imports[target] = bool(allowed)
+
+    def run_if_allowed(self, target: str, runs: int) -> None:
+        """Have runs at a target, new ones only where an owner serves it."""
+        now_s = self.net.now_s
+        role = self.config.target_roles.get(target)
+        holders = [o for o in self.owners.values() if target in o.view]
+        open_to_all = all(o.orders.serves(target, now_s) for o in holders)
+        if open_to_all and (role is None or role.kind == "serving"):
+            self.targets[target].running = runs
+        else:
+            self.targets[target].running = min(runs, self.targets[target].running)
+
+    def check_loads(self) -> None:
+        loading = [t.name for t in self.targets.values() if t.loading]
+        assert len(loading) <= LOADS_A_STORE, f"loading at once: {loading}"
+        self.check_floor()
+
+    def check_floor(self) -> None:
+        floor = self.config.models["m"].min_ready
+        ready = [
+            t.name
+            for t in self.targets.values()
+            if not t.loading and t.role == "serving"
+        ]
+        assert len(ready) >= floor, f"ready: {ready}, floor {floor}"
--- /dev/null
+++ b/tests/orders/test_shell.py
@@ -0,0 +1,184 @@
+import random
+
+import trio
+import trio.testing
+from returns.result import Failure, Success
+
+from tests.orders.builders import make_announcement, make_orders_config
+from tests.tickets.builders import make_body
+from vanillabeam.exceptions import NotReady, TargetUnreachable
+from vanillabeam.members import Members, Seed
+from vanillabeam.orders import LeaseKeeper, Orders
+from vanillabeam.orders.leases import LEASE_S
+from vanillabeam.tickets import FreshIndex, TicketMachine
+
+ASK = {
+    "owner": "a",
+    "reporter": "kgl-1",
+    "target": "t",
+    "stores": ["s"],
+    "models": [],
+}
+
+
+class Vms:
+    """Two VMs of one data centre; ``a`` leads the ticket log."""
+
+    def __init__(self):
+        self.routes = {}
+        self.down = set()
+        self.members, self.keepers = {}, {}
+        seeds = [Seed("a", "kgl-1"), Seed("b", "kgl-1")]
+        for name in "ab":
+            call = self.caller(name)
+            members = Members(name, name, "kgl-1", seeds, call, random.Random(name))
+            keeper = LeaseKeeper(
+                name, name, ["b", "a"], members, call, lambda name=name: name == "a"
+            )
+            self.routes[name] = {**members.routes(), **keeper.routes()}
+            self.members[name], self.keepers[name] = members, keeper
+
+    def caller(self, sender):
+        async def call(address, path, body):
+            await trio.sleep(0.001)
+            if {sender, address} & self.down:
+                return Failure(TargetUnreachable())
+            return await self.routes[address][path](body)
+
+        return call
+
+
+class Target:
+    def __init__(self):
+        self.said = make_announcement()
+        self.orders = []
+
+    async def order(self, address, order):
+        await trio.sleep(0.1)
+        self.orders.append(order)
+        models = {name: model["version"] for name, model in order["models"].items()}
+        self.said = {**self.said, "models": models, "order_index": order["index"]}
+        return Success({"status": "obeyed", "order_index": order["index"]})
+
+
+def run(test):
+    async def main():
+        vms = Vms()
+        async with trio.open_nursery() as nursery:
+            for members in vms.members.values():
+                await nursery.start(members.run)
+            await test(vms, nursery)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_new_version_is_ordered_and_imports_are_ended_first():
+    async def test(vms, nursery):
+        target, ended = Target(), []
+
+        async def end_imports(name):
+            ended.append((name, len(target.orders)))
+
+        async def prove():
+            return Success(3)
+
+        orders = Orders(
+            "b",
+            "kgl-1",
+            vms.keepers["b"],
+            target.order,
+            lambda: {"t": (target.said, 1)},
+            lambda name: 0,
+            end_imports,
+            prove,
+            random.Random(1),
+        )
+        orders.config_changed(make_orders_config(3, "2"))
+        await nursery.start(orders.run)
+        await trio.sleep(90)
+        assert ended == [("t", 0)]
+        (order,) = target.orders
+        assert (order["index"], order["models"]["m"]["version"]) == (3, "2")
+        assert order["boot_id"] == "b1"
+        (status,) = orders.status()
+        assert (status.phase, status.held_by) == ("idle", "")
+        assert orders.may_import("t")
+        assert orders.serves("t")
+
+    run(test)
+
+
+def test_leases_come_from_the_leader_and_run_out():
+    async def test(vms, nursery):
+        keeper = vms.keepers["b"]
+        first = await keeper.ask(ASK)
+        assert first.failure().type == "not-load-keeper"
+        await trio.sleep(LEASE_S + 2)
+        leases = [await keeper.ask({**ASK, "target": name}) for name in ("t", "u", "v")]
+        assert [isinstance(lease, Success) for lease in leases] == [True, True, False]
+        assert leases[2].failure().type == "loads-limited"
+        await keeper.release(leases[0].unwrap()["lease"])
+        assert isinstance(await keeper.ask({**ASK, "target": "v"}), Success)
+        await trio.sleep(LEASE_S + 2)
+        assert isinstance(await keeper.ask({**ASK, "target": "w"}), Success)
+
+    run(test)
+
+
+def test_a_cut_off_data_centre_has_a_share_of_its_own():
+    async def test(vms, nursery):
+        keeper = vms.keepers["b"]
+        keeper._control = ["elsewhere"]
+        vms.down.add("elsewhere")
+        await trio.sleep(5)
+        await keeper.ask(ASK)
+        await trio.sleep(LEASE_S + 2)
+        assert isinstance(await keeper.ask(ASK), Success)
+        second = await keeper.ask({**ASK, "target": "u"})
+        assert second.failure().type == "loads-limited"
+
+    run(test)
+
+
+def test_a_floor_counts_the_targets_of_all_owners():
+    async def test(vms, nursery):
+        for keeper in vms.keepers.values():
+            keeper.config_changed(make_orders_config(1, floor=3))
+        await vms.keepers["b"].ask(ASK)
+        await trio.sleep(LEASE_S + 2)
+        ask = {**ASK, "models": ["m"], "stores": []}
+        refused = await vms.keepers["b"].ask(ask)
+        assert refused.failure().type == "floor-reached"
+        for _ in range(2):
+            await vms.keepers["b"].report({"m": 2}, [])
+            await vms.keepers["a"].report({"m": 2}, [])
+        assert isinstance(await vms.keepers["b"].ask(ask), Success)
+        second = await vms.keepers["b"].ask({**ask, "target": "u"})
+        assert second.failure().type == "floor-reached"
+
+    run(test)
+
+
+def test_freshness_is_what_a_quorum_confirms():
+    machine = TicketMachine()
+    machine.apply(4, make_body(1).decode())
+    quorum = [Failure(NotReady()), Success(9)]
+
+    async def read():
+        return quorum[0]
+
+    fresh = FreshIndex([], None, machine, read)
+
+    async def call(address, path, body):
+        if address == "silent":
+            await trio.sleep_forever()
+        return await fresh.routes()[path](body)
+
+    async def main():
+        asker = FreshIndex(["silent", "a"], call)
+        assert isinstance((await asker.prove()).failure(), NotReady)
+        quorum.pop(0)
+        assert await asker.prove() == Success(4)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
