--- a/src/vanillabeam/exceptions.py
+++ b/src/vanillabeam/exceptions.py
@@ -5,12 +5,15 @@
 from typing import ClassVar
 
 __all__ = [
+    "AuthorDiffers",
     "BodyTooLarge",
     "BodyTooSlow",
     "DeadlineExceeded",
     "Draining",
     "InvariantBroken",
     "MalformedBody",
+    "MalformedHeader",
+    "MalformedPath",
     "NoEligibleTarget",
     "NotReady",
     "Overloaded",
@@ -25,6 +28,7 @@
     "UnknownModel",
     "UnknownPath",
     "UnknownService",
+    "UnknownTrace",
     "VanillabeamError",
 ]
 
@@ -78,6 +82,24 @@
     advice = "Correct the body; the detail names the field."
 
 
+class MalformedHeader(VanillabeamError):
+    """A header of the request does not hold."""
+
+    type = "malformed-header"
+    status = HTTPStatus.BAD_REQUEST
+    run = Run.NOT_RUN
+    advice = "Correct the header that the detail names."
+
+
+class MalformedPath(VanillabeamError):
+    """A path that could be read in more than one way."""
+
+    type = "malformed-path"
+    status = HTTPStatus.BAD_REQUEST
+    run = Run.NOT_RUN
+    advice = "Send a path without empty, dot or encoded-slash segments."
+
+
 class BodyTooLarge(VanillabeamError):
     """A body is larger than its listener's limit."""
 
@@ -105,6 +127,15 @@
     advice = "Send a valid key as Authorization: Bearer KEY."
 
 
+class AuthorDiffers(VanillabeamError):
+    """A ticket names another author than the operator who sends it."""
+
+    type = "author-differs"
+    status = HTTPStatus.FORBIDDEN
+    run = Run.NOT_RUN
+    advice = "Put your own operator name into the ticket's author."
+
+
 class UnknownPath(VanillabeamError):
     """A path that this listener does not serve."""
 
@@ -132,6 +163,14 @@
     advice = "Ask the operators for the services of your workspace."
 
 
+class UnknownTrace(VanillabeamError):
+    """No VM that was asked has a trace of this request."""
+
+    type = "unknown-trace"
+    status = HTTPStatus.NOT_FOUND
+    advice = "Traces of the newest requests are kept; the logs have the rest."
+
+
 class NotReady(VanillabeamError):
     """This VM does not know the configuration yet."""
 
