--- a/src/vanillabeam/orders/keeper.py
+++ b/src/vanillabeam/orders/keeper.py
@@ -7,8 +7,8 @@
 from returns.result import Failure, Result, Success
 
 from vanillabeam.config import Config
-from vanillabeam.exceptions import VanillabeamError
-from vanillabeam.members import Members, PeerSilent, Status
+from vanillabeam.exceptions import PeerSilent, VanillabeamError
+from vanillabeam.members import Members, Status
 from vanillabeam.orders.exceptions import FloorReached, LoadsLimited, NotKeeper
 from vanillabeam.orders.leases import (
     LOADS_A_STORE,
