--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,254 @@
+"""Routing: first token, recompute and link use against plain policies."""
+
+import gc
+import random
+import time
+from typing import Any, NamedTuple
+
+import numpy as np
+import trio
+import trio.testing
+
+from bench.routing_model import Engine, Prompt, Site, Store, make_prompts
+from bench.routing_policies import Affinity, LeastLoaded, Product, RoundRobin
+from vanillabeam.config import Priority
+from vanillabeam.routing import Router, Weights
+from vanillabeam.routing.records import RouteRequest, TargetView
+
+__all__ = ["run"]
+
+DURATION_S = 120.0
+LATE_S = 10.0
+DECISIONS = 2000
+
+ICUPA = Site(
+    name="icupa",
+    engines=(3, 2, 2, 2),
+    services=(1, 1, 1, 1),
+    one_way_s=0.0005,
+    link_bytes_s=4e9,
+    token_bytes=100_000.0,
+    prefill_tokens_s=16_000.0,
+    decode_tokens_s=60.0,
+    capacity=8,
+    cold_capacity=2,
+    cache_blocks=96,
+    first_blocks=(1, 4),
+    ledger_blocks=(12, 20),
+    output_tokens=(40, 120),
+    workspaces=10,
+    rate_s=18.0,
+    ledger_rate_s=1.6,
+)
+PAMPLEMOUSSES = Site(
+    name="pamplemousses",
+    engines=(2, 2, 1, 1),
+    services=(1, 1, 1, 1),
+    one_way_s=0.0015,
+    link_bytes_s=2e8,
+    token_bytes=20_000.0,
+    prefill_tokens_s=12_000.0,
+    decode_tokens_s=50.0,
+    capacity=6,
+    cold_capacity=2,
+    cache_blocks=192,
+    first_blocks=(6, 14),
+    ledger_blocks=(16, 28),
+    output_tokens=(80, 200),
+    workspaces=10,
+    rate_s=5.0,
+    ledger_rate_s=0.8,
+)
+WEIGHTS = {
+    "icupa": Weights(token_bytes=100_000.0),
+    "pamplemousses": Weights(
+        recomputed_token_s=1e-4, link_byte_s=5e-10, token_bytes=20_000.0
+    ),
+}
+
+
+class Scenario(NamedTuple):
+    """A load and what happens in it.
+
+    :param cold_s: when one engine turns cold without a word.
+    :param out_s: when a data centre goes out of service, and comes back.
+    """
+
+    load: float
+    ledgers: float = 0.0
+    cold_s: float | None = None
+    out_s: tuple[float, float] | None = None
+
+
+SCENARIOS = {
+    "idle": Scenario(0.15),
+    "load-70": Scenario(0.7),
+    "load-120": Scenario(1.2),
+    "night": Scenario(0.4, ledgers=1.0),
+    "gone-cold": Scenario(0.6, cold_s=40.0),
+    "dc-move": Scenario(0.6, out_s=(40.0, 80.0)),
+}
+POLICIES = {
+    "round-robin": RoundRobin,
+    "least-loaded": LeastLoaded,
+    "affinity": Affinity,
+    "product": Product,
+}
+
+
+def run(seed: int) -> dict[str, Any]:
+    """Measure every policy on every load, interleaved, and the decisions."""
+    figures: dict[str, Any] = {}
+    for site in (ICUPA, PAMPLEMOUSSES):
+        for name, scenario in SCENARIOS.items():
+            for policy in POLICIES:
+                key = f"{site.name}.{name}.{policy}"
+                figures[key] = measure(site, scenario, policy, seed)
+    figures["decisions"] = {str(n): decisions_s(n, seed) for n in (13, 770)}
+    return figures
+
+
+def measure(site: Site, scenario: Scenario, policy: str, seed: int) -> dict[str, float]:
+    """Return the figures of one policy under one load."""
+    play = Play(site, scenario, policy, seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(play.main, clock=clock)
+    return play.figures()
+
+
+class Play:
+    """One policy under one load, on virtual time."""
+
+    def __init__(self, site: Site, scenario: Scenario, policy: str, seed: int):
+        self.site = site
+        self.scenario = scenario
+        self.store = Store()
+        self.engines = [
+            Engine(f"{kind}{dc}{n}", f"dc{dc}", site, self.store)
+            for kind, numbers in (("m", site.engines), ("s", site.services))
+            for dc, number in enumerate(numbers)
+            for n in range(number)
+        ]
+        arguments = [self.engines, site, self.store, seed]
+        if policy == "product":
+            arguments.append(WEIGHTS[site.name])
+        self.policy = POLICIES[policy](*arguments)
+        self.prompts = make_prompts(
+            site, seed, DURATION_S, scenario.load, scenario.ledgers
+        )
+        self.first: dict[Priority, list[float]] = {p: [] for p in Priority}
+        self.asked = dict.fromkeys(Priority, 0)
+        self.tokens = self.recomputed = 0
+
+    async def main(self) -> None:
+        """Warm the engines, then play the load to its end."""
+        async with trio.open_nursery() as background:
+            await self.policy.start(background)
+            background.start_soon(self._faults, trio.current_time())
+            began_s = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for prompt in self.prompts:
+                    await trio.sleep_until(began_s + prompt.at_s)
+                    nursery.start_soon(self._play, prompt)
+            background.cancel_scope.cancel()
+
+    async def _play(self, prompt: Prompt) -> None:
+        asked_s = trio.current_time()
+        model = not prompt.service
+        self.asked[prompt.priority] += model
+        placed = await self.policy.place(prompt)
+        if placed is None:
+            return
+        sent_s = trio.current_time()
+        seen: list[float] = []
+        served = await placed.engine.run(
+            prompt, placed.import_tokens, lambda: seen.append(trio.current_time())
+        )
+        self.policy.ended(placed, seen[0] - sent_s, served)
+        if model:
+            self.first[prompt.priority].append(seen[0] - asked_s)
+            self.tokens += served.tokens
+            self.recomputed += served.recomputed
+
+    async def _faults(self, began_s: float) -> None:
+        if self.scenario.cold_s is not None:
+            await trio.sleep_until(began_s + self.scenario.cold_s)
+            self.engines[0].go_cold(restart=False)
+        if self.scenario.out_s is not None:
+            out_s, back_s = self.scenario.out_s
+            await trio.sleep_until(began_s + out_s)
+            self.policy.out("dc0")
+            await trio.sleep_until(began_s + back_s)
+            for engine in self.engines:
+                if engine.data_centre == "dc0":
+                    engine.go_cold(restart=True)
+            self.policy.out(None)
+
+    def figures(self) -> dict[str, float]:
+        """Return first tokens in seconds, and shares."""
+        clerks = self.first[Priority.INTERACTIVE]
+        asked = self.asked[Priority.INTERACTIVE]
+        p50, p95, p99 = np.percentile(clerks, [50, 95, 99]).tolist()
+        in_time = sum(first_s <= LATE_S for first_s in clerks)
+        return {
+            "first_p50_s": p50,
+            "first_p95_s": p95,
+            "first_p99_s": p99,
+            "refused_or_late_share": 1 - in_time / asked,
+            "refused_share": 1 - len(clerks) / asked,
+            "recomputed_share": self.recomputed / max(1, self.tokens),
+            "link_gb": self.store.link_bytes / 1e9,
+            "batch_served": len(self.first[Priority.BATCH]),
+        }
+
+
+def decisions_s(targets: int, seed: int) -> float:
+    """Return decisions a second of one entry that knows ``targets``."""
+    rng = random.Random(seed)
+    router = Router("dc0", Weights(), rng)
+    for number in range(targets):
+        router.update(_view(number, rng))
+    requests = [_request(n, rng) for n in range(DECISIONS)]
+    gc.collect()
+    began_s = time.perf_counter()
+    for number, request in enumerate(requests):
+        choice = router.choose(request, (), number * 0.001)[0]
+        router.granted(choice.view.target, 1000.0)
+        router.placed.note(choice.view.target, request.blocks)
+    return DECISIONS / (time.perf_counter() - began_s)
+
+
+def _view(number: int, rng: random.Random) -> TargetView:
+    return TargetView(
+        target=f"engine-{number}",
+        boot_id="b1",
+        address=f"10.0.0.{number}:80",
+        data_centre=f"dc{number % 5}",
+        owner="e1",
+        epoch=1,
+        models={"m": "v"},
+        adapters={},
+        service="",
+        limit=8,
+        in_use=rng.randrange(8),
+        queued=0,
+        run_s=4.0,
+        pending_tokens=rng.randrange(8000),
+        prefill_tokens_s=16_000.0,
+        link_bytes_s=0.0,
+        open=True,
+        cold=False,
+    )
+
+
+def _request(number: int, rng: random.Random) -> RouteRequest:
+    root = f"c{rng.randrange(500)}"
+    return RouteRequest(
+        request_id=str(number),
+        workspace="w",
+        model="m",
+        version="v",
+        prompt_tokens=16_000,
+        blocks=tuple(f"{root}/{n}" for n in range(4)),
+        conversation_root=root,
+    )
