Expect a conversation's first choice to hold its blocks

An entry that had not served a conversation scored all targets alike, so a returning prompt was computed or imported anew. Its first choice by rendezvous hashing now counts as holding four fifths of the earlier blocks unless something better was seen; ties are broken at random, not by name.

--- a/src/vanillabeam/routing/router.py
+++ b/src/vanillabeam/routing/router.py
@@ -77,7 +77,9 @@
             name for name in self._list(request) if self._fits(name, request, out)
         ]
         holders = self.placed.holders(request.blocks)
-        names = self._candidates(request, eligible, holders)
+        ranked = self._ranked(request, eligible)
+        names = self._candidates(eligible, ranked, holders)
+        self._expect_home(request, ranked, holders)
         choices = [self._scored(n, request, holders.get(n, 0), now_s) for n in names]
         bound = self._load_bound(choices)
         return sorted(
@@ -85,7 +87,7 @@
             key=lambda choice: (
                 self._load(choice.view) > bound,
                 choice.score.cost_s,
-                choice.view.target,
+                self.rng.random(),
             ),
         )
 
@@ -103,12 +105,28 @@
         loaded = view.adapters.get(request.adapter)
         return loaded is not None and request.adapter_version in ("", loaded)
 
+    def _expect_home(
+        self, request: RouteRequest, ranked: list[str], holders: dict[str, int]
+    ) -> None:
+        """Take a conversation's first choice to hold most of its blocks.
+
+        Other entries send the conversation there too, so it is likely even
+        where this entry has seen nothing of it; what was seen counts more.
+        """
+        earlier = len(request.blocks) - 1
+        if not ranked or not request.conversation_root or earlier <= 0:
+            return
+        if 2 * max(holders.values(), default=0) > earlier:
+            return
+        home = int(self.weights.home_hit * earlier)
+        holders[ranked[0]] = max(home, holders.get(ranked[0], 0))
+
     def _candidates(
-        self, request: RouteRequest, eligible: list[str], holders: dict[str, int]
+        self, eligible: list[str], ranked: list[str], holders: dict[str, int]
     ) -> list[str]:
         if len(eligible) <= RANKED + HOLDERS + self.weights.sample:
             return eligible
-        chosen = dict.fromkeys(self._ranked(request, eligible))
+        chosen = dict.fromkeys(ranked)
         fit = set(eligible)
         best = sorted(holders.items(), key=lambda item: -item[1])
         chosen.update((name, None) for name, _ in best[:HOLDERS] if name in fit)
@@ -117,6 +135,8 @@
         return list(chosen)
 
     def _ranked(self, request: RouteRequest, eligible: list[str]) -> list[str]:
+        if len(eligible) <= 1:
+            return eligible
         root = weigh(request.workspace, request.conversation_root)
         key = {name: self._mixed(root, name) for name in eligible}
         first = max(eligible, key=key.__getitem__)
--- a/src/vanillabeam/routing/weights.py
+++ b/src/vanillabeam/routing/weights.py
@@ -15,6 +15,8 @@
     :param token_bytes: KV bytes of one token.
     :param load_factor: candidates with more than so many times the mean load
         come last.
+    :param home_hit: part of a conversation's earlier blocks that its first
+        choice is taken to hold while nothing is known.
     :param sample: targets drawn at random beside the ranked ones.
     """
 
@@ -24,4 +26,5 @@
     cold_s: float = 0.5
     token_bytes: float = 100_000.0
     load_factor: float = 1.5
+    home_hit: float = 0.8
     sample: int = 6
