Learn link rates from imports and keep them out of the prefill rate

A run's first token held the time of its import, so the prefill rate was learned too low, the link's rate never, and a permit named the blocks that the asking entry guessed rather than those that the owner's hints name.

--- a/bench/routing_model.py
+++ b/bench/routing_model.py
@@ -84,11 +84,12 @@
     :param recomputed: tokens computed that had been computed before.
     """
 
-    first_token_s: float
     tokens: int
     cached: int
     computed: int
     recomputed: int
+    imported_bytes: int = 0
+    import_s: float = 0.0
 
 
 class Engine:
@@ -135,9 +136,13 @@
         if prompt.service:
             await trio.sleep(SERVICE_CALL_S)
             first()
-            return Served(SERVICE_CALL_S, 0, 0, 0, 0)
+            return Served(0, 0, 0, 0)
         held = self._leading(prompt.blocks)
+        began_s = trio.current_time()
+        before = held
         held = max(held, await self._import(prompt, held, import_tokens))
+        import_s = trio.current_time() - began_s
+        size = int((held - before) * BLOCK_TOKENS * self.site.token_bytes)
         cached = min(prompt.tokens, held * BLOCK_TOKENS)
         computed = prompt.tokens - cached
         known = self.store.leading(prompt.blocks) * BLOCK_TOKENS
@@ -151,7 +156,7 @@
         await trio.sleep(prompt.output_tokens / self.site.decode_tokens_s)
         if self.to_warm and self.running <= self.site.cold_capacity:
             self.to_warm -= 1
-        return Served(trio.current_time(), prompt.tokens, cached, computed, recomputed)
+        return Served(prompt.tokens, cached, computed, recomputed, size, import_s)
 
     async def _import(self, prompt: Prompt, held: int, tokens: int) -> int:
         wanted = min(self.store.leading(prompt.blocks), held + tokens // BLOCK_TOKENS)
--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -183,7 +183,12 @@
     def ended(self, placed: Placed, first_token_s: float, served) -> None:
         """Give the permit back."""
         outcome = Outcome(
-            OutcomeKind.COMPLETED, first_token_s, served.tokens, served.cached
+            OutcomeKind.COMPLETED,
+            first_token_s,
+            served.tokens,
+            served.cached,
+            served.imported_bytes,
+            served.import_s,
         )
         placed.policy_data.release(placed.permit, outcome)
 
--- a/src/vanillabeam/targets/acquire.py
+++ b/src/vanillabeam/targets/acquire.py
@@ -205,7 +205,7 @@
             epoch=grant.epoch,
             expires_s=asked_s + self._settings.permit_s,
             first_token_s=grant.first_token_s,
-            cached_tokens=max(grant.cached_tokens, choice.score.cached_tokens),
+            cached_tokens=grant.cached_tokens,
         )
         return Held(permit, grant, request)
 
--- a/src/vanillabeam/targets/estimates.py
+++ b/src/vanillabeam/targets/estimates.py
@@ -85,3 +85,11 @@
         if tokens < LEAST_TOKENS or busy_s <= 0:
             return
         self.prefill_tokens_s.add(max(LEAST_RATE_TOKENS_S, tokens / busy_s))
+
+    def saw_import(self, size_bytes: int, import_s: float) -> None:
+        """Learn the link's rate from an import."""
+        if size_bytes <= 0 or import_s <= 0:
+            return
+        if self.link_bytes_s.samples == 0:
+            self.link_bytes_s.value = size_bytes / import_s
+        self.link_bytes_s.add(size_bytes / import_s)
--- a/src/vanillabeam/targets/grants.py
+++ b/src/vanillabeam/targets/grants.py
@@ -262,13 +262,18 @@
         self.breaker.succeeded(grant.permit_id)
         self.estimates.run_s.add(now_s - grant.granted_s)
         self.window.completed(
-            grant.granted_s, outcome.first_token_s, grant.first_token_s, now_s
+            grant.granted_s,
+            outcome.first_token_s,
+            grant.first_token_s + outcome.import_s,
+            now_s,
         )
+        self.estimates.saw_import(outcome.imported_bytes, outcome.import_s)
         if outcome.first_token_s is None or grant.adopted:
             return
         computed = max(0, outcome.prompt_tokens - outcome.cached_tokens)
         before = grant.work_tokens - grant.tokens
-        self.estimates.saw_first_token(before + computed, outcome.first_token_s)
+        first_token_s = outcome.first_token_s - outcome.import_s
+        self.estimates.saw_first_token(before + computed, first_token_s)
 
     def _is_late(self, boot_id: str, now_s: float) -> bool:
         """Return whether an announcement was overtaken by one of a newer boot."""
--- a/src/vanillabeam/targets/messages.py
+++ b/src/vanillabeam/targets/messages.py
@@ -132,6 +132,8 @@
     first_token_s: float | None
     prompt_tokens: int
     cached_tokens: int
+    imported_bytes: int
+    import_s: float
 
 
 class HandoverQuery(TypedDict):
@@ -243,4 +245,6 @@
         first_token_s=message["first_token_s"],
         prompt_tokens=message["prompt_tokens"],
         cached_tokens=message["cached_tokens"],
+        imported_bytes=message["imported_bytes"],
+        import_s=message["import_s"],
     )
--- a/src/vanillabeam/targets/records.py
+++ b/src/vanillabeam/targets/records.py
@@ -90,9 +90,13 @@
     :param first_token_s: seconds from sending to the first token.
     :param prompt_tokens: as the target counted them.
     :param cached_tokens: prompt tokens that it did not compute.
+    :param imported_bytes: bytes of blocks that it took from a store first.
+    :param import_s: seconds that this took, part of ``first_token_s``.
     """
 
     kind: OutcomeKind
     first_token_s: float | None = None
     prompt_tokens: int = 0
     cached_tokens: int = 0
+    imported_bytes: int = 0
+    import_s: float = 0.0
