Charge nothing for a window that has not opened

The window itself keeps load from a cold target, and its slowness is learned; a flat half second on top drove conversations off the targets that hold their blocks, which at idle are cold for long.

--- a/src/vanillabeam/routing/weights.py
+++ b/src/vanillabeam/routing/weights.py
@@ -23,7 +23,7 @@
     recomputed_token_s: float = 0.0
     link_byte_s: float = 0.0
     far_s: float = 0.005
-    cold_s: float = 0.5
+    cold_s: float = 0.0
     token_bytes: float = 100_000.0
     load_factor: float = 1.5
     home_hit: float = 0.8
