--- a/src/vanillabeam/targets/settings.py
+++ b/src/vanillabeam/targets/settings.py
@@ -41,8 +41,8 @@
     waiting_limit: int = 2000
     tries: int = 4
     tick_s: float = 0.25
-    summary_s: float = 2.0
-    summary_bytes_s: float = 4000.0
+    summary_s: float = 0.5
+    summary_bytes_s: float = 6000.0
 
     @property
     def hold_s(self) -> float:
