Let the owner send an ask on where it would wait longer than elsewhere

An entry's view is up to a second old, so several entries chose the same target at once. An ask now says above which delay its second choice is the better one; the owner, who counts exactly, answers with the target's present view instead of a permit, at most twice a request.

--- a/src/vanillabeam/routing/score.py
+++ b/src/vanillabeam/routing/score.py
@@ -24,6 +24,7 @@
     :param cost_s: first token plus prices, in seconds.
     :param first_token_s: expected seconds to the first token.
     :param wait_s: the part of it spent in the owner's queue.
+    :param delay_s: the part of it spent on the work of others.
     :param cached_tokens: prompt tokens that should be cached there.
     :param import_tokens: prompt tokens that should come from a store.
     """
@@ -31,6 +32,7 @@
     cost_s: float
     first_token_s: float
     wait_s: float
+    delay_s: float
     cached_tokens: int
     import_tokens: int
 
@@ -58,11 +60,12 @@
     pending = view.pending_tokens + since.tokens
     pending = max(0.0, pending - rate * (now_s - view.seen_s))
     wait_s = _wait_s(view, since)
-    first_token_s = BASE_S + wait_s + import_s + (pending + computed) / rate
+    delay_s = wait_s + pending / rate
+    first_token_s = BASE_S + delay_s + import_s + computed / rate
     cost_s = first_token_s + weights.recomputed_token_s * computed
     cost_s += weights.link_byte_s * import_tokens * weights.token_bytes
     cost_s += weights.far_s * far + weights.cold_s * view.cold
-    return Score(cost_s, first_token_s, wait_s, cached, import_tokens)
+    return Score(cost_s, first_token_s, wait_s, delay_s, cached, import_tokens)
 
 
 def _import(
--- a/src/vanillabeam/targets/acquire.py
+++ b/src/vanillabeam/targets/acquire.py
@@ -23,6 +23,8 @@
 
 PAUSE_S = 0.1
 MOVE_FACTOR = 0.5
+MOVES = 2
+DELAY_SLACK_S = 0.05
 BATCH_PART = 0.7
 PASSING = (
     "moved-on",
@@ -86,6 +88,7 @@
         passing: set[str] = set()
         refused: VanillabeamError | None = None
         tries = 0
+        moves = 0
         while tries < self._settings.tries:
             left_s = ends_s - trio.current_time()
             choices = self._choices(request, passing)
@@ -100,10 +103,15 @@
             choice = choices[0]
             if choice.score.wait_s > left_s:
                 return Failure(Shed("deadline", choice.score.wait_s))
-            result = await self._try(request, choice, passing, ends_s)
+            limit_s = _delay_limit_s(choices) if moves < MOVES else None
+            ask = self._make_ask(request, choice, limit_s)
+            result = await self._try(request, choice, ask, ends_s)
             if isinstance(result, Success):
                 return result
             refused = result.failure()
+            if refused.type == exceptions.MovedOn.type and moves < MOVES:
+                moves += 1
+                continue
             if refused.type in PASSING:
                 passing.add(choice.view.target)
                 continue
@@ -121,14 +129,13 @@
         self,
         request: RouteRequest,
         choice: Choice,
-        passing: set[str],
+        ask: Ask,
         ends_s: float,
     ) -> Result[Held, VanillabeamError]:
         view = choice.view
         entry = self._ownership.owner_of(view.target, view.data_centre)
         if entry is None:
             return Failure(exceptions.NotOwner(view.target))
-        ask = self._make_ask(request, choice)
         settled = False
         try:
             while True:
@@ -146,13 +153,16 @@
                     return Success(self._held(request, choice, message, asked_s))
                 if settled:
                     return Failure(_failure(message))
-                if self._better_elsewhere(request, passing, view.target):
+                ask = ask._replace(delay_limit_s=None)
+                if self._better_elsewhere(request, view.target):
                     return Failure(exceptions.MovedOn(view.target))
         finally:
             if not settled:
                 self._withdraw(ask, entry.vm)
 
-    def _make_ask(self, request: RouteRequest, choice: Choice) -> Ask:
+    def _make_ask(
+        self, request: RouteRequest, choice: Choice, delay_limit_s: float | None
+    ) -> Ask:
         self._count += 1
         return Ask(
             permit_id=f"{self._vm}.{self._life}.{self._count}",
@@ -168,6 +178,7 @@
             deadline_s=request.deadline_s,
             prompt_tokens=request.prompt_tokens,
             blocks=request.blocks,
+            delay_limit_s=delay_limit_s,
         )
 
     def _learn(self, message: messages.AskReply) -> None:
@@ -176,10 +187,8 @@
         view = messages.unpack_view(message["view"], trio.current_time())
         self._router.update(view)
 
-    def _better_elsewhere(
-        self, request: RouteRequest, passing: set[str], target: str
-    ) -> bool:
-        choices = self._choices(request, passing)
+    def _better_elsewhere(self, request: RouteRequest, target: str) -> bool:
+        choices = self._choices(request, set())
         here = [c for c in choices if c.view.target == target]
         if not here or choices[0].view.target == target:
             return False
@@ -219,6 +228,14 @@
         return NoTarget(f"no target for {wanted}{reason}", _retry_after_s(refused))
 
 
+def _delay_limit_s(choices: list[Choice]) -> float | None:
+    """Return the delay at which the second choice becomes the better one."""
+    if len(choices) < 2:
+        return None
+    first, second = choices[0].score, choices[1].score
+    return first.delay_s + max(0.0, second.cost_s - first.cost_s) + DELAY_SLACK_S
+
+
 def _wait_s(choice: Choice) -> float:
     return max(1.0, math.ceil(choice.score.wait_s))
 
--- a/src/vanillabeam/targets/exceptions.py
+++ b/src/vanillabeam/targets/exceptions.py
@@ -79,7 +79,7 @@
 
 
 class MovedOn(NotPermitted):
-    """The asking entry found a better target while it waited."""
+    """Another target is the better choice now."""
 
     type = "moved-on"
 
--- a/src/vanillabeam/targets/grants.py
+++ b/src/vanillabeam/targets/grants.py
@@ -232,6 +232,11 @@
             return 0.0
         return excess * self.estimates.run_s.value / max(1, limit)
 
+    def delay_s(self, now_s: float) -> float:
+        """Return seconds until the prompts before a new one are computed."""
+        rate = self.estimates.prefill_tokens_s.value
+        return self.estimates.pending_tokens(now_s) / rate
+
     def view(self, me: Entry, share: float, is_open: bool, now_s: float) -> TargetView:
         """Return what other entries may know of the target."""
         limit = self.limit(share, now_s)
--- a/src/vanillabeam/targets/messages.py
+++ b/src/vanillabeam/targets/messages.py
@@ -40,6 +40,7 @@
     deadline_s: float
     prompt_tokens: int
     blocks: tuple[str, ...]
+    delay_limit_s: float | None
 
 
 class GrantMessage(TypedDict):
--- a/src/vanillabeam/targets/owner.py
+++ b/src/vanillabeam/targets/owner.py
@@ -36,6 +36,7 @@
 )
 from vanillabeam.targets.exceptions import (
     BreakerOpen,
+    MovedOn,
     NotOwner,
     PermitUnknown,
     Shed,
@@ -286,6 +287,9 @@
     wait_s = target.wait_s(limit, target.queue.ahead_of(ask.priority))
     if wait_s > ask.deadline_s:
         return [_refuse(state, ask, Shed("deadline", retry_after_s=wait_s))]
+    delay_s = wait_s + target.delay_s(now_s)
+    if ask.delay_limit_s is not None and delay_s > ask.delay_limit_s:
+        return [_refuse(state, ask, MovedOn(target.name))]
     if limit == 0 and not target.in_use:
         return [_refuse(state, ask, TakingOver(target.name))]
     cached = target.blocks.leading(ask.blocks) * BLOCK_TOKENS
--- a/src/vanillabeam/targets/records.py
+++ b/src/vanillabeam/targets/records.py
@@ -33,6 +33,8 @@
     :param permit_id: made by the asking entry, the same in every repeat.
     :param holder: VM that asks.
     :param deadline_s: seconds from the owner's receipt that it may wait.
+    :param delay_limit_s: delay by the work of others above which the asking
+        entry would rather go elsewhere; ``None`` if there is nowhere better.
     """
 
     permit_id: str
@@ -48,6 +50,7 @@
     deadline_s: float
     prompt_tokens: int
     blocks: tuple[str, ...] = ()
+    delay_limit_s: float | None = None
 
 
 class Permit(NamedTuple):
--- a/tests/targets/test_owner.py
+++ b/tests/targets/test_owner.py
@@ -182,6 +182,14 @@
     assert result.failure().retry_after_s > 0.5
 
 
+def test_an_ask_that_would_wait_longer_than_elsewhere_is_sent_there():
+    state = make_owner()
+    ask(state, prompt_tokens=50_000)
+    result = ask(state, permit_id="p2", delay_limit_s=0.5)
+    assert refusal(result) == "moved-on"
+    assert isinstance(ask(state, permit_id="p3", delay_limit_s=60.0), Success)
+
+
 def test_interactive_work_passes_batch_work_that_waits():
     state = make_owner(announcement=make_announcement(cold_capacity=1))
     ask(state, permit_id="running")
