--- a/src/vanillabeam/targets/records.py
+++ b/src/vanillabeam/targets/records.py
@@ -33,6 +33,8 @@
     :param permit_id: made by the asking entry, the same in every repeat.
     :param holder: VM that asks.
     :param deadline_s: seconds from the owner's receipt that it may wait.
+    :param delay_limit_s: delay by the work of others above which the asking
+        entry would rather go elsewhere; ``None`` if there is nowhere better.
     """
 
     permit_id: str
@@ -48,6 +50,7 @@
     deadline_s: float
     prompt_tokens: int
     blocks: tuple[str, ...] = ()
+    delay_limit_s: float | None = None
 
 
 class Permit(NamedTuple):
@@ -90,9 +93,13 @@
     :param first_token_s: seconds from sending to the first token.
     :param prompt_tokens: as the target counted them.
     :param cached_tokens: prompt tokens that it did not compute.
+    :param imported_bytes: bytes of blocks that it took from a store first.
+    :param import_s: seconds that this took, part of ``first_token_s``.
     """
 
     kind: OutcomeKind
     first_token_s: float | None = None
     prompt_tokens: int = 0
     cached_tokens: int = 0
+    imported_bytes: int = 0
+    import_s: float = 0.0
