Start a lone VM as soon as its own log has confirmed a read

Cause: every VM waited 1.5 s for membership before it was ready, also where the settings name no other VM; and a control VM offered its replica's state before the log had confirmed that nothing newer is committed. A VM without peers now begins at once, and a control VM offers its replica only after a confirmed read (or, without a quorum, after that has failed).

--- a/src/vanillabeam/parts.py
+++ b/src/vanillabeam/parts.py
@@ -75,6 +75,8 @@
                 await nursery.start(self.control.run)
             for part in (self.members, self.spread, self.targets, self.claims):
                 await nursery.start(part.run)
+            if self.is_control:
+                nursery.start_soon(self._attach_log)
             nursery.start_soon(self._follow_members)
             task_status.started()
 
@@ -132,10 +134,7 @@
         control = [each.address for each in control_addresses(self.cfg, address)]
         folder = self.cfg["data_folder"]
         files = DiskFiles(Path(folder) / "spread") if folder else None
-        spread = Spread(address, control, self.members, self.call, self.rng, files)
-        if self.is_control:
-            spread.attach(self.control.desk, self.control.machine)
-        return spread
+        return Spread(address, control, self.members, self.call, self.rng, files)
 
     def _make_targets(self, first_epoch: int) -> Targets:
         routing = self.cfg["routing"]
@@ -162,6 +161,12 @@
         for listener in listeners:
             self.spread.listen(listener)
 
+    async def _attach_log(self) -> None:
+        # Until a read is confirmed, this VM's replica may hold an old end of
+        # the log; without a quorum it is no worse than its peers' copies.
+        await self.control.tickets.read()
+        self.spread.attach(self.control.desk, self.control.machine)
+
     async def _follow_members(self) -> None:
         while True:
             view = self.members.view()
--- a/src/vanillabeam/spread/core.py
+++ b/src/vanillabeam/spread/core.py
@@ -450,7 +450,7 @@
 
 
 def _may_begin(state: SpreadState, known: set[str], waited_s: float) -> bool:
-    if waited_s < START_WAIT_S / 2:
+    if known and waited_s < START_WAIT_S / 2:
         return False
     # Nothing in force is an answer only if it comes from the ticket log.
     control_answered = not state.control.isdisjoint(state.answered)
