See the entries of other data centres at a bounded rate, and prove four VMs

Cause: membership tells only sums of other data centres, so an entry there found no target here: 503 although a target was free.

--- a/src/vanillabeam/parts.py
+++ b/src/vanillabeam/parts.py
@@ -11,8 +11,9 @@
 from vanillabeam.config import Config
 from vanillabeam.control import Control, ControlClient, control_addresses
 from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.farview import FarView
 from vanillabeam.log import Address
-from vanillabeam.members import Members, Seed, View
+from vanillabeam.members import Member, Members, Seed
 from vanillabeam.peercall import PeerCall, PeerRoutes
 from vanillabeam.peerhttp import PeerClient
 from vanillabeam.routing import Weights
@@ -51,6 +52,7 @@
         self.members = self._make_members()
         self.spread = self._make_spread()
         self.targets = self._make_targets(first_epoch)
+        self.far = FarView(self.members, call, self._members_changed)
         self.claims = Claims(cfg["vm"], self.control.proposers(), rng)
         self._listen()
 
@@ -73,7 +75,7 @@
         async with trio.open_nursery() as nursery:
             if self.is_control:
                 await nursery.start(self.control.run)
-            for part in (self.members, self.spread, self.targets, self.claims):
+            for part in self._tasks():
                 await nursery.start(part.run)
             if self.is_control:
                 nursery.start_soon(self._attach_log)
@@ -92,8 +94,7 @@
         Where no other entry is alive they are kept: the requests under way
         still need permits for their retries.
         """
-        entries = _entries(self.members.view())
-        if any(entry.vm != self.cfg["vm"] for entry in entries):
+        if any(entry.vm != self.cfg["vm"] for entry in self._live_entries()):
             await self.targets.drain()
 
     async def announce(self, message: Announcement) -> Result[Any, VanillabeamError]:
@@ -167,12 +168,22 @@
         await self.control.tickets.read()
         self.spread.attach(self.control.desk, self.control.machine)
 
+    def _tasks(self) -> list[Any]:
+        return [self.members, self.spread, self.targets, self.claims, self.far]
+
     async def _follow_members(self) -> None:
         while True:
             view = self.members.view()
-            self.targets.members_changed(_entries(view))
+            self._members_changed()
             await self.members.view_after(view.version)
 
+    def _members_changed(self) -> None:
+        self.targets.members_changed(self._live_entries())
+
+    def _live_entries(self) -> list[Entry]:
+        known = [*self.members.view().alive, *self.far.members()]
+        return [_entry(member) for member in known if "entry" in member.state.roles]
+
     def control_addresses(self) -> list[Address]:
         """Return the control VMs, as tickets name them or else the settings."""
         named = self.config().control
@@ -196,17 +207,13 @@
         return self.spread.config()
 
 
-def _entries(view: View) -> list[Entry]:
-    return [
-        Entry(
-            member.name,
-            member.data_centre,
-            member.address,
-            _at_port(member.address, member.state.ports.get("targets")),
-        )
-        for member in view.alive
-        if "entry" in member.state.roles
-    ]
+def _entry(member: Member) -> Entry:
+    return Entry(
+        member.name,
+        member.data_centre,
+        member.address,
+        _at_port(member.address, member.state.ports.get("targets")),
+    )
 
 
 def _ports(addresses: dict[str, str]) -> dict[str, int]:
--- a/tests/path/builders.py
+++ b/tests/path/builders.py
@@ -54,14 +54,21 @@
         return res.status, json.loads(res.content)
 
     async def add_target(self, **fields):
-        settings = FakeTargetSettings(
-            listener=self.vm.address("targets"), data_centre="dc-1", **fields
-        )
-        target = FakeTarget(settings)
-        await self.nursery.start(partial(serve, settings, target=target))
+        target = await self.announce_target(data_centre="dc-1", **fields)
         await self.wait_until(lambda: target.settings.target in self._owned())
         return target
 
+    async def announce_target(self, target="t1", data_centre="dc-1", **fields):
+        settings = FakeTargetSettings(
+            target=target,
+            data_centre=data_centre,
+            listener=self.vm.address("targets"),
+            **fields,
+        )
+        fake = FakeTarget(settings)
+        await self.nursery.start(partial(serve, settings, target=fake))
+        return fake
+
     async def wait_until(self, condition):
         with trio.fail_after(WAIT_LIMIT_S):
             while not condition():
--- /dev/null
+++ b/tests/path/fleet.py
@@ -0,0 +1,97 @@
+"""Several VMs in one process, connected over loopback."""
+
+import random
+import socket
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import trio
+
+from tests.builders import make_settings
+from tests.path.builders import OPERATOR_KEY, RunningVm
+from vanillabeam.auth import digest
+from vanillabeam.vm import Vm
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Fleet:
+    """VMs by name, each with a nursery of its own.
+
+    :param layout: data centre of each VM.
+    :param control: names of the control VMs.
+    """
+
+    def __init__(self, folder: Path, layout: dict[str, str], control: list[str]):
+        self.folder = folder
+        self.layout = layout
+        self.control = control
+        self.ports = {vm: free_port() for vm in layout}
+        self.running: dict[str, RunningVm] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def settings(self, vm: str, bootstrap: bool):
+        peers = [
+            {
+                "vm": other,
+                "data_centre": self.layout[other],
+                "address": f"127.0.0.1:{self.ports[other]}",
+            }
+            for other in self.layout
+            if other != vm
+        ]
+        is_control = vm in self.control
+        return make_settings(
+            self.folder / vm,
+            vm=vm,
+            data_centre=self.layout[vm],
+            roles=["entry", "control"] if is_control else ["entry"],
+            data_folder="data" if is_control else None,
+            listeners={
+                "callers": {"port": 0},
+                "targets": {"port": 0},
+                "peers": {"port": self.ports[vm]},
+            },
+            peers=peers,
+            control={"members": self.control, "bootstrap": bootstrap},
+            operators=[{"name": "aline", "key_digest": digest(OPERATOR_KEY)}],
+            drain={"notice_s": 0.2, "deadline_s": 20.0},
+        )
+
+    async def start(self, vm: str, bootstrap: bool = False) -> RunningVm:
+        started = trio.Event()
+        self._nursery.start_soon(self._run, vm, bootstrap, started)
+        await started.wait()
+        return self.running[vm]
+
+    def kill(self, vm: str) -> None:
+        """End a VM with no goodbye."""
+        self._scopes.pop(vm).cancel()
+        del self.running[vm]
+
+    async def _run(self, vm: str, bootstrap: bool, started: trio.Event) -> None:
+        cfg = self.settings(vm, bootstrap)
+        made = Vm(cfg, random.Random(vm))
+        with trio.CancelScope() as scope:
+            self._scopes[vm] = scope
+            async with trio.open_nursery() as nursery:
+                await nursery.start(made.run)
+                self.running[vm] = RunningVm(made, nursery)
+                started.set()
+                await trio.sleep_forever()
+
+    @asynccontextmanager
+    async def open(self):
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for vm in self.layout:
+                await self.start(vm, bootstrap=True)
+            for running in self.running.values():
+                await running.wait_until(lambda r=running: r.vm.lifecycle.is_ready)
+            yield self
+            nursery.cancel_scope.cancel()
