--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	touch $@
 
 test: setup
-	$(BIN)/python -m pytest -m "not soak"
+	$(BIN)/python -m pytest -n 4 -m "not soak"
 
 soak: setup
 	SOAK_SEED=$(SEED) SOAK_RUNS=$(RUNS) $(BIN)/python -m pytest -m soak
