Join cache, stores and orders to the path

Cause: prompts ran without the stores, and tickets' versions were not ordered. Before a permitted run its target imports the blocks that pay; after it, what it left is offered to the stores. An import holds a lease of the target's owner, so that it never overlaps a swap.

--- a/bench/fake_target.py
+++ b/bench/fake_target.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import AsyncIterator
+from hashlib import blake2b
 from typing import Any
 
 import httpcore
@@ -25,6 +26,7 @@
 
 ALIVE_EVERY_S = 5.0
 CALL_TIMEOUT_S = 5.0
+CHECKSUM_BYTES = 16
 GRACEFUL_TIMEOUT_S = 1.0
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 
@@ -223,10 +225,12 @@
         if order["boot_id"] != self.engine.boot_id or order["version"] != version:
             return _json({**reply, "status": "stale", "seconds": 0.0})
         began_s = trio.current_time()
+        parent = ""
         for block in order["blocks"]:
-            moved = await self._move(method, order["store"], block)
+            moved = await self._move(method, order["store"], block, parent)
             if moved is None:
                 break
+            parent = block
             reply["blocks"].append(block)
             reply["bytes"] += moved
         seconds = trio.current_time() - began_s
@@ -234,21 +238,34 @@
         status = "done" if whole else "partial" if reply["blocks"] else "failed"
         return _json({**reply, "status": status, "seconds": seconds})
 
-    async def _move(self, method: str, store: str, block: str) -> int | None:
+    async def _move(
+        self, method: str, store: str, block: str, parent: str
+    ) -> int | None:
         if method == "PUT" and block not in self.engine.cache:
             return None
         seed = block.encode() or b"0"
         size = self.settings.block_bytes
         content = (seed * (size // len(seed) + 1))[:size] if method == "PUT" else None
-        reply = await _call(method, f"http://{store}/blocks/{block}", content)
+        headers = {} if content is None else self._block_headers(content, parent)
+        reply = await _call(method, f"http://{store}/blocks/{block}", content, headers)
         if reply is None or reply.status >= 300:
             return None
         if method == "GET":
             size = len(reply.content)
+            stated = dict(reply.headers).get(b"vanillabeam-checksum", b"").decode()
+            if stated != _checksum(reply.content):
+                return None
             self.engine.import_blocks([block])
         await trio.sleep(size / self.settings.link_bytes_s)
         return size
 
+    def _block_headers(self, content: bytes, parent: str) -> dict[str, str]:
+        headers = {
+            "Vanillabeam-Checksum": _checksum(content),
+            "Vanillabeam-Tokens": str(self.settings.block_tokens),
+        }
+        return headers | ({"Vanillabeam-Parent": parent} if parent else {})
+
     async def _summary(self, request: Request) -> Response:
         held = {"kind": "stored", "blocks": list(self.engine.cache)}
         self.engine.events.clear()
@@ -397,18 +414,26 @@
 
 
 async def _call(
-    method: str, url: str, content: bytes | None
+    method: str, url: str, content: bytes | None, headers: dict[str, str] | None = None
 ) -> httpcore.Response | None:
     timeout = dict.fromkeys(("connect", "read", "write", "pool"), CALL_TIMEOUT_S)
     try:
         async with httpcore.AsyncConnectionPool() as pool:
             return await pool.request(
-                method, url, content=content, extensions={"timeout": timeout}
+                method,
+                url,
+                headers=headers or {},
+                content=content,
+                extensions={"timeout": timeout},
             )
     except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
         return None
 
 
+def _checksum(content: bytes) -> str:
+    return blake2b(content, digest_size=CHECKSUM_BYTES).hexdigest()
+
+
 def _room(faults: Faults, sent: int) -> int | None:
     """Return how many pieces may follow before a connection breaks."""
     limits = [n for n in (faults.cut_after, faults.silent_after) if n is not None]
--- a/src/vanillabeam/entry.py
+++ b/src/vanillabeam/entry.py
@@ -15,6 +15,7 @@
 from vanillabeam.config import Config, Priority, Workspace
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.lifecycle import Lifecycle
+from vanillabeam.reuse import Reuse
 from vanillabeam.targets import Permit, RouteRequest
 
 if TYPE_CHECKING:
@@ -38,11 +39,12 @@
         self._parts = parts
         self._lifecycle = lifecycle
         self._accounting = accounting
+        self.reuse = Reuse(parts)
         self.runner = Runner(
             self._acquire,
-            parts.targets.release,
+            self.reuse.release,
             parts.claims,
-            trace=accounting.finished,
+            trace=self._finished,
         )
 
     @property
@@ -89,4 +91,9 @@
 
     async def _acquire(self, route: RouteRequest) -> Result[Permit, VanillabeamError]:
         wait_s = min(route.deadline_s, WAIT_LIMIT_S[route.priority])
-        return await self._parts.targets.acquire(route._replace(deadline_s=wait_s))
+        return await self.reuse.acquire(route._replace(deadline_s=wait_s))
+
+    def _finished(self, request_id: str, record: dict[str, Any]) -> None:
+        cached, recomputed = self.reuse.take(request_id)
+        counts = {"cached_tokens": cached, "recomputed_tokens": recomputed}
+        self._accounting.finished(request_id, record | counts)
--- a/src/vanillabeam/exceptions.py
+++ b/src/vanillabeam/exceptions.py
@@ -10,6 +10,7 @@
     "BodyTooSlow",
     "DeadlineExceeded",
     "Draining",
+    "ImportsClosed",
     "InvariantBroken",
     "MalformedBody",
     "MalformedHeader",
@@ -235,6 +236,15 @@
     advice = "The request may have run; a model prompt may be sent again."
 
 
+class ImportsClosed(VanillabeamError):
+    """A target takes no import now: it is being ordered, or not owned here."""
+
+    type = "imports-closed"
+    status = HTTPStatus.CONFLICT
+    run = Run.NOT_RUN
+    advice = "The prompt is computed instead."
+
+
 class PeerUnreachable(VanillabeamError):
     """Another VM could not be connected to; nothing was sent."""
 
--- a/src/vanillabeam/parts.py
+++ b/src/vanillabeam/parts.py
@@ -7,20 +7,32 @@
 import trio
 from returns.result import Result
 
+from vanillabeam import wire
+from vanillabeam.cache import Cache, CacheSettings, Prices, StoreAddress
 from vanillabeam.claims import Claims
 from vanillabeam.config import Config
 from vanillabeam.control import Control, ControlClient, control_addresses
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.farview import FarView
+from vanillabeam.imports import ImportLeases
 from vanillabeam.log import Address
 from vanillabeam.members import Member, Members, Seed
+from vanillabeam.orders import LeaseKeeper, Orders, OrdersConfig
 from vanillabeam.peercall import PeerCall, PeerRoutes
 from vanillabeam.peerhttp import PeerClient
 from vanillabeam.routing import Weights
 from vanillabeam.settings import Settings
 from vanillabeam.spread import DiskFiles, Spread
+from vanillabeam.store import DiskFiles as StoreFiles, Store, StoreSettings
 from vanillabeam.targets import Entry, Targets, TargetsSettings
-from vanillabeam.targetwire import Announcement, CacheEvents, LoadReport
+from vanillabeam.targetwire import (
+    Announcement,
+    CacheEvents,
+    LoadReport,
+    Order,
+    OrderReply,
+)
+from vanillabeam.tickets.freshness import FreshIndex
 
 __all__ = ["Parts"]
 
@@ -31,6 +43,7 @@
     :param addresses: ``host:port`` of each listener of this VM.
     :param call: reaches other VMs.
     :param target_call: reaches targets.
+    :param order_call: reaches targets with orders, which take long to answer.
     :param first_epoch: larger at each start of this VM.
     """
 
@@ -40,19 +53,26 @@
         addresses: dict[str, str],
         call: PeerCall,
         target_call: PeerClient,
+        order_call: PeerClient,
         rng: random.Random,
         first_epoch: int,
+        orders_cfg: OrdersConfig | None = None,
     ):
         self.cfg = cfg
         self.addresses = addresses
         self.call = call
         self.target_call = target_call
+        self.order_call = order_call
         self.rng = rng
         self.control = self._make_control()
         self.members = self._make_members()
         self.spread = self._make_spread()
         self.targets = self._make_targets(first_epoch)
         self.far = FarView(self.members, call, self._members_changed)
+        self.orders = self._make_orders(orders_cfg)
+        self.imports = ImportLeases(call, self.orders.may_import)
+        self.cache = self._make_cache()
+        self.store = self._make_store()
         self.claims = Claims(cfg["vm"], self.control.proposers(), rng)
         self._listen()
 
@@ -64,8 +84,12 @@
     def routes(self) -> PeerRoutes:
         """Return the handlers for other VMs' calls."""
         routes: PeerRoutes = {}
-        for part in (self.members, self.spread, self.targets):
+        for part in (self.members, self.spread, self.targets, self.orders):
             routes.update(part.routes())
+        routes.update(self.fresh.routes())
+        routes.update(self.imports.routes())
+        if self.store is not None:
+            routes.update(self.store.routes())
         if self.is_control:
             routes.update(self.control.routes())
         return routes
@@ -99,6 +123,9 @@
 
     async def announce(self, message: Announcement) -> Result[Any, VanillabeamError]:
         """Take a target's announcement; the answer names its owner."""
+        self.cache.target_changed(
+            message["target"], message["boot_id"], message["models"]
+        )
         return await self.targets.announce(message)
 
     async def load(self, message: LoadReport) -> Result[Any, VanillabeamError]:
@@ -155,8 +182,76 @@
             target_call=self.target_call,
         )
 
+    def _make_orders(self, cfg: OrdersConfig | None) -> Orders:
+        address = self.addresses["peers"]
+        control = [each.address for each in control_addresses(self.cfg, address)]
+        machine = self.control.machine if self.is_control else None
+        read = self.control.tickets.read if self.is_control else None
+        self.fresh = FreshIndex(control, self.call, machine, read)
+        keeper = LeaseKeeper(
+            self.cfg["vm"],
+            address,
+            control,
+            self.members,
+            self.call,
+            self._leads_tickets,
+        )
+        return Orders(
+            self.cfg["vm"],
+            self.cfg["data_centre"],
+            keeper,
+            self._order_target,
+            self.targets.owned,
+            self._running_at,
+            self._end_imports,
+            self.fresh.prove,
+            self.rng,
+            cfg,
+        )
+
+    def _make_cache(self) -> Cache:
+        routing = self.cfg["routing"]
+        prices = Prices(
+            routing["recomputed_token_price_s"], routing["link_byte_price_s"]
+        )
+        settings = CacheSettings(link_bytes_s=routing["link_bytes_s"], prices=prices)
+        call = self.order_call
+        return Cache(self.cfg["vm"], settings, self.call, call, self.rng)
+
+    def _make_store(self) -> Store | None:
+        sizes = self.cfg["store"]
+        if sizes is None:
+            return None
+        settings = StoreSettings(sizes["memory_bytes"], sizes["disk_bytes"])
+        files = StoreFiles(Path(self.cfg["data_folder"]) / "blocks")
+        return Store(self.cfg["vm"], settings, self.rng, files)
+
+    def _leads_tickets(self) -> bool:
+        return self.is_control and self.control.tickets.is_leader
+
+    async def _order_target(
+        self, address: str, order: Order
+    ) -> Result[OrderReply, VanillabeamError]:
+        answer = await self.order_call.request(
+            "PUT", address, "/order", wire.encode(order)
+        )
+        return answer.bind(lambda body: wire.decode(OrderReply, body))
+
+    def _running_at(self, target: str) -> int:
+        return self.targets.in_use(target)
+
+    async def _end_imports(self, target: str) -> None:
+        await self.imports.end_all(target)
+
     def _listen(self) -> None:
-        listeners = [self.targets.config_changed, self.claims.config_changed]
+        listeners = [
+            self.targets.config_changed,
+            self.claims.config_changed,
+            self.orders.config_changed,
+            self.cache.config_changed,
+        ]
+        if self.store is not None:
+            listeners.append(self.store.config_changed)
         if not self.is_control:
             listeners.append(self.control.config_changed)
         for listener in listeners:
@@ -169,7 +264,9 @@
         self.spread.attach(self.control.desk, self.control.machine)
 
     def _tasks(self) -> list[Any]:
-        return [self.members, self.spread, self.targets, self.claims, self.far]
+        tasks = [self.members, self.spread, self.targets, self.claims, self.far]
+        tasks += [self.orders, self.cache]
+        return tasks if self.store is None else [*tasks, self.store]
 
     async def _follow_members(self) -> None:
         while True:
@@ -178,7 +275,25 @@
             await self.members.view_after(view.version)
 
     def _members_changed(self) -> None:
-        self.targets.members_changed(self._live_entries())
+        entries = self._live_entries()
+        self.targets.members_changed(entries)
+        self.cache.entries_changed(max(1, len(entries)))
+        stores = self._live_stores()
+        self.cache.stores_changed(stores)
+        if self.store is not None:
+            self.store.stores_changed(tuple(store.name for store in stores))
+
+    def _live_stores(self) -> list[StoreAddress]:
+        known = [*self.members.view().alive, *self.far.members()]
+        return [
+            StoreAddress(
+                member.name,
+                member.address,
+                _at_port(member.address, member.state.ports.get("store")),
+            )
+            for member in known
+            if "store" in member.state.roles
+        ]
 
     def _live_entries(self) -> list[Entry]:
         known = [*self.members.view().alive, *self.far.members()]
@@ -191,6 +306,15 @@
             return [Address(vm, member.address) for vm, member in named.items()]
         return control_addresses(self.cfg, self.addresses["peers"])
 
+    def owner_address(self, vm: str) -> str:
+        """Return the peers' listener of an entry; empty for this VM."""
+        if vm == self.cfg["vm"]:
+            return ""
+        for entry in self._live_entries():
+            if entry.vm == vm:
+                return entry.address
+        return ""
+
     def known_addresses(self) -> set[str]:
         """Return the peers' listeners of every VM that this one knows of."""
         view = self.members.view()
--- /dev/null
+++ b/src/vanillabeam/reuse.py
@@ -0,0 +1,105 @@
+"""Work that a prompt finds again: blocks in stores before it runs, after it."""
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+from returns.result import Failure, Result, Success
+
+from vanillabeam.cache import BLOCK_TOKENS, Found, Place
+from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.targets import Outcome, OutcomeKind, Permit, RouteRequest
+
+if TYPE_CHECKING:
+    from vanillabeam.parts import Parts
+
+__all__ = ["Reuse"]
+
+
+class _Run(NamedTuple):
+    request_id: str
+    place: Place
+    found: Found
+    known_blocks: int
+
+
+class Reuse:
+    """Gives permits whose target has been handed the blocks that pay.
+
+    Between a permit and its run, blocks are imported where that is cheaper
+    than computing them; after the run, what it left is offered to the stores.
+
+    :param parts: the VM's shells.
+
+    >>> reuse = Reuse(parts)
+    >>> permit = await reuse.acquire(route)
+    >>> reuse.release(permit.unwrap(), Outcome(OutcomeKind.COMPLETED))
+    >>> reuse.take(route.request_id)
+    (0, 0)
+    """
+
+    def __init__(self, parts: "Parts"):
+        self._parts = parts
+        self._runs: dict[str, _Run] = {}
+        self._tokens: dict[str, tuple[int, int]] = {}
+
+    async def acquire(self, route: RouteRequest) -> Result[Permit, VanillabeamError]:
+        """Return a permit, with the blocks at its target that pay."""
+        found = await self._find(route)
+        known = self._known_blocks(route, found)
+        result = await self._parts.targets.acquire(
+            route._replace(stored_blocks=found.blocks)
+        )
+        if isinstance(result, Failure) or not route.blocks:
+            return result
+        permit = result.unwrap()
+        place = self._parts.cache.place_of(
+            permit, route.model, self._parts.config().index
+        )
+        try:
+            await self._import(permit, place, found)
+        except BaseException:
+            self._parts.targets.release(permit, Outcome(OutcomeKind.NOT_RUN))
+            raise
+        self._runs[permit.id] = _Run(route.request_id, place, found, known)
+        return result
+
+    def release(self, permit: Permit, outcome: Outcome) -> None:
+        """Give a permit back; offer what a completed run left to the stores."""
+        self._parts.targets.release(permit, outcome)
+        run = self._runs.pop(permit.id, None)
+        if run is None or outcome.kind is not OutcomeKind.COMPLETED:
+            return
+        known_tokens = min(run.known_blocks * BLOCK_TOKENS, outcome.prompt_tokens)
+        recomputed = max(0, known_tokens - outcome.cached_tokens)
+        self._tokens[run.request_id] = (outcome.cached_tokens, recomputed)
+        self._parts.cache.completed(run.place, run.found)
+
+    def take(self, request_id: str) -> tuple[int, int]:
+        """Return cached and recomputed tokens of a request, once."""
+        return self._tokens.pop(request_id, (0, 0))
+
+    async def _find(self, route: RouteRequest) -> Found:
+        if not route.blocks:
+            return Found()
+        return await self._parts.cache.find(route.blocks)
+
+    def _known_blocks(self, route: RouteRequest, found: Found) -> int:
+        placed = self._parts.targets.router.placed.holders(route.blocks)
+        return max([found.blocks, *placed.values()])
+
+    async def _import(self, permit: Permit, place: Place, found: Found) -> None:
+        cached = permit.cached_tokens // BLOCK_TOKENS
+        if found.blocks <= cached:
+            return
+        owner = self._parts.owner_address(permit.owner)
+        lease = await self._parts.imports.begin(owner, permit.target, permit.boot_id)
+        if not isinstance(lease, Success):
+            return
+        try:
+            with trio.move_on_after(lease.unwrap()["lasts_s"]):
+                await self._parts.cache.prepare(place, found, cached)
+        finally:
+            with trio.CancelScope(shield=True):
+                await self._parts.imports.end(
+                    owner, permit.target, lease.unwrap()["lease"]
+                )
--- a/src/vanillabeam/settings.py
+++ b/src/vanillabeam/settings.py
@@ -146,6 +146,13 @@
         Annotated[float, Field(ge=0)], Field(default=0.0)
     ]
     link_byte_price_s: Annotated[Annotated[float, Field(ge=0)], Field(default=0.0)]
+    link_bytes_s: Annotated[
+        Annotated[float, Field(gt=0)],
+        Field(
+            default=1.25e9,
+            description="most bytes a second between a data centre and a store",
+        ),
+    ]
 
 
 @with_config(_STRICT)
--- a/src/vanillabeam/targets/shell.py
+++ b/src/vanillabeam/targets/shell.py
@@ -208,6 +208,13 @@
             for name, target in self._owner.owned.items()
         }
 
+    def in_use(self, target: str) -> int:
+        """Return how many permits of a target owned here are out."""
+        owned = self._owner.owned.get(target)
+        if owned is None:
+            return 0
+        return self._owner.view(owned, trio.current_time()).in_use
+
     def status(self) -> dict[str, Any]:
         """Return what operators see of targets, permits and queues."""
         now_s = trio.current_time()
--- a/src/vanillabeam/vm.py
+++ b/src/vanillabeam/vm.py
@@ -19,11 +19,13 @@
 from vanillabeam.listeners import ListenerTask
 from vanillabeam.metrics import Counter, Gauge, Metrics
 from vanillabeam.operators import operator_routes
+from vanillabeam.orders import OrdersConfig
 from vanillabeam.overview import Overview
 from vanillabeam.parts import Parts
 from vanillabeam.peerhttp import PeerClient, peer_routes
 from vanillabeam.readiness import Readiness
 from vanillabeam.settings import Settings
+from vanillabeam.store import make_app
 from vanillabeam.targetapp import target_app
 from vanillabeam.tls import client_context
 from vanillabeam.traces import Traces
@@ -31,6 +33,8 @@
 __all__ = ["Vm"]
 
 GAUGES_PERIOD_S = 10.0
+ORDER_SILENCE_S = 120.0
+BLOCK_LIMIT_BYTES = 2**31
 
 
 class Vm:
@@ -38,6 +42,7 @@
 
     :param cfg: checked settings.
     :param rng: source of all random choices; seeded in tests.
+    :param orders_cfg: times of orders to targets, where not the usual ones.
 
     >>> vm = Vm(cfg)
     >>> await nursery.start(vm.run)
@@ -48,8 +53,14 @@
     0
     """
 
-    def __init__(self, cfg: Settings, rng: random.Random | None = None):
+    def __init__(
+        self,
+        cfg: Settings,
+        rng: random.Random | None = None,
+        orders_cfg: OrdersConfig | None = None,
+    ):
         self.cfg = cfg
+        self.orders_cfg = orders_cfg
         self.rng = rng or random.Random()
         self.traces = Traces()
         self.burn = Burn(Objectives(**cfg["objectives"]), cfg["vm"])
@@ -111,14 +122,16 @@
         peers_tls = self.cfg["listeners"]["peers"]["tls"]
         context = client_context(peers_tls).unwrap()
         call = PeerClient(read_key(self.cfg["peer_key_file"]), context)
-        target_call = PeerClient(read_key(self.cfg["target_key_file"]), None)
+        target_key = read_key(self.cfg["target_key_file"])
         return Parts(
             cfg=self.cfg,
             addresses={name: each.address for name, each in self.listeners.items()},
             call=call,
-            target_call=target_call,
+            target_call=PeerClient(target_key, None),
+            order_call=PeerClient(target_key, None, ORDER_SILENCE_S),
             rng=self.rng,
             first_epoch=int(time.time()),
+            orders_cfg=self.orders_cfg,
         )
 
     def _connect(self) -> None:
@@ -135,6 +148,8 @@
         target_key = read_key(self.cfg["target_key_file"])
         targets = target_app(self.parts, self._broken)
         self.apps["targets"].app = KeyGate(targets, "/", target_key)
+        if self.parts.store is not None:
+            self.apps["store"].app = make_app(self.parts.store)
         if "entry" in self.cfg["roles"]:
             self.apps["callers"].app = caller_app(self.entry)
 
@@ -172,7 +187,10 @@
 def _listener_settings(cfg: Settings) -> dict:
     found = dict(cfg["listeners"])
     if cfg["store"] is not None:
-        found["store"] = cfg["store"]["listener"]
+        # The store has bounds of its own on the size and the pace of a block.
+        listener = dict(cfg["store"]["listener"])
+        listener["limits"] = listener["limits"] | {"body_bytes": BLOCK_LIMIT_BYTES}
+        found["store"] = listener
     return found
 
 
--- a/tests/path/builders.py
+++ b/tests/path/builders.py
@@ -12,11 +12,20 @@
 from bench.fake_target import FakeTarget, FakeTargetSettings, serve
 from tests.builders import make_settings
 from vanillabeam.auth import digest
+from vanillabeam.orders import OrdersConfig
 from vanillabeam.vm import Vm
 
 OPERATOR_KEY = "operator-key"
 CALLER_KEY = "caller-key"
 WAIT_LIMIT_S = 20.0
+QUICK_ORDERS = OrdersConfig(
+    longest_order_s=0.5,
+    predecessor_lease_s=0.0,
+    confirm_s=0.2,
+    lease_retry_s=0.1,
+    retry_s=0.1,
+    count_after_s=0.5,
+)
 STEP_S = 0.02
 
 
@@ -69,8 +78,8 @@
         await self.nursery.start(partial(serve, settings, target=fake))
         return fake
 
-    async def wait_until(self, condition):
-        with trio.fail_after(WAIT_LIMIT_S):
+    async def wait_until(self, condition, limit_s=WAIT_LIMIT_S):
+        with trio.fail_after(limit_s):
             while not condition():
                 await trio.sleep(STEP_S)
 
@@ -97,7 +106,7 @@
         drain={"notice_s": 0.2, "deadline_s": 20.0},
         **changes,
     )
-    vm = Vm(cfg, random.Random(1))
+    vm = Vm(cfg, random.Random(1), QUICK_ORDERS)
     async with trio.open_nursery() as nursery:
         await nursery.start(vm.run)
         running = RunningVm(vm, nursery)
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,85 @@
+from functools import partial
+
+import trio
+from returns.result import Failure
+from trio.testing import MockClock
+
+from vanillabeam.exceptions import PeerUnreachable
+from vanillabeam.imports import LEASE_S, MARGIN_S, ImportLeases
+
+
+def make_leases(may_import=lambda target: True, owner=None):
+    async def call(address, path, body):
+        if owner is None:
+            return Failure(PeerUnreachable(address))
+        return await owner.routes()[path](body)
+
+    return ImportLeases(call, may_import)
+
+
+def run(act):
+    return trio.run(act, clock=MockClock(autojump_threshold=0))
+
+
+async def end_all_takes_s(leases, target):
+    began_s = trio.current_time()
+    await leases.end_all(target)
+    return trio.current_time() - began_s
+
+
+def test_a_swap_waits_for_an_import_to_end():
+    async def act():
+        leases = make_leases()
+        lease = (await leases.begin("", "t1", "b")).unwrap()["lease"]
+
+        async def end_later():
+            await trio.sleep(3.0)
+            await leases.end("", "t1", lease)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(end_later)
+            return await end_all_takes_s(leases, "t1")
+
+    assert run(act) == 3.0
+
+
+def test_a_lost_import_holds_a_swap_no_longer_than_its_lease():
+    async def act():
+        leases = make_leases()
+        await leases.begin("", "t1", "b")
+        return await end_all_takes_s(leases, "t1")
+
+    assert run(act) == LEASE_S + MARGIN_S
+
+
+def test_no_import_begins_while_a_swap_waits():
+    async def act():
+        leases = make_leases()
+        await leases.begin("", "t1", "b")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leases.end_all, "t1")
+            await trio.sleep(1.0)
+            refused = await leases.begin("", "t1", "b")
+            other = await leases.begin("", "t2", "b")
+        return refused, other, await leases.begin("", "t1", "b")
+
+    refused, other, after = run(act)
+    assert refused.failure().type == "imports-closed"
+    assert other.unwrap()["lasts_s"] == LEASE_S
+    assert after.unwrap()["lasts_s"] == LEASE_S
+
+
+def test_an_owner_that_may_not_says_so_to_another_entry():
+    async def act(may_import):
+        owner = make_leases(may_import=lambda target: may_import)
+        return await make_leases(owner=owner).begin("10.0.0.1:7003", "t1", "b")
+
+    assert run(partial(act, False)).failure().type == "imports-closed"
+    assert run(partial(act, True)).unwrap()["lasts_s"] == LEASE_S
+
+
+def test_an_owner_out_of_reach_gives_no_lease():
+    async def act():
+        return await make_leases().begin("10.0.0.1:7003", "t1", "b")
+
+    assert isinstance(run(act), Failure)
