--- a/bench/mechanisms/__init__.py
+++ b/bench/mechanisms/__init__.py
@@ -3,12 +3,14 @@
 from bench.mechanisms import (
     claimed,
     configuration,
+    daemon,
     level,
     logs,
     membership,
     ownership,
     peers,
     prompts,
+    stored,
 )
 from bench.mechanisms.base import Measure, Mechanism
 
@@ -21,6 +23,8 @@
     *membership.MECHANISMS,
     *ownership.MECHANISMS,
     *claimed.MECHANISMS,
+    *stored.MECHANISMS,
+    *daemon.MECHANISMS,
     *prompts.MECHANISMS,
     *level.MECHANISMS,
 )
--- a/bench/mechanisms/level.py
+++ b/bench/mechanisms/level.py
@@ -12,6 +12,7 @@
 WORKSPACES = (100, 1_000, 10_000, 35_000)
 REQUESTS = (2_000, 5_000, 10_000, 20_000)
 SKEW = 0.9
+ROW_REQUESTS = 6_000
 DAYS_S = 3 * 86_400.0
 #: Nothing listens there: the datagrams are sent and lost.
 CLOSED_PORT = 9
@@ -35,7 +36,7 @@
 
 
 def _workspaces(size: int, seed: int) -> dict[str, float]:
-    requests = max(REQUESTS)
+    requests = ROW_REQUESTS
     burn = _burn_of(size, requests, seed)
     return {
         "state_bytes": held_bytes(lambda: _burn_of(size, requests, seed)),
