--- a/src/vanillabeam/targets/messages.py
+++ b/src/vanillabeam/targets/messages.py
@@ -40,6 +40,7 @@
     deadline_s: float
     prompt_tokens: int
     blocks: tuple[str, ...]
+    delay_limit_s: float | None
 
 
 class GrantMessage(TypedDict):
@@ -132,6 +133,8 @@
     first_token_s: float | None
     prompt_tokens: int
     cached_tokens: int
+    imported_bytes: int
+    import_s: float
 
 
 class HandoverQuery(TypedDict):
@@ -243,4 +246,6 @@
         first_token_s=message["first_token_s"],
         prompt_tokens=message["prompt_tokens"],
         cached_tokens=message["cached_tokens"],
+        imported_bytes=message["imported_bytes"],
+        import_s=message["import_s"],
     )
