Keep a workspace's burn row while there is room for more

A busy newcomer displaced a row at each review even with places free, so the displaced workspace fell into the rest for nothing. Found by leaving out the merge of displaced rows on purpose: the random run failed with two requests and two free places.

--- a/src/vanillabeam/burn/core.py
+++ b/src/vanillabeam/burn/core.py
@@ -175,6 +175,8 @@
             self._volumes = Counter({key: n for key, n in halves.items() if n})
 
     def _replace_rows(self, now_s: float) -> None:
+        if len(self._rows) < self.detailed_rows:
+            return
         least_first = sorted(self._rows, key=lambda key: self._volumes[key])
         candidates = (
             (key, volume)
--- a/tests/burn/test_core.py
+++ b/tests/burn/test_core.py
@@ -79,6 +79,14 @@
     assert row_of(rows, REST, "kigali-1")["windows"]["3d"]["requests"] == 31
 
 
+def test_no_row_is_taken_while_there_is_room():
+    burn = make_burn(detailed_rows=2)
+    record(burn, 0.0, "quiet")
+    record(burn, 100.0, "busy", times=30)
+    rows = burn.summary(100.0)["rows"]
+    assert {row["workspace"] for row in rows} == {"quiet", "busy"}
+
+
 def test_small_workspace_whose_requests_fail_gets_a_row():
     burn = make_burn(detailed_rows=1)
     record(burn, 0.0, "busy", times=20)
