--- a/src/vanillabeam/targets/acquire.py
+++ b/src/vanillabeam/targets/acquire.py
@@ -7,6 +7,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from vanillabeam.admission import RetryBudget
 from vanillabeam.config import Config, Priority
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.routing.records import RouteRequest
@@ -24,6 +25,8 @@
 PAUSE_S = 0.1
 MOVE_FACTOR = 0.5
 MOVES = 2
+RETRIES_PER_REQUEST = 0.2
+RETRIES_SAVED = 50.0
 DELAY_SLACK_S = 0.05
 BATCH_PART = 0.7
 PASSING = (
@@ -65,7 +68,8 @@
         self._settings = settings
         self._withdraw = withdraw
         self._life = first_epoch
-        self._count = 0
+        self.asks_made = 0
+        self._budget = RetryBudget(RETRIES_PER_REQUEST, RETRIES_SAVED)
 
     async def acquire(self, request: RouteRequest) -> Result[Held, VanillabeamError]:
         """Return a permit, or why there is none."""
@@ -85,6 +89,7 @@
 
     async def _search(self, request: RouteRequest) -> Result[Held, VanillabeamError]:
         ends_s = trio.current_time() + request.deadline_s
+        self._budget.earn()
         passing: set[str] = set()
         refused: VanillabeamError | None = None
         tries = 0
@@ -116,6 +121,8 @@
                 passing.add(choice.view.target)
                 continue
             tries += 1
+            if not self._budget.spend():
+                break
             excluded = request.excluded | {choice.view.target}
             request = request._replace(excluded=excluded)
         return Failure(self._final(request, refused))
@@ -163,9 +170,9 @@
     def _make_ask(
         self, request: RouteRequest, choice: Choice, delay_limit_s: float | None
     ) -> Ask:
-        self._count += 1
+        self.asks_made += 1
         return Ask(
-            permit_id=f"{self._vm}.{self._life}.{self._count}",
+            permit_id=f"{self._vm}.{self._life}.{self.asks_made}",
             target=choice.view.target,
             holder=self._vm,
             workspace=request.workspace,
--- a/src/vanillabeam/targets/shell.py
+++ b/src/vanillabeam/targets/shell.py
@@ -216,6 +216,7 @@
             "known_targets": len(self.router.views),
             "permits_held": len(self._holdings.held),
             "waiting": {str(k): n for k, n in self._acquirer.waiting.items()},
+            "asks_made": self._acquirer.asks_made,
             "dropped_calls": self._outbox.dropped,
         }
 
@@ -306,5 +307,6 @@
     async def _tick(self) -> None:
         while True:
             await trio.sleep(self.settings.tick_s)
+            self._owner.targets_known = len(self.router.views)
             self._desk.post(Tick())
             self._summaries.tick()
--- a/tests/targets/test_shell.py
+++ b/tests/targets/test_shell.py
@@ -76,6 +76,27 @@
     run(main)
 
 
+def test_retries_at_other_targets_stay_within_their_budget():
+    async def main(nursery):
+        targets = await start_one(nursery, leaving=False)
+        for number in range(2, 5):
+            await targets.announce(make_announcement(target=f"engine-{number}"))
+        views = list(targets.router.views.values())
+        gone = make_announcement(models={"ledger": "v2"})
+        for number in range(1, 5):
+            await targets.announce({**gone, "target": f"engine-{number}"})
+        asked = 0
+        for _ in range(40):
+            for view in views:
+                targets.router.update(view)
+            before = targets.status()["asks_made"]
+            await targets.acquire(make_request(deadline_s=0.05))
+            asked += targets.status()["asks_made"] - before
+        assert asked < 40 + 50 + 0.2 * 40 + 1
+
+    run(main)
+
+
 def test_permits_outlive_their_first_life_while_they_are_held():
     async def main(nursery):
         targets = await start_one(nursery)
