Adopt reservations above weighted shares, after measuring both

A queue of eight slots, a quiet workspace and neighbours that ask half as much again as there is. A reservation counts over all targets, so each queue enforces its part.

--- /dev/null
+++ b/bench/shares.py
@@ -0,0 +1,153 @@
+"""Fair shares: reservations against weights, before noisy neighbours."""
+
+import heapq
+import random
+from collections import deque
+from typing import Any, NamedTuple
+
+import numpy as np
+
+from vanillabeam.admission import FairQueue, ReservedShares, Waiting, WeightedShares
+from vanillabeam.admission.shares import Share
+from vanillabeam.config import Priority
+
+__all__ = ["run"]
+
+DURATION_S = 300.0
+SLOTS = 8
+SLOT_TOKENS_S = 2000.0
+QUIET = "quiet"
+QUIET_TOKENS_S = 2000.0
+QUIET_COST = 1000.0
+NOISY_COST = 8000.0
+NOISY_FACTOR = 1.5
+QUEUE_LIMIT = 400
+NEIGHBOURS = (1, 6, 24)
+
+
+class Arrival(NamedTuple):
+    """A request that comes to the queue."""
+
+    at_s: float
+    workspace: str
+    cost: float
+
+
+class Fifo:
+    """First come, first served, whoever asks."""
+
+    def __init__(self, share_of):
+        self._line: deque[str] = deque()
+
+    def arrived(self, workspace: str) -> None:
+        """Note who came."""
+        self._line.append(workspace)
+
+    def pick(self, heads, now_s: float) -> str:
+        """Return the workspace that came first and still waits."""
+        names = {name for name, _ in heads}
+        while self._line[0] not in names:
+            self._line.popleft()
+        return self._line[0]
+
+    def served(self, workspace: str, cost: float, now_s: float) -> None:
+        """Take its first place away."""
+        self._line.remove(workspace)
+
+
+def equal(name: str) -> Share:
+    """Return equal weights and no reservations."""
+    return Share()
+
+
+def weighted(name: str) -> Share:
+    """Return a weight three times the others' for the quiet workspace."""
+    return Share(weight=3.0 if name == QUIET else 1.0)
+
+
+def reserved(name: str) -> Share:
+    """Return a reservation of its whole rate for the quiet workspace."""
+    rate = 1.2 * QUIET_TOKENS_S if name == QUIET else 0.0
+    return Share(reservation_tokens_s=rate)
+
+
+POLICIES = {
+    "fifo": (Fifo, equal),
+    "equal-weights": (WeightedShares, equal),
+    "weight-3": (WeightedShares, weighted),
+    "reservation": (ReservedShares, reserved),
+}
+
+
+def run(seed: int) -> dict[str, Any]:
+    """Measure the quiet workspace's wait under each policy."""
+    figures: dict[str, Any] = {}
+    for neighbours in NEIGHBOURS:
+        arrivals = make_arrivals(neighbours, seed)
+        for name, (kind, share_of) in POLICIES.items():
+            key = f"neighbours-{neighbours}.{name}"
+            figures[key] = play(arrivals, kind(share_of))
+    return figures
+
+
+def make_arrivals(neighbours: int, seed: int) -> list[Arrival]:
+    """Return a steady quiet workspace among neighbours that ask too much."""
+    rng = random.Random(seed)
+    arrivals = _poisson(rng, QUIET, QUIET_TOKENS_S / QUIET_COST, QUIET_COST)
+    rate = NOISY_FACTOR * SLOTS * SLOT_TOKENS_S / NOISY_COST / neighbours
+    for number in range(neighbours):
+        arrivals += _poisson(rng, f"noisy-{number}", rate, NOISY_COST)
+    return sorted(arrivals)
+
+
+def _poisson(
+    rng: random.Random, workspace: str, rate_s: float, cost: float
+) -> list[Arrival]:
+    arrivals = []
+    at_s = 0.0
+    while (at_s := at_s + rng.expovariate(rate_s)) < DURATION_S:
+        arrivals.append(Arrival(at_s, workspace, cost))
+    return arrivals
+
+
+def play(arrivals: list[Arrival], shares) -> dict[str, float]:
+    """Return waits in seconds and what the neighbours got."""
+    queue = FairQueue(QUEUE_LIMIT, shares)
+    came = {}
+    waits: list[float] = []
+    busy: list[float] = []
+    noisy_tokens = shed = 0.0
+    for number, arrival in enumerate(arrivals):
+        while busy and busy[0] <= arrival.at_s:
+            noisy_tokens += _start(queue, heapq.heappop(busy), busy, came, waits)
+        key = str(number)
+        came[key] = arrival.at_s
+        if hasattr(shares, "arrived"):
+            shares.arrived(arrival.workspace)
+        late_s = arrival.at_s + DURATION_S
+        waiting = Waiting(
+            key, arrival.workspace, Priority.INTERACTIVE, arrival.cost, late_s
+        )
+        shed += sum(w.workspace == QUIET for w in queue.push(waiting))
+        if len(busy) < SLOTS:
+            noisy_tokens += _start(queue, arrival.at_s, busy, came, waits)
+    p50, p95, p99 = np.percentile(waits, [50, 95, 99]).tolist()
+    return {
+        "quiet_wait_p50_s": p50,
+        "quiet_wait_p95_s": p95,
+        "quiet_wait_p99_s": p99,
+        "quiet_served": len(waits),
+        "quiet_shed": shed,
+        "noisy_tokens_s": noisy_tokens / DURATION_S,
+    }
+
+
+def _start(queue, now_s: float, busy: list[float], came, waits: list[float]) -> float:
+    waiting = queue.pop(now_s)
+    if waiting is None:
+        return 0.0
+    heapq.heappush(busy, now_s + waiting.cost / SLOT_TOKENS_S)
+    if waiting.workspace == QUIET:
+        waits.append(now_s - came[waiting.key])
+        return 0.0
+    return waiting.cost
--- a/src/vanillabeam/admission/shares.py
+++ b/src/vanillabeam/admission/shares.py
@@ -7,6 +7,7 @@
 
 IDLE_LIMIT = 1000
 LEAST_WEIGHT = 0.01
+CATCH_UP_S = 2.0
 
 
 class Share(NamedTuple):
@@ -95,5 +96,9 @@
         rate = self._share_of(workspace).reservation_tokens_s
         if rate <= 0:
             return
-        due_s = max(now_s, self._due_s.get(workspace, now_s))
+        due_s = max(now_s - CATCH_UP_S, self._due_s.get(workspace, now_s))
         self._due_s[workspace] = due_s + cost / rate
+        if len(self._due_s) > IDLE_LIMIT:
+            late_s = now_s - CATCH_UP_S
+            due = self._due_s.items()
+            self._due_s = {name: due_s for name, due_s in due if due_s > late_s}
--- a/src/vanillabeam/targets/owner.py
+++ b/src/vanillabeam/targets/owner.py
@@ -5,7 +5,7 @@
 
 from returns.result import Failure, Success
 
-from vanillabeam.admission import FairQueue, Shares, Waiting, WeightedShares
+from vanillabeam.admission import FairQueue, ReservedShares, Shares, Waiting
 from vanillabeam.admission.shares import Share
 from vanillabeam.config import Config
 from vanillabeam.exceptions import InvariantBroken, VanillabeamError
@@ -89,17 +89,19 @@
         self.polled_s: dict[str, float] = {}
         self.ended: dict[str, float] = {}
         self.stopping = False
+        self.targets_known = 1
 
     def share_of(self, workspace: str) -> Share:
-        """Return the share that the workspace's ticket gives it."""
+        """Return the share that the workspace's ticket gives it at one target."""
         record = self.config.workspaces.get(workspace)
         if record is None:
             return Share()
-        return Share(record.weight, record.reservation_tokens_s)
+        reserved = record.reservation_tokens_s / max(1, self.targets_known)
+        return Share(record.weight, reserved)
 
     def make_shares(self) -> Shares:
         """Return the fair shares of a new queue."""
-        return WeightedShares(self.share_of)
+        return ReservedShares(self.share_of)
 
     def owns(self, target: OwnedTarget) -> bool:
         """Return whether this VM owns ``target`` in its present view."""
--- a/tests/targets/test_owner.py
+++ b/tests/targets/test_owner.py
@@ -10,7 +10,8 @@
     make_owner,
     report,
 )
-from vanillabeam.config import Priority
+from vanillabeam.admission.shares import Share
+from vanillabeam.config import Config, Priority, Workspace
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.targets import Outcome, OutcomeKind, TargetsSettings
 from vanillabeam.targets.events import (
@@ -200,6 +201,15 @@
     assert effects[0].permit_id == "clerk"
 
 
+def test_a_reservation_is_divided_among_the_targets():
+    state = make_owner()
+    record = Workspace("icupa", (), "", weight=2.0, reservation_tokens_s=900.0)
+    handle(ConfigChanged(Config(workspaces={"icupa": record})), state, 0.0)
+    state.targets_known = 9
+    assert state.share_of("icupa") == Share(2.0, 100.0)
+    assert state.share_of("other") == Share()
+
+
 def test_failures_open_the_breaker_and_a_probe_closes_it():
     state = make_owner()
     for number in range(3):
