Check data folders offline; break rules on purpose; test the shell

Four faults came out of it. A leader whose next round was due by one way of rounding and not by the other spun without time passing. A follower that had lost acknowledged entries was sent the same entries again at the network's speed; a refusal below what it had acknowledged is now left to the resend timer. A replica stopped by its disk still took itself for the leader. A request that found no leader ended as not-leader.

--- a/src/vanillabeam/log/__init__.py
+++ b/src/vanillabeam/log/__init__.py
@@ -4,6 +4,7 @@
 holds none. The core is :func:`vanillabeam.log.core.handle`.
 """
 
+from vanillabeam.log.check import FolderView, GroupCheck, check, show
 from vanillabeam.log.client import LogClient
 from vanillabeam.log.exceptions import LogError
 from vanillabeam.log.node import LogNode, group_folder
@@ -20,6 +21,8 @@
 __all__ = [
     "Address",
     "Applied",
+    "FolderView",
+    "GroupCheck",
     "LogClient",
     "LogError",
     "LogNode",
@@ -28,5 +31,7 @@
     "Member",
     "Membership",
     "StateMachine",
+    "check",
     "group_folder",
+    "show",
 ]
--- a/src/vanillabeam/log/client.py
+++ b/src/vanillabeam/log/client.py
@@ -116,6 +116,8 @@
                     return result
                 self._learn(last, address)
                 await trio.sleep(RETRY_S)
+        if isinstance(last, NotLeader):
+            return Failure(NoLeader(f"group {self.group} has no leader"))
         return Failure(last)
 
     def _try_s(self, request: GroupRequest) -> float:
--- a/src/vanillabeam/log/contents.py
+++ b/src/vanillabeam/log/contents.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from vanillabeam.log.exceptions import DataFolderDamaged
-from vanillabeam.log.folder import TEMPORARY_SUFFIX, Folder
+from vanillabeam.log.folder import TEMPORARY_SUFFIX, Folder, ReadFolder
 from vanillabeam.log.frames import Frame, Scan, scan
 from vanillabeam.log.records import NO_SNAPSHOT, Entry, Membership, Snapshot
 
@@ -102,7 +102,7 @@
     """Carries what is wrong to the one place that returns the failure."""
 
 
-def read_contents(folder: Folder) -> Result[Contents, DataFolderDamaged]:
+def read_contents(folder: Folder | ReadFolder) -> Result[Contents, DataFolderDamaged]:
     """Return what the folder holds, or what is damaged in it."""
     try:
         return Success(_read(folder))
--- a/src/vanillabeam/log/folder.py
+++ b/src/vanillabeam/log/folder.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import Protocol
 
-__all__ = ["DiskFolder", "Folder"]
+__all__ = ["DiskFolder", "Folder", "ReadFolder"]
 
 TEMPORARY_SUFFIX = ".tmp"
 
@@ -40,18 +40,14 @@
         """Let go of open files."""
 
 
-class DiskFolder:
-    """A :class:`Folder` on disk; it is made if it is not there.
+class ReadFolder:
+    """The reading half of :class:`DiskFolder`.
 
     :param path: where the files live.
     """
 
     def __init__(self, path: Path):
         self.path = path
-        self._open_name = ""
-        self._descriptor = -1
-        path.mkdir(parents=True, exist_ok=True)
-        _sync_folder(path.parent)
 
     def names(self) -> list[str]:
         """Return the names of the files, sorted."""
@@ -67,6 +63,18 @@
             file.seek(offset)
             return file.read(size)
 
+
+class DiskFolder(ReadFolder):
+    """A :class:`Folder` on disk; it is made if it is not there."""
+
+    def __init__(self, path: Path):
+        super().__init__(path)
+        self._open_name = ""
+        self._descriptor = -1
+        path.mkdir(parents=True, exist_ok=True)
+        _sync_folder(path.parent)
+        _sync_folder(path.parent.parent)
+
     def append(self, name: str, data: bytes) -> None:
         """Write at a file's end; lasts only after :meth:`sync`."""
         self._open(name)
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -197,7 +197,10 @@
     @property
     def is_leader(self) -> bool:
         """Return whether this replica takes itself for the leader."""
-        return self._loop is not None and self._loop.replica.role is Role.LEADER
+        loop = self._loop
+        if loop is None or loop.failure is not None:
+            return False
+        return loop.replica.role is Role.LEADER
 
     @property
     def applied(self) -> int:
--- a/src/vanillabeam/log/replication.py
+++ b/src/vanillabeam/log/replication.py
@@ -53,7 +53,7 @@
 
 def replicate(state: Replica, now_s: float) -> list[Effect]:
     """Send each member what it lacks, and a heartbeat when one is due."""
-    heartbeat_due = now_s - state.round_sent_s >= state.settings.heartbeat_s
+    heartbeat_due = now_s >= state.round_sent_s + state.settings.heartbeat_s
     if heartbeat_due or state.round_wanted:
         state.round += 1
         state.round_sent_s = now_s
@@ -194,8 +194,8 @@
     progress.contact_s = now_s
     progress.round = max(progress.round, message.round)
     if not message.success:
-        progress.next = max(progress.match, min(message.hint, progress.next - 1)) + 1
-        if progress.snapshot_offset is None:
+        if message.hint >= progress.match and progress.snapshot_offset is None:
+            progress.next = min(message.hint, progress.next - 1) + 1
             progress.sent_s = None
         return confirm_reads(state)
     if message.match > progress.match:
--- a/tests/log/cluster.py
+++ b/tests/log/cluster.py
@@ -191,6 +191,7 @@
 
     :param seed: drives delays, losses, repeats and torn tails.
     :param replica_type: a subclass of ``Replica`` that breaks a rule.
+    :param late: share of messages that may take up to 3 s.
     """
 
     def __init__(
@@ -200,6 +201,8 @@
         spares=1,
         replica_type=Replica,
         folder_type=CrashingFolder,
+        vm_type=Vm,
+        late=0.02,
         settings=SETTINGS,
     ):
         self.rng = random.Random(seed)
@@ -212,6 +215,7 @@
         self.homes = {}
         self.cut = set()
         self.loss = 0.0
+        self.late = late
         self.lost_s = []
         self.committed = {}
         self.leaders = {}
@@ -219,7 +223,7 @@
         self.history = History()
         self.pending = {}
         names = [f"vm-{n}" for n in range(1, size + spares + 1)]
-        self.vms = {name: Vm(name, self) for name in names}
+        self.vms = {name: vm_type(name, self) for name in names}
         first = self.vms[names[0]]
         first.start(0.0)
         first.found(names[:size])
@@ -299,7 +303,7 @@
         for _ in range(copies):
             if self.rng.random() < self.loss:
                 continue
-            late = self.rng.random() < 0.02
+            late = self.rng.random() < self.late
             delay_s = self.rng.uniform(0.0005, 3.0 if late else 0.01)
             self.at(delay_s, target, encode_parcel([envelope]))
 
--- /dev/null
+++ b/tests/log/test_broken_rules.py
@@ -0,0 +1,88 @@
+"""Each rule, broken on purpose, is found by the randomised runs."""
+
+import pytest
+
+from tests.log.cluster import FAILURES, CrashingFolder, Vm
+from tests.log.history import NotLinearizable
+from tests.log.test_runs import Runs, explore
+from vanillabeam.log.replica import Replica
+
+STEPS = 30
+CI_RUNS = 60
+SOAK_RUNS = 300
+
+
+class SkipsSync(CrashingFolder):
+    def sync(self, name):
+        self.synced.setdefault(name, 0)
+
+
+class VotesAfterDiskLoss(Vm):
+    """Comes back with an empty disk under its old id, and votes."""
+
+    def make_id(self):
+        return f"{self.name}#1"
+
+    def start(self, now_s):
+        super().start(now_s)
+        if self.disks > 1 and not self.state.group_id:
+            self.storage.save_identity(group_id="group")
+            super().start(now_s)
+
+
+class SkipsPreVote(Replica):
+    def needs_pre_vote(self):
+        return False
+
+
+class VotesForOldLogs(Replica):
+    def is_up_to_date(self, last_term, last_index):
+        return True
+
+
+class VotesTwice(Replica):
+    def may_vote_for(self, candidate, term):
+        return True
+
+
+class VotesBesideLeaders(Replica):
+    """Safe, if less calm: reads must hold even when leaders overlap."""
+
+    def hears_leader(self, now_s):
+        return False
+
+
+class ReadsWithoutRound(VotesBesideLeaders):
+    def read_round(self):
+        return 0
+
+
+BROKEN_IN_CI = [
+    (1, {"folder_type": SkipsSync}),
+    (1, {"replica_type": SkipsPreVote}),
+]
+BROKEN_IN_SOAK = [
+    (1, {"replica_type": VotesForOldLogs}),
+    (2, {"replica_type": VotesTwice}),
+    (1, {"vm_type": VotesAfterDiskLoss}),
+    (1, {"replica_type": ReadsWithoutRound, "late": 0.3}),
+]
+
+
+def expect_found(run_seed, options, runs):
+    class BrokenRuns(Runs):
+        cluster_options = options
+
+    with pytest.raises((*FAILURES, NotLinearizable)):
+        explore(BrokenRuns, runs, STEPS, run_seed)
+
+
+@pytest.mark.parametrize(("run_seed", "options"), BROKEN_IN_CI)
+def test_a_broken_rule_is_found(run_seed, options):
+    expect_found(run_seed, options, CI_RUNS)
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize(("run_seed", "options"), BROKEN_IN_SOAK)
+def test_a_broken_rule_is_found_by_long_runs(run_seed, options):
+    expect_found(run_seed, options, SOAK_RUNS)
--- a/tests/log/test_node.py
+++ b/tests/log/test_node.py
@@ -1,45 +1,223 @@
+from functools import partial
+
 import trio
 import trio.testing
+from returns.result import Failure
 
-from tests.log.builders import Network, make_node, until
+from tests.log.builders import MemoryFolder, Network, make_node, members, until
+from vanillabeam.exceptions import Run
 from vanillabeam.log import LogClient
+from vanillabeam.log.exceptions import (
+    NoLeader,
+    StorageFailed,
+    WouldLoseQuorum,
+)
 
 
 def run(function):
     """Run an async function on a clock that jumps over waits."""
-    clock = trio.testing.MockClock(autojump_threshold=0.005)
+    clock = trio.testing.MockClock(autojump_threshold=0.002)
     return trio.run(function, clock=clock)
 
 
-def test_a_single_vm_founds_its_group_and_commits():
-    async def main():
-        node = make_node("vm-1", 1, Network())
+class Group:
+    """Nodes that are started and stopped one by one."""
+
+    def __init__(self, nursery, count, **settings):
+        self.nursery = nursery
+        self.count = count
+        self.settings = settings
+        self.network = Network()
+        self.folders = {}
+        self.nodes = {}
+        self.scopes = {}
+
+    async def start(self, vm, **options):
+        folder = self.folders.setdefault(vm, MemoryFolder())
+        node = make_node(
+            vm, self.count, self.network, folder, **(self.settings | options)
+        )
+        self.nodes[vm] = node
+        self.scopes[vm] = await self.nursery.start(partial(self._run, node))
+        return node
+
+    async def _run(self, node, *, task_status):
         async with trio.open_nursery() as nursery:
             await nursery.start(node.run)
-            applied = (await node.propose("a")).unwrap()
-            assert applied.reply == "1"
-            assert (await node.read()).unwrap() == applied.index
-            assert node.status()["losses_left"] == 0
-            nursery.cancel_scope.cancel()
+            task_status.started(nursery.cancel_scope)
 
-    run(main)
+    def stop(self, vm):
+        self.scopes[vm].cancel()
+        self.network.routes.pop(f"{vm}:1")
+        return self.nodes.pop(vm)
 
+    async def start_all(self):
+        for vm, _ in members(self.count):
+            await self.start(vm)
+        await until(lambda: self.leader and self.losses_left() == self.count // 2)
 
-def test_three_vms_take_commands_from_any_vm_and_from_outside():
-    async def main():
-        network = Network()
-        nodes = [make_node(f"vm-{n}", 3, network) for n in (1, 2, 3)]
-        async with trio.open_nursery() as nursery:
-            for node in nodes:
-                await nursery.start(node.run)
-            await until(lambda: nodes[0].status()["losses_left"] == 1)
-            for node in nodes:
-                assert (await node.propose(node.vm)).unwrap()
-            client = LogClient("tickets", nodes[1]._initial, network.call_from("x:1"))
-            last = (await client.propose("outside")).unwrap()
-            for node in nodes:
-                assert (await node.read()).unwrap() >= last.index
-                assert [c for _, c in node._machine.commands][-1] == "outside"
-            nursery.cancel_scope.cancel()
-
-    run(main)
+    @property
+    def leader(self):
+        return next((n for n in self.nodes.values() if n.is_leader), None)
+
+    def losses_left(self):
+        return self.leader.status()["losses_left"]
+
+    def commands(self, vm):
+        return [command for _, command in self.nodes[vm]._machine.commands]
+
+
+def with_group(count, **settings):
+    """Run an async test with a group of ``count`` VMs."""
+
+    def decorate(function):
+        def test():
+            async def main():
+                async with trio.open_nursery() as nursery:
+                    group = Group(nursery, count, **settings)
+                    await function(group)
+                    nursery.cancel_scope.cancel()
+
+            run(main)
+
+        test.__name__ = function.__name__
+        return test
+
+    return decorate
+
+
+@with_group(1)
+async def test_a_single_vm_founds_its_group_and_commits(group):
+    node = await group.start("vm-1")
+    applied = (await node.propose("a")).unwrap()
+    assert applied.reply == "1"
+    assert (await node.read()).unwrap() == applied.index
+    assert node.status()["losses_left"] == 0
+
+
+@with_group(3)
+async def test_three_vms_take_commands_from_any_vm_and_from_outside(group):
+    await group.start_all()
+    for node in group.nodes.values():
+        assert (await node.propose(node.vm)).unwrap()
+    client = LogClient("tickets", members(3), group.network.call_from("x:1"))
+    last = (await client.propose("outside")).unwrap()
+    for node in group.nodes.values():
+        assert (await node.read()).unwrap() >= last.index
+        assert group.commands(node.vm)[-1] == "outside"
+
+
+@with_group(3)
+async def test_no_command_is_taken_before_a_majority_has_joined(group):
+    await group.start("vm-1")
+    await group.start("vm-2", bootstrap=False)
+    failure = (await group.nodes["vm-1"].propose("early")).failure()
+    assert isinstance(failure, NoLeader)
+    assert failure.run is Run.NOT_RUN
+    assert group.nodes["vm-1"].status()["group_id"] == ""
+
+
+@with_group(3)
+async def test_restarted_vms_have_snapshot_and_tail(group):
+    await group.start_all()
+    for number in range(120):
+        (await group.leader.propose(f"c{number}")).unwrap()
+    for vm, _ in members(3):
+        group.stop(vm)
+    for vm, _ in members(3):
+        await group.start(vm)
+        assert group.nodes[vm].status()["snapshot_index"] >= 50
+    (await group.nodes["vm-2"].read()).unwrap()
+    assert group.commands("vm-2") == [f"c{number}" for number in range(120)]
+
+
+@with_group(3)
+async def test_a_silently_cut_off_leader_is_replaced_and_reads_nothing(group):
+    await group.start_all()
+    old = group.leader
+    for vm, address in members(3):
+        if vm != old.vm:
+            group.network.cut |= {(old.address, address), (address, old.address)}
+    other = next(node for node in group.nodes.values() if node is not old)
+    await until(lambda: other.status()["leader"] not in ("", old.vm))
+    (await other.propose("new")).unwrap()
+    assert isinstance(await old.read(), Failure)
+    failure = (await old.propose("lost?")).failure()
+    assert group.commands(other.vm) == ["new"]
+    assert failure.run in (Run.NOT_RUN, Run.UNKNOWN)
+
+
+@with_group(3)
+async def test_hand_over_leaves_no_gap(group):
+    await group.start_all()
+    old = group.leader
+    assert await old.hand_over()
+    await until(lambda: group.leader is not None)
+    assert group.leader is not old
+    assert (await old.propose("after")).unwrap()
+
+
+@with_group(3)
+async def test_a_failed_sync_stops_the_replica_and_leaves_the_outcome_open(group):
+    await group.start_all()
+    old = group.leader
+    group.folders[old.vm].fail_syncs = True
+    failure = (await old.propose("a")).failure()
+    assert failure.run is Run.UNKNOWN
+    assert old.status()["failure"] == StorageFailed.type
+    other = next(node for node in group.nodes.values() if node is not old)
+    await until(lambda: group.leader not in (None, old))
+    assert (await other.propose("b")).unwrap()
+
+
+@with_group(3)
+async def test_a_founder_with_a_lost_disk_joins_as_a_new_member(group):
+    await group.start_all()
+    (await group.leader.propose("kept")).unwrap()
+    old_id = group.nodes["vm-1"].status()["member_id"]
+    group.stop("vm-1")
+    group.folders["vm-1"] = MemoryFolder()
+    node = await group.start("vm-1")
+    assert node.status()["role"] == "joining"
+    await until(lambda: group.leader and group.losses_left() == 1)
+    ids = {m["member_id"] for m in group.leader.status()["members"]}
+    assert node.status()["member_id"] in ids
+    assert old_id not in ids
+    await until(lambda: group.commands("vm-1") == ["kept"])
+
+
+@with_group(3)
+async def test_a_damaged_folder_never_starts(group):
+    await group.start_all()
+    group.stop("vm-3")
+    group.folders["vm-3"].files["member"][30] ^= 1
+    node = await group.start("vm-3")
+    assert node.status()["failure"] == "log-data-folder-damaged"
+    assert isinstance(await node.read(), Failure)
+
+
+@with_group(3)
+async def test_members_leave_and_come_one_at_a_time(group):
+    await group.start_all()
+    (await group.leader.propose("first")).unwrap()
+    (await group.leader.remove_member("vm-3")).unwrap()
+    group.stop("vm-3")
+    newcomer = await group.start("vm-4", bootstrap=False)
+    await trio.sleep(5)
+    assert newcomer.status()["role"] == "joining"
+    (await newcomer.add_member("vm-4")).unwrap()
+    await until(lambda: group.losses_left() == 1)
+    names = {m["vm"] for m in group.leader.status()["members"]}
+    assert names == {"vm-1", "vm-2", "vm-4"}
+    await until(lambda: group.commands("vm-4") == ["first"])
+
+
+@with_group(3)
+async def test_a_removal_that_would_lose_the_quorum_is_refused(group):
+    await group.start_all()
+    leader = group.leader
+    gone, kept = (vm for vm in list(group.nodes) if vm != leader.vm)
+    group.stop(gone)
+    failure = (await leader.remove_member(kept)).failure()
+    assert isinstance(failure, WouldLoseQuorum)
+    assert (await leader.propose("still")).unwrap()
--- a/tests/log/test_runs.py
+++ b/tests/log/test_runs.py
@@ -13,7 +13,7 @@
     run_state_machine_as_test,
 )
 
-from tests.log.cluster import Cluster
+from tests.log.cluster import Broken, Cluster
 
 CI_RUNS = 12
 CI_STEPS = 25
@@ -79,6 +79,18 @@
     def cut_one_way(self, source, other):
         self.cluster.cut.add((self.vm(source).name, self.vm(other).name))
 
+    @rule(number=VMS)
+    def cut_off_and_watch_its_term(self, number):
+        vm = self.vm(number)
+        self.cut_off(number)
+        self.cluster.run(5.0)
+        term = vm.state.term if vm.up else 0
+        self.cluster.run(10.0)
+        alone = vm.up and vm.state.is_sole_voter
+        if vm.up and not alone and vm.state.term != term:
+            raise Broken(f"{vm.name}, cut off, went from term {term}")
+        self.heal()
+
     @rule()
     def heal(self):
         self.cluster.cut = set()
