--- /dev/null
+++ b/src/vanillabeam/cache/placement.py
@@ -0,0 +1,24 @@
+"""Where blocks belong: rendezvous hashing, so that no node keeps a map.
+
+Every VM that knows the live stores works out the same order for a chain. All
+blocks of a chain have the same order, so one call finds them all.
+"""
+
+from collections.abc import Iterable
+
+from vanillabeam.cache.blocks import lineage
+from vanillabeam.routing.rendezvous import rank
+
+__all__ = ["COPIES", "place", "position"]
+
+COPIES = 2
+
+
+def place(block_id: str, stores: Iterable[str]) -> tuple[str, ...]:
+    """Return the live ``stores`` that should hold ``block_id``, first one first."""
+    return tuple(rank(lineage(block_id), stores)[:COPIES])
+
+
+def position(block_id: str, store: str, stores: Iterable[str]) -> int:
+    """Return the place of ``store`` in the order, 0 for the first copy."""
+    return rank(lineage(block_id), stores).index(store)
