Count a released lease until every report knows of it

Reports name the leases that they take into account, held or ended; a new lease has a new name; a number that was there before an order says nothing of it.

--- a/src/vanillabeam/orders/core.py
+++ b/src/vanillabeam/orders/core.py
@@ -67,14 +67,16 @@
     for name in list(state.targets):
         owned = event.owned.get(name)
         if owned is None or owned.epoch != state.targets[name].epoch:
-            effects += _give_up(state.targets.pop(name), now_s)
+            target = state.targets.pop(name)
+            effects += _give_up(target, now_s)
+            _drop_lease(state, target, now_s)
     for name, owned in event.owned.items():
         target = state.targets.get(name)
         if target is None:
             target = TargetState(owned.announcement, owned.epoch, now_s)
             state.targets[name] = target
         elif target.said["boot_id"] != owned.announcement["boot_id"]:
-            effects += _restarted(target, now_s)
+            effects += _restarted(state, target, now_s)
         target.said = owned.announcement
         target.running = owned.running
         target.note_index(owned.announcement.get("order_index", 0))
@@ -90,11 +92,17 @@
     return [ReleaseLease(target.lease)]
 
 
-def _restarted(target: TargetState, now_s: float) -> list[Effect]:
+def _drop_lease(state: OrdersState, target: TargetState, now_s: float) -> None:
+    if target.lease is not None:
+        state.ended_leases[target.lease] = now_s
+        target.lease = None
+
+
+def _restarted(state: OrdersState, target: TargetState, now_s: float) -> list[Effect]:
     # Whatever was loaded or ordered is gone with the boot; the order on its
     # way may still arrive at the new one.
     effects = _give_up(target, now_s)
-    target.lease = None
+    _drop_lease(state, target, now_s)
     target.role = None
     target.go(Phase.IDLE, now_s)
     return effects
@@ -268,6 +276,7 @@
             f"order {index} to {target.name} after {target.highest_index}"
         )
     target.note_index(index)
+    target.index_before = target.said.get("order_index", 0)
     state.attempts += 1
     target.attempt = state.attempts
     target.busy_until_s = now_s + state.cfg.longest_order_s
@@ -319,8 +328,11 @@
 
 
 def _confirm(state: OrdersState, target: TargetState, now_s: float) -> list[Effect]:
+    # Several orders may have one index: a number that the target had before
+    # this one was sent says nothing of it.
     said_index = target.said.get("order_index", 0)
-    ordered = target.obeyed or said_index >= target.order["index"]
+    is_new = said_index >= target.order["index"] > target.index_before
+    ordered = target.obeyed or is_new
     if ordered and matches(target.desired, target.said):
         target.role = target.order["role"]
         target.failures = 0
@@ -351,7 +363,8 @@
         return []
     target.renewed_s = now_s
     stores = stores_used(target.desired, target.said)
-    return [AskLease(target.name, stores, _floors_touched(state, target))]
+    floors = _floors_touched(state, target)
+    return [AskLease(target.name, stores, floors, target.lease)]
 
 
 def _stop(
@@ -362,7 +375,7 @@
     failed: bool = False,
 ) -> list[Effect]:
     effects = [] if target.lease is None else [ReleaseLease(target.lease)]
-    target.lease = None
+    _drop_lease(state, target, now_s)
     if failed:
         target.failures += 1
     if retry_after_s is None:
--- a/src/vanillabeam/orders/counts.py
+++ b/src/vanillabeam/orders/counts.py
@@ -3,7 +3,9 @@
 from vanillabeam.orders.desired import is_ready_for
 from vanillabeam.orders.state import OrdersState, Phase
 
-__all__ = ["ready_counts"]
+__all__ = ["accounted_leases", "ready_counts"]
+
+ENDED_KEPT_S = 45.0
 
 BUSY_PHASES = (Phase.ORDERING, Phase.CONFIRMING)
 
@@ -21,9 +23,25 @@
         counts[name] = sum(
             target.lease is None
             and target.phase not in BUSY_PHASES
+            and now_s >= target.busy_until_s
             and target.known_role() == "serving"
             and now_s >= target.gained_s + state.cfg.count_after_s
             and is_ready_for(state.config, target.said, name)
             for target in state.targets.values()
         )
     return counts
+
+
+def accounted_leases(state: OrdersState, now_s: float) -> list[str]:
+    """Return the leases that :func:`ready_counts` takes into account.
+
+    Those held and those that ended lately: a keeper counts a report that does
+    not know of a lease without the target that the lease is for.
+    """
+    state.ended_leases = {
+        lease: ended_s
+        for lease, ended_s in state.ended_leases.items()
+        if now_s - ended_s < ENDED_KEPT_S
+    }
+    held = [target.lease for target in state.targets.values() if target.lease]
+    return [*held, *state.ended_leases]
--- a/src/vanillabeam/orders/events.py
+++ b/src/vanillabeam/orders/events.py
@@ -117,8 +117,9 @@
 
 
 class AskLease(NamedTuple):
-    """Ask for a lease, or for the same one again to prolong it.
+    """Ask for a lease, or have one prolonged.
 
+    :param lease: the one to prolong; empty for a new one.
     :param stores: weight stores that are loaded from.
     :param models: models with a floor that are put out meanwhile.
     """
@@ -126,6 +127,7 @@
     target: str
     stores: tuple[str, ...]
     models: tuple[str, ...]
+    lease: str = ""
 
 
 class ReleaseLease(NamedTuple):
--- a/src/vanillabeam/orders/leases.py
+++ b/src/vanillabeam/orders/leases.py
@@ -17,16 +17,20 @@
 #: A lease holds here longer than at its holder, for clocks that differ.
 LEASE_MARGIN_S = 1.0
 REPORT_KEPT_S = 12.0
+#: By then every report that does not know of the lease is no longer counted.
+ENDED_KEPT_S = 35.0
 
 
 class LeaseAsk(TypedDict):
-    """``POST /peer/orders/lease``; a repeat for the same target prolongs.
+    """``POST /peer/orders/lease``.
 
+    :param lease: the lease to prolong; empty for a new one.
     :param reporter: whose ready count holds the target.
     :param stores: weight stores that are loaded from.
     :param models: models with a floor that are put out meanwhile.
     """
 
+    lease: str
     owner: str
     reporter: str
     target: str
@@ -46,7 +50,7 @@
 
     :param reporter: an owner, or a data centre as a whole.
     :param sequence: counts the reporter's reports.
-    :param ready: without targets that have a lease in ``leases``.
+    :param leases: leases that ``ready`` takes into account, held or ended.
     """
 
     reporter: str
@@ -83,11 +87,12 @@
         self.began_s = began_s
         self.config = Config()
         self._leases: dict[str, _Lease] = {}
+        self._ended: list[_Lease] = []
         self._reports: dict[str, _Report] = {}
         self._given = 0
 
     def ask(self, ask: LeaseAsk, now_s: float) -> Result[LeaseReply, VanillabeamError]:
-        """Give a lease, or prolong the one that the owner has for the target.
+        """Give a lease, or prolong the one that the owner holds.
 
         :returns: :class:`LoadsLimited`, :class:`FloorReached`, or
             :class:`NotKeeper` while leases given before may still hold.
@@ -96,8 +101,13 @@
             return Failure(NotKeeper("leases of the keeper before may still hold"))
         self._drop_ended(now_s)
         held = self._leases.get(ask["target"])
+        if ask["lease"]:
+            return self._prolong(ask, held, now_s)
         if held is not None and held.ask["owner"] == ask["owner"]:
-            return Success(self._give(ask, held.name, now_s))
+            # Given up while cut off. A new one has a name of its own, so that
+            # it shows which reports know of it.
+            self._end(held, now_s)
+            held = None
         refusal = self._refusal(ask, held, now_s)
         if refusal is not None:
             return Failure(refusal)
@@ -107,6 +117,13 @@
         self._check(ask["stores"])
         return Success(reply)
 
+    def _prolong(
+        self, ask: LeaseAsk, held: _Lease | None, now_s: float
+    ) -> Result[LeaseReply, VanillabeamError]:
+        if held is None or held.name != ask["lease"]:
+            return Failure(LoadsLimited(f"{ask['lease']} has ended"))
+        return Success(self._give(ask, held.name, now_s))
+
     def _give(self, ask: LeaseAsk, name: str, now_s: float) -> LeaseReply:
         # A renewal that loads less still counts as what it began as.
         held = self._leases.get(ask["target"])
@@ -146,7 +163,7 @@
             model in lease.ask["models"]
             and lease.ask["reporter"] in fresh
             and lease.name not in fresh[lease.ask["reporter"]]["leases"]
-            for lease in self._leases.values()
+            for lease in [*self._leases.values(), *self._ended]
         )
         return ready - unknown
 
@@ -158,16 +175,21 @@
     def release(self, name: str, now_s: float) -> None:
         """Take a lease back; one that is not known has ended already."""
         self._drop_ended(now_s)
-        self._leases = {
-            t: held for t, held in self._leases.items() if held.name != name
-        }
+        for lease in list(self._leases.values()):
+            if lease.name == name:
+                self._end(lease, now_s)
 
     def _drop_ended(self, now_s: float) -> None:
-        self._leases = {
-            target: lease
-            for target, lease in self._leases.items()
-            if now_s < lease.ends_s
-        }
+        for lease in list(self._leases.values()):
+            if now_s >= lease.ends_s:
+                self._end(lease, now_s)
+        self._ended = [
+            lease for lease in self._ended if now_s < lease.ends_s + ENDED_KEPT_S
+        ]
+
+    def _end(self, lease: _Lease, now_s: float) -> None:
+        del self._leases[lease.ask["target"]]
+        self._ended.append(lease._replace(ends_s=now_s))
 
     def report(self, report: ReadyReport, now_s: float) -> None:
         """Take in a reporter's counts; late ones are dropped."""
--- a/src/vanillabeam/orders/shell.py
+++ b/src/vanillabeam/orders/shell.py
@@ -11,7 +11,7 @@
 from vanillabeam.config import Config
 from vanillabeam.exceptions import InvariantBroken, VanillabeamError
 from vanillabeam.orders.core import handle
-from vanillabeam.orders.counts import ready_counts
+from vanillabeam.orders.counts import accounted_leases, ready_counts
 from vanillabeam.orders.events import (
     AskLease,
     ConfigChanged,
@@ -187,6 +187,7 @@
     async def _ask_lease(self, effect: AskLease) -> None:
         asked_s = trio.current_time()
         ask: LeaseAsk = {
+            "lease": effect.lease,
             "owner": self._state.name,
             "reporter": self._data_centre,
             "target": effect.target,
@@ -222,6 +223,6 @@
         while True:
             ready = ready_counts(self._state, trio.current_time())
             if ready:
-                held = (target.lease for target in self._state.targets.values())
-                await self._keeper.report(ready, [name for name in held if name])
+                leases = accounted_leases(self._state, trio.current_time())
+                await self._keeper.report(ready, leases)
             await trio.sleep(REPORT_S)
--- a/src/vanillabeam/orders/state.py
+++ b/src/vanillabeam/orders/state.py
@@ -54,6 +54,7 @@
     :ivar highest_index: highest order that it is known to have been given.
     :ivar role: the role that was ordered and confirmed in this boot, ``None``
         if that is not known here.
+    :ivar index_before: what the target said when the last order was sent.
     :ivar busy_until_s: until then an order may be on its way.
     :ivar held_by: why it is not ordered now, for ``status``.
     """
@@ -66,6 +67,7 @@
         self.phase = Phase.IDLE
         self.phase_s = now_s
         self.highest_index = 0
+        self.index_before = 0
         self.role: str | None = None
         self.desired: Desired | None = None
         self.order: Order | None = None
@@ -121,6 +123,7 @@
         self.cfg = cfg or OrdersConfig()
         self.config = Config()
         self.attempts = 0
+        self.ended_leases: dict[str, float] = {}
         self.targets: dict[str, TargetState] = {}
 
     def in_phase(self, name: str, phase: Phase) -> TargetState | None:
--- a/tests/orders/builders.py
+++ b/tests/orders/builders.py
@@ -8,7 +8,7 @@
 from tests.members.builders import Network
 from vanillabeam.config import Config, Model, TargetRole, TargetRoleKind
 from vanillabeam.orders import core
-from vanillabeam.orders.counts import ready_counts
+from vanillabeam.orders.counts import accounted_leases, ready_counts
 from vanillabeam.orders.events import (
     AskLease,
     ConfigChanged,
@@ -147,12 +147,12 @@
 
     def report(self) -> None:
         self.sequence += 1
-        held = [t.lease for t in self.orders.targets.values() if t.lease]
+        leases = accounted_leases(self.orders, self.world.net.now_s)
         report = {
             "reporter": self.name,
             "sequence": self.sequence,
             "ready": ready_counts(self.orders, self.world.net.now_s),
-            "leases": held,
+            "leases": leases,
         }
         self.world.table.report(report, self.world.net.now_s)
 
@@ -170,8 +170,8 @@
             case EndImports(target):
                 world.imports[target] = False
                 self.soon(ImportsEnded(target))
-            case AskLease(target, stores, models):
-                self.ask_lease(target, stores, models)
+            case AskLease():
+                self.ask_lease(*effect)
             case ReleaseLease(lease):
                 if not self.cut_off:
                     world.table.release(lease, world.net.now_s)
@@ -182,8 +182,9 @@
             case SendOrder():
                 world.deliver(self, effect)
 
-    def ask_lease(self, target, stores, models) -> None:
+    def ask_lease(self, target, stores, models, lease) -> None:
         ask = {
+            "lease": lease,
             "owner": self.name,
             "reporter": self.name,
             "target": target,
--- a/tests/orders/test_core.py
+++ b/tests/orders/test_core.py
@@ -236,17 +236,18 @@
     """Breaks a rule: reports count targets that have got a lease since."""
 
     def _ready(self, model, now_s):
-        held, self._leases = self._leases, {}
+        kept = self._leases, self._ended
+        self._leases, self._ended = {}, []
         try:
             return super()._ready(model, now_s)
         finally:
-            self._leases = held
+            self._leases, self._ended = kept
 
 
 @pytest.mark.parametrize(
     ("seed", "state_class", "table_class", "message"),
     [
-        (69, HastyState, LeaseTable, "two orders"),
+        (71, HastyState, LeaseTable, "two orders"),
         (1, ImportingState, LeaseTable, "overlap"),
         (0, OrdersState, GenerousTable, "loading at once"),
         (1, OrdersState, TrustingTable, "floor"),
--- a/tests/orders/test_shell.py
+++ b/tests/orders/test_shell.py
@@ -13,6 +13,7 @@
 from vanillabeam.tickets import FreshIndex, TicketMachine
 
 ASK = {
+    "lease": "",
     "owner": "a",
     "reporter": "kgl-1",
     "target": "t",
