Learn return gaps a workspace, not a workspace and a number of returns

Cause: a conversation's newest blocks have no returns of their own yet, so the blocks that returning conversations had just added were priced as new ones. Change: one set of counts for each workspace.

--- a/src/vanillabeam/store/core.py
+++ b/src/vanillabeam/store/core.py
@@ -213,13 +213,12 @@
         return _refuse(state, HeaderInvalid("the blocks are of several chains"))
     found = [state.blocks.get(block_id) for block_id in event.block_ids]
     workspace = workspace_tag_of(event.block_ids[0]) if event.block_ids else ""
-    returns = _learn(state, event.block_ids, found, now_s)
+    _learn(state, event.block_ids, found, now_s)
     for block in reversed(found):
         if block is not None:
-            block.returns += 1
             touch(state, block, now_s)
     lengths = tuple(block.length if block else 0 for block in found)
-    return [Holding(lengths, state.worth.gaps.chance(workspace, returns))]
+    return [Holding(lengths, state.worth.gaps.chance(workspace))]
 
 
 @handle.register
@@ -333,26 +332,19 @@
     block_ids: tuple[str, ...],
     found: list[Block | None],
     now_s: float,
-) -> int:
-    """Count a return if most of the prompt was seen before.
-
-    :returns: how often the prompt has returned by now.
-    """
+) -> None:
+    """Count a return if most of the prompt was seen before."""
     if not block_ids:
-        return 0
+        return
     gaps = state.worth.gaps
     workspace = workspace_tag_of(block_ids[0])
-    returns = 0
     for position in reversed(range(len(block_ids) // 2, len(block_ids))):
         block = found[position]
         used_s = block.used_s if block else state.ghosts.get(block_ids[position])
         if used_s is not None:
-            before = block.returns if block else 0
-            gaps.returned(workspace, before, now_s - used_s)
-            returns = before + 1
+            gaps.returned(workspace, now_s - used_s)
             break
-    gaps.began(workspace, returns)
-    return returns
+    gaps.began(workspace)
 
 
 def _check_quota(state: StoreState, block: Block) -> None:
--- a/src/vanillabeam/store/gaps.py
+++ b/src/vanillabeam/store/gaps.py
@@ -20,7 +20,7 @@
 
 
 class Gaps:
-    """Counts of one kind of work.
+    """Counts of one workspace, or of all together.
 
     :ivar idles: idle periods begun.
     :ivar returns: idle periods that ended by a return, by bin of the gap.
@@ -55,64 +55,62 @@
     """Gaps of every workspace, each blended with all of them together.
 
     >>> table = GapTable()
-    >>> table.began("ws", 0)
-    >>> table.returned("ws", 0, gap_s=60.0)
-    >>> table.rate("ws", 0, idle_s=0.0) > table.rate("ws", 0, idle_s=86_400.0)
+    >>> table.began("ws")
+    >>> table.returned("ws", gap_s=60.0)
+    >>> table.rate("ws", idle_s=0.0) > table.rate("ws", idle_s=86_400.0)
     True
     """
 
     def __init__(self) -> None:
-        self.kinds: dict[tuple[str, int], Gaps] = {}
+        self.workspaces: dict[str, Gaps] = {}
         self.overall = Gaps()
 
-    def began(self, workspace: str, returns: int) -> None:
-        """Count an idle period of work that has returned ``returns`` times."""
-        self._kind(workspace, returns).began()
+    def began(self, workspace: str) -> None:
+        """Count an idle period that begins."""
+        self._gaps(workspace).began()
         self.overall.began()
 
-    def returned(self, workspace: str, returns: int, gap_s: float) -> None:
+    def returned(self, workspace: str, gap_s: float) -> None:
         """Count a return after ``gap_s`` seconds."""
-        self._kind(workspace, returns).returned(gap_s)
+        self._gaps(workspace).returned(gap_s)
         self.overall.returned(gap_s)
 
-    def rate(self, workspace: str, returns: int, idle_s: float) -> float:
+    def rate(self, workspace: str, idle_s: float) -> float:
         """Return the rate of return, per second that the work is kept.
 
         :param idle_s: seconds since it was last asked for.
         """
-        kind = self._kind(workspace, returns)
-        if not kind.rates or kind.stale >= REFRESH_EVERY:
-            kind.rates = _rates(*self._blend(kind))
-            kind.stale = 0
-        return kind.rates[_bin(idle_s)]
+        gaps = self._gaps(workspace)
+        if not gaps.rates or gaps.stale >= REFRESH_EVERY:
+            gaps.rates = _rates(*self._blend(gaps))
+            gaps.stale = 0
+        return gaps.rates[_bin(idle_s)]
 
-    def chance(self, workspace: str, returns: int) -> float:
+    def chance(self, workspace: str) -> float:
         """Return the chance that work just used returns at all."""
-        idles, returned = self._blend(self._kind(workspace, returns))
+        idles, returned = self._blend(self._gaps(workspace))
         return min(1.0, sum(returned) / idles)
 
     def forget(self, workspace: str) -> None:
         """Drop the counts of a workspace that is no longer in force."""
-        for kind in [key for key in self.kinds if key[0] == workspace]:
-            del self.kinds[kind]
+        self.workspaces.pop(workspace, None)
 
-    def _kind(self, workspace: str, returns: int) -> Gaps:
-        key = (workspace, min(returns, 1))
-        kind = self.kinds.get(key)
-        if kind is None:
-            kind = self.kinds[key] = Gaps()
-        return kind
+    def _gaps(self, workspace: str) -> Gaps:
+        gaps = self.workspaces.get(workspace)
+        if gaps is None:
+            gaps = self.workspaces[workspace] = Gaps()
+        return gaps
 
-    def _blend(self, kind: Gaps) -> tuple[float, list[float]]:
+    def _blend(self, gaps: Gaps) -> tuple[float, list[float]]:
         overall = self.overall
         total = overall.idles + PRIOR_WEIGHT
         even = PRIOR_WEIGHT * PRIOR_RETURN_CHANCE / BIN_COUNT
         shares = [(count + even) / total for count in overall.returns]
         blended = [
             own + PRIOR_WEIGHT * share
-            for own, share in zip(kind.returns, shares, strict=True)
+            for own, share in zip(gaps.returns, shares, strict=True)
         ]
-        return kind.idles + PRIOR_WEIGHT, blended
+        return gaps.idles + PRIOR_WEIGHT, blended
 
 
 def _rates(idles: float, returns: list[float]) -> tuple[float, ...]:
--- a/src/vanillabeam/store/records.py
+++ b/src/vanillabeam/store/records.py
@@ -55,7 +55,6 @@
 
     :ivar holds: readers and disk writes that still need the bytes.
     :ivar children: sealed blocks of the store whose parent this is.
-    :ivar returns: times that it was asked for after it was sealed.
     """
 
     __slots__ = (
@@ -69,7 +68,6 @@
         "on_disk",
         "parent",
         "persisting",
-        "returns",
         "state",
         "tokens",
         "used_s",
@@ -87,7 +85,6 @@
         self.state = BlockState.WRITING
         self.holds = 0
         self.children = 0
-        self.returns = 0
         self.in_memory = False
         self.on_disk = False
         self.persisting = False
--- a/src/vanillabeam/store/worth.py
+++ b/src/vanillabeam/store/worth.py
@@ -27,7 +27,7 @@
     def of(self, block: Block, now_s: float) -> float:
         """Return the worth of ``block`` in tokens a byte and second."""
         idle_s = max(0.0, now_s - block.used_s)
-        rate = self.gaps.rate(block.workspace, block.returns, idle_s)
+        rate = self.gaps.rate(block.workspace, idle_s)
         worth = block.tokens * rate / block.length
         if self.releases is not None:
             worth *= self._release_factor(block)
