Read return rates between bins

Cause: bins of long gaps are hours wide, and blocks within one were equal, so which of them left was left to chance. Change: the rate is read between the middles of two bins.

--- a/src/vanillabeam/store/gaps.py
+++ b/src/vanillabeam/store/gaps.py
@@ -6,6 +6,7 @@
 """
 
 from bisect import bisect_right
+from math import log2
 
 __all__ = ["Gaps", "GapTable"]
 
@@ -84,7 +85,7 @@
         if not gaps.rates or gaps.stale >= REFRESH_EVERY:
             gaps.rates = _rates(*self._blend(gaps))
             gaps.stale = 0
-        return gaps.rates[_bin(idle_s)]
+        return _between(gaps.rates, idle_s)
 
     def chance(self, workspace: str) -> float:
         """Return the chance that work just used returns at all."""
@@ -134,5 +135,15 @@
     return best
 
 
+def _between(rates: tuple[float, ...], idle_s: float) -> float:
+    """Return the rate at ``idle_s``, between the middles of two bins."""
+    if idle_s <= FIRST_EDGE_S:
+        return rates[0]
+    place = min(log2(idle_s / FIRST_EDGE_S) + 0.5, BIN_COUNT - 1)
+    lower = min(int(place), BIN_COUNT - 2)
+    part = place - lower
+    return rates[lower] * (1.0 - part) + rates[lower + 1] * part
+
+
 def _bin(gap_s: float) -> int:
     return min(bisect_right(EDGES_S, gap_s), BIN_COUNT - 1)
