Export only what an import could pay back

Cause: on a thin link where recompute is cheaper than import, blocks were exported that no prompt would ever import. Change: the saving is what import costs less than computing, and has to pay for both ways. A store also refuses questions that are no chain of block ids, so that unknown workspaces leave no counts behind.

--- a/src/vanillabeam/cache/choice.py
+++ b/src/vanillabeam/cache/choice.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-__all__ = ["Prices", "blocks_to_import", "is_worth_export"]
+__all__ = ["Prices", "blocks_to_import", "is_worth_export", "token_cost_s"]
 
 START_S = 0.005
 
@@ -19,6 +19,11 @@
     link_byte_s: float = 0.0
 
 
+def token_cost_s(prefill_tokens_s: float, prices: Prices) -> float:
+    """Return what computing one token of a prompt again costs."""
+    return 1.0 / prefill_tokens_s + prices.recomputed_token_s
+
+
 def blocks_to_import(
     lengths: Sequence[int],
     block_tokens: int,
@@ -34,7 +39,7 @@
     :param lengths: bytes of the blocks that the store could give, in order.
     :param expected_s: seconds until so many bytes are imported.
     """
-    token_s = 1.0 / prefill_tokens_s + prices.recomputed_token_s
+    token_s = token_cost_s(prefill_tokens_s, prices)
     best = 0
     best_cost_s = len(lengths) * block_tokens * token_s
     size = 0
@@ -49,11 +54,16 @@
 
 
 def is_worth_export(
-    tokens: int, size: int, chance: float, prefill_tokens_s: float, prices: Prices
+    size: int, chance: float, compute_s: float, import_s: float, prices: Prices
 ) -> bool:
     """Return whether an export is expected to save more than it costs.
 
-    :param chance: chance that the prompt returns; then it is imported too.
+    It saves nothing where the import would not pay either.
+
+    :param chance: chance that the prompt returns; then it is imported.
+    :param compute_s: seconds to compute the block again, price included.
+    :param import_s: seconds to import it over an idle link.
     """
-    saved_s = chance * tokens * (1.0 / prefill_tokens_s + prices.recomputed_token_s)
-    return saved_s > (1.0 + chance) * size * prices.link_byte_s
+    price_s = size * prices.link_byte_s
+    saved_s = compute_s - import_s - price_s
+    return saved_s > 0 and chance * saved_s > price_s
--- a/src/vanillabeam/cache/shell.py
+++ b/src/vanillabeam/cache/shell.py
@@ -11,8 +11,14 @@
 
 from vanillabeam import wire
 from vanillabeam.cache.blocks import BLOCK_TOKENS
-from vanillabeam.cache.choice import Prices, blocks_to_import, is_worth_export
+from vanillabeam.cache.choice import (
+    Prices,
+    blocks_to_import,
+    is_worth_export,
+    token_cost_s,
+)
 from vanillabeam.cache.finding import Finder, Found, StoreAddress
+from vanillabeam.cache.link import Link
 from vanillabeam.cache.placement import place
 from vanillabeam.cache.transferrecords import (
     Answer,
@@ -251,18 +257,20 @@
         prefill = prefill_tokens_s or self._settings.prefill_tokens_s
         size = self._block_bytes(place)
         prices = self._settings.prices
+        compute_s = BLOCK_TOKENS * token_cost_s(prefill, prices)
         if not found.block_ids or self._versions.get(place.model) != place.version:
             return 0
         offered = 0
         for copy, store in enumerate(self._homes(found)):
             chance = found.chance * LOSS_CHANCE**copy
-            if not is_worth_export(BLOCK_TOKENS, size, chance, prefill, prices):
+            import_s = size / self._link(place, store).rate_bytes_s
+            if not is_worth_export(size, chance, compute_s, import_s, prices):
                 continue
             held = found.held[store]
             missing = [each for each in found.block_ids if each not in held]
             if missing:
                 blocks = tuple(Sized(block_id, size) for block_id in missing)
-                worth = chance * BLOCK_TOKENS / prefill / size
+                worth = chance * compute_s / size
                 self._apply(ExportOffered(place, store, blocks, worth))
                 offered += len(missing)
         return offered
@@ -305,10 +313,13 @@
 
     def _expected_s(self, place: Place, store: str, size: int) -> float:
         now_s = trio.current_time()
-        link = self._state.link(place.data_centre, store, now_s)
+        link = self._link(place, store)
         ahead = self._state.bytes_ahead(place.data_centre, store)
         return link.expected_s(size, ahead, now_s)
 
+    def _link(self, place: Place, store: str) -> Link:
+        return self._state.link(place.data_centre, store, trio.current_time())
+
     def _block_bytes(self, place: Place) -> int:
         token_bytes = self._token_bytes.get(place.model, self._settings.token_bytes)
         return max(1, int(token_bytes * BLOCK_TOKENS))
--- a/src/vanillabeam/store/core.py
+++ b/src/vanillabeam/store/core.py
@@ -6,7 +6,7 @@
 from functools import singledispatch
 from itertools import islice
 
-from vanillabeam.cache.blocks import is_block_id, lineage, workspace_tag_of
+from vanillabeam.cache.blocks import MAX_BLOCKS, is_block_id, lineage, workspace_tag_of
 from vanillabeam.exceptions import InvariantBroken, VanillabeamError
 from vanillabeam.store.exceptions import (
     BlockBusy,
@@ -209,10 +209,11 @@
 
 @handle.register
 def _(event: Asked, state: StoreState, now_s: float) -> list[Effect]:
-    if len({lineage(block_id) for block_id in event.block_ids}) > 1:
-        return _refuse(state, HeaderInvalid("the blocks are of several chains"))
+    failure = _question_refusal(event, state)
+    if failure is not None:
+        return _refuse(state, failure)
     found = [state.blocks.get(block_id) for block_id in event.block_ids]
-    workspace = workspace_tag_of(event.block_ids[0]) if event.block_ids else ""
+    workspace = workspace_tag_of(event.block_ids[0])
     _learn(state, event.block_ids, found, now_s)
     for block in reversed(found):
         if block is not None:
@@ -292,6 +293,17 @@
     return None
 
 
+def _question_refusal(event: Asked, state: StoreState) -> VanillabeamError | None:
+    block_ids = event.block_ids
+    if not 0 < len(block_ids) <= MAX_BLOCKS or not all(map(is_block_id, block_ids)):
+        return HeaderInvalid("not a list of block ids")
+    if len({lineage(block_id) for block_id in block_ids}) > 1:
+        return HeaderInvalid("the blocks are of several chains")
+    if not _in_force(state, block_ids[0]):
+        return WorkspaceNotInForce()
+    return None
+
+
 def _admit(
     state: StoreState, block: Block, now_s: float, effects: list[Effect]
 ) -> VanillabeamError | None:
@@ -334,8 +346,6 @@
     now_s: float,
 ) -> None:
     """Count a return if most of the prompt was seen before."""
-    if not block_ids:
-        return
     gaps = state.worth.gaps
     workspace = workspace_tag_of(block_ids[0])
     for position in reversed(range(len(block_ids) // 2, len(block_ids))):
--- a/tests/store/test_server.py
+++ b/tests/store/test_server.py
@@ -82,6 +82,9 @@
             find = store.routes()["/peer/store/find"]
             reply = (await find(wire.encode({"blocks": IDS}))).unwrap()
             assert wire.decode(dict, reply).unwrap()["lengths"] == [len(DATA), 0, 0]
+            for wrong in ([], ["x"], [*IDS, make_ids(1, filler="q")[0]], IDS * 99):
+                body = wire.encode({"blocks": wrong})
+                assert (await find(body)).failure().type == "header-invalid"
             assert await get(pool, base, IDS[0], "DELETE") == (204, b"")
             assert (await get(pool, base, IDS[0]))[0] == 404
 
