--- a/src/vanillabeam/store/core.py
+++ b/src/vanillabeam/store/core.py
@@ -6,7 +6,7 @@
 from functools import singledispatch
 from itertools import islice
 
-from vanillabeam.cache.blocks import is_block_id, lineage, workspace_tag_of
+from vanillabeam.cache.blocks import MAX_BLOCKS, is_block_id, lineage, workspace_tag_of
 from vanillabeam.exceptions import InvariantBroken, VanillabeamError
 from vanillabeam.store.exceptions import (
     BlockBusy,
@@ -209,17 +209,17 @@
 
 @handle.register
 def _(event: Asked, state: StoreState, now_s: float) -> list[Effect]:
-    if len({lineage(block_id) for block_id in event.block_ids}) > 1:
-        return _refuse(state, HeaderInvalid("the blocks are of several chains"))
+    failure = _question_refusal(event, state)
+    if failure is not None:
+        return _refuse(state, failure)
     found = [state.blocks.get(block_id) for block_id in event.block_ids]
-    workspace = workspace_tag_of(event.block_ids[0]) if event.block_ids else ""
-    returns = _learn(state, event.block_ids, found, now_s)
+    workspace = workspace_tag_of(event.block_ids[0])
+    _learn(state, event.block_ids, found, now_s)
     for block in reversed(found):
         if block is not None:
-            block.returns += 1
             touch(state, block, now_s)
     lengths = tuple(block.length if block else 0 for block in found)
-    return [Holding(lengths, state.worth.gaps.chance(workspace, returns))]
+    return [Holding(lengths, state.worth.gaps.chance(workspace))]
 
 
 @handle.register
@@ -293,6 +293,17 @@
     return None
 
 
+def _question_refusal(event: Asked, state: StoreState) -> VanillabeamError | None:
+    block_ids = event.block_ids
+    if not 0 < len(block_ids) <= MAX_BLOCKS or not all(map(is_block_id, block_ids)):
+        return HeaderInvalid("not a list of block ids")
+    if len({lineage(block_id) for block_id in block_ids}) > 1:
+        return HeaderInvalid("the blocks are of several chains")
+    if not _in_force(state, block_ids[0]):
+        return WorkspaceNotInForce()
+    return None
+
+
 def _admit(
     state: StoreState, block: Block, now_s: float, effects: list[Effect]
 ) -> VanillabeamError | None:
@@ -333,26 +344,17 @@
     block_ids: tuple[str, ...],
     found: list[Block | None],
     now_s: float,
-) -> int:
-    """Count a return if most of the prompt was seen before.
-
-    :returns: how often the prompt has returned by now.
-    """
-    if not block_ids:
-        return 0
+) -> None:
+    """Count a return if most of the prompt was seen before."""
     gaps = state.worth.gaps
     workspace = workspace_tag_of(block_ids[0])
-    returns = 0
     for position in reversed(range(len(block_ids) // 2, len(block_ids))):
         block = found[position]
         used_s = block.used_s if block else state.ghosts.get(block_ids[position])
         if used_s is not None:
-            before = block.returns if block else 0
-            gaps.returned(workspace, before, now_s - used_s)
-            returns = before + 1
+            gaps.returned(workspace, now_s - used_s)
             break
-    gaps.began(workspace, returns)
-    return returns
+    gaps.began(workspace)
 
 
 def _check_quota(state: StoreState, block: Block) -> None:
--- a/tests/targets/test_owner.py
+++ b/tests/targets/test_owner.py
@@ -10,7 +10,8 @@
     make_owner,
     report,
 )
-from vanillabeam.config import Priority
+from vanillabeam.admission.shares import Share
+from vanillabeam.config import Config, Priority, Workspace
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.targets import Outcome, OutcomeKind, TargetsSettings
 from vanillabeam.targets.events import (
@@ -79,6 +80,23 @@
     assert state.owned["engine-1"].window.size == 2
 
 
+def test_an_announcement_overtaken_by_a_newer_boot_changes_nothing():
+    state = make_owner()
+    handle(Announced(make_announcement(boot_id="b2")), state, 1.0)
+    ask(state, 2.0)
+    handle(Announced(make_announcement(boot_id="b1")), state, 3.0)
+    target = state.owned["engine-1"]
+    assert (target.announcement["boot_id"], target.in_use) == ("b2", 1)
+
+
+def test_a_prompt_whose_first_token_would_be_late_is_refused_before_it_starts():
+    state = make_owner()
+    ask(state, prompt_tokens=100_000)
+    result = ask(state, 1.0, permit_id="p2", deadline_s=10.0)
+    assert refusal(result) == "overloaded"
+    assert state.owned["engine-1"].in_use == 1
+
+
 def test_an_emptied_cache_shuts_the_window():
     state = make_owner()
     open_window(state)
@@ -200,6 +218,15 @@
     assert effects[0].permit_id == "clerk"
 
 
+def test_a_reservation_is_divided_among_the_targets():
+    state = make_owner()
+    record = Workspace("icupa", (), "", weight=2.0, reservation_tokens_s=900.0)
+    handle(ConfigChanged(Config(workspaces={"icupa": record})), state, 0.0)
+    state.targets_known = 9
+    assert state.share_of("icupa") == Share(2.0, 100.0)
+    assert state.share_of("other") == Share()
+
+
 def test_failures_open_the_breaker_and_a_probe_closes_it():
     state = make_owner()
     for number in range(3):
