Keep a link's bucket at one size while its learnt rate falls

Cause: the bucket's size followed the learnt rate, so a bucket that was just emptied counted as full once the rate fell, and a large transfer started at once. Change: the size goes by the limit, only the refill by the learnt rate; a changed limit keeps the bucket as full as it was.

--- a/src/vanillabeam/cache/link.py
+++ b/src/vanillabeam/cache/link.py
@@ -14,7 +14,9 @@
 class Link:
     """A token bucket in bytes, refilled at the lower of limit and learnt rate.
 
-    A transfer larger than the bucket starts from a full one and leaves a debt.
+    Its size goes by the limit alone: a learnt rate that falls must not make a
+    bucket that was just emptied count as full. A transfer larger than the
+    bucket starts from a full one and leaves a debt.
 
     :param limit_bytes_s: most bytes a second that this VM may move.
     :param now_s: monotonic time in seconds.
@@ -40,7 +42,13 @@
     @property
     def burst(self) -> float:
         """Bytes that may start at once after a pause."""
-        return self.rate_bytes_s * BURST_S
+        return self.limit_bytes_s * BURST_S
+
+    def set_limit(self, limit_bytes_s: float) -> None:
+        """Change the limit; the bucket stays as full as it is."""
+        if self.level > 0:
+            self.level *= limit_bytes_s / self.limit_bytes_s
+        self.limit_bytes_s = limit_bytes_s
 
     def take(self, size: int, reserve: bool, now_s: float) -> bool:
         """Take ``size`` bytes out of the bucket if it has enough.
@@ -78,7 +86,6 @@
             return
         seen = size * sharing / seconds
         self.learnt_bytes_s += LEARN_PART * (seen - self.learnt_bytes_s)
-        self._lower_level()
 
     def overdue(self, size: int, elapsed_s: float, sharing: int) -> None:
         """Learn from a transfer that has not ended: it is no faster than this.
@@ -89,12 +96,8 @@
             return
         bound = size * sharing / elapsed_s
         self.learnt_bytes_s = min(self.learnt_bytes_s, bound)
-        self._lower_level()
 
     def _refill(self, now_s: float) -> None:
         passed_s = max(0.0, now_s - self.refilled_s)
         self.refilled_s = now_s
         self.level = min(self.burst, self.level + passed_s * self.rate_bytes_s)
-
-    def _lower_level(self) -> None:
-        self.level = min(self.level, self.burst)
--- a/src/vanillabeam/cache/transfers.py
+++ b/src/vanillabeam/cache/transfers.py
@@ -194,7 +194,7 @@
 def _(event: LinkShared, state: Transfers, now_s: float) -> list[Effect]:
     state.entries = max(1, event.entries)
     for link in state.links.values():
-        link.limit_bytes_s = state.limit_bytes_s / state.entries
+        link.set_limit(state.limit_bytes_s / state.entries)
     return []
 
 
