--- a/src/vanillabeam/targets/owner.py
+++ b/src/vanillabeam/targets/owner.py
@@ -88,6 +88,7 @@
         self.asks: dict[str, Ask] = {}
         self.polled_s: dict[str, float] = {}
         self.ended: dict[str, float] = {}
+        self.lapsed: dict[str, float] = {}
         self.stopping = False
         self.targets_known = 1
 
@@ -160,7 +161,9 @@
     target = state.owned.get(said["target"])
     if target is None:
         return takeover.begin(state, said, now_s)
-    target.announced(said, now_s)
+    before = dict.fromkeys(target.permits, now_s)
+    if target.announced(said, now_s):
+        state.ended.update(before)
     return _pump(state, target, now_s)
 
 
@@ -199,8 +202,8 @@
         return [_refuse(state, ask, _not_owner(state, ask.target))]
     if ask.permit_id in target.permits:
         return [_granted(state, target, ask)]
-    if ask.permit_id in state.ended:
-        return [_refuse(state, ask, PermitUnknown("its run has ended"))]
+    if ask.permit_id in state.ended or ask.permit_id in state.lapsed:
+        return [_refuse(state, ask, PermitUnknown("it was given before"))]
     refused = refusal_of_ask(ask, target, state.config, now_s)
     if refused is not None:
         return [*_drop(state, target, ask.permit_id), _refuse(state, ask, refused)]
@@ -278,8 +281,10 @@
 def _(event: Tick, state: Owner, now_s: float) -> list[Effect]:
     keep_s = 2 * state.settings.hold_s
     state.ended = {k: t for k, t in state.ended.items() if now_s - t < keep_s}
+    state.lapsed = {k: t for k, t in state.lapsed.items() if now_s - t < keep_s}
     for target in [*state.owned.values(), *state.given_up.values()]:
-        target.expire(now_s)
+        lapsed = target.expire(now_s)
+        state.lapsed.update((grant.permit_id, now_s) for grant in lapsed)
     takeover.forget(state, now_s)
     return _pump_all(state, now_s)
 
--- a/tests/targets/test_owner.py
+++ b/tests/targets/test_owner.py
@@ -192,6 +192,22 @@
     assert refusal(ask(state, 2.0)) == "permit-unknown"
 
 
+def test_an_ask_that_arrives_again_after_a_restart_gets_no_second_permit():
+    state = make_owner()
+    ask(state)
+    handle(Announced(make_announcement(boot_id="b2")), state, 1.0)
+    assert refusal(ask(state, 2.0)) == "permit-unknown"
+
+
+def test_an_ask_that_arrives_again_after_its_permit_lapsed_gets_no_second_one():
+    state = make_owner()
+    ask(state)
+    handle(Announced(make_announcement()), state, 12.0)
+    handle(Tick(), state, 12.0)
+    assert state.owned["engine-1"].in_use == 0
+    assert refusal(ask(state, 12.0)) == "permit-unknown"
+
+
 def test_an_ask_that_cannot_make_its_deadline_is_refused_at_once():
     state = make_owner()
     fill(state)
