--- a/src/vanillabeam/orders/core.py
+++ b/src/vanillabeam/orders/core.py
@@ -104,6 +104,7 @@
     effects = _give_up(target, now_s)
     _drop_lease(state, target, now_s)
     target.role = None
+    target.unsure = now_s < target.busy_until_s
     target.go(Phase.IDLE, now_s)
     return effects
 
@@ -277,6 +278,7 @@
         )
     target.note_index(index)
     target.index_before = target.said.get("order_index", 0)
+    target.unsure = True
     state.attempts += 1
     target.attempt = state.attempts
     target.busy_until_s = now_s + state.cfg.longest_order_s
@@ -335,6 +337,7 @@
     ordered = target.obeyed or is_new
     if ordered and matches(target.desired, target.said):
         target.role = target.order["role"]
+        target.unsure = False
         target.failures = 0
         target.held_by = ""
         return _stop(state, target, now_s, retry_after_s=0.0)
@@ -376,6 +379,8 @@
 ) -> list[Effect]:
     effects = [] if target.lease is None else [ReleaseLease(target.lease)]
     _drop_lease(state, target, now_s)
+    if target.unsure:
+        target.role = None
     if failed:
         target.failures += 1
     if retry_after_s is None:
--- a/src/vanillabeam/orders/state.py
+++ b/src/vanillabeam/orders/state.py
@@ -55,6 +55,7 @@
     :ivar role: the role that was ordered and confirmed in this boot, ``None``
         if that is not known here.
     :ivar index_before: what the target said when the last order was sent.
+    :ivar unsure: whether an order was sent that is not confirmed.
     :ivar busy_until_s: until then an order may be on its way.
     :ivar held_by: why it is not ordered now, for ``status``.
     """
@@ -69,6 +70,7 @@
         self.highest_index = 0
         self.index_before = 0
         self.role: str | None = None
+        self.unsure = False
         self.desired: Desired | None = None
         self.order: Order | None = None
         self.obeyed = False
@@ -93,9 +95,8 @@
 
     def known_role(self) -> str | None:
         """Return the role that it has, ``None`` if that is not known."""
-        if self.role is None and not self.said.get("order_index", 0):
-            return "serving"
-        return self.role
+        untouched = not self.unsure and not self.said.get("order_index", 0)
+        return "serving" if self.role is None and untouched else self.role
 
     def note_index(self, index: int) -> None:
         """Remember the highest index ordered."""
