--- a/src/vanillabeam/cli/data.py
+++ b/src/vanillabeam/cli/data.py
@@ -1,7 +1,67 @@
 """``vanillabeam data``: look at a data folder while its VM is stopped."""
 
+from pathlib import Path
+from typing import Annotated
+
 import typer
+from returns.result import Failure
+
+from vanillabeam.cli.client import EXIT_REFUSED, JsonOption, exit_with, print_json
+from vanillabeam.log.check import GroupCheck, check as check_folder, show as show_group
+from vanillabeam.log.records import Entry
 
 __all__ = ["app"]
 
-app = typer.Typer(no_args_is_help=True, help="Data folders, while stopped.")
+app = typer.Typer(no_args_is_help=True, help="Data folders of stopped VMs.")
+
+FolderArgument = Annotated[
+    Path, typer.Argument(help="The data folder.", exists=True, file_okay=False)
+]
+
+
+@app.command("check")
+def check(folder: FolderArgument, as_json: JsonOption = False) -> None:
+    """Check every log in a data folder; changes nothing."""
+    groups = check_folder(folder)
+    if as_json:
+        print_json([_row(group) for group in groups])
+    else:
+        for group in groups:
+            typer.echo(f"{group.group}: {_verdict(group)}")
+    if any(group.failure for group in groups):
+        raise typer.Exit(EXIT_REFUSED)
+
+
+@app.command("show")
+def show(
+    folder: FolderArgument,
+    group: Annotated[str, typer.Argument(help="A log, such as tickets.")] = "tickets",
+    as_json: JsonOption = False,
+) -> None:
+    """Show what a log's files hold, without the commands and their secrets."""
+    result = show_group(folder, group)
+    if isinstance(result, Failure):
+        exit_with(result.failure(), as_json)
+    view = result.unwrap() | {"entries": _places(result.unwrap()["entries"])}
+    if as_json:
+        print_json(view)
+        return
+    for name, value in view.items():
+        typer.echo(f"{name}: {value}")
+
+
+def _row(group: GroupCheck) -> dict[str, object]:
+    failure = group.failure.type if group.failure else None
+    return {"group": group.group, "torn_bytes": group.torn_bytes, "failure": failure}
+
+
+def _verdict(group: GroupCheck) -> str:
+    if group.failure is not None:
+        return f"{group.failure.type}: {group.failure.detail}"
+    if group.torn_bytes:
+        return f"good; a torn end of {group.torn_bytes} bytes is cut at the next start"
+    return "good"
+
+
+def _places(entries: list[Entry]) -> list[str]:
+    return [f"{entry.index}/{entry.term} {entry.kind}" for entry in entries]
--- a/src/vanillabeam/daemon.py
+++ b/src/vanillabeam/daemon.py
@@ -62,3 +62,7 @@
                 vm.reload_tls()
             else:
                 vm.drain()
+
+
+if __name__ == "__main__":
+    main()
