--- /dev/null
+++ b/src/vanillabeam/addresses.py
@@ -0,0 +1,18 @@
+"""Addresses as messages carry them: ``host:port``."""
+
+import re
+
+__all__ = ["is_address"]
+
+MAX_CHARACTERS = 262
+MAX_PORT = 65_535
+
+_ADDRESS = re.compile(r"(?:\[[0-9A-Fa-f:.]+\]|[0-9A-Za-z][0-9A-Za-z.-]*):([0-9]{1,5})")
+
+
+def is_address(text: str) -> bool:
+    """Return whether ``text`` is a host and a port, and nothing else."""
+    if len(text) > MAX_CHARACTERS:
+        return False
+    match = _ADDRESS.fullmatch(text)
+    return match is not None and 0 < int(match[1]) <= MAX_PORT
--- a/src/vanillabeam/peerhttp.py
+++ b/src/vanillabeam/peerhttp.py
@@ -10,6 +10,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from vanillabeam.addresses import is_address
 from vanillabeam.exceptions import (
     InvariantBroken,
     PeerSilent,
@@ -74,6 +75,8 @@
         :returns: :class:`PeerUnreachable` if nothing was sent,
             :class:`PeerSilent` if the message may have arrived.
         """
+        if not is_address(address):
+            return Failure(PeerUnreachable("no address"))
         url = f"{self.scheme}://{address}{path}"
         timeout = {
             "connect": CONNECT_TIMEOUT_S,
--- a/src/vanillabeam/targetapp.py
+++ b/src/vanillabeam/targetapp.py
@@ -6,7 +6,8 @@
 from starlette.applications import Starlette
 
 from vanillabeam import wire
-from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.addresses import is_address
+from vanillabeam.exceptions import MalformedBody, VanillabeamError
 from vanillabeam.peercall import PeerHandler
 from vanillabeam.peerhttp import peer_routes
 from vanillabeam.targetwire import Announcement, CacheEvents, LoadReport
@@ -39,7 +40,7 @@
 
 def _handler(kind: type, take) -> PeerHandler:
     async def handle(body: bytes) -> Result[bytes, VanillabeamError]:
-        message = wire.decode(kind, body)
+        message = wire.decode(kind, body).bind(_check)
         if isinstance(message, Failure):
             return message
         answer = await take(message.unwrap())
@@ -48,3 +49,13 @@
         return Success(wire.encode(answer.unwrap() or {}))
 
     return handle
+
+
+def _check(message: Any) -> Result[Any, MalformedBody]:
+    if not message["target"] or not message["boot_id"]:
+        return Failure(MalformedBody("target and boot_id must not be empty"))
+    if not is_address(message.get("address", "a:1")):
+        return Failure(MalformedBody("address: host:port"))
+    if not 0 <= message.get("cold_capacity", 0) <= message.get("capacity", 2**31):
+        return Failure(MalformedBody("cold_capacity: from 0 to capacity"))
+    return Success(message)
