--- a/src/vanillabeam/targets/owner.py
+++ b/src/vanillabeam/targets/owner.py
@@ -5,11 +5,11 @@
 
 from returns.result import Failure, Success
 
-from vanillabeam.admission import FairQueue, ReservedShares, Shares, Waiting
+from vanillabeam.admission import ReservedShares, Shares
 from vanillabeam.admission.shares import Share
 from vanillabeam.config import Config
 from vanillabeam.exceptions import InvariantBroken, VanillabeamError
-from vanillabeam.routing.records import BLOCK_TOKENS, TargetView
+from vanillabeam.routing.records import TargetView
 from vanillabeam.targets import takeover
 from vanillabeam.targets.eligibility import refusal_of_ask, refusal_of_target
 from vanillabeam.targets.events import (
@@ -19,7 +19,6 @@
     AskSummary,
     BlocksChanged,
     ConfigChanged,
-    Decision,
     Effect,
     Event,
     Handover,
@@ -35,13 +34,19 @@
     Withdrawn,
 )
 from vanillabeam.targets.exceptions import (
-    BreakerOpen,
-    MovedOn,
     NotOwner,
     PermitUnknown,
-    Shed,
     TakingOver,
 )
+from vanillabeam.targets.granting import (
+    decision,
+    drop,
+    enqueue,
+    granted,
+    pump,
+    pump_all,
+    refuse,
+)
 from vanillabeam.targets.grants import OwnedTarget
 from vanillabeam.targets.ownership import Ownership
 from vanillabeam.targets.records import Ask, Entry
@@ -49,8 +54,6 @@
 
 __all__ = ["Owner", "handle"]
 
-BASE_COST_TOKENS = 256.0
-
 
 class Owner:
     """State of an owner.
@@ -164,7 +167,7 @@
     before = dict.fromkeys(target.permits, now_s)
     if target.announced(said, now_s):
         state.ended.update(before)
-    return _pump(state, target, now_s)
+    return pump(state, target, now_s)
 
 
 @handle.register
@@ -173,7 +176,7 @@
     if target is None:
         return []
     target.loaded(event.report, now_s)
-    return _pump(state, target, now_s)
+    return pump(state, target, now_s)
 
 
 @handle.register
@@ -191,7 +194,7 @@
     if event.config.index < state.config.index:
         return []
     state.config = event.config
-    return _pump_all(state, now_s)
+    return pump_all(state, now_s)
 
 
 @handle.register
@@ -199,18 +202,19 @@
     ask = event.ask
     target = state.owned.get(ask.target)
     if target is None:
-        return [_refuse(state, ask, _not_owner(state, ask.target))]
+        return [refuse(state, ask, _not_owner(state, ask.target))]
     if ask.permit_id in target.permits:
-        return [_granted(state, target, ask)]
+        return [granted(state, target, ask)]
     if ask.permit_id in state.ended or ask.permit_id in state.lapsed:
-        return [_refuse(state, ask, PermitUnknown("it was given before"))]
+        return [refuse(state, ask, PermitUnknown("it was given before"))]
     refused = refusal_of_ask(ask, target, state.config, now_s)
     if refused is not None:
-        return [*_drop(state, target, ask.permit_id), _refuse(state, ask, refused)]
+        drop(state, target, ask.permit_id)
+        return [refuse(state, ask, refused)]
     if ask.permit_id in target.queue:
         state.polled_s[ask.permit_id] = now_s
         return []
-    return _enqueue(state, target, ask, now_s)
+    return enqueue(state, target, ask, now_s)
 
 
 @handle.register
@@ -219,12 +223,12 @@
     target = state.owned.get(event.target)
     if target is None:
         return []
-    _drop(state, target, event.permit_id)
+    drop(state, target, event.permit_id)
     grant = target.permits.pop(event.permit_id, None)
     if grant is not None:
         target.estimates.ended(event.permit_id)
         target.breaker.ended(event.permit_id)
-    return _pump(state, target, now_s)
+    return pump(state, target, now_s)
 
 
 @handle.register
@@ -240,8 +244,8 @@
     if grant.permit_id not in target.permits:
         target.adopt(grant)
     renewed = target.renew(grant.permit_id, now_s)
-    decision = _decision(target, renewed, "")
-    return [Answer(grant.permit_id, renewal.target, Success(decision))]
+    decided = decision(target, renewed, "")
+    return [Answer(grant.permit_id, renewal.target, Success(decided))]
 
 
 @handle.register
@@ -253,7 +257,7 @@
     target.release(event.permit_id, event.outcome, now_s)
     if event.target not in state.owned:
         return []
-    return _pump(state, target, now_s)
+    return pump(state, target, now_s)
 
 
 @handle.register
@@ -286,122 +290,7 @@
         lapsed = target.expire(now_s)
         state.lapsed.update((grant.permit_id, now_s) for grant in lapsed)
     takeover.forget(state, now_s)
-    return _pump_all(state, now_s)
-
-
-def _enqueue(state: Owner, target: OwnedTarget, ask: Ask, now_s: float) -> list[Effect]:
-    limit = state.limit(target, now_s)
-    wait_s = target.wait_s(limit, target.queue.ahead_of(ask.priority))
-    if wait_s + target.start_s(ask, now_s) > ask.deadline_s:
-        return [_refuse(state, ask, Shed("deadline", max(1.0, wait_s)))]
-    delay_s = wait_s + target.delay_s(now_s)
-    if ask.delay_limit_s is not None and delay_s > ask.delay_limit_s:
-        return [_refuse(state, ask, MovedOn(target.name))]
-    if limit == 0 and not target.in_use:
-        return [_refuse(state, ask, TakingOver(target.name))]
-    cached = target.blocks.leading(ask.blocks) * BLOCK_TOKENS
-    waiting = Waiting(
-        key=ask.permit_id,
-        workspace=ask.workspace,
-        priority=ask.priority,
-        cost=BASE_COST_TOKENS + max(0, ask.prompt_tokens - cached),
-        deadline_s=now_s + ask.deadline_s,
-    )
-    state.asks[ask.permit_id] = ask
-    state.polled_s[ask.permit_id] = now_s
-    shed = target.queue.push(waiting)
-    effects: list[Effect] = [
-        _refuse(state, state.asks.pop(w.key), Shed("queue", max(1.0, wait_s)))
-        for w in shed
-    ]
-    return effects + _pump(state, target, now_s)
-
-
-def _pump_all(state: Owner, now_s: float) -> list[Effect]:
-    effects: list[Effect] = []
-    for target in state.owned.values():
-        effects.extend(_pump(state, target, now_s))
-    return effects
-
-
-def _pump(state: Owner, target: OwnedTarget, now_s: float) -> list[Effect]:
-    """Grant what there is room for, after dropping what is of no use."""
-    if not len(target.queue):
-        return []
-    effects = _drop_useless(state, target, now_s)
-    share = state.share(target, now_s)
-    limit = target.limit(share, now_s)
-    while target.in_use < limit and target.breaker.allows(now_s):
-        batch = target.in_use < target.batch_limit(limit)
-        waiting = target.queue.pop(now_s, batch)
-        if waiting is None:
-            break
-        ask = state.asks.pop(waiting.key)
-        state.polled_s.pop(waiting.key, None)
-        if now_s + target.start_s(ask, now_s) > waiting.deadline_s:
-            effects.append(_refuse(state, ask, Shed("deadline", _retry_s(target))))
-            continue
-        target.grant(ask, share, now_s)
-        effects.append(_granted(state, target, ask))
-    return effects
-
-
-def _drop_useless(state: Owner, target: OwnedTarget, now_s: float) -> list[Effect]:
-    effects: list[Effect] = []
-    for waiting in target.queue.expire(now_s):
-        ask = state.asks.pop(waiting.key)
-        effects.append(_refuse(state, ask, Shed("deadline", _retry_s(target))))
-    for ask in _queued(state, target.queue):
-        refused = refusal_of_ask(ask, target, state.config, now_s)
-        if refused is None and not target.breaker.allows(now_s):
-            refused = BreakerOpen(target.name)
-        if refused is not None:
-            _drop(state, target, ask.permit_id)
-            effects.append(_refuse(state, ask, refused))
-        elif now_s - state.polled_s[ask.permit_id] > _poll_limit_s(state):
-            _drop(state, target, ask.permit_id)
-    return effects
-
-
-def _retry_s(target: OwnedTarget) -> float:
-    return max(1.0, target.estimates.run_s.value)
-
-
-def _queued(state: Owner, queue: FairQueue) -> list[Ask]:
-    return [ask for key, ask in state.asks.items() if key in queue]
-
-
-def _poll_limit_s(state: Owner) -> float:
-    return state.settings.poll_s + state.settings.poll_grace_s
-
-
-def _drop(state: Owner, target: OwnedTarget, permit_id: str) -> list[Effect]:
-    target.queue.remove(permit_id)
-    state.asks.pop(permit_id, None)
-    state.polled_s.pop(permit_id, None)
-    return []
-
-
-def _refuse(state: Owner, ask: Ask, exc: VanillabeamError) -> Answer:
-    state.polled_s.pop(ask.permit_id, None)
-    return Answer(ask.permit_id, ask.target, Failure(exc))
-
-
-def _granted(state: Owner, target: OwnedTarget, ask: Ask) -> Answer:
-    decision = _decision(target, target.permits[ask.permit_id], ask.version)
-    return Answer(ask.permit_id, ask.target, Success(decision))
-
-
-def _decision(target: OwnedTarget, grant, version: str) -> Decision:
-    said = target.announcement
-    return Decision(
-        grant=grant,
-        target=target.name,
-        boot_id=said["boot_id"],
-        address=said["address"],
-        data_centre=target.data_centre,
-        version=version,
-    )
+    return pump_all(state, now_s)
 
 
 def _not_owner(state: Owner, target: str) -> VanillabeamError:
