--- a/bench/fake_target.py
+++ b/bench/fake_target.py
@@ -8,11 +8,12 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from hashlib import blake2b
-from typing import Any
+from typing import Annotated, Any
 
 import httpcore
 import msgspec
 import trio
+import typer
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio import serve as serve_http
 from starlette.applications import Starlette
@@ -460,3 +461,26 @@
         headers={"vanillabeam-run": "not-run"},
         media_type="application/problem+json",
     )
+
+
+def main(
+    listener: Annotated[str, typer.Option(help="host:port of a targets' listener.")],
+    target: Annotated[str, typer.Option(help="Its name.")] = "gpu-1",
+    data_centre: Annotated[str, typer.Option(help="Where it is.")] = "dc-1",
+    model: Annotated[str, typer.Option(help="name=version that it has.")] = "ledger=v1",
+    service: Annotated[str, typer.Option(help="Be this plain service.")] = "",
+) -> None:
+    """Run one fake target until it is interrupted."""
+    name, _, version = model.partition("=")
+    settings = FakeTargetSettings(
+        target=target,
+        data_centre=data_centre,
+        listener=listener,
+        models={} if service else {name: version},
+        service=service,
+    )
+    trio.run(serve, settings)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/src/vanillabeam/servicepath.py
+++ b/src/vanillabeam/servicepath.py
@@ -17,7 +17,7 @@
 _NAME = re.compile(rb"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 _SEGMENT = re.compile(rb"(?:[A-Za-z0-9._~!$&'()*+,;=:@-]|%[0-9A-Fa-f]{2})*")
 _QUERY = re.compile(rb"(?:[A-Za-z0-9._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*")
-_HIDDEN = re.compile(rb"%(?:2f|5c|00|2e|0d|0a)", re.IGNORECASE)
+_HIDDEN = re.compile(rb"%(?:25)*(?:2f|5c|00|2e|0d|0a)", re.IGNORECASE)
 _HOP_BY_HOP = frozenset(
     {
         "connection",
