--- a/src/vanillabeam/log/founding.py
+++ b/src/vanillabeam/log/founding.py
@@ -25,6 +25,7 @@
 
 __all__ = ["Founding"]
 
+GROUP_ID_BYTES = 8
 RETRY_S = 0.25
 MEMBER_RETRY_S = 3.0
 ASK_TIMEOUT_S = 2.0
@@ -109,7 +110,7 @@
             opened=len(self._initial) == 1,
         )
         logger.warning("{} founds group {}", self._me.vm, self._group)
-        await self._loop.put(Found(secrets.token_hex(16), membership))
+        await self._loop.put(Found(secrets.token_hex(GROUP_ID_BYTES), membership))
 
     async def _knock(self) -> None:
         member = Member(self._loop.replica.member_id, *self._me)
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -47,7 +47,7 @@
 
 __all__ = ["LogNode", "group_folder", "make_random_id"]
 
-ID_BYTES = 16
+ID_BYTES = 8
 
 
 def make_random_id() -> str:
--- a/src/vanillabeam/log/records.py
+++ b/src/vanillabeam/log/records.py
@@ -154,8 +154,8 @@
     :param kept_entries: entries kept behind a snapshot for slow followers.
     """
 
-    heartbeat_s: float = 0.4
-    election_s: float = 1.4
+    heartbeat_s: float = 0.5
+    election_s: float = 1.6
     propose_timeout_s: float = 5.0
     snapshot_entries: int = 1000
     kept_entries: int = 200
