--- a/src/vanillabeam/targets/owner.py
+++ b/src/vanillabeam/targets/owner.py
@@ -5,7 +5,7 @@
 
 from returns.result import Failure, Success
 
-from vanillabeam.admission import FairQueue, Shares, Waiting, WeightedShares
+from vanillabeam.admission import FairQueue, ReservedShares, Shares, Waiting
 from vanillabeam.admission.shares import Share
 from vanillabeam.config import Config
 from vanillabeam.exceptions import InvariantBroken, VanillabeamError
@@ -89,17 +89,19 @@
         self.polled_s: dict[str, float] = {}
         self.ended: dict[str, float] = {}
         self.stopping = False
+        self.targets_known = 1
 
     def share_of(self, workspace: str) -> Share:
-        """Return the share that the workspace's ticket gives it."""
+        """Return the share that the workspace's ticket gives it at one target."""
         record = self.config.workspaces.get(workspace)
         if record is None:
             return Share()
-        return Share(record.weight, record.reservation_tokens_s)
+        reserved = record.reservation_tokens_s / max(1, self.targets_known)
+        return Share(record.weight, reserved)
 
     def make_shares(self) -> Shares:
         """Return the fair shares of a new queue."""
-        return WeightedShares(self.share_of)
+        return ReservedShares(self.share_of)
 
     def owns(self, target: OwnedTarget) -> bool:
         """Return whether this VM owns ``target`` in its present view."""
@@ -285,8 +287,8 @@
 def _enqueue(state: Owner, target: OwnedTarget, ask: Ask, now_s: float) -> list[Effect]:
     limit = state.limit(target, now_s)
     wait_s = target.wait_s(limit, target.queue.ahead_of(ask.priority))
-    if wait_s > ask.deadline_s:
-        return [_refuse(state, ask, Shed("deadline", retry_after_s=wait_s))]
+    if wait_s + target.start_s(ask, now_s) > ask.deadline_s:
+        return [_refuse(state, ask, Shed("deadline", max(1.0, wait_s)))]
     delay_s = wait_s + target.delay_s(now_s)
     if ask.delay_limit_s is not None and delay_s > ask.delay_limit_s:
         return [_refuse(state, ask, MovedOn(target.name))]
@@ -331,6 +333,9 @@
             break
         ask = state.asks.pop(waiting.key)
         state.polled_s.pop(waiting.key, None)
+        if now_s + target.start_s(ask, now_s) > waiting.deadline_s:
+            effects.append(_refuse(state, ask, Shed("deadline", _retry_s(target))))
+            continue
         target.grant(ask, share, now_s)
         effects.append(_granted(state, target, ask))
     return effects
@@ -340,8 +345,7 @@
     effects: list[Effect] = []
     for waiting in target.queue.expire(now_s):
         ask = state.asks.pop(waiting.key)
-        retry_after_s = max(1.0, target.estimates.run_s.value)
-        effects.append(_refuse(state, ask, Shed("deadline", retry_after_s)))
+        effects.append(_refuse(state, ask, Shed("deadline", _retry_s(target))))
     for ask in _queued(state, target.queue):
         refused = refusal_of_ask(ask, target, state.config, now_s)
         if refused is None and not target.breaker.allows(now_s):
@@ -354,6 +358,10 @@
     return effects
 
 
+def _retry_s(target: OwnedTarget) -> float:
+    return max(1.0, target.estimates.run_s.value)
+
+
 def _queued(state: Owner, queue: FairQueue) -> list[Ask]:
     return [ask for key, ask in state.asks.items() if key in queue]
 
