--- a/src/vanillabeam/orders/core.py
+++ b/src/vanillabeam/orders/core.py
@@ -4,11 +4,9 @@
 
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.orders.desired import (
-    Desired,
     matches,
     models_put_out,
     stores_used,
-    want,
 )
 from vanillabeam.orders.events import (
     AskLease,
@@ -30,6 +28,7 @@
     Tick,
 )
 from vanillabeam.orders.state import OrdersState, Phase, TargetState
+from vanillabeam.orders.steps import next_step
 from vanillabeam.targetwire import Order
 
 __all__ = ["handle"]
@@ -131,7 +130,7 @@
 
 
 def _begin(state: OrdersState, target: TargetState, now_s: float) -> list[Effect]:
-    desired = _next_step(state, target)
+    desired = next_step(state, target)
     if desired is None or now_s < target.retry_s:
         return []
     target.desired = desired
@@ -141,34 +140,6 @@
     return _ask_lease(state, target, now_s)
 
 
-def _next_step(state: OrdersState, target: TargetState) -> Desired | None:
-    if state.config.index == 0 or target.said.get("leaving", False):
-        return None
-    desired = want(state.config, target.said)
-    if target.known_role() is None:
-        # Ordered by another owner: what it is must be sure before it is
-        # counted, or put out.
-        return _as_it_is(target, "serving")
-    if desired.role == "standby" and target.running > 0:
-        # Runs end first: as it is, but without new work.
-        desired = _as_it_is(target, "draining")
-    if target.known_role() == desired.role and matches(desired, target.said):
-        return None
-    return desired
-
-
-def _as_it_is(target: TargetState, role: str) -> Desired:
-    models, adapters = _as_loaded(target, "models"), _as_loaded(target, "adapters")
-    return Desired(role, models, adapters, exact=False)
-
-
-def _as_loaded(target: TargetState, kind: str) -> dict[str, dict[str, str]]:
-    loaded = target.said.get(kind, {})
-    return {
-        name: {"version": version, "weights": ""} for name, version in loaded.items()
-    }
-
-
 def _held_by(state: OrdersState, target: TargetState, now_s: float) -> str:
     if state.config.index < target.highest_index:
         return f"config behind: {target.highest_index} was ordered"
@@ -269,7 +240,7 @@
 
 def _send(state: OrdersState, target: TargetState, now_s: float) -> list[Effect]:
     # What is wanted may have changed while leases and proofs were fetched.
-    if _next_step(state, target) != target.desired:
+    if next_step(state, target) != target.desired:
         return _stop(state, target, now_s, retry_after_s=0.0)
     index = state.config.index
     if index < target.highest_index or now_s < target.busy_until_s:
@@ -353,7 +324,7 @@
 def _repeat(state: OrdersState, target: TargetState, now_s: float) -> list[Effect]:
     if target.lease is not None and now_s >= target.lease_until_s:
         return _stop(state, target, now_s)
-    if _next_step(state, target) != target.desired:
+    if next_step(state, target) != target.desired:
         return _stop(state, target, now_s, retry_after_s=0.0)
     return _prove(state, target, now_s)
 
--- a/src/vanillabeam/spread/shell.py
+++ b/src/vanillabeam/spread/shell.py
@@ -13,14 +13,14 @@
 from vanillabeam.exceptions import (
     InvariantBroken,
     NotReady,
-    Unauthenticated,
     VanillabeamError,
 )
 from vanillabeam.members import Member, Members, View, ViewReply
 from vanillabeam.members.shell import VIEW_PATH
 from vanillabeam.peercall import PeerCall, PeerRoutes
 from vanillabeam.spread.copy import ConfigCopy
-from vanillabeam.spread.core import (
+from vanillabeam.spread.core import SpreadState, handle
+from vanillabeam.spread.events import (
     CopyOffered,
     DigestSeen,
     Effect,
@@ -34,22 +34,20 @@
     PutInForce,
     Ready,
     SendPush,
-    SpreadState,
     StepAccepted,
     StepsFetched,
     StoreCopy,
     StoreSteps,
     Tick,
-    handle,
 )
 from vanillabeam.spread.exceptions import CopyBehind, StoreDamaged
+from vanillabeam.spread.lookup import WORKSPACE_PATH, WorkspaceLookup
 from vanillabeam.spread.messages import (
     PageReply,
     PageRequest,
     Push,
     StepsReply,
     StepsRequest,
-    WorkspaceReply,
     WorkspaceRequest,
 )
 from vanillabeam.spread.status import FleetStatus, make_status
@@ -62,11 +60,9 @@
 TICK_S = 0.25
 CALL_TIMEOUT_S = 2.0
 QUEUE_EVENTS = 256
-MOST_LOOKUPS = 3
 PUSH_PATH = "/peer/spread/push"
 STEPS_PATH = "/peer/spread/steps"
 PAGE_PATH = "/peer/spread/page"
-WORKSPACE_PATH = "/peer/spread/workspace"
 
 
 class Spread:
@@ -108,8 +104,7 @@
         self._whole = True
         self._changed = trio.Event()
         self._ready = trio.Event()
-        self._by_key: dict[str, str] = {}
-        self._by_key_of: dict[str, Workspace] | None = None
+        self._lookup = WorkspaceLookup(self._in_force, self._whole_copies, self._ask)
         self._state: SpreadState | None = None
         self._nursery: trio.Nursery | None = None
         self._send, self._receive = trio.open_memory_channel[Event](QUEUE_EVENTS)
@@ -222,12 +217,10 @@
 
     async def _handle(self, event: Event) -> None:
         try:
-            effects = handle(event, self._state, trio.current_time())
+            for effect in handle(event, self._state, trio.current_time()):
+                await self._carry_out(effect)
         except InvariantBroken as exc:
             logger.critical("config spread, {}: {}", type(event).__name__, exc.detail)
-            return
-        for effect in effects:
-            await self._carry_out(effect)
 
     async def _carry_out(self, effect: Effect) -> None:
         match effect:
@@ -340,34 +333,10 @@
         :returns: the workspace; :class:`Unauthenticated` if no workspace has
             the key; :class:`NotReady` if that can't be known now.
         """
-        workspace = self._own_workspace_of(key_digest)
-        if workspace is not None:
-            return Success(workspace)
-        if self._whole:
-            return Failure(Unauthenticated())
-        for address in self._whole_copies()[:MOST_LOOKUPS]:
-            request: WorkspaceRequest = {
-                "key_digest": key_digest,
-                "index": self._config.index,
-            }
-            result = await self._ask(address, WORKSPACE_PATH, request)
-            match result.bind(lambda body: decode(WorkspaceReply, body)):
-                case Success(reply) if "workspace" in reply:
-                    return Success(reply["workspace"])
-                case Success(_):
-                    return Failure(Unauthenticated())
-        return Failure(NotReady("no peer with a whole configuration answered"))
-
-    def _own_workspace_of(self, key_digest: str) -> Workspace | None:
-        workspaces = self._config.workspaces
-        if self._by_key_of is not workspaces:
-            self._by_key_of = workspaces
-            self._by_key = {
-                digest: name
-                for name, workspace in workspaces.items()
-                for digest in workspace.key_digests
-            }
-        return workspaces.get(self._by_key.get(key_digest, ""))
+        return await self._lookup.find(key_digest)
+
+    def _in_force(self) -> tuple[Config, bool]:
+        return self._config, self._whole
 
     def _whole_copies(self) -> list[str]:
         near = [m.address for m in self._members.view().alive if m.state.full]
@@ -376,16 +345,7 @@
         return near + [a for a in self._control if a not in near]
 
     async def _workspace(self, body: bytes) -> Result[bytes, VanillabeamError]:
-        return decode(WorkspaceRequest, body).bind(self._look_up)
-
-    def _look_up(self, request: WorkspaceRequest) -> Result[bytes, VanillabeamError]:
-        if not self._whole or self._config.index < request["index"]:
-            return Failure(CopyBehind())
-        reply: WorkspaceReply = {"index": self._config.index}
-        workspace = self._own_workspace_of(request["key_digest"])
-        if workspace is not None:
-            reply["workspace"] = workspace
-        return Success(encode(reply))
+        return decode(WorkspaceRequest, body).bind(self._lookup.answer)
 
     async def status(self) -> FleetStatus:
         """Ask one VM of each data centre, and say what could not be asked."""
--- a/tests/spread/builders.py
+++ b/tests/spread/builders.py
@@ -8,7 +8,8 @@
 from vanillabeam.members.core import AppStateChanged
 from vanillabeam.spread import core as spread_core
 from vanillabeam.spread.copy import ConfigCopy
-from vanillabeam.spread.core import (
+from vanillabeam.spread.core import SpreadState
+from vanillabeam.spread.events import (
     CopyOffered,
     DigestSeen,
     FetchFailed,
@@ -20,7 +21,6 @@
     PutInForce,
     Ready,
     SendPush,
-    SpreadState,
     StepAccepted,
     StepsFetched,
     StoreCopy,
--- a/tests/spread/test_core.py
+++ b/tests/spread/test_core.py
@@ -13,13 +13,8 @@
 )
 from tests.tickets.builders import make_body, make_workspace
 from vanillabeam.exceptions import InvariantBroken
-from vanillabeam.spread.core import (
-    CopyOffered,
-    DigestSeen,
-    SpreadState,
-    StoreSteps,
-    handle,
-)
+from vanillabeam.spread.core import SpreadState, handle
+from vanillabeam.spread.events import CopyOffered, DigestSeen, StoreSteps
 
 SIZES = {"kgl-1": 3, "kgl-2": 2, "kgl-3": 2, "kgl-4": 2}
 CONTROL = ("kgl-1-0", "kgl-2-0", "kgl-3-0")
