--- a/src/vanillabeam/vm.py
+++ b/src/vanillabeam/vm.py
@@ -22,6 +22,7 @@
 from vanillabeam.orders import OrdersConfig
 from vanillabeam.overview import Overview
 from vanillabeam.parts import Parts
+from vanillabeam.peercall import PeerCall
 from vanillabeam.peerhttp import PeerClient, peer_routes
 from vanillabeam.readiness import Readiness
 from vanillabeam.settings import Settings
@@ -118,15 +119,17 @@
             nursery.start_soon(self._report_gauges)
             task_status.started()
 
+    def peer_call(self) -> PeerCall:
+        """Return what reaches the other VMs."""
+        context = client_context(self.cfg["listeners"]["peers"]["tls"]).unwrap()
+        return PeerClient(read_key(self.cfg["peer_key_file"]), context)
+
     def _make_parts(self) -> Parts:
-        peers_tls = self.cfg["listeners"]["peers"]["tls"]
-        context = client_context(peers_tls).unwrap()
-        call = PeerClient(read_key(self.cfg["peer_key_file"]), context)
         target_key = read_key(self.cfg["target_key_file"])
         return Parts(
             cfg=self.cfg,
             addresses={name: each.address for name, each in self.listeners.items()},
-            call=call,
+            call=self.peer_call(),
             target_call=PeerClient(target_key, None),
             order_call=PeerClient(target_key, None, ORDER_SILENCE_S),
             rng=self.rng,
--- a/tests/path/fleet.py
+++ b/tests/path/fleet.py
@@ -3,15 +3,22 @@
 import random
 import socket
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 
 import trio
+from returns.result import Failure
 
+from bench.fake_target import FakeTarget, FakeTargetSettings, serve
 from tests.builders import make_settings
-from tests.path.builders import OPERATOR_KEY, RunningVm
+from tests.path.builders import OPERATOR_KEY, QUICK_ORDERS, RunningVm
 from vanillabeam.auth import digest
+from vanillabeam.exceptions import PeerSilent
+from vanillabeam.peerhttp import PeerClient
 from vanillabeam.vm import Vm
 
+SILENCE_S = 2.0
+
 
 def free_port() -> int:
     with socket.socket() as sock:
@@ -19,6 +26,30 @@
         return sock.getsockname()[1]
 
 
+class CutCall:
+    """A peer call that gets lost, or whose answer does, where the fleet is cut."""
+
+    def __init__(self, fleet: "Fleet", vm: str, client: PeerClient):
+        self.fleet = fleet
+        self.vm = vm
+        self.client = client
+
+    async def __call__(self, address, path, body):
+        if self.fleet.lost(self.vm, address):
+            await trio.sleep(SILENCE_S)
+            return Failure(PeerSilent(address))
+        return await self.client(address, path, body)
+
+
+class FleetVm(Vm):
+    """A VM whose calls to others pass the fleet's cuts."""
+
+    fleet: "Fleet"
+
+    def peer_call(self):
+        return CutCall(self.fleet, self.cfg["vm"], super().peer_call())
+
+
 class Fleet:
     """VMs by name, each with a nursery of its own.
 
@@ -31,6 +62,9 @@
         self.layout = layout
         self.control = control
         self.ports = {vm: free_port() for vm in layout}
+        self.target_ports = {vm: free_port() for vm in layout}
+        #: Pairs of VMs, each way for itself, between which calls get lost.
+        self.cut: set[tuple[str, str]] = set()
         self.running: dict[str, RunningVm] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
@@ -54,7 +88,7 @@
             data_folder="data" if is_control else None,
             listeners={
                 "callers": {"port": 0},
-                "targets": {"port": 0},
+                "targets": {"port": self.target_ports[vm]},
                 "peers": {"port": self.ports[vm]},
             },
             peers=peers,
@@ -74,9 +108,30 @@
         self._scopes.pop(vm).cancel()
         del self.running[vm]
 
+    async def announce(self, name: str, data_centre: str, **fields) -> FakeTarget:
+        """Start a target whose listener is the first VM of its data centre."""
+        vm = min(vm for vm in self.layout if self.layout[vm] == data_centre)
+        settings = FakeTargetSettings(
+            target=name,
+            data_centre=data_centre,
+            listener=f"127.0.0.1:{self.target_ports[vm]}",
+            announce_every_s=0.5,
+            **fields,
+        )
+        target = FakeTarget(settings)
+        await self._nursery.start(partial(serve, settings, target=target))
+        return target
+
+    def lost(self, sender: str, address: str) -> bool:
+        """Return whether a call from ``sender`` to ``address`` gets lost."""
+        port = int(address.rpartition(":")[2])
+        receivers = [vm for vm, known in self.ports.items() if known == port]
+        return any((sender, receiver) in self.cut for receiver in receivers)
+
     async def _run(self, vm: str, bootstrap: bool, started: trio.Event) -> None:
         cfg = self.settings(vm, bootstrap)
-        made = Vm(cfg, random.Random(vm))
+        made = FleetVm(cfg, random.Random(vm), QUICK_ORDERS)
+        made.fleet = self
         with trio.CancelScope() as scope:
             self._scopes[vm] = scope
             async with trio.open_nursery() as nursery:
