--- a/src/vanillabeam/store/shell.py
+++ b/src/vanillabeam/store/shell.py
@@ -12,7 +12,7 @@
 from vanillabeam import wire
 from vanillabeam.cache.blocks import release_tag, workspace_tag
 from vanillabeam.config import Config, Workspace
-from vanillabeam.exceptions import NotReady, VanillabeamError
+from vanillabeam.exceptions import InvariantBroken, NotReady, VanillabeamError
 from vanillabeam.peercall import PeerRoutes
 from vanillabeam.store.core import handle
 from vanillabeam.store.disk import (
@@ -228,6 +228,14 @@
             return memory_pieces(self._memory[named])
         return disk_pieces(self._files, named)
 
+    def _apply_alone(self, event: Event) -> None:
+        """Apply an event that no caller waits for."""
+        try:
+            self.apply(event)
+        except InvariantBroken as exc:
+            self.state.counts[exc.type] += 1
+            logger.bind(detail=exc.detail).critical("invariant broken")
+
     def _carry_out(self, effect: Effect) -> Reply | None:
         if isinstance(effect, DropMemory):
             self._memory.pop((effect.block_id, effect.generation), None)
@@ -290,7 +298,7 @@
         with trio.CancelScope(shield=True):
             found = await trio.to_thread.run_sync(_read_found, self._files, named)
         if found is not None:
-            self.apply(found)
+            self._apply_alone(found)
             return
         logger.warning("removed a damaged block file", block=named.block_id)
         self._disk_in.send_nowait(DropDisk(*named))
@@ -298,7 +306,7 @@
     async def _tick(self) -> None:
         while True:
             await trio.sleep(TICK_S)
-            self.apply(Tick())
+            self._apply_alone(Tick())
 
     async def _work_disk(self) -> None:
         async for effect in self._disk_out:
@@ -324,7 +332,7 @@
         except OSError as exc:
             kept = False
             logger.warning("a block was not written to disk", error=repr(exc))
-        self.apply(Persisted(*effect, kept=kept))
+        self._apply_alone(Persisted(*effect, kept=kept))
 
     async def _drop(self, effect: DropDisk) -> None:
         try:
--- a/tests/cache/test_transfers.py
+++ b/tests/cache/test_transfers.py
@@ -149,3 +149,11 @@
     assert len(handle(make_offer(IDS), state, 0.0)) == 4
     assert handle(make_offer(IDS, boot_id="b2"), state, 0.0) == []
     assert make_sized(IDS)[0].size == 1_000
+
+
+def test_a_bucket_stays_as_full_as_it_was_when_its_limit_changes():
+    link = Link(1_000, now_s=0.0)
+    assert link.take(500, reserve=False, now_s=0.0)
+    link.set_limit(500)
+    assert link.take(250, reserve=False, now_s=0.0)
+    assert not link.take(1, reserve=False, now_s=0.0)
