--- a/tests/log/test_broken_rules.py
+++ b/tests/log/test_broken_rules.py
@@ -66,7 +66,7 @@
 ]
 BROKEN_IN_SOAK = [
     (1, {"replica_type": VotesForOldLogs}),
-    (2, {"replica_type": VotesTwice}),
+    (3, {"replica_type": VotesTwice}),
     (1, {"vm_type": VotesAfterDiskLoss}),
 ]
 
