--- a/src/vanillabeam/accounting.py
+++ b/src/vanillabeam/accounting.py
@@ -5,14 +5,18 @@
 import trio
 from loguru import logger
 
+from vanillabeam.answers import CallerLeft, RetriesDenied
 from vanillabeam.burn import Burn, Outcome
+from vanillabeam.claims import ClaimUnknown
 from vanillabeam.exceptions import Run, VanillabeamError
 from vanillabeam.metrics import Counter, Metrics, Timer
 from vanillabeam.traces import Traces
 
 __all__ = ["Accounting"]
 
-CALLER_LEFT = "caller-left"
+CALLER_LEFT = CallerLeft.type
+RETRIES_DENIED = RetriesDenied.type
+CLAIM_UNKNOWN = ClaimUnknown.type
 
 
 class Accounting:
@@ -27,6 +31,14 @@
         self._traces = traces
         self._burn = burn
         self._metrics = metrics
+        self._prompt_tokens = 0
+        self._recomputed_tokens = 0
+
+    def recomputed_share(self) -> float:
+        """Return recomputed among prompt tokens since the last question."""
+        share = self._recomputed_tokens / max(1, self._prompt_tokens)
+        self._prompt_tokens = self._recomputed_tokens = 0
+        return share
 
     def finished(self, request_id: str, record: dict[str, Any]) -> None:
         """Take the record of a request that targets were asked for."""
@@ -51,6 +63,8 @@
 
     def refused(self, request_id: str, exc: VanillabeamError, **fields: Any) -> None:
         """Take a request that was refused before any target was asked for."""
+        if exc.type == CLAIM_UNKNOWN:
+            self._metrics.count(Counter.CLAIMS_UNKNOWN)
         self._metrics.count(Counter.REQUESTS, by=str(Outcome.REFUSED))
         self._metrics.count(Counter.SHEDS, by=exc.type)
         logger.bind(
@@ -76,11 +90,30 @@
             metrics.time(Timer.FIRST_TOKEN, record["first_token_s"])
         if gap_s is not None:
             metrics.time(Timer.TOKEN_GAP, gap_s)
-        metrics.count(Counter.PROMPT_TOKENS, record.get("prompt_tokens", 0))
-        metrics.count(Counter.RECOMPUTED_TOKENS, record.get("recomputed_tokens", 0))
-        retries = len(record["attempts"]) - 1
-        if retries > 0:
-            metrics.count(Counter.RETRIES, retries)
+        self._count_tokens(record)
+        self._count_attempts(record["attempts"])
+        if record["failure"] == RETRIES_DENIED:
+            metrics.count(Counter.RETRIES_DENIED)
+        if record["failure"] is not None and record["run"] == Run.NOT_RUN:
+            metrics.count(Counter.SHEDS, by=record["failure"])
+
+    def _count_tokens(self, record: dict[str, Any]) -> None:
+        prompt = record.get("prompt_tokens", 0)
+        recomputed = record.get("recomputed_tokens", 0)
+        self._prompt_tokens += prompt
+        self._recomputed_tokens += recomputed
+        self._metrics.count(Counter.PROMPT_TOKENS, prompt)
+        self._metrics.count(Counter.RECOMPUTED_TOKENS, recomputed)
+
+    def _count_attempts(self, attempts: list[dict[str, Any]]) -> None:
+        if not attempts:
+            return
+        self._metrics.time(Timer.QUEUE_WAIT, attempts[0]["at_s"])
+        if len(attempts) > 1:
+            self._metrics.count(Counter.RETRIES, len(attempts) - 1)
+        resumes = sum(attempt["resumes"] for attempt in attempts)
+        if resumes:
+            self._metrics.count(Counter.RESUMES, resumes)
 
     def _log(self, request_id: str, record: dict[str, Any], outcome: Outcome) -> None:
         bound = logger.bind(
--- a/src/vanillabeam/callers.py
+++ b/src/vanillabeam/callers.py
@@ -27,7 +27,12 @@
 from vanillabeam.peerhttp import bearer
 from vanillabeam.problems import RUN_HEADER, problem_response
 from vanillabeam.servicepath import service_path
-from vanillabeam.streaming import StreamedAnswer, whole_answer
+from vanillabeam.streaming import (
+    StreamedAnswer,
+    gone,
+    while_connected,
+    whole_answer,
+)
 
 __all__ = ["REQUEST_ID_HEADER", "CallersView", "caller_app"]
 
@@ -159,13 +164,18 @@
         if isinstance(admitted, Failure):
             exc = admitted.failure()
             return self._refuse(request_id, exc, workspace=workspace.name)
-        opened = await self._view.open_prompt(admitted.unwrap())
+        opened = await while_connected(
+            request.receive, self._view.open_prompt, admitted.unwrap()
+        )
+        if opened is None:
+            return gone()
         if isinstance(opened, Failure):
             return problem_response(opened.failure())
         answer = opened.unwrap()
         if answer.request.stream:
             return StreamedAnswer(answer)
-        return await whole_answer(answer)
+        whole = await while_connected(request.receive, whole_answer, answer)
+        return whole or gone()
 
     async def service(
         self, request: Request, workspace: Workspace, request_id: str
@@ -183,7 +193,11 @@
             exc = admitted.failure()
             return self._refuse(request_id, exc, workspace=workspace.name)
         call = admitted.unwrap()._replace(body=body.unwrap())
-        result = await self._view.call_service(call)
+        result = await while_connected(
+            request.receive, self._view.call_service, call
+        )
+        if result is None:
+            return gone()
         if isinstance(result, Failure):
             return problem_response(result.failure())
         return _service_response(result.unwrap())
--- a/src/vanillabeam/entry.py
+++ b/src/vanillabeam/entry.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from returns.result import Result
+from returns.result import Failure, Result
 
 from vanillabeam.accounting import Accounting
 from vanillabeam.answers import (
@@ -12,6 +12,7 @@
     ServiceAnswer,
     ServiceRequest,
 )
+from vanillabeam.claims import ClaimError
 from vanillabeam.config import Config, Priority, Workspace
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.lifecycle import Lifecycle
@@ -75,7 +76,10 @@
         self, request: ServiceRequest
     ) -> Result[ServiceAnswer, VanillabeamError]:
         """Carry out a call of a plain service."""
-        return await self.runner.services.call(request)
+        result = await self.runner.services.call(request)
+        if isinstance(result, Failure) and isinstance(result.failure(), ClaimError):
+            self.refused(request.route.request_id, result.failure())
+        return result
 
     def started(self, request_id: str) -> None:
         """Count a request in."""
--- /dev/null
+++ b/src/vanillabeam/gauges.py
@@ -0,0 +1,93 @@
+"""What a VM tells statsd of itself every few seconds."""
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from vanillabeam.metrics import Counter, Gauge, Metrics
+
+if TYPE_CHECKING:
+    from vanillabeam.vm import Vm
+
+__all__ = ["Gauges"]
+
+PERIOD_S = 10.0
+
+
+class Gauges:
+    """Reads the VM's parts and sends what they show.
+
+    :param vm: the VM, with its parts in place.
+    """
+
+    def __init__(self, vm: "Vm"):
+        self._vm = vm
+        self._parts = vm.parts
+        self._metrics: Metrics = vm.metrics
+        self._totals: dict[tuple[Counter, str], int] = {}
+
+    async def run(self) -> None:
+        """Send every :data:`PERIOD_S` until cancelled."""
+        while True:
+            self.send()
+            await trio.sleep(PERIOD_S)
+
+    def send(self) -> None:
+        """Send everything once."""
+        self._send_config()
+        self._send_members()
+        self._send_targets()
+        self._send_logs()
+        self._send_blocks()
+        self._metrics.gauge(Gauge.OPEN_REQUESTS, self._vm.lifecycle.open_requests)
+        share = self._vm.accounting.recomputed_share()
+        self._metrics.gauge(Gauge.RECOMPUTED_SHARE, share)
+
+    def _send_config(self) -> None:
+        config = self._parts.config()
+        self._metrics.gauge(Gauge.CONFIG_INDEX, config.index)
+        for name, data_centre in config.data_centres.items():
+            self._metrics.gauge(Gauge.IN_SERVICE, int(data_centre.in_service), by=name)
+
+    def _send_members(self) -> None:
+        view = self._parts.members.view()
+        near = [member.state.config_index for member in view.alive]
+        far = [summary.highest_index for summary in view.summaries.values()]
+        self._metrics.gauge(Gauge.PEERS_ALIVE, len(near))
+        self._metrics.gauge(Gauge.CONFIG_INDEX_SEEN, max(near + far, default=0))
+
+    def _send_targets(self) -> None:
+        ready: dict[str, int] = {}
+        for view in self._parts.targets.router.views.values():
+            ready[view.data_centre] = ready.get(view.data_centre, 0) + int(view.open)
+        for name, count in ready.items():
+            self._metrics.gauge(Gauge.READY_TARGETS, count, by=name)
+        status = self._parts.targets.status()
+        self._metrics.gauge(Gauge.TARGETS_OWNED, len(status["owned"]))
+        for priority, count in status["waiting"].items():
+            self._metrics.gauge(Gauge.QUEUED, count, by=priority)
+
+    def _send_logs(self) -> None:
+        for status in self._parts.control.status() if self._parts.is_control else ():
+            group = status["group"]
+            self._metrics.gauge(Gauge.COMMIT_INDEX, status["commit"], by=group)
+            self._count_total(Counter.LOG_COMMITS, status["commit"], group)
+            self._count_total(Counter.ELECTIONS, status["term"], group)
+            if status["losses_left"] is not None:
+                left = status["losses_left"]
+                self._metrics.gauge(Gauge.LOSSES_LEFT, left, by=group)
+
+    def _send_blocks(self) -> None:
+        report = self._parts.cache.report()
+        self._count_total(Counter.LINK_BYTES, report.imported_bytes, "import")
+        self._count_total(Counter.LINK_BYTES, report.exported_bytes, "export")
+        if self._parts.store is not None:
+            held = self._parts.store.report()
+            self._metrics.gauge(Gauge.STORE_BYTES, held["memory_used"], by="memory")
+            self._metrics.gauge(Gauge.STORE_BYTES, held["disk_used"], by="disk")
+
+    def _count_total(self, counter: Counter, total: int, by: str) -> None:
+        before = self._totals.get((counter, by), total)
+        self._totals[counter, by] = total
+        if total > before:
+            self._metrics.count(counter, total - before, by=by)
--- a/src/vanillabeam/lifecycle.py
+++ b/src/vanillabeam/lifecycle.py
@@ -31,6 +31,8 @@
     :param state: the core.
     :param close_listeners: called once, when no new connection is to be taken.
     :ivar exit_code: set when :meth:`run` has ended.
+    :ivar cut_requests: how many requests the stop cut off.
+    :ivar drained_s: how long the drain took.
 
     >>> lifecycle = Lifecycle(Readiness(5.0, 60.0), close_listeners)
     >>> nursery.start_soon(lifecycle.run)
@@ -43,6 +45,8 @@
         self._stopped = trio.Event()
         self.draining = trio.Event()
         self.exit_code: int | None = None
+        self.cut_requests = 0
+        self.drained_s = 0.0
 
     @property
     def phase(self) -> Phase:
@@ -95,7 +99,9 @@
             case CloseListeners():
                 self._close_listeners()
             case ReportCut(request_ids):
+                self.cut_requests = len(request_ids)
                 logger.bind(request_ids=list(request_ids)).error("requests cut off")
             case Exit(code):
                 self.exit_code = code
+                self.drained_s = trio.current_time() - self._state.drain_began_s
                 self._stopped.set()
--- a/src/vanillabeam/metrics.py
+++ b/src/vanillabeam/metrics.py
@@ -39,18 +39,14 @@
         "recomputed_tokens",
         "prompt tokens computed again although they had been before",
     )
-    LINK_BYTES = "link_bytes", "bytes of KV blocks moved, by link"
-    PERMITS = "permits", "permits granted by this VM as owner"
-    PERMITS_REFUSED = "permits_refused", "permits refused by this VM as owner"
-    COLD_STARTS = "cold_starts", "owned targets whose window went back to cold"
+    LINK_BYTES = "link_bytes", "bytes of KV blocks moved on orders of this VM, import or export"
     SHEDS = "sheds", "requests refused before they started, by reason"
     RETRIES = "retries", "attempts after the first, by reason"
     RETRIES_DENIED = "retries_denied", "retries that the budget did not allow"
     RESUMES = "resumes", "streams resumed after a silent or lost connection"
-    CLAIMS = "claims", "claims written, by outcome"
-    CLAIMS_UNKNOWN = "claims_unknown", "claims whose outcome stays unknown"
+    CLAIMS_UNKNOWN = "claims_unknown", "calls refused because an earlier one's outcome is unknown"
     LOG_COMMITS = "log_commits", "entries committed, by log"
-    ELECTIONS = "elections", "elections begun by this VM, by log"
+    ELECTIONS = "elections", "terms begun, by log"
     REQUESTS_CUT = "requests_cut", "requests that a planned stop cut off"
     INVARIANT_BROKEN = "invariant_broken", "invariants found broken, by module"
 
@@ -68,7 +64,6 @@
     PEERS_ALIVE = "peers_alive", "VMs that this one holds alive"
     OPEN_REQUESTS = "open_requests", "callers' requests under way"
     QUEUED = "queued", "requests that wait for a permit, by priority"
-    LINK_USE = "link_use", "share of a link's rate in use, by link"
     RECOMPUTED_SHARE = "recomputed_share", "recomputed among prompt tokens, last minute"
     STORE_BYTES = "store_bytes", "bytes held by this store, by tier"
 
@@ -78,11 +73,7 @@
 
     FIRST_TOKEN = "first_token", "from the request to its first token"
     TOKEN_GAP = "token_gap", "mean time between tokens of one answer"
-    QUEUE_WAIT = "queue_wait", "from the request to its permit"
-    CLAIM = "claim", "time to write a claim"
-    LOG_COMMIT = "log_commit", "from a proposal to its commit, by log"
-    CONFIG_LAG = "config_lag", "from hearing of a ticket index to having it in force"
-    BLOCK_TRANSFER = "block_transfer", "one order's export or import, by link"
+    QUEUE_WAIT = "queue_wait", "from the request to its first attempt: permit and import"
     DRAIN = "drain", "from the stop signal to the last answer"
 
 
--- a/src/vanillabeam/streaming.py
+++ b/src/vanillabeam/streaming.py
@@ -1,6 +1,8 @@
 """Answers to callers: streamed while they come, or whole."""
 
 import contextlib
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import trio
 from starlette.responses import Response
@@ -9,7 +11,14 @@
 from vanillabeam.answers import Answer
 from vanillabeam.problems import RUN_HEADER, problem_response
 
-__all__ = ["StreamedAnswer", "whole_answer"]
+__all__ = ["StreamedAnswer", "gone", "while_connected", "whole_answer"]
+
+CLIENT_CLOSED_REQUEST = 499
+#: Time beyond the answer's deadline for its last bytes to be read.
+SLOW_READER_S = 5.0
+
+T = TypeVar("T")
+R = TypeVar("R")
 
 
 class StreamedAnswer:
@@ -28,6 +37,8 @@
         """Send the head and every piece, until the end or the caller leaves."""
         async with contextlib.aclosing(self._answer), trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_when_left, receive, nursery.cancel_scope)
+            # A caller who stops reading would hold its stream for ever.
+            nursery.cancel_scope.deadline = self._answer.deadline_at_s + SLOW_READER_S
             await send(self._head())
             async for data in self._answer:
                 await send(_body(data, more=True))
@@ -43,6 +54,26 @@
         return {"type": "http.response.start", "status": 200, "headers": headers}
 
 
+async def while_connected(
+    receive: Receive, act: Callable[[T], Awaitable[R]], argument: T
+) -> R | None:
+    """Return what ``act(argument)`` does, or ``None`` once the caller has left.
+
+    The listener does not end an application whose caller leaves.
+    """
+    result = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_when_left, receive, nursery.cancel_scope)
+        result = await act(argument)
+        nursery.cancel_scope.cancel()
+    return result
+
+
+def gone() -> Response:
+    """Return the answer that nobody is there to read."""
+    return Response(status_code=CLIENT_CLOSED_REQUEST)
+
+
 async def whole_answer(answer: Answer) -> ASGIApp:
     """Return the whole answer, or its failure, as one response."""
     async with contextlib.aclosing(answer):
--- a/src/vanillabeam/vm.py
+++ b/src/vanillabeam/vm.py
@@ -15,9 +15,10 @@
 from vanillabeam.entry import Entry
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.gates import KeyGate, LateApp, read_key
+from vanillabeam.gauges import Gauges
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.listeners import ListenerTask
-from vanillabeam.metrics import Counter, Gauge, Metrics
+from vanillabeam.metrics import Counter, Metrics, Timer
 from vanillabeam.operators import operator_routes
 from vanillabeam.orders import OrdersConfig
 from vanillabeam.overview import Overview
@@ -33,7 +34,7 @@
 
 __all__ = ["Vm"]
 
-GAUGES_PERIOD_S = 10.0
+FLUSH_LIMIT_S = 10.0
 ORDER_SILENCE_S = 120.0
 BLOCK_LIMIT_BYTES = 2**31
 
@@ -116,7 +117,7 @@
             nursery.start_soon(self._become_ready)
             nursery.start_soon(self._live)
             nursery.start_soon(self._hand_over)
-            nursery.start_soon(self._report_gauges)
+            nursery.start_soon(Gauges(self).run)
             task_status.started()
 
     def peer_call(self) -> PeerCall:
@@ -171,6 +172,11 @@
 
     async def _live(self) -> None:
         await self.lifecycle.run()
+        with trio.move_on_after(FLUSH_LIMIT_S):
+            await self.entry.runner.flush()
+        if self.lifecycle.cut_requests:
+            self.metrics.count(Counter.REQUESTS_CUT, self.lifecycle.cut_requests)
+        self.metrics.time(Timer.DRAIN, self.lifecycle.drained_s)
         self._stopped.set()
 
     async def _hand_over(self) -> None:
@@ -179,13 +185,6 @@
         await self._callers_closed.wait()
         await self.parts.leave_targets()
 
-    async def _report_gauges(self) -> None:
-        while True:
-            index = self.parts.spread.config().index
-            self.metrics.gauge(Gauge.CONFIG_INDEX, index)
-            self.metrics.gauge(Gauge.OPEN_REQUESTS, self.lifecycle.open_requests)
-            await trio.sleep(GAUGES_PERIOD_S)
-
 
 def _listener_settings(cfg: Settings) -> dict:
     found = dict(cfg["listeners"])
