--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from bench.plots import write_plots
 from bench.sizing import (
     BLOCKS_OF_A_PROMPT,
     CLAIMED_SHARE,
@@ -60,6 +61,7 @@
         "slopes": _slopes_table(slopes),
     }
     PAGE.write_text(_fill(PAGE.read_text(), tables))
+    write_plots(slopes)
     for table in tables.values():
         print(table)
     return {
--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bench import capacity
+from bench import capacity, plots
 from bench.fit import Line
 from bench.mechanisms import MECHANISMS
 from bench.sizing import NODES, TOKENS_S, Size, make_size
@@ -114,6 +114,18 @@
         capacity._fill(page, {"u": ""})
 
 
+def test_plots_show_the_measured_points_and_the_line(tmp_path):
+    lines = {
+        ("whole VM, streams", "cpu_s_per_s"): Line(0.0, 1.0, 0.0),
+        ("targets at rest", "body_bytes_per_s"): Line(0.0, 1.0, 0.0),
+    }
+    plots.write_plots(make_slopes(lines=lines), tmp_path)
+    drawn = {path.stem: path.read_text() for path in tmp_path.glob("*.svg")}
+    assert set(drawn) == {plot.file for plot in plots.PLOTS}
+    assert all(text.count("<polyline") == 2 for text in drawn.values())
+    assert "whole VM, streams" in drawn["streams"]
+
+
 def test_sizing_uses_only_mechanisms_that_are_measured():
     assert set(QUANTITIES) <= {mechanism.name for mechanism in MECHANISMS}
 
--- a/tests/bench/test_slopes.py
+++ b/tests/bench/test_slopes.py
@@ -8,14 +8,13 @@
 SMALL = 4
 
 
-def _params():
-    for each in MECHANISMS:
-        # These start processes and take their time; the others take a second.
-        marks = [pytest.mark.soak] if each.name.startswith("whole VM") else []
-        yield pytest.param(each, id=each.name, marks=marks)
+def _param(mechanism):
+    # These start processes and take their time; the others take a second.
+    marks = [pytest.mark.soak] if mechanism.name.startswith("whole VM") else []
+    return pytest.param(mechanism, id=mechanism.name, marks=marks)
 
 
-@pytest.mark.parametrize("mechanism", _params())
+@pytest.mark.parametrize("mechanism", [_param(each) for each in MECHANISMS])
 def test_each_mechanism_measures_numbers_that_are_not_all_nothing(mechanism):
     sample = mechanism.measure(SMALL, 1)
     assert all(math.isfinite(value) for value in sample.values())
