--- a/bench/mechanisms/ownership.py
+++ b/bench/mechanisms/ownership.py
@@ -7,9 +7,10 @@
 import trio
 from trio.testing import MockClock
 
-from bench.cost import held_bytes
+from bench.cost import cpu_seconds, held_bytes
 from bench.mechanisms.base import Mechanism
 from bench.mechanisms.traffic import Traffic
+from vanillabeam.routing import Router, Weights
 from vanillabeam.targets import (
     Entry,
     Outcome,
@@ -17,7 +18,9 @@
     RouteRequest,
     Targets,
     TargetsSettings,
+    TargetView,
 )
+from vanillabeam.targets.messages import pack_view
 from vanillabeam.targetwire import Announcement, LoadReport
 from vanillabeam.wire import encode
 
@@ -26,6 +29,9 @@
 ENTRIES = (10, 20, 40, 68)
 TARGETS = (2, 4, 8, 16)
 RATES_S = (4, 8, 16, 28)
+MODELS = (1, 4, 16, 38)
+KNOWN_TARGETS = (50, 154, 400, 770)
+CHOICES = 200
 #: Targets for one entry at the size that is asked for.
 TARGETS_PER_ENTRY = 770 / 340
 PERMIT_ENTRIES = 8
@@ -261,7 +267,61 @@
     return trio.run(_requests, size, seed, clock=clock)
 
 
+def _view(target: str, models: int) -> TargetView:
+    return TargetView(
+        target=target,
+        boot_id=f"{target}-boot-1",
+        address="10.0.0.1:8000",
+        data_centre=DATA_CENTRE,
+        owner="entry-001",
+        epoch=1_790_000_000,
+        models={f"model-{n:02d}": "2026-11-01" for n in range(models)},
+        adapters={},
+        service="",
+        limit=CAPACITY,
+        in_use=3,
+        queued=0,
+        run_s=4.0,
+        pending_tokens=0,
+        prefill_tokens_s=5_000.0,
+        link_bytes_s=0.0,
+        open=True,
+        cold=False,
+    )
+
+
+def _view_by_models(size: int, seed: int) -> dict[str, float]:
+    view = _view("engine-0001", size)
+    return {
+        "view_bytes": len(encode(pack_view(view))),
+        "state_bytes": held_bytes(lambda: _view("engine-0001", size)),
+    }
+
+
+def _router(size: int, seed: int) -> Router:
+    router = Router(DATA_CENTRE, Weights(), random.Random(seed))
+    for number in range(size):
+        router.update(_view(f"engine-{number:04d}", MODELS_LOADED))
+    return router
+
+
+def _choices(size: int, seed: int) -> dict[str, float]:
+    router = _router(size, seed)
+    requests = [_request(number) for number in range(CHOICES)]
+
+    def choose_all() -> None:
+        for request in requests:
+            assert router.choose(request, (), 1.0)
+
+    return {
+        "state_bytes": held_bytes(lambda: _router(size, seed)),
+        "choose_cpu_s": cpu_seconds(choose_all) / CHOICES,
+    }
+
+
 MECHANISMS = (
+    Mechanism("view of a target", "models loaded", MODELS, _view_by_models),
+    Mechanism("choice of a target", "targets of a model", KNOWN_TARGETS, _choices),
     Mechanism("targets at rest", "entries of a data centre", ENTRIES, _entries),
     Mechanism("owned targets", "targets owned", TARGETS, _owned),
     Mechanism("permits", "requests a second", RATES_S, _permits),
