--- a/bench/mechanisms/configuration.py
+++ b/bench/mechanisms/configuration.py
@@ -11,7 +11,7 @@
 from vanillabeam.config import Config, TargetRole, Workspace
 from vanillabeam.tickets import TicketMachine
 
-__all__ = ["MECHANISMS", "make_config", "make_workspace"]
+__all__ = ["MECHANISMS", "make_config", "make_workspace", "workspace_fields"]
 
 WORKSPACES = (2_000, 8_000, 16_000, 25_000, 35_000)
 TARGETS = (100, 200, 400, 770)
@@ -69,12 +69,15 @@
     records = make_config(workspaces, seed).workspaces
     names = list(records)
     for index in range(0, len(names), 100):
-        batch = {name: _fields(records[name]) for name in names[index : index + 100]}
+        batch = {
+            name: workspace_fields(records[name]) for name in names[index : index + 100]
+        }
         machine.apply(index + 1, _ticket(index + 1, {"workspaces": batch}))
     return machine
 
 
-def _fields(workspace: Workspace) -> dict[str, object]:
+def workspace_fields(workspace: Workspace) -> dict[str, object]:
+    """Return a workspace as a ticket states it."""
     fields = workspace._asdict()
     del fields["name"]
     return fields
@@ -89,7 +92,7 @@
     machine = _restored_machine(size, seed)
     snapshot = machine.snapshot()
     first = machine.config.index + 1
-    fields = _fields(make_workspace(0, random.Random(seed)))
+    fields = workspace_fields(make_workspace(0, random.Random(seed)))
 
     def apply_tickets() -> None:
         start = machine.config.index + 1
--- a/bench/mechanisms/daemon.py
+++ b/bench/mechanisms/daemon.py
@@ -17,7 +17,7 @@
 
 from bench.fake_target import FakeTargetSettings, serve
 from bench.mechanisms.base import Mechanism
-from bench.mechanisms.configuration import make_config
+from bench.mechanisms.configuration import make_config, workspace_fields
 from vanillabeam.auth import digest
 
 __all__ = ["MECHANISMS", "serve_target"]
@@ -270,7 +270,9 @@
     ]
     with _running_vm() as vm:
         for batch in batches:
-            vm.apply({"workspaces": {name: _fields(each) for name, each in batch}})
+            vm.apply(
+                {"workspaces": {name: workspace_fields(each) for name, each in batch}}
+            )
         time.sleep(1.0)
         began_s, began_cpu_s = time.monotonic(), vm.cpu_s()
         time.sleep(SPAN_S)
@@ -278,12 +280,6 @@
         return {"memory_bytes": vm.memory_bytes(), "rest_cpu_s_per_s": rest}
 
 
-def _fields(workspace) -> dict[str, object]:
-    fields = workspace._asdict()
-    del fields["name"]
-    return fields
-
-
 MECHANISMS = (
     Mechanism("whole VM, streams", "tokens a second", TOKEN_RATES_S, _tokens),
     Mechanism("whole VM, prompts", "requests a second", REQUEST_RATES_S, _requests),
