Refuse at once what a take-over outlasts

The refusal of a target whose new owner still waits said to come back after a second, so a request was kept until its deadline. It now names the time until the owner grants, and a request with less left is refused at once.

--- a/src/vanillabeam/targets/exceptions.py
+++ b/src/vanillabeam/targets/exceptions.py
@@ -49,10 +49,18 @@
 
 
 class TakingOver(NotPermitted):
-    """A new owner waits until its predecessor's permits have expired."""
+    """A new owner waits until its predecessor's permits have expired.
+
+    :param detail: the target.
+    :param retry_after_s: seconds until it grants again.
+    """
 
     type = "taking-over"
 
+    def __init__(self, detail: str = "", retry_after_s: float = 1.0):
+        super().__init__(detail)
+        self.retry_after_s = retry_after_s
+
 
 class TargetGone(NotPermitted):
     """The target has not announced itself for too long."""
--- a/src/vanillabeam/targets/granting.py
+++ b/src/vanillabeam/targets/granting.py
@@ -33,7 +33,8 @@
     if ask.delay_limit_s is not None and delay_s > ask.delay_limit_s:
         return [refuse(state, ask, MovedOn(target.name))]
     if limit == 0 and not target.in_use:
-        return [refuse(state, ask, TakingOver(target.name))]
+        quiet_s = max(1.0, target.quiet_until_s - now_s)
+        return [refuse(state, ask, TakingOver(target.name, quiet_s))]
     cached = target.blocks.leading(ask.blocks) * BLOCK_TOKENS
     waiting = Waiting(
         key=ask.permit_id,
--- a/tests/targets/test_shell.py
+++ b/tests/targets/test_shell.py
@@ -224,3 +224,17 @@
         assert isinstance(await targets.acquire(make_request()), Success)
 
     run(main)
+
+
+def test_a_request_that_a_take_over_outlasts_is_refused_at_once():
+    async def main(nursery):
+        network, (one, two) = await start_two(nursery, TargetsSettings())
+        said = make_announcement(target="engine-1")
+        await one.announce(said)
+        await trio.sleep(1.0)
+        began_s = trio.current_time()
+        refused = await one.acquire(make_request(deadline_s=2.0))
+        assert refused.failure().retry_after_s > 2.0
+        assert trio.current_time() - began_s < 0.5
+
+    run(main)
