Count a block's tokens by one constant, and let routing learn from imports

Cause: routing counted 4,096 tokens a block, the cutter 4,000, so a prompt's expected reuse was 2 % too high; and what an import took was not told to the target's owner, which learns link rates from it.

--- a/bench/fake_engine.py
+++ b/bench/fake_engine.py
@@ -52,7 +52,7 @@
     prefill_tokens_s: float = 200_000.0
     decode_tokens_s: float = 2_000.0
     cached_tokens: int = 200_000
-    block_tokens: int = 4096
+    block_tokens: int = 4000
     block_bytes: int = 4096
     load_s: float = 0.05
     link_bytes_s: float = 50_000_000.0
--- a/bench/routing_model.py
+++ b/bench/routing_model.py
@@ -8,8 +8,8 @@
 
 import trio
 
+from vanillabeam.cache.blocks import BLOCK_TOKENS
 from vanillabeam.config import Priority
-from vanillabeam.routing.records import BLOCK_TOKENS
 
 __all__ = ["Engine", "Prompt", "Site", "Store", "make_prompts"]
 
--- a/src/vanillabeam/reuse.py
+++ b/src/vanillabeam/reuse.py
@@ -15,11 +15,17 @@
 __all__ = ["Reuse"]
 
 
+class _Import(NamedTuple):
+    size_bytes: int = 0
+    seconds: float = 0.0
+
+
 class _Run(NamedTuple):
     request_id: str
     place: Place
     found: Found
     known_blocks: int
+    imported: _Import
 
 
 class Reuse:
@@ -56,17 +62,19 @@
             permit, route.model, self._parts.config().index
         )
         try:
-            await self._import(permit, place, found)
+            imported = await self._import(permit, place, found)
         except BaseException:
             self._parts.targets.release(permit, Outcome(OutcomeKind.NOT_RUN))
             raise
-        self._runs[permit.id] = _Run(route.request_id, place, found, known)
+        self._runs[permit.id] = _Run(route.request_id, place, found, known, imported)
         return result
 
     def release(self, permit: Permit, outcome: Outcome) -> None:
         """Give a permit back; offer what a completed run left to the stores."""
-        self._parts.targets.release(permit, outcome)
         run = self._runs.pop(permit.id, None)
+        if run is not None:
+            outcome = _with_import(outcome, run.imported)
+        self._parts.targets.release(permit, outcome)
         if run is None or outcome.kind is not OutcomeKind.COMPLETED:
             return
         known_tokens = min(run.known_blocks * BLOCK_TOKENS, outcome.prompt_tokens)
@@ -87,19 +95,34 @@
         placed = self._parts.targets.router.placed.holders(route.blocks)
         return max([found.blocks, *placed.values()])
 
-    async def _import(self, permit: Permit, place: Place, found: Found) -> None:
+    async def _import(self, permit: Permit, place: Place, found: Found) -> _Import:
         cached = permit.cached_tokens // BLOCK_TOKENS
         if found.blocks <= cached:
-            return
+            return _Import()
         owner = self._parts.owner_address(permit.owner)
-        lease = await self._parts.imports.begin(owner, permit.target, permit.boot_id)
-        if not isinstance(lease, Success):
-            return
+        granted = await self._parts.imports.begin(owner, permit.target, permit.boot_id)
+        if not isinstance(granted, Success):
+            return _Import()
+        lease = granted.unwrap()
+        began_s = trio.current_time()
+        tokens = 0
         try:
-            with trio.move_on_after(lease.unwrap()["lasts_s"]):
-                await self._parts.cache.prepare(place, found, cached)
+            with trio.move_on_after(lease["lasts_s"]):
+                tokens = await self._parts.cache.prepare(place, found, cached)
         finally:
             with trio.CancelScope(shield=True):
-                await self._parts.imports.end(
-                    owner, permit.target, lease.unwrap()["lease"]
-                )
+                await self._parts.imports.end(owner, permit.target, lease["lease"])
+        last = cached + tokens // BLOCK_TOKENS
+        size_bytes = sum(found.lengths[cached:last])
+        return _Import(size_bytes, trio.current_time() - began_s)
+
+
+def _with_import(outcome: Outcome, imported: _Import) -> Outcome:
+    first_token_s = outcome.first_token_s
+    if first_token_s is not None:
+        first_token_s += imported.seconds
+    return outcome._replace(
+        first_token_s=first_token_s,
+        imported_bytes=imported.size_bytes,
+        import_s=imported.seconds,
+    )
--- a/src/vanillabeam/routing/records.py
+++ b/src/vanillabeam/routing/records.py
@@ -4,9 +4,7 @@
 
 from vanillabeam.config import Priority
 
-__all__ = ["BLOCK_TOKENS", "RouteRequest", "TargetView"]
-
-BLOCK_TOKENS = 4096
+__all__ = ["RouteRequest", "TargetView"]
 
 
 class RouteRequest(NamedTuple):
--- a/src/vanillabeam/routing/score.py
+++ b/src/vanillabeam/routing/score.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from vanillabeam.routing.records import BLOCK_TOKENS, RouteRequest, TargetView
+from vanillabeam.cache.blocks import BLOCK_TOKENS
+from vanillabeam.routing.records import RouteRequest, TargetView
 from vanillabeam.routing.weights import Weights
 
 __all__ = ["Score", "Since", "score"]
--- a/src/vanillabeam/targets/granting.py
+++ b/src/vanillabeam/targets/granting.py
@@ -5,8 +5,8 @@
 from returns.result import Failure, Success
 
 from vanillabeam.admission import FairQueue, Waiting
+from vanillabeam.cache.blocks import BLOCK_TOKENS
 from vanillabeam.exceptions import VanillabeamError
-from vanillabeam.routing.records import BLOCK_TOKENS
 from vanillabeam.targets.eligibility import refusal_of_ask
 from vanillabeam.targets.events import Answer, Decision, Effect
 from vanillabeam.targets.exceptions import BreakerOpen, MovedOn, Shed, TakingOver
--- a/src/vanillabeam/targets/grants.py
+++ b/src/vanillabeam/targets/grants.py
@@ -6,9 +6,10 @@
 from typing import NamedTuple
 
 from vanillabeam.admission import FairQueue, Shares
+from vanillabeam.cache.blocks import BLOCK_TOKENS
 from vanillabeam.config import Priority
 from vanillabeam.exceptions import InvariantBroken
-from vanillabeam.routing.records import BLOCK_TOKENS, TargetView
+from vanillabeam.routing.records import TargetView
 from vanillabeam.targets.blocks import BlockHints
 from vanillabeam.targets.breaker import Breaker
 from vanillabeam.targets.estimates import Estimates
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -1,6 +1,7 @@
 import random
 
 from tests.targets.builders import make_request, make_view
+from vanillabeam.cache.blocks import BLOCK_TOKENS
 from vanillabeam.routing import Router, Weights
 from vanillabeam.routing.rendezvous import rank
 
@@ -51,10 +52,10 @@
     slow_link = make_view("a", link_bytes_s=1e6)
     fast_link = make_view("b", link_bytes_s=1e10)
     router = make_router([slow_link, fast_link])
-    request = make_request(prompt_tokens=8192, stored_blocks=2)
+    request = make_request(prompt_tokens=2 * BLOCK_TOKENS, stored_blocks=2)
     scores = {c.view.target: c.score for c in router.choose(request, (), 0.0)}
     assert scores["a"].import_tokens == 0
-    assert scores["b"].import_tokens == 8192
+    assert scores["b"].import_tokens == 2 * BLOCK_TOKENS
     priced = make_router([fast_link], link_byte_s=1.0)
     assert priced.choose(request, (), 0.0)[0].score.import_tokens == 0
 
