--- a/src/vanillabeam/cli/status.py
+++ b/src/vanillabeam/cli/status.py
@@ -1,5 +1,7 @@
 """``vanillabeam status``: what one VM knows of the system."""
 
+from datetime import UTC, datetime
+
 import typer
 from returns.result import Failure
 from rich.console import Console
@@ -17,6 +19,39 @@
 
 __all__ = ["status"]
 
+#: Fields by heading; the whole document comes with ``--json``. In the members
+#: of a log, brackets mean that one does not vote yet, ``!`` that it is silent.
+TABLES = {
+    "logs": {
+        "log": "group",
+        "role": "role",
+        "leader": "leader",
+        "term": "term",
+        "commit": "commit",
+        "losses left": "losses_left",
+        "members": "members",
+        "failure": "failure",
+    },
+    "vms": {
+        "vm": "vm",
+        "data centre": "data_centre",
+        "index": "index",
+        "since": "since",
+        "ready": "ready",
+        "whole": "whole",
+    },
+    "targets": {
+        "target": "target",
+        "models": "models",
+        "service": "service",
+        "limit": "limit",
+        "in use": "in_use",
+        "queued": "queued",
+        "cold": "cold",
+        "open": "open",
+    },
+}
+
 
 def status(
     address: AddressOption,
@@ -37,25 +72,38 @@
         f"index {document['index']} in force"
     )
     console = Console()
-    for name in ("logs", "vms", "targets"):
-        rows = document[name]
+    for title, columns in TABLES.items():
+        rows = document[title]
         if rows:
-            console.print(_table(name, rows))
+            console.print(_table(title, columns, rows))
+    for place in document["cut_off"]:
+        typer.echo(
+            f"cut off: {place['data_centre']}, last heard {place['age_s']:.0f} s ago"
+        )
 
 
-def _table(title: str, rows: list[dict]) -> Table:
-    columns = list(rows[0])
-    table = Table(*(name.replace("_", " ") for name in columns), title=title)
+def _table(title: str, columns: dict[str, str], rows: list[dict]) -> Table:
+    table = Table(*columns, title=title)
     for row in rows:
-        table.add_row(*(_cell(row.get(name)) for name in columns))
+        table.add_row(*(_cell(field, row.get(field)) for field in columns.values()))
     return table
 
 
-def _cell(value) -> str:
-    if isinstance(value, float):
-        return f"{value:.3f}"
+def _cell(field: str, value) -> str:
+    if value is None:
+        return "-"
+    if field == "since":
+        return datetime.fromtimestamp(value, UTC).strftime("%m-%d %H:%M:%S")
+    if field == "members":
+        return " ".join(_member(member) for member in value)
+    if isinstance(value, bool):
+        return "yes" if value else "no"
     if isinstance(value, dict):
-        return " ".join(f"{name}={entry}" for name, entry in value.items())
-    if isinstance(value, list):
-        return " ".join(str(entry) for entry in value)
+        return " ".join(f"{name}@{version}" for name, version in value.items())
     return str(value)
+
+
+def _member(member: dict) -> str:
+    if not member["votes"]:
+        return f"({member['vm']})"
+    return member["vm"] if member["active"] is not False else f"{member['vm']}!"
--- a/src/vanillabeam/cli/traces.py
+++ b/src/vanillabeam/cli/traces.py
@@ -4,6 +4,8 @@
 
 import typer
 from returns.result import Failure
+from rich.console import Console
+from rich.table import Table
 
 from vanillabeam.cli.client import (
     AddressOption,
@@ -33,5 +35,18 @@
     if as_json:
         print_json(result.unwrap())
         return
-    for name, value in result.unwrap().items():
-        typer.echo(f"{name}: {value}")
+    document = result.unwrap()
+    attempts = document.pop("attempts", [])
+    for name, value in document.items():
+        if value not in (None, ""):
+            typer.echo(f"{name}: {value}")
+    if attempts:
+        Console().print(_table(attempts))
+
+
+def _table(attempts: list[dict]) -> Table:
+    columns = ("target", "data_centre", "version", "at_s", "ended_s", "outcome")
+    table = Table(*(name.replace("_", " ") for name in columns), title="attempts")
+    for attempt in attempts:
+        table.add_row(*(str(attempt.get(name, "-")) for name in columns))
+    return table
--- a/tests/path/fleet.py
+++ b/tests/path/fleet.py
@@ -55,12 +55,20 @@
 
     :param layout: data centre of each VM.
     :param control: names of the control VMs.
+    :param stores: names of those that are stores too.
     """
 
-    def __init__(self, folder: Path, layout: dict[str, str], control: list[str]):
+    def __init__(
+        self,
+        folder: Path,
+        layout: dict[str, str],
+        control: list[str],
+        stores: list[str] = (),
+    ):
         self.folder = folder
         self.layout = layout
         self.control = control
+        self.stores = stores
         self.ports = {vm: free_port() for vm in layout}
         self.target_ports = {vm: free_port() for vm in layout}
         #: Pairs of VMs, each way for itself, between which calls get lost.
@@ -79,13 +87,20 @@
             for other in self.layout
             if other != vm
         ]
-        is_control = vm in self.control
+        roles = ["entry"]
+        changes = {}
+        if vm in self.control:
+            roles.append("control")
+        if vm in self.stores:
+            roles.append("store")
+            sizes = {"memory_bytes": 2**22, "disk_bytes": 2**23}
+            changes["store"] = {"listener": {"port": 0}, **sizes}
         return make_settings(
             self.folder / vm,
             vm=vm,
             data_centre=self.layout[vm],
-            roles=["entry", "control"] if is_control else ["entry"],
-            data_folder="data" if is_control else None,
+            roles=roles,
+            data_folder="data" if len(roles) > 1 else None,
             listeners={
                 "callers": {"port": 0},
                 "targets": {"port": self.target_ports[vm]},
@@ -95,6 +110,7 @@
             control={"members": self.control, "bootstrap": bootstrap},
             operators=[{"name": "aline", "key_digest": digest(OPERATOR_KEY)}],
             drain={"notice_s": 0.2, "deadline_s": 20.0},
+            **changes,
         )
 
     async def start(self, vm: str, bootstrap: bool = False) -> RunningVm:
--- a/tests/path/test_chaos.py
+++ b/tests/path/test_chaos.py
@@ -8,6 +8,7 @@
 import random
 import re
 from collections import Counter
+from hashlib import blake2b
 
 import httpcore
 import pytest
@@ -15,9 +16,11 @@
 
 from tests.path.builders import CALLER_KEY, make_ticket
 from tests.path.fleet import Fleet
+from vanillabeam.auth import digest
 
 LAYOUT = {"a1": "dc-a", "a2": "dc-a", "a3": "dc-a", "b1": "dc-b", "b2": "dc-b"}
 CONTROL = ["a1", "a2", "b1"]
+STORES = ["a3", "b2"]
 ENGINES = {"e1": "dc-a", "e2": "dc-a", "e3": "dc-b"}
 SERVICES = {"s1": "dc-a"}
 RUN_S = 25.0
@@ -25,6 +28,12 @@
 PROMPTERS = 6
 CLERKS = 4
 REFUND_TRIES = 12
+PIECES = 24
+SLOW_PREFILL_TOKENS_S = 20_000.0
+LONG_EVERY = 4
+LONG_PROMPTS = 6
+LEDGER = "crate of 24 bottles, " * 2_000
+WORKSPACES = {CALLER_KEY: "icupa", "other-key": "pamplemousses"}
 PIECE = re.compile(r"(\d+)~([0-9a-f]{4})")
 
 
@@ -47,6 +56,7 @@
         self.targets = {}
         self.number = 1
         self.calm = False
+        self.imported = 0
 
     async def run(self) -> None:
         await self._set_up()
@@ -60,22 +70,37 @@
             self.calm = True
             await trio.sleep(CALM_S)
             nursery.cancel_scope.cancel()
+        caches = [r.vm.parts.cache.report() for r in self.fleet.running.values()]
+        self.imported = sum(report.imported_bytes for report in caches)
 
     async def _set_up(self) -> None:
         first = self.fleet.running["a1"]
-        status, answer = await first.apply(make_ticket())
+        status, answer = await first.apply(self._first_ticket())
         assert status == 200, answer
         for running in self.fleet.running.values():
             await running.wait_until(
                 lambda r=running: r.vm.parts.config().index >= answer["index"]
             )
         for name, data_centre in ENGINES.items():
-            self.targets[name] = await self.fleet.announce(name, data_centre)
+            self.targets[name] = await self.fleet.announce(
+                name, data_centre, prefill_tokens_s=SLOW_PREFILL_TOKENS_S
+            )
         for name, data_centre in SERVICES.items():
             self.targets[name] = await self.fleet.announce(
                 name, data_centre, service="refunds", dedup_keys=False
             )
 
+    def _first_ticket(self) -> bytes:
+        workspaces = {
+            name: {"key_digests": [digest(key)], "cache_secret": digest(name)}
+            for key, name in WORKSPACES.items()
+        }
+        return make_ticket(
+            models={"m": {"version": "v1"}},
+            services={"refunds": {"repeats": "never"}},
+            workspaces=workspaces,
+        )
+
     def _entry(self):
         vms = sorted(self.fleet.running)
         return self.fleet.running[self.rng.choice(vms)] if vms else None
@@ -88,22 +113,26 @@
             if entry is None:
                 continue
             turn += 1
+            key = self.rng.choice(sorted(WORKSPACES))
+            prompt = f"prompt {n} {turn}."
+            if turn % LONG_EVERY == 0:
+                prompt = f"{key} {self.rng.randrange(LONG_PROMPTS)} {LEDGER}"
             body = {
                 "model": "m",
-                "messages": [{"role": "user", "content": f"prompt {n} {turn}."}],
+                "messages": [{"role": "user", "content": prompt}],
                 "stream": True,
-                "max_tokens": 24,
+                "max_tokens": PIECES,
             }
             try:
-                await self._stream(entry, json.dumps(body).encode())
+                await self._stream(entry, key, prompt, json.dumps(body).encode())
             except (httpcore.NetworkError, httpcore.ProtocolError):
                 self.ledger.prompts["vm lost"] += 1
             except httpcore.TimeoutException:
                 self.ledger.prompts["silent"] += 1
 
-    async def _stream(self, entry, body) -> None:
+    async def _stream(self, entry, key: str, prompt: str, body: bytes) -> None:
         address = entry.vm.address("callers")
-        headers = [("Authorization", f"Bearer {CALLER_KEY}")]
+        headers = [("Authorization", f"Bearer {key}")]
         timeout = {"read": 30.0, "connect": 2.0, "write": 5.0, "pool": 5.0}
         async with httpcore.AsyncConnectionPool() as pool:
             async with pool.stream(
@@ -119,17 +148,18 @@
             if res.status not in (429, 502, 503, 504):
                 self.ledger.wrong.append(f"refused {res.status}: {data[:200]}")
             return
-        self._check_stream(data.decode())
+        self._check_stream(data.decode(), prompt)
 
-    def _check_stream(self, text: str) -> None:
+    def _check_stream(self, text: str, prompt: str) -> None:
         pieces = PIECE.findall(text)
         numbers = [int(number) for number, _ in pieces]
         if numbers != list(range(len(numbers))):
             self.ledger.wrong.append(f"pieces out of order: {numbers}")
-        if len({mark for _, mark in pieces}) > 1:
-            self.ledger.wrong.append(f"pieces of two answers: {text[:300]}")
+        own = blake2b(prompt.encode(), digest_size=2).hexdigest()
+        if {mark for _, mark in pieces} - {own}:
+            self.ledger.wrong.append(f"pieces of another answer: {text[:300]}")
         if text.endswith("data: [DONE]\n\n"):
-            if len(pieces) != 24:
+            if len(pieces) != PIECES:
                 self.ledger.wrong.append(f"{len(pieces)} pieces called whole")
             self.ledger.prompts["whole"] += 1
         elif '"error"' in text:
@@ -260,7 +290,7 @@
     rng = random.Random(seed)
 
     async def main():
-        async with Fleet(folder, LAYOUT, CONTROL).open() as fleet:
+        async with Fleet(folder, LAYOUT, CONTROL, STORES).open() as fleet:
             chaos = Chaos(fleet, rng)
             await chaos.run()
             return chaos
