Tell the cache what the settings and the targets know of sizes and rates

Cause: fleet runs moved no block at all. An entry prices an export by its first guess of a block's size, which no setting could change, and by a fixed rate of computing; where these say that it does not pay nothing is moved and nothing learnt. Ruled out: stores that don't answer, failing orders. The guess is a setting (routing.kv_token_bytes, also for routing, which had another one), and the target's learnt rate is used.

--- a/src/vanillabeam/parts.py
+++ b/src/vanillabeam/parts.py
@@ -177,6 +177,7 @@
             weights=Weights(
                 recomputed_token_s=routing["recomputed_token_price_s"],
                 link_byte_s=routing["link_byte_price_s"],
+                token_bytes=routing["kv_token_bytes"],
             ),
             first_epoch=first_epoch,
             target_call=self.target_call,
@@ -214,7 +215,11 @@
         prices = Prices(
             routing["recomputed_token_price_s"], routing["link_byte_price_s"]
         )
-        settings = CacheSettings(link_bytes_s=routing["link_bytes_s"], prices=prices)
+        settings = CacheSettings(
+            link_bytes_s=routing["link_bytes_s"],
+            token_bytes=routing["kv_token_bytes"],
+            prices=prices,
+        )
         call = self.order_call
         return Cache(self.cfg["vm"], settings, self.call, call, self.rng)
 
--- a/src/vanillabeam/reuse.py
+++ b/src/vanillabeam/reuse.py
@@ -80,7 +80,8 @@
         known_tokens = min(run.known_blocks * BLOCK_TOKENS, outcome.prompt_tokens)
         recomputed = max(0, known_tokens - outcome.cached_tokens)
         self._tokens[run.request_id] = (outcome.cached_tokens, recomputed)
-        self._parts.cache.completed(run.place, run.found)
+        rate = self._prefill_tokens_s(permit)
+        self._parts.cache.completed(run.place, run.found, rate)
 
     def take(self, request_id: str) -> tuple[int, int]:
         """Return cached and recomputed tokens of a request, once."""
@@ -95,6 +96,11 @@
         placed = self._parts.targets.router.placed.holders(route.blocks)
         return max([found.blocks, *placed.values()])
 
+    def _prefill_tokens_s(self, permit: Permit) -> float:
+        """Return the learnt rate of a target; 0 if it is not known."""
+        view = self._parts.targets.router.views.get(permit.target)
+        return 0.0 if view is None else view.prefill_tokens_s
+
     async def _import(self, permit: Permit, place: Place, found: Found) -> _Import:
         cached = permit.cached_tokens // BLOCK_TOKENS
         if found.blocks <= cached:
@@ -108,7 +114,9 @@
         tokens = 0
         try:
             with trio.move_on_after(lease["lasts_s"]):
-                tokens = await self._parts.cache.prepare(place, found, cached)
+                tokens = await self._parts.cache.prepare(
+                    place, found, cached, self._prefill_tokens_s(permit)
+                )
         finally:
             with trio.CancelScope(shield=True):
                 await self._parts.imports.end(owner, permit.target, lease["lease"])
--- a/src/vanillabeam/settings.py
+++ b/src/vanillabeam/settings.py
@@ -146,6 +146,13 @@
         Annotated[float, Field(ge=0)], Field(default=0.0)
     ]
     link_byte_price_s: Annotated[Annotated[float, Field(ge=0)], Field(default=0.0)]
+    kv_token_bytes: Annotated[
+        Bytes,
+        Field(
+            default=65_536,
+            description="KV cache of one token, until transfers have shown it",
+        ),
+    ]
     link_bytes_s: Annotated[
         Annotated[float, Field(gt=0)],
         Field(
--- a/tests/path/fleet.py
+++ b/tests/path/fleet.py
@@ -122,6 +122,7 @@
             control={"members": self.control, "bootstrap": bootstrap},
             operators=[{"name": "aline", "key_digest": digest(OPERATOR_KEY)}],
             drain={"notice_s": 0.2, "deadline_s": 20.0},
+            routing={"kv_token_bytes": 1},
             **changes,
         )
 
