--- a/bench/mechanisms/daemon.py
+++ b/bench/mechanisms/daemon.py
@@ -18,7 +18,7 @@
 from bench.fake_target import FakeTargetSettings, serve
 from bench.mechanisms.base import Mechanism
 from bench.mechanisms.configuration import make_config, workspace_fields
-from vanillabeam.auth import digest
+from vanillabeam.tickets.keys import key_digest
 
 __all__ = ["MECHANISMS", "serve_target"]
 
@@ -96,7 +96,7 @@
         "data_folder": str(folder / "data"),
         "listeners": {name: {"port": port} for name, port in ports.items()},
         "control": {"members": ["vm-1"], "bootstrap": True},
-        "operators": [{"name": "bench", "key_digest": digest(OPERATOR_KEY)}],
+        "operators": [{"name": "bench", "key_digest": key_digest(OPERATOR_KEY)}],
         "drain": {"notice_s": 0.1},
         "logs": {"format": "json"},
     }
@@ -226,7 +226,7 @@
 
 
 def _first_ticket(vm: _Vm) -> None:
-    workspace = {"key_digests": [digest(CALLER_KEY)], "cache_secret": "5a" * 32}
+    workspace = {"key_digests": [key_digest(CALLER_KEY)], "cache_secret": "5a" * 32}
     vm.apply({"models": {"ledger": {"version": "v1"}}, "workspaces": {"w": workspace}})
 
 
--- a/src/vanillabeam/callers.py
+++ b/src/vanillabeam/callers.py
@@ -13,7 +13,6 @@
 
 from vanillabeam.admittance import prompt_request, service_request
 from vanillabeam.answers import Answer, PromptRequest, ServiceAnswer, ServiceRequest
-from vanillabeam.auth import digest
 from vanillabeam.config import Config, Workspace
 from vanillabeam.exceptions import (
     NotReady,
@@ -33,6 +32,7 @@
     while_connected,
     whole_answer,
 )
+from vanillabeam.tickets.keys import key_digest
 
 __all__ = ["REQUEST_ID_HEADER", "CallersView", "caller_app"]
 
@@ -137,7 +137,7 @@
         key = bearer(request.headers)
         if key is None:
             return Failure(Unauthenticated("no key"))
-        return await self._view.workspace_of(digest(key))
+        return await self._view.workspace_of(key_digest(key))
 
     def _refuse(self, request_id: str, exc: VanillabeamError, **fields) -> Response:
         self._view.refused(request_id, exc, **fields)
--- a/src/vanillabeam/cli/keys.py
+++ b/src/vanillabeam/cli/keys.py
@@ -1,27 +1,23 @@
 """``vanillabeam workspace``: keys and secrets for tickets."""
 
-import secrets
-
 import typer
 
-from vanillabeam.auth import digest
 from vanillabeam.cli.client import JsonOption, print_json
+from vanillabeam.tickets.keys import make_workspace_key
 
 __all__ = ["app"]
 
-KEY_BYTES = 32
-
 app = typer.Typer(no_args_is_help=True, help="Keys of workspaces and operators.")
 
 
 @app.command("key")
 def key(as_json: JsonOption = False) -> None:
     """Make a key, its digest for a ticket, and a cache secret."""
-    value = "vb-" + secrets.token_urlsafe(KEY_BYTES)
+    value = make_workspace_key()
     made = {
-        "key": value,
-        "key_digest": digest(value),
-        "cache_secret": secrets.token_hex(KEY_BYTES),
+        "key": value.key,
+        "key_digest": value.digest,
+        "cache_secret": value.cache_secret,
     }
     if as_json:
         print_json(made)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,10 +3,10 @@
 import json
 from pathlib import Path
 
-from vanillabeam.auth import digest
 from vanillabeam.config import Workspace
 from vanillabeam.readiness import Readiness
 from vanillabeam.settings import check
+from vanillabeam.tickets.keys import key_digest
 
 NOTICE_S = 5.0
 DEADLINE_S = 60.0
@@ -42,7 +42,7 @@
 def make_workspace(name="icupa", key="icupa-key", **changes):
     fields = {
         "name": name,
-        "key_digests": (digest(key),),
+        "key_digests": (key_digest(key),),
         "cache_secret": "5a" * 32,
     }
     fields.update(changes)
--- a/tests/path/builders.py
+++ b/tests/path/builders.py
@@ -11,8 +11,8 @@
 
 from bench.fake_target import FakeTarget, FakeTargetSettings, serve
 from tests.builders import make_settings
-from vanillabeam.auth import digest
 from vanillabeam.orders import OrdersConfig
+from vanillabeam.tickets.keys import key_digest
 from vanillabeam.vm import Vm
 
 OPERATOR_KEY = "operator-key"
@@ -34,7 +34,10 @@
         "models": {"m": {"version": "v1"}},
         "services": {"refunds": {"repeats": "never"}, "counts": {"repeats": "safe"}},
         "workspaces": {
-            "icupa": {"key_digests": [digest(CALLER_KEY)], "cache_secret": "5a" * 32}
+            "icupa": {
+                "key_digests": [key_digest(CALLER_KEY)],
+                "cache_secret": "5a" * 32,
+            }
         },
     }
     ticket = {"number": number, "author": "aline", "set": sections}
@@ -102,7 +105,7 @@
 async def running_vm(folder: Path, ticket=None, **changes):
     cfg = make_settings(
         folder,
-        operators=[{"name": "aline", "key_digest": digest(OPERATOR_KEY)}],
+        operators=[{"name": "aline", "key_digest": key_digest(OPERATOR_KEY)}],
         drain={"notice_s": 0.2, "deadline_s": 20.0},
         **changes,
     )
--- a/tests/path/fleet.py
+++ b/tests/path/fleet.py
@@ -12,9 +12,9 @@
 from bench.fake_target import FakeTarget, FakeTargetSettings, serve
 from tests.builders import make_settings
 from tests.path.builders import OPERATOR_KEY, QUICK_ORDERS, RunningVm
-from vanillabeam.auth import digest
 from vanillabeam.exceptions import PeerSilent
 from vanillabeam.peerhttp import PeerClient
+from vanillabeam.tickets.keys import key_digest
 from vanillabeam.vm import Vm
 
 SILENCE_S = 2.0
@@ -120,7 +120,7 @@
             },
             peers=peers,
             control={"members": self.control, "bootstrap": bootstrap},
-            operators=[{"name": "aline", "key_digest": digest(OPERATOR_KEY)}],
+            operators=[{"name": "aline", "key_digest": key_digest(OPERATOR_KEY)}],
             drain={"notice_s": 0.2, "deadline_s": 20.0},
             routing={"kv_token_bytes": 1},
             **changes,
--- a/tests/path/test_chaos.py
+++ b/tests/path/test_chaos.py
@@ -16,7 +16,7 @@
 
 from tests.path.builders import CALLER_KEY, make_ticket
 from tests.path.fleet import Fleet
-from vanillabeam.auth import digest
+from vanillabeam.tickets.keys import key_digest
 
 LAYOUT = {"a1": "dc-a", "a2": "dc-a", "a3": "dc-a", "b1": "dc-b", "b2": "dc-b"}
 CONTROL = ["a1", "a2", "b1"]
@@ -99,7 +99,7 @@
 
     def _first_ticket(self) -> bytes:
         workspaces = {
-            name: {"key_digests": [digest(key)], "cache_secret": digest(name)}
+            name: {"key_digests": [key_digest(key)], "cache_secret": key_digest(name)}
             for key, name in WORKSPACES.items()
         }
         return make_ticket(
--- a/tests/path/test_fleet.py
+++ b/tests/path/test_fleet.py
@@ -5,7 +5,7 @@
 
 from tests.path.builders import make_ticket
 from tests.path.fleet import Fleet
-from vanillabeam.auth import digest
+from vanillabeam.tickets.keys import key_digest
 
 LAYOUT = {"a1": "dc-a", "a2": "dc-a", "b1": "dc-b", "b2": "dc-b"}
 CONTROL = ["a1", "a2", "b1"]
@@ -126,7 +126,7 @@
 def test_a_workspace_key_counts_on_every_vm_and_ends_on_every_vm(tmp_path):
     async def act(fleet):
         await in_force(fleet, await apply(fleet.running["a1"], make_ticket()))
-        workspace = {"key_digests": [digest("new")], "cache_secret": "5a" * 32}
+        workspace = {"key_digests": [key_digest("new")], "cache_secret": "5a" * 32}
         change = make_ticket(2, workspaces={"icupa": workspace})
         await in_force(fleet, await apply(fleet.running["b1"], change))
         for running in fleet.running.values():
