Fix the order of sets in tests, and resend the first ticket of fleet runs

Cause: a rule broken on purpose (a vote after a disk loss) was found by some long runs of one seed and missed by others. Probable cause: the order of sets of strings, which Python changes from process to process. PYTHONHASHSEED is now fixed for all make targets. A fleet run began while the log still was being founded and took the typed 503 for a failure; it sends the ticket again, as an operator would.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,9 @@
 SEED ?= 1
 RUNS ?= 50
 
+# The order of sets is part of what a seed decides.
+export PYTHONHASHSEED := 0
+
 .PHONY: setup test lint format soak bench capacity demo
 
 setup: .venv/.ready
--- a/tests/path/test_chaos.py
+++ b/tests/path/test_chaos.py
@@ -25,6 +25,7 @@
 SERVICES = {"s1": "dc-a"}
 RUN_S = 25.0
 CALM_S = 15.0
+SET_UP_LIMIT_S = 30.0
 PROMPTERS = 6
 CLERKS = 4
 REFUND_TRIES = 12
@@ -79,7 +80,10 @@
 
     async def _set_up(self) -> None:
         first = self.fleet.running["a1"]
-        status, answer = await first.apply(self._first_ticket())
+        status = 503
+        with trio.fail_after(SET_UP_LIMIT_S):
+            while status == 503:
+                status, answer = await first.apply(self._first_ticket())
         assert status == 200, answer
         for running in self.fleet.running.values():
             await running.wait_until(
