--- a/src/vanillabeam/parts.py
+++ b/src/vanillabeam/parts.py
@@ -159,11 +159,15 @@
 
     def _make_spread(self) -> Spread:
         address = self.addresses["peers"]
-        control = [each.address for each in control_addresses(self.cfg, address)]
+        control = self._settings_control()
         folder = self.cfg["data_folder"]
         files = DiskFiles(Path(folder) / "spread") if folder else None
         return Spread(address, control, self.members, self.call, self.rng, files)
 
+    def _settings_control(self) -> list[str]:
+        members = control_addresses(self.cfg, self.addresses["peers"])
+        return [member.address for member in members]
+
     def _make_targets(self, first_epoch: int) -> Targets:
         routing = self.cfg["routing"]
         return Targets(
@@ -184,14 +188,13 @@
         )
 
     def _make_orders(self, cfg: OrdersConfig | None) -> Orders:
-        address = self.addresses["peers"]
-        control = [each.address for each in control_addresses(self.cfg, address)]
+        control = self._settings_control()
         machine = self.control.machine if self.is_control else None
         read = self.control.tickets.read if self.is_control else None
         self.fresh = FreshIndex(control, self.call, machine, read)
         keeper = LeaseKeeper(
             self.cfg["vm"],
-            address,
+            self.addresses["peers"],
             control,
             self.members,
             self.call,
@@ -203,7 +206,7 @@
             keeper,
             self._order_target,
             self.targets.owned,
-            self._running_at,
+            self.targets.in_use,
             self._end_imports,
             self.fresh.prove,
             self.rng,
@@ -242,9 +245,6 @@
         )
         return answer.bind(lambda body: wire.decode(OrderReply, body))
 
-    def _running_at(self, target: str) -> int:
-        return self.targets.in_use(target)
-
     async def _end_imports(self, target: str) -> None:
         await self.imports.end_all(target)
 
@@ -288,21 +288,23 @@
         if self.store is not None:
             self.store.stores_changed(tuple(store.name for store in stores))
 
+    def _known_members(self) -> list[Member]:
+        return [*self.members.view().alive, *self.far.members()]
+
     def _live_stores(self) -> list[StoreAddress]:
-        known = [*self.members.view().alive, *self.far.members()]
         return [
             StoreAddress(
                 member.name,
                 member.address,
                 _at_port(member.address, member.state.ports.get("store")),
             )
-            for member in known
+            for member in self._known_members()
             if "store" in member.state.roles
         ]
 
     def _live_entries(self) -> list[Entry]:
-        known = [*self.members.view().alive, *self.far.members()]
-        return [_entry(member) for member in known if "entry" in member.state.roles]
+        members = self._known_members()
+        return [_entry(member) for member in members if "entry" in member.state.roles]
 
     def control_addresses(self) -> list[Address]:
         """Return the control VMs, as tickets name them or else the settings."""
--- a/src/vanillabeam/vm.py
+++ b/src/vanillabeam/vm.py
@@ -67,6 +67,7 @@
         self.traces = Traces()
         self.burn = Burn(Objectives(**cfg["objectives"]), cfg["vm"])
         self.metrics = _metrics(cfg)
+        self._target_key = read_key(cfg["target_key_file"])
         readiness = Readiness(cfg["drain"]["notice_s"], cfg["drain"]["deadline_s"])
         self.lifecycle = Lifecycle(readiness, self._close_callers)
         self.apps = {name: LateApp() for name in _listener_settings(cfg)}
@@ -126,7 +127,7 @@
         return PeerClient(read_key(self.cfg["peer_key_file"]), context)
 
     def _make_parts(self) -> Parts:
-        target_key = read_key(self.cfg["target_key_file"])
+        target_key = self._target_key
         return Parts(
             cfg=self.cfg,
             addresses={name: each.address for name, each in self.listeners.items()},
@@ -149,9 +150,8 @@
         )
         peer_key = read_key(self.cfg["peer_key_file"])
         self.apps["peers"].app = KeyGate(inner, "/peer/", peer_key)
-        target_key = read_key(self.cfg["target_key_file"])
         targets = target_app(self.parts, self._broken)
-        self.apps["targets"].app = KeyGate(targets, "/", target_key)
+        self.apps["targets"].app = KeyGate(targets, "/", self._target_key)
         if self.parts.store is not None:
             self.apps["store"].app = make_app(self.parts.store)
         if "entry" in self.cfg["roles"]:
