--- /dev/null
+++ b/src/vanillabeam/fleet/__init__.py
@@ -0,0 +1,39 @@
+"""What all VMs of a fleet agree on, and how each of them learns it."""
+
+from vanillabeam.fleet.directory import Directory, Sighting
+from vanillabeam.fleet.follower import Follower, View
+from vanillabeam.fleet.machine import Command, FleetMachine, FleetState
+from vanillabeam.fleet.records import (
+    Bounds,
+    Deployment,
+    Engine,
+    FleetSettings,
+    Limits,
+    Route,
+    RouteKind,
+    Service,
+    Share,
+    Target,
+    Workspace,
+)
+
+__all__ = [
+    "Bounds",
+    "Command",
+    "Deployment",
+    "Directory",
+    "Engine",
+    "FleetMachine",
+    "FleetSettings",
+    "FleetState",
+    "Follower",
+    "Limits",
+    "Route",
+    "RouteKind",
+    "Service",
+    "Share",
+    "Sighting",
+    "Target",
+    "View",
+    "Workspace",
+]
--- /dev/null
+++ b/src/vanillabeam/fleet/control.py
@@ -0,0 +1,212 @@
+"""A control VM of a fleet: its replica, its directory, and who watches them."""
+
+import random
+import secrets
+from pathlib import Path
+
+import trio
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from vanillabeam import wire
+from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.fleet.directory import Directory
+from vanillabeam.fleet.machine import Command, FleetMachine, FleetState
+from vanillabeam.fleet.records import FleetSettings, Target
+from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, make_reply
+from vanillabeam.log import Address, Applied, LogNode, LogSettings
+from vanillabeam.log.exceptions import LogError
+from vanillabeam.peercall import PeerCall, PeerRoutes
+
+__all__ = ["FLEET_GROUP", "FleetControl"]
+
+FLEET_GROUP = "fleet"
+LOG_SETTINGS = LogSettings(
+    heartbeat_s=0.2, election_s=0.7, propose_timeout_s=3.0, admits_all=True
+)
+EPOCH_BYTES = 6
+MOST_WAIT_S = 2.0
+MEMBERS_PERIOD_S = 1.0
+#: Silence after which a voter is taken out while enough others are there.
+ABSENT_S = 8.0
+#: Entry VMs that have not asked for so long no longer count.
+ENTRY_SILENCE_S = 5.0
+
+
+class FleetControl:
+    """The fleet log's replica on this VM and the targets that it has heard.
+
+    :param call: reaches other VMs.
+    :param rng: seeded; spreads election timeouts.
+
+    >>> control = FleetControl(cfg, call, random.Random())
+    >>> await nursery.start(control.run)
+    >>> await control.settle({"kind": "evacuate", "data_centre": "kgl-a"})
+    """
+
+    def __init__(self, cfg: FleetSettings, call: PeerCall, rng: random.Random):
+        self.cfg = cfg
+        self.directory = Directory()
+        self.machine = FleetMachine(self._tell)
+        self.epoch = secrets.token_hex(EPOCH_BYTES)
+        self.node = LogNode(
+            FLEET_GROUP,
+            cfg.host,
+            cfg.peer_address,
+            Path(cfg.data_folder),
+            self.machine,
+            _seeds(cfg),
+            call,
+            rng,
+            LOG_SETTINGS,
+            bootstrap=cfg.bootstrap,
+        )
+        self._news = trio.Event()
+        self._entries: dict[str, float] = {}
+        self._absent_since: dict[str, float] = {}
+
+    def routes(self) -> PeerRoutes:
+        """Return the handlers for other VMs' calls."""
+        return {**self.node.routes(), WATCH_PATH: self._watch}
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Run the replica and keep its members until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.node.run)
+            nursery.start_soon(self._keep_members)
+            nursery.start_soon(self._forget_silent)
+            task_status.started()
+
+    async def settle(self, command: Command) -> Result[Applied, LogError]:
+        """Have a command settled for good.
+
+        :returns: a failure whose ``run`` is ``NOT_RUN`` never takes effect;
+            any other leaves it open.
+        """
+        return await self.node.propose(wire.encode(command).decode())
+
+    async def newest(self) -> Result[FleetState, LogError]:
+        """Return a state that holds all that was settled before the call."""
+        confirmed = await self.node.read()
+        return confirmed.map(lambda _: self.machine.state)
+
+    def heard(self, target: Target) -> None:
+        """Take a target's announcement."""
+        if not self.directory.heard(target, trio.current_time()):
+            return
+        logger.bind(
+            target=target.name,
+            service=target.service,
+            address=target.address,
+            draining=target.draining,
+            cold_ms=target.cold_ms,
+            sequence=target.sequence,
+        ).info("target changed")
+        self._tell()
+
+    def left(self, name: str, born_ms: int | None) -> None:
+        """Take a target's word that it leaves.
+
+        :param born_ms: ``None`` if it did not say which start it is.
+        """
+        held = self.directory.sightings.get(name)
+        if born_ms is None and held is not None:
+            born_ms = held.target.born_ms
+        if born_ms is None:
+            return
+        self.directory.left((name, born_ms))
+        logger.bind(target=name, born_ms=born_ms).info("target left")
+        self._tell()
+
+    def weights_seen(self, target: Target, model: str, version: int) -> None:
+        """Note a target's weights before it announces them itself."""
+        held = self.directory.sightings.get(target.name)
+        if held is None or held.target.life != target.life:
+            return
+        versions = held.target.versions | {model: version}
+        if self.directory.corrected(held.target._replace(versions=versions)):
+            self._tell()
+
+    def _tell(self) -> None:
+        news, self._news = self._news, trio.Event()
+        news.set()
+
+    async def _watch(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        decoded = wire.decode(WatchRequest, body)
+        if isinstance(decoded, Failure):
+            return decoded
+        request = decoded.unwrap()
+        self._entries[request["vm"]] = trio.current_time()
+        with trio.move_on_after(min(request["wait_s"], MOST_WAIT_S)):
+            while not self._has_news(request):
+                await self._news.wait()
+        return Success(wire.encode(self._reply(request)))
+
+    def _has_news(self, request: WatchRequest) -> bool:
+        if request["epoch"] != self.epoch:
+            return True
+        newer = self.machine.state["index"] > request["index"]
+        return newer or self.directory.version > request["version"]
+
+    def _reply(self, request: WatchRequest) -> WatchReply:
+        now_s = trio.current_time()
+        return make_reply(
+            request,
+            self.epoch,
+            self.directory,
+            self.machine.state,
+            self.control_addresses(),
+            self._live_entries(now_s),
+            now_s,
+        )
+
+    def control_addresses(self) -> list[str]:
+        """Return the peers' addresses of the control VMs, as far as known."""
+        members = {member["address"] for member in self.node.status()["members"]}
+        return sorted(members | {self.cfg.peer_address})
+
+    def _live_entries(self, now_s: float) -> list[str]:
+        limit_s = now_s - ENTRY_SILENCE_S
+        self._entries = {vm: at for vm, at in self._entries.items() if at > limit_s}
+        return sorted(self._entries)
+
+    async def _forget_silent(self) -> None:
+        while True:
+            await trio.sleep(self.cfg.bounds.silence_s / 4)
+            limit_s = trio.current_time() - self.cfg.bounds.silence_s
+            for life in self.directory.silent_since(limit_s):
+                logger.bind(target=life[0], born_ms=life[1]).warning("target silent")
+                self.directory.forget(life[0])
+
+    async def _keep_members(self) -> None:
+        """Take voters out that stay away, while a founding number remains."""
+        while True:
+            await trio.sleep(MEMBERS_PERIOD_S)
+            absent = self._absent_voter() if self.node.is_leader else None
+            if absent is None:
+                continue
+            result = await self.node.remove_member(absent)
+            log = logger.bind(group=FLEET_GROUP, peer=absent)
+            if isinstance(result, Failure):
+                log.bind(failure=result.failure().type).warning("member not removed")
+            else:
+                log.warning("absent member removed")
+
+    def _absent_voter(self) -> str | None:
+        now_s = trio.current_time()
+        voters = [each for each in self.node.status()["members"] if each["votes"]]
+        silent = {each["vm"] for each in voters if each["active"] is False}
+        self._absent_since = {
+            vm: self._absent_since.get(vm, now_s) for vm in sorted(silent)
+        }
+        if len(voters) - 1 < len(self.cfg.seeds):
+            return None
+        for vm, since_s in self._absent_since.items():
+            if now_s - since_s >= ABSENT_S:
+                return vm
+        return None
+
+
+def _seeds(cfg: FleetSettings) -> list[Address]:
+    pairs = zip(cfg.seeds, cfg.seed_addresses, strict=True)
+    return [Address(host, address) for host, address in pairs]
--- /dev/null
+++ b/src/vanillabeam/fleet/directory.py
@@ -0,0 +1,145 @@
+"""What a VM believes of the targets: the newest word of each, by its age.
+
+A control VM fills one from announcements, an entry VM from what the control
+VMs tell it; both judge by the same rules.
+"""
+
+from typing import NamedTuple
+
+from vanillabeam.fleet.records import Target
+
+__all__ = ["Directory", "Sighting"]
+
+#: Lives that have ended and are remembered, so that late news revive none.
+MAX_ENDED = 4_096
+
+
+class Sighting(NamedTuple):
+    """A target and when it was last heard.
+
+    :param heard_s: monotonic time of its newest announcement.
+    :param version: of the directory, when the record last changed.
+    :param cold_until_s: monotonic time until which it is cold.
+    """
+
+    target: Target
+    heard_s: float
+    version: int
+    cold_until_s: float
+
+
+class Directory:
+    """Targets by name; one life of each, the newest.
+
+    :ivar version: rises with each change that others must hear of.
+
+    >>> directory = Directory()
+    >>> directory.heard(target, now_s=1.0)
+    True
+    >>> directory.left(target.life)
+    """
+
+    def __init__(self):
+        self.version = 0
+        self.sightings: dict[str, Sighting] = {}
+        self._ended: dict[tuple[str, int], int] = {}
+
+    def heard(self, target: Target, now_s: float) -> bool:
+        """Take a target's own word; return whether anything has changed.
+
+        Late words, those of an ended life and those of a start before the one
+        that is now at the same address change nothing.
+
+        :param now_s: monotonic time at which the target said so.
+        """
+        held = self.sightings.get(target.name)
+        if target.life in self._ended or self._is_superseded(target):
+            return False
+        if held is not None and _order(target) <= _order(held.target):
+            return False
+        if held is not None and held.target.life == target.life:
+            # A target that drains never comes back within one life.
+            target = target._replace(draining=target.draining or held.target.draining)
+            now_s = max(now_s, held.heard_s)
+        changed = held is None or _differs(held, target, now_s)
+        if changed:
+            self.version += 1
+        version = self.version if changed else held.version
+        cold_until_s = now_s + target.cold_ms / 1000
+        self.sightings[target.name] = Sighting(target, now_s, version, cold_until_s)
+        self._end_predecessors(target)
+        return changed
+
+    def corrected(self, target: Target) -> bool:
+        """Take what was asked of a target between two of its announcements.
+
+        :param target: its newest record with the asked fields put in.
+        """
+        held = self.sightings.get(target.name)
+        if held is None or held.target == target or held.target.life != target.life:
+            return False
+        self.version += 1
+        self.sightings[target.name] = held._replace(target=target, version=self.version)
+        return True
+
+    def still_heard(self, name: str, heard_s: float) -> None:
+        """Take the age of a target's newest word from a VM that heard it."""
+        held = self.sightings.get(name)
+        if held is not None and heard_s > held.heard_s:
+            self.sightings[name] = held._replace(heard_s=heard_s)
+
+    def left(self, life: tuple[str, int]) -> None:
+        """Remember that this life of a target has ended, or ends now."""
+        if life in self._ended:
+            return
+        self.version += 1
+        self._ended[life] = self.version
+        if len(self._ended) > MAX_ENDED:
+            del self._ended[next(iter(self._ended))]
+        held = self.sightings.get(life[0])
+        if held is not None and held.target.life == life:
+            del self.sightings[life[0]]
+
+    def silent_since(self, limit_s: float) -> list[tuple[str, int]]:
+        """Return the lives that nobody has heard since ``limit_s``."""
+        found = self.sightings.values()
+        return [each.target.life for each in found if each.heard_s < limit_s]
+
+    def forget(self, name: str) -> None:
+        """Drop a silent target; its next word brings it back."""
+        if self.sightings.pop(name, None) is not None:
+            self.version += 1
+
+    def changed_after(self, version: int) -> list[Sighting]:
+        """Return the sightings whose records changed after ``version``."""
+        return [each for each in self.sightings.values() if each.version > version]
+
+    def ended_after(self, version: int) -> list[tuple[str, int]]:
+        """Return the lives that have ended after ``version``."""
+        return [life for life, at in self._ended.items() if at > version]
+
+    def _is_superseded(self, target: Target) -> bool:
+        return any(
+            other.target.address == target.address
+            and other.target.name != target.name
+            and other.target.born_ms > target.born_ms
+            for other in self.sightings.values()
+        )
+
+    def _end_predecessors(self, target: Target) -> None:
+        for other in list(self.sightings.values()):
+            same_place = other.target.address == target.address
+            if same_place and other.target.name != target.name:
+                self.left(other.target.life)
+
+
+def _order(target: Target) -> tuple[int, int]:
+    return (target.born_ms, target.sequence)
+
+
+def _differs(held: Sighting, target: Target, now_s: float) -> bool:
+    """Return whether others must hear of the new word at once."""
+    before = held.target._replace(sequence=0, cold_ms=0.0)
+    after = target._replace(sequence=0, cold_ms=0.0)
+    was_cold = held.cold_until_s > now_s
+    return before != after or (target.cold_ms > 0 and not was_cold)
--- /dev/null
+++ b/src/vanillabeam/fleet/follower.py
@@ -0,0 +1,239 @@
+"""How an entry VM learns of the fleet: it watches every control VM it knows."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+from loguru import logger
+from returns.result import Failure
+
+from vanillabeam import wire
+from vanillabeam.fleet.directory import Directory
+from vanillabeam.fleet.machine import FleetState
+from vanillabeam.fleet.records import Deployment, FleetSettings
+from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest
+from vanillabeam.peercall import PeerCall
+
+__all__ = ["Follower", "View"]
+
+WAIT_S = 1.0
+ANSWER_LIMIT_S = 2.5
+RETRY_S = 0.25
+#: News comes no more often than this, in one answer.
+GATHER_S = 0.05
+#: A control VM that has not answered for so long is asked no more, unless it
+#: is a seed or named by another.
+FORGET_S = 30.0
+#: Control VMs that one entry VM watches at most.
+MOST_WATCHED = 8
+#: Without any answer for so long, silence of targets says nothing.
+BLIND_S = 2.0
+
+
+class View(NamedTuple):
+    """The settled state as this VM has it in force.
+
+    :param index: of the fleet state; 0 while nothing is known.
+    :param newer_since_s: monotonic time at which each model's newest weight
+        version was heard of.
+    """
+
+    index: int = 0
+    deployment: Deployment = Deployment()
+    evacuated: frozenset[str] = frozenset()
+    weights: dict[str, int] = {}
+    newer_since_s: dict[str, float] = {}
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a deployment is in force."""
+        return self.deployment.number > 0
+
+
+class _Source:
+    """What has been heard from one control VM."""
+
+    def __init__(self):
+        self.epoch = ""
+        self.version = 0
+        self.heard_s = float("-inf")
+        self.named_s = float("-inf")
+
+
+class Follower:
+    """Keeps the newest state and the directory of targets of one entry VM.
+
+    :param call: reaches the control VMs.
+    :param read: turns an operator's document into a deployment.
+
+    >>> follower = Follower(cfg, call, dialect.read_deployment)
+    >>> nursery.start_soon(follower.run)
+    >>> follower.view.deployment.number
+    7
+    """
+
+    def __init__(
+        self,
+        cfg: FleetSettings,
+        call: PeerCall,
+        read: Callable[[str], Deployment],
+    ):
+        self.view = View()
+        self.directory = Directory()
+        self.entries: tuple[str, ...] = (cfg.vm,)
+        self._cfg = cfg
+        self._call = call
+        self._read = read
+        self._sources: dict[str, _Source] = {}
+        self._seeds = cfg.seed_addresses
+        self._named: set[str] = set()
+        self._began_s = 0.0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a deployment is in force that no wide majority outdates."""
+        if not self.view.is_known:
+            return False
+        heard = [each for each in self._sources.values() if each.epoch]
+        waited = trio.current_time() - self._began_s > ANSWER_LIMIT_S
+        return waited or len(heard) > len(self._sources) // 2
+
+    async def wait_ready(self) -> None:
+        """Return once :attr:`is_ready` holds."""
+        while True:
+            if self.is_ready:
+                return
+            await trio.sleep(GATHER_S)
+
+    def seeds_changed(self, cfg: FleetSettings) -> None:
+        """Take the seeds that the settings name now."""
+        self._seeds = cfg.seed_addresses
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        self._began_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            while True:
+                for address in self._wanted():
+                    if address not in self._sources:
+                        self._sources[address] = _Source()
+                        nursery.start_soon(self._follow, address)
+                self._forget_silent()
+                await trio.sleep(RETRY_S)
+
+    def _wanted(self) -> list[str]:
+        room = max(0, MOST_WATCHED - len(self._sources))
+        seeds = [seed for seed in self._seeds if seed not in self._sources]
+        named = self._named - set(self._seeds) - set(self._sources)
+        self._named.clear()
+        return [*seeds, *sorted(named)[:room]]
+
+    async def _follow(self, address: str) -> None:
+        source = self._sources[address]
+        source.named_s = trio.current_time()
+        while not self._is_forgotten(address, source):
+            reply = await self._ask(address, source)
+            if reply is None:
+                await trio.sleep(RETRY_S)
+                continue
+            self._take(reply, source)
+            await trio.sleep(GATHER_S)
+        del self._sources[address]
+        logger.bind(address=address).warning("control VM no longer watched")
+
+    def _is_forgotten(self, address: str, source: _Source) -> bool:
+        last_s = max(source.heard_s, source.named_s)
+        silent = trio.current_time() - last_s > FORGET_S
+        return silent and address not in self._seeds
+
+    async def _ask(self, address: str, source: _Source) -> WatchReply | None:
+        request = WatchRequest(
+            vm=self._cfg.vm,
+            epoch=source.epoch,
+            version=source.version,
+            index=self.view.index,
+            wait_s=WAIT_S,
+        )
+        with trio.move_on_after(ANSWER_LIMIT_S):
+            answer = await self._call(address, WATCH_PATH, wire.encode(request))
+            if isinstance(answer, Failure):
+                return None
+            return wire.decode(WatchReply, answer.unwrap()).value_or(None)
+        return None
+
+    def _take(self, reply: WatchReply, source: _Source) -> None:
+        now_s = trio.current_time()
+        if source.epoch != reply["epoch"]:
+            logger.bind(epoch=reply["epoch"], index=reply["index"]).info(
+                "control VM heard"
+            )
+        source.epoch, source.version = reply["epoch"], reply["version"]
+        source.heard_s = now_s
+        if "state" in reply:
+            self._take_state(reply["state"])
+        self._take_targets(reply, now_s)
+        self._take_names(reply, now_s)
+
+    def _take_state(self, state: FleetState) -> None:
+        view = self.view
+        if state["index"] <= view.index:
+            return
+        deployment = view.deployment
+        if state["number"] > deployment.number:
+            deployment = self._read(state["document"])
+        now_s = trio.current_time()
+        since = {
+            model: view.newer_since_s.get(model, now_s)
+            if view.weights.get(model) == version
+            else now_s
+            for model, version in state["weights"].items()
+        }
+        self.view = View(
+            state["index"],
+            deployment,
+            frozenset(state["evacuated"]),
+            state["weights"],
+            since,
+        )
+        logger.bind(
+            index=state["index"],
+            number=deployment.number,
+            evacuated=state["evacuated"],
+            weights=state["weights"],
+        ).info("fleet state in force")
+
+    def _take_targets(self, reply: WatchReply, now_s: float) -> None:
+        for life in reply["ended"]:
+            self.directory.left(tuple(life))
+        for seen in reply["targets"]:
+            target = seen["target"]
+            if self.directory.heard(target, now_s - seen["age_s"]):
+                logger.bind(
+                    target=target.name,
+                    service=target.service,
+                    address=target.address,
+                    draining=target.draining,
+                    cold_ms=target.cold_ms,
+                    age_s=seen["age_s"],
+                ).info("target changed")
+        for name, age_s in reply["ages_s"].items():
+            self.directory.still_heard(name, now_s - age_s)
+
+    def _take_names(self, reply: WatchReply, now_s: float) -> None:
+        if reply["entries"]:
+            self.entries = tuple(sorted({*reply["entries"], self._cfg.vm}))
+        for address in reply["control"]:
+            if address in self._sources:
+                self._sources[address].named_s = now_s
+            else:
+                self._named.add(address)
+
+    def _forget_silent(self) -> None:
+        """Drop targets that no control VM has heard, unless none is heard."""
+        now_s = trio.current_time()
+        if all(now_s - each.heard_s > BLIND_S for each in self._sources.values()):
+            return
+        limit_s = now_s - self._cfg.bounds.silence_s
+        for life in self.directory.silent_since(limit_s):
+            logger.bind(target=life[0], born_ms=life[1]).warning("target silent")
+            self.directory.forget(life[0])
--- /dev/null
+++ b/src/vanillabeam/fleet/machine.py
@@ -0,0 +1,120 @@
+"""The fleet log's state machine: deployments, evacuations, weight versions.
+
+Every command is a numbered or idempotent whole statement, so that one that is
+sent again changes nothing.
+"""
+
+from collections.abc import Callable
+from typing import Literal, NotRequired, TypedDict
+
+import msgspec
+
+from vanillabeam.exceptions import InvariantBroken
+
+__all__ = ["Command", "FleetMachine", "FleetState"]
+
+
+class Command(TypedDict):
+    """One entry of the fleet log.
+
+    :param kind: ``deploy`` puts a document in force if its number is the
+        highest so far; ``evacuate`` and ``restore`` take a data centre out of
+        service and back; ``weights`` names a model's newest version.
+    :param number: of the deployment or of the weight version.
+    :param document: the deployment as the operator sent it.
+    """
+
+    kind: Literal["deploy", "evacuate", "restore", "weights"]
+    number: NotRequired[int]
+    document: NotRequired[str]
+    data_centre: NotRequired[str]
+    model: NotRequired[str]
+
+
+class FleetState(TypedDict):
+    """Everything that the log has settled, at one index.
+
+    :param number: of the deployment in force; 0 before the first.
+    :param evacuated: data centres that get no new work.
+    :param weights: newest version named for each model.
+    """
+
+    index: int
+    number: int
+    document: str
+    evacuated: list[str]
+    weights: dict[str, int]
+
+
+class FleetMachine:
+    """State that every control VM builds from the same log.
+
+    :param on_change: called after each change.
+
+    >>> machine = FleetMachine()
+    >>> machine.apply(1, '{"kind":"weights","model":"m","number":2}')
+    'done'
+    >>> machine.state["weights"]
+    {'m': 2}
+    """
+
+    def __init__(self, on_change: Callable[[], None] | None = None):
+        self.on_change = on_change
+        self.state = FleetState(
+            index=0, number=0, document="", evacuated=[], weights={}
+        )
+
+    def apply(self, index: int, command: str) -> str:
+        """Apply the command at ``index``.
+
+        :raises InvariantBroken: if ``index`` is not above the last one, or
+            the command is none of this release.
+        """
+        if index <= self.state["index"]:
+            raise InvariantBroken(f"index {index} after {self.state['index']}")
+        try:
+            decoded = msgspec.json.decode(command, type=Command)
+        except msgspec.MsgspecError as exc:
+            raise InvariantBroken(f"no command of this release: {exc}") from exc
+        self.state = self.state | _changes(decoded, self.state) | {"index": index}
+        self._tell()
+        return "done"
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes, the same on every control VM."""
+        return msgspec.json.encode(self.state, order="sorted")
+
+    def restore(self, snapshot: bytes) -> None:
+        """Take over the state of ``snapshot``.
+
+        :raises InvariantBroken: if it is older than what was applied.
+        """
+        state = msgspec.json.decode(snapshot, type=FleetState)
+        if state["index"] < self.state["index"]:
+            raise InvariantBroken(
+                f"snapshot of {state['index']} after {self.state['index']}"
+            )
+        self.state = state
+        self._tell()
+
+    def _tell(self) -> None:
+        if self.on_change is not None:
+            self.on_change()
+
+
+def _changes(command: Command, state: FleetState) -> dict:
+    """Return the fields that ``command`` changes."""
+    match command["kind"]:
+        case "deploy" if command["number"] > state["number"]:
+            return {"number": command["number"], "document": command["document"]}
+        case "evacuate":
+            places = {*state["evacuated"], command["data_centre"]}
+            return {"evacuated": sorted(places)}
+        case "restore":
+            places = {*state["evacuated"]} - {command["data_centre"]}
+            return {"evacuated": sorted(places)}
+        case "weights":
+            held = state["weights"].get(command["model"], 0)
+            newest = max(held, command["number"])
+            return {"weights": state["weights"] | {command["model"]: newest}}
+    return {}
--- /dev/null
+++ b/src/vanillabeam/fleet/watch.py
@@ -0,0 +1,97 @@
+"""What entry VMs ask of control VMs, again and again, and the answers."""
+
+from collections.abc import Sequence
+from typing import NotRequired, TypedDict
+
+from vanillabeam.fleet.directory import Directory, Sighting
+from vanillabeam.fleet.machine import FleetState
+from vanillabeam.fleet.records import Target
+
+__all__ = ["WATCH_PATH", "Seen", "WatchReply", "WatchRequest", "make_reply"]
+
+WATCH_PATH = "/peer/fleet/watch"
+
+
+class WatchRequest(TypedDict):
+    """What the asking VM has already heard from this control VM.
+
+    :param vm: the asking VM.
+    :param epoch: of the control VM's process; empty at first.
+    :param version: of its directory.
+    :param index: of the fleet state that the asking VM holds.
+    :param wait_s: how long the answer may wait for news.
+    """
+
+    vm: str
+    epoch: str
+    version: int
+    index: int
+    wait_s: float
+
+
+class Seen(TypedDict):
+    """A target and the age of its newest word in seconds."""
+
+    target: Target
+    age_s: float
+
+
+class WatchReply(TypedDict):
+    """News since the request.
+
+    :param state: the fleet state, where it is newer than the asked index.
+    :param targets: records that have changed.
+    :param ages_s: age of the newest word of every target, by name.
+    :param ended: lives that have ended.
+    :param control: peers' addresses of the control VMs, as far as known.
+    :param entries: entry VMs that have asked lately.
+    """
+
+    epoch: str
+    version: int
+    index: int
+    state: NotRequired[FleetState]
+    targets: list[Seen]
+    ages_s: dict[str, float]
+    ended: list[tuple[str, int]]
+    control: list[str]
+    entries: list[str]
+
+
+def make_reply(
+    request: WatchRequest,
+    epoch: str,
+    directory: Directory,
+    state: FleetState,
+    control: Sequence[str],
+    entries: Sequence[str],
+    now_s: float,
+) -> WatchReply:
+    """Return what ``request`` has not heard yet.
+
+    :param now_s: monotonic time in seconds.
+    """
+    since = request["version"] if request["epoch"] == epoch else 0
+    changed = directory.changed_after(since)
+    reply = WatchReply(
+        epoch=epoch,
+        version=directory.version,
+        index=state["index"],
+        targets=[_seen(sighting, now_s) for sighting in changed],
+        ages_s={
+            name: round(now_s - each.heard_s, 3)
+            for name, each in directory.sightings.items()
+        },
+        ended=directory.ended_after(since),
+        control=list(control),
+        entries=list(entries),
+    )
+    if state["index"] > request["index"]:
+        reply["state"] = state
+    return reply
+
+
+def _seen(sighting: Sighting, now_s: float) -> Seen:
+    left_s = max(0.0, sighting.cold_until_s - now_s)
+    target = sighting.target._replace(cold_ms=round(1000 * left_s, 1))
+    return Seen(target=target, age_s=round(now_s - sighting.heard_s, 3))
--- /dev/null
+++ b/src/vanillabeam/fleetvm.py
@@ -0,0 +1,182 @@
+"""One VM of a fleet: its roles, listeners and life."""
+
+import random
+from typing import Any, Protocol
+
+import trio
+from loguru import logger
+from starlette.applications import Starlette
+
+from vanillabeam.fleet import Follower
+from vanillabeam.fleet.control import FleetControl
+from vanillabeam.fleet.records import FleetSettings
+from vanillabeam.fleet.rollout import Rollout, TargetOrders
+from vanillabeam.forwarding import Dialect, ForwardingApp
+from vanillabeam.forwarding.choice import Chooser
+from vanillabeam.gates import LateApp
+from vanillabeam.lifecycle import Lifecycle
+from vanillabeam.listeners import ListenerTask
+from vanillabeam.peerhttp import PeerClient, peer_routes
+from vanillabeam.readiness import Readiness
+from vanillabeam.settings import Listener
+
+__all__ = ["Adapter", "FleetVm"]
+
+PEER_SILENCE_S = 2.5
+READY_PERIOD_S = 0.05
+#: Time from SIGTERM until no new connection is taken: the balancer asks each
+#: second and wants two misses.
+NOTICE_S = 2.6
+#: Time before SIGKILL by which the process has ended by itself.
+END_MARGIN_S = 0.7
+CONTROL_LINGER_S = 0.5
+BODY_BYTES = 4 * 1024 * 1024
+REQUESTS_AT_ONCE = 2_000
+
+
+class Adapter(Protocol):
+    """What the fleet's environment brings: names on the wire, nothing else."""
+
+    dialect: Dialect
+    orders: TargetOrders
+
+    def control_app(self, control: FleetControl) -> Any:
+        """Return the ASGI application for targets and operators."""
+
+    def readiness_app(self, lifecycle: Lifecycle) -> Any:
+        """Return the ASGI application that the balancer asks."""
+
+
+class FleetVm:
+    """A VM with the roles whose addresses its settings name.
+
+    :param rng: source of all random choices; seeded in tests.
+
+    >>> vm = FleetVm(cfg, adapter, random.Random())
+    >>> await nursery.start(vm.run)
+    >>> vm.drain()
+    >>> await vm.wait_stopped()
+    0
+    """
+
+    def __init__(self, cfg: FleetSettings, adapter: Adapter, rng: random.Random):
+        self.cfg = cfg
+        self.adapter = adapter
+        self.rng = rng
+        deadline_s = max(1.0, cfg.bounds.grace_s - END_MARGIN_S)
+        notice_s = min(NOTICE_S, deadline_s / 2) if cfg.entry_address else 0.0
+        self.lifecycle = Lifecycle(
+            Readiness(notice_s, deadline_s), self._close_listeners
+        )
+        self.follower: Follower | None = None
+        self.control: FleetControl | None = None
+        self._listeners: dict[str, ListenerTask] = {}
+        self._stopped = trio.Event()
+
+    def drain(self) -> None:
+        """Begin a planned stop; the second time, end it at once."""
+        self.lifecycle.drain()
+
+    def settings_changed(self, cfg: FleetSettings) -> None:
+        """Take settings that have changed while the VM runs: the seeds."""
+        if cfg.seeds == self.cfg.seeds:
+            return
+        logger.bind(detail=",".join(cfg.seeds)).info("seeds changed")
+        self.cfg = cfg
+        if self.follower is not None:
+            self.follower.seeds_changed(cfg)
+
+    async def wait_stopped(self) -> int:
+        """Wait for the end of a planned stop; return the exit code."""
+        await self._stopped.wait()
+        return self.lifecycle.exit_code
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Run until cancelled."""
+        call = PeerClient(None, None, PEER_SILENCE_S)
+        async with trio.open_nursery() as nursery:
+            if self.cfg.control_address:
+                await self._start_control(nursery, call)
+            if self.cfg.entry_address:
+                await self._start_entry(nursery, call)
+            nursery.start_soon(self._live)
+            task_status.started()
+
+    async def _start_control(self, nursery: trio.Nursery, call: PeerClient) -> None:
+        self.control = FleetControl(self.cfg, call, self.rng)
+        peers = Starlette(routes=peer_routes(self.control.routes()))
+        await self._listen(nursery, "peers", self.cfg.peer_address, peers)
+        await nursery.start(self.control.run)
+        app = self.adapter.control_app(self.control)
+        await self._listen(nursery, "control", self.cfg.control_address, app)
+        nursery.start_soon(Rollout(self.control, self.adapter.orders).run)
+        nursery.start_soon(self._hand_over)
+        if not self.cfg.entry_address:
+            self.lifecycle.config_known(0)
+
+    async def _start_entry(self, nursery: trio.Nursery, call: PeerClient) -> None:
+        dialect = self.adapter.dialect
+        self.follower = Follower(self.cfg, call, dialect.read_deployment)
+        chooser = Chooser(
+            self.cfg.vm, self.follower.directory, self.cfg.bounds, self.rng
+        )
+        app = ForwardingApp(dialect, self.follower, chooser, self.lifecycle, self.rng)
+        readiness = self.adapter.readiness_app(self.lifecycle)
+        await self._listen(nursery, "readiness", self.cfg.readiness_address, readiness)
+        await self._listen(nursery, "entry", self.cfg.entry_address, app)
+        nursery.start_soon(self.follower.run)
+        nursery.start_soon(app.run)
+        nursery.start_soon(self._become_ready)
+        nursery.start_soon(self._keep_limits)
+
+    async def _listen(
+        self, nursery: trio.Nursery, name: str, address: str, app: Any
+    ) -> None:
+        late = LateApp()
+        late.app = app
+        graceful_s = self.cfg.bounds.grace_s
+        task = ListenerTask(name, late, _listener(address), graceful_s)
+        self._listeners[name] = task
+        await nursery.start(task.run)
+
+    async def _become_ready(self) -> None:
+        await self.follower.wait_ready()
+        self.lifecycle.config_known(self.follower.view.index)
+        logger.bind(index=self.follower.view.index).info("ready")
+
+    async def _keep_limits(self) -> None:
+        """Let the entry listener keep idle connections as the limits say."""
+        while True:
+            limits = self.follower.view.deployment.limits
+            self._listeners["entry"].hypercorn.keep_alive_timeout = limits.idle_s
+            await trio.sleep(READY_PERIOD_S * 10)
+
+    async def _hand_over(self) -> None:
+        await self.lifecycle.draining.wait()
+        await self.control.node.hand_over()
+
+    async def _live(self) -> None:
+        await self.lifecycle.run()
+        if self.control is not None:
+            await self.control.node.hand_over()
+            await trio.sleep(CONTROL_LINGER_S)
+        self._stopped.set()
+
+    def _close_listeners(self) -> None:
+        for name in ("entry", "control"):
+            if name in self._listeners:
+                self._listeners[name].close()
+
+
+def _listener(address: str) -> Listener:
+    host, _, port = address.rpartition(":")
+    return Listener(
+        host=host,
+        port=int(port),
+        tls=None,
+        limits={
+            "body_bytes": BODY_BYTES,
+            "body_s": 30.0,
+            "requests": REQUESTS_AT_ONCE,
+        },
+    )
--- /dev/null
+++ b/src/vanillabeam/forwarding/app.py
@@ -0,0 +1,157 @@
+"""The application behind the callers' listener of an entry VM."""
+
+import itertools
+import random
+
+import trio
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.fleet import Deployment, Follower
+from vanillabeam.forwarding.choice import Chooser
+from vanillabeam.forwarding.dialect import Dialect, Facts
+from vanillabeam.forwarding.exceptions import StateUnknown
+from vanillabeam.forwarding.exchange import Exchange, Order, Tools
+from vanillabeam.forwarding.pools import Pools
+from vanillabeam.forwarding.routes import RouteTable
+from vanillabeam.forwarding.upstream import Caller, read_body
+from vanillabeam.lifecycle import Lifecycle
+
+__all__ = ["ForwardingApp"]
+
+CLEAN_PERIOD_S = 2.0
+#: Share of Retry-After by which callers' returns are spread.
+SPREAD_SHARE = 1.0
+
+
+class ForwardingApp:
+    """An ASGI application that forwards requests to targets.
+
+    :param dialect: names and headers of the environment.
+    :param follower: what this VM knows of the fleet.
+    :param lifecycle: counts requests in and out.
+    :param rng: seeded; spreads the return of refused callers.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        follower: Follower,
+        chooser: Chooser,
+        lifecycle: Lifecycle,
+        rng: random.Random,
+    ):
+        self._tools = Tools(dialect, follower, chooser, Pools())
+        self._lifecycle = lifecycle
+        self._rng = rng
+        self._table = RouteTable(Deployment())
+        self._numbers = itertools.count(1)
+
+    async def run(self) -> None:
+        """Close connections to targets that are gone, until cancelled."""
+        while True:
+            await trio.sleep(CLEAN_PERIOD_S)
+            sightings = self._tools.follower.directory.sightings.values()
+            lives = {sighting.target.life for sighting in sightings}
+            await self._tools.pools.keep_only(lives)
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one request."""
+        began_s = trio.current_time()
+        number = str(next(self._numbers))
+        caller = Caller(send, closes=self._lifecycle.draining.is_set())
+        self._lifecycle.started(number)
+        try:
+            await self._serve(scope, receive, caller, began_s)
+        finally:
+            self._lifecycle.ended(number)
+
+    async def _serve(self, scope, receive, caller: Caller, began_s: float) -> None:
+        facts = self._tools.dialect.read_facts(scope)
+        if isinstance(facts, Failure):
+            await self._refuse(caller, "", facts.failure())
+            return
+        admitted = self._admit(facts.unwrap(), scope, began_s)
+        if isinstance(admitted, Failure):
+            await self._refuse(caller, facts.unwrap().request_id, admitted.failure())
+            return
+        order = admitted.unwrap()
+        limits = self._table.deployment.limits
+        body = await read_body(receive, limits)
+        if isinstance(body, Failure):
+            await self._refuse(caller, order.facts.request_id, body.failure())
+            return
+        await self._exchange(order._replace(body=body.unwrap()), receive, caller)
+
+    def _admit(
+        self, facts: Facts, scope, began_s: float
+    ) -> Result[Order, VanillabeamError]:
+        """Return the request with its route and workspace."""
+        view = self._tools.follower.view
+        if not view.is_known:
+            return Failure(StateUnknown())
+        if view.deployment is not self._table.deployment:
+            self._table = RouteTable(view.deployment)
+        route = self._table.route(facts.host, facts.path)
+        if isinstance(route, Failure):
+            return route
+        workspace = self._table.workspace(route.unwrap(), facts.key)
+        if isinstance(workspace, Failure):
+            return workspace
+        wait_s = route.unwrap().timeout_s
+        if facts.budget_s is not None:
+            wait_s = min(wait_s, facts.budget_s)
+        return Success(
+            Order(
+                facts,
+                route.unwrap(),
+                workspace.unwrap(),
+                scope["headers"],
+                b"",
+                began_s + wait_s,
+            )
+        )
+
+    async def _exchange(self, order: Order, receive, caller: Caller) -> None:
+        exchange = Exchange(order, self._tools, caller)
+        failure = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_gone, receive, nursery.cancel_scope)
+            failure = await exchange.run()
+            if failure is not None and not caller.begun:
+                await self._refuse(caller, order.facts.request_id, failure)
+            nursery.cancel_scope.cancel()
+        if nursery.cancel_scope.cancelled_caught and not caller.finished:
+            self._note_end(order, failure)
+
+    def _note_end(self, order: Order, failure: VanillabeamError | None) -> None:
+        logger.bind(
+            request_id=order.facts.request_id,
+            failure=failure.type if failure else "caller-gone",
+            index=self._tools.follower.view.index,
+        ).warning("answer cut off")
+
+    async def _refuse(
+        self, caller: Caller, request_id: str, exc: VanillabeamError
+    ) -> None:
+        retry_after_s = exc.retry_after_s
+        if retry_after_s is not None:
+            retry_after_s *= 1 + SPREAD_SHARE * self._rng.random()
+        logger.bind(
+            request_id=request_id,
+            failure=exc.type,
+            detail=exc.detail,
+            status=int(exc.status),
+            run=str(exc.run),
+            index=self._tools.follower.view.index,
+        ).warning("request refused")
+        await caller.refuse(exc, retry_after_s)
+
+
+async def _cancel_when_gone(receive, scope: trio.CancelScope) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            scope.cancel()
+            return
--- /dev/null
+++ b/src/vanillabeam/forwarding/events.py
@@ -0,0 +1,47 @@
+"""Whole events out of a stream's bytes."""
+
+__all__ = ["EventCutter"]
+
+_ENDS = (b"\n\n", b"\r\n\r\n")
+
+
+class EventCutter:
+    """Passes whole events on and keeps what a break would tear.
+
+    :ivar last_id: id of the last event that was passed on.
+
+    >>> cutter = EventCutter()
+    >>> cutter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
+    b'id: 1\\ndata: a\\n\\n'
+    >>> cutter.last_id
+    '1'
+    """
+
+    def __init__(self, last_id: str = ""):
+        self.last_id = last_id
+        self._rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes of the events that are whole now."""
+        self._rest += data
+        ends = [
+            self._rest.rfind(mark) + len(mark) for mark in _ENDS if mark in self._rest
+        ]
+        end = max(ends, default=0)
+        whole, self._rest = self._rest[:end], self._rest[end:]
+        self._note_id(whole)
+        return whole
+
+    def finish(self) -> bytes:
+        """Return what is left at the stream's own end."""
+        rest, self._rest = self._rest, b""
+        return rest
+
+    def drop_torn(self) -> None:
+        """Forget the part of an event that a break has left."""
+        self._rest = b""
+
+    def _note_id(self, whole: bytes) -> None:
+        for line in whole.splitlines():
+            if line.startswith(b"id:"):
+                self.last_id = line[3:].strip().decode("latin-1")
--- /dev/null
+++ b/src/vanillabeam/forwarding/exceptions.py
@@ -0,0 +1,80 @@
+"""The failures of forwarded requests."""
+
+from http import HTTPStatus
+from typing import ClassVar
+
+from vanillabeam.exceptions import Run, VanillabeamError
+
+__all__ = [
+    "AnswerBroken",
+    "AnswerLate",
+    "ForwardingError",
+    "NoTarget",
+    "NotSent",
+    "RouteUnknown",
+    "StateUnknown",
+    "StrangeAnswer",
+]
+
+
+class ForwardingError(VanillabeamError):
+    """Base of the failures of forwarded requests."""
+
+    type = "forwarding-failed"
+    status = HTTPStatus.BAD_GATEWAY
+
+
+class StateUnknown(ForwardingError):
+    """This VM does not know yet what is in force."""
+
+    type = "state-unknown"
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    run = Run.NOT_RUN
+    advice = "Send the request again."
+    retry_after_s: ClassVar[float | None] = 0.5
+
+
+class RouteUnknown(ForwardingError):
+    """No route has this host and path."""
+
+    type = "route-unknown"
+    status = HTTPStatus.NOT_FOUND
+    run = Run.NOT_RUN
+    advice = "Check the host and the path."
+
+
+class NoTarget(ForwardingError):
+    """No target can take the request now."""
+
+    type = "no-target"
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    run = Run.NOT_RUN
+    advice = "Send the request again after the time in Retry-After."
+    retry_after_s: ClassVar[float | None] = 0.3
+
+
+class NotSent(NoTarget):
+    """No connection to the target was to be had."""
+
+    type = "not-sent"
+
+
+class AnswerLate(ForwardingError):
+    """The route's time has passed without a whole answer."""
+
+    type = "answer-late"
+    status = HTTPStatus.GATEWAY_TIMEOUT
+    advice = "The request may have run; check before sending it again."
+
+
+class AnswerBroken(ForwardingError):
+    """The target's answer broke off, or never came."""
+
+    type = "answer-broken"
+    advice = "The request may have run; check before sending it again."
+
+
+class StrangeAnswer(AnswerBroken):
+    """The answer that came belongs to another request."""
+
+    type = "strange-answer"
--- /dev/null
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -0,0 +1,287 @@
+"""One caller's request from its route to its final answer."""
+
+from typing import NamedTuple
+
+import trio
+from loguru import logger
+
+from vanillabeam.exceptions import Run, VanillabeamError
+from vanillabeam.fleet import Follower, Route, RouteKind, Workspace
+from vanillabeam.forwarding.choice import Choice, Chooser
+from vanillabeam.forwarding.dialect import Dialect, Facts, Handover, Headers, Verdict
+from vanillabeam.forwarding.events import EventCutter
+from vanillabeam.forwarding.exceptions import (
+    AnswerBroken,
+    AnswerLate,
+    NoTarget,
+    StrangeAnswer,
+)
+from vanillabeam.forwarding.pools import Pools
+from vanillabeam.forwarding.sending import Broken, Opened, body_of, open_answer
+from vanillabeam.forwarding.upstream import Caller
+
+__all__ = ["Exchange", "Order", "Tools"]
+
+SERVER_ERROR = 500
+#: Connections that could not be had, before a request is refused.
+MOST_UNSENT = 3
+
+
+class Order(NamedTuple):
+    """A request that is admitted.
+
+    :param headers: as the caller sent them.
+    :param ends_s: monotonic time of its final answer at the latest.
+    """
+
+    facts: Facts
+    route: Route
+    workspace: Workspace | None
+    headers: Headers
+    body: bytes
+    ends_s: float
+
+
+class Tools(NamedTuple):
+    """What an entry VM's requests share."""
+
+    dialect: Dialect
+    follower: Follower
+    chooser: Chooser
+    pools: Pools
+
+
+class Whole(NamedTuple):
+    """An answer that is whole and not yet passed on."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Delivered(NamedTuple):
+    """The caller has a whole answer."""
+
+    status: int
+
+
+#: How one attempt ended.
+Outcome = Whole | Delivered | Broken
+
+
+class Exchange:
+    """Sends a request to targets until it has an answer for the caller.
+
+    :param caller: takes the answer.
+    """
+
+    def __init__(self, order: Order, tools: Tools, caller: Caller):
+        self._order = order
+        self._tools = tools
+        self._caller = caller
+        self._service = tools.chooser.service_of(order.route)
+        self._cutter = EventCutter(order.facts.last_event_id)
+        self._tried: set[str] = set()
+        self._sent = 0
+        self._unsent = 0
+        self.may_have_run = False
+
+    async def run(self) -> VanillabeamError | None:
+        """Answer the caller; return the failure to answer with, if any."""
+        self._tools.chooser.requested(self._service, trio.current_time())
+        last: Outcome | None = None
+        with trio.move_on_at(self._order.ends_s):
+            while True:
+                choice = self._choose(last)
+                if choice is None:
+                    return await self._give_up(last)
+                last = await self._attempt(choice)
+                if isinstance(last, Delivered):
+                    return None
+                if not self._may_go_on(last):
+                    return await self._give_up(last)
+        if self.may_have_run:
+            return AnswerLate(f"after {self._order.route.timeout_s:g} s")
+        return NoTarget("no target in time")
+
+    def _choose(self, last: Outcome | None) -> Choice | None:
+        order, tools = self._order, self._tools
+        choice = tools.chooser.choose(
+            self._service,
+            order.facts,
+            tools.follower.view,
+            tools.follower.entries,
+            self._tried,
+            trio.current_time(),
+        )
+        if choice is None:
+            return None
+        logger.bind(
+            request_id=order.facts.request_id,
+            service=self._service,
+            target=choice.target.name,
+            age_s=choice.age_s,
+            candidates=choice.candidates,
+            cold=choice.is_cold,
+            index=tools.follower.view.index,
+            attempts=self._sent,
+        ).debug("target chosen")
+        return choice
+
+    def _may_go_on(self, last: Outcome) -> bool:
+        """Return whether the request may go to one more target."""
+        route = self._order.route
+        if isinstance(last, Broken) and last.exc.run is Run.NOT_RUN:
+            self._unsent += 1
+            if self._unsent >= MOST_UNSENT:
+                return False
+            return self._sent < route.attempts
+        if self._sent >= route.attempts:
+            return False
+        if self.may_have_run and not route.is_idempotent:
+            return False
+        entries = len(self._tools.follower.entries)
+        now_s = trio.current_time()
+        return self._tools.chooser.may_repeat(self._service, entries, now_s)
+
+    async def _give_up(self, last: Outcome | None) -> VanillabeamError | None:
+        """Pass the last answer on, or return the failure to answer with."""
+        if isinstance(last, Whole):
+            await self._caller.answer_whole(last.status, last.headers, last.body)
+            return None
+        if last is None:
+            return NoTarget(f"{self._service} has none")
+        if self.may_have_run and last.exc.run is Run.NOT_RUN:
+            return AnswerBroken("an earlier target may have run it")
+        return last.exc
+
+    async def _attempt(self, choice: Choice) -> Outcome:
+        target, chooser = choice.target, self._tools.chooser
+        self._tried.add(target.name)
+        chooser.began(target)
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._exchange(choice)
+            return outcome
+        finally:
+            # A request that was cancelled says nothing of its target.
+            failed = isinstance(outcome, Broken)
+            chooser.ended(target, failed, trio.current_time())
+
+    async def _exchange(self, choice: Choice) -> Outcome:
+        order, target = self._order, choice.target
+        pool = self._tools.pools.pool(target, self._connections())
+        headers = self._headers_for(choice)
+        was_run, self.may_have_run = self.may_have_run, True
+        opened = await open_answer(pool, target, order.facts, headers, order.body)
+        if isinstance(opened, Broken):
+            if opened.exc.run is Run.NOT_RUN:
+                self.may_have_run = was_run
+            else:
+                self._sent += 1
+            return self._noted(opened, choice)
+        self._sent += 1
+        try:
+            return self._noted(await self._take(opened, choice, was_run), choice)
+        finally:
+            with trio.CancelScope(shield=True):
+                await opened.response.aclose()
+
+    def _headers_for(self, choice: Choice) -> Headers:
+        order = self._order
+        workspace = order.workspace
+        left_s = max(0.0, order.ends_s - trio.current_time())
+        handover = Handover(
+            target=choice.target.name,
+            left_s=left_s,
+            workspace=workspace.name if workspace else "",
+            cache_salt=self._salt(choice),
+            priority=self._priority() if order.facts.model else None,
+            last_event_id=self._cutter.last_id,
+        )
+        return self._tools.dialect.request_headers(order.headers, handover)
+
+    def _salt(self, choice: Choice) -> str:
+        """Return what keeps cached prompts of walls and versions apart."""
+        model = self._order.facts.model
+        if not model:
+            return ""
+        workspace = self._order.workspace
+        wall = workspace.name if workspace and workspace.isolated else ""
+        return f"{wall}/{model}/{choice.target.versions.get(model, 0)}"
+
+    def _priority(self) -> int:
+        workspace = self._order.workspace
+        if workspace is not None and workspace.priority is not None:
+            return workspace.priority
+        return self._order.route.priority
+
+    def _connections(self) -> int:
+        follower = self._tools.follower
+        service = follower.view.deployment.services.get(self._service)
+        if service is None or not service.max_connections:
+            return 0
+        return service.max_connections // max(1, len(follower.entries))
+
+    async def _take(self, opened: Opened, choice: Choice, was_run: bool) -> Outcome:
+        order, target = self._order, choice.target
+        verdict = self._tools.dialect.judge(order.facts, opened.status, opened.headers)
+        if verdict is Verdict.STRANGER:
+            return Broken(StrangeAnswer(target.name))
+        self._learn(opened, choice)
+        if verdict in (Verdict.NOT_RUN, Verdict.OTHER_TARGET):
+            self.may_have_run = was_run
+        if order.route.kind is RouteKind.STREAM and opened.status < 300:
+            return await self._stream(opened, choice)
+        whole = await _read_whole(opened, choice)
+        if isinstance(whole, Broken):
+            return whole
+        if verdict is Verdict.OTHER_TARGET:
+            return Broken(NoTarget(f"another target is at {target.address}"))
+        if verdict is Verdict.NOT_RUN or opened.status >= SERVER_ERROR:
+            return whole
+        await self._caller.answer_whole(whole.status, whole.headers, whole.body)
+        return Delivered(whole.status)
+
+    def _learn(self, opened: Opened, choice: Choice) -> None:
+        for name, value in opened.headers:
+            if name.lower() == b"keep-alive":
+                self._tools.pools.learn(choice.target, value)
+
+    async def _stream(self, opened: Opened, choice: Choice) -> Outcome:
+        """Pass a stream on as it comes."""
+        resumable = self._order.route.resumable
+        async for part in body_of(opened, choice.target):
+            if isinstance(part, Broken):
+                self._cutter.drop_torn()
+                return part
+            data = self._cutter.feed(part) if resumable else part
+            if data:
+                await self._caller.begin(opened.status, opened.headers, resumable)
+                await self._caller.send(data)
+        await self._caller.begin(opened.status, opened.headers, resumable)
+        await self._caller.send(self._cutter.finish())
+        await self._caller.finish()
+        return Delivered(opened.status)
+
+    def _noted(self, outcome: Outcome, choice: Choice) -> Outcome:
+        if isinstance(outcome, Broken):
+            logger.bind(
+                request_id=self._order.facts.request_id,
+                service=self._service,
+                target=choice.target.name,
+                failure=outcome.exc.type,
+                detail=outcome.exc.detail,
+                run=str(outcome.exc.run),
+                age_s=choice.age_s,
+            ).warning("attempt failed")
+        return outcome
+
+
+async def _read_whole(opened: Opened, choice: Choice) -> Whole | Broken:
+    parts: list[bytes] = []
+    async for part in body_of(opened, choice.target):
+        if isinstance(part, Broken):
+            return part
+        parts.append(part)
+    return Whole(opened.status, opened.headers, b"".join(parts))
--- /dev/null
+++ b/src/vanillabeam/forwarding/sending.py
@@ -0,0 +1,87 @@
+"""One request to one target: what was sent, and what came back."""
+
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import httpcore
+
+from vanillabeam.exceptions import Run, VanillabeamError
+from vanillabeam.fleet import Target
+from vanillabeam.forwarding.dialect import Facts, Headers
+from vanillabeam.forwarding.exceptions import AnswerBroken, NotSent
+
+__all__ = ["Broken", "Opened", "body_of", "open_answer"]
+
+CONNECT_LIMIT_S = 0.7
+POOL_LIMIT_S = 0.5
+
+_NOT_SENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.ConnectionNotAvailable,
+)
+_BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
+
+class Opened(NamedTuple):
+    """An answer whose head is there."""
+
+    status: int
+    headers: Headers
+    response: httpcore.Response
+
+
+class Broken(NamedTuple):
+    """No answer, or the end of one that broke off.
+
+    :param exc: its ``run`` says whether the request may have run.
+    """
+
+    exc: VanillabeamError
+
+
+async def open_answer(
+    pool: httpcore.AsyncConnectionPool,
+    target: Target,
+    facts: Facts,
+    headers: Headers,
+    body: bytes,
+) -> Opened | Broken:
+    """Send a request and return its answer's head.
+
+    :param headers: for the target, without ``Content-Length``.
+    """
+    host, _, port = target.address.rpartition(":")
+    if body or facts.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        headers = [*headers, (b"Content-Length", str(len(body)).encode())]
+    request = httpcore.Request(
+        facts.method,
+        httpcore.URL(
+            scheme=b"http", host=host.encode(), port=int(port), target=facts.target
+        ),
+        headers=headers,
+        content=body,
+        extensions={"timeout": {"connect": CONNECT_LIMIT_S, "pool": POOL_LIMIT_S}},
+    )
+    try:
+        response = await pool.handle_async_request(request)
+    except _NOT_SENT as exc:
+        return Broken(NotSent(f"{target.name}: {type(exc).__name__}"))
+    except _BROKEN as exc:
+        return Broken(AnswerBroken(f"{target.name}: {type(exc).__name__}"))
+    return Opened(response.status, response.headers, response)
+
+
+async def body_of(opened: Opened, target: Target) -> AsyncIterator[bytes | Broken]:
+    """Yield the body's parts as they come; a break comes as the last."""
+    try:
+        async for data in opened.response.stream:
+            yield data
+    except _BROKEN as exc:
+        yield Broken(AnswerBroken(f"{target.name}: {type(exc).__name__}"))
+
+
+def is_unrun(exc: VanillabeamError) -> bool:
+    """Return whether the failure says for certain that nothing ran."""
+    return exc.run is Run.NOT_RUN
--- /dev/null
+++ b/src/vanillabeam/forwarding/upstream.py
@@ -0,0 +1,147 @@
+"""The caller's side of a request: its body in, the answer out."""
+
+import trio
+from returns.result import Failure, Result, Success
+
+from vanillabeam import wire
+from vanillabeam.exceptions import (
+    BodyTooLarge,
+    BodyTooSlow,
+    MalformedBody,
+    Run,
+    VanillabeamError,
+)
+from vanillabeam.fleet import Limits
+from vanillabeam.forwarding.dialect import Headers
+from vanillabeam.problems import PROBLEM_TYPE, RUN_HEADER, to_problem
+
+__all__ = ["Caller", "read_body"]
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+class Caller:
+    """Sends one answer, once, through an ASGI ``send``.
+
+    :param closes: whether the connection is to end with this answer.
+    :ivar begun: whether the answer's head has been sent.
+    :ivar finished: whether the whole answer has.
+    """
+
+    def __init__(self, send, closes: bool = False):
+        self._send = send
+        self._closes = closes
+        self.begun = False
+        self.finished = False
+
+    async def answer_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a target's whole answer."""
+        kept = [(n, v) for n, v in _end_to_end(headers) if n != b"content-length"]
+        kept.append((b"content-length", str(len(body)).encode()))
+        await self._start(status, kept)
+        await self.send(body)
+        await self.finish()
+
+    async def begin(self, status: int, headers: Headers, joined: bool) -> None:
+        """Send a stream's head, the first time it is called.
+
+        :param joined: the body may be made of several answers.
+        """
+        if self.begun:
+            return
+        kept = _end_to_end(headers)
+        if joined:
+            kept = [(n, v) for n, v in kept if n != b"content-length"]
+        await self._start(status, kept)
+
+    async def refuse(self, exc: VanillabeamError, retry_after_s: float | None) -> None:
+        """Send a failure of the system's own."""
+        body = wire.encode(to_problem(exc))
+        headers = [
+            (b"content-type", PROBLEM_TYPE.encode()),
+            (b"content-length", str(len(body)).encode()),
+            (RUN_HEADER.lower().encode(), str(exc.run).encode()),
+        ]
+        if retry_after_s is not None and exc.run is Run.NOT_RUN:
+            headers.append((b"retry-after", f"{retry_after_s:.2f}".encode()))
+        await self._start(int(exc.status), headers)
+        await self.send(body)
+        await self.finish()
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if data:
+            await self._pass(
+                {"type": "http.response.body", "body": data, "more_body": True}
+            )
+
+    async def finish(self) -> None:
+        """End the answer as whole."""
+        self.finished = True
+        await self._pass({"type": "http.response.body", "body": b""})
+
+    async def _start(self, status: int, headers: Headers) -> None:
+        self.begun = True
+        if self._closes:
+            headers = [*headers, (b"connection", b"close")]
+        await self._pass(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+
+    async def _pass(self, message) -> None:
+        """Hand a message over whole.
+
+        The server notes what it has sent only afterwards; cancelled between
+        the two, it would send a second head.
+        """
+        with trio.CancelScope(shield=True):
+            await self._send(message)
+
+
+def _end_to_end(headers: Headers) -> Headers:
+    """Return the headers that concern more than one connection."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    }
+    dropped = HOP_BY_HOP | named
+    lowered = [(name.lower(), value) for name, value in headers]
+    return [(name, value) for name, value in lowered if name not in dropped]
+
+
+async def read_body(receive, limits: Limits) -> Result[bytes, VanillabeamError]:
+    """Return a caller's body, within the limits in force.
+
+    :returns: the body; :class:`BodyTooLarge`, :class:`BodyTooSlow`, or
+        :class:`MalformedBody` if the caller left before its end.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = None
+        with trio.move_on_after(limits.idle_s):
+            message = await receive()
+        if message is None:
+            return Failure(BodyTooSlow(f"nothing for {limits.idle_s:g} s"))
+        if message["type"] == "http.disconnect":
+            return Failure(MalformedBody("the body ended early"))
+        parts.append(message.get("body", b""))
+        size += len(parts[-1])
+        if size > limits.body_bytes:
+            return Failure(BodyTooLarge(f"the limit is {limits.body_bytes} bytes"))
+        if not message.get("more_body", False):
+            return Success(b"".join(parts))
--- a/src/vanillabeam/log/members.py
+++ b/src/vanillabeam/log/members.py
@@ -82,7 +82,7 @@
     membership, member = state.membership, event.member
     if membership.member(member.member_id):
         return [Accepted(event.request_id)]
-    if member.vm not in membership.allowed:
+    if not state.settings.admits_all and member.vm not in membership.allowed:
         return [Refused(event.request_id, NotAllowed(member.vm))]
     old = membership.named(member.vm)
     if old is None:
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -202,6 +202,11 @@
             return False
         return loop.replica.role is Role.LEADER
 
+    @property
+    def term(self) -> int:
+        """Return the newest term that this replica knows; 0 before it runs."""
+        return self._loop.replica.term if self._loop else 0
+
     @property
     def applied(self) -> int:
         """Return the highest index in the state machine."""
--- a/src/vanillabeam/log/records.py
+++ b/src/vanillabeam/log/records.py
@@ -152,6 +152,8 @@
     :param propose_timeout_s: bound on one ``propose`` or ``read``.
     :param snapshot_entries: entries applied between snapshots.
     :param kept_entries: entries kept behind a snapshot for slow followers.
+    :param admits_all: whether any VM may join, not only those that were
+        allowed by name.
     """
 
     heartbeat_s: float = 0.5
@@ -162,6 +164,7 @@
     batch_entries: int = BATCH_ENTRIES
     batch_bytes: int = BATCH_BYTES
     chunk_bytes: int = CHUNK_BYTES
+    admits_all: bool = False
 
 
 DEFAULT_SETTINGS = LogSettings()
--- a/src/vanillabeam/logs.py
+++ b/src/vanillabeam/logs.py
@@ -43,6 +43,20 @@
     "address",
     "role",
     "code",
+    "draining",
+    "cold_ms",
+    "sequence",
+    "born_ms",
+    "age_s",
+    "candidates",
+    "cold",
+    "epoch",
+    "number",
+    "evacuated",
+    "weights",
+    "fence",
+    "reply",
+    "kind",
 )
 
 
--- /dev/null
+++ b/src/vanillabeam/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: it translates and does nothing else."""
--- /dev/null
+++ b/src/vanillabeam/platform/control.py
@@ -0,0 +1,145 @@
+"""The calls of workers and operators, translated for a control VM."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, TypedDict
+from urllib.parse import unquote
+
+from loguru import logger
+from returns.result import Failure, Result
+
+from vanillabeam import wire
+from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.fleet import Command, Limits
+from vanillabeam.fleet.control import FleetControl
+from vanillabeam.forwarding.upstream import read_body
+from vanillabeam.platform.documents import check_document
+from vanillabeam.platform.heartbeats import read_born, read_heartbeat
+
+__all__ = ["ControlApp"]
+
+LIMITS = Limits(body_bytes=16 * 1024 * 1024)
+OK, BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 200, 400, 404, 503
+
+
+class Answer(NamedTuple):
+    """Status and JSON body of an answer."""
+
+    status: int
+    body: bytes = b"{}"
+
+
+class _NamedVersion(TypedDict):
+    model: str
+    version: int
+
+
+Handler = Callable[[str, bytes], Awaitable[Answer]]
+
+
+class ControlApp:
+    """ASGI application for heartbeats and operators' orders."""
+
+    def __init__(self, control: FleetControl):
+        self._control = control
+        self._handlers: dict[tuple[str, str], Handler] = {
+            ("POST", "/api/Instances.Heartbeat"): self._heartbeat,
+            ("POST", "/api/Instances.Leave"): self._leave,
+            ("POST", "/api/Config.Put"): self._put,
+            ("GET", "/api/Config.Get"): self._get,
+            ("POST", "/api/Evacuate.Start"): self._evacuate,
+            ("POST", "/api/Evacuate.End"): self._restore,
+            ("POST", "/api/version-put"): self._name_version,
+        }
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answer one call."""
+        answer = await self._answer(scope, receive)
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(answer.body)).encode()),
+        ]
+        await send(
+            {"type": "http.response.start", "status": answer.status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": answer.body})
+
+    async def _answer(self, scope, receive) -> Answer:
+        call, _, argument = _split(scope["raw_path"].decode("latin-1"))
+        handler = self._handlers.get((scope["method"], call))
+        if handler is None:
+            return Answer(NOT_FOUND)
+        body = await read_body(receive, LIMITS)
+        if isinstance(body, Failure):
+            return _failed(BAD_REQUEST, body.failure())
+        return await handler(unquote(argument), body.unwrap())
+
+    async def _heartbeat(self, worker: str, body: bytes) -> Answer:
+        target = read_heartbeat(worker, body)
+        if isinstance(target, Failure):
+            logger.bind(target=worker, detail=target.failure().detail).warning(
+                "announcement not readable"
+            )
+            return _failed(BAD_REQUEST, target.failure())
+        self._control.heard(target.unwrap())
+        return Answer(OK)
+
+    async def _leave(self, worker: str, body: bytes) -> Answer:
+        self._control.left(worker, read_born(body))
+        return Answer(OK)
+
+    async def _put(self, _: str, body: bytes) -> Answer:
+        checked = check_document(body)
+        if isinstance(checked, Failure):
+            logger.bind(detail=checked.failure().detail).warning("deployment refused")
+            return _failed(BAD_REQUEST, checked.failure())
+        number = checked.unwrap().number
+        return await self._settle(
+            Command(kind="deploy", number=number, document=body.decode())
+        )
+
+    async def _get(self, _: str, body: bytes) -> Answer:
+        state = await self._control.newest()
+        if isinstance(state, Failure):
+            return _failed(UNAVAILABLE, state.failure())
+        document = state.unwrap()["document"]
+        return Answer(OK, document.encode()) if document else Answer(UNAVAILABLE)
+
+    async def _evacuate(self, zone: str, body: bytes) -> Answer:
+        return await self._settle(Command(kind="evacuate", data_centre=zone))
+
+    async def _restore(self, zone: str, body: bytes) -> Answer:
+        return await self._settle(Command(kind="restore", data_centre=zone))
+
+    async def _name_version(self, _: str, body: bytes) -> Answer:
+        named = wire.decode(_NamedVersion, body)
+        if isinstance(named, Failure):
+            return _failed(BAD_REQUEST, named.failure())
+        model, version = named.unwrap()["model"], named.unwrap()["version"]
+        return await self._settle(Command(kind="weights", model=model, number=version))
+
+    async def _settle(self, command: Command) -> Answer:
+        settled: Result = await self._control.settle(command)
+        log = logger.bind(
+            kind=command["kind"],
+            number=command.get("number"),
+            data_centre=command.get("data_centre"),
+        )
+        if isinstance(settled, Failure):
+            failure = settled.failure()
+            log.bind(failure=failure.type, run=str(failure.run)).warning(
+                "order not settled"
+            )
+            return _failed(UNAVAILABLE, failure)
+        log.bind(index=settled.unwrap().index).info("order settled")
+        return Answer(OK)
+
+
+def _split(path: str) -> tuple[str, str, str]:
+    """Return the call, a slash, and the argument behind it, if there is one."""
+    start = len("/api/")
+    call, slash, argument = path[start:].partition("/")
+    return path[:start] + call, slash, argument
+
+
+def _failed(status: int, exc: VanillabeamError) -> Answer:
+    return Answer(status, wire.encode({"error": exc.type, "detail": exc.detail}))
--- /dev/null
+++ b/src/vanillabeam/platform/headers.py
@@ -0,0 +1,134 @@
+"""The platform's headers, read and set."""
+
+from returns.result import Failure, Result, Success
+
+from vanillabeam.exceptions import MalformedHeader, VanillabeamError
+from vanillabeam.fleet import Deployment
+from vanillabeam.forwarding import Facts, Handover, Verdict
+from vanillabeam.forwarding.dialect import Headers, PromptPart
+from vanillabeam.forwarding.upstream import HOP_BY_HOP
+from vanillabeam.platform.documents import read_document
+
+__all__ = ["PlatformDialect"]
+
+PREFIX = b"x-vanillabeam-"
+REQUEST_ID = PREFIX + b"request-id"
+DEADLINE = PREFIX + b"deadline-ms"
+KEY = PREFIX + b"key"
+TENANT = PREFIX + b"tenant"
+INSTANCE = PREFIX + b"expect-instance"
+NOT_EXECUTED = PREFIX + b"not-executed"
+MODEL = PREFIX + b"model"
+PROMPT_PARTS = PREFIX + b"prefix-hash"
+CACHE_SALT = PREFIX + b"cache-salt"
+PRIORITY = PREFIX + b"request-priority"
+LAST_EVENT_ID = b"last-event-id"
+KV_FROM = b"kv-from"
+
+#: Headers that only the system sets, whatever a client sends.
+SYSTEM_ONLY = frozenset(
+    {
+        KEY,
+        TENANT,
+        INSTANCE,
+        CACHE_SALT,
+        PRIORITY,
+        KV_FROM,
+        LAST_EVENT_ID,
+        DEADLINE,
+        PREFIX + b"expect-version",
+        PREFIX + b"pin-ms",
+        PREFIX + b"hold",
+        PREFIX + b"kv-backup",
+        PREFIX + b"kv-source",
+        PREFIX + b"kv-sink",
+        PREFIX + b"kv-until",
+        PREFIX + b"kv-from",
+    }
+)
+FRAMING = frozenset({b"content-length", b"expect"})
+LOWEST_PRIORITY = 9
+OTHER_WORKER = 421
+
+
+class PlatformDialect:
+    """The platform's names for what forwarding does."""
+
+    def read_deployment(self, document: str) -> Deployment:
+        """Return what an accepted document says."""
+        return read_document(document)
+
+    def read_facts(self, scope) -> Result[Facts, VanillabeamError]:
+        """Return what a request says of itself."""
+        headers = dict(scope["headers"])
+        path, query = scope["raw_path"], scope["query_string"]
+        try:
+            return Success(
+                Facts(
+                    request_id=_text(headers, REQUEST_ID),
+                    host=_text(headers, b"host"),
+                    method=scope["method"],
+                    path=path.decode("ascii"),
+                    target=path + b"?" + query if query else path,
+                    budget_s=_seconds(headers.get(DEADLINE)),
+                    key=_text(headers, KEY),
+                    model=_text(headers, MODEL),
+                    parts=_parts(headers.get(PROMPT_PARTS, b"")),
+                    last_event_id=_text(headers, LAST_EVENT_ID),
+                )
+            )
+        except ValueError as exc:
+            return Failure(MalformedHeader(str(exc)))
+
+    def request_headers(self, headers: Headers, handover: Handover) -> Headers:
+        """Return the headers for the worker."""
+        dropped = HOP_BY_HOP | SYSTEM_ONLY | FRAMING | _named_hops(headers)
+        kept = [(name, value) for name, value in headers if name not in dropped]
+        kept.append((INSTANCE, handover.target.encode()))
+        kept.append((DEADLINE, str(max(1, int(handover.left_s * 1000))).encode()))
+        if handover.workspace:
+            kept.append((TENANT, handover.workspace.encode()))
+        if handover.cache_salt:
+            kept.append((CACHE_SALT, handover.cache_salt.encode()))
+        if handover.priority is not None:
+            rank = min(max(0, handover.priority), LOWEST_PRIORITY)
+            kept.append((PRIORITY, str(rank).encode()))
+        if handover.last_event_id:
+            kept.append((LAST_EVENT_ID, handover.last_event_id.encode()))
+        return kept
+
+    def judge(self, facts: Facts, status: int, headers: Headers) -> Verdict:
+        """Return what a worker's answer says of the request's run."""
+        found = {name.lower(): value for name, value in headers}
+        echoed = found.get(REQUEST_ID)
+        if echoed is not None and echoed.decode("latin-1") != facts.request_id:
+            return Verdict.STRANGER
+        if status == OTHER_WORKER:
+            return Verdict.OTHER_TARGET
+        if NOT_EXECUTED in found:
+            return Verdict.NOT_RUN
+        return Verdict.ANSWER
+
+
+def _text(headers: dict[bytes, bytes], name: bytes) -> str:
+    return headers.get(name, b"").decode("latin-1")
+
+
+def _seconds(value: bytes | None) -> float | None:
+    return None if value is None else float(value) / 1000
+
+
+def _parts(value: bytes) -> tuple[PromptPart, ...]:
+    """Return the parts of ``ID:TOKENS`` entries, separated by commas."""
+    entries = [entry.strip() for entry in value.decode("ascii").split(",")]
+    pairs = [entry.rpartition(":") for entry in entries if entry]
+    return tuple(PromptPart(part, int(tokens)) for part, _, tokens in pairs)
+
+
+def _named_hops(headers: Headers) -> set[bytes]:
+    return {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
