Test the fleet, forwarding and the adapter against a stand-in of the platform

Change: unit tests of the fleet's state, the directory, bounds, choice, routes, events, and of every decoder of the adapter; `tests/platform/standin.py` is a small platform (workers, operator, client) that drives three control VMs and an entry VM over loopback.

--- /dev/null
+++ b/tests/fleet/test_machine.py
@@ -0,0 +1,63 @@
+import pytest
+
+from vanillabeam import wire
+from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.fleet import FleetMachine
+
+
+def apply_all(machine, *commands):
+    for index, command in enumerate(commands, machine.state["index"] + 1):
+        machine.apply(index, wire.encode(command).decode())
+    return machine.state
+
+
+def deploy(number, document):
+    return {"kind": "deploy", "number": number, "document": document}
+
+
+def test_the_highest_number_is_in_force():
+    state = apply_all(FleetMachine(), deploy(4, "four"), deploy(9, "nine"))
+    assert (state["number"], state["document"]) == (9, "nine")
+
+
+@pytest.mark.parametrize("number", [9, 4])
+def test_a_number_that_is_not_higher_changes_nothing(number):
+    state = apply_all(FleetMachine(), deploy(9, "nine"), deploy(number, "other"))
+    assert (state["number"], state["document"]) == (9, "nine")
+    assert state["index"] == 2
+
+
+def test_an_evacuation_holds_until_it_is_taken_back():
+    machine = FleetMachine()
+    out = {"kind": "evacuate", "data_centre": "a"}
+    state = apply_all(machine, out, out, {"kind": "evacuate", "data_centre": "b"})
+    assert state["evacuated"] == ["a", "b"]
+    state = apply_all(machine, {"kind": "restore", "data_centre": "a"})
+    assert state["evacuated"] == ["b"]
+
+
+def test_named_weights_never_go_back():
+    newer = {"kind": "weights", "model": "m", "number": 3}
+    older = {"kind": "weights", "model": "m", "number": 2}
+    assert apply_all(FleetMachine(), newer, older)["weights"] == {"m": 3}
+
+
+def test_a_snapshot_brings_another_replica_to_the_same_state():
+    one, other = FleetMachine(), FleetMachine()
+    apply_all(one, deploy(4, "four"), {"kind": "evacuate", "data_centre": "a"})
+    other.restore(one.snapshot())
+    assert other.state == one.state
+
+
+def test_an_index_that_goes_back_breaks_an_invariant():
+    machine = FleetMachine()
+    apply_all(machine, deploy(4, "four"))
+    with pytest.raises(InvariantBroken):
+        machine.apply(1, wire.encode(deploy(5, "five")).decode())
+
+
+def test_each_change_is_told():
+    told = []
+    machine = FleetMachine(lambda: told.append(1))
+    apply_all(machine, deploy(4, "four"), deploy(5, "five"))
+    assert len(told) == 2
--- /dev/null
+++ b/tests/forwarding/builders.py
@@ -0,0 +1,29 @@
+import random
+
+from tests.fleet.builders import BOUNDS
+from vanillabeam.fleet import Directory
+from vanillabeam.forwarding.choice import Chooser
+from vanillabeam.forwarding.dialect import Facts, PromptPart
+
+
+def make_facts(**changes):
+    fields = {
+        "request_id": "r-1",
+        "host": "shop.example",
+        "method": "POST",
+        "path": "/orders/1",
+        "target": b"/orders/1",
+    }
+    return Facts(**(fields | changes))
+
+
+def make_prompt(session="s-1", **changes):
+    parts = (PromptPart("sys", 10), PromptPart(session, 90), PromptPart("own", 5))
+    return make_facts(model="m", parts=parts, **changes)
+
+
+def make_chooser(*targets, now_s=0.0):
+    directory = Directory()
+    for target in targets:
+        directory.heard(target, now_s)
+    return Chooser("vm-1", directory, BOUNDS, random.Random(1))
--- /dev/null
+++ b/tests/forwarding/test_choice.py
@@ -0,0 +1,90 @@
+from tests.fleet.builders import make_target, make_view
+from tests.forwarding.builders import make_chooser, make_facts, make_prompt
+
+ENTRIES = ("vm-1",)
+
+
+def choose(chooser, facts=None, view=None, tried=(), now_s=1.0):
+    facts = facts or make_facts()
+    view = view or make_view()
+    choice = chooser.choose("llm", facts, view, ENTRIES, set(tried), now_s)
+    return None if choice is None else choice.target.name
+
+
+def test_the_target_with_fewest_open_requests_gets_a_plain_call():
+    one, other = make_target("t-1"), make_target("t-2")
+    chooser = make_chooser(one, other)
+    chooser.began(one)
+    assert choose(chooser) == "t-2"
+
+
+def test_prompts_of_one_session_meet_at_one_target():
+    versions = {"m": 1}
+    targets = [make_target(f"t-{i}", versions=versions) for i in range(6)]
+    chooser = make_chooser(*targets)
+    found = {choose(chooser, make_prompt()) for _ in range(5)}
+    assert len(found) == 1
+    others = {choose(chooser, make_prompt(f"s-{i}")) for i in range(20)}
+    assert len(others) > 1
+
+
+def test_a_favourite_with_too_much_to_do_is_passed_over():
+    targets = [make_target(f"t-{i}", versions={"m": 1}) for i in range(3)]
+    chooser = make_chooser(*targets)
+    first = choose(chooser, make_prompt())
+    favourite = next(each for each in targets if each.name == first)
+    for _ in range(12):
+        chooser.began(favourite)
+    assert choose(chooser, make_prompt()) != first
+
+
+def test_no_new_work_for_targets_that_drain_or_whose_place_is_out_of_service():
+    chooser = make_chooser(
+        make_target("t-1", draining=True), make_target("t-2", data_centre="b")
+    )
+    assert choose(chooser) == "t-2"
+    assert choose(chooser, view=make_view(evacuated=frozenset("b"))) is None
+
+
+def test_a_target_is_not_tried_twice():
+    chooser = make_chooser(make_target("t-1"))
+    assert choose(chooser, tried=["t-1"]) is None
+
+
+def test_a_target_that_failed_rests_unless_it_is_the_only_one():
+    one, other = make_target("t-1"), make_target("t-2")
+    chooser = make_chooser(one, other)
+    chooser.began(one)
+    chooser.ended(one, failed=True, now_s=1.0)
+    assert {choose(chooser, now_s=1.2) for _ in range(9)} == {"t-2"}
+    assert choose(chooser, tried=["t-2"], now_s=1.2) == "t-1"
+    assert {choose(chooser, now_s=2.0) for _ in range(9)} == {"t-1", "t-2"}
+
+
+def test_a_cold_target_gets_its_share_and_then_nothing():
+    chooser = make_chooser(make_target("t-1", cold_ms=5_000.0))
+    assert choose(chooser, now_s=1.0) == "t-1"
+    assert choose(chooser, now_s=1.01) is None
+    assert choose(chooser, now_s=6.0) == "t-1"
+    assert choose(chooser, now_s=6.01) == "t-1"
+
+
+def test_targets_on_old_weights_serve_only_for_a_while():
+    old = make_target("t-1", versions={"m": 1})
+    chooser = make_chooser(old)
+    view = make_view(weights={"m": 2}, newer_since_s={"m": 0.0})
+    assert choose(chooser, make_prompt(), view, now_s=5.0) == "t-1"
+    assert choose(chooser, make_prompt(), view, now_s=9.0) is None
+
+
+def test_targets_on_new_weights_are_preferred():
+    old, new = (make_target(f"t-{v}", versions={"m": v}) for v in (1, 2))
+    chooser = make_chooser(old, new)
+    view = make_view(weights={"m": 2}, newer_since_s={"m": 0.0})
+    found = {choose(chooser, make_prompt(f"s-{i}"), view, now_s=2.0) for i in range(9)}
+    assert found == {"t-2"}
+
+
+def test_a_target_without_the_model_is_no_candidate():
+    chooser = make_chooser(make_target("t-1", versions={"other": 1}))
+    assert choose(chooser, make_prompt()) is None
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,267 @@
+"""A small stand-in for the platform: its workers, clients and operator."""
+
+import json
+import random
+from contextlib import asynccontextmanager
+from functools import partial
+
+import httpcore
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from tests.path.fleet import hold_port, port_of
+from tests.platform.builders import make_heartbeat, make_settings
+from vanillabeam.fleetvm import FleetVm
+from vanillabeam.platform.__main__ import PlatformAdapter
+from vanillabeam.platform.settings import read_settings
+
+LIMIT_S = 20.0
+STEP_S = 0.02
+
+
+class Worker:
+    """A worker whose answers a test may script.
+
+    :ivar seen: headers of the requests that reached it.
+    :ivar script: answers to give first, as functions of ``send``.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self.seen = []
+        self.bodies = []
+        self.script = []
+        self.version = 1
+        self.orders = []
+        self.address = ""
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        cfg = Config()
+        cfg.bind = ["127.0.0.1:0"]
+        cfg.accesslog = cfg.errorlog = None
+        async with trio.open_nursery() as nursery:
+            binds = await nursery.start(partial(serve, self, cfg, mode="asgi"))
+            self.address = binds[0].split("://", 1)[1]
+            task_status.started()
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] == "lifespan":
+            raise RuntimeError("no lifespan")
+        body = b""
+        while True:
+            message = await receive()
+            body += message.get("body", b"")
+            if not message.get("more_body"):
+                break
+        headers = dict(scope["headers"])
+        expected = headers.get(b"x-vanillabeam-expect-instance", b"").decode()
+        if expected != self.name:
+            await answer(send, 421, b"")
+            return
+        if scope["path"].startswith("/api/"):
+            await self._control(scope["path"], body, send)
+            return
+        self.seen.append(headers)
+        self.bodies.append(body)
+        if self.script:
+            await self.script.pop(0)(headers, send)
+            return
+        await answer(send, 200, b"served by " + self.name.encode(), headers)
+
+    async def _control(self, path, body, send):
+        if path == "/api/order":
+            order = json.loads(body)
+            self.orders.append(order)
+            self.version = order["version"]
+            await answer(send, 202, b"{}")
+            return
+        models = [{"name": "m", "version": self.version}]
+        await answer(send, 200, json.dumps({"busy": False, "models": models}).encode())
+
+
+async def answer(send, status, body, request_headers=None, extra=()):
+    headers = [(b"content-length", str(len(body)).encode()), *extra]
+    if request_headers is not None:
+        request_id = request_headers.get(b"x-vanillabeam-request-id", b"")
+        headers.append((b"x-vanillabeam-request-id", request_id))
+        headers.append((b"x-vanillabeam-response-stamp", b"stamp"))
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+def events(first, last, breaks=False):
+    """Return an answer that streams events, and may break in the middle."""
+
+    async def stream(request_headers, send):
+        start = int(request_headers.get(b"last-event-id", b"0")) + 1
+        headers = [
+            (b"content-type", b"text/event-stream"),
+            (b"x-vanillabeam-request-id", request_headers[b"x-vanillabeam-request-id"]),
+        ]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        for number in range(max(first, start), last + 1):
+            data = b"id: %d\ndata: piece\n\n" % number
+            await send({"type": "http.response.body", "body": data, "more_body": True})
+        if breaks:
+            torn = {"type": "http.response.body", "body": b"id: 9", "more_body": True}
+            await send(torn)
+            return
+        await send({"type": "http.response.body", "body": b""})
+
+    return stream
+
+
+def refuses(status=503, extra=((b"x-vanillabeam-not-executed", b"1"),)):
+    async def refuse(request_headers, send):
+        await answer(send, status, b"full", request_headers, extra)
+
+    return refuse
+
+
+class Platform:
+    """Control VMs and an entry VM, with workers that announce themselves."""
+
+    def __init__(self, folder, nursery):
+        self.folder = folder
+        self.nursery = nursery
+        self.held = [hold_port() for _ in range(4)]
+        self.control_port, self.peer_port, self.front, self.ready = map(
+            port_of, self.held
+        )
+        self.hosts = ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
+        self.vms = {}
+        self.workers = {}
+        self.pool = httpcore.AsyncConnectionPool()
+        self._sequence = 0
+
+    def settings(self, name, host, listen, **changes):
+        path = self.folder / f"{name}.yaml"
+        fields = make_settings(
+            node=name,
+            ip=host,
+            listen=listen,
+            port_range=[self.peer_port, self.peer_port],
+            seeds=[f"{each}:{self.control_port}" for each in self.hosts],
+            **changes,
+        )
+        path.write_text(json.dumps(fields))
+        return read_settings(path)
+
+    async def start_control(self, host, bootstrap=True):
+        data = self.folder / f"data-{host}"
+        data.mkdir(exist_ok=True)
+        cfg = self.settings(
+            f"core-{host}",
+            host,
+            {"control": f"{host}:{self.control_port}"},
+            bootstrap=bootstrap,
+            data_dir=str(data),
+        )
+        await self._start(cfg)
+
+    async def start_entry(self):
+        listen = {
+            "front": f"127.0.0.1:{self.front}",
+            "ready": f"127.0.0.1:{self.ready}",
+        }
+        await self._start(self.settings("front", "127.0.0.1", listen, data_dir=None))
+
+    async def _start(self, cfg):
+        vm = FleetVm(cfg, PlatformAdapter(), random.Random(1))
+        scope = await self.nursery.start(_run_in_scope, vm)
+        self.vms[cfg.vm] = (vm, scope)
+
+    def kill(self, name):
+        self.vms.pop(name)[1].cancel()
+
+    async def start_worker(self, name, **changes):
+        worker = Worker(name)
+        self.workers[name] = worker
+        await self.nursery.start(worker.run)
+        self.nursery.start_soon(self._announce, worker, changes)
+        return worker
+
+    async def _announce(self, worker, changes):
+        sequence = 0
+        while worker.name in self.workers:
+            sequence += 1
+            models = [{"name": "m", "version": worker.version}]
+            said = {"address": worker.address, "seq": sequence, "models": models}
+            said = make_heartbeat(**(said | changes))
+            path = f"/api/Instances.Heartbeat/{worker.name}"
+            await self.operate("POST", path, said)
+            await trio.sleep(0.3)
+
+    async def operate(self, method, path, document=None, host=None):
+        """Call control VMs until one answers well; return its answer."""
+        hosts = [host] if host else self.hosts
+        body = b"" if document is None else json.dumps(document).encode()
+        with trio.fail_after(LIMIT_S):
+            while True:
+                for each in hosts:
+                    url = f"http://{each}:{self.control_port}{path}"
+                    try:
+                        res = await self.pool.request(method, url, content=body)
+                    except (httpcore.NetworkError, httpcore.ProtocolError):
+                        continue
+                    if res.status < 500:
+                        return res
+                await trio.sleep(STEP_S)
+
+    async def ask(self, path="/orders/1", headers=(), key=b"key-1", body=b"{}"):
+        """Send a client's request; return the answer."""
+        sent = [
+            (b"Host", b"shop.example"),
+            (b"X-Vanillabeam-Request-Id", b"r-1"),
+            (b"X-Vanillabeam-Deadline-Ms", b"5000"),
+            (b"X-Vanillabeam-Key", key),
+            *headers,
+        ]
+        url = f"http://127.0.0.1:{self.front}{path}"
+        with trio.fail_after(LIMIT_S):
+            return await self.pool.request("POST", url, headers=sent, content=body)
+
+    async def wait_ready(self):
+        url = f"http://127.0.0.1:{self.ready}/api/ready"
+        await until(partial(self._is_ready, url))
+
+    async def _is_ready(self, url):
+        return (await self.pool.request("GET", url)).status == 200
+
+    def knows(self, name):
+        """Return whether the entry VM knows a worker."""
+        return name in self.vms["front"][0].follower.directory.sightings
+
+
+async def _run_in_scope(vm, *, task_status=trio.TASK_STATUS_IGNORED):
+    with trio.CancelScope() as scope:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(vm.run)
+            task_status.started(scope)
+
+
+async def until(condition):
+    """Wait for a condition; fail only after a time that no machine needs."""
+    with trio.fail_after(LIMIT_S):
+        while True:
+            found = condition()
+            if found is True or (found is not False and await found):
+                return
+            await trio.sleep(STEP_S)
+
+
+@asynccontextmanager
+async def running_platform(folder, controls=3):
+    async with trio.open_nursery() as nursery:
+        platform = Platform(folder, nursery)
+        try:
+            for host in platform.hosts[:controls]:
+                await platform.start_control(host)
+            await platform.start_entry()
+            yield platform
+        finally:
+            platform.workers.clear()
+            nursery.cancel_scope.cancel()
+            for sock in platform.held:
+                sock.close()
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,65 @@
+import copy
+import json
+
+import pytest
+from hypothesis import given, settings, strategies as st
+from returns.result import Failure, Success
+
+from tests.platform.builders import make_body, make_document
+from vanillabeam.fleet import RouteKind
+from vanillabeam.platform.documents import check_document, read_document
+
+
+def changed(change):
+    document = copy.deepcopy(make_document())
+    change(document)
+    return json.dumps(document).encode()
+
+
+def test_a_configuration_is_read_into_own_names():
+    deployment = check_document(make_body()).unwrap()
+    prompts, orders = deployment.routes
+    assert deployment.number == 7
+    assert (prompts.kind, prompts.resumable) == (RouteKind.STREAM, True)
+    assert prompts.timeout_s == 12.0
+    assert prompts.shares[0].service == "llm"
+    assert (orders.shares[0].service, orders.public) == ("app", True)
+    assert deployment.services["llm"].cold_requests_s == 8.9
+    assert deployment.services["app"].engine is None
+    assert deployment.workspaces[0].keys == ("key-1", "key-2")
+    assert deployment.limits.idle_s == 15.0
+
+
+def test_what_is_read_back_is_the_same_deployment():
+    body = make_body()
+    assert read_document(body.decode()) == check_document(body).unwrap()
+
+
+FAULTS = {
+    "unknown service": lambda d: d["routes"][1].update(service="none"),
+    "same place": lambda d: d["routes"][1].update(path_prefix="/prompts/"),
+    "no weight": lambda d: d["routes"][0]["backends"][0].update(weight=0),
+    "no service": lambda d: d["routes"][1].pop("service"),
+    "no timeout": lambda d: d["routes"][0].update(timeout_ms=0),
+    "shared key": lambda d: d["tenants"].append({"name": "b", "api_keys": ["key-1"]}),
+    "unknown kind": lambda d: d["routes"][0].update(kind="other"),
+    "version is text": lambda d: d.update(version="7"),
+    "no routes": lambda d: d.pop("routes"),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_an_invalid_configuration_is_refused(fault):
+    assert isinstance(check_document(changed(FAULTS[fault])), Failure)
+
+
+def test_a_configuration_that_is_cut_short_is_refused():
+    body = make_body()
+    for end in range(0, len(body) - 1, 97):
+        assert isinstance(check_document(body[:end]), Failure)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.binary(max_size=200) | st.text(max_size=50).map(str.encode))
+def test_any_bytes_give_a_configuration_or_a_typed_failure(body):
+    assert isinstance(check_document(body), Success | Failure)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,106 @@
+import pytest
+from returns.result import Failure
+
+from tests.forwarding.builders import make_facts
+from tests.platform.builders import make_scope
+from vanillabeam.forwarding import Handover, Verdict
+from vanillabeam.platform.headers import PlatformDialect
+
+DIALECT = PlatformDialect()
+HANDOVER = Handover(target="i-1", left_s=1.5)
+
+SYSTEM_ONLY = [
+    b"x-vanillabeam-tenant",
+    b"x-vanillabeam-expect-instance",
+    b"x-vanillabeam-expect-version",
+    b"x-vanillabeam-cache-salt",
+    b"x-vanillabeam-request-priority",
+    b"x-vanillabeam-hold",
+    b"x-vanillabeam-pin-ms",
+    b"x-vanillabeam-kv-backup",
+    b"x-vanillabeam-kv-source",
+    b"x-vanillabeam-kv-sink",
+    b"x-vanillabeam-kv-until",
+    b"kv-from",
+    b"x-vanillabeam-key",
+]
+
+
+@pytest.mark.parametrize("name", SYSTEM_ONLY)
+def test_what_only_the_system_sets_never_comes_from_a_client(name):
+    sent = DIALECT.request_headers([(name, b"forged")], HANDOVER)
+    assert b"forged" not in [value for _, value in sent]
+
+
+def test_what_concerns_one_connection_goes_no_further():
+    headers = [
+        (b"connection", b"close, X-Own"),
+        (b"x-own", b"1"),
+        (b"transfer-encoding", b"chunked"),
+        (b"content-length", b"5"),
+        (b"accept", b"text/plain"),
+        (b"x-vanillabeam-model", b"m"),
+    ]
+    sent = dict(DIALECT.request_headers(headers, HANDOVER))
+    assert sent == {
+        b"accept": b"text/plain",
+        b"x-vanillabeam-model": b"m",
+        b"x-vanillabeam-expect-instance": b"i-1",
+        b"x-vanillabeam-deadline-ms": b"1500",
+    }
+
+
+def test_the_worker_hears_the_workspace_the_salt_and_the_place_in_the_stream():
+    handover = HANDOVER._replace(
+        workspace="studio", cache_salt="a", priority=12, last_event_id="3"
+    )
+    sent = dict(DIALECT.request_headers([(b"last-event-id", b"1")], handover))
+    assert sent[b"x-vanillabeam-tenant"] == b"studio"
+    assert sent[b"x-vanillabeam-cache-salt"] == b"a"
+    assert sent[b"x-vanillabeam-request-priority"] == b"9"
+    assert sent[b"last-event-id"] == b"3"
+
+
+def test_a_request_says_what_it_is():
+    scope = make_scope(
+        [
+            (b"x-vanillabeam-request-id", b"r-1"),
+            (b"x-vanillabeam-deadline-ms", b"1500"),
+            (b"x-vanillabeam-key", b"key-1"),
+            (b"x-vanillabeam-model", b"m"),
+            (b"x-vanillabeam-prefix-hash", b"5c1e07a2:800,91bd3f06:410"),
+        ],
+        query=b"a=%20b",
+    )
+    facts = DIALECT.read_facts(scope).unwrap()
+    assert facts.budget_s == 1.5
+    assert facts.target == b"/prompts/1?a=%20b"
+    assert [(part.part_id, part.tokens) for part in facts.parts] == [
+        ("5c1e07a2", 800),
+        ("91bd3f06", 410),
+    ]
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"x-vanillabeam-deadline-ms", b"soon"),
+        (b"x-vanillabeam-prefix-hash", b"5c1e07a2:many"),
+    ],
+)
+def test_a_header_that_can_not_be_read_is_refused(header):
+    assert isinstance(DIALECT.read_facts(make_scope([header])), Failure)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "verdict"),
+    [
+        (200, [(b"X-Vanillabeam-Request-Id", b"r-1")], Verdict.ANSWER),
+        (200, [(b"X-Vanillabeam-Request-Id", b"r-2")], Verdict.STRANGER),
+        (503, [(b"X-Vanillabeam-Not-Executed", b"1")], Verdict.NOT_RUN),
+        (503, [], Verdict.ANSWER),
+        (421, [], Verdict.OTHER_TARGET),
+    ],
+)
+def test_an_answer_is_judged_by_its_head(status, headers, verdict):
+    assert DIALECT.judge(make_facts(), status, headers) is verdict
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,28 @@
+import json
+
+from tests.platform.builders import make_settings
+from vanillabeam.platform.settings import read_settings
+
+
+def read(tmp_path, **changes):
+    path = tmp_path / "local.yaml"
+    path.write_text(json.dumps(make_settings(**changes)))
+    return read_settings(path)
+
+
+def test_a_control_vm_is_told_where_to_listen_and_whom_to_ask(tmp_path):
+    cfg = read(tmp_path, seeds=["10.0.0.1:8204", "10.0.0.2:8204"])
+    assert cfg.control_address == "127.0.0.1:8204"
+    assert cfg.entry_address == ""
+    assert cfg.peer_address == "127.0.0.1:7420"
+    assert cfg.seed_addresses == ("10.0.0.1:7420", "10.0.0.2:7420")
+    assert cfg.bounds.lease_s == 3.0
+    assert cfg.bounds.silence_s == 4.2
+
+
+def test_an_entry_vm_has_no_disk(tmp_path):
+    listen = {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"}
+    cfg = read(tmp_path, listen=listen, data_dir=None)
+    assert cfg.entry_address == "127.0.0.1:1"
+    assert cfg.readiness_address == "127.0.0.1:2"
+    assert cfg.data_folder == ""
