--- a/src/vanillabeam/fleet/__init__.py
+++ b/src/vanillabeam/fleet/__init__.py
@@ -13,6 +13,7 @@
     RouteKind,
     Service,
     Share,
+    Store,
     Target,
     Workspace,
 )
@@ -33,6 +34,7 @@
     "Service",
     "Share",
     "Sighting",
+    "Store",
     "Target",
     "View",
     "Workspace",
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -2,6 +2,7 @@
 
 import random
 import secrets
+from collections.abc import Callable
 from pathlib import Path
 
 import trio
@@ -12,7 +13,8 @@
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.machine import Command, FleetMachine, FleetState
-from vanillabeam.fleet.records import FleetSettings, Target
+from vanillabeam.fleet.records import Deployment, FleetSettings, Target
+from vanillabeam.fleet.stores import StoreCalls, Stores
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, make_reply
 from vanillabeam.log import Address, Applied, LogNode, LogSettings
 from vanillabeam.log.exceptions import LogError
@@ -27,6 +29,7 @@
 EPOCH_BYTES = 6
 MOST_WAIT_S = 2.0
 MEMBERS_PERIOD_S = 1.0
+STORES_PERIOD_S = 0.3
 #: Silence after which a voter is taken out while enough others are there.
 ABSENT_S = 8.0
 #: Entry VMs that have not asked for so long no longer count.
@@ -38,14 +41,24 @@
 
     :param call: reaches other VMs.
     :param rng: seeded; spreads election timeouts.
+    :param read: turns an operator's document into a deployment.
+    :param store_calls: speaks with stores.
 
-    >>> control = FleetControl(cfg, call, random.Random())
+    >>> control = FleetControl(cfg, call, random.Random(), read, store_calls)
     >>> await nursery.start(control.run)
     >>> await control.settle({"kind": "evacuate", "data_centre": "kgl-a"})
     """
 
-    def __init__(self, cfg: FleetSettings, call: PeerCall, rng: random.Random):
+    def __init__(
+        self,
+        cfg: FleetSettings,
+        call: PeerCall,
+        rng: random.Random,
+        read: Callable[[str], Deployment],
+        store_calls: StoreCalls,
+    ):
         self.cfg = cfg
+        self._read = read
         self.directory = Directory()
         self.machine = FleetMachine(self._tell)
         self.epoch = secrets.token_hex(EPOCH_BYTES)
@@ -61,6 +74,8 @@
             LOG_SETTINGS,
             bootstrap=cfg.bootstrap,
         )
+        self.stores = Stores(store_calls, self.epoch)
+        self._deployment = Deployment()
         self._news = trio.Event()
         self._entries: dict[str, float] = {}
         self._absent_since: dict[str, float] = {}
@@ -75,6 +90,7 @@
             await nursery.start(self.node.run)
             nursery.start_soon(self._keep_members)
             nursery.start_soon(self._forget_silent)
+            nursery.start_soon(self._follow_stores, nursery)
             task_status.started()
 
     async def settle(self, command: Command) -> Result[Applied, LogError]:
@@ -150,7 +166,7 @@
 
     def _reply(self, request: WatchRequest) -> WatchReply:
         now_s = trio.current_time()
-        return make_reply(
+        reply = make_reply(
             request,
             self.epoch,
             self.directory,
@@ -159,6 +175,9 @@
             self._live_entries(now_s),
             now_s,
         )
+        if self.node.is_leader and self.stores.knows_clock:
+            reply["parts"] = self.stores.news(request["parts"], self.node.term, now_s)
+        return reply
 
     def control_addresses(self) -> list[str]:
         """Return the peers' addresses of the control VMs, as far as known."""
@@ -170,6 +189,16 @@
         self._entries = {vm: at for vm, at in self._entries.items() if at > limit_s}
         return sorted(self._entries)
 
+    async def _follow_stores(self, nursery: trio.Nursery) -> None:
+        """Follow the stores in force while this VM leads."""
+        while True:
+            state = self.machine.state
+            if state["number"] != self._deployment.number and state["document"]:
+                self._deployment = self._read(state["document"])
+            leads = self.node.is_leader
+            await self.stores.follow(self._deployment.stores if leads else (), nursery)
+            await trio.sleep(STORES_PERIOD_S)
+
     async def _forget_silent(self) -> None:
         while True:
             await trio.sleep(self.cfg.bounds.silence_s / 4)
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -10,13 +10,14 @@
 from vanillabeam import wire
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.machine import FleetState
+from vanillabeam.fleet.parts import PartView
 from vanillabeam.fleet.records import Deployment, FleetSettings
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest
 from vanillabeam.peercall import PeerCall
 
 __all__ = ["Follower", "View"]
 
-WAIT_S = 1.0
+WAIT_S = 0.5
 ANSWER_LIMIT_S = 2.5
 RETRY_S = 0.25
 #: News comes no more often than this, in one answer.
@@ -80,6 +81,7 @@
     ):
         self.view = View()
         self.directory = Directory()
+        self.parts = PartView()
         self.entries: tuple[str, ...] = (cfg.vm,)
         self._cfg = cfg
         self._call = call
@@ -132,11 +134,14 @@
         source = self._sources[address]
         source.named_s = trio.current_time()
         while not self._is_forgotten(address, source):
+            asked_s = trio.current_time()
             reply = await self._ask(address, source)
             if reply is None:
                 await trio.sleep(RETRY_S)
                 continue
             self._take(reply, source)
+            if "parts" in reply:
+                self.parts.take(reply["parts"], asked_s, trio.current_time())
             await trio.sleep(GATHER_S)
         del self._sources[address]
         logger.bind(address=address).warning("control VM no longer watched")
@@ -153,6 +158,7 @@
             version=source.version,
             index=self.view.index,
             wait_s=WAIT_S,
+            parts=self.parts.request(),
         )
         with trio.move_on_after(ANSWER_LIMIT_S):
             answer = await self._call(address, WATCH_PATH, wire.encode(request))
--- a/src/vanillabeam/fleet/records.py
+++ b/src/vanillabeam/fleet/records.py
@@ -13,6 +13,7 @@
     "RouteKind",
     "Service",
     "Share",
+    "Store",
     "Target",
     "Workspace",
 ]
@@ -76,6 +77,18 @@
     kv_tokens: int
 
 
+class Store(NamedTuple):
+    """A store of KV cache outside the targets.
+
+    :param kv_tokens: that it has room for.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    kv_tokens: int
+
+
 class Service(NamedTuple):
     """A service whose targets announce themselves.
 
@@ -122,6 +135,7 @@
     number: int = 0
     routes: tuple[Route, ...] = ()
     services: dict[str, Service] = {}
+    stores: tuple[Store, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
     limits: Limits = Limits()
 
--- /dev/null
+++ b/src/vanillabeam/fleet/stores.py
@@ -0,0 +1,116 @@
+"""Following the stores: the leader hears what each of them holds."""
+
+from typing import NamedTuple, Protocol
+
+import trio
+from loguru import logger
+
+from vanillabeam.fleet.parts import PartIndex, PartNews, PartRequest, StoreEvent
+from vanillabeam.fleet.records import Store
+
+__all__ = ["StoreCalls", "StoreList", "StoreNews", "Stores"]
+
+WAIT_S = 0.8
+RETRY_S = 0.3
+PERIOD_S = 0.3
+
+
+class StoreNews(NamedTuple):
+    """A store's answer.
+
+    :param epoch: changes when the store restarts, empty.
+    :param next_number: where to ask on.
+    :param has_gap: some events are missing.
+    """
+
+    epoch: int
+    next_number: int
+    has_gap: bool
+    events: list[StoreEvent]
+    clock_ms: float | None = None
+
+
+class StoreList(NamedTuple):
+    """All that a store holds whole."""
+
+    epoch: int
+    next_number: int
+    held: list[StoreEvent]
+
+
+class StoreCalls(Protocol):
+    """How stores are asked; ``None`` stands for no answer."""
+
+    async def news(self, store: Store, since: int, wait_s: float) -> StoreNews | None:
+        """Return events after ``since``, once there are some."""
+
+    async def held(self, store: Store) -> StoreList | None:
+        """Return all parts of the store."""
+
+
+class Stores:
+    """Keeps a :class:`PartIndex` while this VM leads.
+
+    :param calls: speaks with stores.
+    :param epoch: names this VM's index.
+    """
+
+    def __init__(self, calls: StoreCalls, epoch: str):
+        self.index = PartIndex(epoch)
+        self._calls = calls
+        self._scopes: dict[Store, trio.CancelScope] = {}
+        self._clock_ms = 0.0
+        self._clock_at_s = 0.0
+
+    @property
+    def knows_clock(self) -> bool:
+        """Whether some store has told its clock."""
+        return self._clock_ms > 0
+
+    def news(self, request: PartRequest, term: int, now_s: float) -> PartNews:
+        """Return what a reader has not heard yet."""
+        clock_ms = self._clock_ms + 1000 * (now_s - self._clock_at_s)
+        return self.index.news(request, term, clock_ms)
+
+    async def follow(self, stores: tuple[Store, ...], nursery: trio.Nursery) -> None:
+        """Follow exactly these stores from now on."""
+        for store in [store for store in self._scopes if store not in stores]:
+            self._scopes.pop(store).cancel()
+            self.index.reset(store.address, [])
+        for store in stores:
+            if store not in self._scopes:
+                self._scopes[store] = await nursery.start(self._follow, store)
+
+    async def _follow(
+        self, store: Store, *, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        with trio.CancelScope() as scope:
+            task_status.started(scope)
+            while True:
+                await self._follow_epoch(store)
+                await trio.sleep(RETRY_S)
+
+    async def _follow_epoch(self, store: Store) -> None:
+        """Follow a store until it restarts, is silent, or leaves a gap."""
+        listed = await self._calls.held(store)
+        if listed is None:
+            self.index.reset(store.address, [])
+            return
+        self.index.reset(store.address, listed.held)
+        logger.bind(store=store.name, epoch=listed.epoch, count=len(listed.held)).info(
+            "store heard"
+        )
+        since = listed.next_number
+        while True:
+            news = await self._calls.news(store, since, WAIT_S)
+            if news is None or news.has_gap or news.epoch != listed.epoch:
+                logger.bind(store=store.name, epoch=listed.epoch).warning("store lost")
+                return
+            self._note_clock(news)
+            self.index.take(store.address, news.events)
+            since = news.next_number
+
+    def _note_clock(self, news: StoreNews) -> None:
+        if news.clock_ms is not None:
+            self._clock_ms = news.clock_ms
+            self._clock_at_s = trio.current_time()
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -5,6 +5,7 @@
 
 from vanillabeam.fleet.directory import Directory, Sighting
 from vanillabeam.fleet.machine import FleetState
+from vanillabeam.fleet.parts import PartNews, PartRequest
 from vanillabeam.fleet.records import Target
 
 __all__ = ["WATCH_PATH", "Seen", "WatchReply", "WatchRequest", "make_reply"]
@@ -20,6 +21,7 @@
     :param version: of its directory.
     :param index: of the fleet state that the asking VM holds.
     :param wait_s: how long the answer may wait for news.
+    :param parts: what the asking VM has of the index of kept parts.
     """
 
     vm: str
@@ -27,6 +29,7 @@
     version: int
     index: int
     wait_s: float
+    parts: PartRequest
 
 
 class Seen(TypedDict):
@@ -45,6 +48,7 @@
     :param ended: lives that have ended.
     :param control: peers' addresses of the control VMs, as far as known.
     :param entries: entry VMs that have asked lately.
+    :param parts: news of the index of kept parts, from the leader only.
     """
 
     epoch: str
@@ -56,6 +60,7 @@
     ended: list[tuple[str, int]]
     control: list[str]
     entries: list[str]
+    parts: NotRequired[PartNews]
 
 
 def make_reply(
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -11,6 +11,7 @@
 from vanillabeam.fleet.control import FleetControl
 from vanillabeam.fleet.records import FleetSettings
 from vanillabeam.fleet.rollout import Rollout, TargetOrders
+from vanillabeam.fleet.stores import StoreCalls
 from vanillabeam.forwarding import Dialect, ForwardingApp
 from vanillabeam.forwarding.choice import Chooser
 from vanillabeam.gates import LateApp
@@ -39,6 +40,7 @@
 
     dialect: Dialect
     orders: TargetOrders
+    stores: StoreCalls
 
     def control_app(self, control: FleetControl) -> Any:
         """Return the ASGI application for targets and operators."""
@@ -103,7 +105,8 @@
             task_status.started()
 
     async def _start_control(self, nursery: trio.Nursery, call: PeerClient) -> None:
-        self.control = FleetControl(self.cfg, call, self.rng)
+        read = self.adapter.dialect.read_deployment
+        self.control = FleetControl(self.cfg, call, self.rng, read, self.adapter.stores)
         peers = Starlette(routes=peer_routes(self.control.routes()))
         await self._listen(nursery, "peers", self.cfg.peer_address, peers)
         await nursery.start(self.control.run)
--- a/src/vanillabeam/forwarding/dialect.py
+++ b/src/vanillabeam/forwarding/dialect.py
@@ -7,6 +7,7 @@
 
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet import Deployment
+from vanillabeam.fleet.parts import Held
 
 __all__ = ["Dialect", "Facts", "Handover", "Headers", "PromptPart", "Verdict"]
 
@@ -50,6 +51,10 @@
     :param left_s: time that is left for it.
     :param cache_salt: who shares cached prompts with it; empty for nobody.
     :param last_event_id: where a stream goes on, empty at its beginning.
+    :param version: weight version that it is for; ``None`` takes any.
+    :param fetches: what to take from which store, an entry for each part.
+    :param saves: address of the store to save each part in, or empty.
+    :param fetch_until_ms: on the stores' clock; a later fetch is thrown away.
     """
 
     target: str
@@ -58,6 +63,10 @@
     cache_salt: str = ""
     priority: int | None = None
     last_event_id: str = ""
+    version: int | None = None
+    fetches: tuple[Held | None, ...] = ()
+    saves: tuple[str, ...] = ()
+    fetch_until_ms: float = 0.0
 
 
 class Verdict(StrEnum):
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -17,6 +17,7 @@
     StrangeAnswer,
 )
 from vanillabeam.forwarding.pools import Pools
+from vanillabeam.forwarding.prefixes import plan_prefix
 from vanillabeam.forwarding.sending import Broken, Opened, body_of, open_answer
 from vanillabeam.forwarding.upstream import Caller
 
@@ -190,25 +191,43 @@
     def _headers_for(self, choice: Choice) -> Headers:
         order = self._order
         workspace = order.workspace
-        left_s = max(0.0, order.ends_s - trio.current_time())
+        now_s = trio.current_time()
         handover = Handover(
             target=choice.target.name,
-            left_s=left_s,
+            left_s=max(0.0, order.ends_s - now_s),
             workspace=workspace.name if workspace else "",
-            cache_salt=self._salt(choice),
             priority=self._priority() if order.facts.model else None,
             last_event_id=self._cutter.last_id,
         )
+        version = choice.target.versions.get(order.facts.model)
+        if version is not None:
+            handover = self._with_prefix(handover, version, now_s)
         return self._tools.dialect.request_headers(order.headers, handover)
 
-    def _salt(self, choice: Choice) -> str:
+    def _with_prefix(self, handover: Handover, version: int, now_s: float) -> Handover:
+        """Say what of the prompt is kept where, for one weight version only."""
+        follower = self._tools.follower
+        salt = self._salt(version)
+        plan = plan_prefix(
+            self._order.facts.parts,
+            salt,
+            follower.parts,
+            follower.view.deployment.stores,
+            now_s,
+        )
+        return handover._replace(
+            cache_salt=salt,
+            version=version,
+            fetches=plan.fetches,
+            saves=plan.saves,
+            fetch_until_ms=plan.until_ms,
+        )
+
+    def _salt(self, version: int) -> str:
         """Return what keeps cached prompts of walls and versions apart."""
-        model = self._order.facts.model
-        if not model:
-            return ""
         workspace = self._order.workspace
         wall = workspace.name if workspace and workspace.isolated else ""
-        return f"{wall}/{model}/{choice.target.versions.get(model, 0)}"
+        return f"{wall}/{self._order.facts.model}/{version}"
 
     def _priority(self) -> int:
         workspace = self._order.workspace
--- /dev/null
+++ b/src/vanillabeam/forwarding/prefixes.py
@@ -0,0 +1,68 @@
+"""Which parts of a prompt are fetched, and which are saved where."""
+
+import math
+from hashlib import blake2b
+from typing import NamedTuple
+
+from vanillabeam.fleet import Store
+from vanillabeam.fleet.parts import Held, PartView
+from vanillabeam.forwarding.dialect import PromptPart
+
+__all__ = ["PrefixPlan", "plan_prefix"]
+
+#: A fetch that has not ended by then is thrown away: reading again is quicker.
+FETCH_LIMIT_MS = 500.0
+DIGEST_BYTES = 8
+
+
+class PrefixPlan(NamedTuple):
+    """An entry for each part of the prompt.
+
+    :param fetches: where a part is kept, ``None`` where it is not fetched.
+    :param saves: store to save a part in, empty where it is not saved.
+    """
+
+    fetches: tuple[Held | None, ...] = ()
+    saves: tuple[str, ...] = ()
+    until_ms: float = 0.0
+
+
+def plan_prefix(
+    parts: tuple[PromptPart, ...],
+    salt: str,
+    view: PartView,
+    stores: tuple[Store, ...],
+    now_s: float,
+) -> PrefixPlan:
+    """Return what to fetch and what to save of a prompt.
+
+    The last part is the request's own and of use to nobody else. A part
+    behind one that is kept nowhere can't be used, so it is not fetched.
+
+    :param stores: those in service.
+    :param now_s: monotonic time in seconds.
+    """
+    shared = parts[:-1]
+    if not shared or not stores or not view.is_fresh(now_s):
+        return PrefixPlan()
+    held = [view.find(salt, part.part_id, now_s) for part in shared]
+    saves = [
+        "" if found else _store_for(salt, part.part_id, stores)
+        for found, part in zip(held, shared, strict=True)
+    ]
+    missing = next((at for at, found in enumerate(held) if not found), len(held))
+    fetches = [*held[:missing], *[None] * (len(parts) - missing)]
+    until_ms = view.clock_ms(now_s) + FETCH_LIMIT_MS
+    return PrefixPlan(tuple(fetches), (*saves, ""), until_ms)
+
+
+def _store_for(salt: str, part: str, stores: tuple[Store, ...]) -> str:
+    """Return a store by rendezvous, weighted by its room."""
+    return max(stores, key=lambda store: _weight(f"{salt}\0{part}", store)).address
+
+
+def _weight(key: str, store: Store) -> float:
+    text = f"{key}\0{store.name}".encode()
+    digest = blake2b(text, digest_size=DIGEST_BYTES).digest()
+    share = (int.from_bytes(digest, "big") + 1) / (2 ** (8 * DIGEST_BYTES) + 1)
+    return -max(1, store.kv_tokens) / math.log(share)
--- a/src/vanillabeam/platform/__main__.py
+++ b/src/vanillabeam/platform/__main__.py
@@ -14,11 +14,13 @@
 from vanillabeam.fleet.records import FleetSettings
 from vanillabeam.fleetvm import FleetVm
 from vanillabeam.lifecycle import Lifecycle
+from vanillabeam.platform.calls import WorkerCalls
 from vanillabeam.platform.control import ControlApp
 from vanillabeam.platform.headers import PlatformDialect
 from vanillabeam.platform.orders import WorkerOrders
 from vanillabeam.platform.readiness import ReadinessApp
 from vanillabeam.platform.settings import PATH_VARIABLE, read_settings
+from vanillabeam.platform.stores import PlatformStores
 
 SETTINGS_PERIOD_S = 1.0
 
@@ -28,7 +30,9 @@
 
     def __init__(self):
         self.dialect = PlatformDialect()
-        self.orders = WorkerOrders()
+        calls = WorkerCalls()
+        self.orders = WorkerOrders(calls)
+        self.stores = PlatformStores(calls)
 
     def control_app(self, control: FleetControl) -> ControlApp:
         """Return the application for workers and operators."""
--- a/src/vanillabeam/platform/documents.py
+++ b/src/vanillabeam/platform/documents.py
@@ -15,6 +15,7 @@
     RouteKind,
     Service,
     Share,
+    Store,
     Workspace,
 )
 
@@ -48,6 +49,10 @@
 
 class _Service(TypedDict):
     name: str
+    #: Only a store has these three; it stands in no route.
+    kv_store_addr: NotRequired[str]
+    zone: NotRequired[str]
+    kv_tokens: NotRequired[int]
     max_conns: NotRequired[int]
     cold_per_s: NotRequired[float]
     engine: NotRequired[_Engine]
@@ -134,7 +139,14 @@
     return Deployment(
         number=document["version"],
         routes=tuple(_route(route) for route in document["routes"]),
-        services={each["name"]: _service(each) for each in document["services"]},
+        services={
+            each["name"]: _service(each)
+            for each in document["services"]
+            if "kv_store_addr" not in each
+        },
+        stores=tuple(
+            _store(each) for each in document["services"] if "kv_store_addr" in each
+        ),
         workspaces=tuple(_workspace(each) for each in document.get("tenants", [])),
         limits=_limits(document.get("limits", {})),
     )
@@ -166,6 +178,15 @@
     )
 
 
+def _store(service: _Service) -> Store:
+    return Store(
+        name=service["name"],
+        address=service["kv_store_addr"],
+        data_centre=service.get("zone", ""),
+        kv_tokens=service.get("kv_tokens", 0),
+    )
+
+
 def _workspace(tenant: _Tenant) -> Workspace:
     return Workspace(
         name=tenant["name"],
--- a/src/vanillabeam/platform/headers.py
+++ b/src/vanillabeam/platform/headers.py
@@ -24,6 +24,10 @@
 PRIORITY = PREFIX + b"request-priority"
 LAST_EVENT_ID = b"last-event-id"
 KV_FROM = b"kv-from"
+EXPECT_VERSION = PREFIX + b"expect-version"
+KV_SOURCE = PREFIX + b"kv-source"
+KV_SINK = PREFIX + b"kv-sink"
+KV_UNTIL = PREFIX + b"kv-until"
 
 #: Headers that only the system sets, whatever a client sends.
 SYSTEM_ONLY = frozenset(
@@ -36,13 +40,13 @@
         KV_FROM,
         LAST_EVENT_ID,
         DEADLINE,
-        PREFIX + b"expect-version",
+        EXPECT_VERSION,
         PREFIX + b"pin-ms",
         PREFIX + b"hold",
         PREFIX + b"kv-backup",
-        PREFIX + b"kv-source",
-        PREFIX + b"kv-sink",
-        PREFIX + b"kv-until",
+        KV_SOURCE,
+        KV_SINK,
+        KV_UNTIL,
         PREFIX + b"kv-from",
     }
 )
@@ -93,6 +97,7 @@
         if handover.priority is not None:
             rank = min(max(0, handover.priority), LOWEST_PRIORITY)
             kept.append((PRIORITY, str(rank).encode()))
+        kept += _prefix_headers(handover)
         if handover.last_event_id:
             kept.append((LAST_EVENT_ID, handover.last_event_id.encode()))
         return kept
@@ -110,6 +115,23 @@
         return Verdict.ANSWER
 
 
+def _prefix_headers(handover: Handover) -> Headers:
+    """Return the headers that say what is kept of the prompt, and where."""
+    headers: Headers = []
+    if handover.version is not None:
+        headers.append((EXPECT_VERSION, str(handover.version).encode()))
+    if any(handover.fetches):
+        sources = [
+            f"{held.store}/{held.tokens}" if held else "-" for held in handover.fetches
+        ]
+        headers.append((KV_SOURCE, ",".join(sources).encode()))
+        headers.append((KV_UNTIL, str(int(handover.fetch_until_ms)).encode()))
+    if any(handover.saves):
+        sinks = [store or "-" for store in handover.saves]
+        headers.append((KV_SINK, ",".join(sinks).encode()))
+    return headers
+
+
 def _text(headers: dict[bytes, bytes], name: bytes) -> str:
     return headers.get(name, b"").decode("latin-1")
 
--- /dev/null
+++ b/src/vanillabeam/platform/stores.py
@@ -0,0 +1,81 @@
+"""Questions to the stores of kept KV cache."""
+
+from typing import NotRequired, TypedDict
+
+import msgspec
+
+from vanillabeam.fleet import Store
+from vanillabeam.fleet.parts import StoreEvent
+from vanillabeam.fleet.stores import StoreList, StoreNews
+from vanillabeam.platform.calls import WorkerCalls
+
+__all__ = ["PlatformStores"]
+
+#: Beyond the time that the store may hold a question back.
+ANSWER_MARGIN_S = 1.0
+
+
+class _Events(TypedDict):
+    epoch: int
+    next: int
+    lost: bool
+    #: Number, sign, salt, part, tokens stored now, model.
+    events: list[tuple[int, str, str, str, int, str]]
+    clock_ms: NotRequired[float]
+
+
+class _List(TypedDict):
+    epoch: int
+    next: int
+    #: Salt, part, tokens, model.
+    held: list[tuple[str, str, int, str]]
+
+
+class PlatformStores:
+    """Asks stores what they hold."""
+
+    def __init__(self, calls: WorkerCalls):
+        self._calls = calls
+
+    async def news(self, store: Store, since: int, wait_s: float) -> StoreNews | None:
+        """Return events after ``since``, once there are some."""
+        limit_s = wait_s + ANSWER_MARGIN_S
+        headers = [(b"Wait-Ms", str(int(wait_s * 1000)).encode())]
+        path = b"/api/kv-events?since=" + str(since).encode()
+        response = await self._calls.call(
+            "GET",
+            store.address,
+            path,
+            headers=headers,
+            limit_s=wait_s + ANSWER_MARGIN_S,
+        )
+        said = _decode(response, _Events)
+        if said is None:
+            return None
+        events = [
+            StoreEvent(salt, part, tokens if sign == "+" or tokens else 0)
+            for _, sign, salt, part, tokens, _ in said["events"]
+        ]
+        return StoreNews(
+            said["epoch"], said["next"], said["lost"], events, said.get("clock_ms")
+        )
+
+    async def held(self, store: Store) -> StoreList | None:
+        """Return all parts of the store."""
+        response = await self._calls.call("GET", store.address, b"/api/kv-list")
+        said = _decode(response, _List)
+        if said is None:
+            return None
+        held = [
+            StoreEvent(salt, part, tokens) for salt, part, tokens, _ in said["held"]
+        ]
+        return StoreList(said["epoch"], said["next"], held)
+
+
+def _decode(response, kind):
+    if response is None or response.status != 200:
+        return None
+    try:
+        return msgspec.json.decode(response.content, type=kind)
+    except msgspec.MsgspecError:
+        return None
