Send prompts where the open work of all entry VMs is least, refuse what waits

Entry VMs saw only their own requests, a prompt of a less urgent kind went before urgent ones (the workspace's rank alone was told), fetches were thrown away after 0.5 s although a request waits longer before it fetches, and silent targets got prompts until their heartbeats ran out.

Change: entry VMs tell their open work by rank with each watch and hear that of all others; a prompt goes where work ahead of it plus its own is least; one that would wait 1.5 objectives is refused with the time to come back; targets that are silent, to all or to this VM, come last; a fetch may wait as long as its request.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -78,6 +78,7 @@
         self._deployment = Deployment()
         self._news = trio.Event()
         self._entries: dict[str, float] = {}
+        self._work: dict[str, dict[str, dict[int, int]]] = {}
         self._absent_since: dict[str, float] = {}
 
     def routes(self) -> PeerRoutes:
@@ -153,6 +154,7 @@
             return decoded
         request = decoded.unwrap()
         self._entries[request["vm"]] = trio.current_time()
+        self._work[request["vm"]] = request["work"]
         with trio.move_on_after(min(request["wait_s"], MOST_WAIT_S)):
             while not self._has_news(request):
                 await self._news.wait()
@@ -173,6 +175,7 @@
             self.machine.state,
             self.control_addresses(),
             self._live_entries(now_s),
+            self._work_but_of(request["vm"]),
             now_s,
         )
         if self.node.is_leader and self.stores.knows_clock:
@@ -184,9 +187,21 @@
         members = {member["address"] for member in self.node.status()["members"]}
         return sorted(members | {self.cfg.peer_address})
 
+    def _work_but_of(self, vm: str) -> dict[str, dict[int, int]]:
+        total: dict[str, dict[int, int]] = {}
+        for other, work in self._work.items():
+            if other == vm:
+                continue
+            for target, by_rank in work.items():
+                sums = total.setdefault(target, {})
+                for rank, tokens in by_rank.items():
+                    sums[rank] = sums.get(rank, 0) + tokens
+        return total
+
     def _live_entries(self, now_s: float) -> list[str]:
         limit_s = now_s - ENTRY_SILENCE_S
         self._entries = {vm: at for vm, at in self._entries.items() if at > limit_s}
+        self._work = {vm: self._work[vm] for vm in self._entries}
         return sorted(self._entries)
 
     async def _follow_stores(self, nursery: trio.Nursery) -> None:
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -17,7 +17,11 @@
 
 __all__ = ["Follower", "View"]
 
-WAIT_S = 0.5
+#: How long an answer may wait for news: short, as it also carries the work
+#: of others, and longer where so many ask that a control VM would be busy.
+FEWEST_WAIT_S = 0.2
+ASKS_S = 150.0
+MOST_WAIT_S = 0.6
 ANSWER_LIMIT_S = 2.5
 RETRY_S = 0.25
 #: News comes no more often than this, in one answer.
@@ -31,6 +35,10 @@
 BLIND_S = 2.0
 
 
+#: Tokens of open work by target and rank.
+Work = dict[str, dict[int, int]]
+
+
 class View(NamedTuple):
     """The settled state as this VM has it in force.
 
@@ -64,6 +72,8 @@
 class Follower:
     """Keeps the newest state and the directory of targets of one entry VM.
 
+    :ivar own_work: returns the open work of this VM by target and rank.
+    :ivar on_work: takes the same of all other entry VMs.
     :param call: reaches the control VMs.
     :param read: turns an operator's document into a deployment.
 
@@ -83,6 +93,8 @@
         self.directory = Directory()
         self.parts = PartView()
         self.entries: tuple[str, ...] = (cfg.vm,)
+        self.own_work: Callable[[], Work] = dict
+        self.on_work: Callable[[Work], None] = _ignore
         self._cfg = cfg
         self._call = call
         self._read = read
@@ -140,6 +152,7 @@
                 await trio.sleep(RETRY_S)
                 continue
             self._take(reply, source)
+            self.on_work(reply["work"])
             if "parts" in reply:
                 self.parts.take(reply["parts"], asked_s, trio.current_time())
             await trio.sleep(GATHER_S)
@@ -157,8 +170,9 @@
             epoch=source.epoch,
             version=source.version,
             index=self.view.index,
-            wait_s=WAIT_S,
+            wait_s=self._wait_s(),
             parts=self.parts.request(),
+            work=self.own_work(),
         )
         with trio.move_on_after(ANSWER_LIMIT_S):
             answer = await self._call(address, WATCH_PATH, wire.encode(request))
@@ -167,6 +181,10 @@
             return wire.decode(WatchReply, answer.unwrap()).value_or(None)
         return None
 
+    def _wait_s(self) -> float:
+        fair_s = len(self.entries) / ASKS_S
+        return min(max(FEWEST_WAIT_S, fair_s), MOST_WAIT_S)
+
     def _take(self, reply: WatchReply, source: _Source) -> None:
         now_s = trio.current_time()
         if source.epoch != reply["epoch"]:
@@ -243,3 +261,7 @@
         for life in self.directory.silent_since(limit_s):
             logger.bind(target=life[0], born_ms=life[1]).warning("target silent")
             self.directory.forget(life[0])
+
+
+def _ignore(work: Work) -> None:
+    """Take others' work where nothing is sent."""
--- a/src/vanillabeam/fleet/records.py
+++ b/src/vanillabeam/fleet/records.py
@@ -171,6 +171,7 @@
 class Bounds(NamedTuple):
     """Limits that the operators of a fleet set.
 
+    :param heartbeat_s: time between two announcements of a target.
     :param silence_s: a target that nobody has heard for so long is lost.
     :param retry_ratio: most repeats of a service's requests, as a share.
     :param retry_window_s: time over which repeats are counted.
@@ -182,6 +183,7 @@
     :param grace_s: time from SIGTERM to SIGKILL.
     """
 
+    heartbeat_s: float = 1.2
     silence_s: float = 4.0
     retry_ratio: float = 0.1
     retry_window_s: float = 10.0
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -22,6 +22,7 @@
     :param index: of the fleet state that the asking VM holds.
     :param wait_s: how long the answer may wait for news.
     :param parts: what the asking VM has of the index of kept parts.
+    :param work: tokens of open work that it has, by target and rank.
     """
 
     vm: str
@@ -30,6 +31,7 @@
     index: int
     wait_s: float
     parts: PartRequest
+    work: dict[str, dict[int, int]]
 
 
 class Seen(TypedDict):
@@ -49,6 +51,7 @@
     :param control: peers' addresses of the control VMs, as far as known.
     :param entries: entry VMs that have asked lately.
     :param parts: news of the index of kept parts, from the leader only.
+    :param work: the open work of all other entry VMs.
     """
 
     epoch: str
@@ -61,6 +64,7 @@
     control: list[str]
     entries: list[str]
     parts: NotRequired[PartNews]
+    work: dict[str, dict[int, int]]
 
 
 def make_reply(
@@ -70,6 +74,7 @@
     state: FleetState,
     control: Sequence[str],
     entries: Sequence[str],
+    work: dict[str, dict[int, int]],
     now_s: float,
 ) -> WatchReply:
     """Return what ``request`` has not heard yet.
@@ -90,6 +95,7 @@
         ended=directory.ended_after(since),
         control=list(control),
         entries=list(entries),
+        work=work,
     )
     if state["index"] > request["index"]:
         reply["state"] = state
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from functools import partial
 
 import trio
 from loguru import logger
@@ -43,6 +44,8 @@
         rng: random.Random,
     ):
         self._tools = Tools(dialect, follower, chooser, Pools())
+        follower.own_work = chooser.load.own
+        follower.on_work = partial(setattr, chooser.load, "others")
         self._lifecycle = lifecycle
         self._rng = rng
         self._table = RouteTable(Deployment())
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -1,17 +1,20 @@
 """Which target a request goes to: a core without input or output."""
 
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from vanillabeam.fleet import Bounds, Deployment, Directory, Route, Target, View
 from vanillabeam.forwarding.bounds import ColdWindow, RetryBudget, rendezvous
 from vanillabeam.forwarding.dialect import Facts
+from vanillabeam.forwarding.load import Load
 
-__all__ = ["Choice", "Chooser"]
+__all__ = ["Choice", "Chooser", "PromptCosts", "prompt_costs"]
 
-#: Times the mean number of open requests that a preferred target may have.
-LOAD_FACTOR = 1.5
-LOAD_SPARE = 2
+#: What fetching a kept part costs of reading it.
+FETCH_SHARE = 0.1
+#: A target that is not heard for so many heartbeats is used last.
+DOUBTFUL_HEARTBEATS = 1.9
 #: A target that failed is passed over for so long, doubled each time.
 REST_S = 0.5
 MOST_REST_S = 8.0
@@ -26,12 +29,16 @@
 
     :param candidates: targets that could have taken the request.
     :param is_cold: whether the target is in its cold window.
+    :param work: tokens that the request brings to the target.
+    :param wait_s: expected time to its first event; 0 if that is unknown.
     """
 
     target: Target
     candidates: int
     is_cold: bool
     age_s: float
+    work: int = 0
+    wait_s: float = 0.0
 
 
 class _Health(NamedTuple):
@@ -54,7 +61,7 @@
         self._directory = directory
         self._bounds = bounds
         self._rng = rng
-        self._open: dict[tuple[str, int], int] = {}
+        self.load = Load()
         self._health: dict[tuple[str, int], _Health] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._cold = ColdWindow(bounds)
@@ -82,14 +89,16 @@
         entries: tuple[str, ...],
         tried: set[str],
         now_s: float,
+        costs: "PromptCosts | None" = None,
     ) -> Choice | None:
         """Return the best target, or ``None`` if none may take the request.
 
         :param tried: names of targets that had the request already.
+        :param costs: of a prompt; a plain call has none.
         """
         usable = self._usable(service, facts, view, tried, now_s)
         rate = _cold_rate(view.deployment, service)
-        ordered = self._ordered(usable, facts)
+        ordered = self._ordered(usable, facts, costs)
         for target in ordered:
             sighting = self._directory.sightings[target.name]
             is_cold = rate > 0 and sighting.cold_until_s > now_s
@@ -100,23 +109,18 @@
             if is_cold:
                 self._cold.sent(target.name, rate, entries, now_s)
             age_s = round(now_s - sighting.heard_s, 3)
-            return Choice(target, len(usable), is_cold, age_s)
+            work = _work_at(target, usable, costs)
+            rank = costs.rank if costs else 0
+            ahead = self.load.ahead(target.name, rank) + work
+            wait_s = self.load.wait_s(service, ahead)
+            return Choice(target, len(usable), is_cold, age_s, work, wait_s)
         return None
 
-    def began(self, target: Target) -> None:
-        """Count a request that is on its way to a target."""
-        self._open[target.life] = self._open.get(target.life, 0) + 1
-
     def ended(self, target: Target, failed: bool, now_s: float) -> None:
-        """Count its end.
+        """Count the end of a request at a target.
 
         :param failed: whether the target gave no sound answer.
         """
-        left = self._open.get(target.life, 0) - 1
-        if left > 0:
-            self._open[target.life] = left
-        else:
-            self._open.pop(target.life, None)
         if not failed:
             self._health.pop(target.life, None)
             return
@@ -143,7 +147,8 @@
         ]
         found = self._on_new_weights(found, facts.model, view, now_s)
         rested = [each for each in found if self._is_rested(each, now_s)]
-        return rested or found
+        sound = [each for each in rested if not self._is_doubtful(each, now_s)]
+        return sound or rested or found
 
     def _on_new_weights(
         self, found: list[Target], model: str, view: View, now_s: float
@@ -159,29 +164,78 @@
             return current
         return found
 
+    def _is_doubtful(self, target: Target, now_s: float) -> bool:
+        """Return whether the target is silent, to everybody or to this VM."""
+        heard_s = self._directory.sightings[target.name].heard_s
+        if now_s - heard_s > DOUBTFUL_HEARTBEATS * self._bounds.heartbeat_s:
+            return True
+        return self.load.is_doubtful(target.name, target.service, now_s)
+
     def _is_rested(self, target: Target, now_s: float) -> bool:
         health = self._health.get(target.life)
         return health is None or now_s >= health.rests_until_s
 
-    def _ordered(self, usable: list[Target], facts: Facts) -> list[Target]:
+    def _ordered(
+        self, usable: list[Target], facts: Facts, costs: "PromptCosts | None"
+    ) -> list[Target]:
         """Return the targets, the best first."""
         by_name = {target.name: target for target in usable}
         names = sorted(by_name)
-        if not facts.parts:
+        if costs is None:
             self._rng.shuffle(names)
-            names.sort(key=lambda name: self._open.get(by_name[name].life, 0))
+            names.sort(key=self.load.open_requests)
             return [by_name[name] for name in names]
-        preferred = rendezvous(_affinity(facts), names)
-        open_requests = [self._open.get(each.life, 0) for each in usable]
-        limit = LOAD_FACTOR * sum(open_requests) / max(1, len(usable)) + LOAD_SPARE
-        preferred.sort(key=lambda name: self._open.get(by_name[name].life, 0) > limit)
+        preferred = rendezvous(costs.affinity, names)
+        expected = {
+            name: self.load.ahead(name, costs.rank)
+            + (costs.at_favourite if name == preferred[0] else costs.elsewhere)
+            for name in names
+        }
+        preferred.sort(key=expected.__getitem__)
         return [by_name[name] for name in preferred]
 
 
-def _affinity(facts: Facts) -> str:
-    """Return what keeps requests together that share most of a prompt."""
-    shared = facts.parts[:-1] or facts.parts
-    return shared[-1].part_id
+class PromptCosts(NamedTuple):
+    """What a prompt costs, in tokens to read.
+
+    :param affinity: what keeps prompts together that share most.
+    :param at_favourite: at the target that has had the prompts before it.
+    :param elsewhere: at any other.
+    :param rank: 0 is the most urgent.
+    """
+
+    affinity: str
+    at_favourite: int
+    elsewhere: int
+    rank: int = 0
+
+
+def prompt_costs(
+    facts: Facts, is_kept: Callable[[str], bool], rank: int
+) -> PromptCosts | None:
+    """Return the costs of a prompt, ``None`` for a plain call.
+
+    :param is_kept: says whether a store keeps a part.
+    """
+    if not facts.parts:
+        return None
+    own = facts.parts[-1].tokens
+    shared = facts.parts[:-1]
+    fetched = 0.0
+    for at, part in enumerate(shared):
+        if not is_kept(part.part_id):
+            fetched += sum(each.tokens for each in shared[at:])
+            break
+        fetched += FETCH_SHARE * part.tokens
+    affinity = (shared or facts.parts)[-1].part_id
+    return PromptCosts(affinity, own, own + int(fetched), rank)
+
+
+def _work_at(target: Target, usable: list[Target], costs: PromptCosts | None) -> int:
+    if costs is None:
+        return 0
+    favourite = rendezvous(costs.affinity, [each.name for each in usable])[0]
+    return costs.at_favourite if target.name == favourite else costs.elsewhere
 
 
 def _cold_rate(deployment: Deployment, service: str) -> float:
--- a/src/vanillabeam/forwarding/exceptions.py
+++ b/src/vanillabeam/forwarding/exceptions.py
@@ -14,8 +14,13 @@
     "RouteUnknown",
     "StateUnknown",
     "StrangeAnswer",
+    "TooLate",
 ]
 
+#: Bounds on what a refused caller is told to wait.
+FEWEST_WAIT_S = 0.2
+MOST_WAIT_S = 2.0
+
 
 class ForwardingError(VanillabeamError):
     """Base of the failures of forwarded requests."""
@@ -59,6 +64,19 @@
     type = "not-sent"
 
 
+class TooLate(NoTarget):
+    """The request would wait far longer than its objective.
+
+    :param wait_s: how much longer, in seconds; the time to come back after.
+    """
+
+    type = "too-late"
+
+    def __init__(self, detail: str = "", wait_s: float = FEWEST_WAIT_S):
+        super().__init__(detail)
+        self.retry_after_s = min(max(FEWEST_WAIT_S, wait_s), MOST_WAIT_S)
+
+
 class AnswerLate(ForwardingError):
     """The route's time has passed without a whole answer."""
 
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -7,7 +7,12 @@
 
 from vanillabeam.exceptions import Run, VanillabeamError
 from vanillabeam.fleet import Follower, Route, RouteKind, Workspace
-from vanillabeam.forwarding.choice import Choice, Chooser
+from vanillabeam.forwarding.choice import (
+    Choice,
+    Chooser,
+    PromptCosts,
+    prompt_costs,
+)
 from vanillabeam.forwarding.dialect import Dialect, Facts, Handover, Headers, Verdict
 from vanillabeam.forwarding.events import EventCutter
 from vanillabeam.forwarding.exceptions import (
@@ -15,7 +20,9 @@
     AnswerLate,
     NoTarget,
     StrangeAnswer,
+    TooLate,
 )
+from vanillabeam.forwarding.load import Ticket
 from vanillabeam.forwarding.pools import Pools
 from vanillabeam.forwarding.prefixes import plan_prefix
 from vanillabeam.forwarding.sending import Broken, Opened, body_of, open_answer
@@ -26,6 +33,11 @@
 SERVER_ERROR = 500
 #: Connections that could not be had, before a request is refused.
 MOST_UNSENT = 3
+#: Ranks of routes within one rank of workspaces.
+RANKS_A_WORKSPACE = 3
+#: Objectives that a prompt may be expected to wait for its first event. What
+#: would wait longer is worth little, and what comes behind it would be late.
+MOST_OBJECTIVES = 1.5
 
 
 class Order(NamedTuple):
@@ -85,6 +97,8 @@
         self._tried: set[str] = set()
         self._sent = 0
         self._unsent = 0
+        self._wait_s: float | None = None
+        self._ticket: Ticket | None = None
         self.may_have_run = False
 
     async def run(self) -> VanillabeamError | None:
@@ -114,8 +128,9 @@
             tools.follower.entries,
             self._tried,
             trio.current_time(),
+            self._costs(),
         )
-        if choice is None:
+        if choice is None or self._is_too_late(choice):
             return None
         logger.bind(
             request_id=order.facts.request_id,
@@ -129,6 +144,26 @@
         ).debug("target chosen")
         return choice
 
+    def _is_too_late(self, choice: Choice) -> bool:
+        """Return whether the wait is not worth the target's time."""
+        objective_s = self._order.route.objective_s
+        if not objective_s or self._order.facts.last_event_id:
+            return False
+        late = choice.wait_s > MOST_OBJECTIVES * objective_s
+        if late:
+            self._wait_s = choice.wait_s - objective_s
+        return late
+
+    def _costs(self) -> PromptCosts | None:
+        follower, now_s = self._tools.follower, trio.current_time()
+        model = self._order.facts.model
+        salt = self._salt(follower.view.weights.get(model, 1))
+
+        def is_kept(part_id: str) -> bool:
+            return follower.parts.find(salt, part_id, now_s) is not None
+
+        return prompt_costs(self._order.facts, is_kept, self._rank())
+
     def _may_go_on(self, last: Outcome) -> bool:
         """Return whether the request may go to one more target."""
         route = self._order.route
@@ -150,6 +185,8 @@
         if isinstance(last, Whole):
             await self._caller.answer_whole(last.status, last.headers, last.body)
             return None
+        if last is None and self._wait_s is not None:
+            return TooLate(f"{self._wait_s:.2f} s beyond the objective", self._wait_s)
         if last is None:
             return NoTarget(f"{self._service} has none")
         if self.may_have_run and last.exc.run is Run.NOT_RUN:
@@ -159,7 +196,9 @@
     async def _attempt(self, choice: Choice) -> Outcome:
         target, chooser = choice.target, self._tools.chooser
         self._tried.add(target.name)
-        chooser.began(target)
+        load, now_s = chooser.load, trio.current_time()
+        ticket = load.began(target.name, self._rank(), choice.work, now_s)
+        self._ticket = ticket
         outcome: Outcome | None = None
         try:
             outcome = await self._exchange(choice)
@@ -167,6 +206,7 @@
         finally:
             # A request that was cancelled says nothing of its target.
             failed = isinstance(outcome, Broken)
+            load.ended(ticket)
             chooser.ended(target, failed, trio.current_time())
 
     async def _exchange(self, choice: Choice) -> Outcome:
@@ -182,6 +222,9 @@
                 self._sent += 1
             return self._noted(opened, choice)
         self._sent += 1
+        self._tools.chooser.load.answered(
+            self._ticket, self._service, trio.current_time()
+        )
         try:
             return self._noted(await self._take(opened, choice, was_run), choice)
         finally:
@@ -196,7 +239,7 @@
             target=choice.target.name,
             left_s=max(0.0, order.ends_s - now_s),
             workspace=workspace.name if workspace else "",
-            priority=self._priority() if order.facts.model else None,
+            priority=self._rank() if order.facts.model else None,
             last_event_id=self._cutter.last_id,
         )
         version = choice.target.versions.get(order.facts.model)
@@ -214,6 +257,7 @@
             follower.parts,
             follower.view.deployment.stores,
             now_s,
+            handover.left_s,
         )
         return handover._replace(
             cache_salt=salt,
@@ -229,11 +273,12 @@
         wall = workspace.name if workspace and workspace.isolated else ""
         return f"{wall}/{self._order.facts.model}/{version}"
 
-    def _priority(self) -> int:
-        workspace = self._order.workspace
-        if workspace is not None and workspace.priority is not None:
-            return workspace.priority
-        return self._order.route.priority
+    def _rank(self) -> int:
+        """Return how urgent the request is; its workspace goes first."""
+        workspace, rank = self._order.workspace, self._order.route.priority
+        if workspace is None or workspace.priority is None:
+            return rank
+        return RANKS_A_WORKSPACE * workspace.priority + rank
 
     def _connections(self) -> int:
         follower = self._tools.follower
@@ -274,6 +319,7 @@
             if isinstance(part, Broken):
                 self._cutter.drop_torn()
                 return part
+            self._tools.chooser.load.heard(choice.target.name, trio.current_time())
             data = self._cutter.feed(part) if resumable else part
             if data:
                 await self._caller.begin(opened.status, opened.headers, resumable)
--- /dev/null
+++ b/src/vanillabeam/forwarding/load.py
@@ -0,0 +1,138 @@
+"""What is open at each target, and how quickly it is worked off."""
+
+from typing import NamedTuple
+
+__all__ = ["Load", "Ticket", "WorkByRank"]
+
+#: Work that a stream is worth once its prompt is read, in tokens to read.
+RUNNING_TOKENS = 150
+#: Waits for less work than this say nothing of the speed.
+FEWEST_TOKENS = 4_000
+#: Weight of one wait in the learned speed.
+LEARNED_SHARE = 0.05
+#: Silence beyond the expected wait after which a target is doubtful.
+PATIENCE_S = 0.7
+PATIENCE_FACTOR = 3.0
+
+#: Tokens of open work by rank; 0 is the most urgent.
+WorkByRank = dict[int, int]
+
+
+class Ticket(NamedTuple):
+    """A request that is open at a target.
+
+    :param number: unique in this process.
+    :param tokens: that it brought.
+    :param ahead: tokens that go before its first event, its own included.
+    """
+
+    number: int
+    target: str
+    rank: int
+    tokens: int
+    ahead: int
+    began_s: float
+
+
+class Load:
+    """Open work of this entry VM and, by hearsay, of the others.
+
+    >>> load = Load()
+    >>> ticket = load.began("t-1", rank=2, tokens=900, now_s=1.0)
+    >>> load.ahead("t-1", rank=2)
+    900
+    >>> load.answered(ticket, now_s=1.1)
+    >>> load.ended(ticket)
+    """
+
+    def __init__(self):
+        self.others: dict[str, WorkByRank] = {}
+        self._own: dict[str, WorkByRank] = {}
+        self._open: dict[str, dict[int, Ticket]] = {}
+        self._unanswered: dict[str, dict[int, Ticket]] = {}
+        self._sign_s: dict[str, float] = {}
+        self._rates: dict[str, float] = {}
+        self._next = 0
+
+    def own(self) -> dict[str, WorkByRank]:
+        """Return this VM's open work by target and rank."""
+        return {name: dict(work) for name, work in self._own.items() if work}
+
+    def open_requests(self, target: str) -> int:
+        """Return how many requests of this VM are open at a target."""
+        return len(self._open.get(target, ()))
+
+    def ahead(self, target: str, rank: int) -> int:
+        """Return the tokens that a target works off before ``rank``."""
+        return sum(
+            tokens
+            for work in (self._own.get(target), self.others.get(target))
+            if work
+            for other, tokens in work.items()
+            if other <= rank
+        )
+
+    def wait_s(self, service: str, tokens: int) -> float:
+        """Return how long a service's target takes for so many tokens.
+
+        :returns: 0 while the speed is not known.
+        """
+        rate = self._rates.get(service)
+        return tokens / rate if rate else 0.0
+
+    def began(self, target: str, rank: int, tokens: int, now_s: float) -> Ticket:
+        """Count a request that is on its way to a target."""
+        self._next += 1
+        ahead = self.ahead(target, rank) + tokens
+        ticket = Ticket(self._next, target, rank, tokens, ahead, now_s)
+        self._open.setdefault(target, {})[ticket.number] = ticket
+        self._unanswered.setdefault(target, {})[ticket.number] = ticket
+        self._add(target, rank, tokens)
+        return ticket
+
+    def answered(self, ticket: Ticket, service: str, now_s: float) -> None:
+        """Count the head of its answer: its prompt is read."""
+        if self._unanswered.get(ticket.target, {}).pop(ticket.number, None) is None:
+            return
+        self._sign_s[ticket.target] = now_s
+        self._add(ticket.target, ticket.rank, -ticket.tokens)
+        self._add(ticket.target, 0, min(RUNNING_TOKENS, ticket.tokens))
+        self._learn(service, ticket, now_s)
+
+    def heard(self, target: str, now_s: float) -> None:
+        """Count a sign of life of a target."""
+        self._sign_s[target] = now_s
+
+    def ended(self, ticket: Ticket) -> None:
+        """Count a request's end, answered or not."""
+        self._open.get(ticket.target, {}).pop(ticket.number, None)
+        waited = self._unanswered.get(ticket.target, {}).pop(ticket.number, None)
+        if waited is not None:
+            self._add(ticket.target, ticket.rank, -ticket.tokens)
+        else:
+            self._add(ticket.target, 0, -min(RUNNING_TOKENS, ticket.tokens))
+
+    def is_doubtful(self, target: str, service: str, now_s: float) -> bool:
+        """Return whether a target is silent for longer than its work explains."""
+        unanswered = self._unanswered.get(target)
+        if not unanswered:
+            return False
+        first = next(iter(unanswered.values()))
+        expected_s = PATIENCE_FACTOR * self.wait_s(service, first.ahead)
+        limit_s = max(PATIENCE_S, expected_s)
+        since_s = max(first.began_s, self._sign_s.get(target, 0.0))
+        return now_s - since_s > limit_s
+
+    def _learn(self, service: str, ticket: Ticket, now_s: float) -> None:
+        waited_s = now_s - ticket.began_s
+        if ticket.ahead < FEWEST_TOKENS or waited_s <= 0:
+            return
+        rate = ticket.ahead / waited_s
+        known = self._rates.get(service, rate)
+        self._rates[service] = known + LEARNED_SHARE * (rate - known)
+
+    def _add(self, target: str, rank: int, tokens: int) -> None:
+        work = self._own.setdefault(target, {})
+        work[rank] = work.get(rank, 0) + tokens
+        if work[rank] <= 0:
+            del work[rank]
--- a/src/vanillabeam/forwarding/prefixes.py
+++ b/src/vanillabeam/forwarding/prefixes.py
@@ -10,8 +10,6 @@
 
 __all__ = ["PrefixPlan", "plan_prefix"]
 
-#: A fetch that has not ended by then is thrown away: reading again is quicker.
-FETCH_LIMIT_MS = 500.0
 DIGEST_BYTES = 8
 
 
@@ -33,6 +31,7 @@
     view: PartView,
     stores: tuple[Store, ...],
     now_s: float,
+    left_s: float,
 ) -> PrefixPlan:
     """Return what to fetch and what to save of a prompt.
 
@@ -41,6 +40,8 @@
 
     :param stores: those in service.
     :param now_s: monotonic time in seconds.
+    :param left_s: time that the request has; it may wait at its target for
+        most of that before it fetches anything.
     """
     shared = parts[:-1]
     if not shared or not stores or not view.is_fresh(now_s):
@@ -52,7 +53,7 @@
     ]
     missing = next((at for at, found in enumerate(held) if not found), len(held))
     fetches = [*held[:missing], *[None] * (len(parts) - missing)]
-    until_ms = view.clock_ms(now_s) + FETCH_LIMIT_MS
+    until_ms = view.clock_ms(now_s) + 1000 * left_s
     return PrefixPlan(tuple(fetches), (*saves, ""), until_ms)
 
 
--- a/src/vanillabeam/platform/settings.py
+++ b/src/vanillabeam/platform/settings.py
@@ -38,8 +38,10 @@
 def _bounds(fields: dict[str, Any]) -> Bounds:
     given = fields.get("bounds") or {}
     usual = Bounds()
+    heartbeat_s = fields.get("heartbeat_ms", usual.heartbeat_s * 1000) / 1000
     return Bounds(
-        silence_s=MISSED_HEARTBEATS * fields.get("heartbeat_ms", 1000) / 1000,
+        heartbeat_s=heartbeat_s,
+        silence_s=MISSED_HEARTBEATS * heartbeat_s,
         retry_ratio=given.get("retry_budget_ratio", usual.retry_ratio),
         retry_window_s=given.get("budget_window_s", usual.retry_window_s),
         retry_floor=given.get("budget_min_retries", usual.retry_floor),
--- a/src/vanillabeam/platform/stores.py
+++ b/src/vanillabeam/platform/stores.py
@@ -47,7 +47,7 @@
             store.address,
             path,
             headers=headers,
-            limit_s=wait_s + ANSWER_MARGIN_S,
+            limit_s=limit_s,
         )
         said = _decode(response, _Events)
         if said is None:
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -1,20 +1,23 @@
 from tests.fleet.builders import make_target, make_view
 from tests.forwarding.builders import make_chooser, make_facts, make_prompt
+from vanillabeam.forwarding.choice import prompt_costs
 
 ENTRIES = ("vm-1",)
 
 
-def choose(chooser, facts=None, view=None, tried=(), now_s=1.0):
+def choose(chooser, facts=None, view=None, tried=(), now_s=1.0, others=None):
     facts = facts or make_facts()
     view = view or make_view()
-    choice = chooser.choose("llm", facts, view, ENTRIES, set(tried), now_s)
+    chooser.load.others = others or {}
+    costs = prompt_costs(facts, lambda part: False, rank=1)
+    choice = chooser.choose("llm", facts, view, ENTRIES, set(tried), now_s, costs)
     return None if choice is None else choice.target.name
 
 
 def test_the_target_with_fewest_open_requests_gets_a_plain_call():
     one, other = make_target("t-1"), make_target("t-2")
     chooser = make_chooser(one, other)
-    chooser.began(one)
+    chooser.load.began("t-1", 0, 0, 1.0)
     assert choose(chooser) == "t-2"
 
 
@@ -33,9 +36,35 @@
     chooser = make_chooser(*targets)
     first = choose(chooser, make_prompt())
     favourite = next(each for each in targets if each.name == first)
-    for _ in range(12):
-        chooser.began(favourite)
+    chooser.load.began(favourite.name, 1, 50, 1.0)
+    assert choose(chooser, make_prompt()) == first
+    ticket = chooser.load.began(favourite.name, 1, 60, 1.0)
     assert choose(chooser, make_prompt()) != first
+    chooser.load.ended(ticket)
+    assert choose(chooser, make_prompt()) == first
+
+
+def test_the_work_of_other_entries_counts_as_well():
+    targets = [make_target(f"t-{i}", versions={"m": 1}) for i in range(3)]
+    chooser = make_chooser(*targets)
+    first = choose(chooser, make_prompt())
+    assert choose(chooser, make_prompt(), others={first: {1: 1_000}}) != first
+    assert choose(chooser, make_prompt(), others={first: {2: 1_000}}) == first
+
+
+def test_a_part_that_a_store_keeps_makes_other_targets_cheap():
+    facts = make_prompt()
+    costs = prompt_costs(facts, lambda part: True, 0)
+    assert (costs.at_favourite, costs.elsewhere) == (5, 15)
+    costs = prompt_costs(facts, lambda part: part == "sys", 0)
+    assert (costs.at_favourite, costs.elsewhere) == (5, 96)
+
+
+def test_a_target_that_missed_announcements_is_used_last():
+    chooser = make_chooser(make_target("t-1"), now_s=0.0)
+    chooser._directory.heard(make_target("t-2"), 2.0)
+    assert {choose(chooser, now_s=2.5) for _ in range(9)} == {"t-2"}
+    assert choose(chooser, tried=["t-2"], now_s=2.5) == "t-1"
 
 
 def test_no_new_work_for_targets_that_drain_or_whose_place_is_out_of_service():
@@ -54,7 +83,6 @@
 def test_a_target_that_failed_rests_unless_it_is_the_only_one():
     one, other = make_target("t-1"), make_target("t-2")
     chooser = make_chooser(one, other)
-    chooser.began(one)
     chooser.ended(one, failed=True, now_s=1.0)
     assert {choose(chooser, now_s=1.2) for _ in range(9)} == {"t-2"}
     assert choose(chooser, tried=["t-2"], now_s=1.2) == "t-1"
