Let the leader hear of every target, and pause targets before new weights

A heartbeat reaches one control VM only, so the leader knew a quarter of the targets. A second version that was named also gave the first one new time at the entry VMs. And tests/platform test_what_was_accepted_outlives_a_control_vm hung once: the log took commands with two voters, one of which was then stopped.

Ruled out: heartbeats passed on between control VMs (a message of each to each other, where watching already brings the same).

Change: control VMs watch each other; versions keep the time at which each was named; the leader pauses a target before its order; what it sees of a target's weights is told before the target does; the fleet's log takes commands only once all founding VMs vote (`opens_whole`), with tests that fail without it.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -12,6 +12,7 @@
 from vanillabeam import wire
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet.directory import Directory
+from vanillabeam.fleet.follower import Follower
 from vanillabeam.fleet.machine import Command, FleetMachine, FleetState
 from vanillabeam.fleet.records import Deployment, FleetSettings, Target
 from vanillabeam.fleet.stores import StoreCalls, Stores
@@ -24,7 +25,11 @@
 
 FLEET_GROUP = "fleet"
 LOG_SETTINGS = LogSettings(
-    heartbeat_s=0.2, election_s=0.7, propose_timeout_s=3.0, admits_all=True
+    heartbeat_s=0.2,
+    election_s=0.7,
+    propose_timeout_s=3.0,
+    admits_all=True,
+    opens_whole=True,
 )
 EPOCH_BYTES = 6
 MOST_WAIT_S = 2.0
@@ -34,6 +39,8 @@
 ABSENT_S = 8.0
 #: Entry VMs that have not asked for so long no longer count.
 ENTRY_SILENCE_S = 5.0
+#: Age of what was settled before this process began.
+LONG_S = 1e6
 
 
 class FleetControl:
@@ -60,7 +67,8 @@
         self.cfg = cfg
         self._read = read
         self.directory = Directory()
-        self.machine = FleetMachine(self._tell)
+        self.machine = FleetMachine(self._settled)
+        self._runs = False
         self.epoch = secrets.token_hex(EPOCH_BYTES)
         self.node = LogNode(
             FLEET_GROUP,
@@ -76,6 +84,11 @@
         )
         self.stores = Stores(store_calls, self.epoch)
         self._deployment = Deployment()
+        self.follower = Follower(cfg, call, read)
+        #: Targets that are about to load weights.
+        self.paused: set[str] = set()
+        self._seen: dict[tuple[str, int], tuple[str, int]] = {}
+        self._named_s: dict[str, dict[int, float]] = {}
         self._news = trio.Event()
         self._entries: dict[str, float] = {}
         self._work: dict[str, dict[str, dict[int, int]]] = {}
@@ -92,6 +105,8 @@
             nursery.start_soon(self._keep_members)
             nursery.start_soon(self._forget_silent)
             nursery.start_soon(self._follow_stores, nursery)
+            nursery.start_soon(self.follower.run)
+            self._runs = True
             task_status.started()
 
     async def settle(self, command: Command) -> Result[Applied, LogError]:
@@ -135,14 +150,29 @@
         logger.bind(target=name, born_ms=born_ms).info("target left")
         self._tell()
 
+    def pause(self, target: str) -> None:
+        """Let entry VMs keep new work away from a target."""
+        self.paused.add(target)
+        self._tell()
+
     def weights_seen(self, target: Target, model: str, version: int) -> None:
         """Note a target's weights before it announces them itself."""
-        held = self.directory.sightings.get(target.name)
-        if held is None or held.target.life != target.life:
-            return
-        versions = held.target.versions | {model: version}
-        if self.directory.corrected(held.target._replace(versions=versions)):
-            self._tell()
+        self._seen[target.life] = (model, version)
+        self.follower.directory.saw_weights(target.life, model, version)
+        self._tell()
+
+    def _settled(self) -> None:
+        """Note when weights were named; what the disk held is long since."""
+        at_s = trio.current_time() if self._runs else float("-inf")
+        for model, version in self.machine.state["weights"].items():
+            self._named_s.setdefault(model, {}).setdefault(version, at_s)
+        self._tell()
+
+    def _named(self, now_s: float) -> dict[str, list[tuple[int, float]]]:
+        return {
+            model: [(version, min(now_s - at, LONG_S)) for version, at in times.items()]
+            for model, times in self._named_s.items()
+        }
 
     def _tell(self) -> None:
         news, self._news = self._news, trio.Event()
@@ -153,8 +183,9 @@
         if isinstance(decoded, Failure):
             return decoded
         request = decoded.unwrap()
-        self._entries[request["vm"]] = trio.current_time()
-        self._work[request["vm"]] = request["work"]
+        if request["sends"]:
+            self._entries[request["vm"]] = trio.current_time()
+            self._work[request["vm"]] = request["work"]
         with trio.move_on_after(min(request["wait_s"], MOST_WAIT_S)):
             while not self._has_news(request):
                 await self._news.wait()
@@ -178,10 +209,20 @@
             self._work_but_of(request["vm"]),
             now_s,
         )
-        if self.node.is_leader and self.stores.knows_clock:
-            reply["parts"] = self.stores.news(request["parts"], self.node.term, now_s)
+        if "state" in reply:
+            reply["named"] = self._named(now_s)
+        if self.node.is_leader:
+            self._add_leaders_news(reply, request, now_s)
         return reply
 
+    def _add_leaders_news(
+        self, reply: WatchReply, request: WatchRequest, now_s: float
+    ) -> None:
+        reply["paused"] = sorted(self.paused)
+        reply["seen"] = [(*life, *held) for life, held in self._seen.items()]
+        if self.stores.knows_clock:
+            reply["parts"] = self.stores.news(request["parts"], self.node.term, now_s)
+
     def control_addresses(self) -> list[str]:
         """Return the peers' addresses of the control VMs, as far as known."""
         members = {member["address"] for member in self.node.status()["members"]}
--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -70,16 +70,19 @@
         self._end_predecessors(target)
         return changed
 
-    def corrected(self, target: Target) -> bool:
-        """Take what was asked of a target between two of its announcements.
+    def saw_weights(self, life: tuple[str, int], model: str, version: int) -> bool:
+        """Take what a target was asked between two of its announcements.
 
-        :param target: its newest record with the asked fields put in.
+        :returns: whether that was news.
         """
-        held = self.sightings.get(target.name)
-        if held is None or held.target == target or held.target.life != target.life:
+        held = self.sightings.get(life[0])
+        if held is None or held.target.life != life:
+            return False
+        if held.target.versions.get(model, version) >= version:
             return False
         self.version += 1
-        self.sightings[target.name] = held._replace(target=target, version=self.version)
+        target = held.target._replace(versions=held.target.versions | {model: version})
+        self.sightings[life[0]] = held._replace(target=target, version=self.version)
         return True
 
     def still_heard(self, name: str, heard_s: float) -> None:
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -9,7 +9,6 @@
 
 from vanillabeam import wire
 from vanillabeam.fleet.directory import Directory
-from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.fleet.records import Deployment, FleetSettings
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest
@@ -33,6 +32,10 @@
 MOST_WATCHED = 8
 #: Without any answer for so long, silence of targets says nothing.
 BLIND_S = 2.0
+#: Weight versions of a model whose time is remembered.
+VERSIONS_KEPT = 16
+#: A target counts as paused for so long after the leader last said so.
+PAUSE_S = 1.0
 
 
 #: Tokens of open work by target and rank.
@@ -43,21 +46,27 @@
     """The settled state as this VM has it in force.
 
     :param index: of the fleet state; 0 while nothing is known.
-    :param newer_since_s: monotonic time at which each model's newest weight
-        version was heard of.
+    :param weights: newest version of each model.
+    :param named: versions of each model with the monotonic time at which
+        each was named, the newest last.
     """
 
     index: int = 0
     deployment: Deployment = Deployment()
     evacuated: frozenset[str] = frozenset()
     weights: dict[str, int] = {}
-    newer_since_s: dict[str, float] = {}
+    named: dict[str, tuple[tuple[int, float], ...]] = {}
 
     @property
     def is_known(self) -> bool:
         """Whether a deployment is in force."""
         return self.deployment.number > 0
 
+    def weights_due(self, model: str, before_s: float) -> int:
+        """Return the newest version that was named before ``before_s``."""
+        versions = self.named.get(model, ())
+        return max((each for each, at in versions if at <= before_s), default=0)
+
 
 class _Source:
     """What has been heard from one control VM."""
@@ -101,6 +110,7 @@
         self._sources: dict[str, _Source] = {}
         self._seeds = cfg.seed_addresses
         self._named: set[str] = set()
+        self._paused_until_s: dict[str, float] = {}
         self._began_s = 0.0
 
     @property
@@ -167,6 +177,7 @@
     async def _ask(self, address: str, source: _Source) -> WatchReply | None:
         request = WatchRequest(
             vm=self._cfg.vm,
+            sends=bool(self._cfg.entry_address),
             epoch=source.epoch,
             version=source.version,
             index=self.view.index,
@@ -182,6 +193,8 @@
         return None
 
     def _wait_s(self) -> float:
+        if not self._cfg.entry_address:
+            return MOST_WAIT_S
         fair_s = len(self.entries) / ASKS_S
         return min(max(FEWEST_WAIT_S, fair_s), MOST_WAIT_S)
 
@@ -194,30 +207,23 @@
         source.epoch, source.version = reply["epoch"], reply["version"]
         source.heard_s = now_s
         if "state" in reply:
-            self._take_state(reply["state"])
+            self._take_state(reply)
         self._take_targets(reply, now_s)
         self._take_names(reply, now_s)
 
-    def _take_state(self, state: FleetState) -> None:
-        view = self.view
+    def _take_state(self, reply: WatchReply) -> None:
+        view, state = self.view, reply["state"]
         if state["index"] <= view.index:
             return
         deployment = view.deployment
         if state["number"] > deployment.number:
             deployment = self._read(state["document"])
-        now_s = trio.current_time()
-        since = {
-            model: view.newer_since_s.get(model, now_s)
-            if view.weights.get(model) == version
-            else now_s
-            for model, version in state["weights"].items()
-        }
         self.view = View(
             state["index"],
             deployment,
             frozenset(state["evacuated"]),
             state["weights"],
-            since,
+            _named(view, reply, trio.current_time()),
         )
         logger.bind(
             index=state["index"],
@@ -242,6 +248,14 @@
                 ).info("target changed")
         for name, age_s in reply["ages_s"].items():
             self.directory.still_heard(name, now_s - age_s)
+        for name, born_ms, model, version in reply.get("seen", ()):
+            self.directory.saw_weights((name, born_ms), model, version)
+        for name in reply.get("paused", ()):
+            self._paused_until_s[name] = now_s + PAUSE_S
+
+    def is_paused(self, target: str, now_s: float) -> bool:
+        """Return whether a target is about to load weights."""
+        return now_s < self._paused_until_s.get(target, 0.0)
 
     def _take_names(self, reply: WatchReply, now_s: float) -> None:
         if reply["entries"]:
@@ -263,5 +277,22 @@
             self.directory.forget(life[0])
 
 
+def _named(
+    view: View, reply: WatchReply, now_s: float
+) -> dict[str, tuple[tuple[int, float], ...]]:
+    """Return when each weight version was named: the earliest that is known."""
+    found: dict[str, dict[int, float]] = {
+        model: dict(versions) for model, versions in view.named.items()
+    }
+    for model, versions in reply.get("named", {}).items():
+        for version, age_s in versions:
+            times = found.setdefault(model, {})
+            times[version] = min(times.get(version, now_s), now_s - age_s)
+    return {
+        model: tuple(sorted(times.items())[-VERSIONS_KEPT:])
+        for model, times in found.items()
+    }
+
+
 def _ignore(work: Work) -> None:
     """Take others' work where nothing is sent."""
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -1,5 +1,6 @@
 """Bringing targets to the newest weights: the leader orders, nobody else."""
 
+import math
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -19,6 +20,8 @@
 #: An order whose effect has not shown for so long is given again.
 EFFECT_LIMIT_S = 6.0
 REFUSED_PAUSE_S = 0.5
+#: Time for entry VMs to hear that a target gets an order.
+PAUSE_S = 0.3
 
 
 class WeightsOrder(NamedTuple):
@@ -64,7 +67,7 @@
     found: list[tuple[Target, str]] = []
     for model, newest in sorted(weights.items()):
         holders = [each for each in targets if model in each.versions]
-        at_once = max(1, int(len(holders) * AT_ONCE_SHARE))
+        at_once = max(1, math.ceil(len(holders) * AT_ONCE_SHARE))
         room = at_once - sum(1 for each in holders if each.name in under_way)
         behind = [
             each
@@ -116,9 +119,11 @@
 
     def _begin_due(self, nursery: trio.Nursery) -> None:
         control = self._control
+        control.paused &= self._under_way
         if not control.node.is_leader:
             return
-        targets = [each.target for each in control.directory.sightings.values()]
+        sightings = control.follower.directory.sightings.values()
+        targets = [each.target for each in sightings]
         weights = control.machine.state["weights"]
         for target, model in due(targets, weights, self._under_way):
             if (target.name, control.node.term) in self._fenced:
@@ -131,6 +136,8 @@
 
     async def _carry_out(self, target: Target, order: WeightsOrder) -> None:
         try:
+            self._control.pause(target.name)
+            await trio.sleep(PAUSE_S)
             reply = await self._orders.load_weights(target, order)
             logger.bind(
                 target=target.name,
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -17,6 +17,7 @@
     """What the asking VM has already heard from this control VM.
 
     :param vm: the asking VM.
+    :param sends: whether it sends work to targets.
     :param epoch: of the control VM's process; empty at first.
     :param version: of its directory.
     :param index: of the fleet state that the asking VM holds.
@@ -26,6 +27,7 @@
     """
 
     vm: str
+    sends: bool
     epoch: str
     version: int
     index: int
@@ -52,6 +54,11 @@
     :param entries: entry VMs that have asked lately.
     :param parts: news of the index of kept parts, from the leader only.
     :param work: the open work of all other entry VMs.
+    :param named: age in seconds of each weight version, by model, with
+        ``state`` only.
+    :param paused: targets that are about to load weights, from the leader.
+    :param seen: name, start, model and weight version of targets that the
+        leader has asked since they announced themselves.
     """
 
     epoch: str
@@ -65,6 +72,9 @@
     entries: list[str]
     parts: NotRequired[PartNews]
     work: dict[str, dict[int, int]]
+    named: NotRequired[dict[str, list[tuple[int, float]]]]
+    paused: NotRequired[list[str]]
+    seen: NotRequired[list[tuple[str, int, str, int]]]
 
 
 def make_reply(
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -45,6 +45,7 @@
     ):
         self._tools = Tools(dialect, follower, chooser, Pools())
         follower.own_work = chooser.load.own
+        chooser.is_paused = follower.is_paused
         follower.on_work = partial(setattr, chooser.load, "others")
         self._lifecycle = lifecycle
         self._rng = rng
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -62,6 +62,7 @@
         self._bounds = bounds
         self._rng = rng
         self.load = Load()
+        self.is_paused: Callable[[str, float], bool] = _never
         self._health: dict[tuple[str, int], _Health] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._cold = ColdWindow(bounds)
@@ -134,7 +135,12 @@
         return self._budgets[service]
 
     def _usable(
-        self, service: str, facts: Facts, view: View, tried: set[str], now_s: float
+        self,
+        service: str,
+        facts: Facts,
+        view: View,
+        tried: set[str],
+        now_s: float,
     ) -> list[Target]:
         found = [
             each.target
@@ -148,21 +154,18 @@
         found = self._on_new_weights(found, facts.model, view, now_s)
         rested = [each for each in found if self._is_rested(each, now_s)]
         sound = [each for each in rested if not self._is_doubtful(each, now_s)]
-        return sound or rested or found
+        free = [each for each in sound if not self.is_paused(each.name, now_s)]
+        return free or sound or rested or found
 
     def _on_new_weights(
         self, found: list[Target], model: str, view: View, now_s: float
     ) -> list[Target]:
-        newest = view.weights.get(model, 0)
-        if not newest:
-            return found
-        waited_s = now_s - view.newer_since_s.get(model, now_s)
-        current = [each for each in found if each.versions.get(model, 0) >= newest]
-        if waited_s > VERSION_SHARE * self._bounds.version_s:
-            return current
-        if current and waited_s > VERSION_GRACE_S:
-            return current
-        return found
+        due_s = now_s - VERSION_SHARE * self._bounds.version_s
+        due = view.weights_due(model, due_s)
+        found = [each for each in found if each.versions.get(model, 0) >= due]
+        wanted = view.weights_due(model, now_s - VERSION_GRACE_S)
+        current = [each for each in found if each.versions.get(model, 0) >= wanted]
+        return current or found
 
     def _is_doubtful(self, target: Target, now_s: float) -> bool:
         """Return whether the target is silent, to everybody or to this VM."""
@@ -241,3 +244,8 @@
 def _cold_rate(deployment: Deployment, service: str) -> float:
     record = deployment.services.get(service)
     return record.cold_requests_s if record is not None else 0.0
+
+
+def _never(target: str, now_s: float) -> bool:
+    """Take no target for paused."""
+    return False
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -22,7 +22,7 @@
     StrangeAnswer,
     TooLate,
 )
-from vanillabeam.forwarding.load import Ticket
+from vanillabeam.forwarding.load import OpenRequest
 from vanillabeam.forwarding.pools import Pools
 from vanillabeam.forwarding.prefixes import plan_prefix
 from vanillabeam.forwarding.sending import Broken, Opened, body_of, open_answer
@@ -98,7 +98,7 @@
         self._sent = 0
         self._unsent = 0
         self._wait_s: float | None = None
-        self._ticket: Ticket | None = None
+        self._counted: OpenRequest | None = None
         self.may_have_run = False
 
     async def run(self) -> VanillabeamError | None:
@@ -197,8 +197,8 @@
         target, chooser = choice.target, self._tools.chooser
         self._tried.add(target.name)
         load, now_s = chooser.load, trio.current_time()
-        ticket = load.began(target.name, self._rank(), choice.work, now_s)
-        self._ticket = ticket
+        counted = load.began(target.name, self._rank(), choice.work, now_s)
+        self._counted = counted
         outcome: Outcome | None = None
         try:
             outcome = await self._exchange(choice)
@@ -206,7 +206,7 @@
         finally:
             # A request that was cancelled says nothing of its target.
             failed = isinstance(outcome, Broken)
-            load.ended(ticket)
+            load.ended(counted)
             chooser.ended(target, failed, trio.current_time())
 
     async def _exchange(self, choice: Choice) -> Outcome:
@@ -223,7 +223,7 @@
             return self._noted(opened, choice)
         self._sent += 1
         self._tools.chooser.load.answered(
-            self._ticket, self._service, trio.current_time()
+            self._counted, self._service, trio.current_time()
         )
         try:
             return self._noted(await self._take(opened, choice, was_run), choice)
--- a/src/vanillabeam/forwarding/load.py
+++ b/src/vanillabeam/forwarding/load.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["Load", "Ticket", "WorkByRank"]
+__all__ = ["Load", "OpenRequest", "WorkByRank"]
 
 #: Work that a stream is worth once its prompt is read, in tokens to read.
 RUNNING_TOKENS = 150
@@ -18,7 +18,7 @@
 WorkByRank = dict[int, int]
 
 
-class Ticket(NamedTuple):
+class OpenRequest(NamedTuple):
     """A request that is open at a target.
 
     :param number: unique in this process.
@@ -38,18 +38,18 @@
     """Open work of this entry VM and, by hearsay, of the others.
 
     >>> load = Load()
-    >>> ticket = load.began("t-1", rank=2, tokens=900, now_s=1.0)
+    >>> opened = load.began("t-1", rank=2, tokens=900, now_s=1.0)
     >>> load.ahead("t-1", rank=2)
     900
-    >>> load.answered(ticket, now_s=1.1)
-    >>> load.ended(ticket)
+    >>> load.answered(opened, now_s=1.1)
+    >>> load.ended(opened)
     """
 
     def __init__(self):
         self.others: dict[str, WorkByRank] = {}
         self._own: dict[str, WorkByRank] = {}
-        self._open: dict[str, dict[int, Ticket]] = {}
-        self._unanswered: dict[str, dict[int, Ticket]] = {}
+        self._open: dict[str, dict[int, OpenRequest]] = {}
+        self._unanswered: dict[str, dict[int, OpenRequest]] = {}
         self._sign_s: dict[str, float] = {}
         self._rates: dict[str, float] = {}
         self._next = 0
@@ -80,37 +80,37 @@
         rate = self._rates.get(service)
         return tokens / rate if rate else 0.0
 
-    def began(self, target: str, rank: int, tokens: int, now_s: float) -> Ticket:
+    def began(self, target: str, rank: int, tokens: int, now_s: float) -> OpenRequest:
         """Count a request that is on its way to a target."""
         self._next += 1
         ahead = self.ahead(target, rank) + tokens
-        ticket = Ticket(self._next, target, rank, tokens, ahead, now_s)
-        self._open.setdefault(target, {})[ticket.number] = ticket
-        self._unanswered.setdefault(target, {})[ticket.number] = ticket
+        opened = OpenRequest(self._next, target, rank, tokens, ahead, now_s)
+        self._open.setdefault(target, {})[opened.number] = opened
+        self._unanswered.setdefault(target, {})[opened.number] = opened
         self._add(target, rank, tokens)
-        return ticket
+        return opened
 
-    def answered(self, ticket: Ticket, service: str, now_s: float) -> None:
+    def answered(self, opened: OpenRequest, service: str, now_s: float) -> None:
         """Count the head of its answer: its prompt is read."""
-        if self._unanswered.get(ticket.target, {}).pop(ticket.number, None) is None:
+        if self._unanswered.get(opened.target, {}).pop(opened.number, None) is None:
             return
-        self._sign_s[ticket.target] = now_s
-        self._add(ticket.target, ticket.rank, -ticket.tokens)
-        self._add(ticket.target, 0, min(RUNNING_TOKENS, ticket.tokens))
-        self._learn(service, ticket, now_s)
+        self._sign_s[opened.target] = now_s
+        self._add(opened.target, opened.rank, -opened.tokens)
+        self._add(opened.target, 0, min(RUNNING_TOKENS, opened.tokens))
+        self._learn(service, opened, now_s)
 
     def heard(self, target: str, now_s: float) -> None:
         """Count a sign of life of a target."""
         self._sign_s[target] = now_s
 
-    def ended(self, ticket: Ticket) -> None:
+    def ended(self, opened: OpenRequest) -> None:
         """Count a request's end, answered or not."""
-        self._open.get(ticket.target, {}).pop(ticket.number, None)
-        waited = self._unanswered.get(ticket.target, {}).pop(ticket.number, None)
+        self._open.get(opened.target, {}).pop(opened.number, None)
+        waited = self._unanswered.get(opened.target, {}).pop(opened.number, None)
         if waited is not None:
-            self._add(ticket.target, ticket.rank, -ticket.tokens)
+            self._add(opened.target, opened.rank, -opened.tokens)
         else:
-            self._add(ticket.target, 0, -min(RUNNING_TOKENS, ticket.tokens))
+            self._add(opened.target, 0, -min(RUNNING_TOKENS, opened.tokens))
 
     def is_doubtful(self, target: str, service: str, now_s: float) -> bool:
         """Return whether a target is silent for longer than its work explains."""
@@ -123,11 +123,11 @@
         since_s = max(first.began_s, self._sign_s.get(target, 0.0))
         return now_s - since_s > limit_s
 
-    def _learn(self, service: str, ticket: Ticket, now_s: float) -> None:
-        waited_s = now_s - ticket.began_s
-        if ticket.ahead < FEWEST_TOKENS or waited_s <= 0:
+    def _learn(self, service: str, opened: OpenRequest, now_s: float) -> None:
+        waited_s = now_s - opened.began_s
+        if opened.ahead < FEWEST_TOKENS or waited_s <= 0:
             return
-        rate = ticket.ahead / waited_s
+        rate = opened.ahead / waited_s
         known = self._rates.get(service, rate)
         self._rates[service] = known + LEARNED_SHARE * (rate - known)
 
--- a/src/vanillabeam/log/members.py
+++ b/src/vanillabeam/log/members.py
@@ -213,7 +213,9 @@
 
 
 def _append_change(changed: Membership, state: Replica, now_s: float) -> list[Effect]:
-    opened = changed.opened or len(changed.voters) > changed.founding // 2
+    whole = state.settings.opens_whole
+    needed = changed.founding if whole else changed.founding // 2 + 1
+    opened = changed.opened or len(changed.voters) >= needed
     changed = changed._replace(index=state.log.last_index + 1, opened=opened)
     effects = add_entry(state, EntryKind.MEMBERS, encode_membership(changed))
     known = state.progress
--- a/src/vanillabeam/log/records.py
+++ b/src/vanillabeam/log/records.py
@@ -63,7 +63,7 @@
     :param allowed: names of the VMs whose new disks may join.
     :param founding: how many VMs the group was founded for.
     :param opened: whether commands have ever been taken: a majority of the
-        founding VMs have voted at one time.
+        founding VMs, or all of them, have voted at one time.
     """
 
     index: int = 0
@@ -154,6 +154,8 @@
     :param kept_entries: entries kept behind a snapshot for slow followers.
     :param admits_all: whether any VM may join, not only those that were
         allowed by name.
+    :param opens_whole: whether commands are taken only once all founding VMs
+        have voted at one time; else a majority of them is enough.
     """
 
     heartbeat_s: float = 0.5
@@ -165,6 +167,7 @@
     batch_bytes: int = BATCH_BYTES
     chunk_bytes: int = CHUNK_BYTES
     admits_all: bool = False
+    opens_whole: bool = False
 
 
 DEFAULT_SETTINGS = LogSettings()
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -38,9 +38,9 @@
     favourite = next(each for each in targets if each.name == first)
     chooser.load.began(favourite.name, 1, 50, 1.0)
     assert choose(chooser, make_prompt()) == first
-    ticket = chooser.load.began(favourite.name, 1, 60, 1.0)
+    opened = chooser.load.began(favourite.name, 1, 60, 1.0)
     assert choose(chooser, make_prompt()) != first
-    chooser.load.ended(ticket)
+    chooser.load.ended(opened)
     assert choose(chooser, make_prompt()) == first
 
 
@@ -100,15 +100,30 @@
 def test_targets_on_old_weights_serve_only_for_a_while():
     old = make_target("t-1", versions={"m": 1})
     chooser = make_chooser(old)
-    view = make_view(weights={"m": 2}, newer_since_s={"m": 0.0})
+    view = make_view(weights={"m": 2}, named={"m": ((2, 0.0),)})
     assert choose(chooser, make_prompt(), view, now_s=5.0) == "t-1"
     assert choose(chooser, make_prompt(), view, now_s=9.0) is None
 
 
+def test_a_newer_name_does_not_give_an_older_one_more_time():
+    chooser = make_chooser(make_target("t-1", versions={"m": 1}))
+    named = {"m": ((2, 0.0), (3, 8.5))}
+    view = make_view(weights={"m": 3}, named=named)
+    assert choose(chooser, make_prompt(), view, now_s=7.0) == "t-1"
+    assert choose(chooser, make_prompt(), view, now_s=9.0) is None
+
+
+def test_a_target_that_is_about_to_load_weights_is_used_last():
+    chooser = make_chooser(make_target("t-1"), make_target("t-2"))
+    chooser.is_paused = lambda name, now_s: name == "t-1"
+    assert {choose(chooser) for _ in range(9)} == {"t-2"}
+    assert choose(chooser, tried=["t-2"]) == "t-1"
+
+
 def test_targets_on_new_weights_are_preferred():
     old, new = (make_target(f"t-{v}", versions={"m": v}) for v in (1, 2))
     chooser = make_chooser(old, new)
-    view = make_view(weights={"m": 2}, newer_since_s={"m": 0.0})
+    view = make_view(weights={"m": 2}, named={"m": ((2, 0.0),)})
     found = {choose(chooser, make_prompt(f"s-{i}"), view, now_s=2.0) for i in range(9)}
     assert found == {"t-2"}
 
--- a/tests/forwarding/test_load.py
+++ b/tests/forwarding/test_load.py
@@ -10,10 +10,10 @@
 
 def test_a_prompt_that_is_read_leaves_the_work_of_a_running_stream():
     load = Load()
-    ticket = load.began("t", rank=2, tokens=900, now_s=0.0)
-    load.answered(ticket, "llm", 0.1)
+    opened = load.began("t", rank=2, tokens=900, now_s=0.0)
+    load.answered(opened, "llm", 0.1)
     assert load.own() == {"t": {0: RUNNING_TOKENS}}
-    load.ended(ticket)
+    load.ended(opened)
     assert load.own() == {}
     assert load.open_requests("t") == 0
 
@@ -28,9 +28,9 @@
     load = Load()
     assert load.wait_s("llm", 1_000) == 0.0
     for start in range(100):
-        ticket = load.began("t", 0, 2 * FEWEST_TOKENS, float(start))
-        load.answered(ticket, "llm", start + 0.2)
-        load.ended(ticket)
+        opened = load.began("t", 0, 2 * FEWEST_TOKENS, float(start))
+        load.answered(opened, "llm", start + 0.2)
+        load.ended(opened)
     assert abs(load.wait_s("llm", 2 * FEWEST_TOKENS) - 0.2) < 0.01
 
 
--- a/tests/log/test_node.py
+++ b/tests/log/test_node.py
@@ -221,3 +221,40 @@
     failure = (await leader.remove_member(kept)).failure()
     assert isinstance(failure, WouldLoseQuorum)
     assert (await leader.propose("still")).unwrap()
+
+
+@with_group(3, opens_whole=True)
+async def test_a_whole_opening_takes_no_command_before_all_founders_vote(group):
+    await group.start("vm-1")
+    await group.start("vm-2")
+    await group.start("vm-3")
+    node = group.nodes["vm-1"]
+    while isinstance(await node.propose("a"), Failure):
+        await trio.sleep(0.01)
+    assert len(voters(group)) == 3
+    group.stop("vm-1")
+    await until(lambda: group.leader)
+    (await group.nodes["vm-2"].propose("b")).unwrap()
+
+
+@with_group(3, admits_all=True)
+async def test_a_vm_that_nobody_named_joins_and_votes(group):
+    await group.start_all()
+    group.stop("vm-3")
+    await group.start("vm-4", bootstrap=False)
+    await until(lambda: "vm-4" in voters(group))
+    (await group.leader.remove_member("vm-3")).unwrap()
+    assert voters(group) == {"vm-1", "vm-2", "vm-4"}
+
+
+@with_group(3)
+async def test_a_vm_that_nobody_named_stays_out_elsewhere(group):
+    await group.start_all()
+    await group.start("vm-4", bootstrap=False)
+    await trio.sleep(10)
+    assert voters(group) == {"vm-1", "vm-2", "vm-3"}
+
+
+def voters(group):
+    found = group.leader.status()["members"]
+    return {member["vm"] for member in found if member["votes"]}
