Free kept parts of outdated weights, and the longest unused of a full store

Cause: managed stores drop nothing by themselves; after a change of weights the parts of the old ones fill them for good, and a full store loses saves.

Change: the leader retires a part (its index names it no longer), and frees it 1.5 s (copies of the index) + the longest route's time + 3 s later.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -13,6 +13,7 @@
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.follower import Follower
+from vanillabeam.fleet.freeing import is_outdated
 from vanillabeam.fleet.machine import Command, FleetMachine, FleetState
 from vanillabeam.fleet.records import Deployment, FleetSettings, Target
 from vanillabeam.fleet.stores import StoreCalls, Stores
@@ -186,6 +187,8 @@
         if request["sends"]:
             self._entries[request["vm"]] = trio.current_time()
             self._work[request["vm"]] = request["work"]
+        for key in request["fetched"]:
+            self.stores.index.used(tuple(key))
         with trio.move_on_after(min(request["wait_s"], MOST_WAIT_S)):
             while not self._has_news(request):
                 await self._news.wait()
@@ -253,8 +256,20 @@
                 self._deployment = self._read(state["document"])
             leads = self.node.is_leader
             await self.stores.follow(self._deployment.stores if leads else (), nursery)
+            await self.stores.free(self._is_outdated, self._longest_request_s())
             await trio.sleep(STORES_PERIOD_S)
 
+    def _longest_request_s(self) -> float:
+        return max((each.timeout_s for each in self._deployment.routes), default=0.0)
+
+    def _is_outdated(self, salt: str) -> bool:
+        """Return whether no target that is known holds a salt's weights."""
+        lowest: dict[str, int] = {}
+        for sighting in self.follower.directory.sightings.values():
+            for model, version in sighting.target.versions.items():
+                lowest[model] = min(version, lowest.get(model, version))
+        return is_outdated(salt, lowest)
+
     async def _forget_silent(self) -> None:
         while True:
             await trio.sleep(self.cfg.bounds.silence_s / 4)
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -1,5 +1,6 @@
 """How an entry VM learns of the fleet: it watches every control VM it knows."""
 
+from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -36,6 +37,8 @@
 VERSIONS_KEPT = 16
 #: A target counts as paused for so long after the leader last said so.
 PAUSE_S = 1.0
+#: Fetched parts that are told, the latest ones.
+FETCHED_KEPT = 32
 
 
 #: Tokens of open work by target and rank.
@@ -110,6 +113,7 @@
         self._sources: dict[str, _Source] = {}
         self._seeds = cfg.seed_addresses
         self._named: set[str] = set()
+        self._fetched: deque[tuple[str, str]] = deque(maxlen=FETCHED_KEPT)
         self._paused_until_s: dict[str, float] = {}
         self._began_s = 0.0
 
@@ -184,6 +188,7 @@
             wait_s=self._wait_s(),
             parts=self.parts.request(),
             work=self.own_work(),
+            fetched=list(self._fetched),
         )
         with trio.move_on_after(ANSWER_LIMIT_S):
             answer = await self._call(address, WATCH_PATH, wire.encode(request))
@@ -253,6 +258,11 @@
         for name in reply.get("paused", ()):
             self._paused_until_s[name] = now_s + PAUSE_S
 
+    def fetched(self, salt: str, part: str) -> None:
+        """Note that a kept part is of use."""
+        if (salt, part) not in self._fetched:
+            self._fetched.append((salt, part))
+
     def is_paused(self, target: str, now_s: float) -> bool:
         """Return whether a target is about to load weights."""
         return now_s < self._paused_until_s.get(target, 0.0)
--- a/src/vanillabeam/fleet/parts.py
+++ b/src/vanillabeam/fleet/parts.py
@@ -82,12 +82,15 @@
         self._held: dict[tuple[str, str], tuple[Held, int]] = {}
         self._gone: dict[tuple[str, str], int] = {}
         self._oldest_gone = 0
+        self._retired: set[tuple[str, str]] = set()
 
     def take(self, store: str, events: list[StoreEvent]) -> None:
         """Take what a store says, in its order."""
         for event in events:
             key = (event.salt, event.part)
             held = self._held.get(key)
+            if event.tokens > 0 and key in self._retired:
+                continue
             if event.tokens > 0:
                 if held is None or held[0] != Held(store, event.tokens):
                     self.version += 1
@@ -104,9 +107,28 @@
                 self._remove(key)
         self.take(store, events)
 
-    def keys_at(self, store: str) -> list[tuple[str, str]]:
-        """Return the parts at a store, those that came first first."""
-        return [key for key, (held, _) in self._held.items() if held.store == store]
+    def held_at(self, store: str) -> list[tuple[tuple[str, str], int]]:
+        """Return parts at a store with their tokens, the longest unused first."""
+        return [
+            (key, held.tokens)
+            for key, (held, _) in self._held.items()
+            if held.store == store
+        ]
+
+    def used(self, key: tuple[str, str]) -> None:
+        """Take a part for used just now."""
+        if key in self._held:
+            self._held[key] = self._held.pop(key)
+
+    def retire(self, key: tuple[str, str]) -> None:
+        """Name a part no longer, whatever its store says, until its release."""
+        self._retired.add(key)
+        if key in self._held:
+            self._remove(key)
+
+    def release(self, key: tuple[str, str]) -> None:
+        """Let a retired part be named again once a store holds it anew."""
+        self._retired.discard(key)
 
     def news(self, request: PartRequest, term: int, clock_ms: float) -> PartNews:
         """Return what a reader has not heard yet."""
--- a/src/vanillabeam/fleet/stores.py
+++ b/src/vanillabeam/fleet/stores.py
@@ -1,10 +1,12 @@
 """Following the stores: the leader hears what each of them holds."""
 
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import trio
 from loguru import logger
 
+from vanillabeam.fleet.freeing import Freeing
 from vanillabeam.fleet.parts import PartIndex, PartNews, PartRequest, StoreEvent
 from vanillabeam.fleet.records import Store
 
@@ -12,7 +14,9 @@
 
 WAIT_S = 0.8
 RETRY_S = 0.3
-PERIOD_S = 0.3
+#: An order to free parts is void after so long.
+FREE_LIMIT_S = 1.5
+FREED_AT_ONCE = 200
 
 
 class StoreNews(NamedTuple):
@@ -47,6 +51,11 @@
     async def held(self, store: Store) -> StoreList | None:
         """Return all parts of the store."""
 
+    async def free(
+        self, store: Store, keys: list[tuple[str, str]], epoch: int, until_ms: float
+    ) -> bool:
+        """Free parts, unless the store has restarted or the time has passed."""
+
 
 class Stores:
     """Keeps a :class:`PartIndex` while this VM leads.
@@ -57,8 +66,10 @@
 
     def __init__(self, calls: StoreCalls, epoch: str):
         self.index = PartIndex(epoch)
+        self.freeing = Freeing(self.index)
         self._calls = calls
         self._scopes: dict[Store, trio.CancelScope] = {}
+        self._epochs: dict[Store, int] = {}
         self._clock_ms = 0.0
         self._clock_at_s = 0.0
 
@@ -69,14 +80,13 @@
 
     def news(self, request: PartRequest, term: int, now_s: float) -> PartNews:
         """Return what a reader has not heard yet."""
-        clock_ms = self._clock_ms + 1000 * (now_s - self._clock_at_s)
-        return self.index.news(request, term, clock_ms)
+        return self.index.news(request, term, self._clock(now_s))
 
     async def follow(self, stores: tuple[Store, ...], nursery: trio.Nursery) -> None:
         """Follow exactly these stores from now on."""
         for store in [store for store in self._scopes if store not in stores]:
             self._scopes.pop(store).cancel()
-            self.index.reset(store.address, [])
+            self._forget(store)
         for store in stores:
             if store not in self._scopes:
                 self._scopes[store] = await nursery.start(self._follow, store)
@@ -94,8 +104,11 @@
         """Follow a store until it restarts, is silent, or leaves a gap."""
         listed = await self._calls.held(store)
         if listed is None:
-            self.index.reset(store.address, [])
+            self._forget(store)
             return
+        if self._epochs.get(store) != listed.epoch:
+            self.freeing.lost(store)
+        self._epochs[store] = listed.epoch
         self.index.reset(store.address, listed.held)
         logger.bind(store=store.name, epoch=listed.epoch, count=len(listed.held)).info(
             "store heard"
@@ -110,6 +123,31 @@
             self.index.take(store.address, news.events)
             since = news.next_number
 
+    def _forget(self, store: Store) -> None:
+        self.index.reset(store.address, [])
+        self.freeing.lost(store)
+        self._epochs.pop(store, None)
+
+    async def free(
+        self, outdated: Callable[[str], bool], longest_request_s: float
+    ) -> None:
+        """Retire what gives way and free what was retired long enough ago."""
+        for store, epoch in list(self._epochs.items()):
+            now_s = trio.current_time()
+            retired = self.freeing.retire(store, outdated, now_s)
+            if retired:
+                logger.bind(store=store.name, count=retired).info("parts retired")
+            keys = self.freeing.due(store, longest_request_s, now_s)[:FREED_AT_ONCE]
+            if not keys:
+                continue
+            until_ms = self._clock(now_s) + 1000 * FREE_LIMIT_S
+            if await self._calls.free(store, keys, epoch, until_ms):
+                self.freeing.freed(keys)
+                logger.bind(store=store.name, count=len(keys)).info("parts freed")
+
+    def _clock(self, now_s: float) -> float:
+        return self._clock_ms + 1000 * (now_s - self._clock_at_s)
+
     def _note_clock(self, news: StoreNews) -> None:
         if news.clock_ms is not None:
             self._clock_ms = news.clock_ms
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -24,6 +24,7 @@
     :param wait_s: how long the answer may wait for news.
     :param parts: what the asking VM has of the index of kept parts.
     :param work: tokens of open work that it has, by target and rank.
+    :param fetched: salt and id of parts that it had fetched lately.
     """
 
     vm: str
@@ -34,6 +35,7 @@
     wait_s: float
     parts: PartRequest
     work: dict[str, dict[int, int]]
+    fetched: list[tuple[str, str]]
 
 
 class Seen(TypedDict):
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -259,6 +259,9 @@
             now_s,
             handover.left_s,
         )
+        for part, held in zip(self._order.facts.parts, plan.fetches, strict=False):
+            if held is not None:
+                follower.fetched(salt, part.part_id)
         return handover._replace(
             cache_salt=salt,
             version=version,
--- a/src/vanillabeam/platform/stores.py
+++ b/src/vanillabeam/platform/stores.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from vanillabeam import wire
 from vanillabeam.fleet import Store
 from vanillabeam.fleet.parts import StoreEvent
 from vanillabeam.fleet.stores import StoreList, StoreNews
@@ -71,6 +72,14 @@
         ]
         return StoreList(said["epoch"], said["next"], held)
 
+    async def free(
+        self, store: Store, keys: list[tuple[str, str]], epoch: int, until_ms: float
+    ) -> bool:
+        """Free parts, unless the store has restarted or the time has passed."""
+        body = wire.encode({"parts": keys, "epoch": epoch, "until_ms": int(until_ms)})
+        response = await self._calls.call("POST", store.address, b"/api/kv-free", body)
+        return response is not None and response.status < 300
+
 
 def _decode(response, kind):
     if response is None or response.status != 200:
