Log each decision as a typed line within a budget, and serve metrics

Cause: lines were ad hoc, unbounded and on standard error; nothing could be measured in a running fleet; a request that may be repeated waited for a silent target until its deadline.

Change: `decisions` lists every kind of line with its budget; `output` never waits for a reader; counters and histograms at the role's metrics port; `vanillabeam explain` tells a request's story from the logs of several VMs; repeatable requests leave a target that is silent beyond its expected wait.

--- a/src/vanillabeam/cli/__init__.py
+++ b/src/vanillabeam/cli/__init__.py
@@ -2,7 +2,16 @@
 
 import typer
 
-from vanillabeam.cli import data, keys, reports, settings, status, tickets, traces
+from vanillabeam.cli import (
+    data,
+    explain,
+    keys,
+    reports,
+    settings,
+    status,
+    tickets,
+    traces,
+)
 
 __all__ = ["app", "main"]
 
@@ -18,6 +27,7 @@
 app.add_typer(keys.app, name="workspace")
 app.command("status")(status.status)
 app.command("trace")(traces.trace)
+app.command("explain")(explain.explain)
 
 
 def main() -> None:
--- /dev/null
+++ b/src/vanillabeam/counters.py
@@ -0,0 +1,97 @@
+"""Counters and histograms of a fleet VM, in the Prometheus text form."""
+
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from vanillabeam.decisions import BUDGETS
+
+__all__ = ["Counters", "CountersApp"]
+
+TEXT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+#: Upper ends of the histograms' buckets, in seconds.
+BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+
+
+class Counters:
+    """The metrics of one VM; each is described in ``docs/OPERATIONS.md``.
+
+    >>> counters = Counters()
+    >>> counters.requests.labels("orders", "answered", "200").inc()
+    >>> b"vanillabeam_requests_total" in counters.text()
+    True
+    """
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Callers' requests that ended.", "route", "outcome", "reason"
+        )
+        self.attempts = self._counter(
+            "attempts", "Requests sent to targets.", "service", "outcome"
+        )
+        self.repeats = self._counter(
+            "repeats", "Requests sent to one more target.", "service"
+        )
+        self.parts = self._counter(
+            "prompt_parts", "Shared parts of prompts.", "outcome"
+        )
+        self.total_s = self._histogram(
+            "request_seconds", "Time to the end of an answer.", "route"
+        )
+        self.first_s = self._histogram(
+            "first_event_seconds", "Time to a target's head.", "service"
+        )
+
+    def watch(self, name: str, text: str, value: Callable[[], float]) -> None:
+        """Serve a gauge that is read when it is asked for."""
+        gauge = Gauge(f"vanillabeam_{name}", text, registry=self.registry)
+        gauge.set_function(value)
+
+    def text(self) -> bytes:
+        """Return all metrics in the text form."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"vanillabeam_{name}", text, labels, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, *labels: str) -> Histogram:
+        return Histogram(
+            f"vanillabeam_{name}",
+            text,
+            labels,
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+
+
+class CountersApp:
+    """ASGI application that serves the metrics at ``/metrics``."""
+
+    def __init__(self, counters: Counters):
+        self._counters = counters
+        counters.watch(
+            "log_lines_dropped",
+            "Log lines over their budget.",
+            lambda: float(BUDGETS.dropped),
+        )
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answer one request."""
+        found = scope["path"] == "/metrics"
+        body = self._counters.text() if found else b""
+        headers = [
+            (b"content-type", TEXT_TYPE),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        status = 200 if found else 404
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -6,10 +6,16 @@
 from pathlib import Path
 
 import trio
-from loguru import logger
 from returns.result import Failure, Result, Success
 
 from vanillabeam import wire
+from vanillabeam.decisions import (
+    MemberRemoved,
+    TargetChanged,
+    TargetLeft,
+    TargetSilent,
+    note,
+)
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.follower import Follower
@@ -127,14 +133,18 @@
         """Take a target's announcement."""
         if not self.directory.heard(target, trio.current_time()):
             return
-        logger.bind(
-            target=target.name,
-            service=target.service,
-            address=target.address,
-            draining=target.draining,
-            cold_ms=target.cold_ms,
-            sequence=target.sequence,
-        ).info("target changed")
+        note(
+            TargetChanged(
+                target.name,
+                target.service,
+                target.address,
+                target.born_ms,
+                target.sequence,
+                target.draining,
+                target.cold_ms,
+                0.0,
+            )
+        )
         self._tell()
 
     def left(self, name: str, born_ms: int | None) -> None:
@@ -148,7 +158,7 @@
         if born_ms is None:
             return
         self.directory.left((name, born_ms))
-        logger.bind(target=name, born_ms=born_ms).info("target left")
+        note(TargetLeft(name, born_ms))
         self._tell()
 
     def pause(self, target: str) -> None:
@@ -275,7 +285,7 @@
             await trio.sleep(self.cfg.bounds.silence_s / 4)
             limit_s = trio.current_time() - self.cfg.bounds.silence_s
             for life in self.directory.silent_since(limit_s):
-                logger.bind(target=life[0], born_ms=life[1]).warning("target silent")
+                note(TargetSilent(*life))
                 self.directory.forget(life[0])
 
     async def _keep_members(self) -> None:
@@ -286,11 +296,8 @@
             if absent is None:
                 continue
             result = await self.node.remove_member(absent)
-            log = logger.bind(group=FLEET_GROUP, peer=absent)
-            if isinstance(result, Failure):
-                log.bind(failure=result.failure().type).warning("member not removed")
-            else:
-                log.warning("absent member removed")
+            failed = isinstance(result, Failure)
+            note(MemberRemoved(absent, result.failure().type if failed else ""))
 
     def _absent_voter(self) -> str | None:
         now_s = trio.current_time()
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -5,10 +5,17 @@
 from typing import NamedTuple
 
 import trio
-from loguru import logger
 from returns.result import Failure
 
 from vanillabeam import wire
+from vanillabeam.decisions import (
+    ControlForgotten,
+    ControlHeard,
+    StateInForce,
+    TargetChanged,
+    TargetSilent,
+    note,
+)
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.fleet.records import Deployment, FleetSettings
@@ -74,7 +81,8 @@
 class _Source:
     """What has been heard from one control VM."""
 
-    def __init__(self):
+    def __init__(self, address: str):
+        self.address = address
         self.epoch = ""
         self.version = 0
         self.heard_s = float("-inf")
@@ -126,6 +134,19 @@
         waited = trio.current_time() - self._began_s > ANSWER_LIMIT_S
         return waited or len(heard) > len(self._sources) // 2
 
+    def number(self) -> int:
+        """Return the number of the deployment in force."""
+        return self.view.deployment.number
+
+    def target_count(self) -> int:
+        """Return how many targets are known."""
+        return len(self.directory.sightings)
+
+    def age_s(self) -> float:
+        """Return how long ago a control VM was heard."""
+        heard = [each.heard_s for each in self._sources.values()]
+        return trio.current_time() - max(heard, default=self._began_s)
+
     async def wait_ready(self) -> None:
         """Return once :attr:`is_ready` holds."""
         while True:
@@ -144,7 +165,7 @@
             while True:
                 for address in self._wanted():
                     if address not in self._sources:
-                        self._sources[address] = _Source()
+                        self._sources[address] = _Source(address)
                         nursery.start_soon(self._follow, address)
                 self._forget_silent()
                 await trio.sleep(RETRY_S)
@@ -171,7 +192,7 @@
                 self.parts.take(reply["parts"], asked_s, trio.current_time())
             await trio.sleep(GATHER_S)
         del self._sources[address]
-        logger.bind(address=address).warning("control VM no longer watched")
+        note(ControlForgotten(address))
 
     def _is_forgotten(self, address: str, source: _Source) -> bool:
         last_s = max(source.heard_s, source.named_s)
@@ -206,9 +227,7 @@
     def _take(self, reply: WatchReply, source: _Source) -> None:
         now_s = trio.current_time()
         if source.epoch != reply["epoch"]:
-            logger.bind(epoch=reply["epoch"], index=reply["index"]).info(
-                "control VM heard"
-            )
+            note(ControlHeard(source.address, reply["epoch"], reply["index"]))
         source.epoch, source.version = reply["epoch"], reply["version"]
         source.heard_s = now_s
         if "state" in reply:
@@ -230,12 +249,14 @@
             state["weights"],
             _named(view, reply, trio.current_time()),
         )
-        logger.bind(
-            index=state["index"],
-            number=deployment.number,
-            evacuated=state["evacuated"],
-            weights=state["weights"],
-        ).info("fleet state in force")
+        note(
+            StateInForce(
+                state["index"],
+                deployment.number,
+                state["evacuated"],
+                state["weights"],
+            )
+        )
 
     def _take_targets(self, reply: WatchReply, now_s: float) -> None:
         for life in reply["ended"]:
@@ -243,14 +264,18 @@
         for seen in reply["targets"]:
             target = seen["target"]
             if self.directory.heard(target, now_s - seen["age_s"]):
-                logger.bind(
-                    target=target.name,
-                    service=target.service,
-                    address=target.address,
-                    draining=target.draining,
-                    cold_ms=target.cold_ms,
-                    age_s=seen["age_s"],
-                ).info("target changed")
+                note(
+                    TargetChanged(
+                        target.name,
+                        target.service,
+                        target.address,
+                        target.born_ms,
+                        target.sequence,
+                        target.draining,
+                        target.cold_ms,
+                        seen["age_s"],
+                    )
+                )
         for name, age_s in reply["ages_s"].items():
             self.directory.still_heard(name, now_s - age_s)
         for name, born_ms, model, version in reply.get("seen", ()):
@@ -283,7 +308,7 @@
             return
         limit_s = now_s - self._cfg.bounds.silence_s
         for life in self.directory.silent_since(limit_s):
-            logger.bind(target=life[0], born_ms=life[1]).warning("target silent")
+            note(TargetSilent(*life))
             self.directory.forget(life[0])
 
 
--- a/src/vanillabeam/fleet/parts.py
+++ b/src/vanillabeam/fleet/parts.py
@@ -107,6 +107,10 @@
                 self._remove(key)
         self.take(store, events)
 
+    def count(self) -> int:
+        """Return how many parts are named."""
+        return len(self._held)
+
     def held_at(self, store: str) -> list[tuple[tuple[str, str], int]]:
         """Return parts at a store with their tokens, the longest unused first."""
         return [
--- a/src/vanillabeam/fleet/records.py
+++ b/src/vanillabeam/fleet/records.py
@@ -207,6 +207,7 @@
     :param seeds: hosts of some control VMs.
     :param bootstrap: true only at the first start of the whole fleet.
     :param data_folder: empty on a VM without a disk.
+    :param metrics_port: of the metrics in text form; 0 serves none.
     """
 
     vm: str
@@ -219,6 +220,7 @@
     seeds: tuple[str, ...]
     bootstrap: bool
     data_folder: str
+    metrics_port: int
     bounds: Bounds
 
     @property
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple, Protocol
 
 import trio
-from loguru import logger
 
+from vanillabeam.decisions import WeightsOrdered, note
 from vanillabeam.fleet.control import FleetControl
 from vanillabeam.fleet.records import Target
 
@@ -139,13 +139,11 @@
             self._control.pause(target.name)
             await trio.sleep(PAUSE_S)
             reply = await self._orders.load_weights(target, order)
-            logger.bind(
-                target=target.name,
-                model=order.model,
-                version=order.version,
-                fence=order.fence,
-                reply=str(reply),
-            ).info("weights ordered")
+            note(
+                WeightsOrdered(
+                    target.name, order.model, order.version, order.fence, str(reply)
+                )
+            )
             if reply is OrderReply.FENCED:
                 self._fenced.add((target.name, order.fence))
             elif reply in (OrderReply.BUSY, OrderReply.REFUSED):
--- a/src/vanillabeam/fleet/stores.py
+++ b/src/vanillabeam/fleet/stores.py
@@ -4,8 +4,14 @@
 from typing import NamedTuple, Protocol
 
 import trio
-from loguru import logger
 
+from vanillabeam.decisions import (
+    PartsFreed,
+    PartsRetired,
+    StoreHeard,
+    StoreLost,
+    note,
+)
 from vanillabeam.fleet.freeing import Freeing
 from vanillabeam.fleet.parts import PartIndex, PartNews, PartRequest, StoreEvent
 from vanillabeam.fleet.records import Store
@@ -110,14 +116,12 @@
             self.freeing.lost(store)
         self._epochs[store] = listed.epoch
         self.index.reset(store.address, listed.held)
-        logger.bind(store=store.name, epoch=listed.epoch, count=len(listed.held)).info(
-            "store heard"
-        )
+        note(StoreHeard(store.name, listed.epoch, len(listed.held)))
         since = listed.next_number
         while True:
             news = await self._calls.news(store, since, WAIT_S)
             if news is None or news.has_gap or news.epoch != listed.epoch:
-                logger.bind(store=store.name, epoch=listed.epoch).warning("store lost")
+                note(StoreLost(store.name, listed.epoch))
                 return
             self._note_clock(news)
             self.index.take(store.address, news.events)
@@ -136,14 +140,14 @@
             now_s = trio.current_time()
             retired = self.freeing.retire(store, outdated, now_s)
             if retired:
-                logger.bind(store=store.name, count=retired).info("parts retired")
+                note(PartsRetired(store.name, retired))
             keys = self.freeing.due(store, longest_request_s, now_s)[:FREED_AT_ONCE]
             if not keys:
                 continue
             until_ms = self._clock(now_s) + 1000 * FREE_LIMIT_S
             if await self._calls.free(store, keys, epoch, until_ms):
                 self.freeing.freed(keys)
-                logger.bind(store=store.name, count=len(keys)).info("parts freed")
+                note(PartsFreed(store.name, len(keys)))
 
     def _clock(self, now_s: float) -> float:
         return self._clock_ms + 1000 * (now_s - self._clock_at_s)
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -4,9 +4,10 @@
 from typing import Any, Protocol
 
 import trio
-from loguru import logger
 from starlette.applications import Starlette
 
+from vanillabeam.counters import Counters, CountersApp
+from vanillabeam.decisions import Ready, SeedsChanged, note
 from vanillabeam.fleet import Follower
 from vanillabeam.fleet.control import FleetControl
 from vanillabeam.fleet.records import FleetSettings
@@ -72,6 +73,7 @@
         )
         self.follower: Follower | None = None
         self.control: FleetControl | None = None
+        self.counters = Counters()
         self._listeners: dict[str, ListenerTask] = {}
         self._stopped = trio.Event()
 
@@ -83,7 +85,7 @@
         """Take settings that have changed while the VM runs: the seeds."""
         if cfg.seeds == self.cfg.seeds:
             return
-        logger.bind(detail=",".join(cfg.seeds)).info("seeds changed")
+        note(SeedsChanged(list(cfg.seeds)))
         self.cfg = cfg
         if self.follower is not None:
             self.follower.seeds_changed(cfg)
@@ -101,6 +103,10 @@
                 await self._start_control(nursery, call)
             if self.cfg.entry_address:
                 await self._start_entry(nursery, call)
+            if self.cfg.metrics_port:
+                address = f"{self.cfg.host}:{self.cfg.metrics_port}"
+                app = CountersApp(self.counters)
+                await self._listen(nursery, "metrics", address, app)
             nursery.start_soon(self._live)
             task_status.started()
 
@@ -110,6 +116,7 @@
         peers = Starlette(routes=peer_routes(self.control.routes()))
         await self._listen(nursery, "peers", self.cfg.peer_address, peers)
         await nursery.start(self.control.run)
+        self._watch_control(self.control)
         app = self.adapter.control_app(self.control)
         await self._listen(nursery, "control", self.cfg.control_address, app)
         nursery.start_soon(Rollout(self.control, self.adapter.orders).run)
@@ -123,7 +130,10 @@
         chooser = Chooser(
             self.cfg.vm, self.follower.directory, self.cfg.bounds, self.rng
         )
-        app = ForwardingApp(dialect, self.follower, chooser, self.lifecycle, self.rng)
+        app = ForwardingApp(
+            dialect, self.follower, chooser, self.lifecycle, self.counters, self.rng
+        )
+        self._watch_entry(self.follower)
         readiness = self.adapter.readiness_app(self.lifecycle)
         await self._listen(nursery, "readiness", self.cfg.readiness_address, readiness)
         await self._listen(nursery, "entry", self.cfg.entry_address, app)
@@ -142,10 +152,28 @@
         self._listeners[name] = task
         await nursery.start(task.run)
 
+    def _watch_entry(self, follower: Follower) -> None:
+        watch = self.counters.watch
+        watch("state_index", "Fleet state in force.", lambda: follower.view.index)
+        watch("deployment_number", "Deployment in force.", follower.number)
+        watch("targets", "Targets that are known.", follower.target_count)
+        watch("news_age_seconds", "Age of the newest control news.", follower.age_s)
+        watch("open_requests", "Requests without a whole answer.", self._open)
+
+    def _watch_control(self, control: FleetControl) -> None:
+        watch = self.counters.watch
+        watch("log_term", "Term of the fleet log.", lambda: control.node.term)
+        watch("log_applied", "Index applied.", lambda: control.node.applied)
+        watch("log_leads", "Whether this VM leads.", lambda: control.node.is_leader)
+        watch("kept_parts", "Parts that stores keep.", control.stores.index.count)
+
+    def _open(self) -> int:
+        return self.lifecycle.open_requests
+
     async def _become_ready(self) -> None:
         await self.follower.wait_ready()
         self.lifecycle.config_known(self.follower.view.index)
-        logger.bind(index=self.follower.view.index).info("ready")
+        note(Ready(self.follower.view.index))
 
     async def _keep_limits(self) -> None:
         """Let the entry listener keep idle connections as the limits say."""
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -5,9 +5,17 @@
 from functools import partial
 
 import trio
-from loguru import logger
 from returns.result import Failure, Result, Success
 
+from vanillabeam.counters import Counters
+from vanillabeam.decisions import (
+    AnswerCut,
+    CallerGone,
+    RequestAdmitted,
+    RequestAnswered,
+    RequestRefused,
+    note,
+)
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet import Deployment, Follower
 from vanillabeam.forwarding.choice import Chooser
@@ -32,6 +40,7 @@
     :param dialect: names and headers of the environment.
     :param follower: what this VM knows of the fleet.
     :param lifecycle: counts requests in and out.
+    :param counters: takes what becomes of requests.
     :param rng: seeded; spreads the return of refused callers.
     """
 
@@ -41,9 +50,11 @@
         follower: Follower,
         chooser: Chooser,
         lifecycle: Lifecycle,
+        counters: Counters,
         rng: random.Random,
     ):
-        self._tools = Tools(dialect, follower, chooser, Pools())
+        self._tools = Tools(dialect, follower, chooser, Pools(), counters)
+        self._counters = counters
         follower.own_work = chooser.load.own
         chooser.is_paused = follower.is_paused
         follower.on_work = partial(setattr, chooser.load, "others")
@@ -78,6 +89,8 @@
             return
         admitted = self._admit(facts.unwrap(), scope, began_s)
         if isinstance(admitted, Failure):
+            kind = admitted.failure().type
+            self._counters.requests.labels("", "refused", kind).inc()
             await self._refuse(caller, facts.unwrap().request_id, admitted.failure())
             return
         order = admitted.unwrap()
@@ -103,19 +116,31 @@
         workspace = self._table.workspace(route.unwrap(), facts.key)
         if isinstance(workspace, Failure):
             return workspace
+        workspace = workspace.unwrap()
         wait_s = route.unwrap().timeout_s
         if facts.budget_s is not None:
             wait_s = min(wait_s, facts.budget_s)
-        return Success(
-            Order(
-                facts,
-                route.unwrap(),
-                workspace.unwrap(),
-                scope["headers"],
-                b"",
-                began_s + wait_s,
+        order = Order(
+            facts,
+            route.unwrap(),
+            workspace,
+            scope["headers"],
+            b"",
+            began_s,
+            began_s + wait_s,
+        )
+        note(
+            RequestAdmitted(
+                facts.request_id,
+                order.route.name,
+                workspace.name if workspace else "",
+                order.rank,
+                view.index,
+                view.deployment.number,
+                round(wait_s, 3),
             )
         )
+        return Success(order)
 
     async def _exchange(self, order: Order, receive, caller: Caller) -> None:
         exchange = Exchange(order, self._tools, caller)
@@ -126,15 +151,31 @@
             if failure is not None and not caller.begun:
                 await self._refuse(caller, order.facts.request_id, failure)
             nursery.cancel_scope.cancel()
-        if nursery.cancel_scope.cancelled_caught and not caller.finished:
-            self._note_end(order, failure)
+        self._note_end(order, exchange, caller, failure)
 
-    def _note_end(self, order: Order, failure: VanillabeamError | None) -> None:
-        logger.bind(
-            request_id=order.facts.request_id,
-            failure=failure.type if failure else "caller-gone",
-            index=self._tools.follower.view.index,
-        ).warning("answer cut off")
+    def _note_end(
+        self,
+        order: Order,
+        exchange: Exchange,
+        caller: Caller,
+        failure: VanillabeamError | None,
+    ) -> None:
+        request_id = order.facts.request_id
+        total_s = round(trio.current_time() - order.began_s, 4)
+        route, counters = order.route.name, self._counters
+        if failure is not None and not caller.finished:
+            index = self._tools.follower.view.index
+            note(AnswerCut(request_id, failure.type, failure.detail, index))
+            counters.requests.labels(route, "cut", failure.type).inc()
+        elif failure is not None:
+            counters.requests.labels(route, "refused", failure.type).inc()
+        elif caller.finished:
+            note(RequestAnswered(request_id, caller.status, exchange.attempts, total_s))
+            counters.requests.labels(route, "answered", str(caller.status)).inc()
+            counters.total_s.labels(route).observe(total_s)
+        else:
+            note(CallerGone(request_id, total_s))
+            counters.requests.labels(route, "caller-gone", "").inc()
 
     async def _refuse(
         self, caller: Caller, request_id: str, exc: VanillabeamError
@@ -142,14 +183,17 @@
         retry_after_s = exc.retry_after_s
         if retry_after_s is not None:
             retry_after_s *= 1 + SPREAD_SHARE * self._rng.random()
-        logger.bind(
-            request_id=request_id,
-            failure=exc.type,
-            detail=exc.detail,
-            status=int(exc.status),
-            run=str(exc.run),
-            index=self._tools.follower.view.index,
-        ).warning("request refused")
+        note(
+            RequestRefused(
+                request_id,
+                exc.type,
+                exc.detail,
+                int(exc.status),
+                str(exc.run),
+                retry_after_s and round(retry_after_s, 3),
+                self._tools.follower.view.index,
+            )
+        )
         await caller.refuse(exc, retry_after_s)
 
 
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -1,12 +1,14 @@
 """One caller's request from its route to its final answer."""
 
+from functools import partial
 from typing import NamedTuple
 
 import trio
-from loguru import logger
 
+from vanillabeam.counters import Counters
+from vanillabeam.decisions import AttemptFailed, TargetChosen, note
 from vanillabeam.exceptions import Run, VanillabeamError
-from vanillabeam.fleet import Follower, Route, RouteKind, Workspace
+from vanillabeam.fleet import Follower, Route, RouteKind, Target, Workspace
 from vanillabeam.forwarding.choice import (
     Choice,
     Chooser,
@@ -32,7 +34,13 @@
 
 SERVER_ERROR = 500
 #: Connections that could not be had, before a request is refused.
-MOST_UNSENT = 3
+MOST_UNSENT = 5
+#: Objectives, or seconds where a route has none, that a target may be silent
+#: before it is doubtful.
+PATIENCE_OBJECTIVES = 1.5
+PATIENCE_S = 0.5
+#: Time between two looks whether a target has turned doubtful.
+LOOK_S = 0.1
 #: Ranks of routes within one rank of workspaces.
 RANKS_A_WORKSPACE = 3
 #: Objectives that a prompt may be expected to wait for its first event. What
@@ -44,7 +52,8 @@
     """A request that is admitted.
 
     :param headers: as the caller sent them.
-    :param ends_s: monotonic time of its final answer at the latest.
+    :param began_s: monotonic time at which its head was read.
+    :param ends_s: that of its final answer at the latest.
     """
 
     facts: Facts
@@ -52,8 +61,17 @@
     workspace: Workspace | None
     headers: Headers
     body: bytes
+    began_s: float
     ends_s: float
 
+    @property
+    def rank(self) -> int:
+        """How urgent it is; its workspace goes before its route."""
+        workspace, rank = self.workspace, self.route.priority
+        if workspace is None or workspace.priority is None:
+            return rank
+        return RANKS_A_WORKSPACE * workspace.priority + rank
+
 
 class Tools(NamedTuple):
     """What an entry VM's requests share."""
@@ -62,6 +80,7 @@
     follower: Follower
     chooser: Chooser
     pools: Pools
+    counters: Counters
 
 
 class Whole(NamedTuple):
@@ -101,6 +120,11 @@
         self._counted: OpenRequest | None = None
         self.may_have_run = False
 
+    @property
+    def attempts(self) -> int:
+        """How many targets the request was sent to."""
+        return self._sent
+
     async def run(self) -> VanillabeamError | None:
         """Answer the caller; return the failure to answer with, if any."""
         self._tools.chooser.requested(self._service, trio.current_time())
@@ -132,16 +156,20 @@
         )
         if choice is None or self._is_too_late(choice):
             return None
-        logger.bind(
-            request_id=order.facts.request_id,
-            service=self._service,
-            target=choice.target.name,
-            age_s=choice.age_s,
-            candidates=choice.candidates,
-            cold=choice.is_cold,
-            index=tools.follower.view.index,
-            attempts=self._sent,
-        ).debug("target chosen")
+        note(
+            TargetChosen(
+                order.facts.request_id,
+                self._service,
+                choice.target.name,
+                choice.candidates,
+                choice.age_s,
+                choice.work,
+                round(choice.wait_s, 3),
+                choice.is_cold,
+                self._sent,
+                tools.follower.view.index,
+            )
+        )
         return choice
 
     def _is_too_late(self, choice: Choice) -> bool:
@@ -162,7 +190,7 @@
         def is_kept(part_id: str) -> bool:
             return follower.parts.find(salt, part_id, now_s) is not None
 
-        return prompt_costs(self._order.facts, is_kept, self._rank())
+        return prompt_costs(self._order.facts, is_kept, self._order.rank)
 
     def _may_go_on(self, last: Outcome) -> bool:
         """Return whether the request may go to one more target."""
@@ -178,7 +206,10 @@
             return False
         entries = len(self._tools.follower.entries)
         now_s = trio.current_time()
-        return self._tools.chooser.may_repeat(self._service, entries, now_s)
+        if not self._tools.chooser.may_repeat(self._service, entries, now_s):
+            return False
+        self._tools.counters.repeats.labels(self._service).inc()
+        return True
 
     async def _give_up(self, last: Outcome | None) -> VanillabeamError | None:
         """Pass the last answer on, or return the failure to answer with."""
@@ -197,7 +228,13 @@
         target, chooser = choice.target, self._tools.chooser
         self._tried.add(target.name)
         load, now_s = chooser.load, trio.current_time()
-        counted = load.began(target.name, self._rank(), choice.work, now_s)
+        counted = load.began(
+            target.name,
+            self._order.rank,
+            choice.work,
+            now_s,
+            PATIENCE_OBJECTIVES * self._order.route.objective_s or PATIENCE_S,
+        )
         self._counted = counted
         outcome: Outcome | None = None
         try:
@@ -210,11 +247,11 @@
             chooser.ended(target, failed, trio.current_time())
 
     async def _exchange(self, choice: Choice) -> Outcome:
-        order, target = self._order, choice.target
+        target = choice.target
         pool = self._tools.pools.pool(target, self._connections())
         headers = self._headers_for(choice)
         was_run, self.may_have_run = self.may_have_run, True
-        opened = await open_answer(pool, target, order.facts, headers, order.body)
+        opened = await self._open(pool, target, headers)
         if isinstance(opened, Broken):
             if opened.exc.run is Run.NOT_RUN:
                 self.may_have_run = was_run
@@ -222,15 +259,40 @@
                 self._sent += 1
             return self._noted(opened, choice)
         self._sent += 1
-        self._tools.chooser.load.answered(
-            self._counted, self._service, trio.current_time()
-        )
+        now_s = trio.current_time()
+        self._tools.chooser.load.answered(self._counted, self._service, now_s)
+        first_s = now_s - self._counted.began_s
+        self._tools.counters.first_s.labels(self._service).observe(first_s)
         try:
             return self._noted(await self._take(opened, choice, was_run), choice)
         finally:
             with trio.CancelScope(shield=True):
                 await opened.response.aclose()
 
+    async def _open(self, pool, target: Target, headers: Headers) -> Opened | Broken:
+        """Send the request; leave a doubtful target if it may go elsewhere."""
+        order = self._order
+        send = partial(open_answer, pool, target, order.facts, headers, order.body)
+        route = order.route
+        if not route.is_idempotent or self._sent + 1 >= route.attempts:
+            return await send()
+        result: Opened | Broken = Broken(AnswerBroken(f"{target.name}: silent"))
+
+        async def sending(scope: trio.CancelScope) -> None:
+            nonlocal result
+            result = await send()
+            scope.cancel()
+
+        load = self._tools.chooser.load
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(sending, nursery.cancel_scope)
+            while True:
+                await trio.sleep(LOOK_S)
+                now_s = trio.current_time()
+                if load.is_doubtful(target.name, self._service, now_s):
+                    nursery.cancel_scope.cancel()
+        return result
+
     def _headers_for(self, choice: Choice) -> Headers:
         order = self._order
         workspace = order.workspace
@@ -239,7 +301,7 @@
             target=choice.target.name,
             left_s=max(0.0, order.ends_s - now_s),
             workspace=workspace.name if workspace else "",
-            priority=self._rank() if order.facts.model else None,
+            priority=order.rank if order.facts.model else None,
             last_event_id=self._cutter.last_id,
         )
         version = choice.target.versions.get(order.facts.model)
@@ -262,6 +324,8 @@
         for part, held in zip(self._order.facts.parts, plan.fetches, strict=False):
             if held is not None:
                 follower.fetched(salt, part.part_id)
+            outcome = "fetched" if held is not None else "read"
+            self._tools.counters.parts.labels(outcome).inc()
         return handover._replace(
             cache_salt=salt,
             version=version,
@@ -276,13 +340,6 @@
         wall = workspace.name if workspace and workspace.isolated else ""
         return f"{wall}/{self._order.facts.model}/{version}"
 
-    def _rank(self) -> int:
-        """Return how urgent the request is; its workspace goes first."""
-        workspace, rank = self._order.workspace, self._order.route.priority
-        if workspace is None or workspace.priority is None:
-            return rank
-        return RANKS_A_WORKSPACE * workspace.priority + rank
-
     def _connections(self) -> int:
         follower = self._tools.follower
         service = follower.view.deployment.services.get(self._service)
@@ -333,16 +390,20 @@
         return Delivered(opened.status)
 
     def _noted(self, outcome: Outcome, choice: Choice) -> Outcome:
+        attempts = self._tools.counters.attempts
+        attempts.labels(self._service, type(outcome).__name__.lower()).inc()
         if isinstance(outcome, Broken):
-            logger.bind(
-                request_id=self._order.facts.request_id,
-                service=self._service,
-                target=choice.target.name,
-                failure=outcome.exc.type,
-                detail=outcome.exc.detail,
-                run=str(outcome.exc.run),
-                age_s=choice.age_s,
-            ).warning("attempt failed")
+            note(
+                AttemptFailed(
+                    self._order.facts.request_id,
+                    self._service,
+                    choice.target.name,
+                    outcome.exc.type,
+                    outcome.exc.detail,
+                    str(outcome.exc.run),
+                    choice.age_s,
+                )
+            )
         return outcome
 
 
--- a/src/vanillabeam/forwarding/load.py
+++ b/src/vanillabeam/forwarding/load.py
@@ -10,8 +10,7 @@
 FEWEST_TOKENS = 4_000
 #: Weight of one wait in the learned speed.
 LEARNED_SHARE = 0.05
-#: Silence beyond the expected wait after which a target is doubtful.
-PATIENCE_S = 0.7
+#: Expected waits after which a target that is silent is doubtful.
 PATIENCE_FACTOR = 3.0
 
 #: Tokens of open work by rank; 0 is the most urgent.
@@ -24,6 +23,7 @@
     :param number: unique in this process.
     :param tokens: that it brought.
     :param ahead: tokens that go before its first event, its own included.
+    :param patience_s: silence that says nothing yet.
     """
 
     number: int
@@ -32,6 +32,7 @@
     tokens: int
     ahead: int
     began_s: float
+    patience_s: float
 
 
 class Load:
@@ -80,11 +81,21 @@
         rate = self._rates.get(service)
         return tokens / rate if rate else 0.0
 
-    def began(self, target: str, rank: int, tokens: int, now_s: float) -> OpenRequest:
-        """Count a request that is on its way to a target."""
+    def began(
+        self,
+        target: str,
+        rank: int,
+        tokens: int,
+        now_s: float,
+        patience_s: float = 1.0,
+    ) -> OpenRequest:
+        """Count a request that is on its way to a target.
+
+        :param patience_s: silence of the target that says nothing yet.
+        """
         self._next += 1
         ahead = self.ahead(target, rank) + tokens
-        opened = OpenRequest(self._next, target, rank, tokens, ahead, now_s)
+        opened = OpenRequest(self._next, target, rank, tokens, ahead, now_s, patience_s)
         self._open.setdefault(target, {})[opened.number] = opened
         self._unanswered.setdefault(target, {})[opened.number] = opened
         self._add(target, rank, tokens)
@@ -119,7 +130,7 @@
             return False
         first = next(iter(unanswered.values()))
         expected_s = PATIENCE_FACTOR * self.wait_s(service, first.ahead)
-        limit_s = max(PATIENCE_S, expected_s)
+        limit_s = max(first.patience_s, expected_s)
         since_s = max(first.began_s, self._sign_s.get(target, 0.0))
         return now_s - since_s > limit_s
 
--- a/src/vanillabeam/forwarding/sending.py
+++ b/src/vanillabeam/forwarding/sending.py
@@ -5,14 +5,14 @@
 
 import httpcore
 
-from vanillabeam.exceptions import Run, VanillabeamError
+from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet import Target
 from vanillabeam.forwarding.dialect import Facts, Headers
 from vanillabeam.forwarding.exceptions import AnswerBroken, NotSent
 
 __all__ = ["Broken", "Opened", "body_of", "open_answer"]
 
-CONNECT_LIMIT_S = 0.7
+CONNECT_LIMIT_S = 0.4
 POOL_LIMIT_S = 0.5
 
 _NOT_SENT = (
@@ -80,8 +80,3 @@
             yield data
     except _BROKEN as exc:
         yield Broken(AnswerBroken(f"{target.name}: {type(exc).__name__}"))
-
-
-def is_unrun(exc: VanillabeamError) -> bool:
-    """Return whether the failure says for certain that nothing ran."""
-    return exc.run is Run.NOT_RUN
--- a/src/vanillabeam/forwarding/upstream.py
+++ b/src/vanillabeam/forwarding/upstream.py
@@ -38,6 +38,7 @@
     :param closes: whether the connection is to end with this answer.
     :ivar begun: whether the answer's head has been sent.
     :ivar finished: whether the whole answer has.
+    :ivar status: of the answer, 0 before its head.
     """
 
     def __init__(self, send, closes: bool = False):
@@ -45,6 +46,7 @@
         self._closes = closes
         self.begun = False
         self.finished = False
+        self.status = 0
 
     async def answer_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a target's whole answer."""
@@ -94,6 +96,7 @@
 
     async def _start(self, status: int, headers: Headers) -> None:
         self.begun = True
+        self.status = status
         if self._closes:
             headers = [*headers, (b"connection", b"close")]
         await self._pass(
--- a/src/vanillabeam/logs.py
+++ b/src/vanillabeam/logs.py
@@ -6,13 +6,13 @@
 from loguru import logger
 
 from vanillabeam import wire
+from vanillabeam.decisions import KINDS
+from vanillabeam.output import Output
 from vanillabeam.settings import Logs
 
 __all__ = ["FIELDS", "configure"]
 
-#: The fields that a log line may carry; anything else is dropped, so that no
-#: key or prompt gets into a log by way of a new field.
-FIELDS = (
+_FIELDS = (
     "vm",
     "data_centre",
     "request_id",
@@ -43,30 +43,24 @@
     "address",
     "role",
     "code",
-    "draining",
-    "cold_ms",
-    "sequence",
-    "born_ms",
-    "age_s",
-    "candidates",
-    "cold",
-    "epoch",
-    "number",
-    "evacuated",
-    "weights",
-    "fence",
-    "reply",
-    "kind",
 )
 
 
-def configure(cfg: Logs, vm: str, data_centre: str) -> None:
+#: The fields that a log line may carry; anything else is dropped, so that no
+#: key or prompt gets into a log by way of a new field.
+FIELDS = tuple(dict.fromkeys((*_FIELDS, *(f for kind in KINDS for f in kind._fields))))
+
+
+def configure(
+    cfg: Logs, vm: str, data_centre: str, output: Output | None = None
+) -> None:
     """Send this process's logs where ``cfg`` says.
 
     :param vm: this VM's name, a field of every line.
+    :param output: takes the lines in place of standard error.
     """
     logger.remove()
-    sink = cfg["file"] or _write_stderr
+    sink = cfg["file"] or (output.write if output else _write_stderr)
     render = _as_json if cfg["format"] == "json" else _as_text
     logger.configure(extra={"vm": vm, "data_centre": data_centre})
     logger.add(sink, level=cfg["level"], format=render, catch=True)
--- a/src/vanillabeam/platform/__main__.py
+++ b/src/vanillabeam/platform/__main__.py
@@ -4,16 +4,18 @@
 import random
 import signal
 import sys
+from hashlib import blake2b
 from pathlib import Path
 
 import trio
-from loguru import logger
 
-from vanillabeam import logs
+from vanillabeam import __version__, logs
+from vanillabeam.decisions import SettingsUnreadable, Started, Stopped, note
 from vanillabeam.fleet.control import FleetControl
 from vanillabeam.fleet.records import FleetSettings
 from vanillabeam.fleetvm import FleetVm
 from vanillabeam.lifecycle import Lifecycle
+from vanillabeam.output import Output
 from vanillabeam.platform.calls import WorkerCalls
 from vanillabeam.platform.control import ControlApp
 from vanillabeam.platform.headers import PlatformDialect
@@ -23,6 +25,7 @@
 from vanillabeam.platform.stores import PlatformStores
 
 SETTINGS_PERIOD_S = 1.0
+DIGEST_BYTES = 8
 
 
 class PlatformAdapter:
@@ -48,7 +51,11 @@
     path = Path(os.environ[PATH_VARIABLE])
     cfg = read_settings(path)
     usual = {"format": "json", "level": "INFO", "file": None}
-    logs.configure(usual, cfg.vm, cfg.data_centre)
+    output = Output(sys.stdout.fileno())
+    logs.configure(usual, cfg.vm, cfg.data_centre, output)
+    digest = blake2b(path.read_bytes(), digest_size=DIGEST_BYTES).hexdigest()
+    role = "control" if cfg.control_address else "entry"
+    note(Started(__version__, role, digest))
     return trio.run(_run, cfg, path)
 
 
@@ -58,10 +65,9 @@
         nursery.start_soon(_obey_signals, vm, path)
         nursery.start_soon(_follow_settings, vm, path)
         await nursery.start(vm.run)
-        logger.info("started")
         code = await vm.wait_stopped()
         nursery.cancel_scope.cancel()
-    logger.bind(code=code).info("stopped")
+    note(Stopped(code))
     return code
 
 
@@ -85,7 +91,7 @@
     try:
         vm.settings_changed(read_settings(path))
     except (OSError, ValueError, KeyError) as exc:
-        logger.bind(detail=str(exc)).error("settings not readable")
+        note(SettingsUnreadable(str(exc)))
 
 
 if __name__ == "__main__":
--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -4,10 +4,16 @@
 from typing import NamedTuple, TypedDict
 from urllib.parse import unquote
 
-from loguru import logger
 from returns.result import Failure, Result
 
 from vanillabeam import wire
+from vanillabeam.decisions import (
+    AnnouncementUnreadable,
+    DeploymentRefused,
+    OrderSettled,
+    OrderUnsettled,
+    note,
+)
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet import Command, Limits
 from vanillabeam.fleet.control import FleetControl
@@ -76,9 +82,7 @@
     async def _heartbeat(self, worker: str, body: bytes) -> Answer:
         target = read_heartbeat(worker, body)
         if isinstance(target, Failure):
-            logger.bind(target=worker, detail=target.failure().detail).warning(
-                "announcement not readable"
-            )
+            note(AnnouncementUnreadable(worker, target.failure().detail))
             return _failed(BAD_REQUEST, target.failure())
         self._control.heard(target.unwrap())
         return Answer(OK)
@@ -90,7 +94,7 @@
     async def _put(self, _: str, body: bytes) -> Answer:
         checked = check_document(body)
         if isinstance(checked, Failure):
-            logger.bind(detail=checked.failure().detail).warning("deployment refused")
+            note(DeploymentRefused(checked.failure().detail))
             return _failed(BAD_REQUEST, checked.failure())
         number = checked.unwrap().number
         return await self._settle(
@@ -119,18 +123,13 @@
 
     async def _settle(self, command: Command) -> Answer:
         settled: Result = await self._control.settle(command)
-        log = logger.bind(
-            kind=command["kind"],
-            number=command.get("number"),
-            data_centre=command.get("data_centre"),
-        )
+        subject = command.get("data_centre") or command.get("model")
+        what = (command["kind"], command.get("number"), subject)
         if isinstance(settled, Failure):
             failure = settled.failure()
-            log.bind(failure=failure.type, run=str(failure.run)).warning(
-                "order not settled"
-            )
+            note(OrderUnsettled(*what, failure.type, str(failure.run)))
             return _failed(UNAVAILABLE, failure)
-        log.bind(index=settled.unwrap().index).info("order settled")
+        note(OrderSettled(*what, settled.unwrap().index))
         return Answer(OK)
 
 
--- a/src/vanillabeam/platform/settings.py
+++ b/src/vanillabeam/platform/settings.py
@@ -16,9 +16,11 @@
 def read_settings(path: Path) -> FleetSettings:
     """Return what the file at ``path`` says.
 
-    The file is made from ``deploy/settings.json.in``, all fields as JSON.
+    The file is made from ``deploy/settings.json.in``: all fields as JSON,
+    beside the port of the metrics, which ``deploy/system.toml`` names too.
     """
-    fields = json.loads(path.read_bytes())
+    document = json.loads(path.read_bytes())
+    fields = document["platform"]
     listen = fields["listen"]
     return FleetSettings(
         vm=fields["node"],
@@ -31,6 +33,7 @@
         seeds=tuple(seed.rpartition(":")[0] for seed in fields["seeds"]),
         bootstrap=bool(fields["bootstrap"]),
         data_folder=fields.get("data_dir") or "",
+        metrics_port=document["metrics_port"],
         bounds=_bounds(fields),
     )
 
--- a/tests/forwarding/test_load.py
+++ b/tests/forwarding/test_load.py
@@ -42,7 +42,7 @@
 
 def test_a_target_that_answers_nobody_is_doubtful():
     load = Load()
-    load.began("t", 0, 100, now_s=0.0)
+    load.began("t", 0, 100, now_s=0.0, patience_s=0.7)
     assert not load.is_doubtful("t", "llm", 0.5)
     assert load.is_doubtful("t", "llm", 1.0)
     load.heard("t", 0.9)
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -71,7 +71,7 @@
 
 
 def make_settings(**changes):
-    """Return the fields of the settings file."""
+    """Return the settings file as the template makes it."""
     fields = {
         "node": "core-a-1",
         "role": "control",
@@ -89,7 +89,7 @@
         "bounds": {"cold_over": 1.5, "lease_ms": 3000, "grace_s": 8},
         "a field of later": {"x": 1},
     }
-    return fields | changes
+    return {"metrics_port": 0, "platform": fields | changes}
 
 
 def make_scope(headers=(), method="POST", path=b"/prompts/1", query=b""):
