Let the index of kept parts outlast a change of leader

Ruled out: followers that publish an index too (a part that is being freed by the leader would be named by another).

Change: a copy counts for 8 s; parts are freed that much later.

--- a/src/vanillabeam/fleet/parts.py
+++ b/src/vanillabeam/fleet/parts.py
@@ -12,7 +12,7 @@
 #: Removals that are remembered; a reader that is further behind starts anew.
 MAX_GONE = 20_000
 #: A view counts for so long after the leader's answer was asked for.
-VIEW_LEASE_S = 1.5
+VIEW_LEASE_S = 8.0
 
 
 class StoreEvent(NamedTuple):
