Send prompts only where a target's memory has room, and leave some to urgent ones

A target's memory holds seven of the largest prompts; the entry VMs together sent more, and an urgent prompt that found no room preempted the newest of the least urgent.

Ruled out: what the stores hold (the index names nine of ten returning parts, trial with a line a prompt), fetches that come too late (none since they may wait), one priority for all (urgent ones would wait behind the largest).

Change: entry VMs tell the memory that their requests take at each target; a prompt goes only where it fits, waits up to 0.6 objectives for room, and is refused then; each rank leaves 5 % more to those before it. Tests in tests/forwarding/test_choice.py answer the pattern without a network.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -98,6 +98,7 @@
         self._named_s: dict[str, dict[int, float]] = {}
         self._news = trio.Event()
         self._entries: dict[str, float] = {}
+        self._room: dict[str, dict[str, int]] = {}
         self._work: dict[str, dict[str, dict[int, int]]] = {}
         self._absent_since: dict[str, float] = {}
 
@@ -197,6 +198,7 @@
         if request["sends"]:
             self._entries[request["vm"]] = trio.current_time()
             self._work[request["vm"]] = request["work"]
+            self._room[request["vm"]] = request["room"]
         for key in request["fetched"]:
             self.stores.index.used(tuple(key))
         with trio.move_on_after(min(request["wait_s"], MOST_WAIT_S)):
@@ -220,6 +222,7 @@
             self.control_addresses(),
             self._live_entries(now_s),
             self._work_but_of(request["vm"]),
+            self._room_but_of(request["vm"]),
             now_s,
         )
         if "state" in reply:
@@ -252,10 +255,20 @@
                     sums[rank] = sums.get(rank, 0) + tokens
         return total
 
+    def _room_but_of(self, vm: str) -> dict[str, int]:
+        total: dict[str, int] = {}
+        for other, room in self._room.items():
+            if other == vm:
+                continue
+            for target, tokens in room.items():
+                total[target] = total.get(target, 0) + tokens
+        return total
+
     def _live_entries(self, now_s: float) -> list[str]:
         limit_s = now_s - ENTRY_SILENCE_S
         self._entries = {vm: at for vm, at in self._entries.items() if at > limit_s}
         self._work = {vm: self._work[vm] for vm in self._entries}
+        self._room = {vm: self._room[vm] for vm in self._entries}
         return sorted(self._entries)
 
     async def _follow_stores(self, nursery: trio.Nursery) -> None:
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -93,7 +93,8 @@
     """Keeps the newest state and the directory of targets of one entry VM.
 
     :ivar own_work: returns the open work of this VM by target and rank.
-    :ivar on_work: takes the same of all other entry VMs.
+    :ivar own_room: returns the memory that its requests take, by target.
+    :ivar on_load: takes both of all other entry VMs.
     :param call: reaches the control VMs.
     :param read: turns an operator's document into a deployment.
 
@@ -114,7 +115,8 @@
         self.parts = PartView()
         self.entries: tuple[str, ...] = (cfg.vm,)
         self.own_work: Callable[[], Work] = dict
-        self.on_work: Callable[[Work], None] = _ignore
+        self.own_room: Callable[[], dict[str, int]] = dict
+        self.on_load: Callable[[Work, dict[str, int]], None] = _ignore
         self._cfg = cfg
         self._call = call
         self._read = read
@@ -187,7 +189,7 @@
                 await trio.sleep(RETRY_S)
                 continue
             self._take(reply, source)
-            self.on_work(reply["work"])
+            self.on_load(reply["work"], reply["room"])
             if "parts" in reply:
                 self.parts.take(reply["parts"], asked_s, trio.current_time())
             await trio.sleep(GATHER_S)
@@ -209,6 +211,7 @@
             wait_s=self._wait_s(),
             parts=self.parts.request(),
             work=self.own_work(),
+            room=self.own_room(),
             fetched=list(self._fetched),
         )
         with trio.move_on_after(ANSWER_LIMIT_S):
@@ -329,5 +332,5 @@
     }
 
 
-def _ignore(work: Work) -> None:
-    """Take others' work where nothing is sent."""
+def _ignore(work: Work, room: dict[str, int]) -> None:
+    """Take others' load where nothing is sent."""
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -24,6 +24,7 @@
     :param wait_s: how long the answer may wait for news.
     :param parts: what the asking VM has of the index of kept parts.
     :param work: tokens of open work that it has, by target and rank.
+    :param room: tokens of memory that its requests take, by target.
     :param fetched: salt and id of parts that it had fetched lately.
     """
 
@@ -35,6 +36,7 @@
     wait_s: float
     parts: PartRequest
     work: dict[str, dict[int, int]]
+    room: dict[str, int]
     fetched: list[tuple[str, str]]
 
 
@@ -56,6 +58,7 @@
     :param entries: entry VMs that have asked lately.
     :param parts: news of the index of kept parts, from the leader only.
     :param work: the open work of all other entry VMs.
+    :param room: tokens of memory that the requests of all others take.
     :param named: age in seconds of each weight version, by model, with
         ``state`` only.
     :param paused: targets that are about to load weights, from the leader.
@@ -74,6 +77,7 @@
     entries: list[str]
     parts: NotRequired[PartNews]
     work: dict[str, dict[int, int]]
+    room: dict[str, int]
     named: NotRequired[dict[str, list[tuple[int, float]]]]
     paused: NotRequired[list[str]]
     seen: NotRequired[list[tuple[str, int, str, int]]]
@@ -87,6 +91,7 @@
     control: Sequence[str],
     entries: Sequence[str],
     work: dict[str, dict[int, int]],
+    room: dict[str, int],
     now_s: float,
 ) -> WatchReply:
     """Return what ``request`` has not heard yet.
@@ -108,6 +113,7 @@
         control=list(control),
         entries=list(entries),
         work=work,
+        room=room,
     )
     if state["index"] > request["index"]:
         reply["state"] = state
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -2,7 +2,6 @@
 
 import itertools
 import random
-from functools import partial
 
 import trio
 from returns.result import Failure, Result, Success
@@ -57,7 +56,8 @@
         self._counters = counters
         follower.own_work = chooser.load.own
         chooser.is_paused = follower.is_paused
-        follower.on_work = partial(setattr, chooser.load, "others")
+        follower.own_room = chooser.load.own_room
+        follower.on_load = chooser.load.take_others
         self._lifecycle = lifecycle
         self._rng = rng
         self._table = RouteTable(Deployment())
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -13,6 +13,9 @@
 
 #: What fetching a kept part costs of reading it.
 FETCH_SHARE = 0.1
+#: Share of a target's memory that each rank leaves to more urgent ones.
+ROOM_SHARE_A_RANK = 0.05
+FEWEST_ROOM_SHARE = 0.5
 #: A target that is not heard for so many heartbeats is used last.
 DOUBTFUL_HEARTBEATS = 1.9
 #: A target that failed is passed over for so long, doubled each time.
@@ -31,6 +34,7 @@
     :param is_cold: whether the target is in its cold window.
     :param work: tokens that the request brings to the target.
     :param wait_s: expected time to its first event; 0 if that is unknown.
+    :param room: tokens of memory that the request takes there.
     """
 
     target: Target
@@ -39,6 +43,7 @@
     age_s: float
     work: int = 0
     wait_s: float = 0.0
+    room: int = 0
 
 
 class _Health(NamedTuple):
@@ -99,6 +104,7 @@
         """
         usable = self._usable(service, facts, view, tried, now_s)
         rate = _cold_rate(view.deployment, service)
+        usable = self._with_room(usable, service, view.deployment, costs)
         ordered = self._ordered(usable, facts, costs)
         for target in ordered:
             sighting = self._directory.sightings[target.name]
@@ -114,7 +120,8 @@
             rank = costs.rank if costs else 0
             ahead = self.load.ahead(target.name, rank) + work
             wait_s = self.load.wait_s(service, ahead)
-            return Choice(target, len(usable), is_cold, age_s, work, wait_s)
+            room = costs.room if costs else 0
+            return Choice(target, len(usable), is_cold, age_s, work, wait_s, room)
         return None
 
     def ended(self, target: Target, failed: bool, now_s: float) -> None:
@@ -174,6 +181,30 @@
             return True
         return self.load.is_doubtful(target.name, target.service, now_s)
 
+    def _with_room(
+        self,
+        usable: list[Target],
+        service: str,
+        deployment: Deployment,
+        costs: "PromptCosts | None",
+    ) -> list[Target]:
+        """Return the targets whose memory has room for a prompt.
+
+        Less urgent ones leave some free: an urgent one that found none would
+        preempt them, and what they had read would be read again.
+        """
+        record = deployment.services.get(service)
+        if costs is None or record is None or record.engine is None:
+            return usable
+        share = max(FEWEST_ROOM_SHARE, 1 - ROOM_SHARE_A_RANK * (costs.rank + 1))
+        limit = share * record.engine.kv_tokens
+        return [
+            each
+            for each in usable
+            if not (taken := self.load.room_taken(each.name))
+            or taken + costs.room <= limit
+        ]
+
     def _is_rested(self, target: Target, now_s: float) -> bool:
         health = self._health.get(target.life)
         return health is None or now_s >= health.rests_until_s
@@ -205,12 +236,14 @@
     :param at_favourite: at the target that has had the prompts before it.
     :param elsewhere: at any other.
     :param rank: 0 is the most urgent.
+    :param room: tokens of memory that it takes.
     """
 
     affinity: str
     at_favourite: int
     elsewhere: int
     rank: int = 0
+    room: int = 0
 
 
 def prompt_costs(
@@ -231,7 +264,8 @@
             break
         fetched += FETCH_SHARE * part.tokens
     affinity = (shared or facts.parts)[-1].part_id
-    return PromptCosts(affinity, own, own + int(fetched), rank)
+    room = sum(part.tokens for part in facts.parts) + facts.output_tokens
+    return PromptCosts(affinity, own, own + int(fetched), rank, room)
 
 
 def _work_at(target: Target, usable: list[Target], costs: PromptCosts | None) -> int:
--- a/src/vanillabeam/forwarding/dialect.py
+++ b/src/vanillabeam/forwarding/dialect.py
@@ -29,6 +29,7 @@
     :param key: the caller's key, empty without one.
     :param model: empty where no model is asked for.
     :param parts: the prompt's parts in order.
+    :param output_tokens: most tokens that it generates.
     :param last_event_id: of a stream that the caller resumes.
     """
 
@@ -41,6 +42,7 @@
     key: str = ""
     model: str = ""
     parts: tuple[PromptPart, ...] = ()
+    output_tokens: int = 0
     last_event_id: str = ""
 
 
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -39,7 +39,9 @@
 #: before it is doubtful.
 PATIENCE_OBJECTIVES = 1.5
 PATIENCE_S = 0.5
-#: Time between two looks whether a target has turned doubtful.
+#: Objectives that a prompt waits at most for a target with room.
+ROOM_OBJECTIVES = 0.6
+#: Time between two looks whether a target has room, or has turned doubtful.
 LOOK_S = 0.1
 #: Ranks of routes within one rank of workspaces.
 RANKS_A_WORKSPACE = 3
@@ -131,7 +133,7 @@
         last: Outcome | None = None
         with trio.move_on_at(self._order.ends_s):
             while True:
-                choice = self._choose(last)
+                choice = await self._wait_for_choice(last)
                 if choice is None:
                     return await self._give_up(last)
                 last = await self._attempt(choice)
@@ -143,6 +145,16 @@
             return AnswerLate(f"after {self._order.route.timeout_s:g} s")
         return NoTarget("no target in time")
 
+    async def _wait_for_choice(self, last: Outcome | None) -> Choice | None:
+        """Return a target, waiting a little for one that has room."""
+        until_s = self._order.began_s + ROOM_OBJECTIVES * self._order.route.objective_s
+        while True:
+            choice = self._choose(last)
+            may_wait = self._order.facts.parts and self._wait_s is None
+            if choice is not None or not may_wait or trio.current_time() >= until_s:
+                return choice
+            await trio.sleep(LOOK_S)
+
     def _choose(self, last: Outcome | None) -> Choice | None:
         order, tools = self._order, self._tools
         choice = tools.chooser.choose(
@@ -234,6 +246,7 @@
             choice.work,
             now_s,
             PATIENCE_OBJECTIVES * self._order.route.objective_s or PATIENCE_S,
+            choice.room,
         )
         self._counted = counted
         outcome: Outcome | None = None
--- a/src/vanillabeam/forwarding/load.py
+++ b/src/vanillabeam/forwarding/load.py
@@ -22,6 +22,7 @@
 
     :param number: unique in this process.
     :param tokens: that it brought.
+    :param room: tokens of memory that it takes while it is open.
     :param ahead: tokens that go before its first event, its own included.
     :param patience_s: silence that says nothing yet.
     """
@@ -30,6 +31,7 @@
     target: str
     rank: int
     tokens: int
+    room: int
     ahead: int
     began_s: float
     patience_s: float
@@ -48,6 +50,7 @@
 
     def __init__(self):
         self.others: dict[str, WorkByRank] = {}
+        self.others_room: dict[str, int] = {}
         self._own: dict[str, WorkByRank] = {}
         self._open: dict[str, dict[int, OpenRequest]] = {}
         self._unanswered: dict[str, dict[int, OpenRequest]] = {}
@@ -59,6 +62,23 @@
         """Return this VM's open work by target and rank."""
         return {name: dict(work) for name, work in self._own.items() if work}
 
+    def take_others(self, work: dict[str, WorkByRank], room: dict[str, int]) -> None:
+        """Take what all other entry VMs have open."""
+        self.others, self.others_room = work, room
+
+    def own_room(self) -> dict[str, int]:
+        """Return the memory that this VM's requests take, by target."""
+        return {
+            name: self._room_at(name) for name, found in self._open.items() if found
+        }
+
+    def room_taken(self, target: str) -> int:
+        """Return the tokens of memory that all open requests take at a target."""
+        return self._room_at(target) + self.others_room.get(target, 0)
+
+    def _room_at(self, target: str) -> int:
+        return sum(each.room for each in self._open.get(target, {}).values())
+
     def open_requests(self, target: str) -> int:
         """Return how many requests of this VM are open at a target."""
         return len(self._open.get(target, ()))
@@ -88,14 +108,18 @@
         tokens: int,
         now_s: float,
         patience_s: float = 1.0,
+        room: int = 0,
     ) -> OpenRequest:
         """Count a request that is on its way to a target.
 
         :param patience_s: silence of the target that says nothing yet.
+        :param room: tokens of memory that it takes.
         """
         self._next += 1
         ahead = self.ahead(target, rank) + tokens
-        opened = OpenRequest(self._next, target, rank, tokens, ahead, now_s, patience_s)
+        opened = OpenRequest(
+            self._next, target, rank, tokens, room, ahead, now_s, patience_s
+        )
         self._open.setdefault(target, {})[opened.number] = opened
         self._unanswered.setdefault(target, {})[opened.number] = opened
         self._add(target, rank, tokens)
--- a/src/vanillabeam/platform/headers.py
+++ b/src/vanillabeam/platform/headers.py
@@ -19,6 +19,7 @@
 INSTANCE = PREFIX + b"expect-instance"
 NOT_EXECUTED = PREFIX + b"not-executed"
 MODEL = PREFIX + b"model"
+TOKEN_USAGE = PREFIX + b"token-usage"
 PROMPT_PARTS = PREFIX + b"prefix-hash"
 CACHE_SALT = PREFIX + b"cache-salt"
 PRIORITY = PREFIX + b"request-priority"
@@ -78,6 +79,7 @@
                     key=_text(headers, KEY),
                     model=_text(headers, MODEL),
                     parts=_parts(headers.get(PROMPT_PARTS, b"")),
+                    output_tokens=_output_tokens(headers.get(TOKEN_USAGE, b"")),
                     last_event_id=_text(headers, LAST_EVENT_ID),
                 )
             )
@@ -147,6 +149,12 @@
     return tuple(PromptPart(part, int(tokens)) for part, _, tokens in pairs)
 
 
+def _output_tokens(value: bytes) -> int:
+    """Return the second of ``PROMPT,OUTPUT`` tokens."""
+    _, _, output = value.partition(b",")
+    return int(output) if output.strip() else 0
+
+
 def _named_hops(headers: Headers) -> set[bytes]:
     return {
         token.strip().lower()
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -128,6 +128,28 @@
     assert found == {"t-2"}
 
 
+def test_a_prompt_waits_for_memory_and_an_urgent_one_finds_some_left():
+    chooser = make_chooser(make_target("t-1", versions={"m": 1}))
+    facts = make_prompt()
+    chooser.load.take_others({}, {"t-1": 800})
+
+    def found(rank):
+        costs = prompt_costs(facts, lambda part: False, rank)
+        view = make_view()
+        return chooser.choose("llm", facts, view, ENTRIES, set(), 1.0, costs)
+
+    assert found(0) is not None
+    assert found(5) is None
+    chooser.load.take_others({}, {"t-1": 500})
+    assert found(5) is not None
+
+
+def test_a_prompt_larger_than_its_share_goes_to_a_target_that_is_empty():
+    chooser = make_chooser(make_target("t-1", versions={"m": 1}))
+    facts = make_prompt(output_tokens=900)
+    assert choose(chooser, facts) == "t-1"
+
+
 def test_a_target_without_the_model_is_no_candidate():
     chooser = make_chooser(make_target("t-1", versions={"other": 1}))
     assert choose(chooser, make_prompt()) is None
