--- a/src/vanillabeam/cli/explain.py
+++ b/src/vanillabeam/cli/explain.py
@@ -16,7 +16,8 @@
 #: Fields that every line has; the others are what decided it.
 COMMON = ("time", "level", "event", "vm", "data_centre", "request_id")
 #: Changes of belief that are told beside a request's own lines.
-BELIEFS = ("state-in-force", "target-changed", "target-left", "target-silent")
+STATE = "state-in-force"
+BELIEFS = (STATE, "target-changed", "target-left", "target-silent")
 
 
 def explain(
@@ -63,9 +64,22 @@
         for record in beliefs
         if record["vm"] in vms
         and first <= record["time"] <= last
-        and record.get("target", None) in {None, *targets}
+        and record.get("target") in {None, *targets}
     ]
-    return sorted([*own, *told], key=lambda record: record["time"])
+    before = _last_state(beliefs, own[0])
+    return sorted([*before, *own, *told], key=lambda record: record["time"])
+
+
+def _last_state(beliefs: list[dict], first: dict) -> list[dict]:
+    """Return what was in force on a request's VM when it came."""
+    states = [
+        record
+        for record in beliefs
+        if record["event"] == STATE
+        and record["vm"] == first["vm"]
+        and record["time"] < first["time"]
+    ]
+    return [max(states, key=lambda record: record["time"])] if states else []
 
 
 def _lines(files: list[Path]) -> Iterator[str]:
