--- a/tests/log/test_runs.py
+++ b/tests/log/test_runs.py
@@ -14,6 +14,7 @@
 )
 
 from tests.log.cluster import Broken, Cluster
+from tests.log.seeded import BACKEND
 
 CI_RUNS = 12
 CI_STEPS = 25
@@ -146,6 +147,7 @@
         deadline=None,
         database=None,
         phases=phases,
+        backend=BACKEND,
         suppress_health_check=list(HealthCheck),
         print_blob=False,
     )
