--- /dev/null
+++ b/tests/forwarding/test_upstream.py
@@ -0,0 +1,101 @@
+import trio
+import trio.testing
+from returns.result import Failure
+
+from vanillabeam.exceptions import BodyTooLarge, BodyTooSlow, MalformedBody
+from vanillabeam.fleet import Limits
+from vanillabeam.forwarding.exceptions import AnswerBroken, NoTarget
+from vanillabeam.forwarding.upstream import Caller, read_body
+
+
+def run(function, *args):
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, *args, clock=clock)
+
+
+def receiver(*messages, pause_s=0.0):
+    waiting = list(messages)
+
+    async def receive():
+        await trio.sleep(pause_s)
+        return waiting.pop(0) if waiting else await trio.sleep_forever()
+
+    return receive
+
+
+def part(body, more=True):
+    return {"type": "http.request", "body": body, "more_body": more}
+
+
+def test_a_cancelled_answer_hands_over_whole_messages():
+    """The server would send a second head, and end the process."""
+    begun, ended = [], []
+
+    async def send(message):
+        begun.append(message["type"])
+        await trio.sleep(1.0)
+        ended.append(message["type"])
+
+    async def main():
+        with trio.move_on_after(0.5):
+            await Caller(send).answer_whole(200, [], b"body")
+
+    run(main)
+    assert begun[0] == "http.response.start"
+    assert ended == begun
+
+
+def test_headers_of_one_connection_stop_here():
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    headers = [
+        (b"Connection", b"keep-alive, X-Hop"),
+        (b"X-Hop", b"1"),
+        (b"Keep-Alive", b"timeout=5"),
+        (b"Transfer-Encoding", b"chunked"),
+        (b"X-Stamp", b"s"),
+    ]
+    run(Caller(send).answer_whole, 200, headers, b"body")
+    assert sent[0]["headers"] == [(b"x-stamp", b"s"), (b"content-length", b"4")]
+
+
+def test_only_what_has_not_run_is_told_when_to_come_back():
+    async def head_of(exc):
+        sent = []
+
+        async def send(message):
+            sent.append(message)
+
+        await Caller(send).refuse(exc, 0.75)
+        return sent[0]["status"], dict(sent[0]["headers"]).get(b"retry-after")
+
+    assert run(head_of, NoTarget()) == (503, b"0.75")
+    assert run(head_of, AnswerBroken()) == (502, None)
+
+
+def test_a_draining_vm_closes_with_its_answer():
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    run(Caller(send, closes=True).answer_whole, 200, [], b"")
+    assert (b"connection", b"close") in sent[0]["headers"]
+
+
+def test_a_body_is_read_within_its_limits():
+    limits = Limits(body_bytes=4, idle_s=1.0)
+    whole = receiver(part(b"ab"), part(b"cd", more=False))
+    assert run(read_body, whole, limits).unwrap() == b"abcd"
+    faults = {
+        BodyTooLarge: receiver(part(b"abc"), part(b"de")),
+        BodyTooSlow: receiver(part(b"a"), pause_s=2.0),
+        MalformedBody: receiver(part(b"a"), {"type": "http.disconnect"}),
+    }
+    for kind, receive in faults.items():
+        result = run(read_body, receive, limits)
+        assert isinstance(result, Failure)
+        assert isinstance(result.failure(), kind)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -175,14 +175,15 @@
     def kill(self, name):
         self.vms.pop(name)[1].cancel()
 
-    async def start_worker(self, name, **changes):
+    async def start_worker(self, name, host=None, **changes):
+        """Start a worker; with ``host`` it calls that control VM only."""
         worker = Worker(name)
         self.workers[name] = worker
         await self.nursery.start(worker.run)
-        self.nursery.start_soon(self._announce, worker, changes)
+        self.nursery.start_soon(self._announce, worker, changes, host)
         return worker
 
-    async def _announce(self, worker, changes):
+    async def _announce(self, worker, changes, host):
         sequence = 0
         while worker.name in self.workers:
             sequence += 1
@@ -190,7 +191,7 @@
             said = {"address": worker.address, "seq": sequence, "models": models}
             said = make_heartbeat(**(said | changes))
             path = f"/api/Instances.Heartbeat/{worker.name}"
-            await self.operate("POST", path, said)
+            await self.operate("POST", path, said, host)
             await trio.sleep(0.3)
 
     async def operate(self, method, path, document=None, host=None):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -170,6 +170,43 @@
     trio.run(main)
 
 
+def test_the_leader_orders_targets_that_only_other_control_vms_have_heard(tmp_path):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            await platform.operate("POST", "/api/Config.Put", make_document())
+            workers = [
+                await platform.start_worker(f"i-{host}", host)
+                for host in platform.hosts
+            ]
+            named = {"model": "m", "version": 2}
+            await platform.operate("POST", "/api/version-put", named)
+            await until(lambda: all(worker.version == 2 for worker in workers))
+
+    trio.run(main)
+
+
+def test_a_client_that_leaves_ends_no_process(tmp_path):
+    async def slow(headers, send):
+        await trio.sleep(0.3)
+        await answer(send, 200, b"late", headers)
+
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            (worker,) = await serving(platform, "i-1", service="app")
+            for pause_s in (0.0, 0.01, 0.1, 0.29, 0.3, 0.31):
+                worker.script = [slow]
+                with trio.move_on_after(pause_s):
+                    await platform.ask()
+            worker.script = []
+            await until(partial(_is_served, platform))
+
+    trio.run(main)
+
+
+async def _is_served(platform):
+    return (await platform.ask()).status == 200
+
+
 def test_what_was_accepted_outlives_a_control_vm(tmp_path):
     async def main():
         async with running_platform(tmp_path) as platform:
