Keep one rendezvous and one list of hop-by-hop headers; split the exchange

`forwarding` had a second rendezvous hash and a second list of headers, `exchange` held what a target is told beside how requests are sent, and a refusal without a target did not say why. A stream that had begun could be refused as too late between two targets.

--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -10,7 +10,7 @@
 from bench.routing_model import Engine, Prompt, Site, Store
 from vanillabeam.cache.blocks import BLOCK_TOKENS, RouteRequest
 from vanillabeam.config import Config, DataCentre, Priority
-from vanillabeam.routing.rendezvous import rank
+from vanillabeam.rendezvous import rank
 from vanillabeam.routing.weights import Weights
 from vanillabeam.targets import Entry, Outcome, OutcomeKind, Targets, TargetsSettings
 from vanillabeam.targets.exceptions import OwnerUnreachable
--- a/src/vanillabeam/cache/placement.py
+++ b/src/vanillabeam/cache/placement.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 
 from vanillabeam.cache.blocks import lineage
-from vanillabeam.routing.rendezvous import rank
+from vanillabeam.rendezvous import rank
 
 __all__ = ["COPIES", "place", "position"]
 
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -11,12 +11,12 @@
 from vanillabeam import wire
 from vanillabeam.decisions import (
     MemberRemoved,
-    TargetChanged,
     TargetLeft,
     TargetSilent,
     note,
 )
 from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.fleet.beliefs import note_target
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.follower import Follower
 from vanillabeam.fleet.freeing import is_outdated
@@ -134,18 +134,7 @@
         """Take a target's announcement."""
         if not self.directory.heard(target, trio.current_time()):
             return
-        note(
-            TargetChanged(
-                target.name,
-                target.service,
-                target.address,
-                target.born_ms,
-                target.sequence,
-                target.draining,
-                target.cold_ms,
-                0.0,
-            )
-        )
+        note_target(target, 0.0)
         self._tell()
 
     def left(self, name: str, born_ms: int | None) -> None:
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -12,10 +12,10 @@
     ControlForgotten,
     ControlHeard,
     StateInForce,
-    TargetChanged,
     TargetSilent,
     note,
 )
+from vanillabeam.fleet.beliefs import note_target
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.fleet.records import Deployment, FleetSettings
@@ -267,18 +267,7 @@
         for seen in reply["targets"]:
             target = seen["target"]
             if self.directory.heard(target, now_s - seen["age_s"]):
-                note(
-                    TargetChanged(
-                        target.name,
-                        target.service,
-                        target.address,
-                        target.born_ms,
-                        target.sequence,
-                        target.draining,
-                        target.cold_ms,
-                        seen["age_s"],
-                    )
-                )
+                note_target(target, seen["age_s"])
         for name, age_s in reply["ages_s"].items():
             self.directory.still_heard(name, now_s - age_s)
         for name, born_ms, model, version in reply.get("seen", ()):
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -17,10 +17,11 @@
 )
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet import Deployment, Follower
+from vanillabeam.forwarding.admitted import Admitted
 from vanillabeam.forwarding.choice import Chooser
 from vanillabeam.forwarding.dialect import Dialect, Facts
 from vanillabeam.forwarding.exceptions import StateUnknown
-from vanillabeam.forwarding.exchange import Exchange, Order, Tools
+from vanillabeam.forwarding.exchange import Exchange, Tools
 from vanillabeam.forwarding.pools import Pools
 from vanillabeam.forwarding.routes import RouteTable
 from vanillabeam.forwarding.upstream import Caller, read_body
@@ -103,7 +104,7 @@
 
     def _admit(
         self, facts: Facts, scope, began_s: float
-    ) -> Result[Order, VanillabeamError]:
+    ) -> Result[Admitted, VanillabeamError]:
         """Return the request with its route and workspace."""
         view = self._tools.follower.view
         if not view.is_known:
@@ -120,7 +121,7 @@
         wait_s = route.unwrap().timeout_s
         if facts.budget_s is not None:
             wait_s = min(wait_s, facts.budget_s)
-        order = Order(
+        order = Admitted(
             facts,
             route.unwrap(),
             workspace,
@@ -142,7 +143,7 @@
         )
         return Success(order)
 
-    async def _exchange(self, order: Order, receive, caller: Caller) -> None:
+    async def _exchange(self, order: Admitted, receive, caller: Caller) -> None:
         exchange = Exchange(order, self._tools, caller)
         failure = None
         async with trio.open_nursery() as nursery:
@@ -155,7 +156,7 @@
 
     def _note_end(
         self,
-        order: Order,
+        order: Admitted,
         exchange: Exchange,
         caller: Caller,
         failure: VanillabeamError | None,
--- a/src/vanillabeam/forwarding/bounds.py
+++ b/src/vanillabeam/forwarding/bounds.py
@@ -6,22 +6,11 @@
 
 from collections import deque
 from collections.abc import Sequence
-from hashlib import blake2b
 
 from vanillabeam.fleet import Bounds
+from vanillabeam.rendezvous import rank
 
-__all__ = ["ColdWindow", "RetryBudget", "rendezvous"]
-
-DIGEST_BYTES = 8
-
-
-def rendezvous(key: str, names: Sequence[str]) -> list[str]:
-    """Return ``names`` in the order in which ``key`` prefers them."""
-    return sorted(names, key=lambda name: _digest(key, name))
-
-
-def _digest(key: str, name: str) -> bytes:
-    return blake2b(f"{key}\0{name}".encode(), digest_size=DIGEST_BYTES).digest()
+__all__ = ["ColdWindow", "RetryBudget"]
 
 
 class RetryBudget:
@@ -91,4 +80,4 @@
 
     def _holders(self, target: str, rate: float, entries: Sequence[str]) -> list[str]:
         spare = (self._bounds.cold_factor - 1) * rate + self._bounds.cold_requests
-        return rendezvous(target, entries)[: max(1, int(spare))]
+        return rank(target, entries)[: max(1, int(spare))]
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -5,9 +5,10 @@
 from typing import NamedTuple
 
 from vanillabeam.fleet import Bounds, Deployment, Directory, Route, Target, View
-from vanillabeam.forwarding.bounds import ColdWindow, RetryBudget, rendezvous
+from vanillabeam.forwarding.bounds import ColdWindow, RetryBudget
 from vanillabeam.forwarding.dialect import Facts
 from vanillabeam.forwarding.load import Load
+from vanillabeam.rendezvous import rank
 
 __all__ = ["Choice", "Chooser", "PromptCosts", "prompt_costs"]
 
@@ -136,6 +137,25 @@
         rest_s = min(REST_S * 2 ** (failures - 1), MOST_REST_S)
         self._health[target.life] = _Health(failures, now_s + rest_s)
 
+    def refusal(
+        self,
+        service: str,
+        facts: Facts,
+        view: View,
+        now_s: float,
+        costs: "PromptCosts | None",
+    ) -> str:
+        """Say why no target may take a request: how many are left at each step."""
+        known = [
+            each.target
+            for each in self._directory.sightings.values()
+            if each.target.service == service
+        ]
+        usable = self._usable(service, facts, view, set(), now_s)
+        free = self._with_room(usable, service, view.deployment, costs)
+        counts = f"{len(known)} known, {len(usable)} usable, {len(free)} with room"
+        return f"{service}: {counts}"
+
     def _budget(self, service: str) -> RetryBudget:
         if service not in self._budgets:
             self._budgets[service] = RetryBudget(self._bounds)
@@ -219,7 +239,7 @@
             self._rng.shuffle(names)
             names.sort(key=self.load.open_requests)
             return [by_name[name] for name in names]
-        preferred = rendezvous(costs.affinity, names)
+        preferred = rank(costs.affinity, names)
         expected = {
             name: self.load.ahead(name, costs.rank)
             + (costs.at_favourite if name == preferred[0] else costs.elsewhere)
@@ -271,7 +291,7 @@
 def _work_at(target: Target, usable: list[Target], costs: PromptCosts | None) -> int:
     if costs is None:
         return 0
-    favourite = rendezvous(costs.affinity, [each.name for each in usable])[0]
+    favourite = rank(costs.affinity, [each.name for each in usable])[0]
     return costs.at_favourite if target.name == favourite else costs.elsewhere
 
 
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -8,14 +8,15 @@
 from vanillabeam.counters import Counters
 from vanillabeam.decisions import AttemptFailed, TargetChosen, note
 from vanillabeam.exceptions import Run, VanillabeamError
-from vanillabeam.fleet import Follower, Route, RouteKind, Target, Workspace
+from vanillabeam.fleet import Follower, RouteKind, Target
+from vanillabeam.forwarding.admitted import Admitted
 from vanillabeam.forwarding.choice import (
     Choice,
     Chooser,
     PromptCosts,
     prompt_costs,
 )
-from vanillabeam.forwarding.dialect import Dialect, Facts, Handover, Headers, Verdict
+from vanillabeam.forwarding.dialect import Dialect, Headers, Verdict
 from vanillabeam.forwarding.events import EventCutter
 from vanillabeam.forwarding.exceptions import (
     AnswerBroken,
@@ -24,13 +25,13 @@
     StrangeAnswer,
     TooLate,
 )
+from vanillabeam.forwarding.handover import FIRST_VERSION, cache_salt, make_handover
 from vanillabeam.forwarding.load import OpenRequest
 from vanillabeam.forwarding.pools import Pools
-from vanillabeam.forwarding.prefixes import plan_prefix
 from vanillabeam.forwarding.sending import Broken, Opened, body_of, open_answer
 from vanillabeam.forwarding.upstream import Caller
 
-__all__ = ["Exchange", "Order", "Tools"]
+__all__ = ["Exchange", "Tools"]
 
 SERVER_ERROR = 500
 #: Connections that could not be had, before a request is refused.
@@ -43,38 +44,11 @@
 ROOM_OBJECTIVES = 0.6
 #: Time between two looks whether a target has room, or has turned doubtful.
 LOOK_S = 0.1
-#: Ranks of routes within one rank of workspaces.
-RANKS_A_WORKSPACE = 3
 #: Objectives that a prompt may be expected to wait for its first event. What
 #: would wait longer is worth little, and what comes behind it would be late.
 MOST_OBJECTIVES = 1.5
 
 
-class Order(NamedTuple):
-    """A request that is admitted.
-
-    :param headers: as the caller sent them.
-    :param began_s: monotonic time at which its head was read.
-    :param ends_s: that of its final answer at the latest.
-    """
-
-    facts: Facts
-    route: Route
-    workspace: Workspace | None
-    headers: Headers
-    body: bytes
-    began_s: float
-    ends_s: float
-
-    @property
-    def rank(self) -> int:
-        """How urgent it is; its workspace goes before its route."""
-        workspace, rank = self.workspace, self.route.priority
-        if workspace is None or workspace.priority is None:
-            return rank
-        return RANKS_A_WORKSPACE * workspace.priority + rank
-
-
 class Tools(NamedTuple):
     """What an entry VM's requests share."""
 
@@ -109,7 +83,7 @@
     :param caller: takes the answer.
     """
 
-    def __init__(self, order: Order, tools: Tools, caller: Caller):
+    def __init__(self, order: Admitted, tools: Tools, caller: Caller):
         self._order = order
         self._tools = tools
         self._caller = caller
@@ -187,7 +161,7 @@
     def _is_too_late(self, choice: Choice) -> bool:
         """Return whether the wait is not worth the target's time."""
         objective_s = self._order.route.objective_s
-        if not objective_s or self._order.facts.last_event_id:
+        if not objective_s or self._order.facts.last_event_id or self._caller.begun:
             return False
         late = choice.wait_s > MOST_OBJECTIVES * objective_s
         if late:
@@ -197,7 +171,8 @@
     def _costs(self) -> PromptCosts | None:
         follower, now_s = self._tools.follower, trio.current_time()
         model = self._order.facts.model
-        salt = self._salt(follower.view.weights.get(model, 1))
+        version = follower.view.weights.get(model, FIRST_VERSION)
+        salt = cache_salt(self._order, version)
 
         def is_kept(part_id: str) -> bool:
             return follower.parts.find(salt, part_id, now_s) is not None
@@ -231,11 +206,21 @@
         if last is None and self._wait_s is not None:
             return TooLate(f"{self._wait_s:.2f} s beyond the objective", self._wait_s)
         if last is None:
-            return NoTarget(f"{self._service} has none")
+            return NoTarget(self._refusal())
         if self.may_have_run and last.exc.run is Run.NOT_RUN:
             return AnswerBroken("an earlier target may have run it")
         return last.exc
 
+    def _refusal(self) -> str:
+        tools = self._tools
+        return tools.chooser.refusal(
+            self._service,
+            self._order.facts,
+            tools.follower.view,
+            trio.current_time(),
+            self._costs(),
+        )
+
     async def _attempt(self, choice: Choice) -> Outcome:
         target, chooser = choice.target, self._tools.chooser
         self._tried.add(target.name)
@@ -262,7 +247,7 @@
     async def _exchange(self, choice: Choice) -> Outcome:
         target = choice.target
         pool = self._tools.pools.pool(target, self._connections())
-        headers = self._headers_for(choice)
+        headers = self._headers_for(target)
         was_run, self.may_have_run = self.may_have_run, True
         opened = await self._open(pool, target, headers)
         if isinstance(opened, Broken):
@@ -306,52 +291,17 @@
                     nursery.cancel_scope.cancel()
         return result
 
-    def _headers_for(self, choice: Choice) -> Headers:
-        order = self._order
-        workspace = order.workspace
-        now_s = trio.current_time()
-        handover = Handover(
-            target=choice.target.name,
-            left_s=max(0.0, order.ends_s - now_s),
-            workspace=workspace.name if workspace else "",
-            priority=order.rank if order.facts.model else None,
-            last_event_id=self._cutter.last_id,
-        )
-        version = choice.target.versions.get(order.facts.model)
-        if version is not None:
-            handover = self._with_prefix(handover, version, now_s)
-        return self._tools.dialect.request_headers(order.headers, handover)
-
-    def _with_prefix(self, handover: Handover, version: int, now_s: float) -> Handover:
-        """Say what of the prompt is kept where, for one weight version only."""
-        follower = self._tools.follower
-        salt = self._salt(version)
-        plan = plan_prefix(
-            self._order.facts.parts,
-            salt,
-            follower.parts,
-            follower.view.deployment.stores,
-            now_s,
-            handover.left_s,
-        )
-        for part, held in zip(self._order.facts.parts, plan.fetches, strict=False):
-            if held is not None:
-                follower.fetched(salt, part.part_id)
-            outcome = "fetched" if held is not None else "read"
-            self._tools.counters.parts.labels(outcome).inc()
-        return handover._replace(
-            cache_salt=salt,
-            version=version,
-            fetches=plan.fetches,
-            saves=plan.saves,
-            fetch_until_ms=plan.until_ms,
+    def _headers_for(self, target: Target) -> Headers:
+        handover, parts = make_handover(
+            self._order,
+            target,
+            self._cutter.last_id,
+            self._tools.follower,
+            trio.current_time(),
         )
-
-    def _salt(self, version: int) -> str:
-        """Return what keeps cached prompts of walls and versions apart."""
-        workspace = self._order.workspace
-        wall = workspace.name if workspace and workspace.isolated else ""
-        return f"{wall}/{self._order.facts.model}/{version}"
+        for outcome, count in parts.items():
+            self._tools.counters.parts.labels(outcome).inc(count)
+        return self._tools.dialect.request_headers(self._order.headers, handover)
 
     def _connections(self) -> int:
         follower = self._tools.follower
--- a/src/vanillabeam/forwarding/prefixes.py
+++ b/src/vanillabeam/forwarding/prefixes.py
@@ -1,17 +1,15 @@
 """Which parts of a prompt are fetched, and which are saved where."""
 
 import math
-from hashlib import blake2b
 from typing import NamedTuple
 
 from vanillabeam.fleet import Store
 from vanillabeam.fleet.parts import Held, PartView
 from vanillabeam.forwarding.dialect import PromptPart
+from vanillabeam.rendezvous import DIGEST_BYTES, weigh
 
 __all__ = ["PrefixPlan", "plan_prefix"]
 
-DIGEST_BYTES = 8
-
 
 class PrefixPlan(NamedTuple):
     """An entry for each part of the prompt.
@@ -63,7 +61,5 @@
 
 
 def _weight(key: str, store: Store) -> float:
-    text = f"{key}\0{store.name}".encode()
-    digest = blake2b(text, digest_size=DIGEST_BYTES).digest()
-    share = (int.from_bytes(digest, "big") + 1) / (2 ** (8 * DIGEST_BYTES) + 1)
+    share = (weigh(key, store.name) + 1) / (2 ** (8 * DIGEST_BYTES) + 1)
     return -max(1, store.kv_tokens) / math.log(share)
--- a/src/vanillabeam/forwarding/upstream.py
+++ b/src/vanillabeam/forwarding/upstream.py
@@ -13,24 +13,11 @@
 )
 from vanillabeam.fleet import Limits
 from vanillabeam.forwarding.dialect import Headers
+from vanillabeam.hops import end_to_end
 from vanillabeam.problems import PROBLEM_TYPE, RUN_HEADER, to_problem
 
 __all__ = ["Caller", "read_body"]
 
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-
 
 class Caller:
     """Sends one answer, once, through an ASGI ``send``.
@@ -50,7 +37,7 @@
 
     async def answer_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a target's whole answer."""
-        kept = [(n, v) for n, v in _end_to_end(headers) if n != b"content-length"]
+        kept = [(n, v) for n, v in end_to_end(headers) if n != b"content-length"]
         kept.append((b"content-length", str(len(body)).encode()))
         await self._start(status, kept)
         await self.send(body)
@@ -63,7 +50,7 @@
         """
         if self.begun:
             return
-        kept = _end_to_end(headers)
+        kept = end_to_end(headers)
         if joined:
             kept = [(n, v) for n, v in kept if n != b"content-length"]
         await self._start(status, kept)
@@ -113,19 +100,6 @@
             await self._send(message)
 
 
-def _end_to_end(headers: Headers) -> Headers:
-    """Return the headers that concern more than one connection."""
-    named = {
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == b"connection"
-        for token in value.split(b",")
-    }
-    dropped = HOP_BY_HOP | named
-    lowered = [(name.lower(), value) for name, value in headers]
-    return [(name, value) for name, value in lowered if name not in dropped]
-
-
 async def read_body(receive, limits: Limits) -> Result[bytes, VanillabeamError]:
     """Return a caller's body, within the limits in force.
 
--- /dev/null
+++ b/src/vanillabeam/hops.py
@@ -0,0 +1,36 @@
+"""Headers that concern one connection and never go further."""
+
+__all__ = ["HOP_BY_HOP", "end_to_end"]
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that go further, their names in lower case.
+
+    Those that ``Connection`` names stay behind as well.
+    """
+    lowered = [(name.lower(), value) for name, value in headers]
+    named = {
+        token.strip().lower()
+        for name, value in lowered
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    dropped = HOP_BY_HOP | named
+    return [(name, value) for name, value in lowered if name not in dropped]
--- a/src/vanillabeam/platform/headers.py
+++ b/src/vanillabeam/platform/headers.py
@@ -6,7 +6,7 @@
 from vanillabeam.fleet import Deployment
 from vanillabeam.forwarding import Facts, Handover, Verdict
 from vanillabeam.forwarding.dialect import Headers, PromptPart
-from vanillabeam.forwarding.upstream import HOP_BY_HOP
+from vanillabeam.hops import end_to_end
 from vanillabeam.platform.documents import read_document
 
 __all__ = ["PlatformDialect"]
@@ -51,7 +51,7 @@
         PREFIX + b"kv-from",
     }
 )
-FRAMING = frozenset({b"content-length", b"expect"})
+FRAMING = frozenset({b"content-length"})
 LOWEST_PRIORITY = 9
 OTHER_WORKER = 421
 
@@ -88,8 +88,8 @@
 
     def request_headers(self, headers: Headers, handover: Handover) -> Headers:
         """Return the headers for the worker."""
-        dropped = HOP_BY_HOP | SYSTEM_ONLY | FRAMING | _named_hops(headers)
-        kept = [(name, value) for name, value in headers if name not in dropped]
+        dropped = SYSTEM_ONLY | FRAMING
+        kept = [each for each in end_to_end(headers) if each[0] not in dropped]
         kept.append((INSTANCE, handover.target.encode()))
         kept.append((DEADLINE, str(max(1, int(handover.left_s * 1000))).encode()))
         if handover.workspace:
@@ -153,12 +153,3 @@
     """Return the second of ``PROMPT,OUTPUT`` tokens."""
     _, _, output = value.partition(b",")
     return int(output) if output.strip() else 0
-
-
-def _named_hops(headers: Headers) -> set[bytes]:
-    return {
-        token.strip().lower()
-        for name, value in headers
-        if name == b"connection"
-        for token in value.split(b",")
-    }
--- a/src/vanillabeam/routing/router.py
+++ b/src/vanillabeam/routing/router.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from vanillabeam.rendezvous import weigh
 from vanillabeam.routing.hints import PlacedBlocks
 from vanillabeam.routing.records import RouteRequest, TargetView
-from vanillabeam.routing.rendezvous import weigh
 from vanillabeam.routing.score import Score, Since, score
 from vanillabeam.routing.weights import Weights
 
--- a/src/vanillabeam/servicepath.py
+++ b/src/vanillabeam/servicepath.py
@@ -7,6 +7,7 @@
 from starlette.types import Scope
 
 from vanillabeam.exceptions import MalformedBody, MalformedPath, UnknownService
+from vanillabeam.hops import HOP_BY_HOP
 
 __all__ = ["INNER_PREFIX", "ServicePath", "outer_headers", "service_path"]
 
@@ -18,20 +19,7 @@
 _SEGMENT = re.compile(rb"(?:[A-Za-z0-9._~!$&'()*+,;=:@-]|%[0-9A-Fa-f]{2})*")
 _QUERY = re.compile(rb"(?:[A-Za-z0-9._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*")
 _HIDDEN = re.compile(rb"%(?:25)*(?:2f|5c|00|2e|0d|0a)", re.IGNORECASE)
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+_HOP_BY_HOP = frozenset(name.decode() for name in HOP_BY_HOP)
 _OWN = frozenset({"authorization", "content-length", "host", "idempotency-key"})
 
 
--- a/src/vanillabeam/targets/ownership.py
+++ b/src/vanillabeam/targets/ownership.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from vanillabeam.routing.rendezvous import rank
+from vanillabeam.rendezvous import rank
 from vanillabeam.targets.records import Entry
 from vanillabeam.targets.settings import TargetsSettings
 
--- a/tests/forwarding/test_bounds.py
+++ b/tests/forwarding/test_bounds.py
@@ -1,7 +1,7 @@
 import pytest
 
 from tests.fleet.builders import BOUNDS
-from vanillabeam.forwarding.bounds import ColdWindow, RetryBudget, rendezvous
+from vanillabeam.forwarding.bounds import ColdWindow, RetryBudget
 
 
 @pytest.mark.parametrize("entries", [1, 9, 60])
@@ -41,10 +41,3 @@
     assert sent
     for start_s in sent:
         assert sum(1 for at in sent if start_s <= at < start_s + 1) <= limit
-
-
-def test_a_key_prefers_the_same_names_wherever_it_is_asked():
-    names = ["a", "b", "c", "d"]
-    assert rendezvous("k", names) == rendezvous("k", names[::-1])
-    left = [name for name in rendezvous("k", names) if name != "b"]
-    assert rendezvous("k", ["a", "c", "d"]) == left
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -153,3 +153,15 @@
 def test_a_target_without_the_model_is_no_candidate():
     chooser = make_chooser(make_target("t-1", versions={"other": 1}))
     assert choose(chooser, make_prompt()) is None
+
+
+def test_a_refusal_says_at_which_step_no_target_was_left():
+    prompt = make_prompt()
+    costs = prompt_costs(prompt, lambda part: False, rank=1)
+    chooser = make_chooser(
+        make_target("t-1", versions={"m": 1}),
+        make_target("t-2", versions={"m": 1}, draining=True),
+    )
+    chooser.load.take_others({}, {"t-1": 950})
+    text = chooser.refusal("llm", prompt, make_view(), 1.0, costs)
+    assert text == "llm: 2 known, 1 usable, 0 with room"
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -2,8 +2,8 @@
 
 from tests.targets.builders import make_request, make_view
 from vanillabeam.cache.blocks import BLOCK_TOKENS
+from vanillabeam.rendezvous import rank
 from vanillabeam.routing import Router, Weights
-from vanillabeam.routing.rendezvous import rank
 
 
 def make_router(views, **weights):
