--- /dev/null
+++ b/tests/fleet/test_follower.py
@@ -0,0 +1,202 @@
+"""What an entry VM believes, by what control VMs tell it, on virtual time."""
+
+import trio
+import trio.testing
+from returns.result import Failure, Success
+
+from tests.fleet.builders import BOUNDS, make_deployment, make_target
+from vanillabeam import wire
+from vanillabeam.exceptions import PeerSilent
+from vanillabeam.fleet import Directory, FleetSettings, Follower
+from vanillabeam.fleet.machine import FleetState
+from vanillabeam.fleet.watch import WatchRequest, make_reply
+
+SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+
+
+class ControlVm:
+    """Answers as a control VM does."""
+
+    def __init__(self, epoch="e"):
+        self.epoch = epoch
+        self.directory = Directory()
+        self.state = FleetState(
+            index=0, number=0, document="", evacuated=[], weights={}
+        )
+        self.named = {}
+        self.known = []
+        self.silent = False
+        self.asked = 0
+
+    async def answer(self, body):
+        self.asked += 1
+        await trio.sleep(0.01)
+        if self.silent:
+            await trio.sleep_forever()
+        request = wire.decode(WatchRequest, body).unwrap()
+        if self._is_known(request):
+            await trio.sleep(request["wait_s"])
+        now_s = trio.current_time()
+        reply = make_reply(
+            request,
+            self.epoch,
+            self.directory,
+            self.state,
+            self.known,
+            ["vm-1", "vm-2"],
+            {},
+            {},
+            now_s,
+        )
+        reply["named"] = self.named
+        return Success(wire.encode(reply))
+
+    def _is_known(self, request):
+        known = request["epoch"] == self.epoch
+        newest = request["index"] >= self.state["index"]
+        return known and newest and request["version"] >= self.directory.version
+
+    def settle(self, index, number, **fields):
+        self.state = self.state | {"index": index, "number": number} | fields
+
+
+class World:
+    """An entry VM's follower and the control VMs that it may ask."""
+
+    def __init__(self):
+        self.controls = {f"{host}:7": ControlVm(f"e-{host}") for host in SEEDS}
+        cfg = FleetSettings(
+            "vm-1",
+            "a",
+            "10.0.9.1",
+            "10.0.9.1:1",
+            "10.0.9.1:2",
+            "",
+            7,
+            SEEDS,
+            False,
+            "",
+            0,
+            BOUNDS,
+        )
+        self.cfg = cfg
+        self.follower = Follower(cfg, self.call, self.read)
+
+    async def call(self, address, path, body):
+        control = self.controls.get(address)
+        if control is None:
+            return Failure(PeerSilent(address))
+        return await control.answer(body)
+
+    def read(self, document):
+        return make_deployment(number=int(document))
+
+    def __getitem__(self, number):
+        return list(self.controls.values())[number]
+
+
+def with_world(function):
+    def test():
+        async def main():
+            async with trio.open_nursery() as nursery:
+                world = World()
+                nursery.start_soon(world.follower.run)
+                await function(world)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    test.__name__ = function.__name__
+    return test
+
+
+@with_world
+async def test_the_newest_state_of_any_control_vm_is_in_force_and_never_goes_back(
+    world,
+):
+    world[0].settle(5, 7, document="7")
+    world[1].settle(3, 6, document="6")
+    await trio.sleep(1.0)
+    assert world.follower.view.deployment.number == 7
+    world.controls.pop("10.0.0.1:7")
+    await trio.sleep(2.0)
+    assert world.follower.view.index == 5
+
+
+@with_world
+async def test_it_is_ready_once_most_control_vms_have_answered(world):
+    world[0].settle(5, 7, document="7")
+    world[1].silent = world[2].silent = True
+    await trio.sleep(1.0)
+    assert not world.follower.is_ready
+    world[1].silent = False
+    await trio.sleep(2.0)
+    assert world.follower.is_ready
+
+
+@with_world
+async def test_without_a_deployment_it_is_never_ready(world):
+    await trio.sleep(30.0)
+    assert not world.follower.is_ready
+
+
+@with_world
+async def test_targets_that_different_control_vms_have_heard_are_put_together(world):
+    world[0].directory.heard(make_target("t-1"), trio.current_time())
+    world[2].directory.heard(make_target("t-2"), trio.current_time())
+    await trio.sleep(1.0)
+    assert sorted(world.follower.directory.sightings) == ["t-1", "t-2"]
+
+
+@with_world
+async def test_a_target_that_nobody_hears_is_lost_but_not_while_control_is_away(world):
+    world[0].directory.heard(make_target("t-1"), trio.current_time())
+    await trio.sleep(1.0)
+    for control in world.controls.values():
+        control.silent = True
+    await trio.sleep(BOUNDS.silence_s + 5.0)
+    assert "t-1" in world.follower.directory.sightings
+    for control in world.controls.values():
+        control.silent = False
+    await trio.sleep(BOUNDS.silence_s)
+    assert world.follower.directory.sightings == {}
+
+
+@with_world
+async def test_a_control_vm_that_others_name_is_asked_too(world):
+    newcomer = world.controls["10.0.0.9:7"] = ControlVm("e-9")
+    await trio.sleep(1.0)
+    assert newcomer.asked == 0
+    world[0].known = ["10.0.0.9:7"]
+    newcomer.settle(9, 8, document="8")
+    await trio.sleep(2.0)
+    assert world.follower.view.deployment.number == 8
+
+
+@with_world
+async def test_seeds_that_move_are_followed_when_all_known_are_gone(world):
+    world.controls.clear()
+    world.controls["10.0.1.1:7"] = ControlVm("new")
+    world[0].settle(4, 7, document="7")
+    await trio.sleep(5.0)
+    assert not world.follower.view.is_known
+    world.follower.seeds_changed(world.cfg._replace(seeds=("10.0.1.1",)))
+    await trio.sleep(2.0)
+    assert world.follower.view.is_known
+
+
+@with_world
+async def test_weights_are_as_old_as_the_control_vm_that_knows_longest_says(world):
+    world[0].settle(5, 7, document="7", weights={"m": 2})
+    world[0].named = {"m": [(2, 6.0)]}
+    await trio.sleep(1.0)
+    now_s = trio.current_time()
+    view = world.follower.view
+    assert view.weights_due("m", now_s - 5.0) == 2
+    assert view.weights_due("m", now_s - 8.0) == 0
+
+
+@with_world
+async def test_a_control_vm_is_not_asked_without_pause(world):
+    await trio.sleep(10.0)
+    assert all(control.asked < 60 for control in world.controls.values())
