Test who leaves the fleet log, what is summed, and which salts are outdated

Cause: the control VM's own decisions were tested only through whole VMs.

Change: five tests on virtual time. The played programs are unchanged.

--- /dev/null
+++ b/tests/fleet/test_control.py
@@ -0,0 +1,82 @@
+"""Who is taken out of the fleet log, and when."""
+
+import random
+from types import SimpleNamespace
+
+import trio
+import trio.testing
+
+from tests.fleet.builders import BOUNDS, make_target
+from vanillabeam.fleet import FleetSettings
+from vanillabeam.fleet.control import ABSENT_S, FleetControl
+
+SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+
+
+def make_control(folder, *members):
+    cfg = FleetSettings(
+        "core-1",
+        "a",
+        SEEDS[0],
+        "",
+        "",
+        f"{SEEDS[0]}:1",
+        7,
+        SEEDS,
+        False,
+        str(folder),
+        0,
+        BOUNDS,
+    )
+    control = FleetControl(cfg, None, random.Random(1), None, None)
+    statuses = [
+        {"vm": vm, "votes": True, "active": active, "address": vm}
+        for vm, active in members
+    ]
+    control.node = SimpleNamespace(status=lambda: {"members": statuses})
+    return control
+
+
+def absent_after(control, pause_s):
+    async def main():
+        first = control._absent_voter()
+        await trio.sleep(pause_s)
+        return first, control._absent_voter()
+
+    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_voter_that_stays_away_goes_while_as_many_as_the_seeds_remain(tmp_path):
+    members = [("a", True), ("b", True), ("c", False), ("d", True)]
+    control = make_control(tmp_path, *members)
+    assert absent_after(control, ABSENT_S) == (None, "c")
+
+
+def test_a_short_absence_is_borne(tmp_path):
+    members = [("a", True), ("b", True), ("c", False), ("d", True)]
+    control = make_control(tmp_path, *members)
+    assert absent_after(control, ABSENT_S - 1) == (None, None)
+
+
+def test_the_last_founding_number_of_voters_is_kept(tmp_path):
+    control = make_control(tmp_path, ("a", True), ("b", True), ("c", False))
+    assert absent_after(control, 10 * ABSENT_S) == (None, None)
+
+
+def test_work_and_memory_of_all_others_are_summed(tmp_path):
+    control = make_control(tmp_path)
+    control._work = {"x": {"t": {0: 5, 2: 7}}, "y": {"t": {2: 1}}, "z": {"u": {1: 9}}}
+    control._room = {"x": {"t": 50}, "y": {"t": 8}, "z": {"u": 3}}
+    assert control._work_but_of("z") == {"t": {0: 5, 2: 8}}
+    assert control._room_but_of("y") == {"t": 50, "u": 3}
+
+
+def test_salts_count_as_outdated_only_once_no_target_holds_their_weights(tmp_path):
+    control = make_control(tmp_path)
+    directory = control.follower.directory
+    directory.heard(make_target("t-1", versions={"m": 1}), 0.0)
+    directory.heard(make_target("t-2", versions={"m": 2}), 0.0)
+    assert not control._is_outdated("/m/1")
+    directory.saw_weights(("t-1", 1_000), "m", 2)
+    assert control._is_outdated("/m/1")
+    assert not control._is_outdated("/m/2")
