Drop two parameters that the choice of a target never read

Cause: read-through of the whole change. `_choose` and `_wait_for_choice` took the last outcome, `_ordered` took the request's facts; neither looked at it.

Ruled out: anything that changes behaviour.

--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -106,7 +106,7 @@
         usable = self._usable(service, facts, view, tried, now_s)
         rate = _cold_rate(view.deployment, service)
         usable = self._with_room(usable, service, view.deployment, costs)
-        ordered = self._ordered(usable, facts, costs)
+        ordered = self._ordered(usable, costs)
         for target in ordered:
             sighting = self._directory.sightings[target.name]
             is_cold = rate > 0 and sighting.cold_until_s > now_s
@@ -230,7 +230,7 @@
         return health is None or now_s >= health.rests_until_s
 
     def _ordered(
-        self, usable: list[Target], facts: Facts, costs: "PromptCosts | None"
+        self, usable: list[Target], costs: "PromptCosts | None"
     ) -> list[Target]:
         """Return the targets, the best first."""
         by_name = {target.name: target for target in usable}
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -107,7 +107,7 @@
         last: Outcome | None = None
         with trio.move_on_at(self._order.ends_s):
             while True:
-                choice = await self._wait_for_choice(last)
+                choice = await self._wait_for_choice()
                 if choice is None:
                     return await self._give_up(last)
                 last = await self._attempt(choice)
@@ -119,17 +119,17 @@
             return AnswerLate(f"after {self._order.route.timeout_s:g} s")
         return NoTarget("no target in time")
 
-    async def _wait_for_choice(self, last: Outcome | None) -> Choice | None:
+    async def _wait_for_choice(self) -> Choice | None:
         """Return a target, waiting a little for one that has room."""
         until_s = self._order.began_s + ROOM_OBJECTIVES * self._order.route.objective_s
         while True:
-            choice = self._choose(last)
+            choice = self._choose()
             may_wait = self._order.facts.parts and self._wait_s is None
             if choice is not None or not may_wait or trio.current_time() >= until_s:
                 return choice
             await trio.sleep(LOOK_S)
 
-    def _choose(self, last: Outcome | None) -> Choice | None:
+    def _choose(self) -> Choice | None:
         order, tools = self._order, self._tools
         choice = tools.chooser.choose(
             self._service,
