Keep parts that are used, count what others may have sent, doubt a cut data centre

A target that turned free drew the prompts of all entry VMs for 0.3 s: 20 to 22 prompts, 70,000 tokens of work, three times its memory; its streams then took 6 s. Entry VMs that were cut off kept others from using memory for 5 s. In a cut data centre each target was learned by itself. Entry VMs that asked before the control VMs listened waited a second for their next try.

Ruled out: lost events (35 parts found no room, none came too late); waits of the prompts themselves.

Change: a part that was used in 20 s stays; use is told with its age; a fetch is void after 4 s, so a retired part is freed sooner; the first question for a store's events waits 0.2 s. Each entry VM takes the others to have sent what it sent itself in the last 0.3 s. The load of a silent entry VM counts for 1.5 s. Two targets that fail speak for their data centre. Connections between VMs are given up after 0.4 s. A request waits for a target while none can have been heard yet. Loads moved out of fleet/control.py.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -20,7 +20,9 @@
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.follower import Follower
 from vanillabeam.fleet.freeing import is_outdated
+from vanillabeam.fleet.loads import EntryLoads
 from vanillabeam.fleet.machine import Command, FleetMachine, FleetState
+from vanillabeam.fleet.parts import FETCH_LIMIT_S
 from vanillabeam.fleet.records import Deployment, FleetSettings, Target
 from vanillabeam.fleet.stores import StoreCalls, Stores
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, make_reply
@@ -44,8 +46,6 @@
 STORES_PERIOD_S = 0.3
 #: Silence after which a voter is taken out while enough others are there.
 ABSENT_S = 8.0
-#: Entry VMs that have not asked for so long no longer count.
-ENTRY_SILENCE_S = 5.0
 #: Age of what was settled before this process began.
 LONG_S = 1e6
 
@@ -97,9 +97,7 @@
         self._seen: dict[tuple[str, int], tuple[str, int]] = {}
         self._named_s: dict[str, dict[int, float]] = {}
         self._news = trio.Event()
-        self._entries: dict[str, float] = {}
-        self._room: dict[str, dict[str, int]] = {}
-        self._work: dict[str, dict[str, dict[int, int]]] = {}
+        self._loads = EntryLoads()
         self._absent_since: dict[str, float] = {}
 
     def routes(self) -> PeerRoutes:
@@ -184,12 +182,11 @@
         if isinstance(decoded, Failure):
             return decoded
         request = decoded.unwrap()
+        now_s = trio.current_time()
         if request["sends"]:
-            self._entries[request["vm"]] = trio.current_time()
-            self._work[request["vm"]] = request["work"]
-            self._room[request["vm"]] = request["room"]
-        for key in request["fetched"]:
-            self.stores.index.used(tuple(key))
+            self._loads.take(request["vm"], request["work"], request["room"], now_s)
+        for salt, part, age_s in request["fetched"]:
+            self.stores.index.used((salt, part), now_s - age_s)
         with trio.move_on_after(min(request["wait_s"], MOST_WAIT_S)):
             while not self._has_news(request):
                 await self._news.wait()
@@ -209,9 +206,9 @@
             self.directory,
             self.machine.state,
             self.control_addresses(),
-            self._live_entries(now_s),
-            self._work_but_of(request["vm"]),
-            self._room_but_of(request["vm"]),
+            self._loads.entries(now_s),
+            self._loads.work_but_of(request["vm"], now_s),
+            self._loads.room_but_of(request["vm"], now_s),
             now_s,
         )
         if "state" in reply:
@@ -233,33 +230,6 @@
         members = {member["address"] for member in self.node.status()["members"]}
         return sorted(members | {self.cfg.peer_address})
 
-    def _work_but_of(self, vm: str) -> dict[str, dict[int, int]]:
-        total: dict[str, dict[int, int]] = {}
-        for other, work in self._work.items():
-            if other == vm:
-                continue
-            for target, by_rank in work.items():
-                sums = total.setdefault(target, {})
-                for rank, tokens in by_rank.items():
-                    sums[rank] = sums.get(rank, 0) + tokens
-        return total
-
-    def _room_but_of(self, vm: str) -> dict[str, int]:
-        total: dict[str, int] = {}
-        for other, room in self._room.items():
-            if other == vm:
-                continue
-            for target, tokens in room.items():
-                total[target] = total.get(target, 0) + tokens
-        return total
-
-    def _live_entries(self, now_s: float) -> list[str]:
-        limit_s = now_s - ENTRY_SILENCE_S
-        self._entries = {vm: at for vm, at in self._entries.items() if at > limit_s}
-        self._work = {vm: self._work[vm] for vm in self._entries}
-        self._room = {vm: self._room[vm] for vm in self._entries}
-        return sorted(self._entries)
-
     async def _follow_stores(self, nursery: trio.Nursery) -> None:
         """Follow the stores in force while this VM leads."""
         while True:
@@ -268,12 +238,9 @@
                 self._deployment = self._read(state["document"])
             leads = self.node.is_leader
             await self.stores.follow(self._deployment.stores if leads else (), nursery)
-            await self.stores.free(self._is_outdated, self._longest_request_s())
+            await self.stores.free(self._is_outdated, FETCH_LIMIT_S)
             await trio.sleep(STORES_PERIOD_S)
 
-    def _longest_request_s(self) -> float:
-        return max((each.timeout_s for each in self._deployment.routes), default=0.0)
-
     def _is_outdated(self, salt: str) -> bool:
         """Return whether no target that is known holds a salt's weights."""
         lowest: dict[str, int] = {}
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -1,6 +1,5 @@
 """How an entry VM learns of the fleet: it watches every control VM it knows."""
 
-from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -17,6 +16,7 @@
 )
 from vanillabeam.fleet.beliefs import note_target
 from vanillabeam.fleet.directory import Directory
+from vanillabeam.fleet.loads import Room, Work
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.fleet.records import Deployment, FleetSettings
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest
@@ -40,6 +40,8 @@
 MOST_WATCHED = 8
 #: Without any answer for so long, silence of targets says nothing.
 BLIND_S = 2.0
+#: Announcement periods after which every live target has been heard.
+GATHER_HEARTBEATS = 1.3
 #: Weight versions of a model whose time is remembered.
 VERSIONS_KEPT = 16
 #: A target counts as paused for so long after the leader last said so.
@@ -48,10 +50,6 @@
 FETCHED_KEPT = 32
 
 
-#: Tokens of open work by target and rank.
-Work = dict[str, dict[int, int]]
-
-
 class View(NamedTuple):
     """The settled state as this VM has it in force.
 
@@ -115,17 +113,18 @@
         self.parts = PartView()
         self.entries: tuple[str, ...] = (cfg.vm,)
         self.own_work: Callable[[], Work] = dict
-        self.own_room: Callable[[], dict[str, int]] = dict
-        self.on_load: Callable[[Work, dict[str, int]], None] = _ignore
+        self.own_room: Callable[[], Room] = dict
+        self.on_load: Callable[[Work, Room], None] = _ignore
         self._cfg = cfg
         self._call = call
         self._read = read
         self._sources: dict[str, _Source] = {}
         self._seeds = cfg.seed_addresses
         self._named: set[str] = set()
-        self._fetched: deque[tuple[str, str]] = deque(maxlen=FETCHED_KEPT)
+        self._fetched: dict[tuple[str, str], float] = {}
         self._paused_until_s: dict[str, float] = {}
         self._began_s = 0.0
+        self._first_heard_s: float | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -136,6 +135,17 @@
         waited = trio.current_time() - self._began_s > ANSWER_LIMIT_S
         return waited or len(heard) > len(self._sources) // 2
 
+    def is_gathering(self, now_s: float) -> bool:
+        """Return whether targets may still be there that nobody has told of.
+
+        After a restart of all VMs, targets are known once they have announced
+        themselves again.
+        """
+        if self._first_heard_s is None:
+            return True
+        period_s = GATHER_HEARTBEATS * self._cfg.bounds.heartbeat_s
+        return now_s - self._first_heard_s < period_s
+
     def number(self) -> int:
         """Return the number of the deployment in force."""
         return self.view.deployment.number
@@ -212,7 +222,7 @@
             parts=self.parts.request(),
             work=self.own_work(),
             room=self.own_room(),
-            fetched=list(self._fetched),
+            fetched=self._fetched_lately(),
         )
         with trio.move_on_after(ANSWER_LIMIT_S):
             answer = await self._call(address, WATCH_PATH, wire.encode(request))
@@ -233,6 +243,8 @@
             note(ControlHeard(source.address, reply["epoch"], reply["index"]))
         source.epoch, source.version = reply["epoch"], reply["version"]
         source.heard_s = now_s
+        if self._first_heard_s is None:
+            self._first_heard_s = now_s
         if "state" in reply:
             self._take_state(reply)
         self._take_targets(reply, now_s)
@@ -276,9 +288,15 @@
             self._paused_until_s[name] = now_s + PAUSE_S
 
     def fetched(self, salt: str, part: str) -> None:
-        """Note that a kept part is of use."""
-        if (salt, part) not in self._fetched:
-            self._fetched.append((salt, part))
+        """Note that a kept part is of use now."""
+        self._fetched.pop((salt, part), None)
+        self._fetched[(salt, part)] = trio.current_time()
+        if len(self._fetched) > FETCHED_KEPT:
+            del self._fetched[next(iter(self._fetched))]
+
+    def _fetched_lately(self) -> list[tuple[str, str, float]]:
+        now_s = trio.current_time()
+        return [(*key, round(now_s - at_s, 3)) for key, at_s in self._fetched.items()]
 
     def is_paused(self, target: str, now_s: float) -> bool:
         """Return whether a target is about to load weights."""
@@ -321,5 +339,5 @@
     }
 
 
-def _ignore(work: Work, room: dict[str, int]) -> None:
+def _ignore(work: Work, room: Room) -> None:
     """Take others' load where nothing is sent."""
--- a/src/vanillabeam/fleet/freeing.py
+++ b/src/vanillabeam/fleet/freeing.py
@@ -16,6 +16,10 @@
 #: Share of a store's room above which parts give way, and down to which.
 HIGH_SHARE = 0.85
 LOW_SHARE = 0.75
+#: Parts that were used in this time stay. What would come in their place is
+#: no more likely to be used, and a part that gives way keeps its room until
+#: nobody can fetch it any more.
+UNUSED_S = 20.0
 #: Beyond copies of the index and requests: the way there and back, and what a
 #: leader that has lost its majority still tells.
 MARGIN_S = 3.0
@@ -40,7 +44,7 @@
 
     >>> freeing = Freeing(index)
     >>> freeing.retire(store, lambda salt: False, now_s=1.0)
-    >>> freeing.due(store, longest_request_s=12.0, now_s=20.0)
+    >>> freeing.due(store, longest_fetch_s=4.0, now_s=20.0)
     [('salt', 'part')]
     """
 
@@ -49,7 +53,7 @@
         self._retired: dict[Key, Retired] = {}
 
     def retire(self, store: Store, outdated, now_s: float) -> int:
-        """Retire what is of no use any longer, and the longest unused.
+        """Retire what is of no use any longer, and what is long unused.
 
         :param outdated: says whether no target reads a salt any more.
         :returns: how many parts were retired.
@@ -63,6 +67,8 @@
             for key, size in held:
                 if used <= LOW_SHARE * store.kv_tokens:
                     break
+                if self._index.used_s(key) > now_s - UNUSED_S:
+                    break
                 if key not in gone:
                     chosen.append(key)
                     used -= size
@@ -71,12 +77,12 @@
             self._retired[key] = Retired(store.address, now_s)
         return len(chosen)
 
-    def due(self, store: Store, longest_request_s: float, now_s: float) -> list[Key]:
+    def due(self, store: Store, longest_fetch_s: float, now_s: float) -> list[Key]:
         """Return retired parts of a store that nobody can fetch any more.
 
-        :param longest_request_s: time after which every request has ended.
+        :param longest_fetch_s: time after which every fetch has ended.
         """
-        limit_s = now_s - VIEW_LEASE_S - longest_request_s - MARGIN_S
+        limit_s = now_s - VIEW_LEASE_S - longest_fetch_s - MARGIN_S
         return [
             key
             for key, retired in self._retired.items()
--- a/src/vanillabeam/fleet/parts.py
+++ b/src/vanillabeam/fleet/parts.py
@@ -7,12 +7,23 @@
 
 from typing import NamedTuple, TypedDict
 
-__all__ = ["Held", "PartIndex", "PartNews", "PartRequest", "PartView", "StoreEvent"]
+__all__ = [
+    "FETCH_LIMIT_S",
+    "VIEW_LEASE_S",
+    "Held",
+    "PartIndex",
+    "PartNews",
+    "PartRequest",
+    "PartView",
+    "StoreEvent",
+]
 
 #: Removals that are remembered; a reader that is further behind starts anew.
 MAX_GONE = 20_000
 #: A view counts for so long after the leader's answer was asked for.
 VIEW_LEASE_S = 8.0
+#: A fetch that has not ended so long after its request was sent is void.
+FETCH_LIMIT_S = 4.0
 
 
 class StoreEvent(NamedTuple):
@@ -80,6 +91,7 @@
         self.epoch = epoch
         self.version = 0
         self._held: dict[tuple[str, str], tuple[Held, int]] = {}
+        self._used_s: dict[tuple[str, str], float] = {}
         self._gone: dict[tuple[str, str], int] = {}
         self._oldest_gone = 0
         self._retired: set[tuple[str, str]] = set()
@@ -113,16 +125,21 @@
 
     def held_at(self, store: str) -> list[tuple[tuple[str, str], int]]:
         """Return parts at a store with their tokens, the longest unused first."""
-        return [
+        found = [
             (key, held.tokens)
             for key, (held, _) in self._held.items()
             if held.store == store
         ]
+        return sorted(found, key=lambda each: self.used_s(each[0]))
 
-    def used(self, key: tuple[str, str]) -> None:
-        """Take a part for used just now."""
+    def used(self, key: tuple[str, str], at_s: float) -> None:
+        """Take a part for used at a monotonic time."""
         if key in self._held:
-            self._held[key] = self._held.pop(key)
+            self._used_s[key] = max(at_s, self.used_s(key))
+
+    def used_s(self, key: tuple[str, str]) -> float:
+        """Return when a part was last used."""
+        return self._used_s.get(key, float("-inf"))
 
     def retire(self, key: tuple[str, str]) -> None:
         """Name a part no longer, whatever its store says, until its release."""
@@ -157,6 +174,7 @@
     def _remove(self, key: tuple[str, str]) -> None:
         self.version += 1
         del self._held[key]
+        self._used_s.pop(key, None)
         self._gone[key] = self.version
         if len(self._gone) > MAX_GONE:
             oldest = next(iter(self._gone))
--- a/src/vanillabeam/fleet/stores.py
+++ b/src/vanillabeam/fleet/stores.py
@@ -19,6 +19,8 @@
 __all__ = ["StoreCalls", "StoreList", "StoreNews", "Stores"]
 
 WAIT_S = 0.8
+#: The first answer tells the store's clock, so it is not to wait for events.
+FIRST_WAIT_S = 0.2
 RETRY_S = 0.3
 #: An order to free parts is void after so long.
 FREE_LIMIT_S = 1.5
@@ -116,16 +118,24 @@
             self.freeing.lost(store)
         self._epochs[store] = listed.epoch
         self.index.reset(store.address, listed.held)
+        self._note_used(listed.held)
         note(StoreHeard(store.name, listed.epoch, len(listed.held)))
-        since = listed.next_number
+        since, wait_s = listed.next_number, FIRST_WAIT_S
         while True:
-            news = await self._calls.news(store, since, WAIT_S)
+            news = await self._calls.news(store, since, wait_s)
             if news is None or news.has_gap or news.epoch != listed.epoch:
                 note(StoreLost(store.name, listed.epoch))
                 return
             self._note_clock(news)
             self.index.take(store.address, news.events)
-            since = news.next_number
+            self._note_used(news.events)
+            since, wait_s = news.next_number, WAIT_S
+
+    def _note_used(self, events: list[StoreEvent]) -> None:
+        """Take what was saved just now for used."""
+        now_s = trio.current_time()
+        for event in events:
+            self.index.used((event.salt, event.part), now_s)
 
     def _forget(self, store: Store) -> None:
         self.index.reset(store.address, [])
@@ -133,7 +143,7 @@
         self._epochs.pop(store, None)
 
     async def free(
-        self, outdated: Callable[[str], bool], longest_request_s: float
+        self, outdated: Callable[[str], bool], longest_fetch_s: float
     ) -> None:
         """Retire what gives way and free what was retired long enough ago."""
         for store, epoch in list(self._epochs.items()):
@@ -141,7 +151,7 @@
             retired = self.freeing.retire(store, outdated, now_s)
             if retired:
                 note(PartsRetired(store.name, retired))
-            keys = self.freeing.due(store, longest_request_s, now_s)[:FREED_AT_ONCE]
+            keys = self.freeing.due(store, longest_fetch_s, now_s)[:FREED_AT_ONCE]
             if not keys:
                 continue
             until_ms = self._clock(now_s) + 1000 * FREE_LIMIT_S
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -25,7 +25,8 @@
     :param parts: what the asking VM has of the index of kept parts.
     :param work: tokens of open work that it has, by target and rank.
     :param room: tokens of memory that its requests take, by target.
-    :param fetched: salt and id of parts that it had fetched lately.
+    :param fetched: salt and id of parts that it had fetched lately, and how
+        many seconds ago.
     """
 
     vm: str
@@ -37,7 +38,7 @@
     parts: PartRequest
     work: dict[str, dict[int, int]]
     room: dict[str, int]
-    fetched: list[tuple[str, str]]
+    fetched: list[tuple[str, str, float]]
 
 
 class Seen(TypedDict):
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -25,6 +25,7 @@
 __all__ = ["Adapter", "FleetVm"]
 
 PEER_SILENCE_S = 2.5
+PEER_CONNECT_S = 0.4
 READY_PERIOD_S = 0.05
 #: Time from SIGTERM until no new connection is taken: the balancer asks each
 #: second and wants two misses.
@@ -97,7 +98,7 @@
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled."""
-        call = PeerClient(None, None, PEER_SILENCE_S)
+        call = PeerClient(None, None, PEER_SILENCE_S, PEER_CONNECT_S)
         async with trio.open_nursery() as nursery:
             if self.cfg.control_address:
                 await self._start_control(nursery, call)
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -4,19 +4,26 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from vanillabeam.fleet import Bounds, Deployment, Directory, Route, Target, View
+from vanillabeam.fleet import (
+    Bounds,
+    Deployment,
+    Directory,
+    Engine,
+    Route,
+    Target,
+    View,
+)
 from vanillabeam.forwarding.bounds import ColdWindow, RetryBudget
 from vanillabeam.forwarding.dialect import Facts
 from vanillabeam.forwarding.load import Load
+from vanillabeam.forwarding.reach import Reach
+from vanillabeam.forwarding.room import RoomNeeded, fitting
 from vanillabeam.rendezvous import rank
 
 __all__ = ["Choice", "Chooser", "PromptCosts", "prompt_costs"]
 
 #: What fetching a kept part costs of reading it.
 FETCH_SHARE = 0.1
-#: Share of a target's memory that each rank leaves to more urgent ones.
-ROOM_SHARE_A_RANK = 0.05
-FEWEST_ROOM_SHARE = 0.5
 #: A target that is not heard for so many heartbeats is used last.
 DOUBTFUL_HEARTBEATS = 1.9
 #: A target that failed is passed over for so long, doubled each time.
@@ -69,6 +76,7 @@
         self._rng = rng
         self.load = Load()
         self.is_paused: Callable[[str, float], bool] = _never
+        self._reach = Reach()
         self._health: dict[tuple[str, int], _Health] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._cold = ColdWindow(bounds)
@@ -81,6 +89,11 @@
         """Return whether the retry budget has room, and take from it."""
         return self._budget(service).take(now_s, entries)
 
+    def knows_any(self, service: str) -> bool:
+        """Return whether some target of a service is known."""
+        found = self._directory.sightings.values()
+        return any(each.target.service == service for each in found)
+
     def service_of(self, route: Route) -> str:
         """Return one of the route's services, by their weights."""
         if len(route.shares) == 1:
@@ -105,8 +118,9 @@
         """
         usable = self._usable(service, facts, view, tried, now_s)
         rate = _cold_rate(view.deployment, service)
-        usable = self._with_room(usable, service, view.deployment, costs)
-        ordered = self._ordered(usable, costs)
+        count = len(entries)
+        usable = self._with_room(usable, service, view.deployment, costs, count, now_s)
+        ordered = self._ordered(usable, costs, count, now_s)
         for target in ordered:
             sighting = self._directory.sightings[target.name]
             is_cold = rate > 0 and sighting.cold_until_s > now_s
@@ -132,7 +146,9 @@
         """
         if not failed:
             self._health.pop(target.life, None)
+            self._reach.answered(target)
             return
+        self._reach.failed(target, now_s)
         failures = self._health.get(target.life, _Health()).failures + 1
         rest_s = min(REST_S * 2 ** (failures - 1), MOST_REST_S)
         self._health[target.life] = _Health(failures, now_s + rest_s)
@@ -142,6 +158,7 @@
         service: str,
         facts: Facts,
         view: View,
+        entries: int,
         now_s: float,
         costs: "PromptCosts | None",
     ) -> str:
@@ -152,7 +169,7 @@
             if each.target.service == service
         ]
         usable = self._usable(service, facts, view, set(), now_s)
-        free = self._with_room(usable, service, view.deployment, costs)
+        free = self._with_room(usable, service, view.deployment, costs, entries, now_s)
         counts = f"{len(known)} known, {len(usable)} usable, {len(free)} with room"
         return f"{service}: {counts}"
 
@@ -196,6 +213,8 @@
 
     def _is_doubtful(self, target: Target, now_s: float) -> bool:
         """Return whether the target is silent, to everybody or to this VM."""
+        if self._reach.is_doubtful(target.data_centre, now_s):
+            return True
         heard_s = self._directory.sightings[target.name].heard_s
         if now_s - heard_s > DOUBTFUL_HEARTBEATS * self._bounds.heartbeat_s:
             return True
@@ -207,30 +226,24 @@
         service: str,
         deployment: Deployment,
         costs: "PromptCosts | None",
+        entries: int,
+        now_s: float,
     ) -> list[Target]:
-        """Return the targets whose memory has room for a prompt.
-
-        Less urgent ones leave some free: an urgent one that found none would
-        preempt them, and what they had read would be read again.
-        """
-        record = deployment.services.get(service)
-        if costs is None or record is None or record.engine is None:
+        engine = _engine(deployment, service)
+        if costs is None or engine is None:
             return usable
-        share = max(FEWEST_ROOM_SHARE, 1 - ROOM_SHARE_A_RANK * (costs.rank + 1))
-        limit = share * record.engine.kv_tokens
-        return [
-            each
-            for each in usable
-            if not (taken := self.load.room_taken(each.name))
-            or taken + costs.room <= limit
-        ]
+        return fitting(usable, engine, costs.needed, self.load, entries, now_s)
 
     def _is_rested(self, target: Target, now_s: float) -> bool:
         health = self._health.get(target.life)
         return health is None or now_s >= health.rests_until_s
 
     def _ordered(
-        self, usable: list[Target], costs: "PromptCosts | None"
+        self,
+        usable: list[Target],
+        costs: "PromptCosts | None",
+        entries: int,
+        now_s: float,
     ) -> list[Target]:
         """Return the targets, the best first."""
         by_name = {target.name: target for target in usable}
@@ -242,6 +255,7 @@
         preferred = rank(costs.affinity, names)
         expected = {
             name: self.load.ahead(name, costs.rank)
+            + self.load.unseen(name, entries, now_s).tokens
             + (costs.at_favourite if name == preferred[0] else costs.elsewhere)
             for name in names
         }
@@ -265,6 +279,11 @@
     rank: int = 0
     room: int = 0
 
+    @property
+    def needed(self) -> RoomNeeded:
+        """What it takes of a target's memory."""
+        return RoomNeeded(self.rank, self.room)
+
 
 def prompt_costs(
     facts: Facts, is_kept: Callable[[str], bool], rank: int
@@ -295,6 +314,11 @@
     return costs.at_favourite if target.name == favourite else costs.elsewhere
 
 
+def _engine(deployment: Deployment, service: str) -> Engine | None:
+    record = deployment.services.get(service)
+    return record.engine if record is not None else None
+
+
 def _cold_rate(deployment: Deployment, service: str) -> float:
     record = deployment.services.get(service)
     return record.cold_requests_s if record is not None else 0.0
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -120,15 +120,23 @@
         return NoTarget("no target in time")
 
     async def _wait_for_choice(self) -> Choice | None:
-        """Return a target, waiting a little for one that has room."""
-        until_s = self._order.began_s + ROOM_OBJECTIVES * self._order.route.objective_s
+        """Return a target, waiting a little for one that can take the request."""
         while True:
             choice = self._choose()
-            may_wait = self._order.facts.parts and self._wait_s is None
-            if choice is not None or not may_wait or trio.current_time() >= until_s:
+            if choice is not None or not self._may_wait(trio.current_time()):
                 return choice
             await trio.sleep(LOOK_S)
 
+    def _may_wait(self, now_s: float) -> bool:
+        """Return whether a target may turn up, or have room, in time."""
+        tools, order = self._tools, self._order
+        gathers = tools.follower.is_gathering(now_s)
+        if gathers and not tools.chooser.knows_any(self._service):
+            return True
+        if not order.facts.parts or self._wait_s is not None:
+            return False
+        return now_s < order.began_s + ROOM_OBJECTIVES * order.route.objective_s
+
     def _choose(self) -> Choice | None:
         order, tools = self._order, self._tools
         choice = tools.chooser.choose(
@@ -217,6 +225,7 @@
             self._service,
             self._order.facts,
             tools.follower.view,
+            len(tools.follower.entries),
             trio.current_time(),
             self._costs(),
         )
--- a/src/vanillabeam/forwarding/load.py
+++ b/src/vanillabeam/forwarding/load.py
@@ -1,8 +1,9 @@
 """What is open at each target, and how quickly it is worked off."""
 
+from collections import deque
 from typing import NamedTuple
 
-__all__ = ["Load", "OpenRequest", "WorkByRank"]
+__all__ = ["Load", "OpenRequest", "Unseen", "WorkByRank"]
 
 #: Work that a stream is worth once its prompt is read, in tokens to read.
 RUNNING_TOKENS = 150
@@ -10,6 +11,8 @@
 FEWEST_TOKENS = 4_000
 #: Weight of one wait in the learned speed.
 LEARNED_SHARE = 0.05
+#: What was sent so lately others have not heard of.
+NEWS_S = 0.3
 #: Expected waits after which a target that is silent is doubtful.
 PATIENCE_FACTOR = 3.0
 
@@ -37,6 +40,17 @@
     patience_s: float
 
 
+class Unseen(NamedTuple):
+    """What others may have sent to a target.
+
+    :param tokens: of work.
+    :param room: tokens of memory.
+    """
+
+    tokens: int
+    room: int
+
+
 class Load:
     """Open work of this entry VM and, by hearsay, of the others.
 
@@ -56,6 +70,7 @@
         self._unanswered: dict[str, dict[int, OpenRequest]] = {}
         self._sign_s: dict[str, float] = {}
         self._rates: dict[str, float] = {}
+        self._sent: deque[OpenRequest] = deque()
         self._next = 0
 
     def own(self) -> dict[str, WorkByRank]:
@@ -76,6 +91,22 @@
         """Return the tokens of memory that all open requests take at a target."""
         return self._room_at(target) + self.others_room.get(target, 0)
 
+    def unseen(self, target: str, entries: int, now_s: float) -> "Unseen":
+        """Return what other entry VMs may have sent that is not heard of yet.
+
+        Where a target turns free, all of them see it at the same time. Each
+        takes the others to do as it has just done itself.
+
+        :param entries: entry VMs, this one included.
+        """
+        while self._sent and self._sent[0].began_s <= now_s - NEWS_S:
+            self._sent.popleft()
+        own = [each for each in self._sent if each.target == target]
+        return Unseen(
+            (entries - 1) * sum(each.tokens for each in own),
+            (entries - 1) * sum(each.room for each in own),
+        )
+
     def _room_at(self, target: str) -> int:
         return sum(each.room for each in self._open.get(target, {}).values())
 
@@ -123,6 +154,7 @@
         self._open.setdefault(target, {})[opened.number] = opened
         self._unanswered.setdefault(target, {})[opened.number] = opened
         self._add(target, rank, tokens)
+        self._sent.append(opened)
         return opened
 
     def answered(self, opened: OpenRequest, service: str, now_s: float) -> None:
--- a/src/vanillabeam/forwarding/prefixes.py
+++ b/src/vanillabeam/forwarding/prefixes.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from vanillabeam.fleet import Store
-from vanillabeam.fleet.parts import Held, PartView
+from vanillabeam.fleet.parts import FETCH_LIMIT_S, Held, PartView
 from vanillabeam.forwarding.dialect import PromptPart
 from vanillabeam.rendezvous import DIGEST_BYTES, weigh
 
@@ -38,8 +38,8 @@
 
     :param stores: those in service.
     :param now_s: monotonic time in seconds.
-    :param left_s: time that the request has; it may wait at its target for
-        most of that before it fetches anything.
+    :param left_s: time that the request has. It may wait at its target before
+        it fetches anything; after too long it reads all instead.
     """
     shared = parts[:-1]
     if not shared or not stores or not view.is_fresh(now_s):
@@ -51,7 +51,7 @@
     ]
     missing = next((at for at, found in enumerate(held) if not found), len(held))
     fetches = [*held[:missing], *[None] * (len(parts) - missing)]
-    until_ms = view.clock_ms(now_s) + 1000 * left_s
+    until_ms = view.clock_ms(now_s) + 1000 * min(left_s, FETCH_LIMIT_S)
     return PrefixPlan(tuple(fetches), (*saves, ""), until_ms)
 
 
--- a/src/vanillabeam/peerhttp.py
+++ b/src/vanillabeam/peerhttp.py
@@ -38,6 +38,8 @@
 
     :param key: secret that all VMs share, or ``None``.
     :param tls: context that verifies the far end, or ``None`` for plain HTTP.
+    :param connect_timeout_s: time for a connection; a VM that is just starting
+        may lose the first packet, and the next one comes a second later.
 
     >>> client = PeerClient(key=None, tls=None)
     >>> answer = await client("10.0.0.2:7003", "/peer/ping", b"{}")
@@ -48,9 +50,11 @@
         key: str | None,
         tls: ssl.SSLContext | None,
         silence_timeout_s: float = SILENCE_TIMEOUT_S,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ):
         self.scheme = "http" if tls is None else "https"
         self.silence_timeout_s = silence_timeout_s
+        self.connect_timeout_s = connect_timeout_s
         self.headers = [(b"Content-Type", JSON_TYPE)]
         if key is not None:
             self.headers.append((b"Authorization", b"Bearer " + key.encode()))
@@ -79,7 +83,7 @@
             return Failure(PeerUnreachable("no address"))
         url = f"{self.scheme}://{address}{path}"
         timeout = {
-            "connect": CONNECT_TIMEOUT_S,
+            "connect": self.connect_timeout_s,
             "pool": self.silence_timeout_s,
             "read": self.silence_timeout_s,
             "write": self.silence_timeout_s,
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -63,14 +63,6 @@
     assert absent_after(control, 10 * ABSENT_S) == (None, None)
 
 
-def test_work_and_memory_of_all_others_are_summed(tmp_path):
-    control = make_control(tmp_path)
-    control._work = {"x": {"t": {0: 5, 2: 7}}, "y": {"t": {2: 1}}, "z": {"u": {1: 9}}}
-    control._room = {"x": {"t": 50}, "y": {"t": 8}, "z": {"u": 3}}
-    assert control._work_but_of("z") == {"t": {0: 5, 2: 8}}
-    assert control._room_but_of("y") == {"t": 50, "u": 3}
-
-
 def test_salts_count_as_outdated_only_once_no_target_holds_their_weights(tmp_path):
     control = make_control(tmp_path)
     directory = control.follower.directory
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -200,3 +200,26 @@
 async def test_a_control_vm_is_not_asked_without_pause(world):
     await trio.sleep(10.0)
     assert all(control.asked < 60 for control in world.controls.values())
+
+
+@with_world
+async def test_live_targets_have_a_heartbeats_time_to_be_heard(world):
+    for control in world.controls.values():
+        control.silent = True
+    await trio.sleep(5.0)
+    assert world.follower.is_gathering(trio.current_time())
+    for control in world.controls.values():
+        control.silent = False
+    await trio.sleep(5.0)
+    assert not world.follower.is_gathering(trio.current_time())
+
+
+@with_world
+async def test_a_part_is_told_with_the_time_since_it_was_last_fetched(world):
+    world.follower.fetched("s", "p")
+    await trio.sleep(1.0)
+    world.follower.fetched("s", "q")
+    await trio.sleep(1.0)
+    assert world.follower._fetched_lately() == [("s", "p", 2.0), ("s", "q", 1.0)]
+    world.follower.fetched("s", "p")
+    assert world.follower._fetched_lately() == [("s", "q", 1.0), ("s", "p", 0.0)]
--- a/tests/fleet/test_parts.py
+++ b/tests/fleet/test_parts.py
@@ -1,5 +1,5 @@
 from vanillabeam.fleet import Store
-from vanillabeam.fleet.freeing import Freeing, is_outdated
+from vanillabeam.fleet.freeing import UNUSED_S, Freeing, is_outdated
 from vanillabeam.fleet.parts import VIEW_LEASE_S, Held, PartIndex, PartView, StoreEvent
 
 STORE = Store("s", "10.0.0.5:80", "a", 1_000)
@@ -81,12 +81,25 @@
 
 def test_a_full_store_loses_what_was_not_used_for_longest():
     index = make_index(*[f"p{i}" for i in range(9)])
-    index.used(("s", "p0"))
+    index.used(("s", "p0"), 0.0)
     freeing = Freeing(index)
-    assert freeing.retire(STORE, lambda salt: False, now_s=0.0) == 2
+    assert freeing.retire(STORE, lambda salt: False, now_s=UNUSED_S) == 2
     left = [key[1] for key, _ in index.held_at(STORE.address)]
     assert left == ["p3", "p4", "p5", "p6", "p7", "p8", "p0"]
-    assert freeing.retire(STORE, lambda salt: False, now_s=0.0) == 0
+    assert freeing.retire(STORE, lambda salt: False, now_s=UNUSED_S) == 0
+
+
+def test_a_full_store_keeps_what_was_used_lately():
+    index = make_index(*[f"p{i}" for i in range(9)])
+    for part, used_s in [(f"p{i}", 10.0) for i in range(2, 9)]:
+        index.used(("s", part), used_s)
+    index.used(("s", "p1"), 10.5)
+    index.used(("s", "p1"), 5.0)
+    freeing = Freeing(index)
+    assert freeing.retire(STORE, lambda salt: False, now_s=11.0) == 1
+    assert freeing.retire(STORE, lambda salt: False, now_s=11.0) == 0
+    left = [key[1] for key, _ in index.held_at(STORE.address)]
+    assert left == ["p2", "p3", "p4", "p5", "p6", "p7", "p8", "p1"]
 
 
 def test_salts_of_weights_that_no_target_holds_are_outdated():
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -163,5 +163,37 @@
         make_target("t-2", versions={"m": 1}, draining=True),
     )
     chooser.load.take_others({}, {"t-1": 950})
-    text = chooser.refusal("llm", prompt, make_view(), 1.0, costs)
+    text = chooser.refusal("llm", prompt, make_view(), 1, 1.0, costs)
     assert text == "llm: 2 known, 1 usable, 0 with room"
+
+
+def test_a_data_centre_that_two_targets_speak_against_is_used_last():
+    cut = [make_target(f"cut-{number}", data_centre="b") for number in range(4)]
+    chooser = make_chooser(*cut, make_target("near", data_centre="a"))
+    for target in cut[:2]:
+        chooser.ended(target, failed=True, now_s=1.0)
+    assert {choose(chooser, now_s=1.1) for _ in range(20)} == {"near"}
+    assert choose(chooser, tried={"near"}, now_s=1.1) in {"cut-2", "cut-3"}
+    chooser.ended(cut[3], failed=False, now_s=1.2)
+    names = {choose(chooser, now_s=1.3) for _ in range(40)}
+    assert names == {"near", "cut-2", "cut-3"}
+
+
+def test_an_idle_target_does_not_draw_the_prompts_of_all_entry_vms_at_once():
+    versions = {"m": 1}
+    targets = [make_target(f"t-{i}", versions=versions) for i in range(6)]
+    busy = {target.name: {1: 500} for target in targets[1:]}
+    entries = tuple(f"vm-{number}" for number in range(9))
+    found = []
+    for number in range(6):
+        chooser = make_chooser(*targets)
+        chooser.load.others = busy
+        facts = make_prompt(f"s-{number}")
+        costs = prompt_costs(facts, lambda part: False, rank=1)
+        for _ in range(3):
+            choice = chooser.choose(
+                "llm", facts, make_view(), entries, set(), 1.0, costs
+            )
+            found.append(choice.target.name)
+            chooser.load.began(choice.target.name, 1, choice.work, 1.0)
+    assert found.count("t-0") <= len(found) / 2
--- a/tests/test_peerhttp.py
+++ b/tests/test_peerhttp.py
@@ -1,5 +1,6 @@
 from functools import partial
 
+import httpcore
 import trio
 from returns.result import Failure, Success
 from starlette.applications import Starlette
@@ -87,3 +88,19 @@
 def test_a_body_over_the_limit_is_refused():
     exc = serve_and_call(("/peer/echo", b"x" * 11), body_bytes=10)[0].failure()
     assert exc.type == "body-too-large"
+
+
+class DeafPool:
+    """Never connects; keeps the time that it was given for that."""
+
+    async def request(self, *args, extensions, **fields):
+        self.connect_s = extensions["timeout"]["connect"]
+        raise httpcore.ConnectTimeout
+
+
+def test_a_vm_that_takes_no_connection_is_given_up_in_time():
+    client = PeerClient(None, None, connect_timeout_s=0.25)
+    client.pool = DeafPool()
+    exc = trio.run(client, "10.0.0.1:7", "/", b"").failure()
+    assert exc.run is Run.NOT_RUN
+    assert client.pool.connect_s == 0.25
