List stores again in case an event was lost, pause before a second target

Cause: an event of a store that never arrives leaves a part unnamed for good; it is read and sent to be saved each time, and its store, which has it, says nothing new.

Change: a store's parts are listed every 8 s; a list that does not come takes nothing away; what was known already is not taken for used. A store that closes its connection is asked at once and not after 0.3 s. A request pauses 30 ms between two targets.

--- a/src/vanillabeam/fleet/stores.py
+++ b/src/vanillabeam/fleet/stores.py
@@ -19,6 +19,8 @@
 __all__ = ["StoreCalls", "StoreList", "StoreNews", "Stores"]
 
 WAIT_S = 0.8
+#: A store is asked for all its parts again: some events never arrive.
+LIST_PERIOD_S = 8.0
 #: The first answer tells the store's clock, so it is not to wait for events.
 FIRST_WAIT_S = 0.2
 RETRY_S = 0.3
@@ -105,32 +107,48 @@
         with trio.CancelScope() as scope:
             task_status.started(scope)
             while True:
-                await self._follow_epoch(store)
-                await trio.sleep(RETRY_S)
-
-    async def _follow_epoch(self, store: Store) -> None:
-        """Follow a store until it restarts, is silent, or leaves a gap."""
-        listed = await self._calls.held(store)
-        if listed is None:
-            self._forget(store)
-            return
+                listed = await self._calls.held(store)
+                if listed is None:
+                    self._forget(store)
+                    await trio.sleep(RETRY_S)
+                    continue
+                self._begin_epoch(store, listed)
+                await self._follow_epoch(store, listed)
+
+    def _begin_epoch(self, store: Store, listed: StoreList) -> None:
         if self._epochs.get(store) != listed.epoch:
             self.freeing.lost(store)
         self._epochs[store] = listed.epoch
-        self.index.reset(store.address, listed.held)
-        self._note_used(listed.held)
+        self._take_list(store, listed)
         note(StoreHeard(store.name, listed.epoch, len(listed.held)))
-        since, wait_s = listed.next_number, FIRST_WAIT_S
+
+    async def _follow_epoch(self, store: Store, listed: StoreList) -> None:
+        """Follow a store until it restarts, is silent, or leaves a gap."""
+        epoch, since, wait_s = listed.epoch, listed.next_number, FIRST_WAIT_S
+        listed_s = trio.current_time()
         while True:
+            if trio.current_time() - listed_s > LIST_PERIOD_S:
+                listed_s = trio.current_time()
+                again = await self._calls.held(store)
+                if again is not None and again.epoch == epoch:
+                    self._take_list(store, again)
+                    since = again.next_number
             news = await self._calls.news(store, since, wait_s)
-            if news is None or news.has_gap or news.epoch != listed.epoch:
-                note(StoreLost(store.name, listed.epoch))
+            if news is None or news.has_gap or news.epoch != epoch:
+                note(StoreLost(store.name, epoch))
                 return
             self._note_clock(news)
             self.index.take(store.address, news.events)
             self._note_used(news.events)
             since, wait_s = news.next_number, WAIT_S
 
+    def _take_list(self, store: Store, listed: StoreList) -> None:
+        known = {key for key, _ in self.index.held_at(store.address)}
+        self.index.reset(store.address, listed.held)
+        self._note_used(
+            [each for each in listed.held if (each.salt, each.part) not in known]
+        )
+
     def _note_used(self, events: list[StoreEvent]) -> None:
         """Take what was saved just now for used."""
         now_s = trio.current_time()
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -40,6 +40,8 @@
 PATIENCE_S = 0.5
 #: Objectives that a prompt waits at most for a target with room.
 ROOM_OBJECTIVES = 0.6
+#: Targets that fail together are noticed in this time, before the next is chosen.
+SETTLE_S = 0.03
 #: Time between two looks whether a target has room, or has turned doubtful.
 LOOK_S = 0.1
 #: Objectives that a prompt may be expected to wait for its first event. What
@@ -114,6 +116,8 @@
                     return None
                 if not self._may_go_on(last):
                     return await self._give_up(last)
+                if isinstance(last, Broken):
+                    await trio.sleep(SETTLE_S)
         if self.may_have_run:
             return AnswerLate(f"after {self._order.route.timeout_s:g} s")
         return NoTarget("no target in time")
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -1,5 +1,6 @@
 """How long a request waits for a target, on virtual time."""
 
+import itertools
 from types import SimpleNamespace
 
 import trio
@@ -7,10 +8,14 @@
 
 from tests.fleet.builders import make_route, make_target, make_view
 from tests.forwarding.builders import make_chooser, make_facts, make_prompt
+from vanillabeam.counters import Counters
+from vanillabeam.fleet import RouteKind
 from vanillabeam.fleet.loads import make_load
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.forwarding.admitted import Admitted
-from vanillabeam.forwarding.exchange import ROOM_OBJECTIVES, Exchange, Tools
+from vanillabeam.forwarding.exceptions import AnswerBroken
+from vanillabeam.forwarding.exchange import ROOM_OBJECTIVES, Delivered, Exchange, Tools
+from vanillabeam.forwarding.sending import Broken
 from vanillabeam.forwarding.sentparts import SentParts
 
 GATHERS_UNTIL_S = 1.5
@@ -86,3 +91,56 @@
     events = [(0.35, lambda: chooser.load.take_others(make_load()))]
     choice, waited_s = wait_for_choice(chooser, make_prompt(), events)
     assert (choice.target, waited_s) == (TARGET, 0.4)
+
+
+class CutOff(Exchange):
+    """Attempts in one data centre break off one after the other."""
+
+    breaks = itertools.count()
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.targets = []
+
+    async def _attempt(self, choice):
+        self.targets.append(choice.target.name)
+        self._tried.add(choice.target.name)
+        self._sent += 1
+        if choice.target.data_centre != "b":
+            return Delivered(200)
+        await trio.sleep(0.005 * next(self.breaks))
+        self._tools.chooser.failed(choice.target, trio.current_time())
+        return Broken(AnswerBroken("reset"))
+
+
+def test_targets_that_fail_at_the_same_moment_are_not_tried_next():
+    names = [f"cut-{number}" for number in range(6)]
+    cut = [make_target(name, data_centre="b") for name in names]
+    chooser = make_chooser(*cut, make_target("far", data_centre="c"))
+
+    async def main():
+        now_s = trio.current_time()
+        follower = SimpleNamespace(
+            view=make_view(),
+            entries=("vm-1",),
+            parts=PartView(),
+            is_gathering=lambda now_s: False,
+        )
+        for target in [*cut, make_target("far", data_centre="c")]:
+            chooser._directory.heard(target._replace(sequence=2), now_s)
+        route = make_route(kind=RouteKind.SAFE, attempts=2)
+        order = Admitted(make_facts(), route, None, [], b"", now_s, now_s + 10.0)
+        counters = SimpleNamespace(repeats=Counters().repeats)
+        tools = Tools(None, follower, chooser, None, SentParts(), counters)
+        exchanges = []
+        async with trio.open_nursery() as nursery:
+            for _ in range(5):
+                exchange = CutOff(order, tools, SimpleNamespace(begun=False))
+                exchanges.append(exchange)
+                nursery.start_soon(exchange.run)
+        return exchanges
+
+    exchanges = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    cut_off = [each.targets for each in exchanges if each.targets[0] in names]
+    assert len({first for first, _ in cut_off}) >= 2
+    assert {second for _, second in cut_off} == {"far"}
