--- a/src/vanillabeam/control.py
+++ b/src/vanillabeam/control.py
@@ -29,10 +29,13 @@
 
 
 def control_addresses(cfg: Settings, own_address: str) -> list[Address]:
-    """Return the VMs that the control quorum begins with."""
+    """Return the control VMs that the settings name, seeds by their address."""
     known = {peer["vm"]: peer["address"] for peer in cfg["peers"]}
     known[cfg["vm"]] = own_address
-    return [Address(vm, known[vm]) for vm in cfg["control"]["members"]]
+    members = [Address(vm, known[vm]) for vm in cfg["control"]["members"]]
+    named = {member.address for member in members}
+    seeds = [seed["address"] for seed in cfg["seeds"]]
+    return members + [Address(each, each) for each in seeds if each not in named]
 
 
 class ControlClient:
--- a/src/vanillabeam/parts.py
+++ b/src/vanillabeam/parts.py
@@ -148,7 +148,10 @@
             self.cfg["vm"],
             self.addresses["peers"],
             self.cfg["data_centre"],
-            [Seed(peer["address"], peer["data_centre"]) for peer in self.cfg["peers"]],
+            [
+                Seed(known["address"], known["data_centre"])
+                for known in (*self.cfg["peers"], *self.cfg["seeds"])
+            ],
             self.call,
             self.rng,
         )
@@ -331,7 +334,8 @@
             for summary in view.summaries.values()
             for _, address in summary.contacts
         }
-        return near | far | {peer["address"] for peer in self.cfg["peers"]}
+        listed = (*self.cfg["peers"], *self.cfg["seeds"])
+        return near | far | {known["address"] for known in listed}
 
     def config(self) -> Config:
         """Return the configuration in force on this VM."""
--- a/src/vanillabeam/settings.py
+++ b/src/vanillabeam/settings.py
@@ -102,12 +102,24 @@
     ]
 
 
+@with_config(_STRICT)
+class SeedVm(TypedDict):
+    """A control VM by address alone; the others are learned from it."""
+
+    data_centre: Name
+    address: Address
+
+
 @with_config(_STRICT)
 class Control(TypedDict):
     """The control quorum that a first start begins with."""
 
     members: Annotated[
-        list[Name], Field(min_length=1, description="3, 5 or 7 VMs; 1 on one VM")
+        list[Name],
+        Field(
+            default_factory=list,
+            description="3, 5 or 7 VMs; 1 on one VM; none where seeds are given",
+        ),
     ]
     bootstrap: Annotated[
         bool,
@@ -228,6 +240,13 @@
     ]
     listeners: Listeners
     peers: Annotated[list[Peer], _default(list)]
+    seeds: Annotated[
+        list[SeedVm],
+        Field(
+            default_factory=list,
+            description="some control VMs, where not all VMs are listed as peers",
+        ),
+    ]
     peer_key_file: Annotated[
         str | None, Field(default=None, description="secret that all VMs share")
     ]
@@ -347,7 +366,11 @@
 
 def _member_faults(cfg: Settings) -> Iterator[str]:
     members = cfg["control"]["members"]
-    if len(members) not in (1, 3, 5, 7):
+    if not members and not cfg["seeds"]:
+        yield "control.members: none; name them, or give seeds"
+    if not members and cfg["control"]["bootstrap"]:
+        yield "control.members: none; a first start needs them all"
+    if members and len(members) not in (1, 3, 5, 7):
         yield f"control.members: {len(members)} members; allowed are 1, 3, 5 or 7"
     known = [peer["vm"] for peer in cfg["peers"]] + [cfg["vm"]]
     for index, vm in enumerate(known):
--- a/tests/path/test_fleet.py
+++ b/tests/path/test_fleet.py
@@ -1,4 +1,5 @@
 import json
+import shutil
 from contextlib import asynccontextmanager
 
 import trio
@@ -146,3 +147,31 @@
             assert (old.status, new.status) == (401, 200)
 
     run(act, tmp_path)
+
+
+def test_a_vm_that_knows_only_a_seed_hears_of_tickets_and_sends_them(tmp_path):
+    async def act(fleet):
+        await in_force(fleet, await apply(fleet.running["a1"], make_ticket()))
+        fleet.kill("b2")
+        fleet.seeds["b2"] = ["a2"]
+        back = await fleet.start("b2")
+        await back.wait_until(lambda: back.vm.lifecycle.is_ready)
+        await in_force(fleet, await apply(back, models(2, "v2")))
+        assert back.vm.parts.config().models["m"].version == "v2"
+
+    run(act, tmp_path)
+
+
+def test_a_control_vm_with_an_empty_disk_that_knows_only_a_seed_comes_back(tmp_path):
+    async def act(fleet):
+        await in_force(fleet, await apply(fleet.running["a1"], make_ticket()))
+        await leader_that_can_be_lost(fleet)
+        fleet.kill("b1")
+        shutil.rmtree(fleet.folder / "b1" / "data")
+        fleet.seeds["b1"] = ["a1", "a2"]
+        back = await fleet.start("b1")
+        await back.wait_until(lambda: back.vm.lifecycle.is_ready)
+        await leader_that_can_be_lost(fleet)
+        await in_force(fleet, await apply(back, models(2, "v2")))
+
+    run(act, tmp_path)
--- a/tests/path/test_orders.py
+++ b/tests/path/test_orders.py
@@ -15,6 +15,11 @@
     await running.wait_until(lambda: running.vm.parts.config().index >= index)
 
 
+def known_models(running):
+    """Return the models of the target t1 as the entry knows them."""
+    return running.vm.parts.targets.router.views["t1"].models
+
+
 async def ask(running):
     res = await running.call("POST", "/v1/chat/completions", BODY)
     if res.status != 200:
@@ -32,6 +37,8 @@
         # A new leader gives no lease to load until its predecessor's have ended.
         loaded = LEASE_S + 30
         await running.wait_until(lambda: target.engine.models == {"m": "v2"}, loaded)
+        # Until it has said so itself, prompts for v2 are refused.
+        await running.wait_until(lambda: known_models(running) == {"m": "v2"})
         return before, await ask(running)
 
     assert with_vm(tmp_path, act) == ((200, "v1"), (200, "v2"))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -110,3 +110,25 @@
 
 def test_the_committed_schema_is_the_one_in_force():
     assert json.loads(SCHEMA.read_text()) == schema()
+
+
+SEED = {"data_centre": "dc-1", "address": "10.0.0.2:7003"}
+
+
+def test_seeds_stand_in_for_a_list_of_all_control_vms(tmp_path):
+    cfg = make_settings(tmp_path, control={}, seeds=[SEED])
+    assert cfg["seeds"] == [SEED]
+    assert cfg["control"]["members"] == []
+
+
+def test_without_members_or_seeds_no_control_vm_is_known(tmp_path):
+    assert faults(tmp_path, control={}) == (
+        "control.members: none; name them, or give seeds",
+    )
+
+
+def test_a_first_start_needs_all_members(tmp_path):
+    control = {"bootstrap": True}
+    assert faults(tmp_path, control=control, seeds=[SEED]) == (
+        "control.members: none; a first start needs them all",
+    )
