--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -23,17 +23,21 @@
 TARGET = make_target(versions={"m": 1})
 
 
+def make_follower(is_gathering):
+    return SimpleNamespace(
+        view=make_view(),
+        entries=("vm-1",),
+        parts=PartView(),
+        is_gathering=is_gathering,
+    )
+
+
 def wait_for_choice(chooser, facts, events=(), gathers_until_s=0.0):
     """Return the target and when it was found; ``events``: time and function."""
 
     async def main():
         began_s = trio.current_time()
-        follower = SimpleNamespace(
-            view=make_view(),
-            entries=("vm-1",),
-            parts=PartView(),
-            is_gathering=lambda now_s: now_s - began_s < gathers_until_s,
-        )
+        follower = make_follower(lambda now_s: now_s - began_s < gathers_until_s)
         route = make_route(objective_s=OBJECTIVE_S)
         order = Admitted(facts, route, None, [], b"", began_s, began_s + 10.0)
         tools = Tools(None, follower, chooser, None, SentParts(), None)
@@ -120,12 +124,7 @@
 
     async def main():
         now_s = trio.current_time()
-        follower = SimpleNamespace(
-            view=make_view(),
-            entries=("vm-1",),
-            parts=PartView(),
-            is_gathering=lambda now_s: False,
-        )
+        follower = make_follower(lambda now_s: False)
         for target in [*cut, make_target("far", data_centre="c")]:
             chooser._directory.heard(target._replace(sequence=2), now_s)
         route = make_route(kind=RouteKind.SAFE, attempts=2)
