--- a/tests/log/test_runs.py
+++ b/tests/log/test_runs.py
@@ -77,19 +77,6 @@
         for other in self.cluster.vms:
             self.cluster.cut |= {(name, other), (other, name)}
 
-    @rule(number=VMS, duration_s=st.sampled_from([0.5, 2.0, 8.0]))
-    def freeze(self, number, duration_s):
-        self.cluster.freeze(self.vm(number), duration_s)
-
-    @rule(duration_s=st.sampled_from([2.0, 8.0]))
-    def freeze_the_leader(self, duration_s):
-        for leader in self.cluster.leading():
-            self.cluster.freeze(leader, duration_s)
-
-    @rule()
-    def power_off(self):
-        self.cluster.power_off()
-
     @rule(source=VMS, other=VMS)
     def cut_one_way(self, source, other):
         self.cluster.cut.add((self.vm(source).name, self.vm(other).name))
@@ -155,7 +142,7 @@
 
 
 class FleetRuns(Runs):
-    """The times of a fleet's log, with half of four VMs cut from the others."""
+    """The times of a fleet's log on four VMs, which also freeze and lose power."""
 
     cluster_options = {
         "settings": SETTINGS._replace(heartbeat_s=0.2, election_s=0.7),
@@ -166,6 +153,19 @@
     def begin(self, run_seed):
         self.cluster = Cluster(run_seed, 4, **self.cluster_options)
 
+    @rule(number=VMS, duration_s=st.sampled_from([0.5, 2.0, 8.0]))
+    def freeze(self, number, duration_s):
+        self.cluster.freeze(self.vm(number), duration_s)
+
+    @rule(duration_s=st.sampled_from([2.0, 8.0]))
+    def freeze_the_leader(self, duration_s):
+        for leader in self.cluster.leading():
+            self.cluster.freeze(leader, duration_s)
+
+    @rule()
+    def power_off(self):
+        self.cluster.power_off()
+
     @rule()
     def cut_in_half(self):
         names = list(self.cluster.vms)
