Let one piece of code serve where the change wrote it again

Read-through, behaviour as it was: - Two loops read a caller's body; `limits.collect_body` is the one, each caller of it keeps its own bound on time. - The adapter's applications and the metrics wrote answers by hand; starlette's Response, which is there, does. `FleetVm` wrapped applications that are ready in a LateApp. - Answers of workers were decoded in two places, addresses split in three; the split now takes the brackets off an IPv6 host everywhere, as link.py did. - `has_known_leader` of a replica follows from `term_leader`. - The chooser filtered the targets of a service three times. - What log fields mean is needed by the reference page only and left the module that every process loads. The placement model names the product's own constants, and no longer keeps a set that nothing read.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -6,21 +6,18 @@
 
 from bench.batch_model import Clock, Engine, EngineShape, Part, Run, StoreLink
 from vanillabeam import fleet
+from vanillabeam.fleet.follower import FEWEST_WAIT_S, GATHER_S
 from vanillabeam.fleet.loads import EntryLoads
 from vanillabeam.forwarding.choice import Chooser
 from vanillabeam.forwarding.costs import Kept, fetch_share, prompt_costs
 from vanillabeam.forwarding.dialect import Facts, PromptPart
+from vanillabeam.forwarding.exchange import LOOK_S, MOST_OBJECTIVES, ROOM_OBJECTIVES
 from vanillabeam.forwarding.load import Load, Unseen
 
 __all__ = ["POLICIES", "Kind", "Scene", "play", "run"]
 
-NEWS_PERIOD_S = 0.25
+NEWS_PERIOD_S = FEWEST_WAIT_S + GATHER_S
 INDEX_LAG_S = 0.3
-LOOK_S = 0.1
-#: Objectives that a prompt waits at most for room, and that it may be expected
-#: to wait for its first event.
-ROOM_OBJECTIVES = 0.6
-MOST_OBJECTIVES = 1.5
 KV_BYTES = 18_432.0
 DATA_CENTRES = ("a", "b", "c", "d")
 ENTRIES = 9
@@ -111,7 +108,6 @@
         self.clock = Clock()
         self.loads = EntryLoads()
         self.kept: dict[str, tuple[StoreLink, float]] = {}
-        self.read_once: set[str] = set()
         self.counts: Counter[str] = Counter()
         token_s = KV_BYTES / STORE_BYTES_S
         self.stores = [
--- a/src/vanillabeam/addresses.py
+++ b/src/vanillabeam/addresses.py
@@ -2,7 +2,7 @@
 
 import re
 
-__all__ = ["is_address"]
+__all__ = ["is_address", "split_address"]
 
 MAX_CHARACTERS = 262
 MAX_PORT = 65_535
@@ -16,3 +16,13 @@
         return False
     match = _ADDRESS.fullmatch(text)
     return match is not None and 0 < int(match[1]) <= MAX_PORT
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address, an IPv6 host without its brackets.
+
+    >>> split_address("[::1]:80")
+    ('::1', 80)
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- a/src/vanillabeam/answers/link.py
+++ b/src/vanillabeam/answers/link.py
@@ -12,6 +12,8 @@
 import httpcore
 import trio
 
+from vanillabeam.addresses import split_address
+
 __all__ = ["Head", "Link", "LinkTimes", "Request"]
 
 BUFFER_LIMIT_BYTES = 256 * 1024
@@ -157,8 +159,8 @@
         return b"".join(parts)
 
     async def _exchange(self) -> None:
-        host, _, port = self.request.address.rpartition(":")
-        origin = httpcore.Origin(b"http", host.strip("[]").encode(), int(port))
+        host, port = split_address(self.request.address)
+        origin = httpcore.Origin(b"http", host.encode(), port)
         timeout = {
             "connect": self.times.connect_s,
             "read": self.times.silence_s,
--- a/src/vanillabeam/counters.py
+++ b/src/vanillabeam/counters.py
@@ -9,12 +9,13 @@
     Histogram,
     generate_latest,
 )
+from starlette.responses import Response
 
 from vanillabeam.decisions import BUDGETS
 
 __all__ = ["Counters", "CountersApp"]
 
-TEXT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 #: Upper ends of the histograms' buckets, in seconds.
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
@@ -86,12 +87,5 @@
         """Answer one request."""
         found = scope["path"] == "/metrics"
         body = self._counters.text() if found else b""
-        headers = [
-            (b"content-type", TEXT_TYPE),
-            (b"content-length", str(len(body)).encode()),
-        ]
-        status = 200 if found else 404
-        await send(
-            {"type": "http.response.start", "status": status, "headers": headers}
-        )
-        await send({"type": "http.response.body", "body": body})
+        response = Response(body, 200 if found else 404, media_type=TEXT_TYPE)
+        await response(scope, receive, send)
--- a/src/vanillabeam/decisions.py
+++ b/src/vanillabeam/decisions.py
@@ -12,7 +12,6 @@
 from loguru import logger
 
 __all__ = [
-    "COMMON_FIELDS",
     "KINDS",
     "AnnouncementUnreadable",
     "AnswerCut",
@@ -384,46 +383,6 @@
     LinesDropped: Kind("WARNING", _SELDOM),
 }
 
-#: What fields mean that several kinds share.
-COMMON_FIELDS = {
-    "request_id": "the caller's id of the request",
-    "index": "of the fleet state in force",
-    "number": "of the deployment in force",
-    "target": "its id",
-    "service": "that the request goes to",
-    "born_ms": "Unix time of its start in milliseconds",
-    "failure": "type, as in failures.md",
-    "detail": "what else is known of it",
-    "total_s": "seconds since the request's head was read",
-    "attempts": "targets that were sent the request",
-    "status": "that the caller got",
-    "address": "host and port",
-    "epoch": "names one start of it",
-    "count": "how many",
-    "route": "its name in the deployment",
-    "workspace": "that holds the caller's key, empty on a public route",
-    "rank": "0 is the most urgent",
-    "cold": "whether the target is in its cold window",
-    "age_s": "age of what was known of the target in seconds",
-    "run": "whether the request may have run",
-    "retry_after_s": "when the caller was told to come back, in seconds",
-    "draining": "whether it takes no new work",
-    "cold_ms": "how much longer it is cold, in milliseconds",
-    "evacuated": "data centres that are out of service",
-    "weights": "newest version of each model",
-    "kind": "of the operator's order",
-    "subject": "what the order is about",
-    "model": "its name",
-    "version": "of the weights, or of this program",
-    "reply": "what the target answered",
-    "store": "its name or address",
-    "peer": "the VM that was taken out",
-    "role": "entry or control",
-    "code": "that the process ends with",
-    "seeds": "hosts that the settings name now",
-    "dropped": "lines left out, by event",
-}
-
 _WORDS = re.compile(r"(?<!^)(?=[A-Z])")
 _EVENTS = {kind: _WORDS.sub("-", kind.__name__).lower() for kind in KINDS}
 
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -15,7 +15,6 @@
 from vanillabeam.fleet.stores import StoreCalls
 from vanillabeam.forwarding import Dialect, ForwardingApp
 from vanillabeam.forwarding.choice import Chooser
-from vanillabeam.gates import LateApp
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.listeners import ListenerTask
 from vanillabeam.peerhttp import PeerClient, peer_routes
@@ -152,10 +151,8 @@
     async def _listen(
         self, nursery: trio.Nursery, name: str, address: str, app: Any
     ) -> None:
-        late = LateApp()
-        late.app = app
         graceful_s = self.cfg.bounds.grace_s
-        task = ListenerTask(name, late, _listener(address), graceful_s)
+        task = ListenerTask(name, app, _listener(address), graceful_s)
         self._listeners[name] = task
         await nursery.start(task.run)
 
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -93,8 +93,7 @@
 
     def knows_any(self, service: str) -> bool:
         """Return whether some target of a service is known."""
-        found = self._directory.sightings.values()
-        return any(each.target.service == service for each in found)
+        return bool(self._known(service))
 
     def service_of(self, route: Route) -> str:
         """Return one of the route's services, by their weights."""
@@ -166,11 +165,7 @@
         costs: PromptCosts | None,
     ) -> str:
         """Say why no target may take a request: how many are left at each step."""
-        known = [
-            each.target
-            for each in self._directory.sightings.values()
-            if each.target.service == service
-        ]
+        known = self._known(service)
         usable = self._usable(service, facts, view, set(), now_s)
         free = self._with_room(usable, service, view.deployment, costs, entries, now_s)
         counts = f"{len(known)} known, {len(usable)} usable, {len(free)} with room"
@@ -181,6 +176,11 @@
             self._budgets[service] = RetryBudget(self._bounds)
         return self._budgets[service]
 
+    def _known(self, service: str) -> list[Target]:
+        sightings = self._directory.sightings.values()
+        targets = [sighting.target for sighting in sightings]
+        return [target for target in targets if target.service == service]
+
     def _usable(
         self,
         service: str,
@@ -190,13 +190,12 @@
         now_s: float,
     ) -> list[Target]:
         found = [
-            each.target
-            for each in self._directory.sightings.values()
-            if each.target.service == service
-            and not each.target.draining
-            and each.target.data_centre not in view.evacuated
-            and each.target.name not in tried
-            and (not facts.model or facts.model in each.target.versions)
+            target
+            for target in self._known(service)
+            if not target.draining
+            and target.data_centre not in view.evacuated
+            and target.name not in tried
+            and (not facts.model or facts.model in target.versions)
         ]
         found = self._on_new_weights(found, facts.model, view, now_s)
         rested = [each for each in found if self._health.is_rested(each, now_s)]
--- a/src/vanillabeam/forwarding/sending.py
+++ b/src/vanillabeam/forwarding/sending.py
@@ -5,6 +5,7 @@
 
 import httpcore
 
+from vanillabeam.addresses import split_address
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet import Target
 from vanillabeam.forwarding.dialect import Facts, Headers
@@ -52,13 +53,13 @@
 
     :param headers: for the target, without ``Content-Length``.
     """
-    host, _, port = target.address.rpartition(":")
+    host, port = split_address(target.address)
     if body or facts.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         headers = [*headers, (b"Content-Length", str(len(body)).encode())]
     request = httpcore.Request(
         facts.method,
         httpcore.URL(
-            scheme=b"http", host=host.encode(), port=int(port), target=facts.target
+            scheme=b"http", host=host.encode(), port=port, target=facts.target
         ),
         headers=headers,
         content=body,
--- a/src/vanillabeam/forwarding/upstream.py
+++ b/src/vanillabeam/forwarding/upstream.py
@@ -1,19 +1,14 @@
 """The caller's side of a request: its body in, the answer out."""
 
 import trio
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from vanillabeam import wire
-from vanillabeam.exceptions import (
-    BodyTooLarge,
-    BodyTooSlow,
-    MalformedBody,
-    Run,
-    VanillabeamError,
-)
+from vanillabeam.exceptions import BodyTooSlow, Run, VanillabeamError
 from vanillabeam.fleet import Limits
 from vanillabeam.forwarding.dialect import Headers
 from vanillabeam.hops import end_to_end
+from vanillabeam.limits import collect_body
 from vanillabeam.problems import PROBLEM_TYPE, RUN_HEADER, to_problem
 
 __all__ = ["Caller", "read_body"]
@@ -103,22 +98,14 @@
 async def read_body(receive, limits: Limits) -> Result[bytes, VanillabeamError]:
     """Return a caller's body, within the limits in force.
 
-    :returns: the body; :class:`BodyTooLarge`, :class:`BodyTooSlow`, or
-        :class:`MalformedBody` if the caller left before its end.
+    :returns: as :func:`collect_body`; :class:`BodyTooSlow` after a pause.
     """
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        message = None
-        with trio.move_on_after(limits.idle_s):
-            message = await receive()
-        if message is None:
-            return Failure(BodyTooSlow(f"nothing for {limits.idle_s:g} s"))
-        if message["type"] == "http.disconnect":
-            return Failure(MalformedBody("the body ended early"))
-        parts.append(message.get("body", b""))
-        size += len(parts[-1])
-        if size > limits.body_bytes:
-            return Failure(BodyTooLarge(f"the limit is {limits.body_bytes} bytes"))
-        if not message.get("more_body", False):
-            return Success(b"".join(parts))
+
+    async def receive_soon():
+        with trio.fail_after(limits.idle_s):
+            return await receive()
+
+    try:
+        return await collect_body(receive_soon, limits.body_bytes)
+    except trio.TooSlowError:
+        return Failure(BodyTooSlow(f"nothing for {limits.idle_s:g} s"))
--- a/src/vanillabeam/limits.py
+++ b/src/vanillabeam/limits.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from vanillabeam.settings import Limits
 
-__all__ = ["Limited", "read_body"]
+__all__ = ["Limited", "collect_body", "read_body"]
 
 
 class Limited:
@@ -65,26 +65,35 @@
         return None
 
 
+async def collect_body(
+    receive: Receive, body_bytes: int
+) -> Result[bytes, VanillabeamError]:
+    """Read a request's body, however long that takes.
+
+    :returns: the body; :class:`BodyTooLarge`, or :class:`MalformedBody` if the
+        caller left before its end.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return Failure(MalformedBody("the body ended early"))
+        parts.append(message.get("body", b""))
+        size += len(parts[-1])
+        if size > body_bytes:
+            return Failure(BodyTooLarge(f"the limit is {body_bytes} bytes"))
+        if not message.get("more_body", False):
+            return Success(b"".join(parts))
+
+
 async def read_body(scope: Scope, receive: Receive) -> Result[bytes, VanillabeamError]:
     """Read a request's body within the listener's limits.
 
-    :returns: the body; :class:`BodyTooLarge`, :class:`BodyTooSlow` or
-        :class:`MalformedBody` if the caller left before its end.
+    :returns: as :func:`collect_body`; :class:`BodyTooSlow` once the time for
+        the whole body is over.
     """
     limits = scope["vanillabeam.limits"]
-    parts: list[bytes] = []
-    size = 0
     with trio.move_on_after(limits["body_s"]):
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                return Failure(MalformedBody("the body ended early"))
-            parts.append(message.get("body", b""))
-            size += len(parts[-1])
-            if size > limits["body_bytes"]:
-                return Failure(
-                    BodyTooLarge(f"the limit is {limits['body_bytes']} bytes")
-                )
-            if not message.get("more_body", False):
-                return Success(b"".join(parts))
+        return await collect_body(receive, limits["body_bytes"])
     return Failure(BodyTooSlow(f"the limit is {limits['body_s']:g} s"))
--- a/src/vanillabeam/log/replica.py
+++ b/src/vanillabeam/log/replica.py
@@ -99,7 +99,6 @@
         self.role = Role.FOLLOWER
         self.leader = ""
         self.term_leader = (0, "")
-        self.has_known_leader = False
         self.leader_contact_s = -settings.election_s
         self.votes: set[str] = set()
         self.progress: dict[str, Progress] = {}
@@ -131,6 +130,11 @@
         """Return whether this replica makes a quorum alone."""
         return self.is_voter and len(self.membership.voters) == 1
 
+    @property
+    def has_known_leader(self) -> bool:
+        """Return whether any leader has been known since the start."""
+        return bool(self.term_leader[1])
+
     @property
     def peers(self) -> list[Member]:
         """Return the other members."""
@@ -197,7 +201,6 @@
         self.transfer_to = ""
         self.round_wanted = False
         if leader:
-            self.has_known_leader = True
             self.leader_contact_s = now_s
         self.restart_election_timer(now_s)
 
--- a/src/vanillabeam/log/replication.py
+++ b/src/vanillabeam/log/replication.py
@@ -31,7 +31,6 @@
     """Lead this term; its first entry commits what earlier terms left."""
     state.role = Role.LEADER
     state.leader = state.member_id
-    state.has_known_leader = True
     state.term_leader = (state.term, state.member_id)
     state.votes = set()
     state.transfer_to = ""
--- a/src/vanillabeam/platform/calls.py
+++ b/src/vanillabeam/platform/calls.py
@@ -1,14 +1,21 @@
 """Calls to workers and stores: one client for all of them."""
 
+from typing import TypeVar
+
 import httpcore
+import msgspec
 import trio
 
-__all__ = ["WorkerCalls"]
+from vanillabeam.addresses import split_address
+
+__all__ = ["WorkerCalls", "decode_answer"]
 
 LIMIT_S = 1.0
 IDLE_EXPIRY_S = 1.0
 CONNECTIONS = 64
 
+Said = TypeVar("Said")
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -34,10 +41,8 @@
         :param address: ``host:port``.
         :param limit_s: for the whole call, in seconds.
         """
-        host, _, port = address.rpartition(":")
-        url = httpcore.URL(
-            scheme=b"http", host=host.encode(), port=int(port), target=path
-        )
+        host, port = split_address(address)
+        url = httpcore.URL(scheme=b"http", host=host.encode(), port=port, target=path)
         sent = [(b"Host", address.encode()), *(headers or [])]
         if body:
             sent.append((b"Content-Type", b"application/json"))
@@ -52,3 +57,13 @@
             ):
                 return None
         return None
+
+
+def decode_answer(response: httpcore.Response | None, kind: type[Said]) -> Said | None:
+    """Return what an answer says, ``None`` if it is no sound one."""
+    if response is None or response.status != 200:
+        return None
+    try:
+        return msgspec.json.decode(response.content, type=kind)
+    except msgspec.MsgspecError:
+        return None
--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -5,6 +5,7 @@
 from urllib.parse import unquote
 
 from returns.result import Failure, Result
+from starlette.responses import Response
 
 from vanillabeam import wire
 from vanillabeam.decisions import (
@@ -60,17 +61,11 @@
     async def __call__(self, scope, receive, send) -> None:
         """Answer one call."""
         answer = await self._answer(scope, receive)
-        headers = [
-            (b"content-type", b"application/json"),
-            (b"content-length", str(len(answer.body)).encode()),
-        ]
-        await send(
-            {"type": "http.response.start", "status": answer.status, "headers": headers}
-        )
-        await send({"type": "http.response.body", "body": answer.body})
+        response = Response(answer.body, answer.status, media_type="application/json")
+        await response(scope, receive, send)
 
     async def _answer(self, scope, receive) -> Answer:
-        call, _, argument = _split(scope["raw_path"].decode("latin-1"))
+        call, argument = _split(scope["raw_path"].decode("latin-1"))
         handler = self._handlers.get((scope["method"], call))
         if handler is None:
             return Answer(NOT_FOUND)
@@ -133,11 +128,11 @@
         return Answer(OK)
 
 
-def _split(path: str) -> tuple[str, str, str]:
-    """Return the call, a slash, and the argument behind it, if there is one."""
+def _split(path: str) -> tuple[str, str]:
+    """Return the call and the argument behind it, if there is one."""
     start = len("/api/")
-    call, slash, argument = path[start:].partition("/")
-    return path[:start] + call, slash, argument
+    call, _, argument = path[start:].partition("/")
+    return path[:start] + call, argument
 
 
 def _failed(status: int, exc: VanillabeamError) -> Answer:
--- a/src/vanillabeam/platform/orders.py
+++ b/src/vanillabeam/platform/orders.py
@@ -2,12 +2,10 @@
 
 from typing import TypedDict
 
-import msgspec
-
 from vanillabeam import wire
 from vanillabeam.fleet import Target
 from vanillabeam.fleet.rollout import OrderReply, WeightsOrder
-from vanillabeam.platform.calls import WorkerCalls
+from vanillabeam.platform.calls import WorkerCalls, decode_answer
 from vanillabeam.platform.heartbeats import Model, read_versions
 
 __all__ = ["WorkerOrders"]
@@ -51,13 +49,10 @@
     async def held_version(self, target: Target, model: str) -> int | None:
         """Return the version in use, ``None`` while an order is carried out."""
         response = await self._call("GET", target, b"/api/report", b"")
-        if response is None or response.status != 200:
-            return None
-        try:
-            report = msgspec.json.decode(response.content, type=_Report)
-        except msgspec.MsgspecError:
+        report = decode_answer(response, _Report)
+        if report is None or report["busy"]:
             return None
-        return None if report["busy"] else read_versions(report["models"]).get(model)
+        return read_versions(report["models"]).get(model)
 
     async def _call(self, method: str, target: Target, path: bytes, body: bytes):
         headers = [(b"X-Vanillabeam-Expect-Instance", target.name.encode())]
--- a/src/vanillabeam/platform/readiness.py
+++ b/src/vanillabeam/platform/readiness.py
@@ -1,5 +1,7 @@
 """The provider's question whether this machine takes new channels."""
 
+from starlette.responses import Response
+
 from vanillabeam.lifecycle import Lifecycle
 
 __all__ = ["ReadinessApp"]
@@ -18,8 +20,4 @@
         status = READY if self._lifecycle.is_ready else NOT_READY
         if scope["path"] != "/api/ready":
             status = NOT_FOUND
-        headers = [(b"content-length", b"0")]
-        await send(
-            {"type": "http.response.start", "status": status, "headers": headers}
-        )
-        await send({"type": "http.response.body", "body": b""})
+        await Response(status_code=status)(scope, receive, send)
--- a/src/vanillabeam/platform/stores.py
+++ b/src/vanillabeam/platform/stores.py
@@ -2,13 +2,11 @@
 
 from typing import NotRequired, TypedDict
 
-import msgspec
-
 from vanillabeam import wire
 from vanillabeam.fleet import Store
 from vanillabeam.fleet.parts import StoreEvent
 from vanillabeam.fleet.stores import StoreList, StoreNews
-from vanillabeam.platform.calls import WorkerCalls
+from vanillabeam.platform.calls import WorkerCalls, decode_answer
 
 __all__ = ["PlatformStores"]
 
@@ -50,7 +48,7 @@
             headers=headers,
             limit_s=limit_s,
         )
-        said = _decode(response, _Events)
+        said = decode_answer(response, _Events)
         if said is None:
             return None
         events = [
@@ -64,7 +62,7 @@
     async def held(self, store: Store) -> StoreList | None:
         """Return all parts of the store."""
         response = await self._calls.call("GET", store.address, b"/api/kv-list")
-        said = _decode(response, _List)
+        said = decode_answer(response, _List)
         if said is None:
             return None
         held = [
@@ -79,12 +77,3 @@
         body = wire.encode({"parts": keys, "epoch": epoch, "until_ms": int(until_ms)})
         response = await self._calls.call("POST", store.address, b"/api/kv-free", body)
         return response is not None and response.status < 300
-
-
-def _decode(response, kind):
-    if response is None or response.status != 200:
-        return None
-    try:
-        return msgspec.json.decode(response.content, type=kind)
-    except msgspec.MsgspecError:
-        return None
--- a/src/vanillabeam/reference.py
+++ b/src/vanillabeam/reference.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import vanillabeam
-from vanillabeam.decisions import COMMON_FIELDS, KINDS, event_of
+from vanillabeam.decisions import KINDS, event_of
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.problems import catalogue
 from vanillabeam.settings import schema, write_schema
@@ -44,6 +44,46 @@
 own folder.
 """
 
+#: What fields mean that several kinds share.
+COMMON_FIELDS = {
+    "request_id": "the caller's id of the request",
+    "index": "of the fleet state in force",
+    "number": "of the deployment in force",
+    "target": "its id",
+    "service": "that the request goes to",
+    "born_ms": "Unix time of its start in milliseconds",
+    "failure": "type, as in failures.md",
+    "detail": "what else is known of it",
+    "total_s": "seconds since the request's head was read",
+    "attempts": "targets that were sent the request",
+    "status": "that the caller got",
+    "address": "host and port",
+    "epoch": "names one start of it",
+    "count": "how many",
+    "route": "its name in the deployment",
+    "workspace": "that holds the caller's key, empty on a public route",
+    "rank": "0 is the most urgent",
+    "cold": "whether the target is in its cold window",
+    "age_s": "age of what was known of the target in seconds",
+    "run": "whether the request may have run",
+    "retry_after_s": "when the caller was told to come back, in seconds",
+    "draining": "whether it takes no new work",
+    "cold_ms": "how much longer it is cold, in milliseconds",
+    "evacuated": "data centres that are out of service",
+    "weights": "newest version of each model",
+    "kind": "of the operator's order",
+    "subject": "what the order is about",
+    "model": "its name",
+    "version": "of the weights, or of this program",
+    "reply": "what the target answered",
+    "store": "its name or address",
+    "peer": "the VM that was taken out",
+    "role": "entry or control",
+    "code": "that the process ends with",
+    "seeds": "hosts that the settings name now",
+    "dropped": "lines left out, by event",
+}
+
 LOG_INTRO = """# Log lines
 
 Made from the types by `python -m vanillabeam.reference docs`.
