--- a/src/vanillabeam/counters.py
+++ b/src/vanillabeam/counters.py
@@ -37,6 +37,13 @@
         self.attempts = self._counter(
             "attempts", "Requests sent to targets.", "service", "outcome"
         )
+        self.answer_ends = self._counter(
+            "answer_ends",
+            "Ends of targets' answers, by framing, outcome and last event.",
+            "framing",
+            "outcome",
+            "event",
+        )
         self.repeats = self._counter(
             "repeats", "Requests sent to one more target.", "service"
         )
--- a/src/vanillabeam/decisions.py
+++ b/src/vanillabeam/decisions.py
@@ -100,6 +100,8 @@
     """A target gave no valid answer to a request.
 
     :param run: whether the request may have run at this target.
+    :param framing: how the end of the answer was marked; empty without an answer.
+    :param partial_bytes: bytes of a stream after its last complete event.
     """
 
     request_id: str
@@ -109,15 +111,24 @@
     detail: str
     run: str
     age_s: float
+    framing: str
+    partial_bytes: int
 
 
 class RequestAnswered(NamedTuple):
-    """The caller received a target's complete answer."""
+    """The caller received a target's complete answer.
+
+    :param framing: how the target marked the end of its answer: ``length``,
+        ``chunks``, or ``close`` for the end of the connection.
+    :param partial_bytes: bytes of a stream after its last complete event.
+    """
 
     request_id: str
     status: int
     attempts: int
     total_s: float
+    framing: str
+    partial_bytes: int
 
 
 class RequestRefused(NamedTuple):
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -204,7 +204,13 @@
             counters.requests.labels(route, "refused", failure.type).inc()
         elif writer.finished:
             log_record(
-                RequestAnswered(request_id, writer.status, exchange.attempts, total_s)
+                RequestAnswered(
+                    request_id,
+                    writer.status,
+                    exchange.attempts,
+                    total_s,
+                    *exchange.answer_end,
+                )
             )
             counters.requests.labels(route, "answered", str(writer.status)).inc()
             counters.total_s.labels(route).observe(total_s)
--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -26,7 +26,7 @@
 )
 from vanillabeam.forwarding.sentparts import SentParts
 
-__all__ = ["Attempt", "Delivered", "Outcome", "Resources", "Whole"]
+__all__ = ["AnswerEnd", "Attempt", "Delivered", "Outcome", "Resources", "Whole"]
 
 SERVER_ERROR = 500
 #: Silence after which a target is suspect: a multiple of the route's latency
@@ -52,6 +52,17 @@
     counters: Counters
 
 
+class AnswerEnd(NamedTuple):
+    """How a target's answer ended.
+
+    :param framing: how the end was marked; empty before the head of the answer.
+    :param partial_bytes: bytes of a stream after its last complete event.
+    """
+
+    framing: str = ""
+    partial_bytes: int = 0
+
+
 class Whole(NamedTuple):
     """A complete answer that has not been passed on to the caller."""
 
@@ -79,6 +90,7 @@
         that it is given up as soon as this one turns suspect.
     :ivar was_sent: whether any of the request may have reached the target.
     :ivar may_have_run: whether the target may have run the request.
+    :ivar answer_end: how the answer ended.
     """
 
     def __init__(
@@ -93,6 +105,7 @@
     ):
         self.was_sent = False
         self.may_have_run = False
+        self.answer_end = AnswerEnd()
         self._request = request
         self._resources = resources
         self._service = service
@@ -139,6 +152,7 @@
             self.was_sent = self.may_have_run
             return response
         self.was_sent = True
+        self.answer_end = AnswerEnd(str(response.framing))
         self._record_response(trio.current_time())
         try:
             return await self._handle_response(response)
@@ -246,27 +260,40 @@
         resumable = self._request.route.resumable
         async for part in iter_body(response, self._choice.target):
             if isinstance(part, Broken):
+                self._record_end()
                 self._cutter.drop_partial()
                 return part
             self._resources.chooser.load.record_activity(
                 self._choice.target.name, trio.current_time()
             )
-            data = self._cutter.feed(part) if resumable else part
+            whole = self._cutter.feed(part)
+            data = whole if resumable else part
             if data:
                 await self._writer.start_stream(
                     response.status, response.headers, resumable
                 )
                 await self._writer.send(data)
+        self._record_end()
         await self._writer.start_stream(response.status, response.headers, resumable)
-        await self._writer.send(self._cutter.finish())
+        rest = self._cutter.finish()
+        if resumable:
+            await self._writer.send(rest)
         await self._writer.finish()
         return Delivered(response.status)
 
+    def _record_end(self) -> None:
+        """Record how many bytes of the stream follow its last complete event."""
+        partial_bytes = self._cutter.partial_bytes
+        self.answer_end = self.answer_end._replace(partial_bytes=partial_bytes)
+
     def _record_outcome(self, outcome: Outcome) -> None:
         target, chooser = self._choice.target, self._resources.chooser
         now_s = trio.current_time()
         kind = type(outcome).__name__.lower()
-        self._resources.counters.attempts.labels(self._service, kind).inc()
+        counters = self._resources.counters
+        counters.attempts.labels(self._service, kind).inc()
+        end = "partial" if self.answer_end.partial_bytes else "whole"
+        counters.answer_ends.labels(self.answer_end.framing, kind, end).inc()
         if isinstance(outcome, Broken):
             self._log_failure(outcome)
             log_record(chooser.record_failure(target, now_s))
@@ -286,6 +313,7 @@
                 outcome.exc.detail,
                 str(outcome.exc.run),
                 self._choice.age_s,
+                *self.answer_end,
             )
         )
 
--- a/src/vanillabeam/forwarding/events.py
+++ b/src/vanillabeam/forwarding/events.py
@@ -44,6 +44,11 @@
         """Drop the incomplete event that is left after a break."""
         self._buffer = b""
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._buffer)
+
     def _update_last_id(self, whole: bytes) -> None:
         for line in whole.splitlines():
             if line.startswith(b"id:"):
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -6,6 +6,7 @@
 from vanillabeam.exceptions import Run, VanillabeamError
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.attempt import (
+    AnswerEnd,
     Attempt,
     Delivered,
     Outcome,
@@ -23,9 +24,7 @@
     TooLate,
 )
 from vanillabeam.forwarding.requestcosts import estimate_request_costs
-from vanillabeam.forwarding.sending import (
-    Broken,
-)
+from vanillabeam.forwarding.sending import Broken
 
 __all__ = ["Exchange"]
 
@@ -79,6 +78,11 @@
         """Number of targets that the request was sent to."""
         return self._sent
 
+    @property
+    def answer_end(self) -> AnswerEnd:
+        """How the last answer ended."""
+        return self._attempts[-1].answer_end if self._attempts else AnswerEnd()
+
     async def run(self) -> VanillabeamError | None:
         """Run the exchange and send the answer to the caller.
 
--- a/src/vanillabeam/forwarding/sending.py
+++ b/src/vanillabeam/forwarding/sending.py
@@ -1,6 +1,7 @@
 """Send one request to one target and read its answer."""
 
 from collections.abc import AsyncIterator
+from enum import StrEnum
 from typing import NamedTuple
 
 import httpcore
@@ -11,7 +12,7 @@
 from vanillabeam.forwarding.dialect import Headers, RequestMetadata
 from vanillabeam.forwarding.exceptions import AnswerBroken, NotSent
 
-__all__ = ["Broken", "OpenResponse", "iter_body", "open_response"]
+__all__ = ["Broken", "Framing", "OpenResponse", "iter_body", "open_response"]
 
 CONNECT_TIMEOUT_S = 0.4
 POOL_TIMEOUT_S = 0.5
@@ -25,6 +26,19 @@
 _BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 
+class Framing(StrEnum):
+    """How the end of an answer's body is marked (RFC 9112, 6.3).
+
+    :cvar LENGTH: by ``Content-Length``.
+    :cvar CHUNKS: by an empty chunk.
+    :cvar CLOSE: by the end of the connection.
+    """
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
 class OpenResponse(NamedTuple):
     """An answer whose head has arrived.
 
@@ -35,6 +49,16 @@
     headers: Headers
     raw: httpcore.Response
 
+    @property
+    def framing(self) -> Framing:
+        """How the end of the body is marked."""
+        names = {name.lower() for name, _ in self.headers}
+        if b"transfer-encoding" in names:
+            return Framing.CHUNKS
+        if b"content-length" in names:
+            return Framing.LENGTH
+        return Framing.CLOSE
+
 
 class Broken(NamedTuple):
     """An attempt that failed: no answer, or one that broke off.
