--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -194,8 +194,11 @@
 
         :param host: the only control VM that it calls; ``None`` for any.
         """
-        worker = Worker(name)
-        self.workers[name] = worker
+        return await self.add_worker(Worker(name), host, **changes)
+
+    async def add_worker(self, worker, host=None, **changes):
+        """Start a worker that a test has made."""
+        self.workers[worker.name] = worker
         await self.nursery.start(worker.run)
         self.nursery.start_soon(self._announce, worker, changes, host)
         return worker
--- /dev/null
+++ b/tests/platform/test_brokenstreams.py
@@ -0,0 +1,104 @@
+"""Streams of workers that break off, as their clients see them."""
+
+from functools import partial
+
+import httpcore
+import pytest
+import trio
+
+from tests.platform.builders import make_document
+from tests.platform.rawworker import RawWorker, chunked, raw_answer
+from tests.platform.standin import running_platform, wait_until
+
+EVENTS = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
+#: Breaks off inside the third event.
+PARTIAL = EVENTS + b"id: 3\ndata: thr"
+REST = b"id: 3\ndata: three\n\n"
+CHUNKED = (b"Transfer-Encoding: chunked",)
+
+
+def make_routes(**changes):
+    """Return a document whose stream route has these settings."""
+    document = make_document()
+    document["routes"][0] |= changes
+    return document
+
+
+def request_stream(tmp_path, answers, **route):
+    """Return what a client gets from workers that give these answers in turn.
+
+    :param answers: the answer of each worker, in the order of its requests.
+    :returns: body, or the exception that tells of a broken answer; headers of the
+        requests that the workers received.
+    """
+
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            document = make_routes(**route)
+            await platform.call_control("POST", "/api/Config.Put", document)
+            workers = [RawWorker(f"i-{n}") for n in range(max(2, len(answers)))]
+            queue = list(answers)
+
+            async def answer_next(headers, stream):
+                received.append(headers)
+                await queue.pop(0)(headers, stream)
+
+            received = []
+            for worker in workers:
+                worker.answers = [answer_next]
+                await platform.add_worker(worker)
+            await platform.wait_ready()
+            for worker in workers:
+                await wait_until(partial(platform.has_target, worker.name))
+            try:
+                res = await platform.send_request("/prompts/1")
+            except httpcore.RemoteProtocolError as exc:
+                return exc, received
+            return (res.status, res.content), received
+
+    return trio.run(main)
+
+
+# Guards against a stream that broke off inside an event and was framed as complete.
+@pytest.mark.parametrize("framing", ["close", "chunks"])
+def test_a_stream_that_ends_inside_an_event_is_not_framed_as_complete(
+    tmp_path, framing
+):
+    answer = raw_answer(PARTIAL)
+    if framing == "chunks":
+        answer = raw_answer(chunked(PARTIAL), CHUNKED)
+    result, _ = request_stream(tmp_path, [answer], resumable=False, attempts=1)
+    assert isinstance(result, httpcore.RemoteProtocolError)
+
+
+# Guards against a partial event of a broken stream before the events of another run.
+def test_a_stream_that_ends_inside_an_event_is_resumed_after_its_last_whole_one(
+    tmp_path,
+):
+    answers = [raw_answer(PARTIAL), raw_answer(REST)]
+    result, received = request_stream(tmp_path, answers, resumable=True)
+    assert result == (200, EVENTS + REST)
+    assert received[1][b"last-event-id"] == b"2"
+
+
+# Guards against a resumable stream that is framed as complete when no attempt is left.
+def test_a_resumable_stream_without_attempts_left_is_cut_after_a_partial_event(
+    tmp_path,
+):
+    answer = raw_answer(PARTIAL)
+    result, _ = request_stream(tmp_path, [answer], resumable=True, attempts=1)
+    assert isinstance(result, httpcore.RemoteProtocolError)
+
+
+@pytest.mark.parametrize("resumable", [False, True])
+def test_a_stream_that_ends_with_its_connection_after_an_event_is_whole(
+    tmp_path, resumable
+):
+    result, _ = request_stream(tmp_path, [raw_answer(EVENTS)], resumable=resumable)
+    assert result == (200, EVENTS)
+
+
+def test_a_stream_whose_connection_is_reset_between_events_is_not_whole(tmp_path):
+    answer = raw_answer(EVENTS, is_reset=True)
+    result, _ = request_stream(tmp_path, [answer], resumable=False, attempts=1)
+    assert isinstance(result, httpcore.RemoteProtocolError)
