Treat a stream that ends inside an event as broken off

Cause: the end of the answer's bytes was taken for the end of the answer. A target may answer with neither a length nor chunks; such an answer ends with its connection, and a connection that a crashing target closes in order looks like any other end. What the cutter still held was sent on, and the caller's stream was finished.

Evidence: in the record the short answers have request-answered and no attempt-failed, while resets at the same targets have attempt-failed. Streams that end inside an event after an empty chunk or a full length failed in the same way.

Change: on stream routes the events themselves tell whether the answer is whole. One that ends inside an event, or that has no event and only its connection marks its end, is an attempt that failed: a resumable stream goes on elsewhere after its last whole event, any other is cut. A target's length is not passed on, as it would make a cut stream look whole. Events may end with any empty line (CR, LF, CRLF). An answer that declares another type than text/event-stream is read whole and sent with its length.

--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -20,6 +20,7 @@
 from vanillabeam.forwarding.pools import Pools
 from vanillabeam.forwarding.sending import (
     Broken,
+    Framing,
     OpenResponse,
     iter_body,
     open_response,
@@ -181,7 +182,7 @@
         )
         if not self._may_go_elsewhere:
             return await send()
-        result: OpenResponse | Broken = Broken(AnswerBroken(f"{target.name}: silent"))
+        result: OpenResponse | Broken = self._broken("silent")
 
         async def send_and_cancel(scope: trio.CancelScope) -> None:
             nonlocal result
@@ -231,7 +232,7 @@
         self._apply_keep_alive(response)
         if kind in (AnswerKind.NOT_RUN, AnswerKind.OTHER_TARGET):
             self.may_have_run = False
-        if request.route.kind is RouteKind.STREAM and response.status < 300:
+        if self._is_stream(response):
             return await self._stream(response)
         whole = await _read_whole(response, target)
         if isinstance(whole, Broken):
@@ -246,6 +247,12 @@
         await self._writer.send_response(whole.status, whole.headers, whole.body)
         return Delivered(whole.status)
 
+    def _is_stream(self, response: OpenResponse) -> bool:
+        """Return whether the answer is passed on as it arrives."""
+        if self._request.route.kind is not RouteKind.STREAM or response.status >= 300:
+            return False
+        return response.may_be_event_stream or self._writer.started
+
     def _apply_keep_alive(self, response: OpenResponse) -> None:
         for name, value in response.headers:
             if name.lower() == b"keep-alive":
@@ -258,29 +265,40 @@
         at another target after a break.
         """
         resumable = self._request.route.resumable
+        is_empty = True
         async for part in iter_body(response, self._choice.target):
             if isinstance(part, Broken):
-                self._record_end()
-                self._cutter.drop_partial()
-                return part
+                return self._break_off(part)
+            is_empty = False
             self._resources.chooser.load.record_activity(
                 self._choice.target.name, trio.current_time()
             )
             whole = self._cutter.feed(part)
             data = whole if resumable else part
             if data:
-                await self._writer.start_stream(
-                    response.status, response.headers, resumable
-                )
+                await self._writer.start_stream(response.status, response.headers)
                 await self._writer.send(data)
+        if self._cutter.is_inside_event:
+            return self._break_off(self._broken("ended inside an event"))
+        if is_empty and response.framing is Framing.CLOSE:
+            return self._break_off(self._broken("ended without an event"))
         self._record_end()
-        await self._writer.start_stream(response.status, response.headers, resumable)
+        await self._writer.start_stream(response.status, response.headers)
         rest = self._cutter.finish()
         if resumable:
             await self._writer.send(rest)
         await self._writer.finish()
         return Delivered(response.status)
 
+    def _broken(self, reason: str) -> Broken:
+        return Broken(AnswerBroken(f"{self._choice.target.name}: {reason}"))
+
+    def _break_off(self, broken: Broken) -> Broken:
+        """Drop the event that the break has left incomplete."""
+        self._record_end()
+        self._cutter.drop_partial()
+        return broken
+
     def _record_end(self) -> None:
         """Record how many bytes of the stream follow its last complete event."""
         partial_bytes = self._cutter.partial_bytes
--- a/src/vanillabeam/forwarding/downstream.py
+++ b/src/vanillabeam/forwarding/downstream.py
@@ -38,17 +38,15 @@
         await self.send(body)
         await self.finish()
 
-    async def start_stream(self, status: int, headers: Headers, joined: bool) -> None:
+    async def start_stream(self, status: int, headers: Headers) -> None:
         """Send the head of a stream; do nothing if it has been sent.
 
-        :param joined: whether the body may be joined from several answers; its
-            length is then unknown.
+        The length that a target announces is dropped: only :meth:`finish` marks the
+        end, so that a stream that breaks off never looks complete.
         """
         if self.started:
             return
-        kept = strip_hop_by_hop(headers)
-        if joined:
-            kept = [(n, v) for n, v in kept if n != b"content-length"]
+        kept = [(n, v) for n, v in strip_hop_by_hop(headers) if n != b"content-length"]
         await self._send_head(status, kept)
 
     async def send_problem(
--- a/src/vanillabeam/forwarding/events.py
+++ b/src/vanillabeam/forwarding/events.py
@@ -1,8 +1,13 @@
 """Splitting of a server-sent event stream into whole events."""
 
+import re
+
 __all__ = ["EventCutter"]
 
-_ENDS = (b"\n\n", b"\r\n\r\n")
+#: An empty line, which ends an event. The group is atomic, so that one CRLF isn't
+#: taken for two line ends.
+_EVENT_END = re.compile(rb"(?>\r\n|\n|\r){2}")
+MAX_EVENT_END_BYTES = 4
 
 
 class EventCutter:
@@ -14,8 +19,8 @@
     >>> cutter = EventCutter()
     >>> cutter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
     b'id: 1\\ndata: a\\n\\n'
-    >>> cutter.last_id
-    '1'
+    >>> cutter.last_id, cutter.is_inside_event
+    ('1', True)
     """
 
     def __init__(self, last_id: str = ""):
@@ -24,13 +29,10 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the bytes of the events that are complete now."""
+        start = max(0, len(self._buffer) - MAX_EVENT_END_BYTES + 1)
         self._buffer += data
-        ends = [
-            self._buffer.rfind(mark) + len(mark)
-            for mark in _ENDS
-            if mark in self._buffer
-        ]
-        end = max(ends, default=0)
+        ends = [match.end() for match in _EVENT_END.finditer(self._buffer, start)]
+        end = ends[-1] if ends else 0
         whole, self._buffer = self._buffer[:end], self._buffer[end:]
         self._update_last_id(whole)
         return whole
@@ -49,6 +51,15 @@
         """Number of bytes after the last complete event."""
         return len(self._buffer)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes so far end inside an event or inside any other line.
+
+        Empty lines and comments may follow the last event.
+        """
+        *lines, last = re.split(rb"\r\n|\n|\r", self._buffer)
+        return bool(last) or any(line and line[:1] != b":" for line in lines)
+
     def _update_last_id(self, whole: bytes) -> None:
         for line in whole.splitlines():
             if line.startswith(b"id:"):
--- a/src/vanillabeam/forwarding/sending.py
+++ b/src/vanillabeam/forwarding/sending.py
@@ -14,6 +14,8 @@
 
 __all__ = ["Broken", "Framing", "OpenResponse", "iter_body", "open_response"]
 
+CONTENT_TYPE = b"content-type"
+EVENT_STREAM_TYPE = b"text/event-stream"
 CONNECT_TIMEOUT_S = 0.4
 POOL_TIMEOUT_S = 0.5
 
@@ -59,6 +61,12 @@
             return Framing.LENGTH
         return Framing.CLOSE
 
+    @property
+    def may_be_event_stream(self) -> bool:
+        """Whether the answer declares no other type than that of an event stream."""
+        types = [value for name, value in self.headers if name.lower() == CONTENT_TYPE]
+        return all(value.lower().startswith(EVENT_STREAM_TYPE) for value in types)
+
 
 class Broken(NamedTuple):
     """An attempt that failed: no answer, or one that broke off.
--- a/tests/platform/rawworker.py
+++ b/tests/platform/rawworker.py
@@ -52,7 +52,13 @@
     return headers
 
 
-def raw_answer(body, extra=(), is_reset=False, status=b"200 OK"):
+def raw_answer(
+    body,
+    extra=(),
+    is_reset=False,
+    status=b"200 OK",
+    content_type=b"text/event-stream",
+):
     """Return an answer whose framing is only what ``extra`` says.
 
     :param body: all bytes after the head.
@@ -64,7 +70,7 @@
     async def answer(headers, stream):
         lines = [
             b"HTTP/1.1 " + status,
-            b"Content-Type: text/event-stream",
+            b"Content-Type: " + content_type,
             b"X-Vanillabeam-Request-Id: " + headers[b"x-vanillabeam-request-id"],
             b"X-Vanillabeam-Response-Stamp: stamp",
             *extra,
--- a/tests/platform/test_brokenstreams.py
+++ b/tests/platform/test_brokenstreams.py
@@ -60,13 +60,15 @@
 
 
 # Guards against a stream that broke off inside an event and was framed as complete.
-@pytest.mark.parametrize("framing", ["close", "chunks"])
+@pytest.mark.parametrize("framing", ["close", "chunks", "unfinished-chunks"])
 def test_a_stream_that_ends_inside_an_event_is_not_framed_as_complete(
     tmp_path, framing
 ):
-    answer = raw_answer(PARTIAL)
-    if framing == "chunks":
-        answer = raw_answer(chunked(PARTIAL), CHUNKED)
+    answer = {
+        "close": raw_answer(PARTIAL),
+        "chunks": raw_answer(chunked(PARTIAL), CHUNKED),
+        "unfinished-chunks": raw_answer(chunked(PARTIAL)[:-5], CHUNKED),
+    }[framing]
     result, _ = request_stream(tmp_path, [answer], resumable=False, attempts=1)
     assert isinstance(result, httpcore.RemoteProtocolError)
 
@@ -90,6 +92,21 @@
     assert isinstance(result, httpcore.RemoteProtocolError)
 
 
+# Guards against a stream that broke off before its first event and ended as complete.
+def test_a_stream_that_ends_with_its_connection_before_any_event_is_not_whole(tmp_path):
+    result, _ = request_stream(tmp_path, [raw_answer(b"")], resumable=False, attempts=1)
+    assert result[0] == 502
+
+
+# Guards against the length of a broken stream, which makes it look complete.
+def test_a_stream_with_a_length_that_ends_inside_an_event_is_not_framed_as_complete(
+    tmp_path,
+):
+    answer = raw_answer(PARTIAL, (b"Content-Length: %d" % len(PARTIAL),))
+    result, _ = request_stream(tmp_path, [answer], resumable=False, attempts=1)
+    assert isinstance(result, httpcore.RemoteProtocolError)
+
+
 @pytest.mark.parametrize("resumable", [False, True])
 def test_a_stream_that_ends_with_its_connection_after_an_event_is_whole(
     tmp_path, resumable
@@ -102,3 +119,10 @@
     answer = raw_answer(EVENTS, is_reset=True)
     result, _ = request_stream(tmp_path, [answer], resumable=False, attempts=1)
     assert isinstance(result, httpcore.RemoteProtocolError)
+
+
+def test_an_answer_of_another_type_on_a_stream_route_is_passed_on_whole(tmp_path):
+    document = b'{"choices": []}'
+    answer = raw_answer(document, content_type=b"application/json")
+    result, _ = request_stream(tmp_path, [answer], resumable=True)
+    assert result == (200, document)
