Cut a stream that has begun if the next target answers with a failure

Callers' connections were closed by an error of the server, and nothing was logged: when a resumable stream had begun, broke off, and the next target answered 503 or 500, the exchange sent that answer as a second head inside the stream. The HTTP server raised. The stream is now cut as one that broke off, with answer-cut in the log. Both cases of the test failed before (no answer-cut).

--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -209,6 +209,8 @@
 
     async def _conclude(self, previous: Outcome | None) -> VanillabeamError | None:
         """Pass the last answer on, or return the failure to report to the caller."""
+        if isinstance(previous, Whole) and self._writer.started:
+            return AnswerBroken(f"another target answered {previous.status}")
         if isinstance(previous, Whole):
             # A refusal is true only if no earlier target has run the request.
             answer = self._error or previous
--- a/tests/platform/test_brokenstreams.py
+++ b/tests/platform/test_brokenstreams.py
@@ -5,6 +5,7 @@
 import httpcore
 import pytest
 import trio
+from loguru import logger
 
 from tests.platform.builders import make_document
 from tests.platform.rawworker import RawWorker, chunked, raw_answer
@@ -126,3 +127,20 @@
     answer = raw_answer(document, content_type=b"application/json")
     result, _ = request_stream(tmp_path, [answer], resumable=True)
     assert result == (200, document)
+
+
+# Guards against the head of a second answer inside a stream that has begun.
+@pytest.mark.parametrize("status", [b"503 Service Unavailable", b"500 Oops"])
+def test_a_stream_whose_next_worker_fails_is_cut_and_logged(tmp_path, status):
+    events = []
+    sink = logger.add(lambda line: events.append(line.record["message"]))
+    failure = raw_answer(b"full", (b"Content-Length: 4",), status=status)
+    try:
+        result, received = request_stream(
+            tmp_path, [raw_answer(PARTIAL), failure], resumable=True
+        )
+    finally:
+        logger.remove(sink)
+    assert len(received) == 2
+    assert isinstance(result, httpcore.RemoteProtocolError)
+    assert "answer-cut" in events
