Send streams with their length to callers without chunks

Streams of such callers are collected and sent with their length, or refused. Both tests failed before: 200 without a length for a broken stream and for a whole one.

--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -88,7 +88,11 @@
         """Serve one request."""
         began_s = trio.current_time()
         number = str(next(self._numbers))
-        writer = ResponseWriter(send, closes=self._lifecycle.draining.is_set())
+        writer = ResponseWriter(
+            send,
+            closes=self._lifecycle.draining.is_set(),
+            collects=scope["http_version"] == "1.0",
+        )
         self._lifecycle.request_started(number)
         try:
             await self._serve(scope, receive, writer, began_s)
--- a/src/vanillabeam/forwarding/downstream.py
+++ b/src/vanillabeam/forwarding/downstream.py
@@ -18,14 +18,20 @@
     """Sends one answer through an ASGI ``send``.
 
     :param closes: whether the connection is closed after this answer.
+    :param collects: whether a stream is held until it is whole and sent with its
+        length, because the caller's HTTP version has no chunks: only the end of the
+        connection would mark the end of the stream, broken off or not.
     :ivar started: whether the head of the answer has been sent.
     :ivar finished: whether the answer has been sent completely.
     :ivar status: HTTP status of the answer; 0 before its head is sent.
     """
 
-    def __init__(self, send, closes: bool = False):
+    def __init__(self, send, closes: bool = False, collects: bool = False):
         self._send = send
         self._closes = closes
+        self._collects = collects
+        self._collected_head: tuple[int, Headers] | None = None
+        self._collected: list[bytes] = []
         self.started = False
         self.finished = False
         self.status = 0
@@ -47,6 +53,9 @@
         if self.started:
             return
         kept = [(n, v) for n, v in strip_hop_by_hop(headers) if n != b"content-length"]
+        if self._collects:
+            self._collected_head = (status, kept)
+            return
         await self._send_head(status, kept)
 
     async def send_problem(
@@ -70,20 +79,26 @@
         await self.finish()
 
     async def send(self, data: bytes) -> None:
-        """Send a chunk of the body."""
-        if data:
+        """Send a chunk of the body, or hold it if the stream is collected."""
+        if self._collected_head is not None:
+            self._collected.append(data)
+        elif data:
             await self._send_message(
                 {"type": "http.response.body", "body": data, "more_body": True}
             )
 
     async def finish(self) -> None:
         """Mark the answer as complete and end it."""
+        if self._collected_head is not None:
+            await self.send_response(*self._collected_head, b"".join(self._collected))
+            return
         self.finished = True
         await self._send_message({"type": "http.response.body", "body": b""})
 
     async def _send_head(self, status: int, headers: Headers) -> None:
         self.started = True
         self.status = status
+        self._collected_head = None
         if self._closes:
             headers = [*headers, (b"connection", b"close")]
         await self._send_message(
--- a/tests/platform/test_brokenstreams.py
+++ b/tests/platform/test_brokenstreams.py
@@ -144,3 +144,39 @@
     assert len(received) == 2
     assert isinstance(result, httpcore.RemoteProtocolError)
     assert "answer-cut" in events
+
+
+def ask_with_http_1_0(tmp_path, body):
+    """Return all bytes that an HTTP/1.0 client gets from a worker's stream."""
+
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            document = make_routes(resumable=False, attempts=1)
+            await platform.call_control("POST", "/api/Config.Put", document)
+            worker = RawWorker("i-1")
+            worker.answers = [raw_answer(body)]
+            await platform.add_worker(worker)
+            await platform.wait_ready()
+            await wait_until(partial(platform.has_target, "i-1"))
+            stream = await trio.open_tcp_stream("127.0.0.1", platform.entry_port)
+            await stream.send_all(
+                b"POST /prompts/1 HTTP/1.0\r\nHost: shop.example\r\n"
+                b"X-Vanillabeam-Request-Id: r-1\r\nX-Vanillabeam-Key: key-1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            return b"".join([data async for data in stream])
+
+    return trio.run(main)
+
+
+# Guards against a broken stream that looks whole to a caller without chunks.
+def test_a_broken_stream_does_not_look_whole_to_an_http_1_0_client(tmp_path):
+    head, _, _ = ask_with_http_1_0(tmp_path, PARTIAL).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 502 ")
+
+
+def test_a_whole_stream_has_its_length_for_an_http_1_0_client(tmp_path):
+    head, _, body = ask_with_http_1_0(tmp_path, EVENTS).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 ")
+    assert b"content-length: %d" % len(EVENTS) in head.lower()
+    assert body == EVENTS
