Don't pass a refusal on if an earlier target may have run the request

A caller of a repeatable request got 503 with the target's 'not run' although an earlier target had broken off and may have run it. Only an earlier target's own failure was kept in its place. Such a refusal now becomes answer-broken (502), which promises nothing. The test failed before (503).

--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -209,13 +209,8 @@
 
     async def _conclude(self, previous: Outcome | None) -> VanillabeamError | None:
         """Pass the last answer on, or return the failure to report to the caller."""
-        if isinstance(previous, Whole) and self._writer.started:
-            return AnswerBroken(f"another target answered {previous.status}")
         if isinstance(previous, Whole):
-            # A refusal is true only if no earlier target has run the request.
-            answer = self._error or previous
-            await self._writer.send_response(answer.status, answer.headers, answer.body)
-            return None
+            return await self._pass_on(previous)
         if previous is None and self._refused_wait_s is not None:
             return TooLate(
                 f"{self._refused_wait_s:.2f} s beyond the objective",
@@ -227,6 +222,18 @@
             return AnswerBroken("an earlier target may have run it")
         return previous.exc
 
+    async def _pass_on(self, answer: Whole) -> VanillabeamError | None:
+        """Pass a failure or refusal of a target on, unless it would be untrue."""
+        if self._writer.started:
+            return AnswerBroken(f"another target answered {answer.status}")
+        is_refusal = not self._attempts[-1].may_have_run
+        if is_refusal and self._error is not None:
+            answer = self._error
+        elif is_refusal and self.may_have_run:
+            return AnswerBroken("an earlier target may have run it")
+        await self._writer.send_response(answer.status, answer.headers, answer.body)
+        return None
+
     def _explain_refusal(self) -> str:
         resources = self._resources
         return resources.chooser.explain_refusal(
--- a/tests/forwarding/test_repeats.py
+++ b/tests/forwarding/test_repeats.py
@@ -16,12 +16,15 @@
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.attempt import Resources
 from vanillabeam.forwarding.dialect import AnswerKind
+from vanillabeam.forwarding.exceptions import AnswerBroken
 from vanillabeam.forwarding.exchange import Exchange
-from vanillabeam.forwarding.sending import OpenResponse
+from vanillabeam.forwarding.sending import Broken, OpenResponse
 from vanillabeam.forwarding.sentparts import SentParts
 
 TARGETS = [make_target(f"t-{n}", address=f"10.0.0.{n + 1}:80") for n in range(4)]
 REFUSED = 503
+#: Stands for an answer that never came in place of a status.
+RESET = None
 
 
 class Writer:
@@ -48,7 +51,10 @@
 
     async def open_response(pool, target, *args):
         sent.append(target.name)
-        response = httpcore.Response(next(answers), content=b"{}")
+        status = next(answers)
+        if status is RESET:
+            return Broken(AnswerBroken("reset"))
+        response = httpcore.Response(status, content=b"{}")
         return OpenResponse(response.status, response.headers, response)
 
     monkeypatch.setattr(attempt_module, "open_response", open_response)
@@ -97,6 +103,13 @@
     assert status == 500
 
 
+# Guards against "not run" for a request that the target before may have run.
+def test_a_refusal_is_not_passed_on_if_an_earlier_target_may_have_run(monkeypatch):
+    sent, status = serve(monkeypatch, [RESET, REFUSED], kind=RouteKind.SAFE, attempts=2)
+    assert len(set(sent)) == 2
+    assert status != REFUSED
+
+
 @pytest.mark.parametrize("kind", [RouteKind.UNSAFE, RouteKind.STREAM])
 def test_a_request_that_may_run_once_is_not_repeated(monkeypatch, kind):
     sent, status = serve(monkeypatch, [500, 200], kind=kind, attempts=2)
