Seed each VM of the platform's stand-in on its own

test_an_accepted_configuration_survives_the_loss_of_a_control_vm failed once in a run of tests/platform and tests/forwarding, and again in 1 of 25 runs by itself (TooSlowError after 20 s). Cause: the stand-in gave all VMs the same seed, so two replicas that lost their leader at the same moment drew the same election timeouts; a probe shows both as candidates in terms 4 to 15, one after the other. A process outside the tests draws its own seed.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -182,7 +182,7 @@
         await self._start(self.settings("front", "127.0.0.1", listen, data_dir=None))
 
     async def _start(self, cfg):
-        vm = FleetVm(cfg, PlatformAdapter(), random.Random(1))
+        vm = FleetVm(cfg, PlatformAdapter(), random.Random(cfg.vm))
         scope = await self.nursery.start(_run_in_scope, vm)
         self.vms[cfg.vm] = (vm, scope)
 
