Send nothing to targets that say that they leave or ask for a pause

A core, vanillabeam.notices, keeps what targets said to this VM, by incarnation, so that later or delayed announcements change nothing and a new start or another target at the address isn't blamed. It is asked at each choice and again just before the first byte is sent. The end of a pause has jitter over the VMs, and requests return a few at a time. If all targets are paused, a request waits where the first pause ends in its time and is refused at once as not run where it doesn't. Control VMs that hear a target leave in its answer to an order pass it on as draining; that a target drains now counts at any age. Neither word goes on to callers; a refusal carries this VM's own Retry-After.

A pause is not shortened by a later, shorter one: answers overtake each other, and the users' rule counts each.

--- a/src/vanillabeam/decisions.py
+++ b/src/vanillabeam/decisions.py
@@ -42,7 +42,9 @@
     "StoreLost",
     "TargetChanged",
     "TargetChosen",
+    "TargetLeaving",
     "TargetLeft",
+    "TargetPaused",
     "TargetRested",
     "TargetSilent",
     "WeightsOrdered",
@@ -79,6 +81,8 @@
     :param work: tokens of work that the request brings to the target.
     :param unread: tokens of shared prompt parts that no store keeps.
     :param wait_s: expected seconds to the first event of the answer.
+    :param left_out: targets that asked to be left out, with the reason and the seconds
+        since they said so; some of them if there are many.
     """
 
     request_id: str
@@ -94,6 +98,7 @@
     cold: bool
     attempts: int
     index: int
+    left_out: list[str]
 
 
 class AttemptFailed(NamedTuple):
@@ -183,6 +188,33 @@
     born_ms: int
 
 
+class TargetLeaving(NamedTuple):
+    """A target said in an answer to this VM that it leaves; it gets no more requests.
+
+    :param request_id: the request that it answered; empty for a call of this VM.
+    """
+
+    target: str
+    born_ms: int
+    request_id: str
+
+
+class TargetPaused(NamedTuple):
+    """A target refused a request of this VM and asked for no more for some time.
+
+    :param text: its ``Retry-After`` as received.
+    :param is_literal: whether that was a number within bounds.
+    :param pause_s: seconds until this VM may send it a request again.
+    """
+
+    target: str
+    born_ms: int
+    request_id: str
+    text: str
+    is_literal: bool
+    pause_s: float
+
+
 class TargetSilent(NamedTuple):
     """No announcement of a target has arrived for too long."""
 
@@ -392,6 +424,8 @@
     TargetLeft: Kind("INFO", _RARE_LINES_S),
     TargetSilent: Kind("WARNING", _RARE_LINES_S),
     TargetRested: Kind("WARNING", _RARE_LINES_S),
+    TargetLeaving: Kind("INFO", _RARE_LINES_S),
+    TargetPaused: Kind("INFO", _RARE_LINES_S),
     AnnouncementUnreadable: Kind("WARNING", _FREQUENT_LINES_S),
     StateInForce: Kind("INFO", _RARE_LINES_S),
     OrderSettled: Kind("INFO", _RARE_LINES_S),
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -12,6 +12,7 @@
 from vanillabeam import wire
 from vanillabeam.decisions import (
     MemberRemoved,
+    TargetLeaving,
     TargetLeft,
     TargetSilent,
     log_record,
@@ -165,6 +166,18 @@
         log_record(TargetLeft(name, born_ms))
         self._notify()
 
+    def receive_leaving(self, target: Target) -> None:
+        """Record that a target has answered a call of this VM that it leaves.
+
+        Watchers hear of it as of an announcement, to whichever control VM the target
+        announces itself.
+        """
+        draining = target._replace(draining=True)
+        self.follower.directory.mark_draining(target.incarnation)
+        if self.directory.update(draining, trio.current_time()):
+            log_record(TargetLeaving(target.name, target.born_ms, ""))
+            self._notify()
+
     def pause(self, target: str) -> None:
         """Ask entry VMs to send no new work to a target."""
         self.paused.add(target)
--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -49,7 +49,8 @@
         """Apply a target's announcement; return whether anything has changed.
 
         An announcement is ignored if it is older than the recorded one, if its
-        incarnation has ended, or if a later-started target now has its address.
+        incarnation has ended, or if a later-started target now has its address. That
+        a target drains is true at any age, until it starts again.
 
         :param now_s: monotonic time at which the target made the announcement.
         """
@@ -57,7 +58,7 @@
         if target.incarnation in self._ended or self._is_superseded(target):
             return False
         if record is not None and _order(target) <= _order(record.target):
-            return False
+            return target.draining and self.mark_draining(target.incarnation)
         if record is not None and record.target.incarnation == target.incarnation:
             # A draining target stays draining until it restarts.
             target = target._replace(draining=target.draining or record.target.draining)
@@ -92,6 +93,18 @@
         )
         return True
 
+    def mark_draining(self, incarnation: tuple[str, int]) -> bool:
+        """Record that a target drains; return whether the record has changed."""
+        record = self.records.get(incarnation[0])
+        if record is None or record.target.incarnation != incarnation:
+            return False
+        if record.target.draining:
+            return False
+        self.version += 1
+        target = record.target._replace(draining=True)
+        self.records[target.name] = record._replace(target=target, version=self.version)
+        return True
+
     def refresh(self, name: str, last_seen_s: float) -> None:
         """Record a later announcement that changed nothing else.
 
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -1,6 +1,7 @@
 """Rollout of new weights: the fleet log's leader orders targets to load them."""
 
 import math
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -50,7 +51,12 @@
 
 
 class TargetOrders(Protocol):
-    """Client that sends weight orders to targets."""
+    """Client that sends weight orders to targets.
+
+    :ivar on_leaving: called with a target that says in an answer that it leaves.
+    """
+
+    on_leaving: Callable[[Target], None]
 
     async def load_weights(self, target: Target, order: WeightsOrder) -> OrderReply:
         """Send the order; return ``UNKNOWN`` if no answer came."""
@@ -93,6 +99,7 @@
     def __init__(self, control: FleetControl, orders: TargetOrders):
         self._control = control
         self._orders = orders
+        orders.on_leaving = control.receive_leaving
         self._in_progress: set[str] = set()
         self._fenced: set[tuple[str, int]] = set()
         self._leased_term = -1
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -14,6 +14,7 @@
 from vanillabeam.forwarding.choice import Chooser
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.listeners import ListenerTask
+from vanillabeam.notices import Incarnation
 from vanillabeam.peerhttp import PeerClient, peer_routes
 from vanillabeam.readiness import Readiness
 
@@ -153,6 +154,7 @@
             dialect, self.follower, chooser, self.lifecycle, self.counters, self.rng
         )
         self._add_entry_metrics(self.follower)
+        self._add_notice_metrics(self.follower, chooser)
         readiness = self.adapter.readiness_app(self.lifecycle)
         await self._listen(nursery, "readiness", self.cfg.readiness_address, readiness)
         await self._listen(nursery, "entry", self.cfg.entry_address, app)
@@ -181,6 +183,22 @@
             "open_requests", "Requests without a whole answer.", self._open_requests
         )
 
+    def _add_notice_metrics(self, follower: Follower, chooser: Chooser) -> None:
+        def known() -> set[Incarnation]:
+            records = follower.directory.records.values()
+            return {record.target.incarnation for record in records}
+
+        self.counters.add_gauge(
+            "leaving_targets",
+            "Known targets that told this VM that they leave.",
+            lambda: len(chooser.notices.leaving(known())),
+        )
+        self.counters.add_gauge(
+            "paused_targets",
+            "Known targets that asked this VM for a pause that runs.",
+            lambda: len(chooser.notices.paused(known(), trio.current_time())),
+        )
+
     def _add_control_metrics(self, control: "FleetControl") -> None:
         add_gauge = self.counters.add_gauge
         add_gauge("log_term", "Term of the fleet log.", lambda: control.node.term)
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -21,7 +21,11 @@
 from vanillabeam.forwarding.attempt import Resources
 from vanillabeam.forwarding.choice import Chooser
 from vanillabeam.forwarding.dialect import Dialect, RequestMetadata
-from vanillabeam.forwarding.downstream import ResponseWriter, read_body
+from vanillabeam.forwarding.downstream import (
+    ResponseWriter,
+    read_body,
+    spread_retry_after,
+)
 from vanillabeam.forwarding.exceptions import StateUnknown
 from vanillabeam.forwarding.exchange import Exchange
 from vanillabeam.forwarding.pools import Pools
@@ -37,9 +41,6 @@
 STARTUP_S = 1.5
 #: Longest time that a request waits for the fleet state during the startup.
 STATE_WAIT_S = 0.6
-#: Random share that is added to Retry-After, so that callers don't all return at
-#: the same time.
-RETRY_AFTER_JITTER = 1.0
 
 
 class ForwardingApp:
@@ -78,11 +79,14 @@
         """Drop the state of targets that are no longer known, until cancelled."""
         while True:
             await trio.sleep(CLEANUP_INTERVAL_S)
+            chooser = self._resources.chooser
             records = self._resources.follower.directory.records.values()
             incarnations = {record.target.incarnation for record in records}
-            await self._resources.pools.keep_only(incarnations)
+            now_s = trio.current_time()
+            chooser.keep_only(incarnations, now_s)
             self._resources.sent_parts.keep_only(incarnations)
-            self._resources.chooser.keep_only(incarnations)
+            leaving = chooser.notices.leaving(incarnations)
+            await self._resources.pools.keep_only(incarnations - leaving)
 
     async def __call__(self, scope, receive, send) -> None:
         """Serve one request."""
@@ -227,7 +231,7 @@
     ) -> None:
         retry_after_s = exc.retry_after_s
         if retry_after_s is not None:
-            retry_after_s *= 1 + RETRY_AFTER_JITTER * self._rng.random()
+            retry_after_s = spread_retry_after(retry_after_s, self._rng)
         log_record(
             RequestRefused(
                 request_id,
--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -6,7 +6,12 @@
 import trio
 
 from vanillabeam.counters import Counters
-from vanillabeam.decisions import AttemptFailed, log_record
+from vanillabeam.decisions import (
+    AttemptFailed,
+    TargetLeaving,
+    TargetPaused,
+    log_record,
+)
 from vanillabeam.exceptions import Run
 from vanillabeam.fleet import Follower, RouteKind, Target
 from vanillabeam.forwarding.admitted import AdmittedRequest
@@ -15,7 +20,12 @@
 from vanillabeam.forwarding.dialect import AnswerKind, Dialect, Headers
 from vanillabeam.forwarding.downstream import ResponseWriter
 from vanillabeam.forwarding.events import EventCutter
-from vanillabeam.forwarding.exceptions import AnswerBroken, MismatchedAnswer, NoTarget
+from vanillabeam.forwarding.exceptions import (
+    AnswerBroken,
+    MismatchedAnswer,
+    NoTarget,
+    TargetWithdrawn,
+)
 from vanillabeam.forwarding.load import OpenRequest
 from vanillabeam.forwarding.pools import Pools
 from vanillabeam.forwarding.sending import (
@@ -26,6 +36,7 @@
     open_response,
 )
 from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.notices import Notice
 
 __all__ = ["AnswerEnd", "Attempt", "Delivered", "Outcome", "Resources", "Whole"]
 
@@ -36,6 +47,8 @@
 DEFAULT_SILENCE_LIMIT_S = 0.5
 #: Interval of the checks for a target that turned suspect.
 SUSPECT_CHECK_S = 0.1
+#: Characters of a header's value in a log line.
+MAX_LOGGED_TEXT = 40
 
 
 class Resources(NamedTuple):
@@ -65,11 +78,15 @@
 
 
 class Whole(NamedTuple):
-    """A complete answer that has not been passed on to the caller."""
+    """A complete answer that has not been passed on to the caller.
+
+    :param is_pause: whether the target asked for no more requests for some time.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    is_pause: bool = False
 
 
 class Delivered(NamedTuple):
@@ -133,11 +150,15 @@
             or DEFAULT_SILENCE_LIMIT_S,
             self._choice.memory_tokens,
         )
+        is_return = chooser.notices.record_sent(target.incarnation)
         outcome: Outcome | None = None
         try:
             outcome = await self._send_and_receive()
             return outcome
         finally:
+            if is_return:
+                is_answered = isinstance(outcome, Delivered)
+                chooser.notices.record_end(target.incarnation, is_answered)
             chooser.load.record_end(self._open_request)
             if outcome is not None:
                 self._record_outcome(outcome)
@@ -178,7 +199,13 @@
         """
         request = self._request
         send = partial(
-            open_response, pool, target, request.metadata, headers, request.body
+            open_response,
+            pool,
+            target,
+            request.metadata,
+            headers,
+            request.body,
+            self._may_send,
         )
         if not self._may_go_elsewhere:
             return await send()
@@ -199,6 +226,11 @@
                     nursery.cancel_scope.cancel()
         return result
 
+    def _may_send(self) -> bool:
+        """Return whether the target has not asked to be left out since its choice."""
+        notices = self._resources.chooser.notices
+        return notices.may_send(self._choice.target.incarnation, trio.current_time())
+
     def _request_headers(self, target: Target) -> Headers:
         resources, now_s = self._resources, trio.current_time()
         context, plan = make_context(
@@ -230,6 +262,13 @@
         if kind is AnswerKind.WRONG_REQUEST:
             return Broken(MismatchedAnswer(target.name))
         self._apply_keep_alive(response)
+        notice = Notice()
+        if kind is not AnswerKind.OTHER_TARGET:
+            notice = self._apply_notice(response)
+        headers = self._resources.dialect.answer_headers(
+            response.status, response.headers
+        )
+        response = response._replace(headers=headers)
         if kind in (AnswerKind.NOT_RUN, AnswerKind.OTHER_TARGET):
             self.may_have_run = False
         if self._is_stream(response):
@@ -241,7 +280,7 @@
             return Broken(NoTarget(f"another target is at {target.address}"))
         if kind is AnswerKind.NOT_RUN:
             self._was_refused = True
-            return whole
+            return whole._replace(is_pause=notice.pause is not None)
         if response.status >= SERVER_ERROR:
             return whole
         await self._writer.send_response(whole.status, whole.headers, whole.body)
@@ -253,6 +292,27 @@
             return False
         return response.may_be_event_stream or self._writer.started
 
+    def _apply_notice(self, response: OpenResponse) -> Notice:
+        """Record and return what the target said of itself in its answer."""
+        notices, target = self._resources.chooser.notices, self._choice.target
+        request_id, now_s = self._request.metadata.request_id, trio.current_time()
+        notice = self._resources.dialect.read_notice(response.status, response.headers)
+        applied = notices.apply(target.incarnation, notice, now_s)
+        if applied.is_leaving:
+            log_record(TargetLeaving(target.name, target.born_ms, request_id))
+        if applied.reading is not None:
+            log_record(
+                TargetPaused(
+                    target.name,
+                    target.born_ms,
+                    request_id,
+                    notice.pause[:MAX_LOGGED_TEXT],
+                    applied.reading.is_literal,
+                    round(applied.pause_s, 3),
+                )
+            )
+        return notice
+
     def _apply_keep_alive(self, response: OpenResponse) -> None:
         for name, value in response.headers:
             if name.lower() == b"keep-alive":
@@ -307,6 +367,9 @@
     def _record_outcome(self, outcome: Outcome) -> None:
         target, chooser = self._choice.target, self._resources.chooser
         now_s = trio.current_time()
+        if isinstance(outcome, Broken) and isinstance(outcome.exc, TargetWithdrawn):
+            self._log_failure(outcome)
+            return
         kind = type(outcome).__name__.lower()
         counters = self._resources.counters
         counters.attempts.labels(self._service, kind).inc()
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -1,6 +1,7 @@
 """Choice of the target of a request: a functional core."""
 
 import random
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -18,10 +19,12 @@
 from vanillabeam.forwarding.candidates import sample_candidates
 from vanillabeam.forwarding.costs import PromptCosts
 from vanillabeam.forwarding.dialect import RequestMetadata
+from vanillabeam.forwarding.downstream import spread_retry_after
 from vanillabeam.forwarding.health import Health
 from vanillabeam.forwarding.load import Load
 from vanillabeam.forwarding.memory import with_free_memory
 from vanillabeam.forwarding.usable import Checks, usable_targets
+from vanillabeam.notices import LeftOut, Reason, TargetNotices
 from vanillabeam.rendezvous import rank
 
 __all__ = ["Choice", "Chooser"]
@@ -73,6 +76,7 @@
     :param bounds: limits that all entry VMs keep together.
     :param rng: seeded; breaks ties.
     :ivar load: open requests at the targets.
+    :ivar notices: what targets have asked of this VM.
     :ivar is_paused: returns whether a target is paused to load weights, given its
         name and the monotonic time.
     """
@@ -91,6 +95,7 @@
         self._bounds = bounds
         self._rng = rng
         self.load = Load()
+        self.notices = TargetNotices(rng)
         self.is_paused: Callable[[str, float], bool] = _never_paused
         self._health = Health()
         self._budgets: dict[str, ServiceRetryBudget] = {}
@@ -174,10 +179,11 @@
         is_unreachable = self._health.is_unreachable(target, now_s)
         return TargetRested(target.name, backoff_s, is_unreachable)
 
-    def keep_only(self, incarnations: set[tuple[str, int]]) -> None:
+    def keep_only(self, incarnations: set[tuple[str, int]], now_s: float) -> None:
         """Forget what is recorded of all other incarnations of targets."""
         names = {name for name, _ in incarnations}
         self._health.keep_only(incarnations)
+        self.notices.keep_only(incarnations, now_s)
         self._cold_limiter.keep_only(names)
         self.load.keep_only(names)
 
@@ -197,7 +203,9 @@
             usable, service, view.deployment, costs, entries, now_s
         )
         counts = f"{len(known)} known, {len(usable)} usable, {len(fitting)} with room"
-        return f"{service}: {counts}"
+        reasons = Counter(why.reason for why in self.left_out(service, now_s).values())
+        asked = "".join(f", {count} {reason}" for reason, count in reasons.items())
+        return f"{service}: {counts}{asked}"
 
     def _budget(self, service: str) -> ServiceRetryBudget:
         if service not in self._budgets:
@@ -222,11 +230,65 @@
             metadata,
             view,
             tried,
-            Checks(self._health.is_available, self._is_suspect, self.is_paused),
+            Checks(
+                self._health.is_available,
+                self._is_suspect,
+                self.is_paused,
+                self._is_left_out,
+            ),
             self._bounds.version_s,
             now_s,
         )
 
+    def _is_left_out(self, target: Target, now_s: float) -> bool:
+        return self.notices.left_out(target.incarnation, now_s) is not None
+
+    def left_out(self, service: str, now_s: float) -> dict[str, LeftOut]:
+        """Return the targets of a service that have asked to be left out, by name."""
+        found = {
+            target.name: self.notices.left_out(target.incarnation, now_s)
+            for target in self._targets_of(service)
+        }
+        return {name: why for name, why in found.items() if why is not None}
+
+    def spread_retry_after(self, wait_s: float) -> float:
+        """Return the seconds after which one of several callers should return."""
+        return spread_retry_after(wait_s, self._rng)
+
+    def pause_left_s(
+        self,
+        service: str,
+        metadata: RequestMetadata,
+        view: FleetView,
+        tried: set[str],
+        now_s: float,
+    ) -> float | None:
+        """Return the seconds until the first paused target may take a request.
+
+        :returns: ``None`` if another target may take it now, or if none is paused that
+            could take it otherwise.
+        """
+        left_out = self.left_out(service, now_s)
+        if not left_out or self._usable_targets(service, metadata, view, tried, now_s):
+            return None
+        paused = [
+            target
+            for target in self._targets_of(service)
+            if target.name in left_out
+            and left_out[target.name].reason is not Reason.LEAVING
+        ]
+        waiting = usable_targets(
+            paused,
+            metadata,
+            view,
+            tried,
+            Checks(_always, _never, self.is_paused, _never),
+            self._bounds.version_s,
+            now_s,
+        )
+        ends_s = [left_out[target.name].remaining_s for target in waiting]
+        return min(ends_s, default=None)
+
     def _is_suspect(self, target: Target, now_s: float) -> bool:
         """Return whether the target is silent or its data centre unreachable."""
         if self._health.is_unreachable(target, now_s):
@@ -371,3 +433,11 @@
 def _never_paused(target: str, now_s: float) -> bool:
     """Default of ``Chooser.is_paused``: no target is paused."""
     return False
+
+
+def _always(target: Target, now_s: float) -> bool:
+    return True
+
+
+def _never(target: Target, now_s: float) -> bool:
+    return False
--- a/src/vanillabeam/forwarding/dialect.py
+++ b/src/vanillabeam/forwarding/dialect.py
@@ -8,6 +8,7 @@
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet import Deployment
 from vanillabeam.fleet.parts import StoredPart
+from vanillabeam.notices import Notice
 
 __all__ = [
     "AnswerKind",
@@ -125,3 +126,12 @@
         self, metadata: RequestMetadata, status: int, headers: Headers
     ) -> AnswerKind:
         """Return the kind of a target's answer, by its status and headers."""
+
+    def read_notice(self, status: int, headers: Headers) -> Notice:
+        """Return what a target said of itself in an answer."""
+
+    def answer_headers(self, status: int, headers: Headers) -> Headers:
+        """Return the headers of an answer without what its target said of itself.
+
+        That is meant for this VM only.
+        """
--- a/src/vanillabeam/forwarding/downstream.py
+++ b/src/vanillabeam/forwarding/downstream.py
@@ -1,5 +1,7 @@
 """The caller's side of a request: read its body, send the answer."""
 
+import random
+
 import trio
 from returns.result import Failure, Result
 
@@ -11,7 +13,21 @@
 from vanillabeam.limits import collect_body
 from vanillabeam.problems import PROBLEM_TYPE, RUN_HEADER, to_problem
 
-__all__ = ["ResponseWriter", "read_body"]
+__all__ = ["ResponseWriter", "read_body", "spread_retry_after"]
+
+#: Random share that is added to Retry-After, and its limit, so that callers don't all
+#: return at the same time.
+RETRY_AFTER_JITTER = 1.0
+MAX_RETRY_AFTER_JITTER_S = 2.0
+
+
+def spread_retry_after(wait_s: float, rng: random.Random) -> float:
+    """Return the seconds after which one of several callers should return.
+
+    :param wait_s: seconds until the first of them may return.
+    """
+    jitter_s = min(RETRY_AFTER_JITTER * wait_s, MAX_RETRY_AFTER_JITTER_S)
+    return wait_s + jitter_s * rng.random()
 
 
 class ResponseWriter:
--- a/src/vanillabeam/forwarding/exceptions.py
+++ b/src/vanillabeam/forwarding/exceptions.py
@@ -14,6 +14,8 @@
     "NotSent",
     "RouteUnknown",
     "StateUnknown",
+    "TargetWithdrawn",
+    "TargetsPaused",
     "TooLate",
 ]
 
@@ -64,6 +66,25 @@
     type = "not-sent"
 
 
+class TargetWithdrawn(NotSent):
+    """The target asked for no more requests after it was chosen."""
+
+    type = "target-withdrawn"
+
+
+class TargetsPaused(NoTarget):
+    """Every target has asked for a pause that ends too late for the request.
+
+    :param wait_s: seconds until the first pause ends.
+    """
+
+    type = "targets-paused"
+
+    def __init__(self, detail: str = "", wait_s: float = MIN_RETRY_AFTER_S):
+        super().__init__(detail)
+        self.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
+
+
 class TooLate(NoTarget):
     """The request would wait far longer than its objective.
 
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -21,6 +21,7 @@
     AnswerBroken,
     AnswerLate,
     NoTarget,
+    TargetsPaused,
     TooLate,
 )
 from vanillabeam.forwarding.requestcosts import estimate_request_costs
@@ -42,6 +43,8 @@
 #: a multiple of the route's latency objective. An answer that comes later is of
 #: little use and would also delay the prompts behind it.
 MAX_WAIT_OBJECTIVES = 1.5
+#: Targets that were left out in one log line.
+MAX_LOGGED_TARGETS = 4
 
 
 class Exchange:
@@ -64,6 +67,7 @@
         self._sent = 0
         self._connect_failures = 0
         self._refused_wait_s: float | None = None
+        self._pause_left_s: float | None = None
         self._attempts: list[Attempt] = []
         #: Answer of a target that ran the request and failed.
         self._error: Whole | None = None
@@ -116,8 +120,15 @@
             await trio.sleep(POLL_INTERVAL_S)
 
     def _may_wait(self, now_s: float) -> bool:
-        """Return whether a target may yet announce itself or free enough memory."""
+        """Return whether a target may yet take the request in its time.
+
+        It may announce itself, free enough memory, or end the pause that it asked for.
+        """
         resources, request = self._resources, self._request
+        self._pause_left_s = self._find_pause_left(now_s, self._tried)
+        if self._pause_left_s is not None:
+            served_s = now_s + self._pause_left_s + request.route.objective_s
+            return served_s < request.ends_s
         is_discovering = resources.follower.is_discovering(now_s)
         if is_discovering and not resources.chooser.has_targets(self._service):
             return True
@@ -127,6 +138,20 @@
             now_s < request.began_s + MEMORY_WAIT_OBJECTIVES * request.route.objective_s
         )
 
+    def _find_pause_left(self, now_s: float, tried: set[str]) -> float | None:
+        """Return the seconds until a target may take the request, if all are paused.
+
+        :param tried: names of targets that don't count.
+        """
+        resources = self._resources
+        return resources.chooser.pause_left_s(
+            self._service,
+            self._request.metadata,
+            resources.follower.view,
+            tried,
+            now_s,
+        )
+
     def _choose(self) -> Choice | None:
         request, resources, costs = (
             self._request,
@@ -159,10 +184,20 @@
                 choice.is_cold,
                 self._sent,
                 resources.follower.view.index,
+                self._describe_left_out(),
             )
         )
         return choice
 
+    def _describe_left_out(self) -> list[str]:
+        """Return the targets that asked to be left out, for the log."""
+        now_s = trio.current_time()
+        found = self._resources.chooser.left_out(self._service, now_s)
+        return [
+            f"{name} {why.reason} {why.age_s:.2f}"
+            for name, why in list(found.items())[:MAX_LOGGED_TARGETS]
+        ]
+
     def _is_wait_too_long(self, choice: Choice) -> bool:
         """Return whether the expected wait is too long for the route's objective."""
         objective_s = self._request.route.objective_s
@@ -211,6 +246,8 @@
         """Pass the last answer on, or return the failure to report to the caller."""
         if isinstance(previous, Whole):
             return await self._pass_on(previous)
+        if previous is None and self._pause_left_s is not None:
+            return TargetsPaused(self._explain_refusal(), self._pause_left_s)
         if previous is None and self._refused_wait_s is not None:
             return TooLate(
                 f"{self._refused_wait_s:.2f} s beyond the objective",
@@ -231,9 +268,22 @@
             answer = self._error
         elif is_refusal and self.may_have_run:
             return AnswerBroken("an earlier target may have run it")
-        await self._writer.send_response(answer.status, answer.headers, answer.body)
+        headers = answer.headers
+        if answer.is_pause:
+            headers = [*headers, (b"retry-after", self._retry_after())]
+        await self._writer.send_response(answer.status, headers, answer.body)
         return None
 
+    def _retry_after(self) -> bytes:
+        """Return when the caller of a refused request should return.
+
+        The target's own time binds this VM, and other targets may serve the caller
+        sooner.
+        """
+        pause_left_s = self._find_pause_left(trio.current_time(), set())
+        wait_s = max(NoTarget.retry_after_s, pause_left_s or 0.0)
+        return f"{self._resources.chooser.spread_retry_after(wait_s):.2f}".encode()
+
     def _explain_refusal(self) -> str:
         resources = self._resources
         return resources.chooser.explain_refusal(
--- a/src/vanillabeam/forwarding/sending.py
+++ b/src/vanillabeam/forwarding/sending.py
@@ -1,6 +1,6 @@
 """Send one request to one target and read its answer."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -10,7 +10,7 @@
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet import Target
 from vanillabeam.forwarding.dialect import Headers, RequestMetadata
-from vanillabeam.forwarding.exceptions import AnswerBroken, NotSent
+from vanillabeam.forwarding.exceptions import AnswerBroken, NotSent, TargetWithdrawn
 
 __all__ = ["Broken", "Framing", "OpenResponse", "iter_body", "open_response"]
 
@@ -18,6 +18,8 @@
 EVENT_STREAM_TYPE = b"text/event-stream"
 CONNECT_TIMEOUT_S = 0.4
 POOL_TIMEOUT_S = 0.5
+#: Event of httpcore's trace extension just before the first byte is sent.
+SENDING_EVENT = "http11.send_request_headers.started"
 
 _NOT_SENT = (
     httpcore.ConnectError,
@@ -68,6 +70,10 @@
         return all(value.lower().startswith(EVENT_STREAM_TYPE) for value in types)
 
 
+class _Withdrawn(Exception):
+    """The request must not be sent any more."""
+
+
 class Broken(NamedTuple):
     """An attempt that failed: no answer, or one that broke off.
 
@@ -83,12 +89,20 @@
     metadata: RequestMetadata,
     headers: Headers,
     body: bytes,
+    may_send: Callable[[], bool],
 ) -> OpenResponse | Broken:
     """Send a request and return the head of its answer.
 
     :param headers: to send to the target, without ``Content-Length``.
     :param body: the whole body of the request.
+    :param may_send: asked just before the first byte is sent, as a request may wait
+        long for a connection.
     """
+
+    async def check_sending(event: str, info: dict) -> None:
+        if event == SENDING_EVENT and not may_send():
+            raise _Withdrawn
+
     host, port = split_address(target.address)
     if body or metadata.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         headers = [*headers, (b"Content-Length", str(len(body)).encode())]
@@ -99,10 +113,15 @@
         ),
         headers=headers,
         content=body,
-        extensions={"timeout": {"connect": CONNECT_TIMEOUT_S, "pool": POOL_TIMEOUT_S}},
+        extensions={
+            "timeout": {"connect": CONNECT_TIMEOUT_S, "pool": POOL_TIMEOUT_S},
+            "trace": check_sending,
+        },
     )
     try:
         response = await pool.handle_async_request(request)
+    except _Withdrawn:
+        return Broken(TargetWithdrawn(target.name))
     except _NOT_SENT as exc:
         return Broken(NotSent(f"{target.name}: {type(exc).__name__}"))
     except _BROKEN as exc:
--- a/src/vanillabeam/forwarding/usable.py
+++ b/src/vanillabeam/forwarding/usable.py
@@ -21,11 +21,13 @@
     :param is_available: whether no backoff of a target is running.
     :param is_suspect: whether a target is silent or out of reach.
     :param is_paused: whether a target, given by its name, is about to load weights.
+    :param is_left_out: whether a target has told this VM to send it nothing.
     """
 
     is_available: Callable[[Target, float], bool]
     is_suspect: Callable[[Target, float], bool]
     is_paused: Callable[[str, float], bool]
+    is_left_out: Callable[[Target, float], bool]
 
 
 def usable_targets(
@@ -39,8 +41,8 @@
 ) -> list[Target]:
     """Return the targets that may take a request.
 
-    Targets that are in backoff, suspect or paused are left out unless there are no
-    others.
+    Targets that are in backoff, suspect or about to load weights are left out unless
+    there are no others; those that have asked to be are left out in any case.
 
     :param targets: known targets of the service.
     :param tried: names of targets that were sent the request already.
@@ -53,6 +55,7 @@
         if not target.draining
         and target.data_centre not in view.evacuated
         and target.name not in tried
+        and not checks.is_left_out(target, now_s)
         and (not metadata.model or metadata.model in target.versions)
     ]
     candidates = _with_current_weights(
--- a/src/vanillabeam/platform/headers.py
+++ b/src/vanillabeam/platform/headers.py
@@ -7,9 +7,10 @@
 from vanillabeam.forwarding import AnswerKind, ForwardingContext, RequestMetadata
 from vanillabeam.forwarding.dialect import Headers, PromptPart
 from vanillabeam.hopheaders import strip_hop_by_hop
+from vanillabeam.notices import Notice
 from vanillabeam.platform.documents import read_document
 
-__all__ = ["PlatformDialect"]
+__all__ = ["MISDIRECTED_REQUEST", "PlatformDialect", "read_notice"]
 
 PREFIX = b"x-vanillabeam-"
 REQUEST_ID = PREFIX + b"request-id"
@@ -25,6 +26,8 @@
 PRIORITY = PREFIX + b"request-priority"
 LAST_EVENT_ID = b"last-event-id"
 KV_FROM = b"kv-from"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 EXPECT_VERSION = PREFIX + b"expect-version"
 KV_SOURCE = PREFIX + b"kv-source"
 KV_SINK = PREFIX + b"kv-sink"
@@ -55,6 +58,7 @@
 FRAMING_HEADERS = frozenset({b"content-length"})
 LOWEST_PRIORITY = 9
 MISDIRECTED_REQUEST = 421
+UNAVAILABLE = 503
 
 
 class PlatformDialect:
@@ -130,6 +134,22 @@
             return AnswerKind.NOT_RUN
         return AnswerKind.ANSWER
 
+    def read_notice(self, status: int, headers: Headers) -> Notice:
+        """Return what a worker said of itself in an answer."""
+        return read_notice(status, headers)
+
+    def answer_headers(self, status: int, headers: Headers) -> Headers:
+        """Return the headers of an answer without what its worker said of itself."""
+        dropped = {LEAVING, RETRY_AFTER} if status == UNAVAILABLE else {LEAVING}
+        return [header for header in headers if header[0].lower() not in dropped]
+
+
+def read_notice(status: int, headers: Headers) -> Notice:
+    """Return what a worker said of itself in an answer to any call."""
+    by_name = {name.lower(): value.decode("latin-1") for name, value in headers}
+    pause = by_name.get(RETRY_AFTER) if status == UNAVAILABLE else None
+    return Notice(by_name.get(LEAVING, "").strip() == "1", pause)
+
 
 def _prefix_headers(context: ForwardingContext) -> Headers:
     """Return the headers that tell the worker where to fetch and save KV cache.
--- a/src/vanillabeam/platform/orders.py
+++ b/src/vanillabeam/platform/orders.py
@@ -1,11 +1,13 @@
 """Client that orders weight versions from workers and queries their state."""
 
+from collections.abc import Callable
 from typing import TypedDict
 
 from vanillabeam import wire
 from vanillabeam.fleet import Target
 from vanillabeam.fleet.rollout import OrderReply, WeightsOrder
 from vanillabeam.platform.client import PlatformClient, decode_response
+from vanillabeam.platform.headers import MISDIRECTED_REQUEST, read_notice
 from vanillabeam.platform.heartbeats import Model, read_versions
 
 __all__ = ["WorkerOrders"]
@@ -24,10 +26,14 @@
 
 
 class WorkerOrders:
-    """Client with which the leader of the fleet log calls workers."""
+    """Client with which the leader of the fleet log calls workers.
+
+    :ivar on_leaving: called with a worker that says in an answer that it leaves.
+    """
 
     def __init__(self, client: PlatformClient):
         self._client = client
+        self.on_leaving: Callable[[Target], None] = lambda target: None
 
     async def load_weights(self, target: Target, order: WeightsOrder) -> OrderReply:
         """Order a worker to load a version after its running requests have ended."""
@@ -60,4 +66,9 @@
 
     async def _call(self, method: str, target: Target, path: bytes, body: bytes):
         headers = [(b"X-Vanillabeam-Expect-Instance", target.name.encode())]
-        return await self._client.call(method, target.address, path, body, headers)
+        response = await self._client.call(method, target.address, path, body, headers)
+        if response is None or response.status == MISDIRECTED_REQUEST:
+            return response
+        if read_notice(response.status, response.headers).leaving:
+            self.on_leaving(target)
+        return response
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -82,3 +82,31 @@
     changed = [record.target.name for record in directory.changed_after(version)]
     assert changed == ["t-2"]
     assert directory.ended_after(version) == [("t-3", 5)]
+
+
+def test_a_target_drains_whichever_announcement_says_so():
+    directory = Directory()
+    directory.update(make_target(sequence=5), 1.0)
+    assert directory.update(make_target(sequence=3, draining=True), 2.0)
+    assert directory.records["t-1"].target.draining
+    assert directory.records["t-1"].target.sequence == 5
+    assert not directory.update(make_target(sequence=4), 3.0)
+
+
+def test_an_earlier_start_says_nothing_of_the_present_one():
+    directory = Directory()
+    directory.update(make_target(born_ms=2_000), 1.0)
+    assert not directory.update(make_target(draining=True), 2.0)
+    assert not directory.mark_draining(("t-1", 1_000))
+    assert not directory.records["t-1"].target.draining
+
+
+def test_a_target_that_is_marked_as_draining_stays_so():
+    directory = Directory()
+    directory.update(make_target(), 1.0)
+    version = directory.version
+    assert directory.mark_draining(("t-1", 1_000))
+    assert not directory.mark_draining(("t-1", 1_000))
+    assert [r.target.name for r in directory.changed_after(version)] == ["t-1"]
+    directory.update(make_target(sequence=2), 2.0)
+    assert directory.records["t-1"].target.draining
--- /dev/null
+++ b/tests/forwarding/exchanges.py
@@ -0,0 +1,170 @@
+"""Requests of one entry VM to scripted targets, without a network."""
+
+from types import SimpleNamespace
+from typing import NamedTuple
+
+import httpcore
+import trio
+import trio.testing
+
+from tests.fleet.builders import make_route, make_target, make_view
+from tests.forwarding.builders import make_chooser, make_metadata
+from vanillabeam.counters import Counters
+from vanillabeam.fleet.parts import PartView
+from vanillabeam.forwarding import attempt as attempt_module
+from vanillabeam.forwarding.admitted import AdmittedRequest
+from vanillabeam.forwarding.attempt import Resources
+from vanillabeam.forwarding.dialect import AnswerKind
+from vanillabeam.forwarding.downstream import ResponseWriter
+from vanillabeam.forwarding.exceptions import AnswerBroken, TargetWithdrawn
+from vanillabeam.forwarding.exchange import Exchange
+from vanillabeam.forwarding.sending import Broken, OpenResponse
+from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.notices import Notice
+
+REFUSED = 503
+MISDIRECTED = 421
+LEAVING = (b"x-leaving", b"1")
+
+
+class Reply(NamedTuple):
+    """A target's answer; status 0 stands for a connection that is reset.
+
+    :param after_s: seconds until the head is sent.
+    """
+
+    status: int = 200
+    headers: tuple = ()
+    body: bytes = b"{}"
+    after_s: float = 0.0
+
+
+RESET = Reply(0)
+
+
+def paused(seconds, **changes):
+    """Return a refusal that asks for a pause."""
+    text = str(seconds).encode()
+    return Reply(REFUSED, ((b"retry-after", text),), **changes)
+
+
+class Sent(NamedTuple):
+    """A request that reached a target, and when."""
+
+    target: str
+    at_s: float
+
+
+class Result(NamedTuple):
+    """What the caller got: a target's answer or a failure of this VM."""
+
+    status: int
+    headers: dict
+    body: bytes
+    failure: object
+
+
+class ScriptedDialect:
+    """Header names of the scripted targets."""
+
+    def request_headers(self, headers, context):
+        return []
+
+    def classify_answer(self, metadata, status, headers):
+        if status == MISDIRECTED:
+            return AnswerKind.OTHER_TARGET
+        return AnswerKind.NOT_RUN if status == REFUSED else AnswerKind.ANSWER
+
+    def read_notice(self, status, headers):
+        by_name = dict(headers)
+        pause = by_name.get(b"retry-after")
+        return Notice(LEAVING[0] in by_name, pause and pause.decode())
+
+    def answer_headers(self, status, headers):
+        return [(n, v) for n, v in headers if n not in (LEAVING[0], b"retry-after")]
+
+
+class EntryVm:
+    """One entry VM and its targets.
+
+    :param names: names of the targets, which differ in their addresses.
+    :param route: settings of the route of all requests.
+    :ivar replies: next answers by target; the last one is given again and again.
+    :ivar sent: the requests that reached a target.
+    :ivar connect_s: seconds from the choice of a target until the request is sent.
+    """
+
+    def __init__(self, monkeypatch, names=("t-0", "t-1"), **route):
+        self.targets = [
+            make_target(name, address=f"10.0.0.{number + 1}:80")
+            for number, name in enumerate(names)
+        ]
+        self.replies = {name: [Reply()] for name in names}
+        self.sent = []
+        self.connect_s = 0.0
+        self.route = make_route(**({"timeout_s": 4.0} | route))
+        self.chooser = make_chooser(*self.targets)
+        self.directory = self.chooser._directory
+        self._sequence = 1
+        self.entry_vms = ("vm-1",)
+        monkeypatch.setattr(attempt_module, "open_response", self._open_response)
+
+    def announce(self, *targets):
+        """Let targets announce themselves, all of them by default."""
+        self._sequence += 1
+        for target in targets or self.targets:
+            self.directory.update(
+                target._replace(sequence=self._sequence), trio.current_time()
+            )
+
+    async def request(self, limit_s=4.0):
+        """Return what a caller gets that waits ``limit_s`` seconds."""
+        sent, now_s = [], trio.current_time()
+
+        async def send(message):
+            sent.append(message)
+
+        request = AdmittedRequest(
+            make_metadata(), self.route, None, [], b"", now_s, now_s + limit_s
+        )
+        failure = await Exchange(request, self._resources(), ResponseWriter(send)).run()
+        head = sent[0] if sent else {"status": 0, "headers": []}
+        body = b"".join(message.get("body", b"") for message in sent)
+        return Result(head["status"], dict(head["headers"]), body, failure)
+
+    def targets_sent_to(self, since_s=0.0):
+        """Return the names of the targets that requests reached, in order."""
+        return [sent.target for sent in self.sent if sent.at_s >= since_s]
+
+    def _resources(self):
+        follower = SimpleNamespace(
+            view=make_view(),
+            directory=self.directory,
+            entry_vms=self.entry_vms,
+            parts=PartView(),
+            is_discovering=lambda now_s: False,
+        )
+        pools = SimpleNamespace(pool=lambda target, connections: None)
+        return Resources(
+            ScriptedDialect(), follower, self.chooser, pools, SentParts(), Counters()
+        )
+
+    async def _open_response(self, pool, target, metadata, headers, body, may_send):
+        await trio.sleep(self.connect_s)
+        if not may_send():
+            return Broken(TargetWithdrawn(target.name))
+        self.sent.append(Sent(target.name, trio.current_time()))
+        replies = self.replies[target.name]
+        reply = replies.pop(0) if len(replies) > 1 else replies[0]
+        await trio.sleep(reply.after_s)
+        if not reply.status:
+            return Broken(AnswerBroken("reset"))
+        response = httpcore.Response(
+            reply.status, headers=list(reply.headers), content=reply.body
+        )
+        return OpenResponse(response.status, response.headers, response)
+
+
+def play(main):
+    """Run an async function on a clock that skips waits."""
+    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/forwarding/test_repeats.py
+++ b/tests/forwarding/test_repeats.py
@@ -1,89 +1,31 @@
 """Repeats of a request whose targets answer with errors."""
 
-from types import SimpleNamespace
-
-import httpcore
 import pytest
-import trio
-import trio.testing
 
-from tests.fleet.builders import make_route, make_target, make_view
-from tests.forwarding.builders import make_chooser, make_metadata
-from vanillabeam.counters import Counters
+from tests.forwarding.exchanges import REFUSED, RESET, EntryVm, Reply, play
 from vanillabeam.fleet import RouteKind
-from vanillabeam.fleet.parts import PartView
-from vanillabeam.forwarding import attempt as attempt_module
-from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.attempt import Resources
-from vanillabeam.forwarding.dialect import AnswerKind
-from vanillabeam.forwarding.exceptions import AnswerBroken
-from vanillabeam.forwarding.exchange import Exchange
-from vanillabeam.forwarding.sending import Broken, OpenResponse
-from vanillabeam.forwarding.sentparts import SentParts
-
-TARGETS = [make_target(f"t-{n}", address=f"10.0.0.{n + 1}:80") for n in range(4)]
-REFUSED = 503
-#: Stands for an answer that never came in place of a status.
-RESET = None
-
-
-class Writer:
-    """Caller's side that records the status of the answer."""
-
-    started = False
-    status = 0
 
-    async def send_response(self, status, headers, body):
-        self.status = status
+NAMES = ("t-0", "t-1", "t-2", "t-3")
 
 
-def classify(metadata, status, headers):
-    return AnswerKind.NOT_RUN if status == REFUSED else AnswerKind.ANSWER
-
-
-def serve(monkeypatch, statuses, entry_vms=("vm-1",), **route):
+def serve(monkeypatch, replies, entry_vms=("vm-1",), **route):
     """Return the targets that a request was sent to, and the caller's status.
 
-    :param statuses: status of each target's answer, in the order of the attempts.
+    :param replies: each target's answer, or its status, in the order of the attempts.
     """
-    chooser, sent, writer = make_chooser(*TARGETS), [], Writer()
-    answers = iter(statuses)
-
-    async def open_response(pool, target, *args):
-        sent.append(target.name)
-        status = next(answers)
-        if status is RESET:
-            return Broken(AnswerBroken("reset"))
-        response = httpcore.Response(status, content=b"{}")
-        return OpenResponse(response.status, response.headers, response)
-
-    monkeypatch.setattr(attempt_module, "open_response", open_response)
-    follower = SimpleNamespace(
-        view=make_view(),
-        directory=chooser._directory,
-        entry_vms=entry_vms,
-        parts=PartView(),
-        is_discovering=lambda now_s: False,
-    )
-    dialect = SimpleNamespace(
-        request_headers=lambda headers, context: [], classify_answer=classify
-    )
-    pools = SimpleNamespace(pool=lambda target, connections: None)
+    vm = EntryVm(monkeypatch, NAMES, **route)
+    vm.entry_vms = entry_vms
+    queue = [
+        reply if isinstance(reply, Reply) else Reply(reply) for reply in [*replies, 200]
+    ]
+    vm.replies = dict.fromkeys(NAMES, queue)
 
     async def main():
-        now_s = trio.current_time()
-        for target in TARGETS:
-            chooser._directory.update(target._replace(sequence=2), now_s)
-        request = AdmittedRequest(
-            make_metadata(), make_route(**route), None, [], b"", now_s, now_s + 4.0
-        )
-        resources = Resources(
-            dialect, follower, chooser, pools, SentParts(), Counters()
-        )
-        await Exchange(request, resources, writer).run()
-
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
-    return sent, writer.status
+        vm.announce()
+        return await vm.request()
+
+    result = play(main)
+    return vm.targets_sent_to(), result.status
 
 
 def test_a_safe_request_is_sent_to_another_target_after_an_error(monkeypatch):
--- a/tests/platform/rawworker.py
+++ b/tests/platform/rawworker.py
@@ -71,7 +71,8 @@
         lines = [
             b"HTTP/1.1 " + status,
             b"Content-Type: " + content_type,
-            b"X-Vanillabeam-Request-Id: " + headers[b"x-vanillabeam-request-id"],
+            b"X-Vanillabeam-Request-Id: "
+            + headers.get(b"x-vanillabeam-request-id", b""),
             b"X-Vanillabeam-Response-Stamp: stamp",
             *extra,
         ]
