Let targets of our own protocol say that they leave or want a pause

The same core binds permits: a target that answers Vanillabeam-Leaving: 1, or a 503 refusal with Retry-After, gets no permit of this VM, and a call that has one already isn't sent. If all targets are paused, a request waits or is refused at once by its time.

After a pause the head of an answer counts, and not its end; and the few-at-a-time phase lasts 5 s at most, so that long streams or lost answers don't keep a target idle.

--- a/src/vanillabeam/answers/answer.py
+++ b/src/vanillabeam/answers/answer.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import AsyncIterator
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import Any, NamedTuple
 
 import msgspec
@@ -31,7 +31,13 @@
     read_usage,
     run_headers,
 )
-from vanillabeam.answers.records import Acquire, PromptRequest, Release, TraceSink
+from vanillabeam.answers.records import (
+    Acquire,
+    NoticeBoard,
+    PromptRequest,
+    Release,
+    TraceSink,
+)
 from vanillabeam.answers.traces import TraceBuilder
 from vanillabeam.exceptions import InvariantBroken, Run, VanillabeamError
 from vanillabeam.targets import Outcome, Permit
@@ -71,6 +77,7 @@
     :param background: runs connections.
     :param budget: retry budget of all requests of this VM.
     :param trace: receives the trace of each finished prompt.
+    :param notices: what targets say of themselves.
     """
 
     acquire: Acquire
@@ -80,6 +87,7 @@
     limits: PromptLimits
     timeouts: PromptTimeouts
     trace: TraceSink
+    notices: NoticeBoard
 
     def cancel(self, run_id: str, permit: Permit) -> None:
         """Cancel a run at its target, in the background."""
@@ -226,7 +234,7 @@
             run_headers(self.request, effect),
             msgspec.json.encode(body),
         )
-        head = await self._connect(effect.connection_id, request)
+        head = await self._connect(effect.connection_id, effect.permit, request)
         if head is None:
             return
         if head.status == 200:
@@ -245,7 +253,7 @@
         self._trace.add_resume()
         target = f"/runs/{effect.run_id}?after={effect.after}"
         request = Request("GET", effect.permit.address, target)
-        head = await self._connect(effect.connection_id, request)
+        head = await self._connect(effect.connection_id, effect.permit, request)
         if head is None:
             return
         if head.status == 200:
@@ -255,7 +263,9 @@
         else:
             self._handle(pe.RunNotFound(effect.connection_id))
 
-    async def _connect(self, connection_id: int, request: Request) -> Head | None:
+    async def _connect(
+        self, connection_id: int, permit: Permit, request: Request
+    ) -> Head | None:
         self._reader = EventReader()
         self._connection_id = connection_id
         self._connection = Connection(
@@ -263,13 +273,20 @@
             self._deps.timeouts.connection,
             on_sending=lambda: self._handle(pe.Sent(connection_id)),
             end_by_s=self.deadline_at_s,
+            may_send=partial(self._may_send, permit, request),
         )
         self._deps.background.spawn(self._connection.run)
         head = await self._connection.head()
         if head is None:
             self._handle_loss(self._connection.error)
+        else:
+            self._deps.notices.record_notice(permit, head.notice)
         return head
 
+    def _may_send(self, permit: Permit, request: Request) -> bool:
+        """Return whether a new run may be sent; a run that is under way goes on."""
+        return request.method == "GET" or self._deps.notices.may_send(permit)
+
     def _handle_loss(self, detail: str) -> None:
         if trio.current_time() >= self.deadline_at_s:
             self._handle(pe.DeadlinePassed())
--- a/src/vanillabeam/answers/call.py
+++ b/src/vanillabeam/answers/call.py
@@ -15,10 +15,17 @@
 from vanillabeam.admission import RetryBudget
 from vanillabeam.answers import callrun as cr
 from vanillabeam.answers.background import Background
-from vanillabeam.answers.connection import Connection, ConnectionTimeouts, Head, Request
+from vanillabeam.answers.connection import (
+    LEAVING_HEADER,
+    Connection,
+    ConnectionTimeouts,
+    Head,
+    Request,
+)
 from vanillabeam.answers.promptwire import problem_type
 from vanillabeam.answers.records import (
     Acquire,
+    NoticeBoard,
     Release,
     ServiceAnswer,
     ServiceRequest,
@@ -74,6 +81,7 @@
     :param background: runs connections.
     :param budget: retry budget of all requests of this VM.
     :param trace: receives the trace of each finished call.
+    :param notices: what targets say of themselves.
     """
 
     acquire: Acquire
@@ -82,6 +90,7 @@
     budget: RetryBudget
     timeouts: CallTimeouts
     trace: TraceSink
+    notices: NoticeBoard
 
 
 class Call:
@@ -193,18 +202,21 @@
             self._deps.timeouts.connection,
             on_sending=lambda: self._handle(cr.Sent(effect.attempt)),
             send_by_s=self._send_by_s,
+            may_send=lambda: self._deps.notices.may_send(effect.permit),
         )
         self._deps.background.spawn(connection.run)
         try:
-            await self._receive(effect.attempt, connection)
+            await self._receive(effect, connection)
         finally:
             connection.close()
 
-    async def _receive(self, attempt: int, connection: Connection) -> None:
+    async def _receive(self, effect: cr.Send, connection: Connection) -> None:
+        attempt = effect.attempt
         self.head = await connection.head()
         if self.head is None:
             self._handle(cr.Lost(attempt, connection.error))
             return
+        self._deps.notices.record_notice(effect.permit, self.head.notice)
         refused = self.head.get(RUN_HEADER) == Run.NOT_RUN
         if not refused:
             self._handle(cr.HeadReceived(attempt))
@@ -247,6 +259,7 @@
         if name == "connection"
         for token in value.split(",")
     }
+    dropped = HOP_BY_HOP_HEADERS | connection_options | {LEAVING_HEADER}
     for name, value in head.headers:
-        if name not in HOP_BY_HOP_HEADERS and name not in connection_options:
+        if name not in dropped:
             yield name, value
--- a/src/vanillabeam/answers/connection.py
+++ b/src/vanillabeam/answers/connection.py
@@ -13,6 +13,7 @@
 import trio
 
 from vanillabeam.addresses import split_address
+from vanillabeam.notices import Notice
 
 __all__ = ["Connection", "ConnectionTimeouts", "Head", "Request"]
 
@@ -20,6 +21,9 @@
 BUFFER_LIMIT_BYTES = 256 * 1024
 #: httpcore trace event raised before the first byte of a request is sent.
 SENDING_EVENT = "http11.send_request_headers.started"
+#: Header of any answer of a target that leaves.
+LEAVING_HEADER = "vanillabeam-leaving"
+UNAVAILABLE = 503
 CONNECTION_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -65,6 +69,12 @@
         """Return the value of header ``name``, or an empty string."""
         return next((value for key, value in self.headers if key == name), "")
 
+    @property
+    def notice(self) -> Notice:
+        """What the target said of itself."""
+        pause = self.get("retry-after") if self.status == UNAVAILABLE else ""
+        return Notice(self.get(LEAVING_HEADER).strip() == "1", pause or None)
+
 
 class Connection:
     """One request and its response on a connection of its own.
@@ -73,6 +83,7 @@
 
     :param on_sending: called before the first byte is sent.
     :param send_by_s: monotonic time from which on the request isn't sent any more.
+    :param may_send: asked just before the first byte is sent.
     :param end_by_s: monotonic time at which the connection is closed.
     :ivar sent: whether bytes of the request may have been sent.
     :ivar error: why the connection ended early, empty if it did not.
@@ -94,6 +105,7 @@
         on_sending: Callable[[], None] = lambda: None,
         send_by_s: float = math.inf,
         end_by_s: float = math.inf,
+        may_send: Callable[[], bool] = lambda: True,
     ):
         self.request = request
         self.timeouts = timeouts
@@ -102,6 +114,7 @@
         self.timed_out = False
         self._on_sending = on_sending
         self._send_by_s = send_by_s
+        self._may_send = may_send
         self._head: Head | None = None
         self._ended = False
         self._buffer: list[bytes] = []
@@ -200,6 +213,8 @@
         if name == SENDING_EVENT:
             if trio.current_time() >= self._send_by_s:
                 raise TimeoutError("too late to send")
+            if not self._may_send():
+                raise ConnectionRefusedError("the target takes no more requests")
             self.sent = True
             self._on_sending()
 
--- a/src/vanillabeam/answers/records.py
+++ b/src/vanillabeam/answers/records.py
@@ -1,16 +1,19 @@
 """Requests, answers and callbacks of the runner."""
 
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from returns.result import Result
 
 from vanillabeam.config import Repeats
 from vanillabeam.exceptions import Run, VanillabeamError
+from vanillabeam.notices import Notice
 from vanillabeam.targets import Outcome, Permit, RouteRequest
 
 __all__ = [
     "Acquire",
+    "IgnoredNotices",
+    "NoticeBoard",
     "PromptRequest",
     "Release",
     "ServiceAnswer",
@@ -29,6 +32,27 @@
 TraceSink = Callable[[str, dict[str, Any]], None]
 
 
+class NoticeBoard(Protocol):
+    """Notices of targets, such as ``Targets`` keeps them."""
+
+    def record_notice(self, permit: Permit, notice: Notice) -> None:
+        """Record what the target of a permit said in an answer."""
+
+    def may_send(self, permit: Permit) -> bool:
+        """Return whether the target of a permit still takes a request."""
+
+
+class IgnoredNotices:
+    """Notices of targets that are chosen elsewhere."""
+
+    def record_notice(self, permit: Permit, notice: Notice) -> None:
+        """Do nothing."""
+
+    def may_send(self, permit: Permit) -> bool:
+        """Return true."""
+        return True
+
+
 class PromptRequest(NamedTuple):
     """A model prompt.
 
--- a/src/vanillabeam/answers/runner.py
+++ b/src/vanillabeam/answers/runner.py
@@ -10,7 +10,13 @@
 from vanillabeam.answers.call import CallDependencies, CallTimeouts
 from vanillabeam.answers.promptrun import PromptLimits
 from vanillabeam.answers.prompts import Prompts
-from vanillabeam.answers.records import Acquire, Release, TraceSink
+from vanillabeam.answers.records import (
+    Acquire,
+    IgnoredNotices,
+    NoticeBoard,
+    Release,
+    TraceSink,
+)
 from vanillabeam.answers.services import Services
 from vanillabeam.claims import ClaimsClient
 
@@ -25,6 +31,7 @@
     :param claims: claims the idempotency keys of calls that may not be repeated.
     :param trace: receives the trace of each finished request.
     :param budget: retry budget of all requests of this VM.
+    :param notices: what targets say of themselves, such as ``Targets``.
 
     Usage::
 
@@ -42,12 +49,14 @@
         *,
         trace: TraceSink = lambda request_id, record: None,
         budget: RetryBudget | None = None,
+        notices: NoticeBoard | None = None,
         prompt_limits: PromptLimits | None = None,
         prompt_timeouts: PromptTimeouts | None = None,
         call_timeouts: CallTimeouts | None = None,
     ):
         self.background = Background()
         budget = budget or RetryBudget()
+        notices = notices or IgnoredNotices()
         prompt_deps = PromptDependencies(
             acquire,
             release,
@@ -56,6 +65,7 @@
             prompt_limits or PromptLimits(),
             prompt_timeouts or PromptTimeouts(),
             trace,
+            notices,
         )
         call_deps = CallDependencies(
             acquire,
@@ -64,6 +74,7 @@
             budget,
             call_timeouts or CallTimeouts(),
             trace,
+            notices,
         )
         self.prompts = Prompts(prompt_deps)
         self.services = Services(call_deps, claims)
--- a/src/vanillabeam/entry.py
+++ b/src/vanillabeam/entry.py
@@ -50,6 +50,7 @@
             self.reuse.release,
             components.claims,
             trace=self._record_finished,
+            notices=components.targets,
         )
 
     @property
--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -132,6 +132,7 @@
         self._choice = choice
         self._may_go_elsewhere = may_go_elsewhere
         self._was_refused = False
+        self._is_return = False
         self._open_request: OpenRequest | None = None
 
     async def run(self) -> Outcome:
@@ -150,15 +151,13 @@
             or DEFAULT_SILENCE_LIMIT_S,
             self._choice.memory_tokens,
         )
-        is_return = chooser.notices.record_sent(target.incarnation)
+        self._is_return = chooser.notices.record_sent(target.incarnation)
         outcome: Outcome | None = None
         try:
             outcome = await self._send_and_receive()
             return outcome
         finally:
-            if is_return:
-                is_answered = isinstance(outcome, Delivered)
-                chooser.notices.record_end(target.incarnation, is_answered)
+            self._end_return(is_answered=False)
             chooser.load.record_end(self._open_request)
             if outcome is not None:
                 self._record_outcome(outcome)
@@ -226,6 +225,16 @@
                     nursery.cancel_scope.cancel()
         return result
 
+    def _end_return(self, is_answered: bool) -> None:
+        """Count the end of a request after a pause of its target, once.
+
+        The head of an answer is enough: the target has taken the request.
+        """
+        if self._is_return:
+            self._is_return = False
+            notices = self._resources.chooser.notices
+            notices.record_end(self._choice.target.incarnation, is_answered)
+
     def _may_send(self) -> bool:
         """Return whether the target has not asked to be left out since its choice."""
         notices = self._resources.chooser.notices
@@ -269,6 +278,8 @@
             response.status, response.headers
         )
         response = response._replace(headers=headers)
+        if kind is AnswerKind.ANSWER:
+            self._end_return(is_answered=True)
         if kind in (AnswerKind.NOT_RUN, AnswerKind.OTHER_TARGET):
             self.may_have_run = False
         if self._is_stream(response):
--- a/src/vanillabeam/notices.py
+++ b/src/vanillabeam/notices.py
@@ -30,6 +30,9 @@
 MAX_JITTER_S = 2.0
 #: Answers after which a target that was paused takes any number of requests.
 RETURN_ANSWERS = 4
+#: Seconds after a pause from which on it takes any number anyway, so that answers
+#: that take long don't keep it idle.
+RETURN_S = 5.0
 #: Incarnations whose notices are kept.
 MAX_NOTICES = 4_096
 
@@ -177,7 +180,8 @@
         if now_s < pause.until_s:
             return LeftOut(Reason.PAUSED, age_s, pause.until_s - now_s)
         returning = self._returns.get(incarnation, _Return())
-        if returning.open > returning.answered:
+        is_recent = now_s < pause.until_s + RETURN_S
+        if is_recent and returning.open > returning.answered:
             return LeftOut(Reason.RETURNING, age_s, 0.0)
         return None
 
--- a/src/vanillabeam/targets/acquire.py
+++ b/src/vanillabeam/targets/acquire.py
@@ -3,6 +3,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable
+from typing import NamedTuple
 
 import trio
 from returns.result import Failure, Result, Success
@@ -10,6 +11,7 @@
 from vanillabeam.admission import RetryBudget
 from vanillabeam.config import Config, Priority
 from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.notices import TargetNotices
 from vanillabeam.routing.records import RouteRequest
 from vanillabeam.routing.router import Candidate, Router
 from vanillabeam.targets import exceptions, messages
@@ -51,12 +53,24 @@
 }
 
 
+class _Wait(NamedTuple):
+    """Wait for a target.
+
+    :param required_s: seconds that the request must have left.
+    :param pause_s: seconds until targets are looked for again.
+    """
+
+    required_s: float
+    pause_s: float
+
+
 class Acquirer:
     """Acquires permits for the requests of this entry.
 
     :param withdraw: cancels a permit request at an owner, given by VM name.
     :param first_epoch: number of this incarnation of the VM; makes the ids of its
         permits unique.
+    :param notices: what targets have asked of this VM.
     """
 
     def __init__(
@@ -68,8 +82,10 @@
         settings: TargetsSettings,
         withdraw: Callable[[PermitRequest, str], None],
         first_epoch: int,
+        notices: TargetNotices,
     ):
         self.config = Config()
+        self._notices = notices
         self.waiting: Counter[Priority] = Counter()
         self._vm = vm
         self._router = router
@@ -111,20 +127,19 @@
         while tries < self._settings.max_tries:
             remaining_s = deadline_s - trio.current_time()
             candidates = self._candidates(request, skipped)
-            if not candidates and skipped:
-                if remaining_s <= max(RETRY_PAUSE_S, _retry_after_s(refusal)):
+            if not candidates:
+                wait = self._wait_for_candidates(request, skipped, refusal)
+                if wait is None or remaining_s <= wait.required_s:
                     break
                 skipped.clear()
-                await trio.sleep(RETRY_PAUSE_S)
+                await trio.sleep(wait.pause_s)
                 continue
-            if not candidates:
-                break
             candidate = candidates[0]
             if candidate.score.wait_s > remaining_s:
                 return Failure(Shed("deadline", candidate.score.wait_s))
             limit_s = _delay_limit_s(candidates) if moves < MAX_MOVES else None
             permit_request = self._make_permit_request(request, candidate, limit_s)
-            result = await self._try_target(
+            result = await self._try_and_count(
                 request, candidate, permit_request, deadline_s
             )
             if isinstance(result, Success):
@@ -143,13 +158,79 @@
             request = request._replace(excluded=excluded)
         return Failure(self._final_failure(request, refusal))
 
+    def _wait_for_candidates(
+        self,
+        request: RouteRequest,
+        skipped: set[str],
+        refusal: VanillabeamError | None,
+    ) -> _Wait | None:
+        """Return how long to wait for a target; ``None`` if there will be none."""
+        if skipped:
+            required_s = max(RETRY_PAUSE_S, _retry_after_s(refusal))
+            return _Wait(required_s, RETRY_PAUSE_S)
+        pause_s = self._pause_left_s(request)
+        if pause_s is None:
+            return None
+        return _Wait(pause_s, max(pause_s, RETRY_PAUSE_S))
+
     def _candidates(self, request: RouteRequest, skipped: set[str]) -> list[Candidate]:
+        return self._choose(request, skipped | self._left_out())
+
+    def _choose(self, request: RouteRequest, skipped: set[str]) -> list[Candidate]:
         request = request._replace(excluded=request.excluded | skipped)
         out_of_service = [
             d.name for d in self.config.data_centres.values() if not d.in_service
         ]
         return self._router.choose(request, out_of_service, trio.current_time())
 
+    def _left_out(self) -> set[str]:
+        """Return the names of the targets that asked this VM to send them nothing."""
+        if self._notices.is_empty:
+            return set()
+        now_s = trio.current_time()
+        return {
+            view.target
+            for view in self._router.views.values()
+            if self._notices.left_out((view.target, view.boot_id), now_s)
+        }
+
+    def _pause_left_s(self, request: RouteRequest) -> float | None:
+        """Return the seconds until a paused target may take the request."""
+        now_s = trio.current_time()
+        views = [candidate.view for candidate in self._choose(request, set())]
+        found = [
+            self._notices.left_out((view.target, view.boot_id), now_s) for view in views
+        ]
+        ends_s = [why.remaining_s for why in found if why is not None]
+        pause_s = min(ends_s, default=math.inf)
+        return None if math.isinf(pause_s) else pause_s
+
+    async def _try_and_count(
+        self,
+        request: RouteRequest,
+        candidate: Candidate,
+        permit_request: PermitRequest,
+        deadline_s: float,
+    ) -> Result[HeldPermit, VanillabeamError]:
+        """Request a permit; count the request if the target's pause has ended.
+
+        It counts from here on, so that requests that wait for the end of the same
+        pause don't all choose the target at once.
+        """
+        incarnation = (candidate.view.target, candidate.view.boot_id)
+        is_counted = self._notices.record_sent(incarnation)
+        result: Result[HeldPermit, VanillabeamError] | None = None
+        try:
+            result = await self._try_target(
+                request, candidate, permit_request, deadline_s
+            )
+            if not isinstance(result, Success):
+                return result
+            return Success(result.unwrap()._replace(is_counted=is_counted))
+        finally:
+            if is_counted and not isinstance(result, Success):
+                self._notices.record_end(incarnation, False)
+
     async def _try_target(
         self,
         request: RouteRequest,
@@ -253,6 +334,9 @@
         if isinstance(refusal, Shed):
             return refusal
         wanted = request.service or f"{request.model}@{request.version}"
+        pause_s = self._pause_left_s(request)
+        if refusal is None and pause_s is not None:
+            return NoTarget(f"all targets for {wanted} asked for a pause", pause_s)
         reason = f" ({refusal.type})" if refusal is not None else ""
         return NoTarget(f"no target for {wanted}{reason}", _retry_after_s(refusal))
 
--- a/src/vanillabeam/targets/heldpermits.py
+++ b/src/vanillabeam/targets/heldpermits.py
@@ -27,11 +27,15 @@
 
 
 class HeldPermit(NamedTuple):
-    """A permit that this entry holds, with the owner's grant and the request."""
+    """A permit that this entry holds, with the owner's grant and the request.
+
+    :param is_counted: whether it counts as a request after the target's pause.
+    """
 
     permit: Permit
     grant: Grant
     request: RouteRequest
+    is_counted: bool = False
 
 
 class HeldPermits:
--- a/src/vanillabeam/targets/shell.py
+++ b/src/vanillabeam/targets/shell.py
@@ -11,6 +11,7 @@
 from vanillabeam import wire
 from vanillabeam.config import Config
 from vanillabeam.exceptions import NotReady, VanillabeamError
+from vanillabeam.notices import Incarnation, Notice, TargetNotices
 from vanillabeam.peercall import PeerCall, PeerRoutes
 from vanillabeam.routing.records import RouteRequest
 from vanillabeam.routing.router import Router
@@ -55,6 +56,8 @@
 
 #: Attempts to send the withdrawal of a permit request.
 WITHDRAW_TRIES = 2
+#: Characters of a header's value in a log line.
+MAX_LOGGED_TEXT = 40
 
 
 class AnnounceReply(TypedDict):
@@ -110,6 +113,7 @@
         self._owner = Owner(me, settings, rng, first_epoch)
         self._dispatcher = OwnerDispatcher(self._owner, self._send_effect)
         self.router = Router(data_centre, weights or CostWeights(), rng)
+        self._notices = TargetNotices(rng)
         self._outbox = Outbox()
         self._server = OwnerServer(
             self._dispatcher, lambda m: self._summaries.receive(m)
@@ -126,6 +130,7 @@
             settings,
             self._withdraw,
             first_epoch,
+            self._notices,
         )
         self._held_permits = HeldPermits(
             self._owner.ownership,
@@ -202,6 +207,23 @@
         self._held_permits.add(held)
         return Success(held.permit)
 
+    def record_notice(self, permit: Permit, notice: Notice) -> None:
+        """Record what the target of a permit said of itself in an answer."""
+        applied = self._notices.apply(_incarnation(permit), notice, trio.current_time())
+        if applied.is_leaving:
+            logger.info("target {} says that it leaves", permit.target)
+        if applied.reading is not None:
+            logger.info(
+                "target {} asks for no requests for {:.2f} s ({!r})",
+                permit.target,
+                applied.pause_s,
+                notice.pause[:MAX_LOGGED_TEXT],
+            )
+
+    def may_send(self, permit: Permit) -> bool:
+        """Return whether the target of a permit still takes a request."""
+        return self._notices.may_send(_incarnation(permit), trio.current_time())
+
     async def renew(self, permit: Permit) -> Result[Permit, VanillabeamError]:
         """Renew a permit now; :meth:`run` renews held permits periodically.
 
@@ -213,8 +235,12 @@
     def release(self, permit: Permit, outcome: Outcome) -> None:
         """Release a permit after its run; a repeated call has no effect."""
         held = self._held_permits.release(permit, outcome)
-        if held is not None:
-            self._record_blocks(held, outcome)
+        if held is None:
+            return
+        if held.is_counted:
+            is_answered = outcome.kind is OutcomeKind.COMPLETED
+            self._notices.record_end(_incarnation(permit), is_answered)
+        self._record_blocks(held, outcome)
 
     async def drain(self) -> None:
         """Hand over all targets of this VM before it stops."""
@@ -245,8 +271,17 @@
             "waiting": {str(k): n for k, n in self._acquirer.waiting.items()},
             "asks_made": self._acquirer.permit_requests_made,
             "dropped_calls": self._outbox.dropped,
+            "left_out": self._describe_left_out(now_s),
         }
 
+    def _describe_left_out(self, now_s: float) -> dict[str, str]:
+        """Return why targets that asked for it get no requests of this VM."""
+        found = {
+            view.target: self._notices.left_out((view.target, view.boot_id), now_s)
+            for view in self.router.views.values()
+        }
+        return {name: str(why.reason) for name, why in found.items() if why is not None}
+
     async def _send_to_owner(
         self, target: str, data_centre: str, event: Event, path: str
     ) -> Result[AnnounceReply, VanillabeamError]:
@@ -340,6 +375,13 @@
     async def _tick(self) -> None:
         while True:
             await trio.sleep(self.settings.tick_s)
-            self._owner.known_target_count = len(self.router.views)
+            views = self.router.views.values()
+            self._owner.known_target_count = len(views)
+            known = {(view.target, view.boot_id) for view in views}
+            self._notices.keep_only(known, trio.current_time())
             self._dispatcher.post(Tick())
             self._summaries.tick()
+
+
+def _incarnation(permit: Permit) -> Incarnation:
+    return (permit.target, permit.boot_id)
--- a/tests/answers/test_services.py
+++ b/tests/answers/test_services.py
@@ -6,16 +6,18 @@
 from returns.result import Failure, Success
 
 from bench.fake_target import Faults
-from tests.answers.builders import make_call, run_scenario
+from tests.answers.builders import CALL_TIMEOUTS, make_call, run_scenario
 from vanillabeam.answers import (
     AnswerLost,
     BodyNotKept,
     CallNotRepeated,
+    Runner,
     TargetRefused,
 )
 from vanillabeam.claims import ClaimInProgress, ClaimUnknown, KeyReused
 from vanillabeam.config import Repeats
 from vanillabeam.exceptions import DeadlineExceeded, Run
+from vanillabeam.notices import Notice
 
 REPLY = b"HTTP/1.1 200 ok\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok"
 
@@ -230,3 +232,73 @@
         assert b"Idempotency-Key: k\r\n" in requests[0]
 
     run_scenario(scenario)
+
+
+class Board:
+    """Notices of targets, and the targets to which nothing may be sent."""
+
+    def __init__(self):
+        self.notices = []
+        self.withdrawn = set()
+
+    def record_notice(self, permit, notice):
+        self.notices.append((permit.target, notice))
+
+    def may_send(self, permit):
+        return permit.target not in self.withdrawn
+
+
+def answer_with(head, body=b"{}"):
+    async def answer(stream, data):
+        length = b"Content-Length: %d\r\n" % len(body)
+        await stream.send_all(head + length + b"\r\n" + body)
+
+    return answer
+
+
+def test_what_a_target_says_of_itself_is_recorded_and_not_passed_on():
+    async def scenario(harness):
+        board = Board()
+        harness.runner = make_runner(harness, board)
+        await harness.nursery.start(harness.runner.run)
+        await harness.serve_script(
+            answer_with(
+                b"HTTP/1.1 503 Busy\r\nVanillabeam-Run: not-run\r\nRetry-After: 2.5\r\n"
+            )
+        )
+        await harness.serve_script(
+            answer_with(b"HTTP/1.1 200 OK\r\nVanillabeam-Leaving: 1\r\n")
+        )
+        answer = (await refund(harness, method="GET")).unwrap()
+        assert board.notices == [
+            ("t1", Notice(pause="2.5")),
+            ("t2", Notice(leaving=True)),
+        ]
+        assert "vanillabeam-leaving" not in dict(answer.headers)
+
+    run_scenario(scenario)
+
+
+def test_a_call_is_not_sent_to_a_target_that_was_withdrawn_after_its_permit():
+    async def scenario(harness):
+        board = Board()
+        board.withdrawn.add("t1")
+        harness.runner = make_runner(harness, board)
+        await harness.nursery.start(harness.runner.run)
+        requests = await harness.serve_script(answer_with(b"HTTP/1.1 200 OK\r\n"))
+        fake = await harness.serve_fake_target(service="refunds")
+        assert isinstance(await refund(harness, key="k"), Success)
+        assert requests == []
+        assert fake.executions["order:7"] == 1
+
+    run_scenario(scenario)
+
+
+def make_runner(harness, board):
+    return Runner(
+        harness.permits.acquire,
+        harness.permits.release,
+        harness.claims,
+        call_timeouts=CALL_TIMEOUTS,
+        notices=board,
+    )
--- a/tests/forwarding/test_pauses.py
+++ b/tests/forwarding/test_pauses.py
@@ -110,6 +110,31 @@
     assert len(vm.sent) == 30
 
 
+def test_long_answers_after_a_pause_do_not_hold_the_others_back(monkeypatch):
+    vm = EntryVm(monkeypatch, ("t-0",), kind=RouteKind.STREAM)
+
+    class SlowBody:
+        async def __aiter__(self):
+            yield b"id: 1\ndata: a\n\n"
+            await trio.sleep(3.0)
+
+    vm.replies["t-0"] = [Reply(body=SlowBody())]
+
+    async def main():
+        vm.announce()
+        vm.chooser.notices.record_pause(vm.targets[0].incarnation, 1.0, 0.0)
+        async with trio.open_nursery() as nursery:
+            for _ in range(10):
+                nursery.start_soon(vm.request, 9.0)
+            for _ in range(20):
+                await trio.sleep(0.3)
+                vm.announce()
+
+    play(main)
+    assert len(vm.sent) == 10
+    assert vm.sent[-1].at_s < vm.sent[0].at_s + 1.0
+
+
 def test_a_new_refusal_after_a_pause_begins_another_one(monkeypatch):
     vm = EntryVm(monkeypatch, ("t-0",))
     vm.replies["t-0"] = [paused(1.0), paused(1.0), Reply()]
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -9,6 +9,7 @@
     MAX_NOTICES,
     MAX_PAUSE_S,
     RETURN_ANSWERS,
+    RETURN_S,
     Reason,
     TargetNotices,
     read_pause,
@@ -122,6 +123,15 @@
     assert notices.left_out(TARGET, now_s) is None
 
 
+def test_answers_that_take_long_do_not_keep_a_target_out():
+    notices = make_notices()
+    notices.record_pause(TARGET, 1.0, 0.0)
+    latest_s = 1.0 + JITTER_SHARE
+    notices.record_sent(TARGET)
+    assert reason_at(notices, latest_s) is Reason.RETURNING
+    assert reason_at(notices, latest_s + RETURN_S) is None
+
+
 def test_a_failed_request_after_a_pause_lets_one_more_pass():
     notices = make_notices()
     notices.record_pause(TARGET, 1.0, 0.0)
