Send fewer requests to targets that refused lately

One test of mine changes with it: long answers after a pause are tested on a target of 32 slots, as one of 8 now takes four at a time.

--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -39,6 +39,9 @@
 #: requests for a plain call, objectives of waiting for a prompt.
 FAILURE_PENALTY_REQUESTS = 20
 FAILURE_PENALTY_OBJECTIVES = 4.0
+#: Open requests of this VM at a target that refused one lately, as a share of the
+#: target's slots: other VMs send to it too.
+BUSY_SLOTS_SHARE = 0.5
 
 
 class Choice(NamedTuple):
@@ -241,12 +244,25 @@
         )
 
     def _is_left_out(self, target: Target, now_s: float) -> bool:
-        return self.notices.left_out(target.incarnation, now_s) is not None
+        return self._left_out(target, now_s) is not None
+
+    def _left_out(self, target: Target, now_s: float) -> LeftOut | None:
+        """Return why a target gets nothing now by what it has asked for."""
+        why = self.notices.left_out(target.incarnation, now_s)
+        if why is not None:
+            return why
+        age_s = self.notices.busy_for_s(target.incarnation, now_s)
+        if age_s is None:
+            return None
+        limit = max(1, int(BUSY_SLOTS_SHARE * target.slots))
+        if self.load.open_requests(target.name) < limit:
+            return None
+        return LeftOut(Reason.FULL, age_s, 0.0)
 
     def left_out(self, service: str, now_s: float) -> dict[str, LeftOut]:
-        """Return the targets of a service that have asked to be left out, by name."""
+        """Return the targets of a service that are left out for that, by name."""
         found = {
-            target.name: self.notices.left_out(target.incarnation, now_s)
+            target.name: self._left_out(target, now_s)
             for target in self._targets_of(service)
         }
         return {name: why for name, why in found.items() if why is not None}
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -39,6 +39,8 @@
 RETRY_DELAY_S = 0.03
 #: Interval of the checks for a usable target.
 POLL_INTERVAL_S = 0.1
+#: The same if a target takes the request once one of those before it has ended.
+BUSY_POLL_INTERVAL_S = 0.03
 #: Longest expected wait for the first event at which a prompt is still sent, as
 #: a multiple of the route's latency objective. An answer that comes later is of
 #: little use and would also delay the prompts behind it.
@@ -117,7 +119,8 @@
             choice = self._choose()
             if choice is not None or not self._may_wait(trio.current_time()):
                 return choice
-            await trio.sleep(POLL_INTERVAL_S)
+            is_busy = self._pause_left_s == 0.0
+            await trio.sleep(BUSY_POLL_INTERVAL_S if is_busy else POLL_INTERVAL_S)
 
     def _may_wait(self, now_s: float) -> bool:
         """Return whether a target may yet take the request in its time.
--- a/src/vanillabeam/notices.py
+++ b/src/vanillabeam/notices.py
@@ -33,6 +33,8 @@
 #: Seconds after a pause from which on it takes any number anyway, so that answers
 #: that take long don't keep it idle.
 RETURN_S = 5.0
+#: Seconds after a target's last refusal with a pause for which it counts as busy.
+BUSY_S = 10.0
 #: Incarnations whose notices are kept.
 MAX_NOTICES = 4_096
 
@@ -46,11 +48,13 @@
     :cvar LEAVING: it has said that it leaves.
     :cvar PAUSED: it has asked for a pause that hasn't ended.
     :cvar RETURNING: its pause has ended, and it takes a few requests at a time.
+    :cvar FULL: it has refused a request lately, and this VM has enough open there.
     """
 
     LEAVING = "leaving"
     PAUSED = "paused"
     RETURNING = "returning"
+    FULL = "full"
 
 
 class Notice(NamedTuple):
@@ -128,6 +132,7 @@
         self._leaving_since_s: dict[Incarnation, float] = {}
         self._pauses: dict[Incarnation, _Pause] = {}
         self._returns: dict[Incarnation, _Return] = {}
+        self._refused_s: dict[Incarnation, float] = {}
 
     def apply(
         self, incarnation: Incarnation, notice: Notice, now_s: float
@@ -165,7 +170,9 @@
             until_s = max(until_s, running.until_s)
         self._pauses[incarnation] = _Pause(now_s, until_s)
         self._returns.pop(incarnation, None)
+        self._refused_s[incarnation] = now_s
         _limit(self._pauses)
+        _limit(self._refused_s)
         return until_s - now_s
 
     def left_out(self, incarnation: Incarnation, now_s: float) -> LeftOut | None:
@@ -185,6 +192,17 @@
             return LeftOut(Reason.RETURNING, age_s, 0.0)
         return None
 
+    def busy_for_s(self, incarnation: Incarnation, now_s: float) -> float | None:
+        """Return the seconds since a target's last pause; ``None`` if it was long ago.
+
+        Such a target is near its limit: what it is sent beyond that costs another
+        pause, in which the others get its requests too.
+        """
+        refused_s = self._refused_s.get(incarnation)
+        if refused_s is None or now_s - refused_s > BUSY_S:
+            return None
+        return now_s - refused_s
+
     def may_send(self, incarnation: Incarnation, now_s: float) -> bool:
         """Return whether a request that has chosen a target may still be sent."""
         left_out = self.left_out(incarnation, now_s)
@@ -221,6 +239,11 @@
             if now_s >= self._pauses[incarnation].until_s:
                 del self._pauses[incarnation]
                 self._returns.pop(incarnation, None)
+        self._refused_s = {
+            incarnation: refused_s
+            for incarnation, refused_s in self._refused_s.items()
+            if now_s - refused_s <= BUSY_S
+        }
 
     @property
     def is_empty(self) -> bool:
--- a/tests/forwarding/test_pauses.py
+++ b/tests/forwarding/test_pauses.py
@@ -6,6 +6,7 @@
 from tests.forwarding.exchanges import REFUSED, EntryVm, Reply, paused, play
 from vanillabeam.exceptions import Run
 from vanillabeam.fleet import RouteKind
+from vanillabeam.forwarding.choice import BUSY_SLOTS_SHARE
 from vanillabeam.notices import JITTER_SHARE, RETURN_ANSWERS
 
 PAUSE_S = 3.0
@@ -112,6 +113,7 @@
 
 def test_long_answers_after_a_pause_do_not_hold_the_others_back(monkeypatch):
     vm = EntryVm(monkeypatch, ("t-0",), kind=RouteKind.STREAM)
+    vm.targets = [vm.targets[0]._replace(slots=32)]
 
     class SlowBody:
         async def __aiter__(self):
@@ -178,3 +180,31 @@
         return (await vm.request()).status
 
     assert play(main) == 200
+
+
+def test_a_target_that_refused_lately_gets_few_requests_at_a_time(monkeypatch):
+    """Pattern: requests that one target turns away make the next one refuse."""
+    vm = EntryVm(monkeypatch, ("t-0",))
+    slots = vm.targets[0].slots
+    vm.replies["t-0"] = [Reply(after_s=0.2)]
+    most = 0
+
+    async def main():
+        nonlocal most
+        vm.announce()
+        vm.chooser.notices.record_pause(vm.targets[0].incarnation, 0.5, 0.0)
+        await trio.sleep(2.0)
+        for _ in range(RETURN_ANSWERS):
+            vm.announce()
+            await vm.request()
+        async with trio.open_nursery() as nursery:
+            for _ in range(4 * slots):
+                nursery.start_soon(vm.request, 4.0)
+            for _ in range(20):
+                await trio.sleep(0.05)
+                most = max(most, vm.chooser.load.open_requests("t-0"))
+                vm.announce()
+
+    play(main)
+    assert most == BUSY_SLOTS_SHARE * slots
+    assert len(vm.sent) == 4 * slots + RETURN_ANSWERS
