Bound what is held of a target's stream; move streams and outcomes out of attempt

A target that never ends an event filled the memory of the entry VM: what was held of a resumable stream had no limit, and since ends of events are watched neither had any other.

--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -27,10 +27,11 @@
     TargetWithdrawn,
 )
 from vanillabeam.forwarding.load import OpenRequest
+from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome, Whole
 from vanillabeam.forwarding.pools import Pools
+from vanillabeam.forwarding.relay import StreamRelay
 from vanillabeam.forwarding.sending import (
     Broken,
-    Framing,
     OpenResponse,
     iter_body,
     open_response,
@@ -38,7 +39,7 @@
 from vanillabeam.forwarding.sentparts import SentParts
 from vanillabeam.notices import Notice
 
-__all__ = ["AnswerEnd", "Attempt", "Delivered", "Outcome", "Resources", "Whole"]
+__all__ = ["Attempt", "Resources"]
 
 SERVER_ERROR = 500
 #: Silence after which a target is suspect: a multiple of the route's latency
@@ -66,39 +67,6 @@
     counters: Counters
 
 
-class AnswerEnd(NamedTuple):
-    """How a target's answer ended.
-
-    :param framing: how the end was marked; empty before the head of the answer.
-    :param partial_bytes: bytes of a stream after its last complete event.
-    """
-
-    framing: str = ""
-    partial_bytes: int = 0
-
-
-class Whole(NamedTuple):
-    """A complete answer that has not been passed on to the caller.
-
-    :param is_pause: whether the target asked for no more requests for some time.
-    """
-
-    status: int
-    headers: Headers
-    body: bytes
-    is_pause: bool = False
-
-
-class Delivered(NamedTuple):
-    """A complete answer was sent to the caller."""
-
-    status: int
-
-
-#: Outcome of one attempt.
-Outcome = Whole | Delivered | Broken
-
-
 class Attempt:
     """Sends a request to one target and passes a good answer on to the caller.
 
@@ -208,7 +176,7 @@
         )
         if not self._may_go_elsewhere:
             return await send()
-        result: OpenResponse | Broken = self._broken("silent")
+        result: OpenResponse | Broken = Broken(AnswerBroken(f"{target.name}: silent"))
 
         async def send_and_cancel(scope: trio.CancelScope) -> None:
             nonlocal result
@@ -330,50 +298,18 @@
                 self._resources.pools.apply_keep_alive(self._choice.target, value)
 
     async def _stream(self, response: OpenResponse) -> Outcome:
-        """Pass a stream on to the caller as its parts arrive.
-
-        A resumable stream is passed on in whole events, so that it can be resumed
-        at another target after a break.
-        """
-        resumable = self._request.route.resumable
-        is_empty = True
-        async for part in iter_body(response, self._choice.target):
-            if isinstance(part, Broken):
-                return self._break_off(part)
-            is_empty = False
-            self._resources.chooser.load.record_activity(
-                self._choice.target.name, trio.current_time()
-            )
-            whole = self._cutter.feed(part)
-            data = whole if resumable else part
-            if data:
-                await self._writer.start_stream(response.status, response.headers)
-                await self._writer.send(data)
-        if self._cutter.is_inside_event:
-            return self._break_off(self._broken("ended inside an event"))
-        if is_empty and response.framing is Framing.CLOSE:
-            return self._break_off(self._broken("ended without an event"))
-        self._record_end()
-        await self._writer.start_stream(response.status, response.headers)
-        rest = self._cutter.finish()
-        if resumable:
-            await self._writer.send(rest)
-        await self._writer.finish()
-        return Delivered(response.status)
-
-    def _broken(self, reason: str) -> Broken:
-        return Broken(AnswerBroken(f"{self._choice.target.name}: {reason}"))
-
-    def _break_off(self, broken: Broken) -> Broken:
-        """Drop the event that the break has left incomplete."""
-        self._record_end()
-        self._cutter.drop_partial()
-        return broken
-
-    def _record_end(self) -> None:
-        """Record how many bytes of the stream follow its last complete event."""
-        partial_bytes = self._cutter.partial_bytes
-        self.answer_end = self.answer_end._replace(partial_bytes=partial_bytes)
+        target, load = self._choice.target, self._resources.chooser.load
+        relay = StreamRelay(
+            response,
+            target,
+            self._cutter,
+            self._writer,
+            self._request.route.resumable,
+            lambda: load.record_activity(target.name, trio.current_time()),
+        )
+        broken = await relay.run()
+        self.answer_end = self.answer_end._replace(partial_bytes=relay.partial_bytes)
+        return broken or Delivered(response.status)
 
     def _record_outcome(self, outcome: Outcome) -> None:
         target, chooser = self._choice.target, self._resources.chooser
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -5,14 +5,7 @@
 from vanillabeam.decisions import TargetChosen, log_record
 from vanillabeam.exceptions import Run, VanillabeamError
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.attempt import (
-    AnswerEnd,
-    Attempt,
-    Delivered,
-    Outcome,
-    Resources,
-    Whole,
-)
+from vanillabeam.forwarding.attempt import Attempt, Resources
 from vanillabeam.forwarding.choice import Choice
 from vanillabeam.forwarding.costs import PromptCosts
 from vanillabeam.forwarding.downstream import ResponseWriter
@@ -24,6 +17,7 @@
     TargetsPaused,
     TooLate,
 )
+from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome, Whole
 from vanillabeam.forwarding.requestcosts import estimate_request_costs
 from vanillabeam.forwarding.sending import Broken
 
--- /dev/null
+++ b/src/vanillabeam/forwarding/outcomes.py
@@ -0,0 +1,41 @@
+"""Outcomes of one attempt, and how a target's answer ended."""
+
+from typing import NamedTuple
+
+from vanillabeam.forwarding.dialect import Headers
+from vanillabeam.forwarding.sending import Broken
+
+__all__ = ["AnswerEnd", "Delivered", "Outcome", "Whole"]
+
+
+class AnswerEnd(NamedTuple):
+    """How a target's answer ended.
+
+    :param framing: how the end was marked; empty before the head of the answer.
+    :param partial_bytes: bytes of a stream after its last complete event.
+    """
+
+    framing: str = ""
+    partial_bytes: int = 0
+
+
+class Whole(NamedTuple):
+    """A complete answer that has not been passed on to the caller.
+
+    :param is_pause: whether the target asked for no more requests for some time.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    is_pause: bool = False
+
+
+class Delivered(NamedTuple):
+    """A complete answer was sent to the caller."""
+
+    status: int
+
+
+#: Outcome of one attempt.
+Outcome = Whole | Delivered | Broken
--- /dev/null
+++ b/src/vanillabeam/forwarding/relay.py
@@ -0,0 +1,84 @@
+"""Relay of a target's event stream to the caller."""
+
+from collections.abc import Callable
+
+from vanillabeam.fleet import Target
+from vanillabeam.forwarding.downstream import ResponseWriter
+from vanillabeam.forwarding.events import EventCutter
+from vanillabeam.forwarding.exceptions import AnswerBroken
+from vanillabeam.forwarding.sending import Broken, Framing, OpenResponse, iter_body
+
+__all__ = ["StreamRelay"]
+
+#: Longest event, which bounds what is held of a stream.
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+class StreamRelay:
+    """Passes one target's stream on to the caller as its parts arrive.
+
+    A resumable stream is passed on in whole events, so that it can be resumed at
+    another target after a break. Whether a stream is whole is told by its events: a
+    connection that ends in order is no evidence.
+
+    :param cutter: cuts a stream into whole events, over all attempts.
+    :param record_activity: called whenever data arrives.
+    :ivar partial_bytes: bytes after the last complete event when the stream ended.
+    """
+
+    def __init__(
+        self,
+        response: OpenResponse,
+        target: Target,
+        cutter: EventCutter,
+        writer: ResponseWriter,
+        resumable: bool,
+        record_activity: Callable[[], None],
+    ):
+        self.partial_bytes = 0
+        self._response = response
+        self._target = target
+        self._cutter = cutter
+        self._writer = writer
+        self._resumable = resumable
+        self._record_activity = record_activity
+
+    async def run(self) -> Broken | None:
+        """Pass the stream on; return its failure if it broke off."""
+        broken = await self._pass_on()
+        self.partial_bytes = self._cutter.partial_bytes
+        if broken is not None:
+            self._cutter.drop_partial()
+            return broken
+        await self._start()
+        rest = self._cutter.finish()
+        if self._resumable:
+            await self._writer.send(rest)
+        await self._writer.finish()
+        return None
+
+    async def _pass_on(self) -> Broken | None:
+        is_empty = True
+        async for part in iter_body(self._response, self._target):
+            if isinstance(part, Broken):
+                return part
+            is_empty = False
+            self._record_activity()
+            whole = self._cutter.feed(part)
+            if self._cutter.partial_bytes > MAX_EVENT_BYTES:
+                return self._broken("sent an event that is too large")
+            data = whole if self._resumable else part
+            if data:
+                await self._start()
+                await self._writer.send(data)
+        if self._cutter.is_inside_event:
+            return self._broken("ended inside an event")
+        if is_empty and self._response.framing is Framing.CLOSE:
+            return self._broken("ended without an event")
+        return None
+
+    async def _start(self) -> None:
+        await self._writer.start_stream(self._response.status, self._response.headers)
+
+    def _broken(self, reason: str) -> Broken:
+        return Broken(AnswerBroken(f"{self._target.name}: {reason}"))
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -13,9 +13,10 @@
 from vanillabeam.fleet.loads import make_load
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.attempt import Delivered, Resources
+from vanillabeam.forwarding.attempt import Resources
 from vanillabeam.forwarding.exceptions import AnswerBroken
 from vanillabeam.forwarding.exchange import MEMORY_WAIT_OBJECTIVES, Exchange
+from vanillabeam.forwarding.outcomes import Delivered
 from vanillabeam.forwarding.sending import Broken
 from vanillabeam.forwarding.sentparts import SentParts
 
