--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -21,6 +21,7 @@
 from vanillabeam.forwarding.dialect import RequestMetadata
 from vanillabeam.forwarding.downstream import spread_retry_after
 from vanillabeam.forwarding.health import Health
+from vanillabeam.forwarding.leftout import LeftOutTargets
 from vanillabeam.forwarding.load import Load
 from vanillabeam.forwarding.memory import with_free_memory
 from vanillabeam.forwarding.usable import Checks, usable_targets
@@ -39,9 +40,6 @@
 #: requests for a plain call, objectives of waiting for a prompt.
 FAILURE_PENALTY_REQUESTS = 20
 FAILURE_PENALTY_OBJECTIVES = 4.0
-#: Open requests of this VM at a target that refused one lately, as a share of the
-#: target's slots: other VMs send to it too.
-BUSY_SLOTS_SHARE = 0.5
 
 
 class Choice(NamedTuple):
@@ -237,35 +235,21 @@
                 self._health.is_available,
                 self._is_suspect,
                 self.is_paused,
-                self._is_left_out,
+                self._left_out.contains,
             ),
             self._bounds.version_s,
             now_s,
         )
 
-    def _is_left_out(self, target: Target, now_s: float) -> bool:
-        return self._left_out(target, now_s) is not None
-
-    def _left_out(self, target: Target, now_s: float) -> LeftOut | None:
-        """Return why a target gets nothing now by what it has asked for."""
-        why = self.notices.left_out(target.incarnation, now_s)
-        if why is not None:
-            return why
-        age_s = self.notices.busy_for_s(target.incarnation, now_s)
-        if age_s is None:
-            return None
-        limit = max(1, int(BUSY_SLOTS_SHARE * target.slots))
-        if self.load.open_requests(target.name) < limit:
-            return None
-        return LeftOut(Reason.FULL, age_s, 0.0)
+    @property
+    def _left_out(self) -> LeftOutTargets:
+        return LeftOutTargets(self.notices, self.load)
 
     def left_out(self, service: str, now_s: float) -> dict[str, LeftOut]:
         """Return the targets of a service that are left out for that, by name."""
-        found = {
-            target.name: self._left_out(target, now_s)
-            for target in self._targets_of(service)
-        }
-        return {name: why for name, why in found.items() if why is not None}
+        if self.notices.is_empty:
+            return {}
+        return self._left_out.among(self._targets_of(service), now_s)
 
     def spread_retry_after(self, wait_s: float) -> float:
         """Return the seconds after which one of several callers should return."""
--- a/src/vanillabeam/notices.py
+++ b/src/vanillabeam/notices.py
@@ -248,7 +248,7 @@
     @property
     def is_empty(self) -> bool:
         """Whether no target has asked for anything."""
-        return not self._leaving_since_s and not self._pauses
+        return not (self._leaving_since_s or self._pauses or self._refused_s)
 
     def leaving(self, incarnations: set[Incarnation]) -> set[Incarnation]:
         """Return those of the targets that have said that they leave."""
