Refuse an event over the limit that arrives complete

The limit on a run's events held only for what was left over after a read; an event of any size that arrived whole was accepted.

--- a/src/vanillabeam/answers/events.py
+++ b/src/vanillabeam/answers/events.py
@@ -12,7 +12,7 @@
 
 __all__ = ["DONE", "KEEP_ALIVE", "Batch", "End", "EventReader", "Piece"]
 
-PENDING_LIMIT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
 KEEP_ALIVE = b": alive\n\n"
 DONE = b"data: [DONE]\n\n"
 
@@ -102,14 +102,14 @@
     def feed(self, data: bytes) -> Result[Batch, TargetFailed]:
         """Return the events that ``data`` completes.
 
-        :returns: a batch, or :class:`TargetFailed` if an event is invalid or an
-            incomplete one exceeds :data:`PENDING_LIMIT_BYTES`.
+        :returns: a batch, or :class:`TargetFailed` if an event is invalid or, complete
+            or not, exceeds :data:`MAX_EVENT_BYTES`.
         """
         if b"\r" in data:
             data = data.replace(b"\r", b"")
         events = (self._pending + data).split(b"\n\n")
         self._pending = events.pop()
-        if len(self._pending) > PENDING_LIMIT_BYTES:
+        if any(len(event) > MAX_EVENT_BYTES for event in (*events, self._pending)):
             return Failure(TargetFailed("an event is too large"))
         try:
             return Success(_parse_batch(events))
