See that a port on all addresses clashes with the same port on one

Settings with a listener on 0.0.0.0 or :: beside one on 127.0.0.1 with the same port passed the check and failed at the start.

--- a/src/vanillabeam/settings.py
+++ b/src/vanillabeam/settings.py
@@ -32,6 +32,8 @@
     "schema",
 ]
 
+#: Hosts that stand for every address of the VM.
+ALL_ADDRESSES = frozenset({"0.0.0.0", "::"})
 _KEY_FILES = ("peer_key_file", "target_key_file")
 _STRICT = ConfigDict(extra="forbid", strict=True)
 
@@ -356,12 +358,20 @@
 
 
 def _port_faults(cfg: Settings) -> Iterator[str]:
-    used: dict[tuple[str, int], str] = {}
+    earlier: list[tuple[str, Listener]] = []
     for path, listener in _all_listeners(cfg):
-        address = (listener["host"], listener["port"])
-        if listener["port"] and address in used:
-            yield f"{path}.port: {address[1]} is also {used[address]}'s"
-        used[address] = path
+        clashing = [name for name, other in earlier if _clash(listener, other)]
+        if clashing:
+            yield f"{path}.port: {listener['port']} is also {clashing[-1]}'s"
+        earlier.append((path, listener))
+
+
+def _clash(one: Listener, other: Listener) -> bool:
+    """Return whether two listeners can't both bind their addresses."""
+    if not one["port"] or one["port"] != other["port"]:
+        return False
+    hosts = {one["host"], other["host"]}
+    return len(hosts) == 1 or bool(hosts & ALL_ADDRESSES)
 
 
 def _file_faults(cfg: Settings) -> Iterator[str]:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -62,6 +62,19 @@
     )
 
 
+# Guards against a listener on all addresses beside one on a single address.
+@pytest.mark.parametrize("wildcard", ["0.0.0.0", "::"])
+def test_a_port_on_all_addresses_clashes_with_the_same_port_on_one(tmp_path, wildcard):
+    listeners = {
+        "callers": {"host": "127.0.0.1", "port": 7000},
+        "targets": {"host": "127.0.0.2", "port": 7000},
+        "peers": {"host": wildcard, "port": 7000},
+    }
+    assert faults(tmp_path, listeners=listeners) == (
+        "listeners.peers.port: 7000 is also listeners.targets's",
+    )
+
+
 def test_unreadable_key_file_is_named(tmp_path):
     (fault,) = faults(tmp_path, peer_key_file="missing.key")
     assert fault.startswith("peer_key_file: ")
