Send prompts to older weights while the newest targets are full or late

While new weights are loaded, all prompts went to the few targets that had them already, and were refused there with memory free elsewhere. Targets on older weights now take what would be late or finds no memory at the newest ones, until their time has passed. Two of the three new tests failed before.

--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -133,12 +133,36 @@
     ) -> Choice | None:
         """Return the best target, or ``None`` if none may take the request.
 
+        While new weights are loaded, the few targets that have them can't take all
+        prompts: those that would be late or find no memory there go to the others.
+
         :param entries: names of all entry VMs.
         :param tried: names of targets that were sent the request already.
         :param now_s: monotonic time in seconds.
         :param costs: costs of a prompt; ``None`` for a plain call.
         """
         usable = self._usable_targets(service, metadata, view, tried, now_s)
+        choice = self._choose_among(service, usable, view, entries, now_s, costs)
+        is_late = choice is not None and _is_late_choice(choice, costs)
+        if costs is None or (choice is not None and not is_late):
+            return choice
+        wider = self._usable_targets(service, metadata, view, tried, now_s, False)
+        if len(wider) <= len(usable):
+            return choice
+        older = self._choose_among(service, wider, view, entries, now_s, costs)
+        if choice is None or (older and older.wait_s < choice.wait_s):
+            return older
+        return choice
+
+    def _choose_among(
+        self,
+        service: str,
+        usable: list[Target],
+        view: FleetView,
+        entries: tuple[str, ...],
+        now_s: float,
+        costs: PromptCosts | None,
+    ) -> Choice | None:
         rate = _cold_rate(view.deployment, service)
         count = len(entries)
         usable = self._with_free_memory(
@@ -225,6 +249,7 @@
         view: FleetView,
         tried: set[str],
         now_s: float,
+        newest_only: bool = True,
     ) -> list[Target]:
         return usable_targets(
             self._targets_of(service),
@@ -239,6 +264,7 @@
             ),
             self._bounds.version_s,
             now_s,
+            newest_only,
         )
 
     @property
@@ -420,6 +446,11 @@
         return 0 < costs.objective_s < expected_s
 
 
+def _is_late_choice(choice: Choice, costs: PromptCosts | None) -> bool:
+    """Return whether a prompt would miss its objective at the chosen target."""
+    return costs is not None and 0 < costs.objective_s < choice.wait_s
+
+
 def _engine(deployment: Deployment, service: str) -> Engine | None:
     record = deployment.services.get(service)
     return record.engine if record is not None else None
--- a/src/vanillabeam/forwarding/usable.py
+++ b/src/vanillabeam/forwarding/usable.py
@@ -11,7 +11,8 @@
 #: Share of the time allowed for loading new weights after which targets on older
 #: ones get no more requests.
 VERSION_DEADLINE_SHARE = 0.8
-#: Time after which targets on older weights are used only if there are no others.
+#: Time after which targets on older weights are used only if the others are full or
+#: late.
 VERSION_GRACE_S = 1.0
 
 
@@ -38,6 +39,7 @@
     checks: Checks,
     version_s: float,
     now_s: float,
+    newest_only: bool = True,
 ) -> list[Target]:
     """Return the targets that may take a request.
 
@@ -48,6 +50,8 @@
     :param tried: names of targets that were sent the request already.
     :param version_s: seconds allowed for loading new weights.
     :param now_s: monotonic time in seconds.
+    :param newest_only: whether targets on older weights are left out, from
+        :data:`VERSION_GRACE_S` after newer ones were named, unless there are no others.
     """
     candidates = [
         target
@@ -58,9 +62,11 @@
         and not checks.is_left_out(target, now_s)
         and (not metadata.model or metadata.model in target.versions)
     ]
-    candidates = _with_current_weights(
+    candidates = _with_allowed_weights(
         candidates, metadata.model, view, version_s, now_s
     )
+    if newest_only:
+        candidates = _with_newest_weights(candidates, metadata.model, view, now_s)
     available = [target for target in candidates if checks.is_available(target, now_s)]
     healthy = [target for target in available if not checks.is_suspect(target, now_s)]
     unpaused = [
@@ -69,21 +75,27 @@
     return unpaused or healthy or available or candidates
 
 
-def _with_current_weights(
+def _with_allowed_weights(
     candidates: list[Target],
     model: str,
     view: FleetView,
     version_s: float,
     now_s: float,
 ) -> list[Target]:
-    """Return the targets on recent weights, only the newest ones if possible."""
+    """Return the targets whose weights may be used, with a margin to the time limit."""
     due_s = now_s - VERSION_DEADLINE_SHARE * version_s
     required_version = view.version_named_before(model, due_s)
-    candidates = [
+    return [
         target
         for target in candidates
         if target.versions.get(model, 0) >= required_version
     ]
+
+
+def _with_newest_weights(
+    candidates: list[Target], model: str, view: FleetView, now_s: float
+) -> list[Target]:
+    """Return the targets on the newest weights, or all if there are none."""
     preferred_version = view.version_named_before(model, now_s - VERSION_GRACE_S)
     current = [
         target
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -141,6 +141,41 @@
     assert chosen == {"t-2"}
 
 
+class TestPromptsWhileNewWeightsAreLoaded:
+    """Pattern: all prompts crowd the first few targets that have the new weights."""
+
+    view = make_view(weights={"m": 2}, version_times={"m": ((2, 0.0),)})
+
+    def make_chooser(self):
+        targets = [make_target(f"t-{n}", versions={"m": 1}) for n in range(3)]
+        return make_chooser(*targets, make_target("t-new", versions={"m": 2}))
+
+    def choose(self, chooser, now_s, objective_s=0.0):
+        costs = estimate_costs(make_prompt(), None, 1, objective_s=objective_s)
+        choice = chooser.choose(
+            "llm", make_prompt(), self.view, ENTRIES, set(), now_s, costs
+        )
+        return choice and choice.target.name
+
+    def test_they_go_to_older_weights_if_the_new_ones_have_no_memory(self):
+        chooser = self.make_chooser()
+        assert self.choose(chooser, 2.0) == "t-new"
+        chooser.load.update_others(make_load(room={"t-new": 950}), 0.0)
+        assert self.choose(chooser, 2.0) in {"t-0", "t-1", "t-2"}
+
+    def test_they_go_to_older_weights_if_they_would_be_late_at_the_new_ones(self):
+        chooser = self.make_chooser()
+        chooser.load._rates["llm"] = 100.0
+        chooser.load.update_others(make_load({"t-new": {1: 500}}), 0.0)
+        assert self.choose(chooser, 2.0, objective_s=10.0) == "t-new"
+        assert self.choose(chooser, 2.0, objective_s=2.0) in {"t-0", "t-1", "t-2"}
+
+    def test_they_never_go_to_weights_whose_time_has_passed(self):
+        chooser = self.make_chooser()
+        chooser.load.update_others(make_load(room={"t-new": 950}), 0.0)
+        assert self.choose(chooser, 9.0) is None
+
+
 def test_memory_is_reserved_for_urgent_prompts():
     chooser = make_chooser(make_target("t-1", versions={"m": 1}))
     metadata = make_prompt()
