Send lost orders to load weights again soon, and none twice

A core of its own, fleet.orderrun, decides by the target's reports: if it accepted nothing, the order goes again after 0.6 s. Each order names the number of orders that the target had accepted before, so that of several copies only one is accepted, and none that arrives late, after a newer order; before, such a copy could bring older weights back.

--- /dev/null
+++ b/src/vanillabeam/fleet/orderrun.py
@@ -0,0 +1,102 @@
+"""One order to a target to load weights: when to send it, again too, and when to stop.
+
+An answer may get lost, and the order with it, or it may be carried out seconds later.
+Each order names the number of orders that the target had accepted before, so that of
+several copies only the first is accepted, and none after a newer order.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ["OrderReply", "OrderRun", "Step", "WeightsReport"]
+
+#: Seconds without an answer after which an order is sent again, if the target reports
+#: that it has accepted none. Reports are some hundred milliseconds old.
+RESEND_S = 0.6
+#: Seconds after a refusal until the order is sent again.
+REFUSED_PAUSE_S = 0.5
+#: Seconds without any effect after which the order is given up.
+EFFECT_TIMEOUT_S = 6.0
+
+
+class OrderReply(StrEnum):
+    """A target's answer to an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS = "holds"
+    BUSY = "busy"
+    FENCED = "fenced"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class WeightsReport(NamedTuple):
+    """A target's report on one model.
+
+    :param version: version in use; ``None`` if the target doesn't have the model.
+    :param is_busy: whether it carries out an order.
+    :param sequence: number of orders that it has accepted; ``None`` if it counts none.
+    """
+
+    version: int | None
+    is_busy: bool
+    sequence: int | None = None
+
+
+class Step(StrEnum):
+    """What to do next: send the order, look again later, or stop."""
+
+    SEND = "send"
+    WAIT = "wait"
+    STOP = "stop"
+
+
+class OrderRun:
+    """State of one order.
+
+    :param version: version that the target is to load.
+
+    >>> run = OrderRun(version=2, now_s=1.0)
+    >>> run.next_step(WeightsReport(1, False, 7), now_s=1.0)
+    <Step.SEND: 'send'>
+    >>> run.sequence
+    7
+    """
+
+    def __init__(self, version: int, now_s: float):
+        self.sequence: int | None = None
+        self.is_done = False
+        self._version = version
+        self._reply: OrderReply | None = None
+        self._changed_s = now_s
+
+    def record_reply(self, reply: OrderReply, now_s: float) -> None:
+        """Record the target's answer to the order."""
+        self._reply = reply
+        self._changed_s = now_s
+
+    def next_step(self, report: WeightsReport | None, now_s: float) -> Step:
+        """Return what to do next.
+
+        :param report: the target's newest report, ``None`` if it gave none.
+        """
+        waited_s = now_s - self._changed_s
+        if report is not None and (report.version or 0) >= self._version:
+            self.is_done = True
+            return Step.STOP
+        if self._reply is OrderReply.FENCED or waited_s > EFFECT_TIMEOUT_S:
+            return Step.STOP
+        if report is None or report.is_busy or not self._may_send(report, waited_s):
+            return Step.WAIT
+        self.sequence = report.sequence
+        return Step.SEND
+
+    def _may_send(self, report: WeightsReport, waited_s: float) -> bool:
+        if self._reply is None:
+            return True
+        if self._reply is OrderReply.UNKNOWN:
+            is_unchanged = report.sequence == self.sequence
+            return is_unchanged and waited_s >= RESEND_S
+        if self._reply in (OrderReply.BUSY, OrderReply.REFUSED):
+            return waited_s >= REFUSED_PAUSE_S
+        return False
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -2,25 +2,22 @@
 
 import math
 from collections.abc import Callable
-from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 import trio
 
 from vanillabeam.decisions import WeightsOrdered, log_record
 from vanillabeam.fleet.control import FleetControl
+from vanillabeam.fleet.orderrun import OrderReply, OrderRun, Step, WeightsReport
 from vanillabeam.fleet.records import Target
 
-__all__ = ["OrderReply", "Rollout", "TargetOrders", "WeightsOrder", "select_targets"]
+__all__ = ["Rollout", "TargetOrders", "WeightsOrder", "select_targets"]
 
 PERIOD_S = 0.25
 #: Share of a model's targets that may load new weights at the same time, so that
 #: the others keep serving and the weight store is not overloaded.
 MAX_CONCURRENT_SHARE = 1 / 3
 POLL_PERIOD_S = 0.4
-#: Seconds after which an order without visible effect may be sent again.
-EFFECT_TIMEOUT_S = 6.0
-REFUSED_PAUSE_S = 0.5
 #: Seconds before an order is sent, for entry VMs to receive the target's pause.
 PAUSE_S = 0.3
 
@@ -39,17 +36,6 @@
     fence: int
 
 
-class OrderReply(StrEnum):
-    """A target's answer to an order."""
-
-    ACCEPTED = "accepted"
-    HOLDS = "holds"
-    BUSY = "busy"
-    FENCED = "fenced"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
 class TargetOrders(Protocol):
     """Client that sends weight orders to targets.
 
@@ -58,11 +44,17 @@
 
     on_leaving: Callable[[Target], None]
 
-    async def load_weights(self, target: Target, order: WeightsOrder) -> OrderReply:
-        """Send the order; return ``UNKNOWN`` if no answer came."""
+    async def load_weights(
+        self, target: Target, order: WeightsOrder, sequence: int | None
+    ) -> OrderReply:
+        """Send the order; return ``UNKNOWN`` if no answer came.
+
+        :param sequence: number of orders that the target must have accepted before
+            this one, else it refuses; ``None`` for any.
+        """
 
-    async def held_version(self, target: Target, model: str) -> int | None:
-        """Return the version in use, ``None`` if the target didn't report one."""
+    async def report(self, target: Target, model: str) -> WeightsReport | None:
+        """Return the target's report on a model; ``None`` if no valid one came."""
 
 
 def select_targets(
@@ -148,26 +140,31 @@
         try:
             self._control.pause(target.name)
             await trio.sleep(PAUSE_S)
-            reply = await self._orders.load_weights(target, order)
-            log_record(
-                WeightsOrdered(
-                    target.name, order.model, order.version, order.fence, str(reply)
-                )
-            )
-            if reply is OrderReply.FENCED:
-                self._fenced.add((target.name, order.fence))
-            elif reply in (OrderReply.BUSY, OrderReply.REFUSED):
-                await trio.sleep(REFUSED_PAUSE_S)
-            else:
-                await self._wait_for_effect(target, order)
+            await self._carry_out(target, order)
         finally:
             self._in_progress.discard(target.name)
 
-    async def _wait_for_effect(self, target: Target, order: WeightsOrder) -> None:
-        with trio.move_on_after(EFFECT_TIMEOUT_S):
-            while True:
-                await trio.sleep(POLL_PERIOD_S)
-                version = await self._orders.held_version(target, order.model)
-                if version is not None and version >= order.version:
-                    self._control.report_weights(target, order.model, version)
-                    return
+    async def _carry_out(self, target: Target, order: WeightsOrder) -> None:
+        """Send the order, again if it got lost, until the target has the version."""
+        run = OrderRun(order.version, trio.current_time())
+        while True:
+            report = await self._orders.report(target, order.model)
+            step = run.next_step(report, trio.current_time())
+            if step is Step.STOP:
+                break
+            if step is Step.SEND:
+                await self._send(target, order, run)
+            await trio.sleep(POLL_PERIOD_S)
+        if run.is_done:
+            self._control.report_weights(target, order.model, report.version)
+
+    async def _send(self, target: Target, order: WeightsOrder, run: OrderRun) -> None:
+        reply = await self._orders.load_weights(target, order, run.sequence)
+        run.record_reply(reply, trio.current_time())
+        log_record(
+            WeightsOrdered(
+                target.name, order.model, order.version, order.fence, str(reply)
+            )
+        )
+        if reply is OrderReply.FENCED:
+            self._fenced.add((target.name, order.fence))
--- a/src/vanillabeam/platform/orders.py
+++ b/src/vanillabeam/platform/orders.py
@@ -1,11 +1,12 @@
 """Client that orders weight versions from workers and queries their state."""
 
 from collections.abc import Callable
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
 from vanillabeam import wire
 from vanillabeam.fleet import Target
-from vanillabeam.fleet.rollout import OrderReply, WeightsOrder
+from vanillabeam.fleet.orderrun import OrderReply, WeightsReport
+from vanillabeam.fleet.rollout import WeightsOrder
 from vanillabeam.platform.client import PlatformClient, decode_response
 from vanillabeam.platform.headers import MISDIRECTED_REQUEST, read_notice
 from vanillabeam.platform.heartbeats import Model, read_versions
@@ -23,6 +24,8 @@
 class _Report(TypedDict):
     models: list[Model]
     busy: bool
+    #: Number of orders that the worker has accepted since its start.
+    seq: NotRequired[int]
 
 
 class WorkerOrders:
@@ -35,34 +38,36 @@
         self._client = client
         self.on_leaving: Callable[[Target], None] = lambda target: None
 
-    async def load_weights(self, target: Target, order: WeightsOrder) -> OrderReply:
+    async def load_weights(
+        self, target: Target, order: WeightsOrder, sequence: int | None
+    ) -> OrderReply:
         """Order a worker to load a version after its running requests have ended."""
-        body = wire.encode(
-            {
-                "op": "version",
-                "model": order.model,
-                "version": order.version,
-                "strategy": "wait",
-                "holder": order.holder,
-                "fence": order.fence,
-            }
-        )
+        document = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            "strategy": "wait",
+            "holder": order.holder,
+            "fence": order.fence,
+        }
+        if sequence is not None:
+            document["precondition"] = sequence
+        body = wire.encode(document)
         response = await self._call("POST", target, b"/api/order", body)
         if response is None:
             return OrderReply.UNKNOWN
         return _REPLY_OF_STATUS.get(response.status, OrderReply.REFUSED)
 
-    async def held_version(self, target: Target, model: str) -> int | None:
-        """Return the weight version in use at a worker.
-
-        :returns: ``None`` without a valid answer, while the worker carries out an
-            order, or if it doesn't have the model.
-        """
+    async def report(self, target: Target, model: str) -> WeightsReport | None:
+        """Return a worker's report on a model; ``None`` without a valid answer."""
         response = await self._call("GET", target, b"/api/report", b"")
         report = decode_response(response, _Report)
-        if report is None or report["busy"]:
+        if report is None:
             return None
-        return read_versions(report["models"]).get(model)
+        version = read_versions(report["models"]).get(model)
+        return WeightsReport(
+            None if report["busy"] else version, report["busy"], report.get("seq")
+        )
 
     async def _call(self, method: str, target: Target, path: bytes, body: bytes):
         headers = [(b"X-Vanillabeam-Expect-Instance", target.name.encode())]
--- /dev/null
+++ b/tests/fleet/test_orderrun.py
@@ -0,0 +1,81 @@
+import pytest
+
+from vanillabeam.fleet.orderrun import (
+    EFFECT_TIMEOUT_S,
+    REFUSED_PAUSE_S,
+    RESEND_S,
+    OrderReply,
+    OrderRun,
+    Step,
+    WeightsReport,
+)
+
+IDLE = WeightsReport(version=1, is_busy=False, sequence=7)
+BUSY = WeightsReport(version=None, is_busy=True, sequence=8)
+DONE = WeightsReport(version=2, is_busy=False, sequence=8)
+
+
+def start(reply=None, at_s=0.0):
+    """Return the run of an order that was sent and answered at a time."""
+    run = OrderRun(2, 0.0)
+    if reply is not None:
+        assert run.next_step(IDLE, at_s) is Step.SEND
+        run.record_reply(reply, at_s)
+    return run
+
+
+def test_an_order_names_the_orders_that_the_target_accepted_before():
+    run = start()
+    assert run.next_step(IDLE, 0.0) is Step.SEND
+    assert run.sequence == 7
+
+
+def test_a_target_that_has_the_version_already_gets_no_order():
+    run = start()
+    assert run.next_step(DONE, 0.0) is Step.STOP
+    assert run.is_done
+
+
+# Guards against seconds of waiting for an order that never arrived.
+def test_a_lost_order_is_sent_again_soon_with_the_same_sequence():
+    run = start(OrderReply.UNKNOWN)
+    assert run.next_step(IDLE, RESEND_S / 2) is Step.WAIT
+    assert run.next_step(IDLE, RESEND_S) is Step.SEND
+    assert run.sequence == 7
+
+
+# Guards against a second order behind one whose answer was lost.
+def test_an_order_whose_answer_was_lost_is_not_sent_again():
+    run = start(OrderReply.UNKNOWN)
+    assert run.next_step(BUSY, RESEND_S) is Step.WAIT
+    accepted = WeightsReport(version=1, is_busy=False, sequence=8)
+    assert run.next_step(accepted, RESEND_S) is Step.WAIT
+    assert run.next_step(DONE, 2.0) is Step.STOP
+    assert run.is_done
+
+
+@pytest.mark.parametrize("reply", [OrderReply.ACCEPTED, OrderReply.HOLDS])
+def test_an_accepted_order_is_not_sent_again_whatever_an_old_report_says(reply):
+    run = start(reply)
+    assert run.next_step(IDLE, EFFECT_TIMEOUT_S) is Step.WAIT
+    assert run.next_step(IDLE, EFFECT_TIMEOUT_S + 0.1) is Step.STOP
+    assert not run.is_done
+
+
+@pytest.mark.parametrize("reply", [OrderReply.BUSY, OrderReply.REFUSED])
+def test_a_refused_order_is_sent_again_with_a_new_sequence(reply):
+    run = start(reply)
+    later = IDLE._replace(sequence=9)
+    assert run.next_step(later, REFUSED_PAUSE_S / 2) is Step.WAIT
+    assert run.next_step(later, REFUSED_PAUSE_S) is Step.SEND
+    assert run.sequence == 9
+
+
+def test_a_leader_that_is_fenced_stops():
+    assert start(OrderReply.FENCED).next_step(IDLE, 0.1) is Step.STOP
+
+
+def test_without_reports_an_order_is_given_up_in_the_end():
+    run = start()
+    assert run.next_step(None, EFFECT_TIMEOUT_S) is Step.WAIT
+    assert run.next_step(None, EFFECT_TIMEOUT_S + 0.1) is Step.STOP
