--- a/src/vanillabeam/answers/call.py
+++ b/src/vanillabeam/answers/call.py
@@ -33,25 +33,15 @@
 )
 from vanillabeam.answers.traces import TraceBuilder
 from vanillabeam.exceptions import InvariantBroken, Run, VanillabeamError
+from vanillabeam.hopheaders import strip_hop_by_hop
 from vanillabeam.targets import Outcome
 
 __all__ = ["Call", "CallDependencies", "CallTimeouts"]
 
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
 RUN_HEADER = "vanillabeam-run"
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+#: Headers of a target's answer that are meant for this VM only.
+DROPPED_HEADERS = frozenset({"content-length", LEAVING_HEADER})
 
 
 class CallTimeouts(NamedTuple):
@@ -253,13 +243,8 @@
 
 
 def _end_to_end_headers(head: Head) -> Iterator[tuple[str, str]]:
-    connection_options = {
-        token.strip().lower()
-        for name, value in head.headers
-        if name == "connection"
-        for token in value.split(",")
-    }
-    dropped = HOP_BY_HOP_HEADERS | connection_options | {LEAVING_HEADER}
-    for name, value in head.headers:
-        if name not in dropped:
-            yield name, value
+    raw = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in head.headers]
+    for raw_name, raw_value in strip_hop_by_hop(raw):
+        name = raw_name.decode("latin-1")
+        if name not in DROPPED_HEADERS:
+            yield name, raw_value.decode("latin-1")
--- a/src/vanillabeam/hopheaders.py
+++ b/src/vanillabeam/hopheaders.py
@@ -1,6 +1,6 @@
 """Hop-by-hop HTTP headers, which a proxy must not forward (RFC 9110, 7.6.1)."""
 
-__all__ = ["HOP_BY_HOP", "strip_hop_by_hop"]
+__all__ = ["strip_hop_by_hop"]
 
 HOP_BY_HOP = frozenset(
     {
--- a/src/vanillabeam/servicepath.py
+++ b/src/vanillabeam/servicepath.py
@@ -7,7 +7,7 @@
 from starlette.types import Scope
 
 from vanillabeam.exceptions import MalformedBody, MalformedPath, UnknownService
-from vanillabeam.hopheaders import HOP_BY_HOP
+from vanillabeam.hopheaders import strip_hop_by_hop
 
 __all__ = [
     "INTERNAL_PREFIX",
@@ -26,7 +26,6 @@
 _QUERY = re.compile(rb"(?:[A-Za-z0-9._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*")
 #: Encoded slash, backslash, dot, NUL, CR or LF, however often it is encoded.
 _ENCODED_UNSAFE = re.compile(rb"%(?:25)*(?:2f|5c|00|2e|0d|0a)", re.IGNORECASE)
-_HOP_BY_HOP = frozenset(name.decode() for name in HOP_BY_HOP)
 #: Headers that are evaluated here or replaced on the way to the service.
 _CONSUMED = frozenset({"authorization", "content-length", "host", "idempotency-key"})
 
@@ -77,14 +76,10 @@
     :returns: the headers, or :class:`MalformedBody` if a value holds a line
         break or NUL.
     """
-    decoded = [
-        (name.decode("latin-1").lower(), value.decode("latin-1"))
-        for name, value in headers
-    ]
-    listed = _listed_in_connection(decoded)
     kept = []
-    for name, value in decoded:
-        if name in _HOP_BY_HOP or name in _CONSUMED or name in listed:
+    for raw_name, raw_value in strip_hop_by_hop(headers):
+        name, value = raw_name.decode("latin-1"), raw_value.decode("latin-1")
+        if name in _CONSUMED:
             continue
         if name.startswith(INTERNAL_PREFIX) or "_" in name:
             continue
@@ -104,8 +99,3 @@
     if segments[-1] in (b".", b".."):
         return False
     return all(_SEGMENT.fullmatch(segment) for segment in segments)
-
-
-def _listed_in_connection(headers: list[tuple[str, str]]) -> set[str]:
-    values = [value for name, value in headers if name == "connection"]
-    return {name.strip().lower() for value in values for name in value.split(",")}
