--- a/tests/targets/test_notices.py
+++ b/tests/targets/test_notices.py
@@ -35,6 +35,14 @@
     return await targets.acquire(request)
 
 
+async def refuse_first(targets):
+    """Let the target of a first request refuse it with a pause; return its permit."""
+    permit = (await acquire(targets)).unwrap()
+    targets.record_notice(permit, PAUSES)
+    targets.release(permit, REFUSED)
+    return permit
+
+
 async def targets_chosen(targets, count=12):
     """Return the names of the targets that requests one after the other get."""
     names = set()
@@ -75,9 +83,7 @@
 def test_a_paused_target_gets_no_permit_until_its_pause_has_ended():
     async def main(nursery):
         targets = await start(nursery, "t-1", "t-2")
-        first = (await acquire(targets)).unwrap()
-        targets.record_notice(first, PAUSES)
-        targets.release(first, REFUSED)
+        first = await refuse_first(targets)
         assert await targets_chosen(targets) == {"t-1", "t-2"} - {first.target}
         await trio.sleep(PAUSE_S * (1 + JITTER_SHARE))
         assert await targets_chosen(targets, 40) == {"t-1", "t-2"}
@@ -88,9 +94,7 @@
 def test_if_all_targets_are_paused_a_request_waits_for_the_first_end():
     async def main(nursery):
         targets = await start(nursery, "t-1")
-        first = (await acquire(targets)).unwrap()
-        targets.record_notice(first, PAUSES)
-        targets.release(first, REFUSED)
+        await refuse_first(targets)
         began_s = trio.current_time()
         second = (await acquire(targets, 1, deadline_s=30.0)).unwrap()
         waited_s = trio.current_time() - began_s
@@ -103,9 +107,7 @@
 def test_a_request_whose_time_ends_before_all_pauses_is_refused_at_once():
     async def main(nursery):
         targets = await start(nursery, "t-1")
-        first = (await acquire(targets)).unwrap()
-        targets.record_notice(first, PAUSES)
-        targets.release(first, REFUSED)
+        await refuse_first(targets)
         began_s = trio.current_time()
         failure = (await acquire(targets, 1, deadline_s=PAUSE_S - 0.5)).failure()
         assert trio.current_time() == began_s
@@ -120,9 +122,7 @@
 
     async def main(nursery):
         targets = await start(nursery, "t-1")
-        first = (await acquire(targets)).unwrap()
-        targets.record_notice(first, PAUSES)
-        targets.release(first, REFUSED)
+        await refuse_first(targets)
         held, most = [], []
 
         async def run_one(number):
