--- a/src/vanillabeam/answers/attempts.py
+++ b/src/vanillabeam/answers/attempts.py
@@ -5,7 +5,7 @@
 
 from vanillabeam.exceptions import InvariantBroken, Run, VanillabeamError
 
-__all__ = ["AttemptHistory", "AttemptState"]
+__all__ = ["AttemptHistory", "AttemptState", "Exclusions"]
 
 E = TypeVar("E", bound=VanillabeamError)
 
@@ -25,6 +25,37 @@
 }
 
 
+class Exclusions:
+    """Targets that failed a request and aren't chosen for it again.
+
+    :ivar targets: their names.
+
+    >>> exclusions = Exclusions()
+    >>> exclusions.add("t-1")
+    >>> exclusions.clear_once(), exclusions.targets
+    (True, frozenset())
+    """
+
+    def __init__(self):
+        self.targets: frozenset[str] = frozenset()
+        self._is_cleared = False
+
+    def add(self, target: str) -> None:
+        """Exclude a target."""
+        self.targets |= {target}
+
+    def clear_once(self) -> bool:
+        """Make all targets eligible again, the first time; return whether any was not.
+
+        A target that failed may be the only one and may have recovered by now.
+        """
+        if not self.targets or self._is_cleared:
+            return False
+        self._is_cleared = True
+        self.targets = frozenset()
+        return True
+
+
 class AttemptHistory:
     """States of all attempts of one request.
 
--- a/src/vanillabeam/answers/callrun.py
+++ b/src/vanillabeam/answers/callrun.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from vanillabeam.admission import RetryBudget
-from vanillabeam.answers.attempts import AttemptHistory, AttemptState
+from vanillabeam.answers.attempts import AttemptHistory, AttemptState, Exclusions
 from vanillabeam.answers.exceptions import (
     AnswerLost,
     AnswerTooLarge,
@@ -197,8 +197,7 @@
         self.budget = budget
         self.attempt = 0
         self.permit: Permit | None = None
-        self.excluded: frozenset[str] = frozenset()
-        self.exclusions_cleared = False
+        self.exclusions = Exclusions()
         self.failure: VanillabeamError | None = None
         self.ended = False
 
@@ -216,7 +215,7 @@
 @handle.register
 def _(event: Start, state: CallRun, now_s: float) -> list[Effect]:
     state.budget.earn()
-    return [Acquire(state.excluded)]
+    return [Acquire(state.exclusions.targets)]
 
 
 @handle.register
@@ -235,11 +234,8 @@
 def _(event: Denied, state: CallRun, now_s: float) -> list[Effect]:
     if state.ended:
         return []
-    if state.excluded and not state.exclusions_cleared:
-        # A target that failed may be the only one and may have recovered by now.
-        state.exclusions_cleared = True
-        state.excluded = frozenset()
-        return [Acquire(state.excluded)]
+    if state.exclusions.clear_once():
+        return [Acquire(state.exclusions.targets)]
     return _fail(state, state.failure or event.failure)
 
 
@@ -315,8 +311,8 @@
         return effects + _fail(state, state.failure)
     if kind is not OutcomeKind.NOT_RUN and not state.budget.spend():
         return effects + _fail(state, RetriesDenied())
-    state.excluded |= {target}
-    return [*effects, Acquire(state.excluded)]
+    state.exclusions.add(target)
+    return [*effects, Acquire(state.exclusions.targets)]
 
 
 def _release(state: CallRun, kind: OutcomeKind) -> list[Effect]:
--- a/src/vanillabeam/answers/promptrun.py
+++ b/src/vanillabeam/answers/promptrun.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from vanillabeam.admission import RetryBudget
-from vanillabeam.answers.attempts import AttemptHistory, AttemptState
+from vanillabeam.answers.attempts import AttemptHistory, AttemptState, Exclusions
 from vanillabeam.answers.events import End, Piece
 from vanillabeam.answers.exceptions import (
     AnswerCut,
@@ -75,9 +75,7 @@
     :ivar continued: whether the current run continues an earlier one.
     :ivar continuable: whether another run could continue the answer.
     :ivar version: weight version of the answer, empty if unknown.
-    :ivar excluded: names of targets that failed.
-    :ivar exclusions_cleared: whether failed targets were made eligible again;
-        this is done once.
+    :ivar exclusions: targets that failed.
 
     >>> run = PromptRun("r1", PromptLimits(), RetryBudget())
     >>> handle(Start(), run, now_s=0.0)
@@ -100,8 +98,7 @@
         self.continuable = True
         self.last_piece_emitted = False
         self.version = ""
-        self.excluded: frozenset[str] = frozenset()
-        self.exclusions_cleared = False
+        self.exclusions = Exclusions()
         self.failure: VanillabeamError | None = None
         self.ended = False
 
@@ -129,7 +126,7 @@
 @handle.register
 def _(event: Start, state: PromptRun, now_s: float) -> list[Effect]:
     state.budget.earn()
-    return [Acquire(state.required_version, state.excluded)]
+    return [Acquire(state.required_version, state.exclusions.targets)]
 
 
 @handle.register
@@ -154,11 +151,8 @@
 def _(event: Denied, state: PromptRun, now_s: float) -> list[Effect]:
     if state.ended:
         return []
-    if state.excluded and not state.exclusions_cleared:
-        # A target that failed may be the only one and may have recovered by now.
-        state.exclusions_cleared = True
-        state.excluded = frozenset()
-        return [Acquire(state.required_version, state.excluded)]
+    if state.exclusions.clear_once():
+        return [Acquire(state.required_version, state.exclusions.targets)]
     return _give_up(state, state.failure or event.failure)
 
 
@@ -331,8 +325,8 @@
         return effects + _give_up(state, state.failure)
     if kind is not OutcomeKind.NOT_RUN and not state.budget.spend():
         return effects + _give_up(state, RetriesDenied())
-    state.excluded |= {target}
-    return [*effects, Acquire(state.required_version, state.excluded)]
+    state.exclusions.add(target)
+    return [*effects, Acquire(state.required_version, state.exclusions.targets)]
 
 
 def _stop(state: PromptRun, kind: OutcomeKind) -> list[Effect]:
