--- a/bench/pushback.py
+++ b/bench/pushback.py
@@ -18,7 +18,7 @@
 __all__ = ["LARGE", "POLICIES", "SMALL", "Scenario", "Shape", "run", "simulate"]
 
 REPORT_PERIOD_S = MIN_WAIT_S + MIN_INTERVAL_S
-#: Seconds after a target's word during which requests may still be on their way.
+#: Seconds after a notice during which requests may still be on their way.
 TRANSIT_S = 0.5
 #: Seconds for which a target that leaves goes on serving.
 LINGER_S = 2.0
@@ -233,7 +233,7 @@
         """Return the figures of the simulation.
 
         :returns: shares of calls served and served in time, refusals by targets and
-            by entry VMs, calls that reached a target against its word, and the most
+            by entry VMs, calls that reached a target against its notice, and the most
             calls that reached one target in a tenth of a second after a pause.
         """
         asked = max(1, self.counts["asked"])
@@ -242,7 +242,7 @@
             "in_time": round(self.counts["in_time"] / asked, 4),
             "refused_by_targets": self.counts["refused_by_targets"],
             "refused_by_entries": self.counts["refused_by_entries"],
-            "against_word": self.counts["against_word"],
+            "against_notice": self.counts["against_notice"],
             "most_at_once": max(self.returns.values(), default=0),
         }
 
@@ -261,8 +261,8 @@
             self.chooser.notices = _AtOnce(_NoJitter())
         if not simulation.policy.is_careful:
             self.chooser.notices = _Careless(rng)
-        #: Times at which targets said something to this VM, and until when it binds.
-        self.words: dict[str, tuple[float, float]] = {}
+        #: Times at which targets gave this VM a notice, and until when it binds.
+        self.heard: dict[str, tuple[float, float]] = {}
         offset_s = REPORT_PERIOD_S * index / len(names)
         simulation.clock.call_at(offset_s, self._exchange_reports)
 
@@ -312,7 +312,7 @@
     def _send(self, call: Call, choice: Choice) -> None:
         simulation, now_s = self.simulation, self.simulation.clock.now_s
         record, load = choice.target, self.chooser.load
-        self._count_word(record.name, now_s)
+        self._count_violation(record.name, now_s)
         target = simulation.targets.get(record.name)
         opened = load.record_start(record.name, 0, 0, now_s)
         is_counted = self.chooser.notices.record_sent(record.incarnation)
@@ -343,15 +343,15 @@
         if self.simulation.policy.reads:
             self.chooser.notices.apply(record.incarnation, notice, now_s)
         if notice.leaving:
-            self.words.setdefault(record.name, (now_s, float("inf")))
+            self.heard.setdefault(record.name, (now_s, float("inf")))
         elif notice.pause is not None:
-            self.words[record.name] = (now_s, now_s + float(notice.pause))
+            self.heard[record.name] = (now_s, now_s + float(notice.pause))
 
-    def _count_word(self, name: str, now_s: float) -> None:
-        """Count a call that reaches a target against its word or after a pause."""
-        since_s, until_s = self.words.get(name, (now_s, now_s))
+    def _count_violation(self, name: str, now_s: float) -> None:
+        """Count a call that reaches a target against its notice or after a pause."""
+        since_s, until_s = self.heard.get(name, (now_s, now_s))
         if since_s + TRANSIT_S < now_s < until_s:
-            self.simulation.counts["against_word"] += 1
+            self.simulation.counts["against_notice"] += 1
         elif until_s <= now_s < until_s + self.simulation.scenario.pause_s:
             self.simulation.returns[(name, int(now_s / BIN_S))] += 1
 
--- a/src/vanillabeam/answers/connection.py
+++ b/src/vanillabeam/answers/connection.py
@@ -71,7 +71,7 @@
 
     @property
     def notice(self) -> Notice:
-        """What the target said of itself."""
+        """Notice that the target gave of itself."""
         pause = self.get("retry-after") if self.status == UNAVAILABLE else ""
         return Notice(self.get(LEAVING_HEADER).strip() == "1", pause or None)
 
--- a/src/vanillabeam/fleet/orderrun.py
+++ b/src/vanillabeam/fleet/orderrun.py
@@ -44,7 +44,7 @@
 
 
 class Step(StrEnum):
-    """What to do next: send the order, look again later, or stop."""
+    """Next step: send the order, look again later, or stop."""
 
     SEND = "send"
     WAIT = "wait"
@@ -76,7 +76,7 @@
         self._changed_s = now_s
 
     def next_step(self, report: WeightsReport | None, now_s: float) -> Step:
-        """Return what to do next.
+        """Return the next step.
 
         :param report: the target's newest report, ``None`` if it gave none.
         """
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -80,7 +80,7 @@
 
     @property
     def answer_end(self) -> AnswerEnd:
-        """How the last answer ended."""
+        """End of the last answer."""
         return self._attempts[-1].answer_end if self._attempts else AnswerEnd()
 
     async def run(self) -> VanillabeamError | None:
--- a/src/vanillabeam/forwarding/outcomes.py
+++ b/src/vanillabeam/forwarding/outcomes.py
@@ -1,4 +1,4 @@
-"""Outcomes of one attempt, and how a target's answer ended."""
+"""Outcomes of one attempt, and the end of a target's answer."""
 
 from typing import NamedTuple
 
@@ -9,7 +9,7 @@
 
 
 class AnswerEnd(NamedTuple):
-    """How a target's answer ended.
+    """End of a target's answer.
 
     :param framing: how the end was marked; empty before the head of the answer.
     :param partial_bytes: bytes of a stream after its last complete event.
--- a/src/vanillabeam/forwarding/sending.py
+++ b/src/vanillabeam/forwarding/sending.py
@@ -31,7 +31,7 @@
 
 
 class Framing(StrEnum):
-    """How the end of an answer's body is marked (RFC 9112, 6.3).
+    """Mark of the end of an answer's body (RFC 9112, 6.3).
 
     :cvar LENGTH: by ``Content-Length``.
     :cvar CHUNKS: by an empty chunk.
@@ -55,7 +55,7 @@
 
     @property
     def framing(self) -> Framing:
-        """How the end of the body is marked."""
+        """Mark of the end of the body."""
         names = {name.lower() for name, _ in self.headers}
         if b"transfer-encoding" in names:
             return Framing.CHUNKS
--- a/src/vanillabeam/notices.py
+++ b/src/vanillabeam/notices.py
@@ -58,7 +58,7 @@
 
 
 class Notice(NamedTuple):
-    """What a target said in one answer.
+    """Statement of a target about itself in one answer.
 
     :param leaving: whether it takes no more work until it starts again.
     :param pause: value of ``Retry-After`` in a refusal; ``None`` without one.
--- a/tests/bench/test_pushback.py
+++ b/tests/bench/test_pushback.py
@@ -20,10 +20,10 @@
 
 @pytest.mark.parametrize("shape", [SMALL, LARGE], ids=["small", "large"])
 @pytest.mark.parametrize("event", [{"burst": 1.5}, {"leave_every_s": 2.0}])
-def test_nothing_is_sent_against_the_word_of_a_target(shape, event):
+def test_nothing_is_sent_against_the_notice_of_a_target(shape, event):
     scenario = Scenario(shape, duration_s=10.0, **event)
-    assert figures("product", scenario)["against_word"] == 0
-    assert figures("unread", scenario)["against_word"] > 0
+    assert figures("product", scenario)["against_notice"] == 0
+    assert figures("unread", scenario)["against_notice"] > 0
 
 
 @pytest.mark.parametrize("burst", [0.9, 1.5])
--- a/tests/forwarding/test_leaving.py
+++ b/tests/forwarding/test_leaving.py
@@ -189,7 +189,7 @@
     assert vm.left not in vm.targets_sent_to()
 
 
-def test_the_word_is_not_passed_on_to_the_caller(monkeypatch):
+def test_the_notice_is_not_passed_on_to_the_caller(monkeypatch):
     vm = EntryVm(monkeypatch)
 
     async def main():
