Move the sending of transfer orders out of the cache's shell

cache/shell.py chose blocks, ran the core of transfers, sent the orders to targets and measured what they moved. The last two are a job of their own.

cache/sending.py now holds `TransferSender`: the order and its time limit, cancelling by id, the counters of moved bytes and failures, and the moving average of bytes per token. `Cache` keeps its public names and arguments; it gives the sender the address of the store and applies the result to the core.

Behaviour is unchanged: same paths, bodies, ids, order of draws from the random generator, counters and time limit. No test was changed.

--- a/src/vanillabeam/cache/shell.py
+++ b/src/vanillabeam/cache/shell.py
@@ -1,15 +1,13 @@
 """Shell of an entry VM's block cache: lookups, imports and exports."""
 
 import random
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from contextlib import contextmanager
 from typing import NamedTuple, Protocol
 
 import trio
 from loguru import logger
-from returns.result import Failure, Result
 
-from vanillabeam import wire
 from vanillabeam.cache.blocks import BLOCK_TOKENS
 from vanillabeam.cache.costs import (
     Prices,
@@ -20,6 +18,7 @@
 from vanillabeam.cache.link import Link
 from vanillabeam.cache.lookup import LookupResult, StoreAddress, StoreLookup
 from vanillabeam.cache.placement import preferred_stores
+from vanillabeam.cache.sending import TargetCall, TransferSender
 from vanillabeam.cache.transferrecords import (
     CancelTransfer,
     EntryCountChanged,
@@ -34,14 +33,12 @@
     TargetChanged,
     TargetRef,
     Tick,
-    TransferEnded,
     TransferKind,
 )
 from vanillabeam.cache.transfers import Transfers, handle
 from vanillabeam.config import Config
-from vanillabeam.exceptions import InvariantBroken, VanillabeamError
+from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.peercall import PeerCall, PeerRoutes
-from vanillabeam.targetwire import BlockOrder, TransferReply
 
 __all__ = ["Cache", "CacheReport", "CacheSettings"]
 
@@ -51,15 +48,10 @@
 #: ``PATIENCE_S`` seconds.
 PATIENCE_FACTOR = 3.0
 PATIENCE_S = 1.0
-TRANSFER_TIMEOUT_S = 120.0
-#: Weight of a new measurement in the moving average of bytes per token.
-TOKEN_BYTES_SMOOTHING = 0.2
 #: Assumed probability that the first store is lost; scales the expected saving of
 #: a second copy.
 STORE_LOSS_PROBABILITY = 0.03
 
-TargetCall = Callable[[str, str, bytes], Awaitable[Result[bytes, VanillabeamError]]]
-
 
 class CacheSettings(NamedTuple):
     """Settings of an entry VM's block cache.
@@ -143,22 +135,12 @@
         call_target: TargetCall,
         rng: random.Random,
     ):
-        self._vm = vm
         self._settings = settings
-        self._call_target = call_target
-        self._boot = f"{rng.getrandbits(32):08x}"
+        self._sender = TransferSender(vm, call_target, rng)
         self._lookup = StoreLookup(call)
         self._state = Transfers(settings.link_bytes_s)
-        self._token_bytes: dict[str, float] = {}
         self._answers: dict[int, trio.MemorySendChannel[int]] = {}
-        self._scopes: dict[int, trio.CancelScope] = {}
         self._last_import_id = 0
-        self._moved = {
-            TransferKind.IMPORT: 0,
-            TransferKind.PREFETCH: 0,
-            TransferKind.EXPORT: 0,
-        }
-        self._failed = 0
         self.broken_invariants = 0
         self._versions: dict[str, str] = {}
         self._starts_in, self._starts_out = trio.open_memory_channel[StartTransfer](
@@ -322,15 +304,16 @@
     def report(self) -> CacheReport:
         """Return the counters for the status page and the metrics."""
         state = self._state
+        moved = self._sender.moved_bytes
         rates = {"/".join(k): link.rate_bytes_s for k, link in state.links.items()}
         return CacheReport(
             len(self._lookup.stores),
             len(state.started),
             sum(map(len, state.queued.values())),
             state.dropped_exports,
-            self._moved[TransferKind.IMPORT] + self._moved[TransferKind.PREFETCH],
-            self._moved[TransferKind.EXPORT],
-            self._failed,
+            moved[TransferKind.IMPORT] + moved[TransferKind.PREFETCH],
+            moved[TransferKind.EXPORT],
+            self._sender.failed,
             rates,
         )
 
@@ -369,9 +352,8 @@
         return self._state.link(target_ref.data_centre, store, trio.current_time())
 
     def _block_bytes(self, target_ref: TargetRef) -> int:
-        token_bytes = self._token_bytes.get(
-            target_ref.model, self._settings.token_bytes
-        )
+        assumed = self._settings.token_bytes
+        token_bytes = self._sender.token_bytes(target_ref.model, assumed)
         return max(1, int(token_bytes * BLOCK_TOKENS))
 
     @contextmanager
@@ -408,9 +390,7 @@
         if isinstance(effect, StartTransfer):
             self._starts_in.send_nowait(effect)
         elif isinstance(effect, CancelTransfer):
-            scope = self._scopes.get(effect.transfer_id)
-            if scope is not None:
-                scope.cancel()
+            self._sender.cancel(effect.transfer_id)
         elif effect.import_id in self._answers:
             self._answers[effect.import_id].send_nowait(effect.blocks)
 
@@ -422,52 +402,5 @@
     async def _move(self, start: StartTransfer) -> None:
         if start.transfer_id not in self._state.started:
             return
-        ended = TransferEnded(start.transfer_id, (), 0, 0.0)
-        try:
-            with trio.move_on_after(TRANSFER_TIMEOUT_S) as scope:
-                self._scopes[start.transfer_id] = scope
-                ended = await self._send_order(start)
-        finally:
-            del self._scopes[start.transfer_id]
-        self._failed += not ended.moved
-        self._apply_in_background(ended)
-
-    async def _send_order(self, start: StartTransfer) -> TransferEnded:
-        failed = TransferEnded(start.transfer_id, (), 0, 0.0)
-        path = (
-            "/blocks/export" if start.kind is TransferKind.EXPORT else "/blocks/import"
-        )
-        body = wire.encode(self._block_order(start))
-        answer = await self._call_target(start.target_ref.address, path, body)
-        decoded = answer.bind(lambda reply: wire.decode(TransferReply, reply))
-        if isinstance(decoded, Failure):
-            return failed
-        reply = decoded.unwrap()
-        moved = tuple(block for block in reply["blocks"] if block in start.blocks)
-        if reply["status"] not in ("done", "partial") or reply["bytes"] < 0:
-            return failed
-        self._record_transfer(start, len(moved), reply["bytes"])
-        seconds = max(0.0, reply["seconds"])
-        return TransferEnded(start.transfer_id, moved, reply["bytes"], seconds)
-
-    def _block_order(self, start: StartTransfer) -> BlockOrder:
-        target_ref = start.target_ref
-        return {
-            "transfer": f"{self._vm}-{self._boot}-{start.transfer_id}",
-            "boot_id": target_ref.boot_id,
-            "index": target_ref.index,
-            "model": target_ref.model,
-            "version": target_ref.version,
-            "store": self._lookup.stores[start.store].blocks,
-            "blocks": list(start.blocks),
-        }
-
-    def _record_transfer(self, start: StartTransfer, blocks: int, size: int) -> None:
-        self._moved[start.kind] += size
-        if not blocks or not size:
-            return
-        measured = size / blocks / BLOCK_TOKENS
-        average = self._token_bytes.setdefault(start.target_ref.model, measured)
-        self._token_bytes[start.target_ref.model] = average + TOKEN_BYTES_SMOOTHING * (
-            measured - average
-        )
+        store = self._lookup.stores[start.store]
+        self._apply_in_background(await self._sender.move(start, store.blocks))
