Move the disk tier out of the store's shell

store/shell.py ran the core and also listed, scanned, wrote and removed the files of the disk tier, with a queue and retries of its own.

`Store` keeps its public names; `find_on_disk`, `open_sink` and `chunks` pass on to the tier.

Behaviour is unchanged: same order of scans, queue, log lines, shielding and retry pause. One test reached into private names that moved (`test_an_unexpected_error_of_a_scan_wakes_all_that_wait_for_it`): it now sets them at `store._disk`; what it asserts is the same.

--- a/src/vanillabeam/store/shell.py
+++ b/src/vanillabeam/store/shell.py
@@ -1,6 +1,5 @@
 """Shell of the store: holds the bytes, runs the core and executes its effects."""
 
-import math
 import random
 from collections.abc import AsyncGenerator
 from typing import NamedTuple, TypedDict
@@ -15,19 +14,11 @@
 from vanillabeam.exceptions import InvariantBroken, NotReady, VanillabeamError
 from vanillabeam.peercall import PeerRoutes
 from vanillabeam.store.core import handle
-from vanillabeam.store.disk import (
-    BlockHeader,
-    BlockKey,
-    BlockWriter,
-    open_block,
-    parse_name,
-    remove_block,
-)
+from vanillabeam.store.disk import BlockKey
 from vanillabeam.store.files import FileLayer
 from vanillabeam.store.messages import FIND_PATH, FindReply, FindRequest
 from vanillabeam.store.records import (
     AlreadyStored,
-    BlockFound,
     ConfigUpdated,
     DropDisk,
     DropMemory,
@@ -36,7 +27,6 @@
     FindRequested,
     FindResult,
     Persist,
-    Persisted,
     ReadAccepted,
     Refused,
     Sealed,
@@ -46,20 +36,12 @@
     WriteBegun,
 )
 from vanillabeam.store.state import StoreLimits, StoreState
-from vanillabeam.store.streams import (
-    CHUNK_BYTES,
-    DiskSink,
-    MemorySink,
-    Sink,
-    disk_chunks,
-    memory_chunks,
-)
+from vanillabeam.store.streams import MemorySink, Sink, memory_chunks
+from vanillabeam.store.tier import DiskTier
 
 __all__ = ["Store", "StoreReport", "StoreSettings"]
 
 TICK_S = 1.0
-#: Pause in seconds after a block file could not be removed.
-DISK_RETRY_S = 1.0
 
 Reply = WriteAccepted | AlreadyStored | Refused | Sealed | ReadAccepted | FindResult
 
@@ -143,25 +125,19 @@
         self.state = StoreState(limits, rng)
         self.ready = False
         self.transfers = 0
-        self._files = files
         self._memory: dict[tuple[str, int], bytearray] = {}
-        self._unscanned: dict[str, BlockKey] = {}
-        self._scanning: dict[str, trio.Event] = {}
+        self._disk = DiskTier(files, self.state, self._memory, self._apply_internal)
         self._stores: tuple[str, ...] = (name,)
         self._config = Config()
         self._tags: dict[str, tuple[Workspace, str]] = {}
-        # The queue is bounded by the number of blocks: each is in it twice at most.
-        self._disk_send, self._disk_recv = trio.open_memory_channel[Persist | DropDisk](
-            math.inf
-        )
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """List the files on disk, then scan, write and expire until cancelled."""
-        await self._list_files()
+        await self._disk.list_files()
         self.ready = True
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._run_disk_queue)
-            nursery.start_soon(self._scan)
+            nursery.start_soon(self._disk.run_queue)
+            nursery.start_soon(self._disk.scan)
             nursery.start_soon(self._tick)
             task_status.started()
 
@@ -202,7 +178,7 @@
             "disk_used": state.disk_used,
             "disk_bytes": state.limits.disk_bytes,
             "writing": len(state.writing),
-            "unscanned": len(self._unscanned),
+            "unscanned": len(self._disk.unscanned),
             "counts": dict(state.counts),
         }
 
@@ -218,23 +194,13 @@
 
     async def find_on_disk(self, block_ids: list[str] | tuple[str, ...]) -> None:
         """Load the files of ``block_ids`` that the start-up scan has not reached."""
-        for block_id in block_ids:
-            if block_id in self._scanning:
-                await self._scanning[block_id].wait()
-            elif block_id in self._unscanned:
-                self._scanning[block_id] = trio.Event()
-                try:
-                    await self._scan_file(self._unscanned[block_id])
-                finally:
-                    del self._unscanned[block_id]
-                    self._scanning.pop(block_id).set()
+        await self._disk.find(block_ids)
 
     async def open_sink(self, accepted: WriteAccepted, event: WriteBegun) -> Sink:
         """Return a sink for an accepted upload; may raise ``OSError``."""
         if accepted.in_memory:
             return MemorySink(event.length)
-        header = _make_header(event, accepted.generation)
-        return await DiskSink.begin(self._files, header)
+        return await self._disk.open_sink(event, accepted.generation)
 
     def keep_data(self, accepted: WriteAccepted, sink: Sink) -> None:
         """Keep the bytes of an upload to memory that is about to be sealed."""
@@ -246,7 +212,7 @@
         key = BlockKey(accepted.block_id, accepted.generation)
         if accepted.in_memory:
             return memory_chunks(self._memory[key])
-        return disk_chunks(self._files, key)
+        return self._disk.chunks(key)
 
     def _apply_internal(self, event: Event) -> None:
         """Apply an event that no client waits for; log a broken invariant."""
@@ -260,7 +226,7 @@
         if isinstance(effect, DropMemory):
             self._memory.pop((effect.block_id, effect.generation), None)
         elif isinstance(effect, Persist | DropDisk):
-            self._disk_send.send_nowait(effect)
+            self._disk.enqueue(effect)
         else:
             return effect
         return None
@@ -286,123 +252,11 @@
             self._tags[workspace.name] = cached
         return cached[1]
 
-    async def _list_files(self) -> None:
-        if self._files is None:
-            return
-        names = await trio.to_thread.run_sync(self._files.names)
-        keys = [key for key in map(parse_name, names) if key is not None]
-        keys.sort(key=lambda key: key.generation)
-        # Parents were written before their children, so they have the lower
-        # generation and are scanned first. Of two generations of a block, the
-        # newer is scanned and the older is removed.
-        for key in keys:
-            older = self._unscanned.get(key.block_id)
-            if older is not None:
-                self._disk_send.send_nowait(DropDisk(*older))
-            self._unscanned[key.block_id] = key
-        highest = max((key.generation for key in keys), default=0)
-        self.state.next_generation = highest + 1
-        sealed = {name for name in names if parse_name(name) is not None}
-        await trio.to_thread.run_sync(self._remove_leftovers, set(names) - sealed)
-
-    def _remove_leftovers(self, names: set[str]) -> None:
-        for name in names:
-            self._files.remove(name)
-
-    async def _scan(self) -> None:
-        for block_id in list(self._unscanned):
-            await self.find_on_disk([block_id])
-
-    async def _scan_file(self, key: BlockKey) -> None:
-        # A file is scanned only once, since a second scan could restore a block
-        # that was freed in the meantime. The scan is therefore shielded: it
-        # continues if the request that started it is cancelled.
-        with trio.CancelScope(shield=True):
-            event = await trio.to_thread.run_sync(_read_block_file, self._files, key)
-        if event is not None:
-            self._apply_internal(event)
-            return
-        logger.warning("removing a damaged block file", block=key.block_id)
-        self._disk_send.send_nowait(DropDisk(*key))
-
     async def _tick(self) -> None:
         while True:
             await trio.sleep(TICK_S)
             self._apply_internal(Tick())
 
-    async def _run_disk_queue(self) -> None:
-        async for effect in self._disk_recv:
-            if isinstance(effect, Persist):
-                await self._persist(effect)
-            else:
-                await self._remove_file(effect)
-
-    async def _persist(self, effect: Persist) -> None:
-        block = self.state.find(*effect)
-        data = self._memory[effect.block_id, effect.generation]
-        event = WriteBegun(
-            block.block_id,
-            block.length,
-            block.checksum,
-            block.tokens,
-            block.parent.block_id if block.parent else "",
-        )
-        kept = True
-        try:
-            header = _make_header(event, block.generation)
-            await trio.to_thread.run_sync(_write_file, self._files, header, data)
-        except OSError as exc:
-            kept = False
-            logger.warning("failed to write a block to disk", error=repr(exc))
-        self._apply_internal(Persisted(*effect, kept=kept))
-
-    async def _remove_file(self, effect: DropDisk) -> None:
-        try:
-            await trio.to_thread.run_sync(remove_block, self._files, *effect)
-        except OSError as exc:
-            logger.warning("failed to remove a block file", error=repr(exc))
-            await trio.sleep(DISK_RETRY_S)
-
-
-def _make_header(event: WriteBegun, generation: int) -> BlockHeader:
-    return {
-        "block_id": event.block_id,
-        "generation": generation,
-        "length": event.length,
-        "checksum": event.checksum,
-        "tokens": max(1, event.tokens),
-        "parent": event.parent,
-    }
-
-
-def _write_file(files: FileLayer, header: BlockHeader, data: bytearray) -> None:
-    writer = BlockWriter(files, header)
-    try:
-        view = memoryview(data)
-        for start in range(0, len(view), CHUNK_BYTES):
-            writer.write(view[start : start + CHUNK_BYTES])
-        writer.seal()
-    except OSError:
-        writer.abandon()
-        raise
-
-
-def _read_block_file(files: FileLayer, key: BlockKey) -> BlockFound | None:
-    opened = open_block(files, key)
-    if isinstance(opened, Failure):
-        return None
-    header, file = opened.unwrap()
-    file.close()
-    return BlockFound(
-        header["block_id"],
-        header["generation"],
-        header["length"],
-        header["checksum"],
-        header["tokens"],
-        header["parent"],
-        files.age_s(f"{key.block_id}.{key.generation}.block"),
-    )
-
 
 def _release_tags(config: Config) -> frozenset[str]:
     tags = {release_tag(model.name, model.version) for model in config.models.values()}
--- a/tests/store/test_server.py
+++ b/tests/store/test_server.py
@@ -194,7 +194,7 @@
 
     async def main():
         store = Store("s1", StoreSettings(), random.Random(1), FakeFiles())
-        store._unscanned["b"] = BlockKey("b", 1)
+        store._disk.unscanned["b"] = BlockKey("b", 1)
         failures = []
 
         async def scan(key):
@@ -207,7 +207,7 @@
             except Broken as exc:
                 failures.append(exc)
 
-        monkeypatch.setattr(store, "_scan_file", scan)
+        monkeypatch.setattr(store._disk, "_scan_file", scan)
         with trio.fail_after(5):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(find)
