Move the checks of settings out of the module of their schema

settings.py held the schema of a settings file, its reading, and the checks that no schema can express: clashing ports, unreadable files, members, roles.

settingschecks.py now holds these checks.

Behaviour is unchanged: same faults in the same order. No test was changed.

--- a/src/vanillabeam/settings.py
+++ b/src/vanillabeam/settings.py
@@ -10,6 +10,7 @@
 from typing_extensions import TypedDict
 
 from vanillabeam.exceptions import SettingsInvalid
+from vanillabeam.settingschecks import KEY_FILES, all_listeners, consistency_faults
 
 __all__ = [
     "Claims",
@@ -32,9 +33,6 @@
     "schema",
 ]
 
-#: Hosts that stand for every address of the VM.
-ALL_ADDRESSES = frozenset({"0.0.0.0", "::"})
-_KEY_FILES = ("peer_key_file", "target_key_file")
 _STRICT = ConfigDict(extra="forbid", strict=True)
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
@@ -316,7 +314,7 @@
     except ValidationError as exc:
         return Failure(SettingsInvalid(faults=tuple(_schema_faults(exc))))
     _resolve_paths(cfg, folder)
-    faults = tuple(_consistency_faults(cfg))
+    faults = tuple(consistency_faults(cfg))
     if faults:
         return Failure(SettingsInvalid(faults=faults))
     return Success(cfg)
@@ -329,12 +327,12 @@
 
 
 def _resolve_paths(cfg: Settings, folder: Path) -> None:
-    for key in ("data_folder", *_KEY_FILES):
+    for key in ("data_folder", *KEY_FILES):
         if cfg[key] is not None:
             cfg[key] = str(folder / cfg[key])
     if cfg["logs"]["file"] is not None:
         cfg["logs"]["file"] = str(folder / cfg["logs"]["file"])
-    for _, listener in _all_listeners(cfg):
+    for _, listener in all_listeners(cfg):
         tls = listener["tls"]
         if tls is None:
             continue
@@ -343,80 +341,6 @@
                 tls[key] = str(folder / tls[key])
 
 
-def _all_listeners(cfg: Settings) -> Iterator[tuple[str, Listener]]:
-    for name, listener in cfg["listeners"].items():
-        yield f"listeners.{name}", listener
-    if cfg["store"] is not None:
-        yield "store.listener", cfg["store"]["listener"]
-
-
-def _consistency_faults(cfg: Settings) -> Iterator[str]:
-    yield from _port_faults(cfg)
-    yield from _file_faults(cfg)
-    yield from _member_faults(cfg)
-    yield from _role_faults(cfg)
-
-
-def _port_faults(cfg: Settings) -> Iterator[str]:
-    earlier: list[tuple[str, Listener]] = []
-    for path, listener in _all_listeners(cfg):
-        clashing = [name for name, other in earlier if _clash(listener, other)]
-        if clashing:
-            yield f"{path}.port: {listener['port']} is also {clashing[-1]}'s"
-        earlier.append((path, listener))
-
-
-def _clash(one: Listener, other: Listener) -> bool:
-    """Return whether two listeners can't both bind their addresses."""
-    if not one["port"] or one["port"] != other["port"]:
-        return False
-    hosts = {one["host"], other["host"]}
-    return len(hosts) == 1 or bool(hosts & ALL_ADDRESSES)
-
-
-def _file_faults(cfg: Settings) -> Iterator[str]:
-    paths = [(key, cfg[key]) for key in _KEY_FILES]
-    for path, listener in _all_listeners(cfg):
-        tls = listener["tls"] or {}
-        paths.extend((f"{path}.tls.{key}", tls.get(key)) for key in tls)
-    for path, name in paths:
-        if name is None:
-            continue
-        try:
-            Path(name).read_bytes()
-        except OSError as exc:
-            yield f"{path}: {name}: {exc.strerror}"
-
-
-def _member_faults(cfg: Settings) -> Iterator[str]:
-    members = cfg["control"]["members"]
-    if not members and not cfg["seeds"]:
-        yield "control.members: none; name them, or give seeds"
-    if not members and cfg["control"]["bootstrap"]:
-        yield "control.members: none; a first start needs them all"
-    if members and len(members) not in (1, 3, 5, 7):
-        yield f"control.members: {len(members)} members; allowed are 1, 3, 5 or 7"
-    known_vms = [peer["vm"] for peer in cfg["peers"]] + [cfg["vm"]]
-    for index, vm in enumerate(known_vms):
-        if vm in known_vms[:index]:
-            yield f"peers: {vm} is named twice (a VM does not list itself)"
-    for vm in members:
-        if vm not in known_vms:
-            yield f"control.members: {vm} is not among the peers"
-
-
-def _role_faults(cfg: Settings) -> Iterator[str]:
-    is_member = cfg["vm"] in cfg["control"]["members"]
-    if ("control" in cfg["roles"]) and cfg["data_folder"] is None:
-        yield "data_folder: the control role needs one"
-    if is_member and "control" not in cfg["roles"]:
-        yield f"roles: {cfg['vm']} is a control member; add control"
-    if ("store" in cfg["roles"]) != (cfg["store"] is not None):
-        yield "store: the store role and this part go together"
-    if "store" in cfg["roles"] and cfg["data_folder"] is None:
-        yield "data_folder: the store role needs one"
-
-
 def write_schema(path: Path) -> None:
     """Write the JSON Schema to ``path``."""
     path.write_text(json.dumps(schema(), indent=2, sort_keys=True) + "\n")
