Send metrics under the prefix that the settings name

The VM now hands it to its `Metrics`. Dots divide it into parts; other characters become `_` as in the other parts. Without the setting, names are what they were.

The new test failed before: 'vanillabeam.dc-1.vm-1.config_index:41|g' was sent in place of 'prod.serving_x.dc-1.vm-1.config_index:41|g'.

--- a/src/vanillabeam/metrics.py
+++ b/src/vanillabeam/metrics.py
@@ -86,8 +86,9 @@
 
     :param host: IP address of statsd; ``None`` sends nothing.
     :param port: UDP port of statsd.
-    :param data_centre: second part of each metric's name, after ``vanillabeam``.
-    :param vm: third part of each metric's name.
+    :param data_centre: part of each metric's name after the prefix.
+    :param vm: part of each metric's name after the data centre.
+    :param prefix: first part of each metric's name; dots divide it further.
     :raises SettingsInvalid: if ``host`` is not an IP address. Host names are
         not allowed because resolving them blocks the process.
 
@@ -102,14 +103,15 @@
         port: int = DEFAULT_PORT,
         data_centre: str = "",
         vm: str = "",
+        prefix: str = PREFIX,
     ):
         self._client: StatsClient | None = None
         if host is None:
             return
-        parts = (PREFIX, _sanitize(data_centre), _sanitize(vm))
-        prefix = ".".join(part for part in parts if part)
+        parts = (*prefix.split("."), data_centre, vm)
+        start = ".".join(_sanitize(part) for part in parts if part)
         ipv6 = _is_ipv6(host)
-        self._client = StatsClient(host, port, prefix=prefix, ipv6=ipv6)
+        self._client = StatsClient(host, port, prefix=start, ipv6=ipv6)
         # By default the socket blocks while the kernel's send buffer is full.
         self._client._sock.setblocking(False)
 
--- a/src/vanillabeam/settings.py
+++ b/src/vanillabeam/settings.py
@@ -220,7 +220,10 @@
 
     host: Host
     port: Annotated[Port, Field(default=8125)]
-    prefix: Annotated[str, Field(default="vanillabeam")]
+    prefix: Annotated[
+        str,
+        Field(default="vanillabeam", description="first part of each metric's name"),
+    ]
 
 
 @with_config(_STRICT)
--- a/src/vanillabeam/vm.py
+++ b/src/vanillabeam/vm.py
@@ -207,4 +207,10 @@
     settings = cfg["metrics"]
     if settings is None:
         return Metrics()
-    return Metrics(settings["host"], settings["port"], cfg["data_centre"], cfg["vm"])
+    return Metrics(
+        settings["host"],
+        settings["port"],
+        cfg["data_centre"],
+        cfg["vm"],
+        settings["prefix"],
+    )
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,8 +5,10 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from tests.builders import make_settings
 from vanillabeam.exceptions import SettingsInvalid
 from vanillabeam.metrics import Counter, Gauge, Metrics, Timer
+from vanillabeam.vm import Vm
 
 ROOT = Path(__file__).parent.parent
 PAGE = ROOT / "docs" / "metrics.md"
@@ -40,6 +42,15 @@
     assert received(statsd) == "vanillabeam.kigali-1.a1.first_token:412.500000|ms"
 
 
+# Guards against a `metrics.prefix` in the settings that changes nothing.
+def test_names_begin_with_the_prefix_of_the_settings(statsd, tmp_path):
+    host, port = statsd.getsockname()
+    daemon = {"host": host, "port": port, "prefix": "prod.serving:x"}
+    vm = Vm(make_settings(tmp_path, metrics=daemon))
+    vm.metrics.gauge(Gauge.CONFIG_INDEX, 41)
+    assert received(statsd) == "prod.serving_x.dc-1.vm-1.config_index:41|g"
+
+
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(st.text(min_size=1, max_size=40))
 def test_no_name_can_break_out_of_its_line(by):
