Remove an argument and a field that nothing uses

`Owner.next_epoch` had `min_epoch`, which no call gave: the epoch of a hand-over is merged into `epochs` before.

Behaviour is unchanged. No test named either.

Ran: pytest tests/targets (not soak), all passed; ruff clean.

--- a/src/vanillabeam/targets/blocks.py
+++ b/src/vanillabeam/targets/blocks.py
@@ -27,13 +27,11 @@
     def __init__(self):
         self.held: dict[str, None] = {}
         self.next_event = 0
-        self.incomplete = True
 
     def clear(self) -> None:
         """Remove all blocks, after a restart of the target or the loss of its cache."""
         self.held.clear()
         self.next_event = 0
-        self.incomplete = True
 
     def apply(self, message: CacheEvents) -> ApplyResult:
         """Apply events; skip those applied before and detect a gap."""
@@ -46,7 +44,6 @@
         for event in events[skip:]:
             self._change(event["kind"], event["blocks"])
         self.next_event = max(self.next_event, first + len(events))
-        self.incomplete = self.incomplete or gap
         return ApplyResult(gap)
 
     def count_leading(self, blocks: Sequence[str]) -> int:
@@ -63,7 +60,6 @@
         for event in events:
             self._change(event["kind"], event["blocks"])
         self.next_event = max(self.next_event, first + len(events))
-        self.incomplete = False
         return ApplyResult(False)
 
     def _change(self, kind: str, blocks: list[str]) -> None:
--- a/src/vanillabeam/targets/owner.py
+++ b/src/vanillabeam/targets/owner.py
@@ -148,9 +148,9 @@
         is_open = refusal is None and target.breaker.allows(now_s)
         return target.view(self.me, self.share(target, now_s), is_open, now_s)
 
-    def next_epoch(self, target: str, min_epoch: int = 0) -> int:
-        """Return an epoch above ``min_epoch`` and all known epochs of the target."""
-        epoch = max(min_epoch, self.epochs.get(target, 0), self.first_epoch) + 1
+    def next_epoch(self, target: str) -> int:
+        """Return an epoch above all known epochs of the target."""
+        epoch = max(self.epochs.get(target, 0), self.first_epoch) + 1
         self.epochs[target] = epoch
         return epoch
 
