Remove the router's count of grants, which nobody fed

It has no caller to be given: each answer of an owner brings the target's present view, which counts the grant already, and the acquirer updates the router with it; the count was dropped at that very moment.

Removed: `record_grant`, `RecentGrants`, the argument of `score`, and the call in bench/routing.py (its decisions are timed without that step from now on). Choices of the product are unchanged, as nought was added everywhere.

Tests: `test_grants_since_the_report_count_until_a_newer_view` had no other subject. In its place `test_grants_since_the_report_count_in_the_next_choice` drives two shells over calls: the entry's next choice, with no summary in between, takes the grant into account. It fails if the acquirer does not take the view from the answer (tried: `(0, 0) == (1, 5000)`). The number of tests is the same.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -226,7 +226,6 @@
     began_s = time.perf_counter()
     for number, request in enumerate(requests):
         choice = router.choose(request, (), number * 0.001)[0]
-        router.record_grant(choice.view.target, 1000.0)
         router.placements.record(choice.view.target, request.blocks)
     return DECISIONS / (time.perf_counter() - began_s)
 
--- a/src/vanillabeam/routing/router.py
+++ b/src/vanillabeam/routing/router.py
@@ -7,7 +7,7 @@
 from vanillabeam.rendezvous import weigh
 from vanillabeam.routing.placements import BlockPlacements
 from vanillabeam.routing.records import RouteRequest, TargetView
-from vanillabeam.routing.score import RecentGrants, Score, score
+from vanillabeam.routing.score import Score, score
 from vanillabeam.routing.weights import CostWeights
 
 __all__ = ["Candidate", "Router"]
@@ -41,15 +41,13 @@
         self.rng = rng
         self.views: dict[str, TargetView] = {}
         self.placements = BlockPlacements()
-        self._recent_grants: dict[str, RecentGrants] = {}
         self._targets_by_key: dict[tuple[str, str], list[str]] = {}
         self._hashes: dict[str, int] = {}
 
     def update(self, view: TargetView) -> None:
-        """Replace a target's view and discard the grants counted on the old one."""
+        """Replace a target's view."""
         previous = self.views.get(view.target)
         self.views[view.target] = view
-        self._recent_grants.pop(view.target, None)
         if previous is not None and _keys(previous) == _keys(view):
             return
         self._remove_from_index(previous)
@@ -60,16 +58,8 @@
     def remove(self, target: str) -> None:
         """Forget a target."""
         self._remove_from_index(self.views.pop(target, None))
-        self._recent_grants.pop(target, None)
         self._hashes.pop(target, None)
 
-    def record_grant(self, target: str, tokens: float) -> None:
-        """Count a grant that the target's view does not include yet."""
-        grants = self._recent_grants.get(target, RecentGrants())
-        self._recent_grants[target] = RecentGrants(
-            grants.runs + 1, grants.tokens + tokens
-        )
-
     def choose(
         self, request: RouteRequest, evacuated: Iterable[str], now_s: float
     ) -> list[Candidate]:
@@ -164,14 +154,12 @@
     ) -> Candidate:
         view = self.views[name]
         is_remote = view.data_centre != self.data_centre
-        grants = self._recent_grants.get(name, RecentGrants())
         return Candidate(
-            view, score(request, view, held, grants, self.weights, is_remote, now_s)
+            view, score(request, view, held, self.weights, is_remote, now_s)
         )
 
     def _load(self, view: TargetView) -> float:
-        grants = self._recent_grants.get(view.target, RecentGrants())
-        return (view.in_use + view.queued + grants.runs) / max(1, view.limit)
+        return (view.in_use + view.queued) / max(1, view.limit)
 
     def _load_bound(self, candidates: list[Candidate]) -> float:
         if not candidates:
--- a/src/vanillabeam/routing/score.py
+++ b/src/vanillabeam/routing/score.py
@@ -6,19 +6,12 @@
 from vanillabeam.routing.records import RouteRequest, TargetView
 from vanillabeam.routing.weights import CostWeights
 
-__all__ = ["Score", "RecentGrants", "score"]
+__all__ = ["Score", "score"]
 
 BASE_S = 0.05
 MIN_RATE_TOKENS_S = 10.0
 
 
-class RecentGrants(NamedTuple):
-    """Runs and tokens granted to this entry VM since a target's last report."""
-
-    runs: int = 0
-    tokens: float = 0.0
-
-
 class Score(NamedTuple):
     """Expected delay and cost of a request at a target; the lowest cost wins.
 
@@ -42,7 +35,6 @@
     request: RouteRequest,
     view: TargetView,
     held_blocks: int,
-    grants: RecentGrants,
     weights: CostWeights,
     is_remote: bool,
     now_s: float,
@@ -50,7 +42,6 @@
     """Return the score of ``view`` for ``request``.
 
     :param held_blocks: number of leading blocks that the target should hold.
-    :param grants: grants that the view doesn't include yet.
     :param is_remote: whether the target is in another data centre.
     """
     rate = max(MIN_RATE_TOKENS_S, view.prefill_tokens_s)
@@ -58,9 +49,8 @@
     cached = min(prompt, held_blocks * BLOCK_TOKENS)
     import_tokens, import_s = _import(request, view, cached, rate, weights)
     computed = prompt - cached - import_tokens
-    pending = view.pending_tokens + grants.tokens
-    pending = max(0.0, pending - rate * (now_s - view.seen_s))
-    wait_s = _wait_s(view, grants)
+    pending = max(0.0, view.pending_tokens - rate * (now_s - view.seen_s))
+    wait_s = _wait_s(view)
     delay_s = wait_s + pending / rate
     first_token_s = BASE_S + delay_s + import_s + computed / rate
     cost_s = first_token_s + weights.recomputed_token_s * computed
@@ -92,8 +82,8 @@
     return tokens, import_s
 
 
-def _wait_s(view: TargetView, grants: RecentGrants) -> float:
-    excess = view.in_use + view.queued + grants.runs + 1 - view.limit
+def _wait_s(view: TargetView) -> float:
+    excess = view.in_use + view.queued + 1 - view.limit
     if excess <= 0:
         return 0.0
     return excess * view.run_s / max(1, view.limit)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -32,15 +32,6 @@
     assert first(router, now_s=2.0) == "a"
 
 
-def test_grants_since_the_report_count_until_a_newer_view():
-    router = make_router([make_view("a"), make_view("b", prefill_tokens_s=900.0)])
-    assert first(router) == "a"
-    router.record_grant("a", 5000)
-    assert first(router) == "b"
-    router.update(make_view("a"))
-    assert first(router) == "a"
-
-
 def test_a_conversation_returns_to_the_target_that_holds_its_blocks():
     router = make_router([make_view("a"), make_view("b")])
     blocks = ("x", "y", "z")
--- a/tests/targets/test_shell.py
+++ b/tests/targets/test_shell.py
@@ -39,6 +39,29 @@
     run(main)
 
 
+# Guards against a choice by views from before this entry's own grants.
+def test_grants_since_the_report_count_in_the_next_choice():
+    async def main(nursery):
+        network = Network()
+        owner, entry = network.add("e1"), network.add("e2", data_centre="dc2")
+        everyone = make_entries("e1") + make_entries("e2", data_centre="dc2")
+        for shell in (owner, entry):
+            await nursery.start(shell.run)
+            shell.members_changed(everyone)
+        for _ in range(5):
+            for name in ("engine-1", "engine-2"):
+                await owner.announce(make_announcement(target=name, cold_capacity=4))
+            await trio.sleep(5.0)
+        # Neither time for a summary nor for a load report between the two requests.
+        first = (await entry.acquire(make_route_request(prompt_tokens=5000))).unwrap()
+        view = entry.router.views[first.target]
+        assert (view.in_use, view.pending_tokens) == (1, 5000)
+        second = (await entry.acquire(make_route_request())).unwrap()
+        assert second.target != first.target
+
+    run(main)
+
+
 def test_a_waiting_request_gets_a_released_permit():
     async def main(nursery):
         targets = await start_one(nursery, cold_capacity=1, capacity=1)
