Derive the time for which ended leases are reported from their kept time

A lease keeper keeps an ended lease for 35 s, and ready reports name it for 45 s; the two figures stood in two modules without their relation. A lease that is kept but not named lowers the count of ready targets, so reports must name it for longer. orders/leases.py now holds the kept time, the margin of 10 s, and the reported time as their sum.

Behaviour is unchanged: both times are what they were. No test was changed.

Ran: pytest tests/orders (not soak), all passed; ruff clean.

--- a/src/vanillabeam/orders/counts.py
+++ b/src/vanillabeam/orders/counts.py
@@ -1,13 +1,11 @@
 """Counts of ready targets, from which lease keepers enforce ``min_ready``."""
 
 from vanillabeam.orders.desired import counts_as_ready
+from vanillabeam.orders.leases import ENDED_LEASE_REPORTED_S
 from vanillabeam.orders.state import OrdersState, Phase
 
 __all__ = ["accounted_leases", "ready_counts"]
 
-#: Time for which ready reports still name a lease that has ended.
-ENDED_LEASE_REPORTED_S = 45.0
-
 #: Phases in which a target may be loading or out of service.
 BUSY_PHASES = (Phase.ORDERING, Phase.CONFIRMING)
 
--- a/src/vanillabeam/orders/leases.py
+++ b/src/vanillabeam/orders/leases.py
@@ -9,7 +9,14 @@
 from vanillabeam.exceptions import InvariantBroken, VanillabeamError
 from vanillabeam.orders.exceptions import FloorReached, LoadsLimited, NotLeaseKeeper
 
-__all__ = ["LEASE_S", "LeaseRequest", "LeaseReply", "LeaseTable", "ReadyReport"]
+__all__ = [
+    "ENDED_LEASE_REPORTED_S",
+    "LEASE_S",
+    "LeaseReply",
+    "LeaseRequest",
+    "LeaseTable",
+    "ReadyReport",
+]
 
 #: Targets that may load from one weight store at once, in the whole fleet.
 LOADS_PER_STORE = 2
@@ -23,6 +30,11 @@
 #: Time for which an ended lease is kept: reports that do not list it are too old
 #: to count by then.
 ENDED_LEASE_KEPT_S = 35.0
+#: Time by which reports name an ended lease longer than its keeper keeps it: a
+#: lease that is kept but not named lowers the count of ready targets.
+ENDED_LEASE_MARGIN_S = 10.0
+#: Time for which ready reports still name a lease that has ended.
+ENDED_LEASE_REPORTED_S = ENDED_LEASE_KEPT_S + ENDED_LEASE_MARGIN_S
 
 
 class LeaseRequest(TypedDict):
