Let one loop evict blocks for disk, memory and quota

`_evict_until_it_fits` now holds it, given the limit, the bytes in use and how candidates are drawn.

Behaviour is unchanged: same limits, same draws in the same order, same counts and effects. No test was changed.

--- a/src/vanillabeam/store/eviction.py
+++ b/src/vanillabeam/store/eviction.py
@@ -4,6 +4,8 @@
 sample is evicted, provided that its value is below that of the new block.
 """
 
+from collections.abc import Callable
+
 from vanillabeam.store.records import Block, BlockState, DropMemory, Effect
 from vanillabeam.store.state import StoreState, adjust_usage, retire
 
@@ -54,14 +56,15 @@
     :returns: whether ``block`` fits on disk. Blocks evicted before a failure
         stay evicted.
     """
-    limit = min(state.disk_limit, state.limits.disk_bytes)
-    if block.length > limit:
-        return False
-    while state.disk_used + block.length > limit:
-        candidates = [leaf for leaf in sample_leaves(state) if leaf.on_disk]
-        if not _evict_one(state, block, candidates, now_s, effects):
-            return False
-    return True
+    return _evict_until_it_fits(
+        state,
+        block,
+        min(state.disk_limit, state.limits.disk_bytes),
+        lambda: state.disk_used,
+        lambda: [leaf for leaf in sample_leaves(state) if leaf.on_disk],
+        now_s,
+        effects,
+    )
 
 
 def evict_from_memory(
@@ -76,14 +79,15 @@
     :returns: whether ``block`` fits in memory. Blocks evicted before a failure
         stay evicted.
     """
-    limit = state.limits.memory_bytes
-    if block.length > limit:
-        return False
-    while state.memory_used + block.length > limit:
-        candidates = [leaf for leaf in sample_leaves(state) if leaf.in_memory]
-        if not _evict_one(state, block, candidates, now_s, effects):
-            return False
-    return True
+    return _evict_until_it_fits(
+        state,
+        block,
+        state.limits.memory_bytes,
+        lambda: state.memory_used,
+        lambda: [leaf for leaf in sample_leaves(state) if leaf.in_memory],
+        now_s,
+        effects,
+    )
 
 
 def evict_for_quota(
@@ -98,15 +102,15 @@
     quota = (state.quotas or {}).get(block.workspace, 0)
     if not quota:
         return True
-    if block.length > quota:
-        return False
-    while state.used[block.workspace] + block.length > quota:
-        leaves = state.leaves.get(block.workspace)
-        sampled = leaves.sample(SAMPLED_BLOCKS, state.rng) if leaves else []
-        candidates = [leaf for leaf in sampled if _is_evictable(leaf)]
-        if not _evict_one(state, block, candidates, now_s, effects):
-            return False
-    return True
+    return _evict_until_it_fits(
+        state,
+        block,
+        quota,
+        lambda: state.used[block.workspace],
+        lambda: _sample_workspace(state, block.workspace),
+        now_s,
+        effects,
+    )
 
 
 def trim_workspace(
@@ -132,6 +136,28 @@
     return sum(block.length for block in blocks if block.workspace == workspace)
 
 
+def _evict_until_it_fits(
+    state: StoreState,
+    block: Block,
+    limit: int,
+    used: Callable[[], int],
+    sample: Callable[[], list[Block]],
+    now_s: float,
+    effects: list[Effect],
+) -> bool:
+    """Evict less valuable blocks until ``block`` fits in ``limit`` bytes.
+
+    :param used: returns the bytes that count towards ``limit``.
+    :param sample: draws the candidates of one eviction.
+    """
+    if block.length > limit:
+        return False
+    while used() + block.length > limit:
+        if not _evict_one(state, block, sample(), now_s, effects):
+            return False
+    return True
+
+
 def _evict_one(
     state: StoreState,
     block: Block,
@@ -169,6 +195,12 @@
     return [leaf for leaf in leaves if _is_evictable(leaf)]
 
 
+def _sample_workspace(state: StoreState, workspace: str) -> list[Block]:
+    leaves = state.leaves.get(workspace)
+    sampled = leaves.sample(SAMPLED_BLOCKS, state.rng) if leaves else []
+    return [leaf for leaf in sampled if _is_evictable(leaf)]
+
+
 def _sample_memory_copies(state: StoreState) -> list[Block]:
     sampled = state.memory.sample(SAMPLED_BLOCKS, state.rng)
     return [copy for copy in sampled if copy.on_disk and _is_evictable(copy)]
