Let one function end a command that failed

`unwrap_or_exit` in cli/client.py now holds them.

Behaviour is unchanged: same output and exit codes. No test was changed.

--- a/src/vanillabeam/cli/client.py
+++ b/src/vanillabeam/cli/client.py
@@ -2,7 +2,7 @@
 
 import ssl
 from pathlib import Path
-from typing import Annotated, Any, NamedTuple, NoReturn
+from typing import Annotated, Any, NamedTuple, NoReturn, TypeVar
 
 import httpcore
 import msgspec
@@ -27,8 +27,11 @@
     "OperatorClient",
     "exit_with",
     "print_json",
+    "unwrap_or_exit",
 ]
 
+T = TypeVar("T")
+
 CONNECT_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 60.0
 
@@ -131,6 +134,13 @@
     raise typer.Exit(_exit_code(exc))
 
 
+def unwrap_or_exit(result: Result[T, VanillabeamError], as_json: bool = False) -> T:
+    """Return the value of ``result``, or exit as :func:`exit_with` does."""
+    if isinstance(result, Failure):
+        exit_with(result.failure(), as_json)
+    return result.unwrap()
+
+
 def print_json(document: Any) -> None:
     """Print ``document`` as indented JSON."""
     text = msgspec.json.format(msgspec.json.encode(document), indent=2)
--- a/src/vanillabeam/cli/data.py
+++ b/src/vanillabeam/cli/data.py
@@ -4,9 +4,13 @@
 from typing import Annotated
 
 import typer
-from returns.result import Failure
 
-from vanillabeam.cli.client import EXIT_REFUSED, JsonOption, exit_with, print_json
+from vanillabeam.cli.client import (
+    EXIT_REFUSED,
+    JsonOption,
+    print_json,
+    unwrap_or_exit,
+)
 from vanillabeam.log.check import GroupCheck, check as check_folder, show as show_group
 from vanillabeam.log.records import Entry
 
@@ -39,10 +43,8 @@
     as_json: JsonOption = False,
 ) -> None:
     """Show the contents of a log's files, without the commands and their secrets."""
-    result = show_group(folder, group)
-    if isinstance(result, Failure):
-        exit_with(result.failure(), as_json)
-    view = result.unwrap() | {"entries": _format_entries(result.unwrap()["entries"])}
+    view = unwrap_or_exit(show_group(folder, group), as_json)
+    view = view | {"entries": _format_entries(view["entries"])}
     if as_json:
         print_json(view)
         return
--- a/src/vanillabeam/cli/reports.py
+++ b/src/vanillabeam/cli/reports.py
@@ -4,7 +4,6 @@
 from typing import Annotated
 
 import typer
-from returns.result import Failure
 from rich.console import Console
 
 from vanillabeam.burn import html_page, text_report
@@ -14,8 +13,8 @@
     JsonOption,
     KeyOption,
     OperatorClient,
-    exit_with,
     print_json,
+    unwrap_or_exit,
 )
 
 __all__ = ["app"]
@@ -40,9 +39,7 @@
 ) -> None:
     """Show how fast the error budgets of the objectives burn, over all VMs."""
     result = OperatorClient(address, key_file, ca).get("/operator/burn")
-    if isinstance(result, Failure):
-        exit_with(result.failure(), as_json)
-    document = result.unwrap()
+    document = unwrap_or_exit(result, as_json)
     if html is not None:
         html.write_text(html_page(document))
         typer.echo(f"wrote {html}")
--- a/src/vanillabeam/cli/settings.py
+++ b/src/vanillabeam/cli/settings.py
@@ -4,9 +4,8 @@
 from typing import Annotated
 
 import typer
-from returns.result import Failure
 
-from vanillabeam.cli.client import JsonOption, exit_with, print_json
+from vanillabeam.cli.client import JsonOption, print_json, unwrap_or_exit
 from vanillabeam.settings import load, schema
 
 __all__ = ["app"]
@@ -20,10 +19,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """Check a settings file and report all errors at once."""
-    result = load(file)
-    if isinstance(result, Failure):
-        exit_with(result.failure(), as_json)
-    cfg = result.unwrap()
+    cfg = unwrap_or_exit(load(file), as_json)
     if as_json:
         print_json(cfg)
     else:
--- a/src/vanillabeam/cli/status.py
+++ b/src/vanillabeam/cli/status.py
@@ -3,7 +3,6 @@
 from datetime import UTC, datetime
 
 import typer
-from returns.result import Failure
 from rich.console import Console
 from rich.table import Table
 
@@ -13,8 +12,8 @@
     JsonOption,
     KeyOption,
     OperatorClient,
-    exit_with,
     print_json,
+    unwrap_or_exit,
 )
 
 __all__ = ["status"]
@@ -62,9 +61,7 @@
 ) -> None:
     """Show the logs, VMs and targets of the system as the called VM sees them."""
     result = OperatorClient(address, key_file, ca).get("/operator/status")
-    if isinstance(result, Failure):
-        exit_with(result.failure(), as_json)
-    document = result.unwrap()
+    document = unwrap_or_exit(result, as_json)
     if as_json:
         print_json(document)
         return
--- a/src/vanillabeam/cli/tickets.py
+++ b/src/vanillabeam/cli/tickets.py
@@ -5,7 +5,6 @@
 from typing import Annotated
 
 import typer
-from returns.result import Failure
 from rich.console import Console
 from rich.table import Table
 
@@ -16,8 +15,8 @@
     JsonOption,
     KeyOption,
     OperatorClient,
-    exit_with,
     print_json,
+    unwrap_or_exit,
 )
 
 __all__ = ["app"]
@@ -38,9 +37,7 @@
     """Send a ticket; it is safe to send the same ticket again."""
     client = OperatorClient(address, key_file, ca)
     result = client.post("/operator/tickets", file.read_bytes())
-    if isinstance(result, Failure):
-        exit_with(result.failure(), as_json)
-    answer = result.unwrap()
+    answer = unwrap_or_exit(result, as_json)
     if as_json:
         print_json(answer)
     else:
@@ -57,12 +54,11 @@
 ) -> None:
     """Show the state of a ticket."""
     result = OperatorClient(address, key_file, ca).get(f"/operator/tickets/{number}")
-    if isinstance(result, Failure):
-        exit_with(result.failure(), as_json)
+    document = unwrap_or_exit(result, as_json)
     if as_json:
-        print_json(result.unwrap())
+        print_json(document)
         return
-    for name, value in result.unwrap().items():
+    for name, value in document.items():
         typer.echo(f"{name}: {value}")
 
 
@@ -80,9 +76,7 @@
     deadline_s = time.monotonic() + timeout_s
     while True:
         result = client.get(f"/operator/tickets/{number}/vms")
-        if isinstance(result, Failure):
-            exit_with(result.failure(), as_json)
-        answer = result.unwrap()
+        answer = unwrap_or_exit(result, as_json)
         if answer["in_force"] or time.monotonic() >= deadline_s:
             break
         time.sleep(POLL_S)
--- a/src/vanillabeam/cli/traces.py
+++ b/src/vanillabeam/cli/traces.py
@@ -3,7 +3,6 @@
 from typing import Annotated
 
 import typer
-from returns.result import Failure
 from rich.console import Console
 from rich.table import Table
 
@@ -13,8 +12,8 @@
     JsonOption,
     KeyOption,
     OperatorClient,
-    exit_with,
     print_json,
+    unwrap_or_exit,
 )
 
 __all__ = ["trace"]
@@ -30,12 +29,10 @@
     """Show ticket index, target, version, attempts and timings of a request."""
     client = OperatorClient(address, key_file, ca)
     result = client.get(f"/operator/traces/{request_id}")
-    if isinstance(result, Failure):
-        exit_with(result.failure(), as_json)
+    document = unwrap_or_exit(result, as_json)
     if as_json:
-        print_json(result.unwrap())
+        print_json(document)
         return
-    document = result.unwrap()
     attempts = document.pop("attempts", [])
     for name, value in document.items():
         if value not in (None, ""):
