Let prompts and calls share the state of a request's attempts

Both modules still offer the events under their names. What differs stays apart: what ends a run, resumes, continuations.

Behaviour is unchanged: same effects, failures and draws on the retry budget in the same order. Tests: three cases in tests/answers/test_random.py break `AttemptHistory` on purpose and did so in the modules that built it; they failed for want of that name. They now break it in requestrun, where both cores build it, for the same walks, and still find the fault.

--- a/src/vanillabeam/answers/callrun.py
+++ b/src/vanillabeam/answers/callrun.py
@@ -9,13 +9,18 @@
 from typing import NamedTuple
 
 from vanillabeam.admission import RetryBudget
-from vanillabeam.answers.attempts import AttemptHistory, AttemptState, Exclusions
 from vanillabeam.answers.exceptions import (
     AnswerLost,
     AnswerTooLarge,
     CallNotRepeated,
-    RetriesDenied,
-    TargetRefused,
+)
+from vanillabeam.answers.requestrun import (
+    DeadlinePassed,
+    Denied,
+    Granted,
+    Release,
+    RequestRun,
+    Start,
 )
 from vanillabeam.config import Repeats
 from vanillabeam.exceptions import DeadlineExceeded, InvariantBroken, VanillabeamError
@@ -48,22 +53,6 @@
 MAX_ATTEMPTS = 4
 
 
-class Start(NamedTuple):
-    """The call was admitted and, if required, its idempotency key was claimed."""
-
-
-class Granted(NamedTuple):
-    """A permit was granted."""
-
-    permit: Permit
-
-
-class Denied(NamedTuple):
-    """No permit could be granted."""
-
-    failure: VanillabeamError
-
-
 class Sent(NamedTuple):
     """The first byte of the request is about to be sent."""
 
@@ -105,10 +94,6 @@
     detail: str
 
 
-class DeadlinePassed(NamedTuple):
-    """The call's deadline has passed."""
-
-
 class Acquire(NamedTuple):
     """Request a permit.
 
@@ -125,13 +110,6 @@
     permit: Permit
 
 
-class Release(NamedTuple):
-    """Release a permit."""
-
-    permit: Permit
-    kind: OutcomeKind
-
-
 class Deliver(NamedTuple):
     """Deliver the answer to the caller."""
 
@@ -181,7 +159,7 @@
     return bool(key) and not is_safe(method) and repeats is not Repeats.SAFE
 
 
-class CallRun:
+class CallRun(RequestRun):
     """State of one call.
 
     :param repeatable: result of :func:`may_repeat`.
@@ -193,13 +171,8 @@
     """
 
     def __init__(self, repeatable: bool, budget: RetryBudget):
-        self.history = AttemptHistory(repeatable)
-        self.budget = budget
+        super().__init__(repeatable, budget)
         self.attempt = 0
-        self.permit: Permit | None = None
-        self.exclusions = Exclusions()
-        self.failure: VanillabeamError | None = None
-        self.ended = False
 
 
 @singledispatch
@@ -257,8 +230,7 @@
 def _(event: Refused, state: CallRun, now_s: float) -> list[Effect]:
     if not _is_current(event.attempt, state):
         return []
-    state.history.mark_refused()
-    state.failure = TargetRefused(event.type)
+    state.record_refusal(event.type)
     return _try_other_target(state, OutcomeKind.NOT_RUN)
 
 
@@ -282,8 +254,7 @@
 def _(event: Lost, state: CallRun, now_s: float) -> list[Effect]:
     if not _is_current(event.attempt, state):
         return []
-    if state.history.states[-1] is AttemptState.NOT_SENT:
-        state.failure = state.failure or TargetRefused("no connection")
+    if state.record_unsent_loss():
         return _try_other_target(state, OutcomeKind.NOT_RUN)
     if not state.history.repeatable:
         released = _release(state, OutcomeKind.FAILED)
@@ -307,11 +278,9 @@
 def _try_other_target(state: CallRun, kind: OutcomeKind) -> list[Effect]:
     target = state.permit.target
     effects = _release(state, kind)
-    if state.attempt >= MAX_ATTEMPTS:
-        return effects + _fail(state, state.failure)
-    if kind is not OutcomeKind.NOT_RUN and not state.budget.spend():
-        return effects + _fail(state, RetriesDenied())
-    state.exclusions.add(target)
+    denial = state.deny_retry(target, kind, state.attempt, MAX_ATTEMPTS)
+    if denial is not None:
+        return effects + _fail(state, denial)
     return [*effects, Acquire(state.exclusions.targets)]
 
 
--- a/src/vanillabeam/answers/promptevents.py
+++ b/src/vanillabeam/answers/promptevents.py
@@ -3,8 +3,15 @@
 from typing import NamedTuple
 
 from vanillabeam.answers.events import End, Piece
+from vanillabeam.answers.requestrun import (
+    DeadlinePassed,
+    Denied,
+    Granted,
+    Release,
+    Start,
+)
 from vanillabeam.exceptions import VanillabeamError
-from vanillabeam.targets import OutcomeKind, Permit
+from vanillabeam.targets import Permit
 
 __all__ = [
     "Acquire",
@@ -34,22 +41,6 @@
 ]
 
 
-class Start(NamedTuple):
-    """The request was admitted."""
-
-
-class Granted(NamedTuple):
-    """A permit was granted."""
-
-    permit: Permit
-
-
-class Denied(NamedTuple):
-    """No permit could be granted."""
-
-    failure: VanillabeamError
-
-
 class Sent(NamedTuple):
     """The first byte of the request is about to be sent."""
 
@@ -118,10 +109,6 @@
     """The caller closed its connection."""
 
 
-class DeadlinePassed(NamedTuple):
-    """The request's deadline has passed."""
-
-
 class Acquire(NamedTuple):
     """Request a permit.
 
@@ -187,13 +174,6 @@
     permit: Permit
 
 
-class Release(NamedTuple):
-    """Release a permit."""
-
-    permit: Permit
-    kind: OutcomeKind
-
-
 class Close(NamedTuple):
     """Close a connection."""
 
--- a/src/vanillabeam/answers/promptrun.py
+++ b/src/vanillabeam/answers/promptrun.py
@@ -9,15 +9,13 @@
 from typing import NamedTuple
 
 from vanillabeam.admission import RetryBudget
-from vanillabeam.answers.attempts import AttemptHistory, AttemptState, Exclusions
+from vanillabeam.answers.attempts import AttemptState
 from vanillabeam.answers.events import End, Piece
 from vanillabeam.answers.exceptions import (
     AnswerCut,
     AnswerLost,
     CallerDisconnected,
     PromptRejected,
-    RetriesDenied,
-    TargetRefused,
 )
 from vanillabeam.answers.promptevents import (
     Acquire,
@@ -46,8 +44,9 @@
     TokenLimitReached,
 )
 from vanillabeam.answers.reorder import ReorderBuffer
+from vanillabeam.answers.requestrun import RequestRun
 from vanillabeam.exceptions import DeadlineExceeded, InvariantBroken, VanillabeamError
-from vanillabeam.targets import OutcomeKind, Permit
+from vanillabeam.targets import OutcomeKind
 
 __all__ = ["PromptLimits", "PromptRun", "abort", "handle"]
 
@@ -65,7 +64,7 @@
     max_resumes: int = 2
 
 
-class PromptRun:
+class PromptRun(RequestRun):
     """State of one prompt.
 
     :param budget: retry budget of all requests of this VM.
@@ -75,7 +74,6 @@
     :ivar continued: whether the current run continues an earlier one.
     :ivar continuable: whether another run could continue the answer.
     :ivar version: weight version of the answer, empty if unknown.
-    :ivar exclusions: targets that failed.
 
     >>> run = PromptRun("r1", PromptLimits(), RetryBudget())
     >>> handle(Start(), run, now_s=0.0)
@@ -83,24 +81,19 @@
     """
 
     def __init__(self, request_id: str, limits: PromptLimits, budget: RetryBudget):
+        super().__init__(repeatable=True, budget=budget)
         self.request_id = request_id
         self.limits = limits
-        self.budget = budget
-        self.history = AttemptHistory(repeatable=True)
         self.connection_id = 0
         self.attempts = 0
         self.fruitless_resumes = 0
         self.total_resumes = 0
-        self.permit: Permit | None = None
         self.reorder_buffer = ReorderBuffer()
         self.emitted_pieces = 0
         self.continued = False
         self.continuable = True
         self.last_piece_emitted = False
         self.version = ""
-        self.exclusions = Exclusions()
-        self.failure: VanillabeamError | None = None
-        self.ended = False
 
     @property
     def required_version(self) -> str:
@@ -167,8 +160,7 @@
 def _(event: Refused, state: PromptRun, now_s: float) -> list[Effect]:
     if not _is_current(event.connection_id, state):
         return []
-    state.history.mark_refused()
-    state.failure = TargetRefused(event.type)
+    state.record_refusal(event.type)
     return _try_other_target(state, OutcomeKind.NOT_RUN)
 
 
@@ -215,8 +207,7 @@
 def _(event: Lost, state: PromptRun, now_s: float) -> list[Effect]:
     if not _is_current(event.connection_id, state):
         return []
-    if state.history.states[-1] is AttemptState.NOT_SENT:
-        state.failure = state.failure or TargetRefused("no connection")
+    if state.record_unsent_loss():
         return _try_other_target(state, OutcomeKind.NOT_RUN)
     return _resume(state, event.detail)
 
@@ -321,11 +312,9 @@
     effects = _stop(state, kind)
     if state.emitted_pieces and not state.continuable:
         return effects + _give_up(state, AnswerCut("it can't be continued"))
-    if state.attempts >= state.limits.max_attempts:
-        return effects + _give_up(state, state.failure)
-    if kind is not OutcomeKind.NOT_RUN and not state.budget.spend():
-        return effects + _give_up(state, RetriesDenied())
-    state.exclusions.add(target)
+    denial = state.deny_retry(target, kind, state.attempts, state.limits.max_attempts)
+    if denial is not None:
+        return effects + _give_up(state, denial)
     return [*effects, Acquire(state.required_version, state.exclusions.targets)]
 
 
--- a/tests/answers/test_random.py
+++ b/tests/answers/test_random.py
@@ -16,7 +16,7 @@
 )
 
 from tests.answers.simulations import CallSimulation, PromptSimulation
-from vanillabeam.answers import callrun, promptrun
+from vanillabeam.answers import promptrun, requestrun
 from vanillabeam.answers.attempts import AttemptHistory
 from vanillabeam.answers.reorder import ReorderBuffer
 from vanillabeam.exceptions import InvariantBroken, Run
@@ -138,16 +138,14 @@
     assert find_seed(prompt_walk, BROKEN_SEEDS) is not None
 
 
-@pytest.mark.parametrize(
-    ("module", "walk"), [(promptrun, prompt_walk), (callrun, call_walk)]
-)
-def test_random_walks_find_a_false_not_run(module, walk, monkeypatch):
-    monkeypatch.setattr(module, "AttemptHistory", ReportsNotRun)
+@pytest.mark.parametrize("walk", [prompt_walk, call_walk])
+def test_random_walks_find_a_false_not_run(walk, monkeypatch):
+    monkeypatch.setattr(requestrun, "AttemptHistory", ReportsNotRun)
     assert find_seed(walk, BROKEN_SEEDS) is not None
 
 
 def test_random_walks_find_a_call_sent_twice(monkeypatch):
-    monkeypatch.setattr(callrun, "AttemptHistory", AllowsSecondAttempt)
+    monkeypatch.setattr(requestrun, "AttemptHistory", AllowsSecondAttempt)
     assert find_seed(call_walk, BROKEN_SEEDS) is not None
 
 
