Let one function request the permit of an attempt

Behaviour is unchanged: same route, deadline and events; no new checkpoint lies between a granted permit and its event. No test was changed.

--- a/src/vanillabeam/answers/answer.py
+++ b/src/vanillabeam/answers/answer.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 from loguru import logger
-from returns.result import Failure, Success
+from returns.result import Failure
 
 from vanillabeam.admission import RetryBudget
 from vanillabeam.answers import promptevents as pe
@@ -23,6 +23,7 @@
 )
 from vanillabeam.answers.events import DONE, KEEP_ALIVE, EventReader, Piece
 from vanillabeam.answers.exceptions import AnswerTooLarge, CallerDisconnected
+from vanillabeam.answers.permits import request_permit
 from vanillabeam.answers.promptrun import PromptLimits, PromptRun, abort, handle
 from vanillabeam.answers.promptwire import (
     Usage,
@@ -49,7 +50,6 @@
 PROBLEM_LIMIT_BYTES = 64 * 1024
 EVENT_STREAM = "text/event-stream"
 JSON = "application/json"
-RUN_HEADER = "vanillabeam-run"
 VERSION_HEADER = "vanillabeam-model-version"
 #: Effects that are performed even if the prompt is aborted.
 CLEANUP_EFFECTS = pe.Close | pe.Cancel | pe.Release
@@ -205,19 +205,12 @@
         self._effects.extend(handle(event, self._run, trio.current_time()))
 
     async def _acquire(self, effect: pe.Acquire) -> None:
-        route = self.request.route._replace(
-            excluded=self.request.route.excluded | effect.excluded,
-            version=effect.version or self.request.route.version,
-            deadline_s=self.deadline_at_s - trio.current_time(),
+        route = self.request.route
+        route = route._replace(version=effect.version or route.version)
+        event = await request_permit(
+            self._deps.acquire, route, effect.excluded, self.deadline_at_s
         )
-        with trio.move_on_at(self.deadline_at_s) as scope:
-            result = await self._deps.acquire(route)
-        if scope.cancelled_caught:
-            self._handle(pe.DeadlinePassed())
-        elif isinstance(result, Success):
-            self._handle(pe.Granted(result.unwrap()))
-        else:
-            self._handle(pe.Denied(result.failure()))
+        self._handle(event)
 
     async def _send(self, effect: pe.Send) -> None:
         self._sent_s = trio.current_time()
@@ -243,7 +236,7 @@
             )
             return
         detail = await self._connection.read_all(PROBLEM_LIMIT_BYTES) or b""
-        if head.get(RUN_HEADER) == Run.NOT_RUN:
+        if head.refused:
             self._handle(pe.Refused(effect.connection_id, problem_type(detail)))
         else:
             text = detail.decode(errors="replace")
--- a/src/vanillabeam/answers/call.py
+++ b/src/vanillabeam/answers/call.py
@@ -22,6 +22,7 @@
     Head,
     Request,
 )
+from vanillabeam.answers.permits import request_permit
 from vanillabeam.answers.promptwire import problem_type
 from vanillabeam.answers.records import (
     Acquire,
@@ -39,7 +40,6 @@
 __all__ = ["Call", "CallDependencies", "CallTimeouts"]
 
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
-RUN_HEADER = "vanillabeam-run"
 #: Headers of a target's answer that are meant for this VM only.
 DROPPED_HEADERS = frozenset({"content-length", LEAVING_HEADER})
 
@@ -171,18 +171,10 @@
                 self._result = Failure(effect.failure)
 
     async def _acquire(self, effect: cr.Acquire) -> None:
-        route = self.request.route._replace(
-            excluded=self.request.route.excluded | effect.excluded,
-            deadline_s=self._send_by_s - trio.current_time(),
+        event = await request_permit(
+            self._deps.acquire, self.request.route, effect.excluded, self._send_by_s
         )
-        with trio.move_on_at(self._send_by_s) as scope:
-            result = await self._deps.acquire(route)
-        if scope.cancelled_caught:
-            self._handle(cr.DeadlinePassed())
-        elif isinstance(result, Success):
-            self._handle(cr.Granted(result.unwrap()))
-        else:
-            self._handle(cr.Denied(result.failure()))
+        self._handle(event)
 
     async def _send(self, effect: cr.Send) -> None:
         run_id = f"{self.request.route.request_id}-{effect.attempt}"
@@ -207,7 +199,7 @@
             self._handle(cr.Lost(attempt, connection.error))
             return
         self._deps.notices.record_notice(effect.permit, self.head.notice)
-        refused = self.head.get(RUN_HEADER) == Run.NOT_RUN
+        refused = self.head.refused
         if not refused:
             self._handle(cr.HeadReceived(attempt))
         body = await connection.read_all(ANSWER_LIMIT_BYTES)
--- a/src/vanillabeam/answers/connection.py
+++ b/src/vanillabeam/answers/connection.py
@@ -13,6 +13,7 @@
 import trio
 
 from vanillabeam.addresses import split_address
+from vanillabeam.exceptions import Run
 from vanillabeam.notices import Notice
 
 __all__ = ["Connection", "ConnectionTimeouts", "Head", "Request"]
@@ -23,6 +24,8 @@
 SENDING_EVENT = "http11.send_request_headers.started"
 #: Header of any answer of a target that leaves.
 LEAVING_HEADER = "vanillabeam-leaving"
+#: Header in which a target says whether the request ran.
+RUN_HEADER = "vanillabeam-run"
 UNAVAILABLE = 503
 CONNECTION_ERRORS = (
     httpcore.NetworkError,
@@ -69,6 +72,11 @@
         """Return the value of header ``name``, or an empty string."""
         return next((value for key, value in self.headers if key == name), "")
 
+    @property
+    def refused(self) -> bool:
+        """Whether the target says that it did not run the request."""
+        return self.get(RUN_HEADER) == Run.NOT_RUN
+
     @property
     def notice(self) -> Notice:
         """Notice that the target gave of itself."""
