Let only the initial VMs found a group

Cause: a control VM that starts with the system and is none of the seeds counted itself among the initial VMs. Sorted before the seeds it founded beside the first of them; each of the two had then promised the other not to, so neither did.

Change: the initial VMs are the seeds, on every VM. A VM that is none of them joins.

--- a/src/vanillabeam/log/bootstrap.py
+++ b/src/vanillabeam/log/bootstrap.py
@@ -2,7 +2,8 @@
 
 A single VM, the first of the initial VMs by name, bootstraps the group, and only
 if every other initial VM replies that it belongs to no group. All other VMs join
-as learners.
+as learners, also those that start with the system and are no initial VMs: all VMs
+must have the same list, or two of them would each wait for the other's group.
 """
 
 import secrets
@@ -38,7 +39,7 @@
 
     :param group: name of the group.
     :param me: this VM.
-    :param initial: VMs of the group's initial membership.
+    :param initial: VMs of the group's initial membership; this VM alone if empty.
     :param bootstrap: whether the settings allow this VM to bootstrap the group.
     :param loop: loop of this VM's replica.
     :param client: sends join requests to the group's leader.
@@ -57,7 +58,7 @@
     ):
         self._group = group
         self._me = me
-        self._initial = sorted(set(initial) | {me} if bootstrap else set(initial))
+        self._initial = sorted(set(initial) or {me})
         self._others = [vm for vm in self._initial if vm.vm != me.vm]
         self._may_bootstrap = bootstrap and self._initial[0].vm == me.vm
         self._loop = loop
