Found the group though the founder restarts without its flag

Cause: the settings allow a VM to found the group at the system's first start only. A founder that ended before the group stood was started again without the flag, and no other VM may found. A port in use at its start was enough.

Change: an initial VM stores in its new data folder that it is one, with the list of the initial VMs, and may found until it has a group. If the first one answers that it may not (its disk is lost), the next takes its place, after the same promises as before. New disks without the flag still found nothing.

--- a/src/vanillabeam/log/bootstrap.py
+++ b/src/vanillabeam/log/bootstrap.py
@@ -4,6 +4,10 @@
 if every other initial VM replies that it belongs to no group. All other VMs join
 as learners, also those that start with the system and are no initial VMs: all VMs
 must have the same list, or two of them would each wait for the other's group.
+
+An initial VM stores at its first start that it is one, as it may end before there is
+a group, and its settings allow a bootstrap only once. If the first one has lost its
+disk, the next one takes its place.
 """
 
 import secrets
@@ -25,7 +29,7 @@
 )
 from vanillabeam.peercall import PeerCall
 
-__all__ = ["Bootstrapper"]
+__all__ = ["Bootstrapper", "is_initial"]
 
 GROUP_ID_BYTES = 8
 RETRY_S = 0.25
@@ -40,7 +44,9 @@
     :param group: name of the group.
     :param me: this VM.
     :param initial: VMs of the group's initial membership; this VM alone if empty.
-    :param bootstrap: whether the settings allow this VM to bootstrap the group.
+    :param bootstrap: whether this VM may bootstrap the group, by its settings or by
+        what it stored at its first start.
+    :ivar founds: whether this VM may bootstrap the group if none before it may.
     :param loop: loop of this VM's replica.
     :param client: sends join requests to the group's leader.
     :param call: sends a request to another VM.
@@ -60,7 +66,8 @@
         self._me = me
         self._initial = sorted(set(initial) or {me})
         self._others = [vm for vm in self._initial if vm.vm != me.vm]
-        self._may_bootstrap = bootstrap and self._initial[0].vm == me.vm
+        self._before = [vm for vm in self._initial if vm.vm < me.vm]
+        self.founds = bootstrap and is_initial(me, self._initial)
         self._loop = loop
         self._client = client
         self._call = call
@@ -75,7 +82,7 @@
         while True:
             await trio.sleep(self._retry_s())
             state = self._loop.replica
-            if not state.group_id and self._may_bootstrap:
+            if not state.group_id and await self._is_first():
                 await self._bootstrap_or_join()
             elif self._others and not state.leader:
                 await self._request_join()
@@ -89,16 +96,27 @@
         elif self._others:
             await self._request_join()
 
+    async def _is_first(self) -> bool:
+        """Return whether no initial VM before this one may bootstrap the group."""
+        if not self.founds:
+            return False
+        for other in self._before:
+            identity = await self._identity(other, founder="")
+            if identity is None or identity["group_id"]:
+                return False
+            if identity.get("founds", True):
+                return False
+        return True
+
     async def _no_group_exists(self) -> bool:
         """Return whether every other initial VM replies that it has no group."""
         for other in self._others:
-            identity = await self._identity(other)
+            identity = await self._identity(other, self._loop.replica.member_id)
             if identity is None or identity["group_id"]:
                 return False
         return True
 
-    async def _identity(self, other: Address) -> IdentityReply | None:
-        founder = self._loop.replica.member_id
+    async def _identity(self, other: Address, founder: str) -> IdentityReply | None:
         body = wire.encode(IdentityRequest(founder=founder))
         with trio.move_on_after(CALL_TIMEOUT_S):
             path = identity_path(self._group)
@@ -128,3 +146,8 @@
         if isinstance(outcome, Failure):
             failure = outcome.failure()
             logger.warning("{} has not joined yet: {}", self._me.vm, failure)
+
+
+def is_initial(me: Address, initial: Sequence[Address]) -> bool:
+    """Return whether ``me`` is one of the initial VMs, or there is no other."""
+    return not initial or any(vm.vm == me.vm for vm in initial)
--- a/src/vanillabeam/log/contents.py
+++ b/src/vanillabeam/log/contents.py
@@ -1,6 +1,6 @@
 """Read-only parser of a replica's data folder."""
 
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -8,7 +8,13 @@
 from vanillabeam.log.exceptions import DataFolderDamaged
 from vanillabeam.log.folder import TEMPORARY_SUFFIX, Folder, ReadFolder
 from vanillabeam.log.frames import Frame, Scan, scan
-from vanillabeam.log.records import NO_SNAPSHOT, Entry, Membership, Snapshot
+from vanillabeam.log.records import (
+    NO_SNAPSHOT,
+    Address,
+    Entry,
+    Membership,
+    Snapshot,
+)
 
 __all__ = ["Contents", "Identity", "read_contents"]
 
@@ -33,6 +39,8 @@
     :param group_id: id of the group, empty until the replica has joined one.
     :param promised: member id of the replica that this one has promised to let
         bootstrap the group, else empty.
+    :param initial: VMs of the group's initial membership, if the folder was created
+        at the first start of the system on one of them.
     """
 
     format: int
@@ -40,6 +48,7 @@
     member_id: str
     group_id: str
     promised: str
+    initial: NotRequired[list[Address]]
 
 
 class SegmentHeader(TypedDict):
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -11,7 +11,7 @@
 
 from vanillabeam import wire
 from vanillabeam.exceptions import MalformedBody, VanillabeamError
-from vanillabeam.log.bootstrap import Bootstrapper
+from vanillabeam.log.bootstrap import Bootstrapper, is_initial
 from vanillabeam.log.client import LogClient
 from vanillabeam.log.contents import Contents
 from vanillabeam.log.events import Received, Role, TransferLeadership
@@ -121,6 +121,7 @@
         self._make_id = make_id
         self._waiters = Waiters(machine)
         self._loop: ReplicaLoop | None = None
+        self._bootstrapper: Bootstrapper | None = None
         contacts = self._initial or (Address(vm, address),)
         self._client = LogClient(group, contacts, self._call, settings)
         self._routes: PeerRoutes = {
@@ -147,7 +148,8 @@
             async with trio.open_nursery() as nursery:
                 self._loop = self._make_loop(storage, contents, nursery)
                 nursery.start_soon(self._loop.run)
-                nursery.start_soon(self._make_bootstrapper().run)
+                self._bootstrapper = self._make_bootstrapper()
+                nursery.start_soon(self._bootstrapper.run)
                 task_status.started()
         finally:
             storage.close()
@@ -232,7 +234,10 @@
         folder = self._folder
         if folder is None:
             folder = DiskFolder(group_folder(self._data_folder, self.group))
-        return open_storage(folder, self.group, self._make_id)
+        me = Address(self.vm, self.address)
+        founds = self._bootstrap and is_initial(me, self._initial)
+        initial = (self._initial or (me,)) if founds else ()
+        return open_storage(folder, self.group, self._make_id, initial)
 
     def _make_loop(
         self, storage: Storage, contents: Contents, nursery: trio.Nursery
@@ -252,12 +257,12 @@
         return self.settings.election_s / 2
 
     def _make_bootstrapper(self) -> Bootstrapper:
-        me = Address(self.vm, self.address)
+        stored = self._loop.storage.identity.get("initial")
         return Bootstrapper(
             self.group,
-            me,
-            self._initial,
-            self._bootstrap,
+            Address(self.vm, self.address),
+            stored or self._initial,
+            self._bootstrap or bool(stored),
             self._loop,
             self._client,
             self._peer_call,
@@ -325,19 +330,30 @@
         decoded = wire.decode(IdentityRequest, body)
         if isinstance(decoded, Failure):
             return decoded
-        if self._loop is None:
+        if self._loop is None or self._bootstrapper is None:
+            return Failure(ReplicaStopped())
+        founder = decoded.unwrap()["founder"]
+        if founder and not await self._promise(founder):
             return Failure(ReplicaStopped())
+        state = self._loop.replica
+        reply = IdentityReply(
+            member_id=state.member_id,
+            group_id=state.group_id,
+            founds=self._bootstrapper.founds,
+        )
+        return Success(wire.encode(reply))
+
+    async def _promise(self, founder: str) -> bool:
+        """Return whether the promise to leave the bootstrap to a VM is stored."""
         send, receive = trio.open_memory_channel[None](1)
-        put = await self._loop.put(BootstrapPromise(decoded.unwrap()["founder"], send))
+        put = await self._loop.put(BootstrapPromise(founder, send))
         if isinstance(put, Failure):
-            return put
+            return False
         try:
             await receive.receive()
         except trio.EndOfChannel:
-            return Failure(ReplicaStopped())
-        state = self._loop.replica
-        reply = IdentityReply(member_id=state.member_id, group_id=state.group_id)
-        return Success(wire.encode(reply))
+            return False
+        return True
 
     async def _on_status(self, body: bytes) -> Result[bytes, VanillabeamError]:
         return Success(wire.encode(self.status()))
--- a/src/vanillabeam/log/requests.py
+++ b/src/vanillabeam/log/requests.py
@@ -65,7 +65,8 @@
 class IdentityRequest(TypedDict):
     """Question of a bootstrapping VM whether a replica already has a group.
 
-    :param founder: member id of the replica that asks.
+    :param founder: member id of the replica that asks, and that the answering one
+        promises to leave the bootstrap to; empty for a question without a promise.
     """
 
     founder: str
@@ -75,10 +76,12 @@
     """Identity of a replica.
 
     :param group_id: id of its group, empty until it has joined one.
+    :param founds: whether it may bootstrap the group.
     """
 
     member_id: str
     group_id: str
+    founds: NotRequired[bool]
 
 
 class MemberStatus(TypedDict):
--- a/src/vanillabeam/log/storage.py
+++ b/src/vanillabeam/log/storage.py
@@ -1,7 +1,7 @@
 """Durable storage of a replica: its log file, its snapshots and its identity."""
 
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -29,7 +29,7 @@
 from vanillabeam.log.exceptions import LogError, StorageFailed
 from vanillabeam.log.folder import Folder
 from vanillabeam.log.frames import HEADER_BYTES, encode_batch
-from vanillabeam.log.records import Entry, Snapshot
+from vanillabeam.log.records import Address, Entry, Snapshot
 
 __all__ = ["Storage", "open_storage"]
 
@@ -186,11 +186,15 @@
 
 
 def open_storage(
-    folder: Folder, group: str, make_id: Callable[[], str]
+    folder: Folder,
+    group: str,
+    make_id: Callable[[], str],
+    initial: Sequence[Address] = (),
 ) -> Result[tuple[Storage, Contents], LogError]:
     """Open a data folder: initialise a new one, or truncate a torn tail.
 
     :param make_id: returns an id that no other replica has ever had.
+    :param initial: stored in a new folder; empty if this VM founds no group.
     """
     read = read_contents(folder)
     if isinstance(read, Failure):
@@ -200,7 +204,7 @@
         for name in contents.leftovers:
             folder.remove(name)
         if contents.identity is None:
-            contents = _initialize(folder, group, make_id())
+            contents = _initialize(folder, group, make_id(), initial)
         elif contents.torn_bytes:
             folder.truncate(segment_name(contents.segment), contents.valid_bytes)
     except OSError as exc:
@@ -213,7 +217,9 @@
     return Success((storage, contents))
 
 
-def _initialize(folder: Folder, group: str, member_id: str) -> Contents:
+def _initialize(
+    folder: Folder, group: str, member_id: str, initial: Sequence[Address]
+) -> Contents:
     """Initialise a data folder.
 
     The log file is written before the member file, so that a folder with an id
@@ -222,6 +228,8 @@
     identity = Identity(
         format=FORMAT, group=group, member_id=member_id, group_id="", promised=""
     )
+    if initial:
+        identity["initial"] = list(initial)
     header = encode_batch([_segment_header(member_id, 0)], 1)
     folder.replace(segment_name(1), header)
     _write_identity(folder, identity)
--- a/tests/log/test_founder.py
+++ b/tests/log/test_founder.py
@@ -45,3 +45,68 @@
     await wait_until(partial(is_open, group))
     await wait_until(lambda: votes(group, "vm-0"))
     assert group.nodes["vm-0"].status()["group_id"]
+
+
+# The platform sets the flag for founding at the first start only. A founder that had
+# ended before the group stood once came back without it, and nobody founded.
+@with_open_group
+async def test_a_founder_that_restarts_without_the_flag_still_founds(group):
+    await group.start("vm-1")
+    group.stop("vm-1")
+    for vm in FIRST:
+        await group.start(vm, bootstrap=vm != "vm-1")
+    await wait_until(partial(is_open, group))
+
+
+@with_open_group
+async def test_vms_that_all_restart_without_the_flag_still_found(group):
+    for vm in FIRST:
+        await group.start(vm)
+    for vm in FIRST:
+        group.stop(vm)
+    for vm in FIRST:
+        await group.start(vm, bootstrap=False)
+    await wait_until(partial(is_open, group))
+
+
+# As before, with the founder's disk lost too.
+@with_open_group
+async def test_the_next_initial_vm_founds_if_the_first_has_lost_its_disk(group):
+    await group.start("vm-1")
+    group.stop("vm-1")
+    del group.folders["vm-1"]
+    for vm in FIRST:
+        await group.start(vm, bootstrap=vm != "vm-1")
+    await wait_until(partial(is_open, group))
+
+
+# A second founder would be worse than none: the group's state would be forgotten.
+@with_open_group
+async def test_a_vm_with_a_lost_disk_founds_nothing_beside_its_group(group):
+    for vm in FIRST:
+        await group.start(vm)
+    await wait_until(partial(is_open, group))
+    group_id = group.leader.status()["group_id"]
+    group.stop("vm-1")
+    del group.folders["vm-1"]
+    await group.start("vm-1", bootstrap=False)
+    await wait_until(lambda: group.nodes["vm-1"].status()["group_id"])
+    assert group.nodes["vm-1"].status()["group_id"] == group_id
+
+
+@with_open_group
+async def test_vms_with_new_disks_and_without_the_flag_found_nothing(group):
+    for vm in FIRST:
+        await group.start(vm, bootstrap=False)
+    await trio.sleep(20)
+    assert not any(node.status()["group_id"] for node in group.nodes.values())
+
+
+@with_open_group
+async def test_an_initial_vm_founds_nothing_while_one_before_it_is_away(group):
+    for vm in ("vm-2", "vm-3"):
+        await group.start(vm)
+    await trio.sleep(20)
+    assert not any(node.status()["group_id"] for node in group.nodes.values())
+    await group.start("vm-1")
+    await wait_until(partial(is_open, group))
