--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,4 +1,4 @@
-"""Starts the VMs of a fleet as real processes and restarts them as the platform does."""
+"""Starts the VMs of a fleet as real processes; restarts them as the platform does."""
 
 import json
 import os
--- /dev/null
+++ b/tests/soak/scenario.py
@@ -0,0 +1,357 @@
+"""A run of a fleet under random faults, with callers, targets and operators."""
+
+import random
+import sys
+from pathlib import Path
+
+import trio
+
+from tests.soak.checks import calm_attempts, check, served_share
+from tests.soak.clients import Balancer, Client, call_forever, probe_forever
+from tests.soak.fleet import BOUNDS, RESTART_DELAY_S, running_fleet
+from tests.soak.history import History
+from tests.soak.operators import Operator
+from tests.soak.proxy import Proxy
+from tests.soak.targets import TargetPool, choose_target
+
+START_S = 6.0
+SETTLE_S = BOUNDS["recover_s"] + 3.0
+CHECK_PERIOD_S = 0.02
+CLIENTS_PER_VM = 3
+CALL_PERIOD_S = 0.8
+PROBE_PERIOD_S = 0.4
+CHANGE_PERIOD_S = 1.0
+#: Seconds between two losses of a disk.
+DISK_PERIOD_S = 10.0
+LAST_READ_S = 30.0
+#: Requests that are printed of those that were not served.
+SHOWN = 6
+BUSY_LOOP = """
+import sys, time
+end = time.monotonic() + float(sys.argv[1])
+while time.monotonic() < end: pass
+"""
+
+
+class Scenario:
+    """One seeded run.
+
+    :ivar history: records of the run and its findings.
+    """
+
+    def __init__(self, fleet, proxy, nursery, rng):
+        self.fleet = fleet
+        self.proxy = proxy
+        self.nursery = nursery
+        self.rng = rng
+        entries = [vm.name for vm in fleet.entries]
+        controls = [vm.name for vm in fleet.controls]
+        self.history = History(fleet.now_s, entries, controls)
+        hosts = [vm.host for vm in fleet.controls]
+        self.targets = TargetPool(self.history, hosts, nursery, rng)
+        self.operator = Operator(self.history, fleet, rng)
+        self._disk_lost_s = float("-inf")
+
+    async def start(self):
+        """Start the targets, callers and operators."""
+        zones = sorted(self.fleet.shape.entries)
+        for service in ("llm", "llm", "app-a", "app-a", "app-b", "app-c"):
+            await self.targets.add(service, self.rng.choice(zones))
+        balancer = Balancer(self.fleet, self.rng)
+        self.nursery.start_soon(balancer.run)
+        self.nursery.start_soon(self.operator.run, CHANGE_PERIOD_S)
+        await trio.sleep(START_S)
+        for vm in self.fleet.entries:
+            client = Client(self.history, f"p-{vm.name}")
+            plan = self.operator.plan_probe
+            self._call(probe_forever, client, vm, plan, PROBE_PERIOD_S)
+            for number in range(CLIENTS_PER_VM):
+                client = Client(self.history, f"c{number}-{vm.name}")
+                zone = vm.data_centre
+                self._call(call_forever, client, balancer, zone, CALL_PERIOD_S)
+
+    def _call(self, function, client, first, second, period_s):
+        rng = random.Random(self.rng.random())
+        self.nursery.start_soon(function, client, first, second, rng, period_s)
+
+    async def disturb(self, length_s, kinds=None):
+        """Cause random faults, one after the other and at once."""
+        end_s = self.fleet.now_s() + length_s
+        async with trio.open_nursery() as nursery:
+            while self.fleet.now_s() < end_s:
+                fault = self.rng.choice(kinds or FAULTS)
+                nursery.start_soon(fault, self)
+                await trio.sleep(self.rng.choice((0.3, 2.0, 4.0, 7.0)))
+
+    async def settle(self, length_s=SETTLE_S):
+        """Wait until everything must have recovered, then read back."""
+        await trio.sleep(length_s)
+        with trio.move_on_after(LAST_READ_S) as scope:
+            while not await self.operator.read():
+                await trio.sleep(0.2)
+        if scope.cancelled_caught:
+            self.history.report("CONFIG", self.fleet.now_s(), "core", "no last read")
+
+    def some(self, vms, count=1):
+        """Return the names of random VMs."""
+        return self.rng.sample([vm.name for vm in vms], min(count, len(vms)))
+
+    def hosts(self, names):
+        """Return the hosts of VMs; the address of a target is its host."""
+        targets = self.targets.targets
+        return [
+            self.fleet.vms[name].host
+            if name in self.fleet.vms
+            else targets[name].address
+            for name in names
+        ]
+
+    async def kill(self, names, down_s=RESTART_DELAY_S, **options):
+        """Kill VMs at once and wait until their processes run again."""
+        vms = [self.fleet.vms[name] for name in names]
+        starts = [vm.starts + (vm.process is not None) for vm in vms]
+        with self.history.outage("down", names):
+            for name in names:
+                self.fleet.kill(name, down_s, **options)
+            for vm, start in zip(vms, starts, strict=True):
+                while vm.starts < start:
+                    await trio.sleep(CHECK_PERIOD_S)
+
+    async def freeze(self, names, length_s):
+        """Freeze VMs and thaw them."""
+        with self.history.outage("frozen", names):
+            for name in names:
+                self.fleet.pause(name)
+            await trio.sleep(length_s)
+            for name in names:
+                self.fleet.resume(name)
+
+    async def stop(self, name):
+        """Stop a VM as planned; it starts again."""
+        vm = self.fleet.vms[name]
+        if vm.process is None:
+            return
+        with self.history.outage("stopped", [name]):
+            start = vm.starts + 1
+            await self.fleet.terminate(name)
+            while vm.starts < start:
+                await trio.sleep(CHECK_PERIOD_S)
+
+    async def cut(self, names, others, length_s, *, both=True):
+        """Hold everything between VMs, or in one direction only."""
+        with self.history.outage("cut", names, others):
+            some, rest = self.hosts(names), self.hosts(others)
+            self.proxy.block(some, rest, both=both)
+            await trio.sleep(length_s)
+            self.proxy.heal(some, rest)
+
+    async def slow(self, names, others, length_s, delay_s):
+        """Delay everything between VMs."""
+        with self.history.outage("slow", names, others):
+            some, rest = self.hosts(names), self.hosts(others)
+            self.proxy.delay(some, rest, delay_s)
+            await trio.sleep(length_s)
+            self.proxy.heal(some, rest)
+
+    def break_connections(self, *, silently):
+        """Reset or silence all open connections between VMs and to targets."""
+        names = list(self.fleet.vms)
+        with self.history.outage("reset", names, names):
+            for connection in list(self.proxy.connections):
+                if silently:
+                    connection.is_silent = True
+                else:
+                    connection.reset()
+
+    def may_lose_disk(self):
+        """Return whether a disk may be lost now, and record that it is."""
+        now_s = self.fleet.now_s()
+        if now_s - self._disk_lost_s < DISK_PERIOD_S:
+            return False
+        self._disk_lost_s = now_s
+        return True
+
+
+async def kill_entry(run):
+    await run.kill(run.some(run.fleet.entries, run.rng.randint(1, 3)))
+
+
+async def kill_control(run):
+    await run.kill(run.some(run.fleet.controls), run.rng.choice((0.5, 3.0, 10.0)))
+
+
+async def kill_all_control(run):
+    await run.kill([vm.name for vm in run.fleet.controls])
+
+
+async def kill_all(run):
+    await run.kill(list(run.fleet.vms))
+
+
+async def lose_disk(run):
+    if run.may_lose_disk():
+        await run.kill(run.some(run.fleet.controls), loses_disk=True)
+
+
+async def freeze_any(run):
+    vms = run.rng.choice((run.fleet.entries, run.fleet.controls))
+    await run.freeze(run.some(vms), run.rng.choice((0.3, 1.0, 2.5, 5.0)))
+
+
+async def stop_any(run):
+    vms = run.rng.choice((run.fleet.entries, run.fleet.controls))
+    await run.stop(run.some(vms)[0])
+
+
+async def exchange_seeds(run):
+    run.fleet.exchange_seeds(by_signal=run.rng.random() < 0.5)
+
+
+async def hang_up(run):
+    for name in run.fleet.vms:
+        run.fleet.signal(name, 1)
+
+
+async def isolate_control(run):
+    (name,) = run.some(run.fleet.controls)
+    vms = run.rng.choice((run.fleet.controls, list(run.fleet.vms.values())))
+    others = [vm.name for vm in vms if vm.name != name]
+    length_s = run.rng.choice((1.0, 4.0, 12.0))
+    await run.cut([name], others, length_s, both=run.rng.random() < 0.6)
+
+
+async def cut_control_pair(run):
+    names = run.some(run.fleet.controls, 2)
+    length_s = run.rng.choice((1.0, 4.0, 9.0))
+    await run.cut(names[:1], names[1:], length_s, both=run.rng.random() < 0.5)
+
+
+async def cut_entry(run):
+    entries = run.some(run.fleet.entries, run.rng.randint(1, 2))
+    controls = run.some(run.fleet.controls, run.rng.randint(1, 4))
+    length_s = run.rng.choice((0.5, 3.0, 8.0))
+    await run.cut(entries, controls, length_s, both=run.rng.random() < 0.6)
+
+
+async def cut_zone(run):
+    zone = run.rng.choice(sorted(run.fleet.shape.entries))
+    targets = run.targets.targets
+    inside = [vm.name for vm in run.fleet.vms.values() if vm.data_centre == zone]
+    outside = [name for name in run.fleet.vms if name not in inside]
+    far = [name for name, t in targets.items() if t.data_centre != zone]
+    await run.cut(inside, [*outside, *far], run.rng.choice((2.0, 6.0)))
+
+
+async def split(run):
+    names = list(run.fleet.vms)
+    run.rng.shuffle(names)
+    middle = len(names) // 2
+    await run.cut(names[:middle], names[middle:], run.rng.choice((2.0, 6.0)))
+
+
+async def slow_links(run):
+    names = run.some(list(run.fleet.vms.values()), run.rng.randint(1, 4))
+    delay_s = run.rng.choice((0.05, 0.2, 0.6))
+    await run.slow(names, list(run.fleet.vms), run.rng.choice((2.0, 6.0)), delay_s)
+
+
+async def silence(run):
+    run.break_connections(silently=True)
+
+
+async def reset_all(run):
+    run.break_connections(silently=False)
+
+
+async def harm_target(run):
+    name = choose_target(run.targets, run.rng)
+    chance = run.rng.random()
+    if chance < 0.3:
+        with run.history.outage("target", [name]):
+            await run.targets.crash(name)
+    elif chance < 0.6:
+        await run.targets.replace(name)
+    else:
+        target = run.targets.targets[name]
+        with run.history.outage("target", [name]):
+            target.mode = run.rng.choice(("slow", "full", "failing"))
+            await trio.sleep(3.0)
+            target.mode = "fine"
+
+
+async def busy(run):
+    length_s = run.rng.choice((2.0, 5.0))
+    command = [sys.executable, "-c", BUSY_LOOP, str(length_s)]
+    with run.history.outage("busy", ["machine"]):
+        async with trio.open_nursery() as nursery:
+            for _ in range(run.rng.randint(2, 4)):
+                nursery.start_soon(trio.run_process, command)
+
+
+FAULTS = (
+    kill_entry,
+    kill_control,
+    kill_all_control,
+    kill_all,
+    lose_disk,
+    freeze_any,
+    freeze_any,
+    stop_any,
+    stop_any,
+    exchange_seeds,
+    hang_up,
+    isolate_control,
+    isolate_control,
+    cut_control_pair,
+    cut_entry,
+    cut_entry,
+    cut_zone,
+    split,
+    slow_links,
+    silence,
+    silence,
+    reset_all,
+    harm_target,
+    harm_target,
+    busy,
+)
+
+
+async def play(folder, shape, seed, length_s, kinds=None, settle_s=SETTLE_S):
+    """Play one run; return its findings.
+
+    :param kinds: the faults to choose from; ``None`` for all.
+    """
+    rng = random.Random(seed)
+    async with trio.open_nursery() as nursery:
+        proxy = Proxy()
+        await nursery.start(proxy.run)
+        options = {"rng": rng, "proxy": proxy.address}
+        async with running_fleet(Path(folder), shape, **options) as fleet:
+            run = Scenario(fleet, proxy, nursery, rng)
+            await run.start()
+            await run.disturb(length_s, kinds)
+            await run.settle(settle_s)
+            findings = check(run.history, fleet.ends)
+            memory_mb = max(map(fleet.peak_memory_mb, fleet.vms))
+            summarise(run.history, folder, seed, memory_mb)
+            nursery.cancel_scope.cancel()
+    return findings
+
+
+def summarise(history, folder, seed, memory_mb):
+    """Print the figures and findings of a run."""
+    calm = calm_attempts(history)
+    confirmed = sum(change.confirmed_s is not None for change in history.changes)
+    print(
+        f"seed {seed}: {len(history.changes)} changes, {confirmed} confirmed, "
+        f"{len(history.reads)} reads, {len(history.attempts)} requests, in calm "
+        f"{len(calm)}, of which served {served_share(calm):.4f}; peak memory "
+        f"{memory_mb:.0f} MB; logs in {folder}"
+    )
+    for outage in history.outages:
+        print(f"  fault: {outage}")
+    for attempt in [a for a in calm if a.status != 200][:SHOWN]:
+        print(f"  not served in calm: {attempt}")
+    for finding in history.findings:
+        print(f"  finding, seed {seed}: {finding}")
