Let only a seed found the log of control VMs

Cause: a VM that may found sorted the seeds and itself, and founded if it came first. A control VM that is no seed and sorts before all seeds was the first to itself, and the first seed was so to all others. If the first won the race, the seeds had promised to let it found, could found no more, and asked only each other for a leader that they could not know. With more such VMs, each founded a group of its own.

Callers and operators saw a fleet that never opens: 503 to all, for as long as it ran.

Change: a VM founds only if it is one of the initial VMs.

--- a/src/vanillabeam/log/bootstrap.py
+++ b/src/vanillabeam/log/bootstrap.py
@@ -2,7 +2,8 @@
 
 A single VM, the first of the initial VMs by name, bootstraps the group, and only
 if every other initial VM replies that it belongs to no group. All other VMs join
-as learners.
+as learners. A VM that is no initial VM never bootstraps: the others, who don't know
+it, would not find the group.
 """
 
 import secrets
@@ -57,9 +58,11 @@
     ):
         self._group = group
         self._me = me
-        self._initial = sorted(set(initial) | {me} if bootstrap else set(initial))
+        is_initial = not initial or me.vm in {vm.vm for vm in initial}
+        is_founder = bootstrap and is_initial
+        self._initial = sorted(set(initial) | {me} if is_founder else set(initial))
         self._others = [vm for vm in self._initial if vm.vm != me.vm]
-        self._may_bootstrap = bootstrap and self._initial[0].vm == me.vm
+        self._may_bootstrap = is_founder and self._initial[0].vm == me.vm
         self._loop = loop
         self._client = client
         self._call = call
--- a/tests/log/builders.py
+++ b/tests/log/builders.py
@@ -131,15 +131,22 @@
     return [Address(f"vm-{n}", f"vm-{n}:1") for n in range(1, count + 1)]
 
 
-def make_node(vm, count, network, folder=None, seed=1, bootstrap=True, **settings):
+def make_node(
+    vm, count, network, folder=None, seed=1, bootstrap=True, seeds=None, **settings
+):
+    """Return a node.
+
+    :param seeds: names of the initial members; ``None`` for ``vm-1`` to ``vm-count``.
+    """
     address = f"{vm}:1"
+    initial = [Address(each, f"{each}:1") for each in seeds or ()]
     node = LogNode(
         "tickets",
         vm,
         address,
         Path("unused"),
         ListMachine(),
-        make_addresses(count),
+        initial or make_addresses(count),
         network.call_from(address),
         random.Random(f"{vm}/{seed}"),
         SETTINGS._replace(**settings),
--- a/tests/log/test_node.py
+++ b/tests/log/test_node.py
@@ -125,6 +125,33 @@
     assert group.nodes["vm-1"].status()["group_id"] == ""
 
 
+async def start_with_seeds(group, vms, seeds):
+    """Start VMs for the first time, of which only some are seeds of all."""
+    for vm in vms:
+        await group.start(vm, seeds=seeds, allow_any_vm=True, open_requires_all=True)
+    await wait_until(lambda: all(n.status()["group_id"] for n in group.nodes.values()))
+    assert len({node.status()["group_id"] for node in group.nodes.values()}) == 1
+    for node in group.nodes.values():
+        assert (await node.propose(f"of {node.vm}")).unwrap()
+
+
+# Guards against a fleet that never opens: the VM that was first by name but no seed
+# founded a group in which no seed could find it.
+@with_group(4)
+async def test_only_a_seed_founds_the_group(group):
+    await start_with_seeds(
+        group, ["vm-1", "vm-2", "vm-3", "vm-4"], ["vm-2", "vm-3", "vm-4"]
+    )
+
+
+# Guards against two groups, founded by two VMs that were no seeds.
+@with_group(5)
+async def test_two_vms_that_are_no_seeds_found_no_groups(group):
+    await start_with_seeds(
+        group, ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"], ["vm-3", "vm-4", "vm-5"]
+    )
+
+
 @with_group(3)
 async def test_restarted_vms_restore_the_snapshot_and_the_entries_after_it(group):
     await group.start_all()
