Pack a large configuration in its log entry

Cause: a document grows on its way between control VMs, as its quotes are escaped in the command and once more in the message. From about 2.8 MB on a message with it was over the 4 MiB of the peers' listener. The leader kept the entry, no replica accepted it, and nothing after it could be committed. A document sent in chunks could have 16 MB.

Callers saw: 503 after 3 s for it and for every later change and evacuation, for good. The new test with quotes failed before (no answer in 20 s); the one with random text passed before and guards the packing.

Change: a document of 256 KiB and more is one compressed text in its command. Shorter ones are stored as before, and old entries are still read. The peers' listener takes 32 MiB, so that an entry that is stuck in a data folder passes; a document has 4 MiB at most, in chunks too.

--- a/src/vanillabeam/fleet/__init__.py
+++ b/src/vanillabeam/fleet/__init__.py
@@ -2,7 +2,7 @@
 
 from vanillabeam.fleet.directory import Directory, TargetRecord
 from vanillabeam.fleet.follower import Follower
-from vanillabeam.fleet.machine import Command, FleetMachine, FleetState
+from vanillabeam.fleet.machine import Command, FleetMachine, FleetState, make_deploy
 from vanillabeam.fleet.records import (
     Bounds,
     Deployment,
@@ -39,4 +39,5 @@
     "Target",
     "FleetView",
     "Workspace",
+    "make_deploy",
 ]
--- a/src/vanillabeam/fleet/machine.py
+++ b/src/vanillabeam/fleet/machine.py
@@ -3,6 +3,8 @@
 Every command is numbered or idempotent, so applying one twice changes nothing.
 """
 
+import base64
+import zlib
 from collections.abc import Callable
 from typing import Literal, NotRequired, TypedDict
 
@@ -10,7 +12,12 @@
 
 from vanillabeam.exceptions import InvariantBroken
 
-__all__ = ["Command", "FleetMachine", "FleetState"]
+__all__ = ["Command", "FleetMachine", "FleetState", "make_deploy"]
+
+#: Length from which a document is packed in its command. Replicas send a command
+#: whole, and each text inside another doubles the quotes of the inner one.
+PACKED_LENGTH = 256 * 1024
+PACKING_LEVEL = 1
 
 
 class Command(TypedDict):
@@ -21,11 +28,13 @@
         service and back; ``weights`` names a model's newest version.
     :param number: number of the deployment, or weight version.
     :param document: deployment document as the operator sent it.
+    :param packed: the document compressed, in base64, in place of ``document``.
     """
 
     kind: Literal["deploy", "evacuate", "restore", "weights"]
     number: NotRequired[int]
     document: NotRequired[str]
+    packed: NotRequired[str]
     data_centre: NotRequired[str]
     model: NotRequired[str]
 
@@ -47,6 +56,20 @@
     weights: dict[str, int]
 
 
+def make_deploy(number: int, document: str) -> Command:
+    """Return the command that puts a document in force; a long one is packed."""
+    if len(document) < PACKED_LENGTH:
+        return Command(kind="deploy", number=number, document=document)
+    packed = base64.b64encode(zlib.compress(document.encode(), PACKING_LEVEL))
+    return Command(kind="deploy", number=number, packed=packed.decode())
+
+
+def _read_document(command: Command) -> str:
+    if "packed" not in command:
+        return command["document"]
+    return zlib.decompress(base64.b64decode(command["packed"])).decode()
+
+
 class FleetMachine:
     """Replicated state, built from the same log on every control VM.
 
@@ -107,7 +130,7 @@
     """Return the fields that ``command`` changes."""
     match command["kind"]:
         case "deploy" if command["number"] > state["number"]:
-            return {"number": command["number"], "document": command["document"]}
+            return {"number": command["number"], "document": _read_document(command)}
         case "evacuate":
             evacuated = {*state["evacuated"], command["data_centre"]}
             return {"evacuated": sorted(evacuated)}
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -37,6 +37,8 @@
 #: Seconds for which a stopping control VM keeps answering after its handover.
 CONTROL_LINGER_S = 0.5
 MAX_BODY_BYTES = 4 * 1024 * 1024
+#: A message of replicas may hold several entries, and texts grow inside another.
+MAX_PEER_BODY_BYTES = 8 * MAX_BODY_BYTES
 MAX_CONCURRENT_REQUESTS = 2_000
 
 
@@ -167,7 +169,8 @@
         self, nursery: trio.Nursery, name: str, address: str, app: Any
     ) -> None:
         graceful_s = self.cfg.bounds.grace_s
-        task = ListenerTask(name, app, _listener(address), graceful_s)
+        body_bytes = MAX_PEER_BODY_BYTES if name == "peers" else MAX_BODY_BYTES
+        task = ListenerTask(name, app, _listener(address, body_bytes), graceful_s)
         self._listeners[name] = task
         await nursery.start(task.run)
 
@@ -238,14 +241,14 @@
                 self._listeners[name].close()
 
 
-def _listener(address: str) -> "Listener":
+def _listener(address: str, body_bytes: int) -> "Listener":
     host, _, port = address.rpartition(":")
     return {
         "host": host,
         "port": int(port),
         "tls": None,
         "limits": {
-            "body_bytes": MAX_BODY_BYTES,
+            "body_bytes": body_bytes,
             "body_s": 30.0,
             "requests": MAX_CONCURRENT_REQUESTS,
         },
--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -16,15 +16,16 @@
     log_record,
 )
 from vanillabeam.exceptions import VanillabeamError
-from vanillabeam.fleet import Command, Limits
+from vanillabeam.fleet import Command, Limits, make_deploy
 from vanillabeam.fleet.control import FleetControl
+from vanillabeam.fleetvm import MAX_BODY_BYTES
 from vanillabeam.forwarding.downstream import read_body
 from vanillabeam.platform.documents import check_document
 from vanillabeam.platform.heartbeats import read_born, read_heartbeat
 
 __all__ = ["ControlApp"]
 
-LIMITS = Limits(body_bytes=16 * 1024 * 1024)
+LIMITS = Limits(body_bytes=MAX_BODY_BYTES)
 OK, BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 200, 400, 404, 503
 
 
@@ -92,9 +93,7 @@
             log_record(DeploymentRefused(deployment.failure().detail))
             return _error_answer(BAD_REQUEST, deployment.failure())
         number = deployment.unwrap().number
-        return await self._propose(
-            Command(kind="deploy", number=number, document=body.decode())
-        )
+        return await self._propose(make_deploy(number, body.decode()))
 
     async def _get_config(self, _: str, body: bytes) -> Answer:
         state = await self._control.read_state()
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -2,7 +2,7 @@
 
 from vanillabeam import wire
 from vanillabeam.exceptions import InvariantBroken
-from vanillabeam.fleet import FleetMachine
+from vanillabeam.fleet import FleetMachine, make_deploy
 
 
 def apply_all(machine, *commands):
@@ -27,6 +27,17 @@
     assert state["index"] == 2
 
 
+def test_a_long_document_is_packed_and_comes_back_unchanged():
+    document = '{"q": "é\\""}' * 30_000
+    command = make_deploy(4, document)
+    assert len(wire.encode(command)) < len(document) / 4
+    assert apply_all(FleetMachine(), command)["document"] == document
+
+
+def test_a_short_document_is_kept_as_it_was_sent():
+    assert make_deploy(4, "four") == deploy(4, "four")
+
+
 def test_an_evacuation_lasts_until_the_data_centre_is_restored():
     machine = FleetMachine()
     out = {"kind": "evacuate", "data_centre": "a"}
--- /dev/null
+++ b/tests/platform/test_configurations.py
@@ -0,0 +1,41 @@
+"""End-to-end tests of configurations: confirmed, read back, in force or refused."""
+
+import json
+import random
+import string
+
+import pytest
+import trio
+
+from tests.platform.builders import make_document
+from tests.platform.standin import running_platform
+
+LARGE_CHARACTERS = 3_500_000
+
+
+def make_notes(name):
+    """Return text that grows most in messages, or that can't be compressed."""
+    if name == "quotes":
+        return '"' * (LARGE_CHARACTERS // 2)
+    letters = string.ascii_letters + string.digits
+    return "".join(random.Random(29).choices(letters, k=LARGE_CHARACTERS))
+
+
+# Guards against a large configuration whose log entry no other control VM accepted:
+# neither it nor any later change was ever confirmed.
+@pytest.mark.parametrize("name", ["quotes", "random"])
+def test_changes_after_a_large_configuration_are_confirmed(tmp_path, name):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            for number, host in enumerate(platform.hosts, 1):
+                large = make_document(version=2 * number, notes=make_notes(name))
+                small = make_document(version=2 * number + 1)
+                for document in (large, small):
+                    res = await platform.call_control(
+                        "POST", "/api/Config.Put", document, host
+                    )
+                    assert res.status == 200
+                    res = await platform.call_control("GET", "/api/Config.Get")
+                    assert json.loads(res.content) == document
+
+    trio.run(main)
