Refuse a store without an address, and survive one

Cause: the address of a store was not checked. The leader of the fleet log calls each store, and int() of the part after the colon raised in a task of the process.

Callers saw: the configuration confirmed, then each control VM that led ended with a traceback, and ended again at each start, as the document is in its log. No change could be confirmed any more.

Change: the check of a deployment, which is the product's, moves from the adapter to fleet.deployments with a typed failure; it refuses such an address. A call to an address that is none gives no answer, so a document that is on a disk already ends nothing.

--- a/src/vanillabeam/platform/client.py
+++ b/src/vanillabeam/platform/client.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from vanillabeam.addresses import split_address
+from vanillabeam.addresses import is_address, split_address
 
 __all__ = ["PlatformClient", "decode_response"]
 
@@ -40,8 +40,10 @@
 
         :param address: ``host:port`` of the worker or store.
         :param timeout_s: seconds for the whole call.
-        :returns: ``None`` if no complete response came in time.
+        :returns: ``None`` if no complete response came in time, or without an address.
         """
+        if not is_address(address):
+            return None
         host, port = split_address(address)
         url = httpcore.URL(scheme=b"http", host=host.encode(), port=port, target=path)
         all_headers = [(b"Host", address.encode()), *(headers or [])]
--- a/src/vanillabeam/platform/documents.py
+++ b/src/vanillabeam/platform/documents.py
@@ -1,10 +1,9 @@
 """Configuration documents of the platform's operators, parsed into deployments."""
 
-from collections.abc import Iterator
 from typing import NotRequired, TypedDict
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from vanillabeam.exceptions import MalformedBody
 from vanillabeam.fleet import (
@@ -18,6 +17,7 @@
     Store,
     Workspace,
 )
+from vanillabeam.fleet.deployments import DeploymentInvalid, check_deployment
 
 __all__ = ["check_document", "read_document"]
 
@@ -86,7 +86,9 @@
     tenants: NotRequired[list[_Tenant]]
 
 
-def check_document(body: bytes) -> Result[Deployment, MalformedBody]:
+def check_document(
+    body: bytes,
+) -> Result[Deployment, MalformedBody | DeploymentInvalid]:
     """Parse and check a document that an operator sent.
 
     :param body: the document, as JSON.
@@ -94,13 +96,10 @@
     """
     try:
         document = msgspec.json.decode(body, type=_Document)
-        errors = list(_find_errors(document))
         deployment = _make_deployment(document)
     except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as exc:
         return Failure(MalformedBody(str(exc)))
-    if errors:
-        return Failure(MalformedBody("; ".join(errors)))
-    return Success(deployment)
+    return check_deployment(deployment)
 
 
 def read_document(document: str) -> Deployment:
@@ -108,35 +107,6 @@
     return _make_deployment(msgspec.json.decode(document, type=_Document))
 
 
-def _find_errors(document: _Document) -> Iterator[str]:
-    services = {service["name"] for service in document["services"]}
-    locations: set[tuple[str, str]] = set()
-    for route in document["routes"]:
-        name, location = route["name"], (route["host"], route["path_prefix"])
-        if location in locations:
-            yield f"{name}: another route has this host and prefix"
-        locations.add(location)
-        shares = _make_shares(route)
-        for share in shares:
-            if share.service not in services:
-                yield f"{name}: unknown service {share.service}"
-        if sum(share.weight for share in shares) <= 0:
-            yield f"{name}: weights add up to 0"
-        if any(share.weight < 0 for share in shares):
-            yield f"{name}: a weight is negative"
-        if route["timeout_ms"] <= 0:
-            yield f"{name}: no time to answer"
-    yield from _find_key_errors(document)
-
-
-def _find_key_errors(document: _Document) -> Iterator[str]:
-    owners: dict[str, str] = {}
-    for tenant in document.get("tenants", []):
-        for key in tenant.get("api_keys", []):
-            if owners.setdefault(key, tenant["name"]) != tenant["name"]:
-                yield f"{tenant['name']}: a key is also {owners[key]}'s"
-
-
 def _make_shares(route: _Route) -> tuple[Share, ...]:
     if route.get("backends"):
         return tuple(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -43,6 +43,12 @@
     "no timeout": lambda d: d["routes"][0].update(timeout_ms=0),
     "shared key": lambda d: d["tenants"].append({"name": "b", "api_keys": ["key-1"]}),
     "unknown kind": lambda d: d["routes"][0].update(kind="other"),
+    "store without an address": lambda d: d["services"].append(
+        {"name": "keep", "kv_store_addr": "none", "zone": "b"}
+    ),
+    "store without a port": lambda d: d["services"].append(
+        {"name": "keep", "kv_store_addr": "172.20.0.2", "zone": "b"}
+    ),
     "version is text": lambda d: d.update(version="7"),
     "no routes": lambda d: d.pop("routes"),
 }
--- a/tests/platform/test_stores.py
+++ b/tests/platform/test_stores.py
@@ -8,6 +8,7 @@
 from vanillabeam.fleet import Store
 from vanillabeam.fleet.parts import StoreEvent
 from vanillabeam.fleet.stores import StoreEvents, StoreList
+from vanillabeam.platform.client import PlatformClient
 from vanillabeam.platform.stores import PlatformStores
 
 STORE = Store("keep", "10.0.0.5:80", "a", 1_000)
@@ -65,3 +66,11 @@
         PlatformStores(RecordingClient(document)).read_events, STORE, 7, 2.0
     )
     assert answer.events == [StoreEvent("salt", "p-1", 0)]
+
+
+# Guards against the end of every control VM that led the log, one after the other, by a
+# confirmed configuration with such a store.
+def test_a_store_without_an_address_gives_no_answer():
+    for address in ("none", "172.20.0.2", "", "a:b", "[::1", "10.0.0.1:99999"):
+        store = STORE._replace(address=address)
+        assert trio.run(PlatformStores(PlatformClient()).list_parts, store) is None
