Answer 400 to a configuration whose text can't be read

Cause: only the fields that the product knows were decoded as text. Bytes that are no UTF-8 elsewhere raised when the document was put into a command, and deep nesting raised RecursionError; the same in heartbeats and leave calls.

Callers saw: 500 and a traceback, which an operator answers with the same call, at each control VM, for ever.

Change: the text of a document is decoded and checked as a whole, with 100 levels of nesting to spare, so that what a control VM accepts no entry VM is too short of stack to read. Heartbeats and leave calls are decoded like messages between VMs.

--- a/src/vanillabeam/platform/documents.py
+++ b/src/vanillabeam/platform/documents.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result
 
+from vanillabeam import wire
 from vanillabeam.exceptions import MalformedBody
 from vanillabeam.fleet import (
     Deployment,
@@ -94,16 +95,21 @@
     :param body: the document, as JSON.
     :returns: the deployment that it describes, or a failure that describes the errors.
     """
+    text = wire.check_text(body)
+    if isinstance(text, Failure):
+        return text
     try:
-        document = msgspec.json.decode(body, type=_Document)
-        deployment = _make_deployment(document)
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as exc:
+        deployment = read_document(text.unwrap())
+    except ValueError as exc:
         return Failure(MalformedBody(str(exc)))
     return check_deployment(deployment)
 
 
 def read_document(document: str) -> Deployment:
-    """Parse a document that :func:`check_document` has accepted."""
+    """Parse a document that :func:`check_document` has accepted.
+
+    :raises ValueError: if its fields aren't those of a configuration.
+    """
     return _make_deployment(msgspec.json.decode(document, type=_Document))
 
 
--- a/src/vanillabeam/platform/heartbeats.py
+++ b/src/vanillabeam/platform/heartbeats.py
@@ -2,9 +2,9 @@
 
 from typing import Literal, NotRequired, TypedDict
 
-import msgspec
 from returns.result import Failure, Result, Success
 
+from vanillabeam import wire
 from vanillabeam.addresses import is_address
 from vanillabeam.exceptions import MalformedBody
 from vanillabeam.fleet import Target
@@ -46,10 +46,10 @@
     :param worker: id of the worker, from the path of the call.
     :param body: the heartbeat, as JSON.
     """
-    try:
-        heartbeat = msgspec.json.decode(body, type=_Heartbeat)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        return Failure(MalformedBody(str(exc)))
+    decoded = wire.decode(_Heartbeat, body)
+    if isinstance(decoded, Failure):
+        return decoded
+    heartbeat = decoded.unwrap()
     if not worker or not is_address(heartbeat["address"]) or heartbeat["seq"] < 0:
         return Failure(MalformedBody("no id, address or sequence"))
     return Success(
@@ -79,7 +79,5 @@
     :param body: body of the call, as JSON.
     :returns: Unix milliseconds, or ``None`` if the body has none.
     """
-    try:
-        return msgspec.json.decode(body, type=_Leave)["born"]
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
+    leave = wire.decode(_Leave, body)
+    return None if isinstance(leave, Failure) else leave.unwrap()["born"]
--- a/src/vanillabeam/wire.py
+++ b/src/vanillabeam/wire.py
@@ -7,10 +7,14 @@
 
 from vanillabeam.exceptions import MalformedBody
 
-__all__ = ["decode", "encode"]
+__all__ = ["check_text", "decode", "encode"]
 
 T = TypeVar("T")
 
+#: Depth of nesting that is left to a later reader of a checked text. A reader has as
+#: much less room as its caller's stack is deeper.
+SPARE_DEPTH = 100
+
 
 def encode(value: Any) -> bytes:
     """Return ``value`` as JSON.
@@ -34,3 +38,18 @@
         return Success(msgspec.json.decode(body, type=kind, strict=True))
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
         return Failure(MalformedBody(str(exc)))
+
+
+def check_text(body: bytes) -> Result[str, MalformedBody]:
+    """Return a JSON document of another writer as text, if all of it can be read.
+
+    Its strings are checked also where no field of ours is. A document that passes is
+    never too deep for a later reader in another process.
+    """
+    try:
+        text = body.decode()
+        msgspec.json.decode(body)
+        msgspec.json.decode(b"[" * SPARE_DEPTH + body + b"]" * SPARE_DEPTH)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
+        return Failure(MalformedBody(str(exc)))
+    return Success(text)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -65,6 +65,45 @@
         assert isinstance(check_document(body[:end]), Failure)
 
 
+UNREADABLE_TEXTS = {
+    "no UTF-8 in a known field": (b"shop.example", b"shop\xff.example"),
+    "no UTF-8 in an unknown field": (b'"sticky": true', b'"sticky": "\xff"'),
+    "no UTF-8 in an unknown name": (b'"sticky"', b'"st\xffcky"'),
+    "half a character": (b'"sticky": true', b'"sticky": "\xed\xa0\x80"'),
+    "half a character escaped": (b'"sticky": true', b'"sticky": "\\ud800"'),
+    "no number": (b'"sticky": true', b'"sticky": NaN'),
+    "nested too deep": (b'"sticky": true', b'"sticky": ' + 9**4 * b"[" + 9**4 * b"]"),
+    "bytes after its end": (b'"tenants"', b'"t":1}, {"tenants"'),
+}
+
+
+# Guards against an answer of 500, after which an operator sends it again for ever.
+@pytest.mark.parametrize("name", UNREADABLE_TEXTS)
+def test_a_text_that_cannot_be_read_in_full_is_refused(name):
+    body = make_body().replace(*UNREADABLE_TEXTS[name], 1)
+    assert isinstance(check_document(body), Failure)
+
+
+# Guards against a document that is accepted and too deep for an entry VM's reader.
+def test_an_accepted_document_leaves_room_to_a_reader_with_a_deeper_stack():
+    def is_accepted(depth):
+        nested = b'"sticky": ' + depth * b"[" + depth * b"]"
+        body = make_body().replace(b'"sticky": true', nested)
+        return isinstance(check_document(body), Success)
+
+    def read_deeper(frames):
+        if frames == 0:
+            return read_document(
+                make_body().replace(b'"sticky": true', nested).decode()
+            )
+        return read_deeper(frames - 1)
+
+    deepest = max(depth for depth in range(2_000) if is_accepted(depth))
+    assert deepest > 500
+    nested = b'"sticky": ' + deepest * b"[" + deepest * b"]"
+    assert read_deeper(60).number == 7
+
+
 @settings(derandomize=True, max_examples=200)
 @given(st.binary(max_size=200) | st.text(max_size=50).map(str.encode))
 def test_any_bytes_give_a_configuration_or_a_typed_failure(body):
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -66,3 +66,11 @@
 def test_a_leave_call_contains_the_start_time_of_the_worker():
     assert read_born(b'{"born":5,"state":"draining"}') == 5
     assert read_born(b"") is None
+
+
+# Guards against an answer of 500 and a traceback for each such call.
+def test_a_call_that_is_nested_too_deep_is_a_typed_failure():
+    deep = 9**4 * b"[" + 9**4 * b"]"
+    body = json.dumps(make_heartbeat()).encode().replace(b'"colocated"', deep)
+    assert isinstance(read_heartbeat("i-1", body), Failure)
+    assert read_born(b'{"born":1,"x":' + deep + b"}") is None
