Refuse a configuration that gives a name twice

Cause: a JSON object with a name twice was read with the last value and the first one was dropped, so the document wasn't read in full: "version" 7 and 9 in one document was confirmed as 9, another reader takes it for 7.

Change: wire.check_text refuses such a text. Documents that an earlier release accepted are read as before, so no VM ends at one that is on a disk already.

Measured: refused also where the name is escaped, or unknown.

--- a/src/vanillabeam/wire.py
+++ b/src/vanillabeam/wire.py
@@ -1,5 +1,6 @@
 """JSON encoding, and strict decoding into typed dictionaries."""
 
+import json
 from typing import Any, TypeVar
 
 import msgspec
@@ -43,13 +44,22 @@
 def check_text(body: bytes) -> Result[str, MalformedBody]:
     """Return a JSON document of another writer as text, if all of it can be read.
 
-    Its strings are checked also where no field of ours is. A document that passes is
-    never too deep for a later reader in another process.
+    Its strings are checked also where no field of ours is. No object may have a name
+    twice: a reader would take one of the two values and drop the other. A document
+    that passes is never too deep for a later reader in another process.
     """
     try:
         text = body.decode()
         msgspec.json.decode(body)
         msgspec.json.decode(b"[" * SPARE_DEPTH + body + b"]" * SPARE_DEPTH)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
+        json.loads(text, object_pairs_hook=_check_names)
+    except (ValueError, RecursionError) as exc:
         return Failure(MalformedBody(str(exc)))
     return Success(text)
+
+
+def _check_names(members: list[tuple[str, Any]]) -> None:
+    if len(dict(members)) < len(members):
+        names = [name for name, _ in members]
+        twice = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f"{twice!r} is given twice")
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -73,6 +73,13 @@
     "half a character escaped": (b'"sticky": true', b'"sticky": "\\ud800"'),
     "no number": (b'"sticky": true', b'"sticky": NaN'),
     "nested too deep": (b'"sticky": true', b'"sticky": ' + 9**4 * b"[" + 9**4 * b"]"),
+    "version twice": (b'"version": 7', b'"version": 7, "version": 9'),
+    "version twice, once escaped": (
+        b'"version": 7',
+        b'"version": 7, "\\u0076ersion": 9',
+    ),
+    "timeout twice": (b'"timeout_ms": 800', b'"timeout_ms": 800, "timeout_ms": 900'),
+    "unknown name twice": (b'"sticky": true', b'"sticky": {"a": 1, "a": 1}'),
     "bytes after its end": (b'"tenants"', b'"t":1}, {"tenants"'),
 }
 
@@ -84,6 +91,12 @@
     assert isinstance(check_document(body), Failure)
 
 
+# Guards against the end of an entry VM by a document that an earlier release accepted.
+def test_a_document_of_an_earlier_release_is_read_with_its_last_values():
+    document = make_body().replace(b'"version": 7', b'"version": 7, "version": 9')
+    assert read_document(document.decode()).number == 9
+
+
 # Guards against a document that is accepted and too deep for an entry VM's reader.
 def test_an_accepted_document_leaves_room_to_a_reader_with_a_deeper_stack():
     def is_accepted(depth):
