Read whole numbers in each notation, and null as missing

Cause: JSON has one kind of number; a writer may put 7.0 or 1e3 for a whole one, and null for a field that may be missing. Both were refused with 400, which ends an operator's call at once.

Operators saw: a proper configuration refused, and never in force.

Change: documents and weight versions of operators are read by wire.read, which takes any notation of a whole number up to 2**53 and drops members that are null. A required field that is null, and a number with a real fraction where a whole one is meant, are refused as before.

--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -109,7 +109,7 @@
         return await self._propose(Command(kind="restore", data_centre=zone))
 
     async def _put_version(self, _: str, body: bytes) -> Answer:
-        order = wire.decode(_VersionOrder, body)
+        order = wire.read(_VersionOrder, body)
         if isinstance(order, Failure):
             return _error_answer(BAD_REQUEST, order.failure())
         model, version = order.unwrap()["model"], order.unwrap()["version"]
--- a/src/vanillabeam/platform/documents.py
+++ b/src/vanillabeam/platform/documents.py
@@ -2,7 +2,6 @@
 
 from typing import NotRequired, TypedDict
 
-import msgspec
 from returns.result import Failure, Result
 
 from vanillabeam import wire
@@ -95,11 +94,11 @@
     :param body: the document, as JSON.
     :returns: the deployment that it describes, or a failure that describes the errors.
     """
-    text = wire.check_text(body)
-    if isinstance(text, Failure):
-        return text
+    document = wire.read(_Document, body)
+    if isinstance(document, Failure):
+        return document
     try:
-        deployment = read_document(text.unwrap())
+        deployment = _make_deployment(document.unwrap())
     except ValueError as exc:
         return Failure(MalformedBody(str(exc)))
     return check_deployment(deployment)
@@ -110,7 +109,7 @@
 
     :raises ValueError: if its fields aren't those of a configuration.
     """
-    return _make_deployment(msgspec.json.decode(document, type=_Document))
+    return _make_deployment(wire.convert(_Document, document))
 
 
 def _make_shares(route: _Route) -> tuple[Share, ...]:
--- a/src/vanillabeam/wire.py
+++ b/src/vanillabeam/wire.py
@@ -8,13 +8,15 @@
 
 from vanillabeam.exceptions import MalformedBody
 
-__all__ = ["check_text", "decode", "encode"]
+__all__ = ["check_text", "convert", "decode", "encode", "read"]
 
 T = TypeVar("T")
 
 #: Depth of nesting that is left to a later reader of a checked text. A reader has as
 #: much less room as its caller's stack is deeper.
 SPARE_DEPTH = 100
+#: Magnitude up to which a number with a fraction part holds each whole number.
+MAX_WHOLE = 2.0**53
 
 
 def encode(value: Any) -> bytes:
@@ -63,3 +65,37 @@
         names = [name for name, _ in members]
         twice = next(name for name in names if names.count(name) > 1)
         raise ValueError(f"{twice!r} is given twice")
+
+
+def read(kind: type[T], body: bytes) -> Result[T, MalformedBody]:
+    """Check and convert a document of another writer."""
+    text = check_text(body)
+    if isinstance(text, Failure):
+        return text
+    try:
+        return Success(convert(kind, text.unwrap()))
+    except ValueError as exc:
+        return Failure(MalformedBody(str(exc)))
+
+
+def convert(kind: type[T], text: str) -> T:
+    """Return the JSON document of another writer as a ``kind``.
+
+    A writer may give ``null`` for a value that is missing, and any notation of a
+    number for a whole one.
+
+    :raises ValueError: if a field is missing or of another type.
+    """
+    document = json.loads(
+        text, object_pairs_hook=_drop_missing, parse_float=_parse_number
+    )
+    return msgspec.convert(document, kind)
+
+
+def _drop_missing(members: list[tuple[str, Any]]) -> dict[str, Any]:
+    return {name: value for name, value in members if value is not None}
+
+
+def _parse_number(digits: str) -> float:
+    number = float(digits)
+    return int(number) if number.is_integer() and abs(number) < MAX_WHOLE else number
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Success
 
 from tests.platform.builders import make_body, make_document
-from vanillabeam.fleet import RouteKind
+from vanillabeam.fleet import Limits, RouteKind
 from vanillabeam.platform.documents import check_document, read_document
 
 
@@ -65,6 +65,65 @@
         assert isinstance(check_document(body[:end]), Failure)
 
 
+def change_route(**changes):
+    return lambda document: document["routes"][1].update(changes)
+
+
+PROPER_CHANGES = {
+    "whole version with a fraction part": lambda d: d.update(version=7.0),
+    "whole attempts with a fraction part": change_route(attempts=1.0),
+    "whole limit with a fraction part": lambda d: d["limits"].update(
+        max_body_bytes=4194304.0
+    ),
+    "whole slots with a fraction part": lambda d: d["services"][0]["engine"].update(
+        slots=64.0
+    ),
+    "time without a fraction part": change_route(timeout_ms=800),
+    "no backends": change_route(backends=None),
+    "empty backends": change_route(backends=[]),
+    "no objective, rank or attempts": change_route(
+        slo_ms=None, priority=None, attempts=None
+    ),
+    "no engine": lambda d: d["services"][1].update(engine=None, cold_per_s=None),
+    "unknown fields": lambda d: d.update(later={"x": [None, 1e300, -0.0]}),
+    "text beyond ASCII": change_route(name="été", gap="ключ"),
+}
+
+
+# Guards against the refusal of a proper configuration, which is never in force then.
+@pytest.mark.parametrize("name", PROPER_CHANGES)
+def test_a_proper_configuration_of_another_writer_is_accepted(name):
+    body = make_changed_body(PROPER_CHANGES[name])
+    accepted = check_document(body).unwrap()
+    expected = check_document(make_body()).unwrap()
+    same_names = [
+        route._replace(name=known.name)
+        for route, known in zip(accepted.routes, expected.routes, strict=True)
+    ]
+    assert accepted._replace(routes=tuple(same_names)) == expected
+    assert read_document(body.decode()) == accepted
+
+
+def test_a_field_that_is_null_counts_as_missing():
+    changes = {"limits": None, "tenants": None}
+    accepted = check_document(make_body(**changes)).unwrap()
+    assert (accepted.workspaces, accepted.limits) == ((), Limits())
+
+
+@pytest.mark.parametrize("digits", ["1e3", "1000.0", "1000", "1.0e+3"])
+def test_a_version_is_read_in_each_notation(digits):
+    body = make_body().replace(b'"version": 7', b'"version": ' + digits.encode())
+    assert check_document(body).unwrap().number == 1000
+
+
+@pytest.mark.parametrize(
+    "digits", ["7.5", "true", '"7"', "null", "1e999", "1e40", "-1e400", "1" * 5000]
+)
+def test_a_version_that_is_no_whole_number_is_refused(digits):
+    body = make_body().replace(b'"version": 7', b'"version": ' + digits.encode())
+    assert isinstance(check_document(body), Failure)
+
+
 UNREADABLE_TEXTS = {
     "no UTF-8 in a known field": (b"shop.example", b"shop\xff.example"),
     "no UTF-8 in an unknown field": (b'"sticky": true', b'"sticky": "\xff"'),
