--- a/src/vanillabeam/fleet/deployments.py
+++ b/src/vanillabeam/fleet/deployments.py
@@ -10,7 +10,7 @@
 from vanillabeam.exceptions import Run, VanillabeamError
 from vanillabeam.fleet.records import Deployment, Route, Workspace
 
-__all__ = ["DeploymentInvalid", "check_deployment"]
+__all__ = ["DeploymentInvalid", "check_deployment", "normalize_host", "split_host"]
 
 #: Number of errors that a failure describes.
 MAX_ERRORS = 5
@@ -33,12 +33,33 @@
     return Success(deployment)
 
 
+def normalize_host(host: bytes) -> bytes:
+    """Return the form in which two names of one host are equal, with its port.
+
+    Capitals and a dot at the end make no difference.
+
+    >>> normalize_host(b"Shop.Example.:80")
+    b'shop.example:80'
+    """
+    name, port = split_host(host.lower())
+    name = name.removesuffix(b".")
+    return name + b":" + port if port else name
+
+
+def split_host(host: bytes) -> tuple[bytes, bytes]:
+    """Return the name and the port of a host, which is empty without one."""
+    name, separator, port = host.rpartition(b":")
+    # The colons of an IPv6 address are inside brackets.
+    is_split = separator and not port.endswith(b"]")
+    return (name, port) if is_split else (host, b"")
+
+
 def _find_errors(deployment: Deployment) -> Iterator[str]:
     stores = {store.name for store in deployment.stores}
     services = stores | set(deployment.services)
-    locations: set[tuple[str, str]] = set()
+    locations: set[tuple[bytes, str]] = set()
     for route in deployment.routes:
-        location = (route.host, route.prefix)
+        location = (normalize_host(route.host.encode()), route.prefix)
         if location in locations:
             yield f"{route.name}: another route has this host and prefix"
         locations.add(location)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -38,6 +38,12 @@
 INVALID_CHANGES = {
     "unknown service": lambda d: d["routes"][1].update(service="none"),
     "same place": lambda d: d["routes"][1].update(path_prefix="/prompts/"),
+    "same place in capitals": lambda d: d["routes"][1].update(
+        host="Shop.Example", path_prefix="/prompts/"
+    ),
+    "same place with a dot": lambda d: d["routes"][1].update(
+        host="shop.example.", path_prefix="/prompts/"
+    ),
     "no weight": lambda d: d["routes"][0]["backends"][0].update(weight=0),
     "no service": lambda d: d["routes"][1].pop("service"),
     "no timeout": lambda d: d["routes"][0].update(timeout_ms=0),
