Refuse an unknown service beside a route's backends

Cause: a service that a route names beside its backends was dropped before the check.

Change: it is a share of weight 0, which no request is given, and is checked like the others.

--- a/src/vanillabeam/platform/documents.py
+++ b/src/vanillabeam/platform/documents.py
@@ -113,12 +113,17 @@
 
 
 def _make_shares(route: _Route) -> tuple[Share, ...]:
-    if route.get("backends"):
-        return tuple(
-            Share(backend["service"], backend["weight"])
-            for backend in route["backends"]
-        )
-    return (Share(route["service"], 1.0),) if "service" in route else ()
+    """Return the shares of a route.
+
+    A service that is named beside the backends gets none, and must be known too.
+    """
+    shares = [
+        Share(backend["service"], backend["weight"])
+        for backend in route.get("backends", ())
+    ]
+    if "service" in route:
+        shares.append(Share(route["service"], 0.0 if shares else 1.0))
+    return tuple(shares)
 
 
 def _make_deployment(document: _Document) -> Deployment:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -49,6 +49,9 @@
     "no timeout": lambda d: d["routes"][0].update(timeout_ms=0),
     "shared key": lambda d: d["tenants"].append({"name": "b", "api_keys": ["key-1"]}),
     "unknown kind": lambda d: d["routes"][0].update(kind="other"),
+    "kind is no text": lambda d: d["routes"][0].update(kind=3),
+    "no kind": lambda d: d["routes"][0].pop("kind"),
+    "unknown service beside backends": lambda d: d["routes"][0].update(service="none"),
     "store without an address": lambda d: d["services"].append(
         {"name": "keep", "kv_store_addr": "none", "zone": "b"}
     ),
@@ -110,6 +113,12 @@
     assert read_document(body.decode()) == accepted
 
 
+def test_a_service_beside_backends_gets_no_requests():
+    body = make_changed_body(lambda d: d["routes"][0].update(service="app"))
+    shares = check_document(body).unwrap().routes[0].shares
+    assert [tuple(share) for share in shares] == [("llm", 90.0), ("app", 0.0)]
+
+
 def test_a_field_that_is_null_counts_as_missing():
     changes = {"limits": None, "tenants": None}
     accepted = check_document(make_body(**changes)).unwrap()
