Serve a kind of route that is not known once at most

Cause: the kind of a route was one of three words, and any other one made the whole document invalid.

Operators would see: every configuration with such a route refused, no route in force.

Change: an unknown kind is taken as unsafe, which never runs twice.

--- a/src/vanillabeam/platform/documents.py
+++ b/src/vanillabeam/platform/documents.py
@@ -152,7 +152,7 @@
         name=route["name"],
         host=route["host"],
         prefix=route["path_prefix"],
-        kind=RouteKind(route["kind"]),
+        kind=_make_kind(route["kind"]),
         shares=_make_shares(route),
         timeout_s=route["timeout_ms"] / 1000,
         objective_s=route.get("slo_ms", 0) / 1000,
@@ -163,6 +163,12 @@
     )
 
 
+def _make_kind(kind: str) -> RouteKind:
+    """Return the kind; one that is not known here is served once at most."""
+    known = {known.value: known for known in RouteKind}
+    return known.get(kind, RouteKind.UNSAFE)
+
+
 def _make_service(service: _Service) -> Service:
     engine = service.get("engine")
     return Service(
