Refuse numbers and prefixes that take service away

Cause: only weights and times were checked for their range. Confirmed were a body limit of -1 (every request with a body is refused), limits of time of 0 (each channel ends at once), attempts of 0 (sent once all the same), prefixes without their slashes (never found), a negative objective (each wait is too long), numbers beyond 64 bits, and one key in two entries of a tenant.

Callers saw: 413, 408 or 404 on routes that are in force; operators 200.

A weight version is 1 or more.

What a document at the edge says is in force as it says.

--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -15,9 +15,10 @@
     OrderUnsettled,
     log_record,
 )
-from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.exceptions import MalformedBody, VanillabeamError
 from vanillabeam.fleet import Command, Limits, make_deploy
 from vanillabeam.fleet.control import FleetControl
+from vanillabeam.fleet.deployments import MAX_NUMBER
 from vanillabeam.fleetvm import MAX_BODY_BYTES
 from vanillabeam.forwarding.downstream import read_body
 from vanillabeam.platform.documents import check_document
@@ -113,6 +114,8 @@
         if isinstance(order, Failure):
             return _error_answer(BAD_REQUEST, order.failure())
         model, version = order.unwrap()["model"], order.unwrap()["version"]
+        if not 1 <= version <= MAX_NUMBER:
+            return _error_answer(BAD_REQUEST, MalformedBody("version out of range"))
         return await self._propose(Command(kind="weights", model=model, number=version))
 
     async def _propose(self, command: Command) -> Answer:
--- a/src/vanillabeam/platform/documents.py
+++ b/src/vanillabeam/platform/documents.py
@@ -156,7 +156,7 @@
         shares=_make_shares(route),
         timeout_s=route["timeout_ms"] / 1000,
         objective_s=route.get("slo_ms", 0) / 1000,
-        attempts=max(1, route.get("attempts", 1)),
+        attempts=route.get("attempts", 1),
         priority=route.get("priority", 0),
         public=route.get("public", False),
         resumable=route.get("resumable", False),
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -39,3 +39,28 @@
                     assert json.loads(res.content) == document
 
     trio.run(main)
+
+
+# Guards against a number that no worker can have, after which no newer one is ordered.
+def test_weight_versions_in_and_out_of_range(tmp_path):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            await platform.call_control("POST", "/api/Config.Put", make_document())
+            for version, status in [
+                (2, 200),
+                (3.0, 200),
+                (1, 200),
+                (2**63 - 1, 200),
+                (2**63, 400),
+                (0, 400),
+                (-1, 400),
+                (2.5, 400),
+                ("2", 400),
+                (True, 400),
+                (None, 400),
+            ]:
+                order = {"model": "m", "version": version, "later": 1}
+                res = await platform.call_control("POST", "/api/version-put", order)
+                assert (version, res.status) == (version, status)
+
+    trio.run(main)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -51,6 +51,33 @@
     "kind is no text": lambda d: d["routes"][0].update(kind=3),
     "no kind": lambda d: d["routes"][0].pop("kind"),
     "unknown service beside backends": lambda d: d["routes"][0].update(service="none"),
+    "key of a tenant named twice": lambda d: d["tenants"].append(d["tenants"][0]),
+    "version beyond 64 bits": lambda d: d.update(version=2**63),
+    "negative version beyond 64 bits": lambda d: d.update(version=-(2**63)),
+    "negative body limit": lambda d: d["limits"].update(max_body_bytes=-1),
+    "no room for a head": lambda d: d["limits"].update(max_header_bytes=0),
+    "no time for a head": lambda d: d["limits"].update(header_timeout_ms=0),
+    "no idle time": lambda d: d["limits"].update(idle_timeout_ms=0),
+    "negative idle time": lambda d: d["limits"].update(idle_timeout_ms=-5),
+    "no attempt": lambda d: d["routes"][0].update(attempts=0),
+    "negative attempts": lambda d: d["routes"][0].update(attempts=-1),
+    "negative timeout": lambda d: d["routes"][0].update(timeout_ms=-1),
+    "negative objective": lambda d: d["routes"][0].update(slo_ms=-1),
+    "negative rank": lambda d: d["routes"][0].update(priority=-1),
+    "weights beyond all numbers": lambda d: d["routes"][0].update(
+        backends=2 * [{"service": "llm", "weight": 1e308}]
+    ),
+    "a negative weight": lambda d: d["routes"][0]["backends"].append(
+        {"service": "app", "weight": -1}
+    ),
+    "prefix without slashes": lambda d: d["routes"][1].update(path_prefix="orders"),
+    "prefix without its end": lambda d: d["routes"][1].update(path_prefix="/orders"),
+    "prefix without its begin": lambda d: d["routes"][1].update(path_prefix="orders/"),
+    "no prefix": lambda d: d["routes"][1].update(path_prefix=""),
+    "negative connections": lambda d: d["services"][0].update(max_conns=-1),
+    "negative rate of cold": lambda d: d["services"][0].update(cold_per_s=-1),
+    "negative memory": lambda d: d["services"][0]["engine"].update(kv_tokens=-1),
+    "slots beyond 64 bits": lambda d: d["services"][0]["engine"].update(slots=2**70),
     "store without an address": lambda d: d["services"].append(
         {"name": "keep", "kv_store_addr": "none", "zone": "b"}
     ),
@@ -119,6 +146,44 @@
     assert (route.kind, route.is_idempotent) == (RouteKind.UNSAFE, False)
 
 
+EDGES = {
+    "largest version": lambda d: d.update(version=2**63 - 1),
+    "version below 0": lambda d: d.update(version=-3),
+    "no body": lambda d: d["limits"].update(max_body_bytes=0),
+    "weights partly 0": lambda d: d["routes"][0]["backends"].append(
+        {"service": "app", "weight": 0}
+    ),
+    "small time": change_route(timeout_ms=0.5),
+    "long time": change_route(timeout_ms=1e15),
+    "many attempts": change_route(attempts=10**9),
+    "prefix of all": change_route(path_prefix="/"),
+    "no limit of connections": lambda d: d["services"][0].update(max_conns=0),
+    "one service twice": lambda d: d["services"].append(d["services"][1]),
+    "one key twice in a tenant": lambda d: d["tenants"][0].update(
+        api_keys=["key-1", "key-1"]
+    ),
+    "tenant without keys": lambda d: d["tenants"].append({"name": "b"}),
+    "store without fields": lambda d: d["services"].append(
+        {"name": "keep", "kv_store_addr": "172.20.0.2:8583"}
+    ),
+    "no routes": lambda d: d.update(routes=[]),
+    "nothing": lambda d: d.update(routes=[], services=[], tenants=[], limits={}),
+}
+
+
+@pytest.mark.parametrize("name", EDGES)
+def test_a_configuration_at_the_edge_of_what_is_proper_is_accepted(name):
+    body = make_changed_body(EDGES[name])
+    assert check_document(body).unwrap() == read_document(body.decode())
+
+
+def test_a_failure_names_the_first_errors_only():
+    routes = [make_document()["routes"][1] | {"timeout_ms": 0} for _ in range(500)]
+    failure = check_document(make_body(routes=routes)).failure()
+    assert failure.type == "deployment-invalid"
+    assert len(failure.detail) < 500
+
+
 def test_a_service_beside_backends_gets_no_requests():
     body = make_changed_body(lambda d: d["routes"][0].update(service="app"))
     shares = check_document(body).unwrap().routes[0].shares
