--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -15,16 +15,18 @@
     OrderUnsettled,
     log_record,
 )
-from vanillabeam.exceptions import VanillabeamError
-from vanillabeam.fleet import Command, Limits
+from vanillabeam.exceptions import MalformedBody, VanillabeamError
+from vanillabeam.fleet import Command, Limits, make_deploy
 from vanillabeam.fleet.control import FleetControl
+from vanillabeam.fleet.deployments import MAX_NUMBER
+from vanillabeam.fleetvm import MAX_BODY_BYTES
 from vanillabeam.forwarding.downstream import read_body
 from vanillabeam.platform.documents import check_document
 from vanillabeam.platform.heartbeats import read_born, read_heartbeat
 
 __all__ = ["ControlApp"]
 
-LIMITS = Limits(body_bytes=16 * 1024 * 1024)
+LIMITS = Limits(body_bytes=MAX_BODY_BYTES)
 OK, BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 200, 400, 404, 503
 
 
@@ -92,9 +94,7 @@
             log_record(DeploymentRefused(deployment.failure().detail))
             return _error_answer(BAD_REQUEST, deployment.failure())
         number = deployment.unwrap().number
-        return await self._propose(
-            Command(kind="deploy", number=number, document=body.decode())
-        )
+        return await self._propose(make_deploy(number, body.decode()))
 
     async def _get_config(self, _: str, body: bytes) -> Answer:
         state = await self._control.read_state()
@@ -110,10 +110,12 @@
         return await self._propose(Command(kind="restore", data_centre=zone))
 
     async def _put_version(self, _: str, body: bytes) -> Answer:
-        order = wire.decode(_VersionOrder, body)
+        order = wire.read(_VersionOrder, body)
         if isinstance(order, Failure):
             return _error_answer(BAD_REQUEST, order.failure())
         model, version = order.unwrap()["model"], order.unwrap()["version"]
+        if not 1 <= version <= MAX_NUMBER:
+            return _error_answer(BAD_REQUEST, MalformedBody("version out of range"))
         return await self._propose(Command(kind="weights", model=model, number=version))
 
     async def _propose(self, command: Command) -> Answer:
--- a/src/vanillabeam/platform/documents.py
+++ b/src/vanillabeam/platform/documents.py
@@ -1,11 +1,10 @@
 """Configuration documents of the platform's operators, parsed into deployments."""
 
-from collections.abc import Iterator
 from typing import NotRequired, TypedDict
 
-import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
+from vanillabeam import wire
 from vanillabeam.exceptions import MalformedBody
 from vanillabeam.fleet import (
     Deployment,
@@ -18,6 +17,7 @@
     Store,
     Workspace,
 )
+from vanillabeam.fleet.deployments import DeploymentInvalid, check_deployment
 
 __all__ = ["check_document", "read_document"]
 
@@ -86,64 +86,44 @@
     tenants: NotRequired[list[_Tenant]]
 
 
-def check_document(body: bytes) -> Result[Deployment, MalformedBody]:
+def check_document(
+    body: bytes,
+) -> Result[Deployment, MalformedBody | DeploymentInvalid]:
     """Parse and check a document that an operator sent.
 
     :param body: the document, as JSON.
     :returns: the deployment that it describes, or a failure that describes the errors.
     """
+    document = wire.read(_Document, body)
+    if isinstance(document, Failure):
+        return document
     try:
-        document = msgspec.json.decode(body, type=_Document)
-        errors = list(_find_errors(document))
-        deployment = _make_deployment(document)
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as exc:
+        deployment = _make_deployment(document.unwrap())
+    except ValueError as exc:
         return Failure(MalformedBody(str(exc)))
-    if errors:
-        return Failure(MalformedBody("; ".join(errors)))
-    return Success(deployment)
+    return check_deployment(deployment)
 
 
 def read_document(document: str) -> Deployment:
-    """Parse a document that :func:`check_document` has accepted."""
-    return _make_deployment(msgspec.json.decode(document, type=_Document))
-
-
-def _find_errors(document: _Document) -> Iterator[str]:
-    services = {service["name"] for service in document["services"]}
-    locations: set[tuple[str, str]] = set()
-    for route in document["routes"]:
-        name, location = route["name"], (route["host"], route["path_prefix"])
-        if location in locations:
-            yield f"{name}: another route has this host and prefix"
-        locations.add(location)
-        shares = _make_shares(route)
-        for share in shares:
-            if share.service not in services:
-                yield f"{name}: unknown service {share.service}"
-        if sum(share.weight for share in shares) <= 0:
-            yield f"{name}: weights add up to 0"
-        if any(share.weight < 0 for share in shares):
-            yield f"{name}: a weight is negative"
-        if route["timeout_ms"] <= 0:
-            yield f"{name}: no time to answer"
-    yield from _find_key_errors(document)
-
-
-def _find_key_errors(document: _Document) -> Iterator[str]:
-    owners: dict[str, str] = {}
-    for tenant in document.get("tenants", []):
-        for key in tenant.get("api_keys", []):
-            if owners.setdefault(key, tenant["name"]) != tenant["name"]:
-                yield f"{tenant['name']}: a key is also {owners[key]}'s"
+    """Parse a document that :func:`check_document` has accepted.
+
+    :raises ValueError: if its fields aren't those of a configuration.
+    """
+    return _make_deployment(wire.convert(_Document, document))
 
 
 def _make_shares(route: _Route) -> tuple[Share, ...]:
-    if route.get("backends"):
-        return tuple(
-            Share(backend["service"], backend["weight"])
-            for backend in route["backends"]
-        )
-    return (Share(route["service"], 1.0),) if "service" in route else ()
+    """Return the shares of a route.
+
+    A service that is named beside the backends gets none, and must be known too.
+    """
+    shares = [
+        Share(backend["service"], backend["weight"])
+        for backend in route.get("backends", ())
+    ]
+    if "service" in route:
+        shares.append(Share(route["service"], 0.0 if shares else 1.0))
+    return tuple(shares)
 
 
 def _make_deployment(document: _Document) -> Deployment:
@@ -172,17 +152,23 @@
         name=route["name"],
         host=route["host"],
         prefix=route["path_prefix"],
-        kind=RouteKind(route["kind"]),
+        kind=_make_kind(route["kind"]),
         shares=_make_shares(route),
         timeout_s=route["timeout_ms"] / 1000,
         objective_s=route.get("slo_ms", 0) / 1000,
-        attempts=max(1, route.get("attempts", 1)),
+        attempts=route.get("attempts", 1),
         priority=route.get("priority", 0),
         public=route.get("public", False),
         resumable=route.get("resumable", False),
     )
 
 
+def _make_kind(kind: str) -> RouteKind:
+    """Return the kind; one that is not known here is served once at most."""
+    known = {known.value: known for known in RouteKind}
+    return known.get(kind, RouteKind.UNSAFE)
+
+
 def _make_service(service: _Service) -> Service:
     engine = service.get("engine")
     return Service(
