Pack only configurations that no earlier release could replicate

Cause: a command with a packed document has no member 'document'. A control VM of an earlier release would end when it applies one, and again at each start, in a fleet that rolls forward or back.

Change: packed from 2 Mi characters on, still below the size at which earlier releases never commit it (2.8 MB and above). Messages between VMs have a bound of 32 MiB and a batch of entries ends at its own size, so two such entries pass.

--- a/src/vanillabeam/fleet/machine.py
+++ b/src/vanillabeam/fleet/machine.py
@@ -14,9 +14,10 @@
 
 __all__ = ["Command", "FleetMachine", "FleetState", "make_deploy"]
 
-#: Length from which a document is packed in its command. Replicas send a command
-#: whole, and each text inside another doubles the quotes of the inner one.
-PACKED_LENGTH = 256 * 1024
+#: Characters from which a document is packed in its command. Replicas send a command
+#: whole, and each text inside another doubles the quotes of the inner one. Shorter
+#: ones are stored so that replicas of the first release can read them.
+PACKED_LENGTH = 2 * 1024 * 1024
 PACKING_LEVEL = 1
 
 
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -28,7 +28,7 @@
 
 
 def test_a_long_document_is_packed_and_comes_back_unchanged():
-    document = '{"q": "é\\""}' * 30_000
+    document = '{"q": "é\\""}' * 200_000
     command = make_deploy(4, document)
     assert len(wire.encode(command)) < len(document) / 4
     assert apply_all(FleetMachine(), command)["document"] == document
