Wait for a port that is in use instead of ending

Cause: a listener whose port another socket held raised from its start, and the error ended the process: the metrics page as well as the listeners that serve. A predecessor that lingers, or another program, was enough; the provider then restarts the process.

Callers saw: exit 1 with a traceback at each start, though the port was free again two seconds later; with the first control VM, no configuration at all.

Roles start beside each other and beside the metrics page, which nothing waits for. An entry VM follows the fleet state meanwhile and is ready only once its entry port listens. SIGTERM ends a waiting process with exit 0.

The data folder is opened only after the peers' port is held, and that port is held until the last write has ended, since lock requests have no effect on the platform.

--- a/src/vanillabeam/decisions.py
+++ b/src/vanillabeam/decisions.py
@@ -29,6 +29,8 @@
     "OrderUnsettled",
     "PartsFreed",
     "PartsRetired",
+    "PortFree",
+    "PortTaken",
     "Ready",
     "RequestAdmitted",
     "RequestAnswered",
@@ -366,6 +368,30 @@
     digest: str
 
 
+class PortTaken(NamedTuple):
+    """A listener waits for its port; the rest of the VM goes on meanwhile.
+
+    :param listener: name of the listener.
+    """
+
+    listener: str
+    address: str
+    failure: str
+    detail: str
+
+
+class PortFree(NamedTuple):
+    """A listener has the port that it waited for.
+
+    :param listener: name of the listener.
+    :param waited_s: seconds that it waited.
+    """
+
+    listener: str
+    address: str
+    waited_s: float
+
+
 class Ready(NamedTuple):
     """The VM is ready to take requests."""
 
@@ -441,6 +467,8 @@
     HomeChosen: Kind("INFO", _RARE_LINES_S),
     MemberRemoved: Kind("WARNING", _RARE_LINES_S),
     Started: Kind("INFO", _RARE_LINES_S),
+    PortTaken: Kind("ERROR", _RARE_LINES_S),
+    PortFree: Kind("WARNING", _RARE_LINES_S),
     Ready: Kind("INFO", _RARE_LINES_S),
     Stopped: Kind("INFO", _RARE_LINES_S),
     SeedsChanged: Kind("INFO", _RARE_LINES_S),
--- a/src/vanillabeam/exceptions.py
+++ b/src/vanillabeam/exceptions.py
@@ -20,6 +20,7 @@
     "Overloaded",
     "PeerSilent",
     "PeerUnreachable",
+    "PortUnavailable",
     "RemoteFailure",
     "Run",
     "SettingsInvalid",
@@ -74,6 +75,15 @@
     type = "invariant-broken"
 
 
+class PortUnavailable(VanillabeamError):
+    """The port of a listener is in use, or can't be bound; the VM waits for it."""
+
+    type = "port-unavailable"
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    run = Run.NOT_RUN
+    advice = "End what holds the port; the VM then goes on by itself."
+
+
 class MalformedBody(VanillabeamError):
     """A body is not the JSON document that its path takes."""
 
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -1,6 +1,7 @@
 """One VM of a fleet: its roles, listeners and lifecycle."""
 
 import random
+import socket
 from typing import TYPE_CHECKING, Any, Protocol
 
 import trio
@@ -16,6 +17,7 @@
 from vanillabeam.listeners import ListenerTask
 from vanillabeam.notices import Incarnation
 from vanillabeam.peerhttp import PeerClient, peer_routes
+from vanillabeam.ports import wait_for_port
 from vanillabeam.readiness import Readiness
 
 if TYPE_CHECKING:
@@ -36,6 +38,8 @@
 EXIT_MARGIN_S = 0.7
 #: Seconds for which a stopping control VM keeps answering after its handover.
 CONTROL_LINGER_S = 0.5
+#: Listeners that a planned stop closes before the others.
+CLOSED_ON_DRAIN = ("entry", "control")
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_CONCURRENT_REQUESTS = 2_000
 
@@ -87,6 +91,8 @@
         self.control: FleetControl | None = None
         self.counters = Counters()
         self._listeners: dict[str, ListenerTask] = {}
+        self._are_closed = False
+        self._held_port: socket.socket | None = None
         self._stopped = trio.Event()
 
     def drain(self) -> None:
@@ -108,19 +114,28 @@
         return self.lifecycle.exit_code
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Run until cancelled."""
+        """Run until cancelled; report the start once each role has its ports.
+
+        A role whose port is in use waits for it, the rest goes on. The metrics page
+        is not waited for.
+        """
         call = PeerClient(None, None, PEER_SILENCE_S, PEER_CONNECT_S)
-        async with trio.open_nursery() as nursery:
-            if self.cfg.control_address:
-                await self._start_control(nursery, call)
-            if self.cfg.entry_address:
-                await self._start_entry(nursery, call)
-            if self.cfg.metrics_port:
-                address = f"{self.cfg.host}:{self.cfg.metrics_port}"
-                app = CountersApp(self.counters)
-                await self._listen(nursery, "metrics", address, app)
-            nursery.start_soon(self._run_lifecycle)
-            task_status.started()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._run_lifecycle)
+                if self.cfg.metrics_port:
+                    address = f"{self.cfg.host}:{self.cfg.metrics_port}"
+                    app = CountersApp(self.counters)
+                    nursery.start_soon(self._listen, nursery, "metrics", address, app)
+                async with trio.open_nursery() as roles:
+                    if self.cfg.control_address:
+                        roles.start_soon(self._start_control, nursery, call)
+                    if self.cfg.entry_address:
+                        roles.start_soon(self._start_entry, nursery, call)
+                task_status.started()
+        finally:
+            if self._held_port is not None:
+                self._held_port.close()
 
     async def _start_control(self, nursery: trio.Nursery, call: PeerClient) -> None:
         # Imported here, as an entry VM starts sooner without the replicated log.
@@ -130,13 +145,17 @@
         read = self.adapter.dialect.read_deployment
         self.control = FleetControl(self.cfg, call, self.rng, read, self.adapter.stores)
         peers = Starlette(routes=peer_routes(self.control.routes()))
-        await self._listen(nursery, "peers", self.cfg.peer_address, peers)
+        # The data folder is opened only by the holder of the peers' port, which is held
+        # until the last write has ended: no two processes write one log.
+        await self._listen(
+            nursery, "peers", self.cfg.peer_address, peers, hold_port=True
+        )
         await nursery.start(self.control.run)
         self._add_control_metrics(self.control)
-        app = self.adapter.control_app(self.control)
-        await self._listen(nursery, "control", self.cfg.control_address, app)
         nursery.start_soon(Rollout(self.control, self.adapter.orders).run)
         nursery.start_soon(self._transfer_leadership_on_drain)
+        app = self.adapter.control_app(self.control)
+        await self._listen(nursery, "control", self.cfg.control_address, app)
         if not self.cfg.entry_address:
             self.lifecycle.config_ready(0)
 
@@ -155,19 +174,36 @@
         )
         self._add_entry_metrics(self.follower)
         self._add_notice_metrics(self.follower, chooser)
-        readiness = self.adapter.readiness_app(self.lifecycle)
-        await self._listen(nursery, "readiness", self.cfg.readiness_address, readiness)
-        await self._listen(nursery, "entry", self.cfg.entry_address, app)
         nursery.start_soon(self.follower.run)
         nursery.start_soon(app.run)
-        nursery.start_soon(self._become_ready)
-        nursery.start_soon(self._sync_limits)
+        readiness = self.adapter.readiness_app(self.lifecycle)
+        async with trio.open_nursery() as ports:
+            address = self.cfg.readiness_address
+            ports.start_soon(self._listen, nursery, "readiness", address, readiness)
+            await self._listen(nursery, "entry", self.cfg.entry_address, app)
+            nursery.start_soon(self._become_ready)
+            nursery.start_soon(self._sync_limits)
 
     async def _listen(
-        self, nursery: trio.Nursery, name: str, address: str, app: Any
+        self,
+        nursery: trio.Nursery,
+        name: str,
+        address: str,
+        app: Any,
+        hold_port: bool = False,
     ) -> None:
+        """Start a listener once its port is free.
+
+        :param hold_port: whether the port stays taken until the VM has ended.
+        """
+        sock = await wait_for_port(name, address)
+        if self._are_closed and name in CLOSED_ON_DRAIN:
+            sock.close()
+            return
+        if hold_port:
+            self._held_port = sock.dup()
         graceful_s = self.cfg.bounds.grace_s
-        task = ListenerTask(name, app, _listener(address), graceful_s)
+        task = ListenerTask(name, app, _listener(address), graceful_s, sock)
         self._listeners[name] = task
         await nursery.start(task.run)
 
@@ -233,7 +269,8 @@
         self._stopped.set()
 
     def _close_listeners(self) -> None:
-        for name in ("entry", "control"):
+        self._are_closed = True
+        for name in CLOSED_ON_DRAIN:
             if name in self._listeners:
                 self._listeners[name].close()
 
--- a/src/vanillabeam/listeners.py
+++ b/src/vanillabeam/listeners.py
@@ -1,5 +1,6 @@
 """The daemon's HTTP listeners, served by hypercorn."""
 
+import socket
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -28,15 +29,25 @@
     :param cfg: the listener's settings.
     :param graceful_s: time that open requests have to end after the listener
         was closed.
+    :param sock: socket to listen on, in place of the settings' address; it belongs
+        to the task from then on.
     :ivar address: ``host:port`` that the listener is bound to; empty until it
         has started.
     """
 
-    def __init__(self, name: str, app, cfg: "Listener", graceful_s: float):
+    def __init__(
+        self,
+        name: str,
+        app,
+        cfg: "Listener",
+        graceful_s: float,
+        sock: socket.socket | None = None,
+    ):
         self.name = name
         self.app = LimitsMiddleware(app, cfg["limits"])
         self.hypercorn = _hypercorn_config(cfg, graceful_s)
         self.address = ""
+        self._sock = sock
         self._closing = trio.Event()
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -44,6 +55,8 @@
 
         The address is reported as the value of ``task_status``.
         """
+        if self._sock is not None:
+            self.hypercorn.bind = [f"fd://{self._sock.detach()}"]
         async with trio.open_nursery() as nursery:
             binds = await nursery.start(
                 partial(
--- a/src/vanillabeam/platform/__main__.py
+++ b/src/vanillabeam/platform/__main__.py
@@ -87,7 +87,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_handle_signals, vm, path)
         nursery.start_soon(_watch_settings, vm, path)
-        await nursery.start(vm.run)
+        nursery.start_soon(vm.run)
         code = await vm.wait_stopped()
         nursery.cancel_scope.cancel()
     log_record(Stopped(code))
