Found the log although a first process has ended too early

Cause: only one VM might found the log, and only in its first process, as a later start has 'bootstrap' false. If that process ended before it had founded (a kill, a port in use, too little memory), nobody founded ever.

Callers and operators saw a fleet that never opens.

Change: a seed whose settings allow it keeps on disk that it may found, and with whom. The first such seed by name founds; another one only if all before it say that they may not. A VM that has lost its disk may not either, so that no second log is founded. If all first processes of all seeds end before they have opened their folders, still nobody founds: that can't be told from lost disks.

--- a/src/vanillabeam/log/contents.py
+++ b/src/vanillabeam/log/contents.py
@@ -1,6 +1,6 @@
 """Read-only parser of a replica's data folder."""
 
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -33,6 +33,8 @@
     :param group_id: id of the group, empty until the replica has joined one.
     :param promised: member id of the replica that this one has promised to let
         bootstrap the group, else empty.
+    :param founders: name and address of each VM that may bootstrap the group, this
+        one included; only if the first start was that of the whole system.
     """
 
     format: int
@@ -40,6 +42,7 @@
     member_id: str
     group_id: str
     promised: str
+    founders: NotRequired[list[tuple[str, str]]]
 
 
 class SegmentHeader(TypedDict):
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -11,7 +11,7 @@
 
 from vanillabeam import wire
 from vanillabeam.exceptions import MalformedBody, VanillabeamError
-from vanillabeam.log.bootstrap import Bootstrapper
+from vanillabeam.log.bootstrap import Bootstrapper, keep_founders
 from vanillabeam.log.client import LogClient
 from vanillabeam.log.contents import Contents
 from vanillabeam.log.events import Received, Role, TransferLeadership
@@ -232,7 +232,11 @@
         folder = self._folder
         if folder is None:
             folder = DiskFolder(group_folder(self._data_folder, self.group))
-        return open_storage(folder, self.group, self._make_id)
+        opened = open_storage(folder, self.group, self._make_id)
+        if not self._bootstrap:
+            return opened
+        me = Address(self.vm, self.address)
+        return opened.bind(lambda pair: keep_founders(*pair, me, self._initial))
 
     def _make_loop(
         self, storage: Storage, contents: Contents, nursery: trio.Nursery
@@ -257,7 +261,6 @@
             self.group,
             me,
             self._initial,
-            self._bootstrap,
             self._loop,
             self._client,
             self._peer_call,
@@ -327,17 +330,28 @@
             return decoded
         if self._loop is None:
             return Failure(ReplicaStopped())
+        founder = decoded.unwrap()["founder"]
+        if founder and not await self._promise(founder):
+            return Failure(ReplicaStopped())
+        state = self._loop.replica
+        reply = IdentityReply(
+            member_id=state.member_id,
+            group_id=state.group_id,
+            may_bootstrap="founders" in self._loop.storage.identity,
+        )
+        return Success(wire.encode(reply))
+
+    async def _promise(self, founder: str) -> bool:
+        """Let another replica bootstrap the group; return whether that is stored."""
         send, receive = trio.open_memory_channel[None](1)
-        put = await self._loop.put(BootstrapPromise(decoded.unwrap()["founder"], send))
+        put = await self._loop.put(BootstrapPromise(founder, send))
         if isinstance(put, Failure):
-            return put
+            return False
         try:
             await receive.receive()
         except trio.EndOfChannel:
-            return Failure(ReplicaStopped())
-        state = self._loop.replica
-        reply = IdentityReply(member_id=state.member_id, group_id=state.group_id)
-        return Success(wire.encode(reply))
+            return False
+        return True
 
     async def _on_status(self, body: bytes) -> Result[bytes, VanillabeamError]:
         return Success(wire.encode(self.status()))
--- a/src/vanillabeam/log/requests.py
+++ b/src/vanillabeam/log/requests.py
@@ -65,7 +65,8 @@
 class IdentityRequest(TypedDict):
     """Question of a bootstrapping VM whether a replica already has a group.
 
-    :param founder: member id of the replica that asks.
+    :param founder: member id of the replica that asks, if it is to be promised that
+        it may bootstrap the group; else empty.
     """
 
     founder: str
@@ -75,10 +76,13 @@
     """Identity of a replica.
 
     :param group_id: id of its group, empty until it has joined one.
+    :param may_bootstrap: whether it may bootstrap the group now or later; true if
+        omitted.
     """
 
     member_id: str
     group_id: str
+    may_bootstrap: NotRequired[bool]
 
 
 class MemberStatus(TypedDict):
--- a/tests/log/test_node.py
+++ b/tests/log/test_node.py
@@ -1,7 +1,9 @@
 """Tests of groups of nodes over an in-memory network."""
 
+import random
 from functools import partial
 
+import pytest
 import trio
 import trio.testing
 from returns.result import Failure
@@ -152,6 +154,71 @@
     )
 
 
+def is_joined(group):
+    """Return whether all VMs have the same group."""
+    ids = {node.status()["group_id"] for node in group.nodes.values()}
+    return len(ids) == 1 and "" not in ids
+
+
+# Guards against a fleet that never opens, as the first process of the founding VM
+# had ended before it could store anything and later starts may not found.
+@with_group(3)
+async def test_another_vm_founds_if_the_first_process_of_the_founder_has_ended(group):
+    for vm, bootstrap in (("vm-1", False), ("vm-2", True), ("vm-3", True)):
+        await group.start(vm, bootstrap=bootstrap)
+    await wait_until(lambda: is_joined(group))
+    assert (await group.nodes["vm-1"].propose("open")).unwrap()
+
+
+# Guards against the same after the founder has stored that it may found.
+@with_group(3)
+async def test_a_founder_that_starts_again_still_founds(group):
+    await group.start("vm-1")
+    await trio.sleep(1)
+    group.stop("vm-1")
+    await group.start("vm-1", bootstrap=False)
+    await group.start("vm-2")
+    await group.start("vm-3")
+    await wait_until(lambda: is_joined(group))
+
+
+# Guards against two groups where VMs are killed and start again while one is founded.
+@pytest.mark.parametrize("seed", range(20))
+def test_starts_that_are_broken_off_found_one_group(seed):
+    rng = random.Random(seed)
+
+    @with_group(3, open_requires_all=True, allow_any_vm=True)
+    async def play(group):
+        vms = [vm for vm, _ in make_addresses(3)]
+        early = rng.choice([*vms, None])
+        for vm in rng.sample(vms, 3):
+            await group.start(vm, bootstrap=vm != early)
+            await trio.sleep(rng.uniform(0, 0.4))
+        for _ in range(rng.randint(0, 4)):
+            vm = rng.choice(vms)
+            group.stop(vm)
+            await trio.sleep(rng.uniform(0, 0.6))
+            await group.start(vm, bootstrap=False)
+            await trio.sleep(rng.uniform(0, 0.6))
+        await wait_until(lambda: is_joined(group))
+        assert (await group.nodes["vm-3"].propose("open")).unwrap()
+
+    play()
+
+
+# Guards against a second group, founded by a VM that has lost its disk.
+@with_group(3)
+async def test_a_vm_with_a_new_disk_founds_no_group(group):
+    await group.start_all()
+    for vm in ("vm-1", "vm-2", "vm-3"):
+        group.stop(vm)
+    group.folders.clear()
+    for vm in ("vm-1", "vm-2", "vm-3"):
+        await group.start(vm, bootstrap=False)
+    await trio.sleep(30)
+    assert {n.status()["group_id"] for n in group.nodes.values()} == {""}
+
+
 @with_group(3)
 async def test_restarted_vms_restore_the_snapshot_and_the_entries_after_it(group):
     await group.start_all()
