Keep a connection's failure from ending its listener

Cause: hypercorn's server switches to HTTP/2 and websocket by itself and lets an exception of one connection pass to the nursery of the listener. Sends are shielded, and nothing closed the connection of a caller that doesn't read.

Callers saw: one request with Upgrade: h2c and HTTP2-Settings: AAAA, or one websocket handshake, ended the process of any VM at any of its listeners; after SIGTERM a process with two callers that don't read had not ended after 13 s.

Change: vanillabeam.httpserver serves a listener on hypercorn's protocol code without the switch to other protocols (versions other than 1.x get 505). A failed connection is logged and ends only itself, as does a failed request, which was in no log. A caller that takes nothing for the idle time is closed; a stop closes what is left. Beyond 2,000 connections of a listener, the longest silent one is closed.

Test: tests/test_httpserver.py. All pass now.

--- a/src/vanillabeam/decisions.py
+++ b/src/vanillabeam/decisions.py
@@ -19,6 +19,8 @@
     "AnswerCut",
     "AttemptFailed",
     "CallerGone",
+    "ConnectionFailed",
+    "ConnectionStalled",
     "ControlForgotten",
     "ControlHeard",
     "DeploymentRefused",
@@ -188,6 +190,28 @@
     born_ms: int
 
 
+class ConnectionFailed(NamedTuple):
+    """A connection, or a request on it, ended with an unexpected exception.
+
+    Only this connection is closed.
+
+    :param address: ``host:port`` of the caller.
+    :param reason: the first exception.
+    """
+
+    address: str
+    reason: str
+
+
+class ConnectionStalled(NamedTuple):
+    """A connection was closed because its caller read none of its answer.
+
+    :param address: ``host:port`` of the caller.
+    """
+
+    address: str
+
+
 class TargetLeaving(NamedTuple):
     """A target said in an answer to this VM that it leaves; it gets no more requests.
 
@@ -420,6 +444,8 @@
     RequestRefused: Kind("WARNING", _FAILURE_LINES_S),
     AnswerCut: Kind("WARNING", _FAILURE_LINES_S),
     CallerGone: Kind("INFO", _RARE_LINES_S),
+    ConnectionFailed: Kind("ERROR", _RARE_LINES_S),
+    ConnectionStalled: Kind("INFO", _RARE_LINES_S),
     TargetChanged: Kind("INFO", _RARE_LINES_S),
     TargetLeft: Kind("INFO", _RARE_LINES_S),
     TargetSilent: Kind("WARNING", _RARE_LINES_S),
--- a/src/vanillabeam/listeners.py
+++ b/src/vanillabeam/listeners.py
@@ -1,11 +1,11 @@
-"""The daemon's HTTP listeners, served by hypercorn."""
+"""The daemon's HTTP listeners, served by :mod:`vanillabeam.httpserver`."""
 
 from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
-from hypercorn.trio import serve
 
+from vanillabeam.httpserver import serve
 from vanillabeam.limits import LimitsMiddleware
 from vanillabeam.tls import ServerTls
 
@@ -51,7 +51,6 @@
                     self.app,
                     self.hypercorn,
                     shutdown_trigger=self._closing.wait,
-                    mode="asgi",
                 )
             )
             self.address = binds[0].split("://", 1)[1]
