Pass on a plain answer that is too long to be held

Cause: plain answers, failures and refusals of targets were read whole, whatever their size.

A refusal without end was told at the time limit only, and not repeated.

Change: an answer is held up to 256 KB, all bodies of the VM up to a third of its memory (limits.memory_mb of the settings). A refusal's body is read for 0.1 s and 64 KB at most.

Existing tests: Resources has one more field, which tests/forwarding/exchanges.py and test_exchange.py now pass.

--- a/src/vanillabeam/fleet/records.py
+++ b/src/vanillabeam/fleet/records.py
@@ -218,6 +218,7 @@
     :param bootstrap: true only at the first start of the whole fleet.
     :param data_folder: empty on a VM without a disk.
     :param metrics_port: port that serves metrics as text; 0 disables it.
+    :param memory_bytes: memory that the process may use; 0 if unknown.
     """
 
     vm: str
@@ -232,6 +233,7 @@
     data_folder: str
     metrics_port: int
     bounds: Bounds
+    memory_bytes: int = 0
 
     @property
     def peer_address(self) -> str:
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -14,6 +14,7 @@
 from vanillabeam.forwarding.choice import Chooser
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.listeners import ListenerTask
+from vanillabeam.memory import MemoryBudget
 from vanillabeam.notices import Incarnation
 from vanillabeam.peerhttp import PeerClient, peer_routes
 from vanillabeam.readiness import Readiness
@@ -150,8 +151,18 @@
             self.cfg.bounds,
             self.rng,
         )
+        memory = MemoryBudget.of_memory(self.cfg.memory_bytes)
         app = ForwardingApp(
-            dialect, self.follower, chooser, self.lifecycle, self.counters, self.rng
+            dialect,
+            self.follower,
+            chooser,
+            self.lifecycle,
+            self.counters,
+            self.rng,
+            memory,
+        )
+        self.counters.add_gauge(
+            "held_bytes", "Bytes of bodies held.", lambda: memory.used_bytes
         )
         self._add_entry_metrics(self.follower)
         self._add_notice_metrics(self.follower, chooser)
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -32,6 +32,7 @@
 from vanillabeam.forwarding.routes import RouteTable
 from vanillabeam.forwarding.sentparts import SentParts
 from vanillabeam.lifecycle import Lifecycle
+from vanillabeam.memory import MemoryBudget
 
 __all__ = ["ForwardingApp"]
 
@@ -52,6 +53,7 @@
     :param lifecycle: counts open requests and reports when this VM drains.
     :param counters: counts the outcomes of requests.
     :param rng: seeded; adds jitter to the Retry-After of refused callers.
+    :param memory: bytes of bodies that all requests may hold.
     """
 
     def __init__(
@@ -62,9 +64,11 @@
         lifecycle: Lifecycle,
         counters: Counters,
         rng: random.Random,
+        memory: MemoryBudget | None = None,
     ):
+        memory = memory or MemoryBudget()
         self._resources = Resources(
-            dialect, follower, chooser, Pools(), SentParts(), counters
+            dialect, follower, chooser, Pools(), SentParts(), counters, memory
         )
         self._counters = counters
         chooser.is_paused = follower.is_paused
@@ -123,7 +127,8 @@
         if isinstance(body, Failure):
             await self._refuse(writer, request.metadata.request_id, body.failure())
             return
-        await self._exchange(request._replace(body=body.unwrap()), receive, writer)
+        request = request._replace(body=body.unwrap())
+        await self._exchange(request, receive, writer)
 
     async def _wait_for_state(self, began_s: float) -> None:
         """Wait a short time for the fleet state if this VM has just started.
@@ -182,7 +187,10 @@
         return Success(request)
 
     async def _exchange(
-        self, request: AdmittedRequest, receive, writer: ResponseWriter
+        self,
+        request: AdmittedRequest,
+        receive,
+        writer: ResponseWriter,
     ) -> None:
         exchange = Exchange(request, self._resources, writer)
         failure = None
--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -1,5 +1,6 @@
 """One attempt of a request: sent to one target, whose answer is passed on."""
 
+from collections.abc import AsyncIterator
 from functools import partial
 from typing import NamedTuple
 
@@ -22,12 +23,14 @@
 from vanillabeam.forwarding.events import EventCutter
 from vanillabeam.forwarding.exceptions import (
     AnswerBroken,
+    AnswerTooLong,
     MismatchedAnswer,
     NoTarget,
     TargetWithdrawn,
 )
 from vanillabeam.forwarding.load import OpenRequest
-from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome, Whole
+from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome
+from vanillabeam.forwarding.plain import Prefix, read_plain, read_refusal
 from vanillabeam.forwarding.pools import Pools
 from vanillabeam.forwarding.relay import StreamRelay
 from vanillabeam.forwarding.sending import (
@@ -37,6 +40,7 @@
     open_response,
 )
 from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.memory import MemoryBudget
 from vanillabeam.notices import Notice
 
 __all__ = ["Attempt", "Resources"]
@@ -57,6 +61,7 @@
 
     :param follower: follows the state of the fleet.
     :param sent_parts: prompt parts that targets were sent recently.
+    :param memory: bytes of bodies that all requests may hold.
     """
 
     dialect: Dialect
@@ -65,6 +70,7 @@
     pools: Pools
     sent_parts: SentParts
     counters: Counters
+    memory: MemoryBudget
 
 
 class Attempt:
@@ -76,6 +82,7 @@
         that it is given up as soon as this one turns suspect.
     :ivar was_sent: whether any of the request may have reached the target.
     :ivar may_have_run: whether the target may have run the request.
+    :ivar has_passed_on: whether a part of a plain answer was passed on to the caller.
     :ivar answer_end: how the answer ended.
     """
 
@@ -91,6 +98,7 @@
     ):
         self.was_sent = False
         self.may_have_run = False
+        self.has_passed_on = False
         self.answer_end = AnswerEnd()
         self._request = request
         self._resources = resources
@@ -252,18 +260,48 @@
             self.may_have_run = False
         if self._is_stream(response):
             return await self._stream(response)
-        whole = await _read_whole(response, target)
-        if isinstance(whole, Broken):
-            return whole
-        if kind is AnswerKind.OTHER_TARGET:
-            return Broken(NoTarget(f"another target is at {target.address}"))
-        if kind is AnswerKind.NOT_RUN:
+        if kind in (AnswerKind.NOT_RUN, AnswerKind.OTHER_TARGET):
+            refusal = await read_refusal(response, target)
+            if kind is AnswerKind.OTHER_TARGET:
+                return Broken(NoTarget(f"another target is at {target.address}"))
             self._was_refused = True
-            return whole._replace(is_pause=notice.pause is not None)
-        if response.status >= SERVER_ERROR:
-            return whole
-        await self._writer.send_response(whole.status, whole.headers, whole.body)
-        return Delivered(whole.status)
+            return refusal._replace(is_pause=notice.pause is not None)
+        return await self._handle_plain(response)
+
+    async def _handle_plain(self, response: OpenResponse) -> Outcome:
+        """Pass a plain answer on, or return a failure of the target."""
+        parts = iter_body(response, self._choice.target)
+        with self._resources.memory.open() as holding:
+            read = await read_plain(response, parts, holding)
+            if isinstance(read, Broken):
+                return read
+            if isinstance(read, Prefix):
+                return await self._pass_on(response, read, parts)
+            if response.status >= SERVER_ERROR:
+                return read
+            await self._writer.send_response(read.status, read.headers, read.body)
+        return Delivered(read.status)
+
+    async def _pass_on(
+        self, response: OpenResponse, prefix: Prefix, parts: AsyncIterator
+    ) -> Outcome:
+        """Pass an answer that is too long to be held on as it arrives."""
+        name, status = self._choice.target.name, response.status
+        if status >= SERVER_ERROR and self._may_go_elsewhere:
+            return Broken(AnswerTooLong(f"{name}: status {status}"))
+        writer = self._writer
+        if writer.started:
+            return Broken(AnswerTooLong(f"{name}: after a stream had begun"))
+        if not await writer.start_long(status, response.headers, response.length):
+            return Broken(AnswerTooLong(f"{name}: the caller speaks HTTP/1.0"))
+        self.has_passed_on = True
+        await writer.send(prefix.take())
+        async for part in parts:
+            if isinstance(part, Broken):
+                return part
+            await writer.send(part)
+        await writer.finish()
+        return Delivered(status)
 
     def _is_stream(self, response: OpenResponse) -> bool:
         """Return whether the answer is passed on as it arrives."""
@@ -344,12 +382,3 @@
                 *self.answer_end,
             )
         )
-
-
-async def _read_whole(response: OpenResponse, target: Target) -> Whole | Broken:
-    parts: list[bytes] = []
-    async for part in iter_body(response, target):
-        if isinstance(part, Broken):
-            return part
-        parts.append(part)
-    return Whole(response.status, response.headers, b"".join(parts))
--- a/src/vanillabeam/forwarding/downstream.py
+++ b/src/vanillabeam/forwarding/downstream.py
@@ -74,6 +74,23 @@
             return
         await self._send_head(status, kept)
 
+    async def start_long(
+        self, status: int, headers: Headers, length: bytes | None
+    ) -> bool:
+        """Send the head of an answer whose body follows in parts.
+
+        :param length: length of the body that the target announced. Without it the
+            body is sent in chunks, so that an early end never looks complete.
+        :returns: whether the caller's HTTP version has a mark of the end.
+        """
+        if self._collects and length is None:
+            return False
+        kept = [(n, v) for n, v in strip_hop_by_hop(headers) if n != b"content-length"]
+        if length is not None:
+            kept.append((b"content-length", length))
+        await self._send_head(status, kept)
+        return True
+
     async def send_problem(
         self, exc: VanillabeamError, retry_after_s: float | None
     ) -> None:
--- a/src/vanillabeam/forwarding/exceptions.py
+++ b/src/vanillabeam/forwarding/exceptions.py
@@ -8,6 +8,7 @@
 __all__ = [
     "AnswerBroken",
     "AnswerLate",
+    "AnswerTooLong",
     "ForwardingError",
     "MismatchedAnswer",
     "NoTarget",
@@ -114,6 +115,12 @@
     advice = "The request may have run; check before sending it again."
 
 
+class AnswerTooLong(AnswerBroken):
+    """The target's answer is too long to be held, and can't be passed on in parts."""
+
+    type = "answer-too-long"
+
+
 class MismatchedAnswer(AnswerBroken):
     """The answer that came belongs to another request."""
 
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -226,6 +226,8 @@
     def _may_retry(self, previous: Outcome) -> bool:
         """Return whether the request may be sent to one more target."""
         route = self._request.route
+        if self._attempts and self._attempts[-1].has_passed_on:
+            return False
         if isinstance(previous, Broken) and previous.exc.run is Run.NOT_RUN:
             self._connect_failures += 1
             if self._connect_failures >= MAX_CONNECT_FAILURES:
@@ -268,6 +270,8 @@
             answer = self._error
         elif is_refusal and self.may_have_run:
             return AnswerBroken("an earlier target may have run it")
+        if answer.is_cut:
+            return NoTarget(f"refused with {answer.status} and no whole body")
         headers = answer.headers
         if answer.is_pause:
             headers = [*headers, (b"retry-after", self._retry_after())]
--- a/src/vanillabeam/forwarding/outcomes.py
+++ b/src/vanillabeam/forwarding/outcomes.py
@@ -23,12 +23,14 @@
     """A complete answer that has not been passed on to the caller.
 
     :param is_pause: whether the target asked for no more requests for some time.
+    :param is_cut: whether the body was too long to be read; it is empty then.
     """
 
     status: int
     headers: Headers
     body: bytes
     is_pause: bool = False
+    is_cut: bool = False
 
 
 class Delivered(NamedTuple):
--- a/src/vanillabeam/forwarding/sending.py
+++ b/src/vanillabeam/forwarding/sending.py
@@ -15,6 +15,7 @@
 __all__ = ["Broken", "Framing", "OpenResponse", "iter_body", "open_response"]
 
 CONTENT_TYPE = b"content-type"
+LENGTH = b"content-length"
 EVENT_STREAM_TYPE = b"text/event-stream"
 CONNECT_TIMEOUT_S = 0.4
 POOL_TIMEOUT_S = 0.5
@@ -59,10 +60,18 @@
         names = {name.lower() for name, _ in self.headers}
         if b"transfer-encoding" in names:
             return Framing.CHUNKS
-        if b"content-length" in names:
+        if LENGTH in names:
             return Framing.LENGTH
         return Framing.CLOSE
 
+    @property
+    def length(self) -> bytes | None:
+        """Length of the body, if that marks its end."""
+        if self.framing is not Framing.LENGTH:
+            return None
+        lengths = [value for name, value in self.headers if name.lower() == LENGTH]
+        return lengths[0]
+
     @property
     def may_be_event_stream(self) -> bool:
         """Whether the answer declares no other type than that of an event stream."""
--- a/src/vanillabeam/platform/settings.py
+++ b/src/vanillabeam/platform/settings.py
@@ -11,6 +11,7 @@
 PATH_VARIABLE = "VANILLABEAM_CONFIG"
 #: Heartbeat intervals without an announcement after which a target counts as lost.
 MISSED_HEARTBEATS = 3.5
+MB = 1024 * 1024
 
 
 def read_settings(path: Path) -> FleetSettings:
@@ -47,6 +48,7 @@
         data_folder=fields.get("data_dir") or "",
         metrics_port=document["metrics_port"],
         bounds=_bounds(fields),
+        memory_bytes=int((fields.get("limits") or {}).get("memory_mb", 0) * MB),
     )
 
 
--- a/tests/forwarding/exchanges.py
+++ b/tests/forwarding/exchanges.py
@@ -20,6 +20,7 @@
 from vanillabeam.forwarding.exchange import Exchange
 from vanillabeam.forwarding.sending import Broken, OpenResponse
 from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.memory import MemoryBudget
 from vanillabeam.notices import Notice
 
 REFUSED = 503
@@ -146,7 +147,13 @@
         )
         pools = SimpleNamespace(pool=lambda target, connections: None)
         return Resources(
-            ScriptedDialect(), follower, self.chooser, pools, SentParts(), Counters()
+            ScriptedDialect(),
+            follower,
+            self.chooser,
+            pools,
+            SentParts(),
+            Counters(),
+            MemoryBudget(),
         )
 
     async def _open_response(self, pool, target, metadata, headers, body, may_send):
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -19,6 +19,7 @@
 from vanillabeam.forwarding.outcomes import Delivered
 from vanillabeam.forwarding.sending import Broken
 from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.memory import MemoryBudget
 
 GATHERS_UNTIL_S = 1.5
 OBJECTIVE_S = 1.0
@@ -47,7 +48,9 @@
         request = AdmittedRequest(
             metadata, route, None, [], b"", began_s, began_s + 10.0
         )
-        resources = Resources(None, follower, chooser, None, SentParts(), None)
+        resources = Resources(
+            None, follower, chooser, None, SentParts(), None, MemoryBudget()
+        )
         exchange = Exchange(request, resources, SimpleNamespace(started=False))
         async with trio.open_nursery() as nursery:
             for at_s, func in events:
@@ -139,7 +142,9 @@
             make_metadata(), route, None, [], b"", now_s, now_s + 10.0
         )
         counters = SimpleNamespace(repeats=Counters().repeats)
-        resources = Resources(None, follower, chooser, None, SentParts(), counters)
+        resources = Resources(
+            None, follower, chooser, None, SentParts(), counters, MemoryBudget()
+        )
         exchanges = []
         async with trio.open_nursery() as nursery:
             for _ in range(5):
