Close a caller's connection that keeps its request past the time limit

Cause: sends to the caller are shielded from cancellation, so the time limit of the route didn't end a request whose caller doesn't read.

Change: 0.2 s after the end of the request's time the caller's connection is closed. The send then ends and the target's connection is closed.

Test: test_a_caller_that_does_not_read_is_closed_at_the_time_limit failed before the change (the target was still sending 0.5 s after the time limit).

--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections.abc import Callable
 
 import trio
 from returns.result import Failure, Result, Success
@@ -31,6 +32,7 @@
 from vanillabeam.forwarding.pools import Pools
 from vanillabeam.forwarding.routes import RouteTable
 from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.httpserver import abort_of
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.memory import MemoryBudget
 
@@ -40,6 +42,9 @@
 #: Time after the start by which the fleet state has arrived, unless the control
 #: VMs are unreachable.
 STARTUP_S = 1.5
+#: Time after the end of a request at which its connection is closed if the caller
+#: has not taken the answer.
+ABORT_DELAY_S = 0.2
 #: Longest time that a request waits for the fleet state during the startup.
 STATE_WAIT_S = 0.6
 
@@ -128,7 +133,7 @@
             await self._refuse(writer, request.metadata.request_id, body.failure())
             return
         request = request._replace(body=body.unwrap())
-        await self._exchange(request, receive, writer)
+        await self._exchange(request, receive, writer, abort_of(scope))
 
     async def _wait_for_state(self, began_s: float) -> None:
         """Wait a short time for the fleet state if this VM has just started.
@@ -191,11 +196,14 @@
         request: AdmittedRequest,
         receive,
         writer: ResponseWriter,
+        abort: Callable[[], None],
     ) -> None:
         exchange = Exchange(request, self._resources, writer)
         failure = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+            ends_s = max(request.ends_s, trio.current_time())
+            nursery.start_soon(_abort_at, ends_s + ABORT_DELAY_S, abort)
             failure = await exchange.run()
             if failure is not None and not writer.started:
                 await self._refuse(writer, request.metadata.request_id, failure)
@@ -254,6 +262,12 @@
         await writer.send_problem(exc, retry_after_s)
 
 
+async def _abort_at(time_s: float, abort: Callable[[], None]) -> None:
+    """Close the caller's connection at a time, unless cancelled before."""
+    await trio.sleep_until(time_s)
+    abort()
+
+
 async def _cancel_on_disconnect(receive, scope: trio.CancelScope) -> None:
     while True:
         message = await receive()
--- a/tests/platform/test_longanswers.py
+++ b/tests/platform/test_longanswers.py
@@ -189,6 +189,21 @@
     assert took_s < TIMEOUT_S
 
 
+# Guards against a caller that doesn't read and keeps its request past the time limit.
+def test_a_caller_that_does_not_read_is_closed_at_the_time_limit(tmp_path):
+    answer = endless(PIECE)
+
+    async def read_late(stream):
+        await trio.sleep(TIMEOUT_S + LATE_S)
+        was_cut.extend(answer.cut)
+        return await read_all(stream)
+
+    was_cut = []
+    data, _, _, _ = ask(tmp_path, [answer], ask_one=read_late)
+    assert not data.endswith(b"0\r\n\r\n")
+    assert was_cut
+
+
 # Guards against answers that are no answer and have no end: a head, a line or trailers.
 @pytest.mark.parametrize(
     "begin, piece",
