--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections.abc import Callable
 
 import trio
 from returns.result import Failure, Result, Success
@@ -31,7 +32,9 @@
 from vanillabeam.forwarding.pools import Pools
 from vanillabeam.forwarding.routes import RouteTable
 from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.httpserver import abort_of
 from vanillabeam.lifecycle import Lifecycle
+from vanillabeam.memory import MemoryBudget
 
 __all__ = ["ForwardingApp"]
 
@@ -39,6 +42,9 @@
 #: Time after the start by which the fleet state has arrived, unless the control
 #: VMs are unreachable.
 STARTUP_S = 1.5
+#: Time after the end of a request at which its connection is closed if the caller
+#: has not taken the answer.
+ABORT_DELAY_S = 0.2
 #: Longest time that a request waits for the fleet state during the startup.
 STATE_WAIT_S = 0.6
 
@@ -52,6 +58,7 @@
     :param lifecycle: counts open requests and reports when this VM drains.
     :param counters: counts the outcomes of requests.
     :param rng: seeded; adds jitter to the Retry-After of refused callers.
+    :param memory: bytes of bodies that all requests may hold.
     """
 
     def __init__(
@@ -62,9 +69,11 @@
         lifecycle: Lifecycle,
         counters: Counters,
         rng: random.Random,
+        memory: MemoryBudget | None = None,
     ):
+        memory = memory or MemoryBudget()
         self._resources = Resources(
-            dialect, follower, chooser, Pools(), SentParts(), counters
+            dialect, follower, chooser, Pools(), SentParts(), counters, memory
         )
         self._counters = counters
         chooser.is_paused = follower.is_paused
@@ -123,7 +132,8 @@
         if isinstance(body, Failure):
             await self._refuse(writer, request.metadata.request_id, body.failure())
             return
-        await self._exchange(request._replace(body=body.unwrap()), receive, writer)
+        request = request._replace(body=body.unwrap())
+        await self._exchange(request, receive, writer, abort_of(scope))
 
     async def _wait_for_state(self, began_s: float) -> None:
         """Wait a short time for the fleet state if this VM has just started.
@@ -182,12 +192,18 @@
         return Success(request)
 
     async def _exchange(
-        self, request: AdmittedRequest, receive, writer: ResponseWriter
+        self,
+        request: AdmittedRequest,
+        receive,
+        writer: ResponseWriter,
+        abort: Callable[[], None],
     ) -> None:
         exchange = Exchange(request, self._resources, writer)
         failure = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+            ends_s = max(request.ends_s, trio.current_time())
+            nursery.start_soon(_abort_at, ends_s + ABORT_DELAY_S, abort)
             failure = await exchange.run()
             if failure is not None and not writer.started:
                 await self._refuse(writer, request.metadata.request_id, failure)
@@ -246,6 +262,12 @@
         await writer.send_problem(exc, retry_after_s)
 
 
+async def _abort_at(time_s: float, abort: Callable[[], None]) -> None:
+    """Close the caller's connection at a time, unless cancelled before."""
+    await trio.sleep_until(time_s)
+    abort()
+
+
 async def _cancel_on_disconnect(receive, scope: trio.CancelScope) -> None:
     while True:
         message = await receive()
