Deliver a whole answer late to a caller that is slow to take it

Cause: the close at the end of a request's time also met answers and refusals that were complete and waited for a slow caller. Ready answers are delivered, also late.

Callers would see: a closed connection in place of a short answer behind a thin link.

--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -42,8 +42,8 @@
 #: Time after the start by which the fleet state has arrived, unless the control
 #: VMs are unreachable.
 STARTUP_S = 1.5
-#: Time after the end of a request at which its connection is closed if the caller
-#: has not taken the answer.
+#: Time after the end of a request at which its connection is closed if its answer
+#: still arrives.
 ABORT_DELAY_S = 0.2
 #: Longest time that a request waits for the fleet state during the startup.
 STATE_WAIT_S = 0.6
@@ -203,7 +203,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
             ends_s = max(request.ends_s, trio.current_time())
-            nursery.start_soon(_abort_at, ends_s + ABORT_DELAY_S, abort)
+            nursery.start_soon(_abort_at, ends_s + ABORT_DELAY_S, writer, abort)
             failure = await exchange.run()
             if failure is not None and not writer.started:
                 await self._refuse(writer, request.metadata.request_id, failure)
@@ -262,10 +262,17 @@
         await writer.send_problem(exc, retry_after_s)
 
 
-async def _abort_at(time_s: float, abort: Callable[[], None]) -> None:
-    """Close the caller's connection at a time, unless cancelled before."""
+async def _abort_at(
+    time_s: float, writer: ResponseWriter, abort: Callable[[], None]
+) -> None:
+    """Close the caller's connection at a time, unless cancelled before.
+
+    A caller that is slow to take a whole answer gets it late; the listener closes the
+    connection of one that takes nothing.
+    """
     await trio.sleep_until(time_s)
-    abort()
+    if not writer.is_whole:
+        abort()
 
 
 async def _cancel_on_disconnect(receive, scope: trio.CancelScope) -> None:
--- a/src/vanillabeam/forwarding/downstream.py
+++ b/src/vanillabeam/forwarding/downstream.py
@@ -38,6 +38,8 @@
         length, because the caller's HTTP version has no chunks: only the end of the
         connection would mark the end of the stream, broken off or not.
     :ivar started: whether the head of the answer has been sent.
+    :ivar is_whole: whether all of the answer is here, though the caller may not yet
+        have taken it.
     :ivar finished: whether the answer has been sent completely.
     :ivar status: HTTP status of the answer; 0 before its head is sent.
     """
@@ -49,11 +51,13 @@
         self._collected_head: tuple[int, Headers] | None = None
         self._collected: list[bytes] = []
         self.started = False
+        self.is_whole = False
         self.finished = False
         self.status = 0
 
     async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer of a target."""
+        self.is_whole = True
         kept = [(n, v) for n, v in strip_hop_by_hop(headers) if n != b"content-length"]
         kept.append((b"content-length", str(len(body)).encode()))
         await self._send_head(status, kept)
@@ -99,6 +103,7 @@
         :param retry_after_s: seconds to put into ``Retry-After``, if the request
             has not run.
         """
+        self.is_whole = True
         body = wire.encode(to_problem(exc))
         headers = [
             (b"content-type", PROBLEM_TYPE.encode()),
@@ -125,6 +130,7 @@
         if self._collected_head is not None:
             await self.send_response(*self._collected_head, b"".join(self._collected))
             return
+        self.is_whole = True
         self.finished = True
         await self._send_message({"type": "http.response.body", "body": b""})
 
