--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -13,7 +13,7 @@
 from tests.path.fleet import hold_port, port_of
 from tests.platform.builders import make_heartbeat, make_settings
 from vanillabeam.fleetvm import FleetVm
-from vanillabeam.platform.__main__ import PlatformAdapter
+from vanillabeam.platform.program import PlatformAdapter
 from vanillabeam.platform.settings import read_settings
 
 TIMEOUT_S = 20.0
--- a/tests/platform/test_roles.py
+++ b/tests/platform/test_roles.py
@@ -3,7 +3,7 @@
 import subprocess
 import sys
 
-PROGRAM = "import sys, vanillabeam.platform.__main__; print(*sys.modules)"
+PROGRAM = "import sys, vanillabeam.platform.program; print(*sys.modules)"
 
 
 def imported_modules():
