Let a replica begin again once its disk works again

Cause: after its first failed write, sync or mkdir a replica stopped until the process was restarted, and nothing restarts a process that doesn't end. A data folder that could not be made at the start ended the process.

Callers saw: two control VMs of four with a disk that was full for one second each, at different times, and every order and read was answered 503 for ever. A disk that was full at the first start, free six seconds later: never a configuration.

Change: after a failure of its storage the replica ends, as at a crash, and each second tries to open its files again. It begins with what it reads once that is written to a new log file, as after a failed sync what is read may not be what is on the disk. What the state machine has applied stays applied; a folder that has lost it, or that belongs to another member, is not used again. A file that can't be read counts as a failing disk, damaged contents still stop the replica for good.

--- a/src/vanillabeam/log/contents.py
+++ b/src/vanillabeam/log/contents.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from vanillabeam.log.exceptions import DataFolderDamaged
+from vanillabeam.log.exceptions import DataFolderDamaged, LogError, StorageFailed
 from vanillabeam.log.folder import TEMPORARY_SUFFIX, Folder, ReadFolder
 from vanillabeam.log.frames import Frame, Scan, scan
 from vanillabeam.log.records import (
@@ -117,14 +117,20 @@
     """Raised on damaged data; :func:`read_contents` returns it as a failure."""
 
 
-def read_contents(folder: Folder | ReadFolder) -> Result[Contents, DataFolderDamaged]:
-    """Return the contents of a data folder, or a failure if it is damaged."""
+def read_contents(folder: Folder | ReadFolder) -> Result[Contents, LogError]:
+    """Return the contents of a data folder.
+
+    :returns: the contents, :class:`DataFolderDamaged`, or :class:`StorageFailed` if
+        the disk refuses to be read.
+    """
     try:
         return Success(_read(folder))
     except _Damaged as exc:
         return Failure(DataFolderDamaged(str(exc)))
-    except (OSError, msgspec.MsgspecError) as exc:
+    except msgspec.MsgspecError as exc:
         return Failure(DataFolderDamaged(f"unreadable: {exc}"))
+    except OSError as exc:
+        return Failure(StorageFailed(f"unreadable: {exc}"))
 
 
 def segment_name(number: int) -> str:
--- a/src/vanillabeam/log/exceptions.py
+++ b/src/vanillabeam/log/exceptions.py
@@ -125,10 +125,10 @@
 
 
 class StorageFailed(LogError):
-    """A write or sync failed; this replica stops until it is restarted."""
+    """A write or sync failed; the replica begins again once its disk works."""
 
     type = "log-storage-failed"
-    advice = "See the recovery page: free or replace the disk, then restart."
+    advice = "See the recovery page: free the disk, or replace it and restart."
     retry_after_s = None
 
 
--- a/src/vanillabeam/log/folder.py
+++ b/src/vanillabeam/log/folder.py
@@ -27,6 +27,9 @@
     def sync(self, name: str) -> None:
         """Make all data appended to a file durable."""
 
+    def sync_names(self) -> None:
+        """Make all created, replaced and removed names durable."""
+
     def replace(self, name: str, data: bytes) -> None:
         """Replace the contents of a file atomically; durable on return."""
 
@@ -90,6 +93,10 @@
         self._open(name)
         os.fsync(self._descriptor)
 
+    def sync_names(self) -> None:
+        """Make all created, replaced and removed names durable."""
+        _sync_folder(self.path)
+
     def replace(self, name: str, data: bytes) -> None:
         """Replace the contents of a file atomically; durable on return."""
         temporary = self.path / (name + TEMPORARY_SUFFIX)
--- a/src/vanillabeam/log/loop.py
+++ b/src/vanillabeam/log/loop.py
@@ -1,6 +1,7 @@
 """Main loop of a replica: handles events and executes their effects."""
 
 import random
+from contextlib import suppress
 from functools import partial
 from typing import NamedTuple
 
@@ -198,7 +199,10 @@
         """
         if self.failure is not None:
             return Failure(ReplicaStopped(self.failure.type))
-        await self._send.send(item)
+        try:
+            await self._send.send(item)
+        except trio.BrokenResourceError:
+            return Failure(ReplicaStopped(self.failure.type))
         return Success(None)
 
     async def wait_applied(self, index: int) -> None:
@@ -211,18 +215,28 @@
         while self.failure is None and self.replica.role is Role.LEADER:
             await self._changed.wait()
 
-    def restore(self, snapshot: Snapshot) -> None:
-        """Restore the state machine from a snapshot and the committed entries."""
-        if snapshot.index:
+    def restore(self, snapshot: Snapshot, applied: int = 0) -> None:
+        """Restore the state machine from a snapshot and the committed entries.
+
+        :param applied: index up to which the state machine has applied the log in this
+            process; what it covers is committed and isn't applied again.
+        :raises InvariantBroken: if the log ends before ``applied``, or an entry can't
+            be applied.
+        """
+        self.applied = applied
+        if snapshot.index > applied:
             self._machine.restore(snapshot.data)
             self.applied = snapshot.index
-        for effect in self.replica.advance_commit(self.replica.commit):
-            self._execute_locally(effect)
+        commit = max(self.replica.commit, applied)
+        for effect in self.replica.advance_commit(commit):
+            entries = tuple(e for e in effect.entries if e.index > self.applied)
+            if entries:
+                self._execute_locally(effect._replace(entries=entries))
 
     async def run(self) -> None:
         """Handle events until a write fails or an invariant is violated.
 
-        After that every item in the queue is refused.
+        Before it returns, every item in the queue is refused; later ones are too.
         """
         while self.failure is None:
             batch = await self._next_batch()
@@ -231,8 +245,10 @@
             self._changed = trio.Event()
         logger.critical("replica stopped: {}: {}", self.failure.type, self.failure)
         self._waiters.fail_all(self.failure)
-        async for item in self._receive:
-            self._refuse(item)
+        with suppress(trio.WouldBlock):
+            while True:
+                self._refuse(self._receive.receive_nowait())
+        self._receive.close()
 
     async def _next_batch(self) -> list[EventBatch | BootstrapGroup | BootstrapPromise]:
         batch: list[EventBatch | BootstrapGroup | BootstrapPromise] = []
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -10,12 +10,22 @@
 from returns.result import Failure, Result, Success
 
 from vanillabeam import wire
-from vanillabeam.exceptions import MalformedBody, VanillabeamError
+from vanillabeam.exceptions import (
+    InvariantBroken,
+    MalformedBody,
+    VanillabeamError,
+)
 from vanillabeam.log.bootstrap import Bootstrapper, is_initial
 from vanillabeam.log.client import LogClient
 from vanillabeam.log.contents import Contents
 from vanillabeam.log.events import Received, Role, TransferLeadership
-from vanillabeam.log.exceptions import LogError, OutcomeUnknown, ReplicaStopped
+from vanillabeam.log.exceptions import (
+    DataFolderDamaged,
+    LogError,
+    OutcomeUnknown,
+    ReplicaStopped,
+    StorageFailed,
+)
 from vanillabeam.log.folder import DiskFolder, Folder
 from vanillabeam.log.loop import BootstrapPromise, EventBatch, ReplicaLoop, load_replica
 from vanillabeam.log.messages import (
@@ -52,6 +62,8 @@
 __all__ = ["LogNode", "group_folder", "make_random_id"]
 
 ID_BYTES = 8
+#: Seconds between two attempts to use a data folder that has failed.
+REOPEN_S = 1.0
 
 
 def make_random_id() -> str:
@@ -79,8 +91,10 @@
     :param bootstrap: whether this VM may bootstrap the group.
     :param folder: replaces the folder on disk, for instance in tests.
     :param make_id: returns an id that no other replica has ever had.
-    :ivar failure: reason why the data folder could not be opened, else
-        ``None``.
+    :ivar failure: reason why the replica does not run, else ``None``.
+
+    After a failed write, or if the data folder can't be used, the replica begins again
+    from its files once they can be written.
 
     >>> node = LogNode("tickets", "vm-1", "10.0.0.1:7003", Path("/data"), machine,
     ...                members, call, random.Random(), bootstrap=True)
@@ -137,22 +151,57 @@
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled; a replica that fails only reports it in its status."""
-        opened = await trio.to_thread.run_sync(self._open)
-        if isinstance(opened, Failure):
-            self.failure = opened.failure()
-            logger.critical("{}: {}: {}", self.group, self.failure.type, self.failure)
+        async with trio.open_nursery() as nursery:
+            started = trio.Event()
+            nursery.start_soon(self._keep_running, started)
+            await started.wait()
             task_status.started()
-            await trio.sleep_forever()
-        storage, contents = opened.unwrap()
+
+    async def _keep_running(self, started: trio.Event) -> None:
+        """Run the replica, and again after each failure of its storage.
+
+        :param started: is set once the replica runs or has failed.
+        """
+        has_failed = False
+        while True:
+            opened = await trio.to_thread.run_sync(self._open, has_failed)
+            if isinstance(opened, Failure):
+                failure = opened.failure()
+            else:
+                failure = await self._run_replica(*opened.unwrap(), started)
+            self._report_failure(failure)
+            started.set()
+            if not isinstance(failure, StorageFailed):
+                await trio.sleep_forever()
+            has_failed = True
+            await trio.sleep(REOPEN_S)
+
+    def _report_failure(self, failure: LogError) -> None:
+        """Log a failure, unless it is the same as before."""
+        if repr(failure) != repr(self.failure):
+            logger.critical("{}: {}: {}", self.group, failure.type, failure)
+        self.failure = failure
+
+    async def _run_replica(
+        self, storage: Storage, contents: Contents, started: trio.Event
+    ) -> LogError:
+        """Run a replica until it fails; return its failure."""
         try:
             async with trio.open_nursery() as nursery:
-                self._loop = self._make_loop(storage, contents, nursery)
-                nursery.start_soon(self._loop.run)
+                made = self._make_loop(storage, contents, nursery)
+                if isinstance(made, Failure):
+                    return made.failure()
+                if self.failure is not None:
+                    logger.warning("{}: the data folder works again", self.group)
+                self._loop, self.failure = made.unwrap(), None
                 self._bootstrapper = self._make_bootstrapper()
                 nursery.start_soon(self._bootstrapper.run)
-                task_status.started()
+                started.set()
+                await self._loop.run()
+                nursery.cancel_scope.cancel()
         finally:
             storage.close()
+        return self._loop.failure
 
     async def propose(self, command: str) -> Result[Applied, LogError]:
         """Propose a command to the leader; wait until it is committed and applied.
@@ -230,27 +279,36 @@
         state = self._loop.replica
         return replica_status(self.group, state, snapshot_index, failure, now_s)
 
-    def _open(self) -> Result[tuple[Storage, Contents], LogError]:
+    def _open(self, rewrite: bool) -> Result[tuple[Storage, Contents], LogError]:
         folder = self._folder
-        if folder is None:
-            folder = DiskFolder(group_folder(self._data_folder, self.group))
+        try:
+            if folder is None:
+                folder = DiskFolder(group_folder(self._data_folder, self.group))
+        except OSError as exc:
+            return Failure(StorageFailed(str(exc)))
         me = Address(self.vm, self.address)
         founds = self._bootstrap and is_initial(me, self._initial)
         initial = (self._initial or (me,)) if founds else ()
-        return open_storage(folder, self.group, self._make_id, initial)
+        return open_storage(folder, self.group, self._make_id, initial, rewrite=rewrite)
 
     def _make_loop(
         self, storage: Storage, contents: Contents, nursery: trio.Nursery
-    ) -> ReplicaLoop:
+    ) -> Result[ReplicaLoop, LogError]:
+        member_id = storage.identity["member_id"]
+        if self._loop is not None and self._loop.replica.member_id != member_id:
+            return Failure(DataFolderDamaged(f"it is now that of member {member_id}"))
         now_s = trio.current_time()
         replica = load_replica(storage, contents, self.settings, self._rng, now_s)
         outbox = Outbox(
             self.group, self._call, nursery, self._receive_replies, self._peer_timeout_s
         )
         loop = ReplicaLoop(replica, storage, self._machine, self._waiters, outbox)
-        if replica.group_id:
-            loop.restore(contents.snapshot)
-        return loop
+        try:
+            if replica.group_id:
+                loop.restore(contents.snapshot, self.applied)
+        except InvariantBroken as exc:
+            return Failure(ReplicaStopped(f"{exc.type}: {exc}"))
+        return Success(loop)
 
     @property
     def _peer_timeout_s(self) -> float:
--- a/src/vanillabeam/log/storage.py
+++ b/src/vanillabeam/log/storage.py
@@ -39,7 +39,7 @@
 
     After the first failed write or sync every later write fails too: the
     contents of the disk are then unknown, and the replica must neither vote nor
-    reply.
+    reply. It begins again with what can be read, once that is written anew.
 
     :ivar identity: identity of the data folder.
     :ivar failure: first failed write or sync, ``None`` if there was none.
@@ -104,7 +104,7 @@
             return Failure(self._fail(exc))
 
     def finish_snapshot(self, contents: Contents) -> Result[None, LogError]:
-        """Complete a snapshot that a crash interrupted before its log file."""
+        """Write a new log file, also one that a crash kept from being written."""
         return self._run_write(
             lambda: self._begin_segment(
                 contents.snapshot.index,
@@ -190,11 +190,15 @@
     group: str,
     make_id: Callable[[], str],
     initial: Sequence[Address] = (),
+    *,
+    rewrite: bool = False,
 ) -> Result[tuple[Storage, Contents], LogError]:
     """Open a data folder: initialise a new one, or truncate a torn tail.
 
     :param make_id: returns an id that no other replica has ever had.
     :param initial: stored in a new folder; empty if this VM founds no group.
+    :param rewrite: whether to write the log file anew, as after a failed sync it may
+        differ from what is read, and a further sync would not tell.
     """
     read = read_contents(folder)
     if isinstance(read, Failure):
@@ -210,7 +214,7 @@
     except OSError as exc:
         return Failure(StorageFailed(str(exc)))
     storage = Storage(folder, contents.identity, contents)
-    if contents.base_index < contents.snapshot.index:
+    if contents.base_index < contents.snapshot.index or rewrite:
         completed = storage.finish_snapshot(contents)
         if isinstance(completed, Failure):
             return completed
--- a/tests/log/builders.py
+++ b/tests/log/builders.py
@@ -68,6 +68,10 @@
             raise OSError("sync failed")
         self.synced[name] = len(self.files[name])
 
+    def sync_names(self):
+        if self.fail_syncs:
+            raise OSError("sync failed")
+
     def replace(self, name, data):
         self._check()
         self.files[name] = bytearray(data)
--- /dev/null
+++ b/tests/log/test_recovery.py
@@ -0,0 +1,98 @@
+"""Replicas whose disk fails for a while, in one process without a restart."""
+
+from functools import partial
+
+import trio
+
+from tests.log.builders import MemoryFolder, wait_until
+from tests.log.test_node import with_group
+from vanillabeam.log.exceptions import DataFolderDamaged, StorageFailed
+
+
+def runs(group, vm):
+    return group.nodes[vm].status()["failure"] == ""
+
+
+def has_failed(group, vm):
+    return group.nodes[vm].status()["failure"] == StorageFailed.type
+
+
+async def fail_for_a_while(group, vm):
+    """Let a follower's disk refuse a write, then accept writes again."""
+    group.folders[vm].fail_writes = True
+    while not has_failed(group, vm):
+        await group.leader.propose("x")
+        await trio.sleep(0.1)
+    group.folders[vm].fail_writes = False
+
+
+# Each replica once stopped for good at its first failed write: two disks that were full
+# for a second each, at different times, left a group of four without a majority.
+@with_group(4)
+async def test_a_group_survives_disks_that_fail_one_after_the_other(group):
+    for number in range(1, 5):
+        await group.start(f"vm-{number}")
+    await wait_until(lambda: group.leader and group.losses_left() == 1)
+    for vm in [vm for vm in group.nodes if group.nodes[vm] is not group.leader]:
+        await fail_for_a_while(group, vm)
+        await wait_until(partial(runs, group, vm))
+    await wait_until(lambda: group.leader and group.losses_left() == 1)
+    (await group.leader.propose("last")).unwrap()
+    for vm, node in group.nodes.items():
+        (await node.read()).unwrap()
+        assert group.commands(vm)[-1] == "last"
+        assert group.commands(vm) == group.commands("vm-1")
+
+
+@with_group(3)
+async def test_a_leader_whose_disk_fails_joins_in_again(group):
+    await group.start_all()
+    old = group.leader
+    folder = group.folders[old.vm]
+    folder.fail_syncs = True
+    (await old.propose("unsure")).failure()
+    await wait_until(lambda: group.leader not in (None, old))
+    (await group.leader.propose("b")).unwrap()
+    folder.fail_syncs = False
+    await wait_until(partial(runs, group, old.vm))
+    (await old.read()).unwrap()
+    assert group.commands(old.vm)[-1] == "b"
+    assert group.commands(old.vm) == group.commands(group.leader.vm)
+
+
+@with_group(3)
+async def test_a_disk_that_is_full_at_the_first_start_delays_the_group_only(group):
+    group.folders["vm-2"] = MemoryFolder()
+    group.folders["vm-2"].fail_writes = True
+    for vm in ("vm-1", "vm-2", "vm-3"):
+        await group.start(vm)
+    await wait_until(partial(has_failed, group, "vm-2"))
+    group.folders["vm-2"].fail_writes = False
+    await wait_until(lambda: group.leader and group.losses_left() == 1)
+
+
+# A folder that comes back without what this process has acknowledged must not vote.
+@with_group(3)
+async def test_a_replica_stays_away_if_its_folder_has_lost_entries(group):
+    await group.start_all()
+    follower = next(node for node in group.nodes.values() if not node.is_leader)
+    folder = group.folders[follower.vm]
+    old_files = {name: bytearray(data) for name, data in folder.files.items()}
+    for number in range(3):
+        (await group.leader.propose(f"c{number}")).unwrap()
+    (await follower.read()).unwrap()
+    await fail_for_a_while(group, follower.vm)
+    folder.files = old_files
+    await trio.sleep(5)
+    assert not runs(group, follower.vm)
+
+
+# As is another folder in its place, which belongs to no member of the group.
+@with_group(3)
+async def test_a_replica_stays_away_if_its_folder_was_replaced(group):
+    await group.start_all()
+    follower = next(node for node in group.nodes.values() if not node.is_leader)
+    await fail_for_a_while(group, follower.vm)
+    group.folders[follower.vm].files.clear()
+    await trio.sleep(5)
+    assert group.nodes[follower.vm].failure.type == DataFolderDamaged.type
