Sync what a replica reads at its start

Cause: a process that was killed between a write and its sync leaves bytes that the next process reads. It acknowledged those entries to the leader without a sync of its own; a loss of power then took back what had been counted as stored.

Seen: by reading the code; tests/log/test_recovery.py shows the unsynced bytes (test_what_a_start_reads_is_synced failed before). Not seen in a run of processes.

Change: the log file and the names in the folder are synced when it is opened, before anything that is obsolete is removed.

--- a/src/vanillabeam/log/storage.py
+++ b/src/vanillabeam/log/storage.py
@@ -195,6 +195,9 @@
 ) -> Result[tuple[Storage, Contents], LogError]:
     """Open a data folder: initialise a new one, or truncate a torn tail.
 
+    What was read is synced first: a process that ended before its sync may have left
+    it in memory only, and from here on this replica acknowledges it.
+
     :param make_id: returns an id that no other replica has ever had.
     :param initial: stored in a new folder; empty if this VM founds no group.
     :param rewrite: whether to write the log file anew, as after a failed sync it may
@@ -205,6 +208,9 @@
         return read
     contents = read.unwrap()
     try:
+        if contents.identity is not None:
+            folder.sync(segment_name(contents.segment))
+        folder.sync_names()
         for name in contents.leftovers:
             folder.remove(name)
         if contents.identity is None:
--- a/tests/log/test_recovery.py
+++ b/tests/log/test_recovery.py
@@ -7,6 +7,9 @@
 from tests.log.builders import MemoryFolder, wait_until
 from tests.log.test_node import with_group
 from vanillabeam.log.exceptions import DataFolderDamaged, StorageFailed
+from vanillabeam.log.frames import encode_batch
+from vanillabeam.log.records import Entry, EntryKind
+from vanillabeam.log.storage import SaveEntries, _payloads, open_storage
 
 
 def runs(group, vm):
@@ -96,3 +99,18 @@
     group.folders[follower.vm].files.clear()
     await trio.sleep(5)
     assert group.nodes[follower.vm].failure.type == DataFolderDamaged.type
+
+
+# A process that was killed between a write and its sync leaves bytes that the next one
+# reads. It acknowledged them unsynced, and a loss of power then took them back.
+def test_what_a_start_reads_is_synced():
+    folder = MemoryFolder()
+    storage, _ = open_storage(folder, "g", lambda: "id-1").unwrap()
+    entry = Entry(1, 1, EntryKind.COMMAND, "{}")
+    payloads = _payloads(SaveEntries((entry,)))
+    (name,) = [name for name in folder.names() if name.startswith("log.")]
+    folder.append(name, encode_batch(payloads, 2))
+    assert folder.synced[name] < len(folder.files[name])
+    _, contents = open_storage(folder, "g", lambda: "id-2").unwrap()
+    assert contents.entries == (entry,)
+    assert folder.synced[name] == len(folder.files[name])
