--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,6 +5,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 from contextlib import asynccontextmanager
@@ -129,6 +130,20 @@
         return self.role == "control"
 
 
+def reserve_net(net=None):
+    """Return the second number of addresses that no other fleet uses, and its lock."""
+    numbers = random.SystemRandom().sample(range(1, 255), 254) if net is None else [net]
+    for number in numbers:
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{number}.255.254", PEER_PORTS[0]))
+        except OSError:
+            lock.close()
+            continue
+        return number, lock
+    raise OSError("all addresses are in use")
+
+
 class Fleet:
     """VMs of an installation.
 
@@ -147,7 +162,7 @@
         self.folder = Path(folder)
         self.shape = shape
         self.rng = rng
-        self.net = net or 20 + os.getpid() % 200
+        self.net, self._lock = reserve_net(net)
         self.proxy = proxy
         self.faults = faults
         self.ends: list[End] = []
@@ -258,6 +273,7 @@
                 if vm.process is not None:
                     vm.process.kill()
                     vm.process.wait()
+            self._lock.close()
 
     async def _supervise(self, vm):
         while True:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -29,17 +29,23 @@
     """What the network does to one direction between two hosts.
 
     :ivar delay_s: seconds that each byte takes.
-    :ivar is_blocked: whether nothing passes; what is sent is held.
+    :ivar is_open: not set while nothing passes; what is sent is held.
     """
 
     def __init__(self):
         self.delay_s = 0.0
-        self.is_blocked = False
+        self.is_open = trio.Event()
+        self.is_open.set()
+
+    def block(self):
+        """Let nothing pass."""
+        if self.is_open.is_set():
+            self.is_open = trio.Event()
 
     async def pass_through(self):
         """Wait as long as the direction is blocked."""
-        while self.is_blocked:
-            await trio.sleep(HOLD_PERIOD_S)
+        while not self.is_open.is_set():
+            await self.is_open.wait()
 
 
 class Connection:
@@ -90,7 +96,7 @@
     def block(self, some, others, *, both=True):
         """Hold all that is sent from some hosts to others."""
         for faults in self.between(some, others, both=both):
-            faults.is_blocked = True
+            faults.block()
 
     def delay(self, some, others, delay_s):
         """Delay all that is sent between some hosts and others."""
@@ -100,7 +106,7 @@
     def heal(self, some, others):
         """End all faults between some hosts and others."""
         for faults in self.between(some, others):
-            faults.is_blocked = False
+            faults.is_open.set()
             faults.delay_s = 0.0
 
     def break_all(self, *, silently):
@@ -143,8 +149,8 @@
         host, _, port = address.rpartition(":")
         destination = address if host == "127.0.0.1" else host
         there, back = self._faults_of(source, destination)
-        await there.pass_through()
-        await back.pass_through()
+        if not await self._may_connect(near, there, back):
+            return
         far = await trio.open_tcp_stream(host, int(port))
         connection = Connection(source, destination, near, far)
         self.connections.append(connection)
@@ -157,6 +163,22 @@
             self.connections.remove(connection)
             await trio.aclose_forcefully(far)
 
+    async def _may_connect(self, near, there, back):
+        """Wait until a new connection passes; return whether it is still wanted."""
+        is_passable = False
+        async with trio.open_nursery() as nursery:
+
+            async def watch():
+                await near.receive_some(1)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch)
+            await there.pass_through()
+            await back.pass_through()
+            is_passable = True
+            nursery.cancel_scope.cancel()
+        return is_passable
+
     def _faults_of(self, source, destination):
         return self.faults(source, destination), self.faults(destination, source)
 
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,47 @@
+"""Real processes under random faults keep the rules of the platform."""
+
+import os
+
+import pytest
+import trio
+
+from tests.soak.fleet import ICUPA, PHOTO, SMALL
+from tests.soak.scenario import (
+    cut_entry,
+    freeze_any,
+    isolate_control,
+    kill_all_control,
+    kill_control,
+    play,
+    silence,
+    stop_any,
+)
+
+LENGTH_S = 35.0
+#: A run takes a minute, hundreds of times longer than those of other soak tests.
+SHARE_OF_RUNS = 10
+SHORT_KINDS = (
+    kill_control,
+    kill_all_control,
+    freeze_any,
+    stop_any,
+    isolate_control,
+    cut_entry,
+    silence,
+)
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize("shape", [ICUPA, PHOTO], ids=["icupa", "photo"])
+def test_random_faults_break_no_rule(shape, tmp_path):
+    first = int(os.environ.get("SOAK_SEED", "1"))
+    runs = int(os.environ.get("SOAK_RUNS", "50"))
+    for seed in range(first, first + max(1, runs // SHARE_OF_RUNS)):
+        folder = tmp_path / str(seed)
+        findings = trio.run(play, folder, shape, seed, LENGTH_S)
+        assert findings == [], f"seed {seed}, logs in {folder}"
+
+
+def test_a_few_faults_break_no_rule(tmp_path):
+    findings = trio.run(play, tmp_path, SMALL, 1, 6.0, SHORT_KINDS, 8.0)
+    assert findings == [], f"logs in {tmp_path}"
