Put a first configuration in force whatever its number

Cause: the state machine, the view of an entry VM and the tracker of stores took number 0 for "none yet". A first document of version 0 or below was confirmed and dropped.

Operators saw: 200, then 503 for each read back; callers 503, and no VM was ready.

Change: there is none yet where there is no document. A later one still needs a higher number.

--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -305,7 +305,7 @@
         if state["index"] <= view.index:
             return
         deployment = view.deployment
-        if state["number"] > deployment.number:
+        if view.is_older_than(state):
             deployment = self._read(state["document"])
         self.view = FleetView(
             state["index"],
--- a/src/vanillabeam/fleet/machine.py
+++ b/src/vanillabeam/fleet/machine.py
@@ -129,7 +129,7 @@
 def _changes(command: Command, state: FleetState) -> dict:
     """Return the fields that ``command`` changes."""
     match command["kind"]:
-        case "deploy" if command["number"] > state["number"]:
+        case "deploy" if not state["document"] or command["number"] > state["number"]:
             return {"number": command["number"], "document": _read_document(command)}
         case "evacuate":
             evacuated = {*state["evacuated"], command["data_centre"]}
--- a/src/vanillabeam/fleet/view.py
+++ b/src/vanillabeam/fleet/view.py
@@ -2,9 +2,13 @@
 
 from typing import NamedTuple
 
+from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.records import Deployment
 
-__all__ = ["MAX_VERSIONS_KEPT", "FleetView", "merge_version_times"]
+__all__ = ["MAX_VERSIONS_KEPT", "NO_DEPLOYMENT", "FleetView", "merge_version_times"]
+
+#: In place of a deployment before the first one.
+NO_DEPLOYMENT = Deployment()
 
 #: Number of weight versions of a model whose time is kept.
 MAX_VERSIONS_KEPT = 16
@@ -24,7 +28,7 @@
     """
 
     index: int = 0
-    deployment: Deployment = Deployment()
+    deployment: Deployment = NO_DEPLOYMENT
     evacuated: frozenset[str] = frozenset()
     weights: dict[str, int] = {}
     version_times: VersionTimes = {}
@@ -32,7 +36,12 @@
     @property
     def is_known(self) -> bool:
         """Whether a deployment is in force."""
-        return self.deployment.number > 0
+        return self.deployment is not NO_DEPLOYMENT
+
+    def is_older_than(self, state: FleetState) -> bool:
+        """Return whether ``state`` has a newer deployment, or the first one."""
+        is_higher = state["number"] > self.deployment.number
+        return bool(state["document"]) and (is_higher or not self.is_known)
 
     def version_named_before(self, model: str, before_s: float) -> int:
         """Return the newest version that was named before ``before_s``."""
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -27,6 +27,15 @@
     assert state["index"] == 2
 
 
+# Guards against a first configuration that is confirmed and never in force.
+@pytest.mark.parametrize("number", [0, -3])
+def test_a_first_number_of_0_or_below_is_in_force(number):
+    state = apply_all(FleetMachine(), deploy(number, "first"), deploy(number - 1, "x"))
+    assert (state["number"], state["document"]) == (number, "first")
+    state = apply_all(FleetMachine(), deploy(number, "first"), deploy(number + 1, "x"))
+    assert state["document"] == "x"
+
+
 def test_a_long_document_is_packed_and_comes_back_unchanged():
     document = '{"q": "é\\""}' * 30_000
     command = make_deploy(4, document)
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -64,3 +64,19 @@
                 assert (version, res.status) == (version, status)
 
     trio.run(main)
+
+
+# Guards against a first configuration that is confirmed, is not read back and leaves
+# every entry VM without one.
+def test_a_first_version_of_0_is_read_back_and_in_force(tmp_path):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            for version, newest in ((-4, -4), (0, 0), (-7, 0)):
+                document = make_document(version=version)
+                await platform.call_control("POST", "/api/Config.Put", document)
+                await platform.wait_ready()
+                res = await platform.call_control("GET", "/api/Config.Get")
+                assert json.loads(res.content)["version"] == newest
+            assert (await platform.send_request("/none/1")).status == 404
+
+    trio.run(main)
