Take no worker from a heartbeat with numbers beyond 64 bits

Cause: the numbers of a heartbeat had no bounds. A slot count that no float holds raises OverflowError where the share of busy slots is computed, on each entry VM and request.

Callers would see: 500 on every request of that service. Not seen in the field.

--- a/src/vanillabeam/platform/heartbeats.py
+++ b/src/vanillabeam/platform/heartbeats.py
@@ -8,6 +8,7 @@
 from vanillabeam.addresses import is_address
 from vanillabeam.exceptions import MalformedBody
 from vanillabeam.fleet import Target
+from vanillabeam.fleet.deployments import MAX_NUMBER
 
 __all__ = ["read_born", "read_heartbeat", "read_versions"]
 
@@ -50,8 +51,15 @@
     if isinstance(decoded, Failure):
         return decoded
     heartbeat = decoded.unwrap()
-    if not worker or not is_address(heartbeat["address"]) or heartbeat["seq"] < 0:
-        return Failure(MalformedBody("no id, address or sequence"))
+    if not worker or not is_address(heartbeat["address"]):
+        return Failure(MalformedBody("no id or address"))
+    if min(heartbeat["slots"], heartbeat["seq"]) < 0:
+        return Failure(MalformedBody("a number is below 0"))
+    models = heartbeat.get("models", [])
+    numbers = [heartbeat[name] for name in ("slots", "cold_left_ms", "seq", "born")]
+    numbers += [model["version"] for model in models]
+    if max(abs(number) for number in numbers) > MAX_NUMBER:
+        return Failure(MalformedBody("a number is out of range"))
     return Success(
         Target(
             name=worker,
@@ -63,7 +71,7 @@
             slots=heartbeat["slots"],
             draining=heartbeat["state"] == "draining",
             cold_ms=heartbeat["cold_left_ms"],
-            versions=read_versions(heartbeat.get("models", [])),
+            versions=read_versions(models),
         )
     )
 
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -74,3 +74,27 @@
     body = json.dumps(make_heartbeat()).encode().replace(b'"colocated"', deep)
     assert isinstance(read_heartbeat("i-1", body), Failure)
     assert read_born(b'{"born":1,"x":' + deep + b"}") is None
+
+
+# Guards against a number that no float holds, which ended requests and watch calls.
+@pytest.mark.parametrize("number", [2**63, -(2**64), 10**400])
+@pytest.mark.parametrize("name", ["slots", "cold_left_ms", "seq", "born", "version"])
+def test_a_heartbeat_with_a_number_out_of_range_names_no_worker(name, number):
+    changes = {name: number}
+    if name == "version":
+        changes = {"models": [{"name": "m", "version": number}]}
+    assert isinstance(read(**changes), Failure)
+
+
+def test_a_heartbeat_with_slots_below_0_names_no_worker():
+    assert isinstance(read(slots=-1), Failure)
+
+
+def test_a_worker_that_is_cold_no_more_may_say_so_by_a_number_below_0():
+    assert read(cold_left_ms=-3.5).unwrap().name == "i-1"
+
+
+@pytest.mark.parametrize("name", ["slots", "cold_left_ms", "seq", "born"])
+@pytest.mark.parametrize("number", [0, 2**53])
+def test_a_heartbeat_with_a_number_at_its_edge_names_a_worker(name, number):
+    assert read(**{name: number}).unwrap().name == "i-1"
