Keep the deployment in force where a newer one can't be read

Cause: each entry VM, and each control VM for its stores, reads a committed document once more. A document that another release accepted and this one doesn't read raised in a task of the process, which ended at this start and at each one after it.

Callers would see: connections refused at every VM of the older release. Evidence: the new test of the follower failed before (the follower ended). Not seen in the field; with one release on all VMs no such document was found.

Change: the document is logged as deployment-unreadable, the deployment in force stays, and the evacuations and weights of that state count. A few lines in follower.py and control.py; the record is in decisions.py.

Measured: the test; the next document that can be read is in force.

--- a/src/vanillabeam/decisions.py
+++ b/src/vanillabeam/decisions.py
@@ -22,6 +22,7 @@
     "ControlForgotten",
     "ControlHeard",
     "DeploymentRefused",
+    "DeploymentUnreadable",
     "HomeChosen",
     "LinesDropped",
     "MemberRemoved",
@@ -279,6 +280,13 @@
     detail: str
 
 
+class DeploymentUnreadable(NamedTuple):
+    """A committed deployment can't be read here; the one in force stays."""
+
+    number: int
+    detail: str
+
+
 class WeightsOrdered(NamedTuple):
     """The leader ordered a target to load weights.
 
@@ -431,6 +439,7 @@
     OrderSettled: Kind("INFO", _RARE_LINES_S),
     OrderUnsettled: Kind("WARNING", _RARE_LINES_S),
     DeploymentRefused: Kind("WARNING", _RARE_LINES_S),
+    DeploymentUnreadable: Kind("ERROR", _RARE_LINES_S),
     WeightsOrdered: Kind("INFO", _RARE_LINES_S),
     StoreHeard: Kind("INFO", _RARE_LINES_S),
     StoreLost: Kind("WARNING", _RARE_LINES_S),
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -19,7 +19,7 @@
 )
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet.directory import Directory
-from vanillabeam.fleet.follower import Follower
+from vanillabeam.fleet.follower import Follower, read_or_keep
 from vanillabeam.fleet.loads import (
     EntryLoad,
     EntryLoads,
@@ -33,7 +33,7 @@
 from vanillabeam.fleet.records import Deployment, FleetSettings, Target
 from vanillabeam.fleet.stores import StoreCalls, StoreTracker
 from vanillabeam.fleet.targetlog import log_target
-from vanillabeam.fleet.view import MAX_VERSIONS_KEPT, NO_DEPLOYMENT
+from vanillabeam.fleet.view import MAX_VERSIONS_KEPT
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, make_reply
 from vanillabeam.log import Address, Applied, LogNode, LogSettings
 from vanillabeam.log.exceptions import LogError
@@ -103,7 +103,9 @@
             bootstrap=cfg.bootstrap,
         )
         self.stores = StoreTracker(store_calls, self.epoch)
-        self._deployment = NO_DEPLOYMENT
+        self._deployment = Deployment()
+        #: Document that was read last.
+        self._document = ""
         self.follower = Follower(cfg, call, read)
         #: Names of targets that are about to load weights.
         self.paused: set[str] = set()
@@ -327,10 +329,9 @@
         """Track the deployment's stores while this VM leads the fleet log."""
         while True:
             state = self.machine.state
-            is_first = self._deployment is NO_DEPLOYMENT
-            is_newer = is_first or state["number"] != self._deployment.number
-            if state["document"] and is_newer:
-                self._deployment = self._read(state["document"])
+            if state["document"] != self._document:
+                self._document = state["document"]
+                self._deployment = read_or_keep(self._read, state, self._deployment)
             leads = self.node.is_leader
             await self.stores.track(self._deployment.stores if leads else (), nursery)
             await self.stores.free(self._outdated(), FETCH_LIMIT_S)
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -10,6 +10,7 @@
 from vanillabeam.decisions import (
     ControlForgotten,
     ControlHeard,
+    DeploymentUnreadable,
     HomeChosen,
     StateInForce,
     TargetSilent,
@@ -23,6 +24,7 @@
     LoadScope,
     make_load,
 )
+from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.fleet.polling import (
     REPLY_MARGIN_S,
@@ -39,7 +41,7 @@
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, digest_names
 from vanillabeam.peercall import PeerCall
 
-__all__ = ["Follower"]
+__all__ = ["Follower", "read_or_keep"]
 
 REPLY_TIMEOUT_S = 2.5
 RETRY_S = 0.25
@@ -71,6 +73,20 @@
         """Replace the open work of all other entry VMs."""
 
 
+def read_or_keep(
+    read: Callable[[str], Deployment], state: FleetState, known: Deployment
+) -> Deployment:
+    """Return the deployment of a fleet state, or ``known`` if it can't be read.
+
+    Another release may have committed a document that this one doesn't read.
+    """
+    try:
+        return read(state["document"])
+    except (ValueError, RecursionError) as exc:
+        log_record(DeploymentUnreadable(state["number"], str(exc)))
+        return known
+
+
 class _NoLoad:
     """Load of a VM that sends no work to targets."""
 
@@ -306,7 +322,7 @@
             return
         deployment = view.deployment
         if view.is_older_than(state):
-            deployment = self._read(state["document"])
+            deployment = read_or_keep(self._read, state, deployment)
         self.view = FleetView(
             state["index"],
             deployment,
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -124,6 +124,21 @@
     assert harness.follower.view.index == 5
 
 
+# Guards against the end of every entry VM of an older release, at each start.
+@with_harness
+async def test_a_document_that_cannot_be_read_leaves_the_one_in_force(harness):
+    harness[0].commit(5, 7, document="7")
+    await trio.sleep(1.0)
+    harness[0].commit(6, 8, document="of another release", evacuated=["b"])
+    await trio.sleep(1.0)
+    view = harness.follower.view
+    assert (view.index, view.deployment.number) == (6, 7)
+    assert view.evacuated == {"b"}
+    harness[0].commit(7, 9, document="9")
+    await trio.sleep(1.0)
+    assert harness.follower.view.deployment.number == 9
+
+
 @with_harness
 async def test_it_is_ready_once_most_control_vms_have_answered(harness):
     harness[0].commit(5, 7, document="7")
