--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -3,12 +3,13 @@
 import json
 import random
 import string
+from functools import partial
 
 import pytest
 import trio
 
 from tests.platform.builders import make_document
-from tests.platform.standin import running_platform
+from tests.platform.standin import running_platform, wait_until
 
 LARGE_CHARACTERS = 3_500_000
 
@@ -80,3 +81,81 @@
             assert (await platform.send_request("/none/1")).status == 404
 
     trio.run(main)
+
+
+ODD_TEXT = (
+    '{ "version" :  50.0 ,\n\t"routes": [ ], "services":[],"x":"\\u00e9\\/ é'
+    '\\ud83d\\ude00","n":1e5, "limits":null }\r\n '
+).encode()
+
+
+async def put_text(platform, host, body):
+    url = f"http://{host}:{platform.control_port}/api/Config.Put"
+    with trio.fail_after(20.0):
+        while True:
+            res = await platform.pool.request("POST", url, content=body)
+            if res.status < 500:
+                return res.status
+
+
+async def read_back(platform):
+    contents = set()
+    for host in platform.hosts:
+        res = await platform.call_control("GET", "/api/Config.Get", host=host)
+        contents.add(res.content)
+    return contents
+
+
+# Guards against a document that is read back otherwise than it was sent, and against
+# other content under its version that is obeyed.
+def test_a_document_is_read_back_byte_for_byte(tmp_path):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            others = [ODD_TEXT + b" ", ODD_TEXT.replace(b"50.0", b"49")]
+            for host, body in zip(platform.hosts, [ODD_TEXT, *others], strict=True):
+                assert await put_text(platform, host, body) == 200
+                assert await read_back(platform) == {ODD_TEXT}
+
+    trio.run(main)
+
+
+# Guards against two contents of one version, one on each side.
+def test_of_two_contents_of_one_version_at_once_one_is_in_force(tmp_path):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            await put_text(platform, platform.hosts[0], ODD_TEXT)
+            for number in range(51, 61):
+                one = ODD_TEXT.replace(b"50.0", str(number).encode())
+                statuses = []
+
+                async def put(host, body, statuses=statuses):
+                    statuses.append(await put_text(platform, host, body))
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(put, platform.hosts[1], one)
+                    nursery.start_soon(put, platform.hosts[2], one + b" ")
+                assert statuses == [200, 200]
+                (content,) = await read_back(platform)
+                assert content.strip() == one.strip()
+
+    trio.run(main)
+
+
+# Guards against a route that is in force and not served: capitals of a host, a dot at
+# its end and a port make no difference.
+def test_an_added_route_is_served_by_each_form_of_its_host(tmp_path):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            document = make_document()
+            document["routes"][1]["host"] = "Shop.EXAMPLE"
+            await platform.call_control("POST", "/api/Config.Put", document)
+            await platform.start_worker("i-1", service="app")
+            await platform.wait_ready()
+            await wait_until(partial(platform.has_target, "i-1"))
+            url = f"http://127.0.0.1:{platform.entry_port}/orders/7"
+            for host in ("shop.example", "SHOP.example.", "shop.example:80"):
+                headers = [("Host", host), ("X-Vanillabeam-Request-Id", "r-1")]
+                res = await platform.pool.request("POST", url, headers=headers)
+                assert (host, res.status) == (host, 200)
+
+    trio.run(main)
