--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -96,7 +96,7 @@
 
 def test_a_configuration_that_is_cut_short_is_refused():
     body = make_body()
-    for end in range(0, len(body) - 1, 97):
+    for end in range(len(body)):
         assert isinstance(check_document(body[:end]), Failure)
 
 
