Bound what is said of a refused configuration

Cause: the names in a failure's detail had no bound, and there is one description for each error, so a document with long names gave a log line and an answer of its own length.

Operators saw: nothing yet; three new tests with names of a million characters failed before.

Change: five errors of at most 200 characters, a name given twice by its first 100.

--- a/src/vanillabeam/fleet/deployments.py
+++ b/src/vanillabeam/fleet/deployments.py
@@ -22,6 +22,8 @@
 MAX_NUMBER = 2**63 - 1
 #: Number of errors that a failure describes.
 MAX_ERRORS = 5
+#: Characters of an error that a failure describes; names may be long.
+MAX_ERROR_LENGTH = 200
 
 
 class DeploymentInvalid(VanillabeamError):
@@ -35,7 +37,8 @@
 
 def check_deployment(deployment: Deployment) -> Result[Deployment, DeploymentInvalid]:
     """Return the deployment, or a failure that describes its first errors."""
-    errors = list(islice(_find_errors(deployment), MAX_ERRORS))
+    found = islice(_find_errors(deployment), MAX_ERRORS)
+    errors = [error[-MAX_ERROR_LENGTH:] for error in found]
     if errors:
         return Failure(DeploymentInvalid("; ".join(errors)))
     return Success(deployment)
--- a/src/vanillabeam/wire.py
+++ b/src/vanillabeam/wire.py
@@ -15,6 +15,8 @@
 #: Depth of nesting that is left to a later reader of a checked text. A reader has as
 #: much less room as its caller's stack is deeper.
 SPARE_DEPTH = 100
+#: Characters of a name that a failure describes.
+MAX_NAME_LENGTH = 100
 #: Magnitude up to which a number with a fraction part holds each whole number.
 MAX_WHOLE = 2.0**53
 
@@ -64,7 +66,7 @@
     if len(dict(members)) < len(members):
         names = [name for name, _ in members]
         twice = next(name for name in names if names.count(name) > 1)
-        raise ValueError(f"{twice!r} is given twice")
+        raise ValueError(f"{twice[:MAX_NAME_LENGTH]!r} is given twice")
 
 
 def read(kind: type[T], body: bytes) -> Result[T, MalformedBody]:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -184,6 +184,24 @@
     assert len(failure.detail) < 500
 
 
+# Guards against a log line and an answer as long as the document.
+@pytest.mark.parametrize(
+    "change",
+    [
+        change_route(name="r" * 10**6, timeout_ms=0),
+        change_route(service="s" * 10**6),
+        change_route(kind={"k" * 10**6: 1}),
+    ],
+)
+def test_the_description_of_a_failure_has_a_bounded_length(change):
+    body = make_changed_body(change)
+    assert len(check_document(body).failure().detail) < 2_000
+    twice = (
+        make_body().replace(b"sticky", b"s" * 10**6).replace(b"public", b"s" * 10**6)
+    )
+    assert len(check_document(twice).failure().detail) < 2_000
+
+
 def test_a_service_beside_backends_gets_no_requests():
     body = make_changed_body(lambda d: d["routes"][0].update(service="app"))
     shares = check_document(body).unwrap().routes[0].shares
