--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -19,7 +19,7 @@
 )
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet.directory import Directory
-from vanillabeam.fleet.follower import Follower
+from vanillabeam.fleet.follower import Follower, read_or_keep
 from vanillabeam.fleet.loads import (
     EntryLoad,
     EntryLoads,
@@ -104,6 +104,8 @@
         )
         self.stores = StoreTracker(store_calls, self.epoch)
         self._deployment = Deployment()
+        #: Document that was read last.
+        self._document = ""
         self.follower = Follower(cfg, call, read)
         #: Names of targets that are about to load weights.
         self.paused: set[str] = set()
@@ -327,8 +329,9 @@
         """Track the deployment's stores while this VM leads the fleet log."""
         while True:
             state = self.machine.state
-            if state["number"] != self._deployment.number and state["document"]:
-                self._deployment = self._read(state["document"])
+            if state["document"] != self._document:
+                self._document = state["document"]
+                self._deployment = read_or_keep(self._read, state, self._deployment)
             leads = self.node.is_leader
             await self.stores.track(self._deployment.stores if leads else (), nursery)
             await self.stores.free(self._outdated(), FETCH_LIMIT_S)
