Wait for the settings file at the start, and take empty fields as missing

Cause: the program read its settings once, before anything else, and any error ended the process; the provider writes the file at every start. A field that is there and empty (heartbeat_ms, seeds, a bound) was such an error.

Callers saw: exit 1 with a traceback where the file was missing, empty or half written for a moment.

Change: the program reads the file every 0.05 s until it can be read, says so once for each kind of fault (settings-unreadable), and ends with exit 0 at SIGTERM meanwhile. An empty field has the default of a missing one; a name, address or bound of another type is refused as before. A seed may lack its port.

--- a/src/vanillabeam/platform/program.py
+++ b/src/vanillabeam/platform/program.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import sys
+import time
 from functools import cached_property
 from hashlib import blake2b
 from pathlib import Path
@@ -22,6 +23,7 @@
 from vanillabeam.platform.headers import PlatformDialect
 from vanillabeam.platform.readiness import ReadinessApp
 from vanillabeam.platform.settings import PATH_VARIABLE, read_settings
+from vanillabeam.readiness import EXIT_OK
 
 if TYPE_CHECKING:
     from vanillabeam.fleet.control import FleetControl
@@ -30,6 +32,9 @@
     from vanillabeam.platform.stores import PlatformStores
 
 SETTINGS_PERIOD_S = 1.0
+#: Seconds between two attempts to read the settings file at the start.
+SETTINGS_RETRY_S = 0.05
+LOG_SETTINGS = {"format": "json", "level": "INFO", "file": None}
 DIGEST_BYTES = 8
 
 
@@ -73,16 +78,36 @@
 def run_program() -> int:
     """Run a VM until SIGTERM has drained it; return the exit code."""
     path = Path(os.environ[PATH_VARIABLE])
-    cfg = read_settings(path)
-    log_settings = {"format": "json", "level": "INFO", "file": None}
     output = LineWriter(sys.stdout.fileno())
-    logs.configure(log_settings, cfg.vm, cfg.data_centre, output)
-    digest = blake2b(path.read_bytes(), digest_size=DIGEST_BYTES).hexdigest()
+    logs.configure(LOG_SETTINGS, "", "", output)
+    cfg = _wait_for_settings(path)
+    if cfg is None:
+        log_record(Stopped(EXIT_OK))
+        return EXIT_OK
+    logs.configure(LOG_SETTINGS, cfg.vm, cfg.data_centre, output)
+    digest = blake2b(repr(cfg).encode(), digest_size=DIGEST_BYTES).hexdigest()
     role = "control" if cfg.control_address else "entry"
     log_record(Started(__version__, role, digest))
     return trio.run(_run, cfg, path)
 
 
+def _wait_for_settings(path: Path) -> FleetSettings | None:
+    """Return the settings once they can be read; ``None`` after SIGTERM.
+
+    The platform may write the file while the process starts.
+    """
+    reported = ""
+    while signal.SIGTERM not in held_signals():
+        try:
+            return read_settings(path)
+        except (OSError, ValueError) as exc:
+            if str(exc) != reported:
+                log_record(SettingsUnreadable(str(exc)))
+            reported = str(exc)
+        time.sleep(SETTINGS_RETRY_S)
+    return None
+
+
 async def _run(cfg: FleetSettings, path: Path) -> int:
     vm = FleetVm(cfg, PlatformAdapter(), random.Random())
     async with trio.open_nursery() as nursery:
--- a/src/vanillabeam/platform/settings.py
+++ b/src/vanillabeam/platform/settings.py
@@ -1,6 +1,7 @@
 """Settings file of the platform, parsed into the product's settings."""
 
 import json
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -35,34 +36,56 @@
     fields = document["platform"]
     listen = fields["listen"]
     return FleetSettings(
-        vm=fields["node"],
-        data_centre=fields["zone"],
-        host=fields["ip"],
+        vm=_text(fields["node"]),
+        data_centre=_text(fields["zone"]),
+        host=_text(fields["ip"]),
         entry_address=listen.get("front") or "",
         readiness_address=listen.get("ready") or "",
         control_address=listen.get("control") or "",
         peer_port=fields["port_range"][0],
-        seeds=tuple(seed.rpartition(":")[0] for seed in fields["seeds"]),
-        bootstrap=bool(fields["bootstrap"]),
+        seeds=tuple(_host(seed) for seed in fields.get("seeds") or ()),
+        bootstrap=bool(fields.get("bootstrap")),
         data_folder=fields.get("data_dir") or "",
         metrics_port=document["metrics_port"],
         bounds=_bounds(fields),
     )
 
 
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is no text")
+    return value
+
+
+def _host(seed: str) -> str:
+    """Return the host of a seed, which may lack its port."""
+    return seed.rpartition(":")[0] or seed
+
+
 def _bounds(fields: dict[str, Any]) -> Bounds:
     overrides = fields.get("bounds") or {}
     defaults = Bounds()
-    heartbeat_s = fields.get("heartbeat_ms", defaults.heartbeat_s * 1000) / 1000
+    heartbeat_s = _number(fields, "heartbeat_ms", defaults.heartbeat_s * 1000) / 1000
+    number = partial(_number, overrides)
     return Bounds(
         heartbeat_s=heartbeat_s,
         silence_s=MISSED_HEARTBEATS * heartbeat_s,
-        retry_ratio=overrides.get("retry_budget_ratio", defaults.retry_ratio),
-        retry_window_s=overrides.get("budget_window_s", defaults.retry_window_s),
-        retry_floor=overrides.get("budget_min_retries", defaults.retry_floor),
-        cold_factor=overrides.get("cold_over", defaults.cold_factor),
-        cold_requests=overrides.get("cold_slack", defaults.cold_requests),
-        lease_s=overrides.get("lease_ms", defaults.lease_s * 1000) / 1000,
-        version_s=overrides.get("version_ms", defaults.version_s * 1000) / 1000,
-        grace_s=overrides.get("grace_s", defaults.grace_s),
+        retry_ratio=number("retry_budget_ratio", defaults.retry_ratio),
+        retry_window_s=number("budget_window_s", defaults.retry_window_s),
+        retry_floor=number("budget_min_retries", defaults.retry_floor),
+        cold_factor=number("cold_over", defaults.cold_factor),
+        cold_requests=number("cold_slack", defaults.cold_requests),
+        lease_s=number("lease_ms", defaults.lease_s * 1000) / 1000,
+        version_s=number("version_ms", defaults.version_s * 1000) / 1000,
+        grace_s=number("grace_s", defaults.grace_s),
     )
+
+
+def _number(fields: dict[str, Any], name: str, default: float) -> float:
+    """Return a field, or the default if it is missing or empty."""
+    value = fields.get(name)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{name} is no number: {value!r}")
+    return value
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -35,3 +35,30 @@
         time.sleep(INTERPRETER_S + delay_s)
         assert processes.terminate(1) == 0
         assert processes.lines(1, "stopped")
+
+
+# A settings file that was missing or half written at the start ended the process.
+@pytest.mark.parametrize("kept", [None, 0, 0.5])
+def test_a_process_waits_for_its_settings_file(tmp_path, kept):
+    with running_processes(tmp_path, NETWORK) as processes:
+        path = processes.write_settings(1)
+        text = path.read_text()
+        path.unlink()
+        if kept is not None:
+            path.write_text(text[: int(kept * len(text))])
+        process = processes.run(1, path)
+        wait_until(lambda: processes.lines(1, "settings-unreadable"))
+        time.sleep(INTERPRETER_S)
+        assert process.poll() is None
+        path.write_text(text)
+        wait_until(processes.put)
+        assert len(processes.lines(1, "settings-unreadable")) <= 2
+
+
+def test_a_process_without_settings_stops_cleanly(tmp_path):
+    with running_processes(tmp_path, NETWORK) as processes:
+        path = processes.write_settings(1)
+        path.write_text("")
+        processes.run(1, path)
+        wait_until(lambda: processes.lines(1, "settings-unreadable"))
+        assert processes.terminate(1) == 0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -48,3 +48,21 @@
     path.write_text(json.dumps(document))
     with pytest.raises(ValueError, match="another shape"):
         read_settings(path)
+
+
+# A field that is there and empty once ended the process at its start.
+def test_empty_fields_have_the_defaults_of_missing_ones(tmp_path):
+    bounds = dict.fromkeys(make_settings()["platform"]["bounds"])
+    empty = {"bounds": bounds, "heartbeat_ms": None, "seeds": None, "bootstrap": None}
+    cfg = read(tmp_path, **empty)
+    assert cfg.bounds == read(tmp_path, bounds=None, heartbeat_ms=1200).bounds
+    assert (cfg.seeds, cfg.bootstrap) == ((), False)
+
+
+def test_a_bound_of_another_type_is_refused(tmp_path):
+    with pytest.raises(ValueError, match="another shape"):
+        read(tmp_path, bounds={"grace_s": "8"})
+
+
+def test_a_seed_may_lack_its_port(tmp_path):
+    assert read(tmp_path, seeds=["10.0.0.1"]).seeds == ("10.0.0.1",)
