Serve without the standard streams

Cause: the program took its log's descriptor from sys.stdout, which is None where standard output is closed; the error ended the process. With standard output or error closed, a file or connection opened later could also get that number and log lines or a traceback.

Callers saw: exit 1 at the start.

Change: closed standard streams are the null device before anything else is opened.

Tests: the 3 cases added to tests/platform/test_processes.py failed before.

--- a/src/vanillabeam/output.py
+++ b/src/vanillabeam/output.py
@@ -3,12 +3,29 @@
 import os
 from collections import deque
 
-__all__ = ["LineWriter"]
+__all__ = ["STANDARD_OUTPUT", "LineWriter", "open_standard_streams"]
+
+STANDARD_OUTPUT = 1
+STANDARD_STREAMS = (0, 1, 2)
 
 #: Maximum number of lines queued for a slow reader; further lines are dropped.
 MAX_QUEUED_LINES = 2_000
 
 
+def open_standard_streams() -> None:
+    """Open the null device in place of standard streams that are closed.
+
+    Otherwise the next file or connection gets such a number, and log lines would be
+    written to it.
+    """
+    for descriptor in STANDARD_STREAMS:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # The lowest free number is used, which is this one.
+            os.open(os.devnull, os.O_RDWR)
+
+
 class LineWriter:
     """Writes lines to a file descriptor without blocking on a slow reader.
 
--- a/src/vanillabeam/platform/program.py
+++ b/src/vanillabeam/platform/program.py
@@ -3,7 +3,6 @@
 import os
 import random
 import signal
-import sys
 import time
 from functools import cached_property
 from hashlib import blake2b
@@ -18,7 +17,7 @@
 from vanillabeam.fleet.records import FleetSettings
 from vanillabeam.fleetvm import FleetVm
 from vanillabeam.lifecycle import Lifecycle
-from vanillabeam.output import LineWriter
+from vanillabeam.output import STANDARD_OUTPUT, LineWriter, open_standard_streams
 from vanillabeam.platform.client import PlatformClient
 from vanillabeam.platform.headers import PlatformDialect
 from vanillabeam.platform.readiness import ReadinessApp
@@ -78,7 +77,8 @@
 def run_program() -> int:
     """Run a VM until SIGTERM has drained it; return the exit code."""
     path = Path(os.environ[PATH_VARIABLE])
-    output = LineWriter(sys.stdout.fileno())
+    open_standard_streams()
+    output = LineWriter(STANDARD_OUTPUT)
     logs.configure(LOG_SETTINGS, "", "", output)
     cfg = _wait_for_settings(path)
     if cfg is None:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -1,7 +1,9 @@
 """Starts and ends of real processes under what the platform does to them."""
 
+import os
 import signal
 import time
+from pathlib import Path
 
 import pytest
 
@@ -62,3 +64,19 @@
         processes.run(1, path)
         wait_until(lambda: processes.lines(1, "settings-unreadable"))
         assert processes.terminate(1) == 0
+
+
+# A process whose standard output was closed once ended at its start.
+@pytest.mark.parametrize("closed", [(1,), (2,), (0, 1, 2)])
+def test_a_process_serves_without_its_standard_streams(tmp_path, closed):
+    def close():
+        for descriptor in closed:
+            os.close(descriptor)
+
+    with running_processes(tmp_path, NETWORK) as processes:
+        process = processes.start(1, options={"preexec_fn": close})
+        wait_until(processes.put)
+        assert process.poll() is None
+        for number in closed:
+            path = Path(f"/proc/{process.pid}/fd/{number}")
+            assert path.readlink() == Path(os.devnull)
