Let no task beside the requests end the process

Cause: an exception in any task of a VM's nurseries ended the whole process. Two were found by fuzzing real processes: a deployment whose store has an address without a port, or with a host that is none (ValueError and UnicodeError from the call), ended each leader of the fleet log in turn; a committed command that this build doesn't know ended every control VM, and again at each start.

Callers saw: processes of the control VMs that end by themselves.

That an odd store address is confirmed at all is not changed here (platform/documents).

--- a/src/vanillabeam/decisions.py
+++ b/src/vanillabeam/decisions.py
@@ -49,6 +49,7 @@
     "TargetPaused",
     "TargetRested",
     "TargetSilent",
+    "TaskFailed",
     "WeightsOrdered",
     "event_name",
     "log_record",
@@ -357,6 +358,17 @@
     failure: str
 
 
+class TaskFailed(NamedTuple):
+    """A task beside the requests failed; it runs again, or its piece of work stops.
+
+    :param task: name of the task.
+    """
+
+    task: str
+    failure: str
+    detail: str
+
+
 class Started(NamedTuple):
     """The process has started.
 
@@ -466,6 +478,7 @@
     ControlForgotten: Kind("WARNING", _RARE_LINES_S),
     HomeChosen: Kind("INFO", _RARE_LINES_S),
     MemberRemoved: Kind("WARNING", _RARE_LINES_S),
+    TaskFailed: Kind("ERROR", _RARE_LINES_S),
     Started: Kind("INFO", _RARE_LINES_S),
     PortTaken: Kind("ERROR", _RARE_LINES_S),
     PortFree: Kind("WARNING", _RARE_LINES_S),
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -38,6 +38,7 @@
 from vanillabeam.log import Address, Applied, LogNode, LogSettings
 from vanillabeam.log.exceptions import LogError
 from vanillabeam.peercall import PeerCall, PeerRoutes
+from vanillabeam.tasks import keep_running
 
 __all__ = ["FLEET_GROUP", "FleetControl"]
 
@@ -124,10 +125,13 @@
         """Run the replica and the maintenance tasks until cancelled."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self.node.run)
-            nursery.start_soon(self._remove_absent_voters)
-            nursery.start_soon(self._drop_silent_targets)
-            nursery.start_soon(self._track_stores, nursery)
-            nursery.start_soon(self.follower.run)
+            for task, *args in (
+                (self._remove_absent_voters,),
+                (self._drop_silent_targets,),
+                (self._track_stores, nursery),
+                (self.follower.run,),
+            ):
+                nursery.start_soon(keep_running, task.__name__, task, *args)
             self._is_running = True
             task_status.started()
 
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -38,6 +38,7 @@
 from vanillabeam.fleet.view import FleetView, merge_version_times
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, digest_names
 from vanillabeam.peercall import PeerCall
+from vanillabeam.tasks import keep_running
 
 __all__ = ["Follower"]
 
@@ -184,7 +185,9 @@
                 for address in self._addresses_to_add():
                     if address not in self._control_vms:
                         self._control_vms[address] = ControlVm(address)
-                        nursery.start_soon(self._follow, address)
+                        nursery.start_soon(
+                            keep_running, "follow", self._follow, address
+                        )
                 self._drop_silent_targets()
                 self._update_home()
                 await trio.sleep(RETRY_S)
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -10,6 +10,7 @@
 from vanillabeam.fleet.control import FleetControl
 from vanillabeam.fleet.orderrun import OrderReply, OrderRun, Step, WeightsReport
 from vanillabeam.fleet.records import Target
+from vanillabeam.tasks import run_guarded
 
 __all__ = ["Rollout", "TargetOrders", "WeightsOrder", "select_targets"]
 
@@ -134,7 +135,9 @@
                 model, weights[model], control.cfg.vm, control.node.term
             )
             self._in_progress.add(target.name)
-            nursery.start_soon(self._execute, target, order)
+            nursery.start_soon(
+                run_guarded, "weights-order", self._execute, target, order
+            )
 
     async def _execute(self, target: Target, order: WeightsOrder) -> None:
         try:
--- a/src/vanillabeam/fleet/stores.py
+++ b/src/vanillabeam/fleet/stores.py
@@ -15,6 +15,7 @@
 from vanillabeam.fleet.parts import PartChanges, PartIndex, PartRequest, StoreEvent
 from vanillabeam.fleet.reclaimer import PartReclaimer
 from vanillabeam.fleet.records import Store
+from vanillabeam.tasks import keep_running
 
 __all__ = ["StoreCalls", "StoreList", "StoreEvents", "StoreTracker"]
 
@@ -122,14 +123,17 @@
     ) -> None:
         with trio.CancelScope() as scope:
             task_status.started(scope)
-            while True:
-                listed = await self._calls.list_parts(store)
-                if listed is None:
-                    self._forget(store)
-                    await trio.sleep(RETRY_S)
-                    continue
-                self._begin_epoch(store, listed)
-                await self._track_epoch(store, listed)
+            await keep_running("store", self._track_store, store)
+
+    async def _track_store(self, store: Store) -> None:
+        while True:
+            listed = await self._calls.list_parts(store)
+            if listed is None:
+                self._forget(store)
+                await trio.sleep(RETRY_S)
+                continue
+            self._begin_epoch(store, listed)
+            await self._track_epoch(store, listed)
 
     def _begin_epoch(self, store: Store, listed: StoreList) -> None:
         if self._epochs.get(store) != listed.epoch:
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -19,6 +19,7 @@
 from vanillabeam.peerhttp import PeerClient, peer_routes
 from vanillabeam.ports import wait_for_port
 from vanillabeam.readiness import Readiness
+from vanillabeam.tasks import TASK_FAILURES, keep_running
 
 if TYPE_CHECKING:
     from vanillabeam.fleet.control import FleetControl
@@ -90,6 +91,9 @@
         self.follower: Follower | None = None
         self.control: FleetControl | None = None
         self.counters = Counters()
+        self.counters.add_gauge(
+            "task_failures", "Failures of tasks beside requests.", TASK_FAILURES.total
+        )
         self._listeners: dict[str, ListenerTask] = {}
         self._are_closed = False
         self._held_port: socket.socket | None = None
@@ -152,7 +156,8 @@
         )
         await nursery.start(self.control.run)
         self._add_control_metrics(self.control)
-        nursery.start_soon(Rollout(self.control, self.adapter.orders).run)
+        rollout = Rollout(self.control, self.adapter.orders)
+        nursery.start_soon(keep_running, "rollout", rollout.run)
         nursery.start_soon(self._transfer_leadership_on_drain)
         app = self.adapter.control_app(self.control)
         await self._listen(nursery, "control", self.cfg.control_address, app)
@@ -174,15 +179,15 @@
         )
         self._add_entry_metrics(self.follower)
         self._add_notice_metrics(self.follower, chooser)
-        nursery.start_soon(self.follower.run)
-        nursery.start_soon(app.run)
+        nursery.start_soon(keep_running, "follower", self.follower.run)
+        nursery.start_soon(keep_running, "forwarding", app.run)
         readiness = self.adapter.readiness_app(self.lifecycle)
         async with trio.open_nursery() as ports:
             address = self.cfg.readiness_address
             ports.start_soon(self._listen, nursery, "readiness", address, readiness)
             await self._listen(nursery, "entry", self.cfg.entry_address, app)
             nursery.start_soon(self._become_ready)
-            nursery.start_soon(self._sync_limits)
+            nursery.start_soon(keep_running, "limits", self._sync_limits)
 
     async def _listen(
         self,
--- a/src/vanillabeam/log/outbox.py
+++ b/src/vanillabeam/log/outbox.py
@@ -1,7 +1,6 @@
 """Sending of messages: one bounded queue and a few calls per replica."""
 
 from collections.abc import Awaitable, Callable
-from functools import partial
 
 import trio
 from returns.result import Failure, Success
@@ -13,6 +12,7 @@
 )
 from vanillabeam.log.requests import messages_path
 from vanillabeam.peercall import PeerCall
+from vanillabeam.tasks import keep_running
 
 __all__ = ["Outbox"]
 
@@ -57,7 +57,9 @@
             queue, messages = trio.open_memory_channel[Envelope](QUEUE_MESSAGES)
             self._queues[address] = queue
             for _ in range(CONCURRENT_CALLS):
-                self._nursery.start_soon(partial(self._send, address, messages))
+                self._nursery.start_soon(
+                    keep_running, "outbox", self._send, address, messages
+                )
         try:
             queue.send_nowait(envelope)
         except trio.WouldBlock:
