End a request that was answered before its body was read

Cause: hypercorn tells an application the end of its connection by a message in its queue of ten. A request that is answered before its body was read (413, 408) waits there for room that only itself could make.

Callers saw: their answer; but the request stayed open, its connection and up to 640 KB with it, and the process did not end after SIGTERM: it logged the request as cut off at its deadline and hung until it was killed.

Evidence: a run of tests/platform/test_processes.py whose entry VM had logged the refusal (408), then "requests cut off" 7 s after SIGTERM, and was still there a minute later.

Change: the end of a connection closes the queue.

Test: test_an_answer_before_the_end_of_a_long_body_ends_its_request; on it hangs (killed after 15 s), now it passes.

--- a/src/vanillabeam/httpserver.py
+++ b/src/vanillabeam/httpserver.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -13,7 +14,7 @@
 import trio
 from hypercorn.events import Closed, Event, RawData, Updated
 from hypercorn.protocol.h11 import H11Protocol
-from hypercorn.trio.task_group import TaskGroup
+from hypercorn.trio.task_group import TaskGroup, _handle
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.utils import parse_socket_addr, repr_socket_addr
@@ -28,6 +29,7 @@
 #: Extension of the ASGI scope: closes the connection of the request at once.
 ABORT = "vanillabeam.abort"
 MAJOR_VERSION = b"1."
+DISCONNECT = "http.disconnect"
 HTTP_VERSION_NOT_SUPPORTED = 505
 #: Bytes that a caller must take within the listener's idle timeout.
 SEND_BYTES = 65_536
@@ -167,6 +169,43 @@
     )
 
 
+class _TaskGroup(TaskGroup):
+    """Tasks of a connection.
+
+    The end of a connection is told to its application by the end of its queue. As a
+    message it would wait for room in the queue of an application that reads no more.
+    """
+
+    async def spawn_app(self, app: Any, config: "Config", scope: Any, send: Any) -> Any:
+        """Start an application; return the function that queues its messages."""
+        sending, receiving = trio.open_memory_channel(config.max_app_queue_size)
+
+        async def receive() -> Any:
+            try:
+                return await receiving.receive()
+            except trio.EndOfChannel:
+                return {"type": DISCONNECT}
+
+        async def put(message: Any) -> None:
+            if message["type"] == DISCONNECT:
+                sending.close()
+                return
+            with suppress(trio.ClosedResourceError):
+                await sending.send(message)
+
+        self._nursery.start_soon(
+            _handle,
+            app,
+            config,
+            scope,
+            receive,
+            send,
+            trio.to_thread.run_sync,
+            trio.from_thread.run,
+        )
+        return put
+
+
 class _Connection(TCPServer):
     """One connection of a caller.
 
@@ -222,7 +261,7 @@
         client = parse_socket_addr(family, self._socket.getpeername())
         server = parse_socket_addr(family, self._socket.getsockname())
         self.address = f"{client[0]}:{client[1]}"
-        async with TaskGroup() as task_group:
+        async with _TaskGroup() as task_group:
             self._task_group = task_group
             self.protocol = _Protocol(
                 self.app,
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -246,3 +246,27 @@
             return await read_answer(stream) is not None
 
     assert run_listener(scenario)
+
+
+# Guards against an answer that waits for good behind the unread body of its request.
+def test_an_answer_before_the_end_of_a_long_body_ends_its_request():
+    ended = []
+
+    async def answer_early(scope, receive, send):
+        await receive()
+        await trio.sleep(0.2)
+        with trio.CancelScope(shield=True):
+            await answer_ok(scope, receive, send)
+        ended.append(scope["path"])
+
+    async def scenario(connect, task):
+        async with await connect() as stream:
+            with suppress(trio.BrokenResourceError):
+                await stream.send_all(CHUNKED + b"1\r\nx\r\n" * 10_000)
+            await read_answer(stream)
+        with trio.move_on_after(2.0):
+            while not ended:
+                await trio.sleep(0.01)
+        return ended
+
+    assert run_listener(scenario, answer_early) == ["/"]
