Poll the control VMs again after a failure of the task that starts the polls

Cause: keep_running runs the follower again after an error, but the follower took the control VMs that it had polled before for ones that are still polled.

Callers would see: an entry VM that hears of no change any more, with no line in its log but the first.

Change: the follower begins with no polled control VM.

--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -194,8 +194,9 @@
         self._seeds = cfg.seed_addresses
 
     async def run(self) -> None:
-        """Poll the control VMs until cancelled."""
+        """Poll the control VMs until cancelled; it may be called again after a failure."""
         self._started_s = trio.current_time()
+        self._control_vms.clear()
         async with trio.open_nursery() as nursery:
             while True:
                 for address in self._addresses_to_add():
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -11,6 +11,7 @@
 from vanillabeam.fleet.loads import ENTRY_SILENCE_S, make_load
 from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.watch import WatchRequest, make_reply
+from vanillabeam.tasks import keep_running
 
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 
@@ -270,3 +271,27 @@
     harness[0].silent = True
     await trio.sleep(ENTRY_SILENCE_S + 1.0)
     assert harness.follower.entry_vms == ("vm-1", "vm-2")
+
+
+# Guards against an entry VM that hears of no change any more: after an error of the task
+# that starts the polls, the control VMs that it had polled were never polled again.
+def test_polls_go_on_after_a_failure_of_the_task_that_starts_them(monkeypatch):
+    async def main():
+        harness = Harness()
+        failures = iter([None, ZeroDivisionError()])
+
+        def drop():
+            failure = next(failures, None)
+            if failure is not None:
+                raise failure
+
+        monkeypatch.setattr(harness.follower, "_drop_silent_targets", drop)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep_running, "follower", harness.follower.run)
+            await trio.sleep(5.0)
+            harness[0].commit(1, 1, document="1")
+            await trio.sleep(5.0)
+            nursery.cancel_scope.cancel()
+        assert harness.follower.deployment_number() == 1
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
