--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -194,7 +194,7 @@
         self._seeds = cfg.seed_addresses
 
     async def run(self) -> None:
-        """Poll the control VMs until cancelled; it may be called again after a failure."""
+        """Poll the control VMs until cancelled, also again after a failure."""
         self._started_s = trio.current_time()
         self._control_vms.clear()
         async with trio.open_nursery() as nursery:
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -273,8 +273,8 @@
     assert harness.follower.entry_vms == ("vm-1", "vm-2")
 
 
-# Guards against an entry VM that hears of no change any more: after an error of the task
-# that starts the polls, the control VMs that it had polled were never polled again.
+# Guards against an entry VM that hears of no change any more: after an error of the
+# task that starts the polls, the control VMs polled before were never polled again.
 def test_polls_go_on_after_a_failure_of_the_task_that_starts_them(monkeypatch):
     async def main():
         harness = Harness()
