Give large messages of replicas the time that they take

Cause: a call between replicas ended after half of the election timeout (0.35 s), whatever its size, and entries were sent again after 0.4 s. An entry is never divided, so one that took longer to pass was never stored by anybody, and nothing after it was committed.

Operators would see: 503 for a large configuration and for each later change.

Change: a call, and the pause before entries are sent again, are longer by the size of the messages at 256 KiB/s. Small messages have the times that they had; heartbeats go in calls of their own meanwhile.

Measured: the new test (2 MB over links of 1 MB/s, virtual time) failed before, passes now, and sends two copies, no more. tests/log: all passed.

--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -300,7 +300,12 @@
         now_s = trio.current_time()
         replica = load_replica(storage, contents, self.settings, self._rng, now_s)
         outbox = Outbox(
-            self.group, self._call, nursery, self._receive_replies, self._peer_timeout_s
+            self.group,
+            self._call,
+            nursery,
+            self._receive_replies,
+            self._peer_timeout_s,
+            self.settings.slowest_bytes_s,
         )
         loop = ReplicaLoop(replica, storage, self._machine, self._waiters, outbox)
         try:
--- a/src/vanillabeam/log/outbox.py
+++ b/src/vanillabeam/log/outbox.py
@@ -32,7 +32,9 @@
     :param call: sends a request to another VM.
     :param nursery: nursery that runs the sending tasks.
     :param receive: handles the messages in the response to a call.
-    :param timeout_s: timeout of one call in seconds.
+    :param timeout_s: timeout in seconds of a call with a small message.
+    :param slowest_bytes_s: rate in bytes a second; a call has as much more time as its
+        messages take at it.
     """
 
     def __init__(
@@ -42,12 +44,14 @@
         nursery: trio.Nursery,
         receive: Receive,
         timeout_s: float,
+        slowest_bytes_s: int,
     ):
         self._path = messages_path(group)
         self._call = call
         self._nursery = nursery
         self._receive = receive
         self._timeout_s = timeout_s
+        self._slowest_bytes_s = slowest_bytes_s
         self._queues: dict[str, trio.MemorySendChannel[Envelope]] = {}
 
     def put(self, address: str, envelope: Envelope) -> None:
@@ -70,11 +74,13 @@
     ) -> None:
         async for first in messages:
             envelopes = [first, *_drain(messages)]
-            with trio.move_on_after(self._timeout_s):
-                await self._exchange(address, envelopes)
+            body = encode_message_batch(envelopes)
+            timeout_s = self._timeout_s + len(body) / self._slowest_bytes_s
+            with trio.move_on_after(timeout_s):
+                await self._exchange(address, body)
 
-    async def _exchange(self, address: str, envelopes: list[Envelope]) -> None:
-        answer = await self._call(address, self._path, encode_message_batch(envelopes))
+    async def _exchange(self, address: str, body: bytes) -> None:
+        answer = await self._call(address, self._path, body)
         if isinstance(answer, Failure):
             return
         decoded = decode_message_batch(answer.unwrap())
--- a/src/vanillabeam/log/records.py
+++ b/src/vanillabeam/log/records.py
@@ -18,6 +18,7 @@
 ]
 
 CHUNK_BYTES = 64 * 1024
+SLOWEST_BYTES_S = 256 * 1024
 BATCH_BYTES = 256 * 1024
 BATCH_ENTRIES = 256
 
@@ -172,6 +173,8 @@
     :param batch_bytes: total size of entry bodies in bytes at which an append
         request takes no further entry.
     :param chunk_bytes: maximum size of a snapshot chunk in bytes.
+    :param slowest_bytes_s: rate in bytes a second at which a message must pass. A
+        large one gets as much more time, as an entry is never divided.
     :param allow_any_vm: whether any VM may join, not only the allowed ones.
     :param open_requires_all: whether the group accepts commands only once all
         initial VMs are voters at one time; otherwise a majority is enough.
@@ -185,6 +188,7 @@
     batch_entries: int = BATCH_ENTRIES
     batch_bytes: int = BATCH_BYTES
     chunk_bytes: int = CHUNK_BYTES
+    slowest_bytes_s: int = SLOWEST_BYTES_S
     allow_any_vm: bool = False
     open_requires_all: bool = False
 
--- a/src/vanillabeam/log/replica.py
+++ b/src/vanillabeam/log/replica.py
@@ -31,6 +31,7 @@
     :ivar next_index: index of the next entry to send.
     :ivar sent_s: monotonic time at which unacknowledged entries were sent,
         ``None`` if there are none.
+    :ivar sent_bytes: size of these entries, or of the snapshot chunk.
     :ivar last_contact_s: monotonic time of the member's last reply.
     :ivar round: newest heartbeat round to which it has replied.
     :ivar snapshot_offset: number of snapshot bytes that it has received,
@@ -41,6 +42,7 @@
         self.match_index = 0
         self.next_index = next_index
         self.sent_s: float | None = None
+        self.sent_bytes = 0
         self.last_contact_s = now_s
         self.round = 0
         self.snapshot_offset: int | None = None
--- a/src/vanillabeam/log/replication.py
+++ b/src/vanillabeam/log/replication.py
@@ -73,16 +73,15 @@
     state: Replica, to: str, progress: Progress, heartbeat: bool, now_s: float
 ) -> list[Effect]:
     resend_s = 2 * state.settings.heartbeat_s
+    resend_s += progress.sent_bytes / state.settings.slowest_bytes_s
     in_flight = progress.sent_s is not None and now_s - progress.sent_s < resend_s
     if progress.next_index <= state.log.base_index:
         return _replicate_snapshot(state, to, progress, in_flight, heartbeat, now_s)
     if progress.next_index <= state.log.last_index and not in_flight:
+        entries = _next_entries(state, progress)
         progress.sent_s = now_s
-        return [
-            _append_request(
-                state, to, progress.next_index - 1, _next_entries(state, progress)
-            )
-        ]
+        progress.sent_bytes = sum(len(entry.body) for entry in entries)
+        return [_append_request(state, to, progress.next_index - 1, entries)]
     if not heartbeat:
         return []
     previous = min(
@@ -106,6 +105,7 @@
         progress.snapshot_offset = 0
     if not in_flight:
         progress.sent_s = now_s
+        progress.sent_bytes = state.settings.chunk_bytes
         return [SendChunk(to, progress.snapshot_offset, state.round)]
     if not heartbeat:
         return []
--- a/tests/log/test_node.py
+++ b/tests/log/test_node.py
@@ -219,6 +219,22 @@
     assert {n.status()["group_id"] for n in group.nodes.values()} == {""}
 
 
+# Guards against a large configuration after which nothing was ever committed: its
+# entry took longer to pass than any message was given.
+@with_group(3)
+async def test_an_entry_that_takes_seconds_to_pass_is_committed_once_sent(group):
+    await group.start_all()
+    await group.leader.propose("first")
+    group.network.bytes_s = 1_000_000
+    sent_bytes = group.network.sent_bytes
+    command = "x" * 2_000_000
+    leader = group.leader
+    assert (await leader.propose(command)).unwrap()
+    assert (await leader.propose("next")).unwrap()
+    # Two copies, and the small messages meanwhile.
+    assert group.network.sent_bytes - sent_bytes < 2.2 * len(command)
+
+
 @with_group(3)
 async def test_restarted_vms_restore_the_snapshot_and_the_entries_after_it(group):
     await group.start_all()
