Write libraries' warnings as log lines, not to standard error

Cause: when no descriptor was free for a new connection, the event loop's library wrote a traceback to standard error ten times a second and listener. A pipe that nobody reads takes 64 KB, then the write stops the whole process.

Change: warnings of libraries go to the log's own output, which never blocks, as library-warned within a budget of lines.

--- a/src/vanillabeam/decisions.py
+++ b/src/vanillabeam/decisions.py
@@ -23,6 +23,7 @@
     "ControlHeard",
     "DeploymentRefused",
     "HomeChosen",
+    "LibraryWarned",
     "LinesDropped",
     "MemberRemoved",
     "OrderSettled",
@@ -428,6 +429,16 @@
     detail: str
 
 
+class LibraryWarned(NamedTuple):
+    """A library logged a warning, for instance that no connection could be accepted.
+
+    :param library: name of its logger.
+    """
+
+    library: str
+    detail: str
+
+
 class LinesDropped(NamedTuple):
     """Lines of a kind were dropped because they were over its budget."""
 
@@ -486,6 +497,7 @@
     Stopped: Kind("INFO", _RARE_LINES_S),
     SeedsChanged: Kind("INFO", _RARE_LINES_S),
     SettingsUnreadable: Kind("ERROR", _RARE_LINES_S),
+    LibraryWarned: Kind("WARNING", _FREQUENT_LINES_S),
     LinesDropped: Kind("WARNING", _RARE_LINES_S),
 }
 
--- a/src/vanillabeam/logs.py
+++ b/src/vanillabeam/logs.py
@@ -1,5 +1,6 @@
 """Structured logging: each event is a line of JSON or of text."""
 
+import logging
 import sys
 from datetime import UTC
 from typing import TYPE_CHECKING
@@ -7,13 +8,13 @@
 from loguru import logger
 
 from vanillabeam import wire
-from vanillabeam.decisions import KINDS
+from vanillabeam.decisions import KINDS, LibraryWarned, log_record
 from vanillabeam.output import LineWriter
 
 if TYPE_CHECKING:
     from vanillabeam.settings import Logs
 
-__all__ = ["FIELDS", "configure"]
+__all__ = ["FIELDS", "capture_libraries", "configure"]
 
 _FIELDS = (
     "vm",
@@ -72,6 +73,21 @@
     logger.add(sink, level=cfg["level"], format=render, catch=True)
 
 
+def capture_libraries() -> None:
+    """Write the libraries' warnings as log lines.
+
+    Otherwise they go to standard error, where a write may block the process.
+    """
+    logging.basicConfig(handlers=[_LibraryHandler()], force=True)
+
+
+class _LibraryHandler(logging.Handler):
+    """Passes what libraries log on to :func:`log_record`."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        log_record(LibraryWarned(record.name, record.getMessage()))
+
+
 def _write_stderr(message: str) -> None:
     sys.stderr.write(message)
 
--- a/src/vanillabeam/platform/program.py
+++ b/src/vanillabeam/platform/program.py
@@ -80,6 +80,7 @@
     open_standard_streams()
     output = LineWriter(STANDARD_OUTPUT)
     logs.configure(LOG_SETTINGS, "", "", output)
+    logs.capture_libraries()
     cfg = _wait_for_settings(path)
     if cfg is None:
         log_record(Stopped(EXIT_OK))
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -1,7 +1,9 @@
 """Starts and ends of real processes under what the platform does to them."""
 
 import os
+import resource
 import signal
+import socket
 import time
 from pathlib import Path
 
@@ -80,3 +82,38 @@
         for number in closed:
             path = Path(f"/proc/{process.pid}/fd/{number}")
             assert path.readlink() == Path(os.devnull)
+
+
+def full_pipe():
+    """Return a pipe that takes no further byte."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    try:
+        while os.write(writer, b"x" * 4096):
+            pass
+    except BlockingIOError:
+        os.set_blocking(writer, True)
+    return reader, writer
+
+
+# Without a free descriptor the event loop's library wrote to standard error, and a pipe
+# that nobody reads then stopped the whole process.
+def test_a_process_without_free_descriptors_goes_on_when_nobody_reads_its_errors(
+    tmp_path,
+):
+    def limit():
+        resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
+
+    reader, writer = full_pipe()
+    with running_processes(tmp_path, NETWORK) as processes:
+        process = processes.start(1, options={"preexec_fn": limit, "stderr": writer})
+        wait_until(processes.put)
+        address = (processes.host(1), processes.ports["control"])
+        callers = [socket.create_connection(address, 2) for _ in range(100)]
+        wait_until(lambda: processes.lines(1, "library-warned"))
+        for caller in callers:
+            caller.close()
+        wait_until(lambda: processes.put(version=9))
+        assert process.poll() is None
+    os.close(reader)
+    os.close(writer)
