Bound the bodies of all requests that an entry VM holds

Cause: bodies of callers were collected whole, in pieces, in any number, and without regard to the request's time limit.

Change: bodies count in the budget of the VM, announced lengths from the start; beyond it 503 memory-short (not run, Retry-After). A body that is late is refused with 408. A control VM has a budget of its own and gives each failure of a body its status, not 400.

--- a/src/vanillabeam/exceptions.py
+++ b/src/vanillabeam/exceptions.py
@@ -15,6 +15,7 @@
     "MalformedBody",
     "MalformedHeader",
     "MalformedPath",
+    "MemoryShort",
     "NoEligibleTarget",
     "NotReady",
     "Overloaded",
@@ -172,6 +173,16 @@
     advice = "Traces of the newest requests are kept; the logs have the rest."
 
 
+class MemoryShort(VanillabeamError):
+    """This VM holds too many bytes of other requests."""
+
+    type = "memory-short"
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    run = Run.NOT_RUN
+    advice = "Send the request again after the time in Retry-After."
+    retry_after_s = 0.5
+
+
 class NotReady(VanillabeamError):
     """This VM does not know the configuration yet."""
 
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -2,7 +2,8 @@
 
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import trio
 from returns.result import Failure, Result, Success
@@ -16,7 +17,7 @@
     RequestRefused,
     log_record,
 )
-from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.exceptions import MalformedBody, VanillabeamError
 from vanillabeam.fleet import Deployment, Follower
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.attempt import Resources
@@ -24,6 +25,7 @@
 from vanillabeam.forwarding.dialect import Dialect, RequestMetadata
 from vanillabeam.forwarding.downstream import (
     ResponseWriter,
+    discard_body,
     read_body,
     spread_retry_after,
 )
@@ -34,7 +36,7 @@
 from vanillabeam.forwarding.sentparts import SentParts
 from vanillabeam.httpserver import abort_of
 from vanillabeam.lifecycle import Lifecycle
-from vanillabeam.memory import MemoryBudget
+from vanillabeam.memory import Holding, MemoryBudget
 
 __all__ = ["ForwardingApp"]
 
@@ -127,13 +129,40 @@
             await self._refuse(writer, metadata.unwrap().request_id, admitted.failure())
             return
         request = admitted.unwrap()
+        with self._resources.memory.open() as holding:
+            body = await self._read_body(request, receive, holding)
+            if isinstance(body, Failure):
+                await self._refuse_body(request, body.failure(), receive, writer)
+                return
+            request = request._replace(body=body.unwrap())
+            await self._exchange(request, receive, writer, abort_of(scope))
+
+    async def _refuse_body(
+        self,
+        request: AdmittedRequest,
+        exc: VanillabeamError,
+        receive,
+        writer: ResponseWriter,
+    ) -> None:
+        labels = (request.route.name, "refused", exc.type)
+        self._counters.requests.labels(*labels).inc()
+        request_id = request.metadata.request_id
+        is_gone = isinstance(exc, MalformedBody)
+        before_end = None if is_gone else partial(discard_body, receive)
+        await self._refuse(writer, request_id, exc, before_end)
+
+    async def _read_body(
+        self, request: AdmittedRequest, receive, holding: Holding
+    ) -> Result[bytes, VanillabeamError]:
+        """Return the body if it is there in time and this VM can hold it.
+
+        The length that a caller announces is held from the start, so that bodies that
+        were begun can be completed.
+        """
         limits = self._table.deployment.limits
-        body = await read_body(receive, limits)
-        if isinstance(body, Failure):
-            await self._refuse(writer, request.metadata.request_id, body.failure())
-            return
-        request = request._replace(body=body.unwrap())
-        await self._exchange(request, receive, writer, abort_of(scope))
+        lengths = [v for n, v in request.headers if n == b"content-length"]
+        holding.grow_to(min(int(lengths[0]), limits.body_bytes) if lengths else 0)
+        return await read_body(receive, limits, holding, request.ends_s)
 
     async def _wait_for_state(self, began_s: float) -> None:
         """Wait a short time for the fleet state if this VM has just started.
@@ -243,7 +272,11 @@
             counters.requests.labels(route, "caller-gone", "").inc()
 
     async def _refuse(
-        self, writer: ResponseWriter, request_id: str, exc: VanillabeamError
+        self,
+        writer: ResponseWriter,
+        request_id: str,
+        exc: VanillabeamError,
+        before_end: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         retry_after_s = exc.retry_after_s
         if retry_after_s is not None:
@@ -259,7 +292,7 @@
                 self._resources.follower.view.index,
             )
         )
-        await writer.send_problem(exc, retry_after_s)
+        await writer.send_problem(exc, retry_after_s, before_end)
 
 
 async def _abort_at(time_s: float, abort: Callable[[], None]) -> None:
--- a/src/vanillabeam/forwarding/downstream.py
+++ b/src/vanillabeam/forwarding/downstream.py
@@ -1,6 +1,8 @@
 """The caller's side of a request: read its body, send the answer."""
 
 import random
+from collections.abc import Awaitable, Callable
+from math import inf
 
 import trio
 from returns.result import Failure, Result
@@ -11,14 +13,17 @@
 from vanillabeam.forwarding.dialect import Headers
 from vanillabeam.hopheaders import strip_hop_by_hop
 from vanillabeam.limits import collect_body
+from vanillabeam.memory import Holding
 from vanillabeam.problems import PROBLEM_TYPE, RUN_HEADER, to_problem
 
-__all__ = ["ResponseWriter", "read_body", "spread_retry_after"]
+__all__ = ["ResponseWriter", "discard_body", "read_body", "spread_retry_after"]
 
 #: Random share that is added to Retry-After, and its limit, so that callers don't all
 #: return at the same time.
 RETRY_AFTER_JITTER = 1.0
 MAX_RETRY_AFTER_JITTER_S = 2.0
+#: Time for which the rest of a refused body is read and dropped.
+DISCARD_S = 0.5
 
 
 def spread_retry_after(wait_s: float, rng: random.Random) -> float:
@@ -92,12 +97,17 @@
         return True
 
     async def send_problem(
-        self, exc: VanillabeamError, retry_after_s: float | None
+        self,
+        exc: VanillabeamError,
+        retry_after_s: float | None,
+        before_end: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         """Send a failure of this system as a problem document.
 
         :param retry_after_s: seconds to put into ``Retry-After``, if the request
             has not run.
+        :param before_end: awaited once the document is sent, before the end of the
+            answer may close the connection.
         """
         body = wire.encode(to_problem(exc))
         headers = [
@@ -109,6 +119,8 @@
             headers.append((b"retry-after", f"{retry_after_s:.2f}".encode()))
         await self._send_head(int(exc.status), headers)
         await self.send(body)
+        if before_end is not None:
+            await before_end()
         await self.finish()
 
     async def send(self, data: bytes) -> None:
@@ -148,19 +160,44 @@
             await self._send(message)
 
 
-async def read_body(receive, limits: Limits) -> Result[bytes, VanillabeamError]:
+async def read_body(
+    receive, limits: Limits, holding: Holding | None = None, until_s: float = inf
+) -> Result[bytes, VanillabeamError]:
     """Return the body of a caller's request, within the limits in force.
 
     :param receive: the ASGI ``receive`` of the request.
+    :param holding: counts the bytes of the body; ``None`` counts them nowhere.
+    :param until_s: monotonic time by which the body must be there.
     :returns: the same as :func:`collect_body`; :class:`BodyTooSlow` if nothing
-        arrives within the idle limit.
+        arrives within the idle limit, or not all by ``until_s``.
     """
+    with trio.move_on_at(until_s):
+        return await _read_steady_body(receive, limits, holding)
+    return Failure(BodyTooSlow("not whole within the time limit of the request"))
+
+
+async def discard_body(receive) -> None:
+    """Read the rest of a refused body for a short time, without holding it.
+
+    A connection that is closed with unread bytes is reset, and a caller that is still
+    sending would lose its answer.
+    """
+    more = True
+    with trio.move_on_after(DISCARD_S):
+        while more:
+            message = await receive()
+            more = message.get("more_body", False)
+
+
+async def _read_steady_body(
+    receive, limits: Limits, holding: Holding | None
+) -> Result[bytes, VanillabeamError]:
 
     async def receive_soon():
         with trio.fail_after(limits.idle_s):
             return await receive()
 
     try:
-        return await collect_body(receive_soon, limits.body_bytes)
+        return await collect_body(receive_soon, limits.body_bytes, holding)
     except trio.TooSlowError:
         return Failure(BodyTooSlow(f"nothing for {limits.idle_s:g} s"))
--- a/src/vanillabeam/limits.py
+++ b/src/vanillabeam/limits.py
@@ -11,9 +11,11 @@
     BodyTooSlow,
     InvariantBroken,
     MalformedBody,
+    MemoryShort,
     Overloaded,
     VanillabeamError,
 )
+from vanillabeam.memory import Holding
 from vanillabeam.problems import problem_response
 
 if TYPE_CHECKING:
@@ -67,26 +69,27 @@
 
 
 async def collect_body(
-    receive: Receive, body_bytes: int
+    receive: Receive, body_bytes: int, holding: Holding | None = None
 ) -> Result[bytes, VanillabeamError]:
     """Read a request's body without a time limit.
 
     :param body_bytes: largest size that is accepted.
-    :returns: the body, :class:`BodyTooLarge`, or :class:`MalformedBody` if the
-        caller disconnected before the end of the body.
+    :param holding: counts the bytes of the body; ``None`` counts them nowhere.
+    :returns: the body, :class:`BodyTooLarge`, :class:`MemoryShort`, or
+        :class:`MalformedBody` if the caller disconnected before the end of the body.
     """
-    chunks: list[bytes] = []
-    size = 0
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             return Failure(MalformedBody("the body ended early"))
-        chunks.append(message.get("body", b""))
-        size += len(chunks[-1])
-        if size > body_bytes:
+        body += message.get("body", b"")
+        if len(body) > body_bytes:
             return Failure(BodyTooLarge(f"the limit is {body_bytes} bytes"))
+        if holding is not None and not holding.grow_to(len(body)):
+            return Failure(MemoryShort(f"after {len(body)} bytes of the body"))
         if not message.get("more_body", False):
-            return Success(b"".join(chunks))
+            return Success(bytes(body))
 
 
 async def read_body(scope: Scope, receive: Receive) -> Result[bytes, VanillabeamError]:
--- a/src/vanillabeam/memory.py
+++ b/src/vanillabeam/memory.py
@@ -69,6 +69,10 @@
         """Add bytes; return whether the budget allows it."""
         return self.resize(self._size + size)
 
+    def grow_to(self, size: int) -> bool:
+        """Hold at least this many bytes; return whether the budget allows it."""
+        return self.resize(max(size, self._size))
+
     def release(self) -> None:
         """Give all bytes back."""
         self.resize(0)
--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -19,6 +19,7 @@
 from vanillabeam.fleet import Command, Limits
 from vanillabeam.fleet.control import FleetControl
 from vanillabeam.forwarding.downstream import read_body
+from vanillabeam.memory import MemoryBudget
 from vanillabeam.platform.documents import check_document
 from vanillabeam.platform.heartbeats import read_born, read_heartbeat
 
@@ -48,6 +49,7 @@
 
     def __init__(self, control: FleetControl):
         self._control = control
+        self._memory = MemoryBudget()
         self._handlers: dict[tuple[str, str], Handler] = {
             ("POST", "/api/Instances.Heartbeat"): self._heartbeat,
             ("POST", "/api/Instances.Leave"): self._leave,
@@ -69,10 +71,12 @@
         handler = self._handlers.get((scope["method"], call))
         if handler is None:
             return Answer(NOT_FOUND)
-        body = await read_body(receive, LIMITS)
-        if isinstance(body, Failure):
-            return _error_answer(BAD_REQUEST, body.failure())
-        return await handler(unquote(argument), body.unwrap())
+        with self._memory.open() as holding:
+            body = await read_body(receive, LIMITS, holding)
+            if isinstance(body, Failure):
+                exc = body.failure()
+                return _error_answer(int(exc.status), exc)
+            return await handler(unquote(argument), body.unwrap())
 
     async def _heartbeat(self, worker: str, body: bytes) -> Answer:
         target = read_heartbeat(worker, body)
