Bound what a stream holds of unfinished events and for HTTP/1.0 callers

Cause: each stream could hold 1 MB of an event without end, in any number of streams, and a stream for a caller without chunks was collected without a bound until its time limit.

Callers saw: 504 at the time limit of the route (12 s in the test) and a VM that grows meanwhile.

Change: both count in the VM's budget of bodies; a collected stream ends with 502 beyond 4 MB.

--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -337,15 +337,17 @@
 
     async def _stream(self, response: OpenResponse) -> Outcome:
         target, load = self._choice.target, self._resources.chooser.load
-        relay = StreamRelay(
-            response,
-            target,
-            self._cutter,
-            self._writer,
-            self._request.route.resumable,
-            lambda: load.record_activity(target.name, trio.current_time()),
-        )
-        broken = await relay.run()
+        with self._resources.memory.open() as holding:
+            relay = StreamRelay(
+                response,
+                target,
+                self._cutter,
+                self._writer,
+                self._request.route.resumable,
+                lambda: load.record_activity(target.name, trio.current_time()),
+                holding,
+            )
+            broken = await relay.run()
         self.answer_end = self.answer_end._replace(partial_bytes=relay.partial_bytes)
         return broken or Delivered(response.status)
 
--- a/src/vanillabeam/forwarding/downstream.py
+++ b/src/vanillabeam/forwarding/downstream.py
@@ -52,7 +52,7 @@
         self._closes = closes
         self._collects = collects
         self._collected_head: tuple[int, Headers] | None = None
-        self._collected: list[bytes] = []
+        self._collected = bytearray()
         self.started = False
         self.finished = False
         self.status = 0
@@ -123,10 +123,15 @@
             await before_end()
         await self.finish()
 
+    @property
+    def collected_bytes(self) -> int:
+        """Number of bytes of a stream that is held until it is whole."""
+        return len(self._collected)
+
     async def send(self, data: bytes) -> None:
         """Send a chunk of the body, or hold it if the stream is collected."""
         if self._collected_head is not None:
-            self._collected.append(data)
+            self._collected += data
         elif data:
             await self._send_message(
                 {"type": "http.response.body", "body": data, "more_body": True}
@@ -135,7 +140,7 @@
     async def finish(self) -> None:
         """Mark the answer as complete and end it."""
         if self._collected_head is not None:
-            await self.send_response(*self._collected_head, b"".join(self._collected))
+            await self.send_response(*self._collected_head, bytes(self._collected))
             return
         self.finished = True
         await self._send_message({"type": "http.response.body", "body": b""})
--- a/src/vanillabeam/forwarding/relay.py
+++ b/src/vanillabeam/forwarding/relay.py
@@ -7,11 +7,14 @@
 from vanillabeam.forwarding.events import EventCutter
 from vanillabeam.forwarding.exceptions import AnswerBroken
 from vanillabeam.forwarding.sending import Broken, Framing, OpenResponse, iter_body
+from vanillabeam.memory import Holding
 
 __all__ = ["StreamRelay"]
 
 #: Longest event, which bounds what is held of a stream.
 MAX_EVENT_BYTES = 1024 * 1024
+#: Longest stream that is collected for a caller whose HTTP version has no chunks.
+MAX_COLLECTED_BYTES = 4 * 1024 * 1024
 
 
 class StreamRelay:
@@ -23,6 +26,7 @@
 
     :param cutter: cuts a stream into whole events, over all attempts.
     :param record_activity: called whenever data arrives.
+    :param holding: counts the bytes that are held; ``None`` counts them nowhere.
     :ivar partial_bytes: bytes after the last complete event when the stream ended.
     """
 
@@ -34,6 +38,7 @@
         writer: ResponseWriter,
         resumable: bool,
         record_activity: Callable[[], None],
+        holding: Holding | None = None,
     ):
         self.partial_bytes = 0
         self._response = response
@@ -42,6 +47,7 @@
         self._writer = writer
         self._resumable = resumable
         self._record_activity = record_activity
+        self._holding = holding
 
     async def run(self) -> Broken | None:
         """Pass the stream on; return its failure if it broke off."""
@@ -67,6 +73,8 @@
             whole = self._cutter.feed(part)
             if self._cutter.partial_bytes > MAX_EVENT_BYTES:
                 return self._broken("sent an event that is too large")
+            if not self._may_hold(len(whole)):
+                return self._broken("sent more than can be held")
             data = whole if self._resumable else part
             if data:
                 await self._start()
@@ -77,6 +85,14 @@
             return self._broken("ended without an event")
         return None
 
+    def _may_hold(self, more_bytes: int) -> bool:
+        """Return whether the memory allows what is held, and these bytes."""
+        collected = self._writer.collected_bytes
+        if collected > MAX_COLLECTED_BYTES:
+            return False
+        held = self._cutter.partial_bytes + collected + more_bytes
+        return self._holding is None or self._holding.resize(held)
+
     async def _start(self) -> None:
         await self._writer.start_stream(self._response.status, self._response.headers)
 
--- a/tests/platform/test_longanswers.py
+++ b/tests/platform/test_longanswers.py
@@ -1,5 +1,6 @@
 """Plain answers that are too long to be held, as clients see them."""
 
+from contextlib import suppress
 from functools import partial
 
 import pytest
@@ -14,7 +15,9 @@
 PIECE = b"x" * 65_536
 CHUNK = b"%x\r\n%b\r\n" % (len(PIECE), PIECE)
 CHUNKED = (b"Transfer-Encoding: chunked",)
+EVENTS = b"id: 1\ndata: a\n\n" * 4000
 NOT_RUN = (b"X-Vanillabeam-Not-Executed: 1",)
+LONG_MS = 30_000
 JSON = b"application/json"
 #: Time after the route's time limit by which every answer has ended.
 LATE_S = 0.5
@@ -81,7 +84,7 @@
                 stream = await trio.open_tcp_stream("127.0.0.1", platform.entry_port)
                 async with stream:
                     close = (b"Connection: close",)
-                    await stream.send_all(make_head(path, 0, close, version))
+                    await stream.send_all(make_head(path, 0, close, version, LONG_MS))
                     read = await (ask_one or read_all)(stream)
             took_s = trio.current_time() - began_s
             await trio.sleep(0.1)
@@ -236,3 +239,25 @@
     assert status_of(data) in (502, 504)
     assert took_s < TIMEOUT_S + LATE_S
     assert cut
+
+
+# Guards against a stream without end that is collected for a caller without chunks.
+def test_a_stream_without_end_fails_soon_for_an_http_1_0_client(tmp_path):
+    async def answer(headers, stream):
+        await stream.send_all(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+        )
+        with suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(EVENTS)
+
+    data, took_s, _, _ = ask(
+        tmp_path,
+        [answer],
+        version=b"1.0",
+        kind="stream",
+        attempts=1,
+        timeout_ms=12_000,
+    )
+    assert status_of(data) == 502
+    assert took_s < 8.0
