Bound the answers to the system's own calls

Cause: answers of workers, stores and other VMs to calls of ours (reports, orders, lists and events of stores, replies between VMs) were read whole, whatever their size, until the timeout of 1 to 10 s.

Change: httpread reads an answer up to a bound and closes the connection beyond it: 1 MB from a worker, 8 MB for lists and events of a store, 32 MB from another VM of a fleet.

Existing test: the pool double of tests/test_peerhttp.py now fails in stream, which the client uses in place of request; what is asserted is the same.

--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -29,6 +29,8 @@
 
 PEER_SILENCE_S = 2.5
 PEER_CONNECT_S = 0.4
+#: Longest answer of another VM. A fleet's whole state is a few MB.
+PEER_ANSWER_BYTES = 32 * 1024 * 1024
 READY_PERIOD_S = 0.05
 #: Seconds from SIGTERM until new connections are refused: the load balancer checks
 #: every second and removes a VM after two failed checks.
@@ -110,7 +112,7 @@
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled."""
-        call = PeerClient(None, None, PEER_SILENCE_S, PEER_CONNECT_S)
+        call = PeerClient(None, None, PEER_SILENCE_S, PEER_CONNECT_S, PEER_ANSWER_BYTES)
         async with trio.open_nursery() as nursery:
             if self.cfg.control_address:
                 await self._start_control(nursery, call)
--- a/src/vanillabeam/peerhttp.py
+++ b/src/vanillabeam/peerhttp.py
@@ -17,6 +17,7 @@
     PeerUnreachable,
     VanillabeamError,
 )
+from vanillabeam.httpread import request_bounded
 from vanillabeam.limits import read_body
 from vanillabeam.peercall import PeerHandler, PeerRoutes
 from vanillabeam.problems import from_problem, problem_response
@@ -28,6 +29,8 @@
 #: Time after which an idle connection is closed.
 IDLE_EXPIRY_S = 4.0
 MAX_CONNECTIONS = 64
+#: Longest answer of another VM, which may be a block of KV cache.
+MAX_ANSWER_BYTES = 2**31
 JSON_TYPE = b"application/json"
 
 
@@ -44,6 +47,7 @@
     :param connect_timeout_s: timeout for opening a connection. A VM that is
         starting may lose the first packet, and TCP sends the next one only a
         second later.
+    :param answer_bytes: longest body of an answer; a longer one counts as silence.
 
     >>> client = PeerClient(key=None, tls=None)
     >>> answer = await client("10.0.0.2:7003", "/peer/ping", b"{}")
@@ -55,10 +59,12 @@
         tls: ssl.SSLContext | None,
         io_timeout_s: float = IO_TIMEOUT_S,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        answer_bytes: int = MAX_ANSWER_BYTES,
     ):
         self.scheme = "http" if tls is None else "https"
         self.io_timeout_s = io_timeout_s
         self.connect_timeout_s = connect_timeout_s
+        self.answer_bytes = answer_bytes
         self.headers = [(b"Content-Type", JSON_TYPE)]
         if key is not None:
             self.headers.append((b"Authorization", b"Bearer " + key.encode()))
@@ -95,9 +101,11 @@
         }
         try:
             with trio.fail_after(2 * self.io_timeout_s):
-                res = await self.pool.request(
+                res = await request_bounded(
+                    self.pool,
                     method,
                     url,
+                    self.answer_bytes,
                     headers=self.headers,
                     content=body,
                     extensions={"timeout": timeout},
--- a/src/vanillabeam/platform/client.py
+++ b/src/vanillabeam/platform/client.py
@@ -7,12 +7,15 @@
 import trio
 
 from vanillabeam.addresses import split_address
+from vanillabeam.httpread import request_bounded
 
 __all__ = ["PlatformClient", "decode_response"]
 
 TIMEOUT_S = 1.0
 IDLE_EXPIRY_S = 1.0
 MAX_CONNECTIONS = 64
+#: Longest answer of a worker to a call.
+MAX_ANSWER_BYTES = 1024 * 1024
 
 Document = TypeVar("Document")
 
@@ -35,12 +38,14 @@
         body: bytes = b"",
         headers: Headers | None = None,
         timeout_s: float = TIMEOUT_S,
+        limit_bytes: int = MAX_ANSWER_BYTES,
     ) -> httpcore.Response | None:
         """Send a request and return the complete response.
 
         :param address: ``host:port`` of the worker or store.
         :param timeout_s: seconds for the whole call.
-        :returns: ``None`` if no complete response came in time.
+        :param limit_bytes: longest body that is read.
+        :returns: ``None`` if no complete response of that size came in time.
         """
         host, port = split_address(address)
         url = httpcore.URL(scheme=b"http", host=host.encode(), port=port, target=path)
@@ -50,8 +55,13 @@
             all_headers.append((b"Content-Length", str(len(body)).encode()))
         with trio.move_on_after(timeout_s):
             try:
-                return await self._pool.request(
-                    method, url, headers=all_headers, content=body
+                return await request_bounded(
+                    self._pool,
+                    method,
+                    url,
+                    limit_bytes,
+                    headers=all_headers,
+                    content=body,
                 )
             except (
                 httpcore.NetworkError,
--- a/src/vanillabeam/platform/stores.py
+++ b/src/vanillabeam/platform/stores.py
@@ -12,6 +12,8 @@
 
 #: Seconds to wait for a response after the wait that the store was asked for.
 RESPONSE_MARGIN_S = 1.0
+#: Longest list of a store's parts or events: 100,000 of them.
+MAX_LIST_BYTES = 8 * 1024 * 1024
 
 
 class _Events(TypedDict):
@@ -52,6 +54,7 @@
             path,
             headers=headers,
             timeout_s=timeout_s,
+            limit_bytes=MAX_LIST_BYTES,
         )
         document = decode_response(response, _Events)
         if document is None:
@@ -70,7 +73,9 @@
 
     async def list_parts(self, store: Store) -> StoreList | None:
         """Return the list of all parts in the store."""
-        response = await self._client.call("GET", store.address, b"/api/kv-list")
+        response = await self._client.call(
+            "GET", store.address, b"/api/kv-list", limit_bytes=MAX_LIST_BYTES
+        )
         document = decode_response(response, _List)
         if document is None:
             return None
--- a/tests/test_peerhttp.py
+++ b/tests/test_peerhttp.py
@@ -96,7 +96,7 @@
 class UnconnectablePool:
     """A pool whose connections time out; records the connect timeout."""
 
-    async def request(self, *args, extensions, **fields):
+    def stream(self, *args, extensions, **fields):
         self.connect_timeout_used_s = extensions["timeout"]["connect"]
         raise httpcore.ConnectTimeout
 
