--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -32,6 +32,8 @@
 
 PEER_SILENCE_S = 2.5
 PEER_CONNECT_S = 0.4
+#: Longest answer of another VM. A fleet's whole state is a few MB.
+PEER_ANSWER_BYTES = 32 * 1024 * 1024
 READY_PERIOD_S = 0.05
 #: Seconds from SIGTERM until new connections are refused: the load balancer checks
 #: every second and removes a VM after two failed checks.
@@ -126,7 +128,7 @@
         A role whose port is in use waits for it, the rest goes on. The metrics page
         is not waited for.
         """
-        call = PeerClient(None, None, PEER_SILENCE_S, PEER_CONNECT_S)
+        call = PeerClient(None, None, PEER_SILENCE_S, PEER_CONNECT_S, PEER_ANSWER_BYTES)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._run_lifecycle)
