Let a command that can't be applied stop the replica, not the process

Cause: the loop of a replica caught a broken invariant only where it computes effects, not where it applies entries; and the fleet's state machine raised KeyError and others for a command without a field that is needed, which nothing catches.

Change: what can't be applied is a broken invariant in each case, and stops the replica with a status that says so, as at its start.

--- a/src/vanillabeam/fleet/machine.py
+++ b/src/vanillabeam/fleet/machine.py
@@ -99,9 +99,10 @@
             raise InvariantBroken(f"index {index} after {self.state['index']}")
         try:
             decoded = msgspec.json.decode(command, type=Command)
-        except msgspec.MsgspecError as exc:
-            raise InvariantBroken(f"no command of this release: {exc}") from exc
-        self.state = self.state | _changes(decoded, self.state) | {"index": index}
+            changes = _changes(decoded, self.state)
+        except (msgspec.MsgspecError, ValueError, KeyError, zlib.error) as exc:
+            raise InvariantBroken(f"no command of this release: {exc!r}") from exc
+        self.state = self.state | changes | {"index": index}
         self._notify()
         return "done"
 
--- a/src/vanillabeam/log/loop.py
+++ b/src/vanillabeam/log/loop.py
@@ -279,7 +279,12 @@
             self._stop(stored.failure(), effects)
             self._refuse_all(event_batches)
             return
-        await self._execute(effects, event_batches)
+        try:
+            await self._execute(effects, event_batches)
+        except InvariantBroken as exc:
+            self.failure = ReplicaStopped(f"{exc.type}: {exc}")
+            self._refuse_all(event_batches)
+            return
         await self._snapshot_when_due()
 
     def _effects(self, event_batches: list[EventBatch]) -> list[Effect]:
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -72,3 +72,23 @@
     machine = FleetMachine(lambda: calls.append(1))
     apply_all(machine, deploy(4, "four"), deploy(5, "five"))
     assert len(calls) == 2
+
+
+UNKNOWN_COMMANDS = {
+    "no text of a command": "x",
+    "a kind of a later release": '{"kind":"later"}',
+    "no number": '{"kind":"deploy","document":"{}"}',
+    "no document": '{"kind":"deploy","number":4}',
+    "packed in another way": '{"kind":"deploy","number":4,"packed":"AAAA"}',
+    "packed in another text": '{"kind":"deploy","number":4,"packed":"\\u00e9"}',
+    "no data centre": '{"kind":"evacuate"}',
+    "no model": '{"kind":"weights","number":4}',
+}
+
+
+# A command without a field that is needed once raised what no caller expects, and each
+# start of a control VM ended by it.
+@pytest.mark.parametrize("name", UNKNOWN_COMMANDS)
+def test_a_command_that_cannot_be_applied_breaks_an_invariant(name):
+    with pytest.raises(InvariantBroken):
+        FleetMachine().apply(1, UNKNOWN_COMMANDS[name])
--- a/tests/log/test_recovery.py
+++ b/tests/log/test_recovery.py
@@ -4,9 +4,14 @@
 
 import trio
 
-from tests.log.builders import MemoryFolder, wait_until
+from tests.log.builders import ListMachine, MemoryFolder, wait_until
 from tests.log.test_node import with_group
-from vanillabeam.log.exceptions import DataFolderDamaged, StorageFailed
+from vanillabeam.exceptions import InvariantBroken, Run
+from vanillabeam.log.exceptions import (
+    DataFolderDamaged,
+    ReplicaStopped,
+    StorageFailed,
+)
 from vanillabeam.log.frames import encode_batch
 from vanillabeam.log.records import Entry, EntryKind
 from vanillabeam.log.storage import SaveEntries, _payloads, open_storage
@@ -114,3 +119,25 @@
     _, contents = open_storage(folder, "g", lambda: "id-2").unwrap()
     assert contents.entries == (entry,)
     assert folder.synced[name] == len(folder.files[name])
+
+
+class ChoosyMachine(ListMachine):
+    """State machine that knows no command ``later``."""
+
+    def apply(self, index, command):
+        if command == "later":
+            raise InvariantBroken("no command of this release")
+        return super().apply(index, command)
+
+
+# A command of a later release once ended the process of each control VM that applied
+# it. With the replica only, its VM still answers targets and entry VMs.
+@with_group(3)
+async def test_a_command_that_cannot_be_applied_stops_only_the_replica(group):
+    await group.start_all()
+    for node in group.nodes.values():
+        node._waiters._machine = ChoosyMachine()
+    leader = group.leader
+    assert (await leader.propose("later")).failure().run is not Run.NOT_RUN
+    await wait_until(lambda: leader.failure is not None)
+    assert leader.failure.type == ReplicaStopped.type
