--- a/src/vanillabeam/decisions.py
+++ b/src/vanillabeam/decisions.py
@@ -24,6 +24,7 @@
     "ControlForgotten",
     "ControlHeard",
     "DeploymentRefused",
+    "DeploymentUnreadable",
     "HomeChosen",
     "LinesDropped",
     "MemberRemoved",
@@ -51,6 +52,7 @@
     "TargetPaused",
     "TargetRested",
     "TargetSilent",
+    "TaskFailed",
     "WeightsOrdered",
     "event_name",
     "log_record",
@@ -305,6 +307,13 @@
     detail: str
 
 
+class DeploymentUnreadable(NamedTuple):
+    """A committed deployment can't be read here; the one in force stays."""
+
+    number: int
+    detail: str
+
+
 class WeightsOrdered(NamedTuple):
     """The leader ordered a target to load weights.
 
@@ -381,6 +390,17 @@
     failure: str
 
 
+class TaskFailed(NamedTuple):
+    """A task beside the requests failed; it runs again, or its piece of work stops.
+
+    :param task: name of the task.
+    """
+
+    task: str
+    failure: str
+    detail: str
+
+
 class Started(NamedTuple):
     """The process has started.
 
@@ -483,6 +503,7 @@
     OrderSettled: Kind("INFO", _RARE_LINES_S),
     OrderUnsettled: Kind("WARNING", _RARE_LINES_S),
     DeploymentRefused: Kind("WARNING", _RARE_LINES_S),
+    DeploymentUnreadable: Kind("ERROR", _RARE_LINES_S),
     WeightsOrdered: Kind("INFO", _RARE_LINES_S),
     StoreHeard: Kind("INFO", _RARE_LINES_S),
     StoreLost: Kind("WARNING", _RARE_LINES_S),
@@ -492,6 +513,7 @@
     ControlForgotten: Kind("WARNING", _RARE_LINES_S),
     HomeChosen: Kind("INFO", _RARE_LINES_S),
     MemberRemoved: Kind("WARNING", _RARE_LINES_S),
+    TaskFailed: Kind("ERROR", _RARE_LINES_S),
     Started: Kind("INFO", _RARE_LINES_S),
     PortTaken: Kind("ERROR", _RARE_LINES_S),
     PortFree: Kind("WARNING", _RARE_LINES_S),
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -19,7 +19,7 @@
 )
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet.directory import Directory
-from vanillabeam.fleet.follower import Follower
+from vanillabeam.fleet.follower import Follower, read_or_keep
 from vanillabeam.fleet.loads import (
     EntryLoad,
     EntryLoads,
@@ -38,6 +38,7 @@
 from vanillabeam.log import Address, Applied, LogNode, LogSettings
 from vanillabeam.log.exceptions import LogError
 from vanillabeam.peercall import PeerCall, PeerRoutes
+from vanillabeam.tasks import keep_running
 
 __all__ = ["FLEET_GROUP", "FleetControl"]
 
@@ -104,6 +105,8 @@
         )
         self.stores = StoreTracker(store_calls, self.epoch)
         self._deployment = Deployment()
+        #: Document that was read last.
+        self._document = ""
         self.follower = Follower(cfg, call, read)
         #: Names of targets that are about to load weights.
         self.paused: set[str] = set()
@@ -124,10 +127,13 @@
         """Run the replica and the maintenance tasks until cancelled."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self.node.run)
-            nursery.start_soon(self._remove_absent_voters)
-            nursery.start_soon(self._drop_silent_targets)
-            nursery.start_soon(self._track_stores, nursery)
-            nursery.start_soon(self.follower.run)
+            for task, *args in (
+                (self._remove_absent_voters,),
+                (self._drop_silent_targets,),
+                (self._track_stores, nursery),
+                (self.follower.run,),
+            ):
+                nursery.start_soon(keep_running, task.__name__, task, *args)
             self._is_running = True
             task_status.started()
 
@@ -327,8 +333,9 @@
         """Track the deployment's stores while this VM leads the fleet log."""
         while True:
             state = self.machine.state
-            if state["number"] != self._deployment.number and state["document"]:
-                self._deployment = self._read(state["document"])
+            if state["document"] != self._document:
+                self._document = state["document"]
+                self._deployment = read_or_keep(self._read, state, self._deployment)
             leads = self.node.is_leader
             await self.stores.track(self._deployment.stores if leads else (), nursery)
             await self.stores.free(self._outdated(), FETCH_LIMIT_S)
--- a/src/vanillabeam/log/loop.py
+++ b/src/vanillabeam/log/loop.py
@@ -282,7 +282,7 @@
         try:
             await self._execute(effects, event_batches)
         except InvariantBroken as exc:
-            self.failure = ReplicaStopped(f"{exc.type}: {exc}")
+            self._stop(ReplicaStopped(f"{exc.type}: {exc}"), effects)
             self._refuse_all(event_batches)
             return
         await self._snapshot_when_due()
