Let a control VM without seeds found no log

Cause: a replica without initial VMs is one of a single VM, and opens at once. A control VM with the flag for founding and with no seeds was taken for that.

Operators would see: each such control VM confirms changes in a log of its own, which the others don't know, and which stays on its disk. Not seen in a run of processes; the test added failed before: a group, opened, after 1.5 s.

Change: founding takes seeds. Without any the VM answers that there is no group.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -101,7 +101,8 @@
             call,
             rng,
             LOG_SETTINGS,
-            bootstrap=cfg.bootstrap,
+            # Without seeds each VM would found a log of its own.
+            bootstrap=cfg.bootstrap and bool(cfg.seeds),
         )
         self.stores = StoreTracker(store_calls, self.epoch)
         self._deployment = Deployment()
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -38,6 +38,27 @@
     return control
 
 
+# Each control VM that was told no seeds once founded a log of its own and opened it:
+# what one of them confirmed, the others did not know.
+def test_a_control_vm_without_seeds_founds_no_log(tmp_path):
+    address = f"{SEEDS[0]}:1"
+    cfg = FleetSettings(
+        *("core-1", "a", SEEDS[0], "", "", address, 7, (), True, str(tmp_path), 0),
+        BOUNDS,
+    )
+
+    async def main():
+        control = FleetControl(cfg, None, random.Random(1), None, None)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(control.node.run)
+            await trio.sleep(1.5)
+            nursery.cancel_scope.cancel()
+        return control.node.status()
+
+    status = trio.run(main)
+    assert (status["group_id"], status["opened"]) == ("", False)
+
+
 def absent_after(control, pause_s):
     async def main():
         first = control._absent_voter()
