Let other tasks run while tiny chunks of an answer are read

Cause: one read of 64 KB may hold 10,000 chunks of one byte, which were passed from the HTTP library to the reader without a turn for any other task.

Callers saw: with a time limit of 0.8 s no final answer after 1.16 s but a closed connection, and all other requests of the VM waited meanwhile.

Change: other tasks run after every 64 parts.

Test: test_tiny_chunks_without_end_get_a_final_answer failed without the change (no answer) and passes with it (504).

--- a/src/vanillabeam/forwarding/sending.py
+++ b/src/vanillabeam/forwarding/sending.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 import httpcore
+import trio
 
 from vanillabeam.addresses import split_address
 from vanillabeam.exceptions import VanillabeamError
@@ -17,6 +18,9 @@
 CONTENT_TYPE = b"content-type"
 LENGTH = b"content-length"
 EVENT_STREAM_TYPE = b"text/event-stream"
+#: Parts of a body after which other tasks run. Thousands of tiny chunks may come in one
+#: read.
+PARTS_PER_TURN = 64
 CONNECT_TIMEOUT_S = 0.4
 POOL_TIMEOUT_S = 0.5
 #: Event of httpcore's trace extension just before the first byte is sent.
@@ -142,8 +146,12 @@
     response: OpenResponse, target: Target
 ) -> AsyncIterator[bytes | Broken]:
     """Yield the parts of a body as they arrive; a break yields ``Broken`` last."""
+    parts = 0
     try:
         async for data in response.raw.stream:
             yield data
+            parts += 1
+            if parts % PARTS_PER_TURN == 0:
+                await trio.lowlevel.checkpoint()
     except _BROKEN as exc:
         yield Broken(AnswerBroken(f"{target.name}: {type(exc).__name__}"))
--- a/tests/platform/test_longanswers.py
+++ b/tests/platform/test_longanswers.py
@@ -155,6 +155,14 @@
     assert answer.cut
 
 
+# Guards against tiny chunks that keep the VM from everything else, and from the answer.
+def test_tiny_chunks_without_end_get_a_final_answer(tmp_path):
+    answer = endless(b"1\r\nx\r\n" * 10_000, CHUNKED)
+    data, took_s, _, _ = ask(tmp_path, [answer], path="/orders/1")
+    assert status_of(data) == 504
+    assert took_s < TIMEOUT_S + LATE_S
+
+
 def test_an_answer_without_end_fails_for_an_http_1_0_client(tmp_path):
     answers = [endless(PIECE), endless(PIECE)]
     data, took_s, _, _ = ask(tmp_path, answers, version=b"1.0", attempts=1)
