Start without a limit of memory in the settings

Cause: the field that the budget of bodies is taken from may be missing or empty, and an empty one made the settings unreadable.

Test: test_the_memory_of_the_process_may_be_unknown; with an empty limit it failed with a TypeError before.

--- a/src/vanillabeam/platform/settings.py
+++ b/src/vanillabeam/platform/settings.py
@@ -48,7 +48,7 @@
         data_folder=fields.get("data_dir") or "",
         metrics_port=document["metrics_port"],
         bounds=_bounds(fields),
-        memory_bytes=int((fields.get("limits") or {}).get("memory_mb", 0) * MB),
+        memory_bytes=int(((fields.get("limits") or {}).get("memory_mb") or 0) * MB),
     )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -48,3 +48,12 @@
     path.write_text(json.dumps(document))
     with pytest.raises(ValueError, match="another shape"):
         read_settings(path)
+
+
+# Guards against a process that doesn't start because a limit is empty.
+@pytest.mark.parametrize(
+    "limits, memory_bytes",
+    [(None, 0), ({}, 0), ({"memory_mb": None}, 0), ({"memory_mb": 150}, 150 << 20)],
+)
+def test_the_memory_of_the_process_may_be_unknown(tmp_path, limits, memory_bytes):
+    assert read(tmp_path, limits=limits).memory_bytes == memory_bytes
