--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -66,3 +66,12 @@
 
 def test_a_seed_may_lack_its_port(tmp_path):
     assert read(tmp_path, seeds=["10.0.0.1"]).seeds == ("10.0.0.1",)
+
+
+# Guards against a process that doesn't start because a limit is empty.
+@pytest.mark.parametrize(
+    "limits, memory_bytes",
+    [(None, 0), ({}, 0), ({"memory_mb": None}, 0), ({"memory_mb": 150}, 150 << 20)],
+)
+def test_the_memory_of_the_process_may_be_unknown(tmp_path, limits, memory_bytes):
+    assert read(tmp_path, limits=limits).memory_bytes == memory_bytes
