Wait for the answers of replicas on slow machines

Cause: a call between replicas was given up after half of the election timeout (0.35 s in a fleet). Where answers take longer, none is ever counted: no vote, no acknowledgement.

Operators and callers would see: the group loses its leader and never has one again, so no change is confirmed, however long the machines stay that slow.

Change: an answer has three election timeouts, and more calls go on at a time, so that heartbeats are sent while answers are awaited. A connection that is silent holds up one call only, as before.

Measured (virtual time, 0.25 s one way): the new test failed before, ten proposals were not committed in 60 s; now they are. tests/log: all passed.

--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -64,6 +64,8 @@
 ID_BYTES = 8
 #: Seconds between two attempts to use a data folder that has failed.
 REOPEN_S = 1.0
+#: Election timeouts after which an answer of another replica is given up.
+ANSWER_ELECTIONS = 3
 
 
 def make_random_id() -> str:
@@ -317,7 +319,7 @@
 
     @property
     def _peer_timeout_s(self) -> float:
-        return self.settings.election_s / 2
+        return ANSWER_ELECTIONS * self.settings.election_s
 
     def _make_bootstrapper(self) -> Bootstrapper:
         stored = self._loop.storage.identity.get("initial")
--- a/src/vanillabeam/log/outbox.py
+++ b/src/vanillabeam/log/outbox.py
@@ -17,7 +17,8 @@
 __all__ = ["Outbox"]
 
 QUEUE_MESSAGES = 256
-CONCURRENT_CALLS = 3
+#: Calls to one replica at a time, so that messages go on while answers are awaited.
+CONCURRENT_CALLS = 12
 
 Receive = Callable[[list[Envelope]], Awaitable[None]]
 
--- a/tests/log/builders.py
+++ b/tests/log/builders.py
@@ -101,11 +101,16 @@
             raise OSError("no space left")
 
 
+#: Delay in seconds that answers don't have, so that most tests take few steps.
+SHORT_DELAY_S = 0.01
+
+
 class Network:
     """Passes requests between nodes in one process.
 
     :ivar routes: handlers by address and path.
     :ivar cut: pairs of source and destination address whose messages are lost.
+    :ivar delay_s: time in seconds that a message takes one way.
     :ivar bytes_s: rate of each link in bytes a second.
     :ivar sent_bytes: size of all bodies that were sent.
     """
@@ -114,6 +119,7 @@
         self.routes = {}
         self.cut = set()
         self.bytes_s = float("inf")
+        self.delay_s = 0.0005
         self.calls = 0
         self.sent_bytes = 0
 
@@ -121,13 +127,15 @@
         async def call(address, path, body):
             self.calls += 1
             self.sent_bytes += len(body)
-            await trio.sleep(0.0005 + len(body) / self.bytes_s)
+            await trio.sleep(self.delay_s + len(body) / self.bytes_s)
             if (source, address) in self.cut:
                 await trio.sleep_forever()
             handler = self.routes.get(address, {}).get(path)
             if handler is None:
                 return Failure(Unreachable(address))
             answer = await handler(body)
+            if self.delay_s > SHORT_DELAY_S:
+                await trio.sleep(self.delay_s)
             if (address, source) in self.cut:
                 await trio.sleep_forever()
             return answer
--- a/tests/log/test_node.py
+++ b/tests/log/test_node.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 import trio.testing
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from tests.log.builders import (
     MemoryFolder,
@@ -235,6 +235,33 @@
     assert group.network.sent_bytes - sent_bytes < 2.2 * len(command)
 
 
+# Guards against a group that never has a leader again while machines are slow: each
+# answer came after its call had been given up.
+@pytest.mark.parametrize("delay_s", [0.1, 0.25])
+def test_a_group_whose_answers_are_slow_goes_on(delay_s):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            group = Group(nursery, 3, heartbeat_s=0.2, election_s=0.7)
+            await group.start_all()
+            group.network.delay_s = delay_s
+            await trio.sleep(10.0)
+            with trio.fail_after(60.0):
+                for number in range(10):
+                    while not isinstance(await propose(group, f"{number}"), Success):
+                        await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(main)
+
+
+async def propose(group, command):
+    """Return the result of a proposal to the leader; a failure if there is none."""
+    leader = group.leader
+    return (
+        Failure(NoLeader("none")) if leader is None else await leader.propose(command)
+    )
+
+
 @with_group(3)
 async def test_restarted_vms_restore_the_snapshot_and_the_entries_after_it(group):
     await group.start_all()
