Find the route of a request whose target names its host

Cause: the path of a target in absolute form (http://host/path), which HTTP allows in each request, was taken with its scheme and host.

Evidence: three of the new cases failed before.

Change: host and path come from such a target, as HTTP says; the rest is as it was.

--- a/src/vanillabeam/platform/headers.py
+++ b/src/vanillabeam/platform/headers.py
@@ -33,6 +33,9 @@
 KV_SINK = PREFIX + b"kv-sink"
 KV_UNTIL = PREFIX + b"kv-until"
 
+#: Schemes of request targets in absolute form (RFC 9112, 3.2.2).
+SCHEMES = (b"http", b"https")
+
 #: Headers that only the system may set. They are removed from a client's request,
 #: so that a client can't forge them.
 SYSTEM_HEADERS = frozenset(
@@ -74,12 +77,13 @@
         :param scope: ASGI scope of the request.
         """
         headers = dict(scope["headers"])
-        path, query = scope["raw_path"], scope["query_string"]
+        host, path = _split_target(headers.get(b"host", b""), scope["raw_path"])
+        query = scope["query_string"]
         try:
             return Success(
                 RequestMetadata(
                     request_id=_read_text(headers, REQUEST_ID),
-                    host=_read_text(headers, b"host"),
+                    host=host.decode("latin-1"),
                     method=scope["method"],
                     path=path.decode("ascii"),
                     target=path + b"?" + query if query else path,
@@ -171,6 +175,15 @@
     return headers
 
 
+def _split_target(host: bytes, path: bytes) -> tuple[bytes, bytes]:
+    """Return host and path of a request, whose target may name the host itself."""
+    scheme, separator, rest = path.partition(b"://")
+    if not separator or scheme.lower() not in SCHEMES:
+        return host, path
+    host, _, path = rest.partition(b"/")
+    return host, b"/" + path
+
+
 def _read_text(headers: dict[bytes, bytes], name: bytes) -> str:
     return headers.get(name, b"").decode("latin-1")
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -104,3 +104,23 @@
 )
 def test_an_answer_is_classified_by_status_and_headers(status, headers, kind):
     assert DIALECT.classify_answer(make_metadata(), status, headers) is kind
+
+
+# Guards against 404 for a route that is in force: the target may name the host itself.
+@pytest.mark.parametrize(
+    "target, host, path",
+    [
+        (b"http://shop.example/prompts/1", "shop.example", "/prompts/1"),
+        (b"HTTP://Shop.Example:80/prompts/1", "Shop.Example:80", "/prompts/1"),
+        (b"http://shop.example", "shop.example", "/"),
+        (b"/prompts/http://other.example/1", "host", "/prompts/http://other.example/1"),
+        (b"//shop.example/prompts/1", "host", "//shop.example/prompts/1"),
+        (b"*", "host", "*"),
+    ],
+)
+def test_a_target_in_absolute_form_names_host_and_path(target, host, path):
+    scope = make_scope(path=target, query=b"a=1")
+    scope["headers"] = [(b"host", b"host")]
+    metadata = DIALECT.read_metadata(scope).unwrap()
+    assert (metadata.host, metadata.path) == (host, path)
+    assert metadata.target == path.encode() + b"?a=1"
