--- a/src/vanillabeam/log/storage.py
+++ b/src/vanillabeam/log/storage.py
@@ -200,8 +200,8 @@
 
     :param make_id: returns an id that no other replica has ever had.
     :param initial: stored in a new folder; empty if this VM founds no group.
-    :param rewrite: whether to write the log file anew, as after a failed sync it may
-        differ from what is read, and a further sync would not tell.
+    :param rewrite: whether to write the log and the identity anew, as after a failed
+        sync they may differ from what is read, and a further sync would not tell.
     """
     read = read_contents(folder)
     if isinstance(read, Failure):
@@ -220,11 +220,12 @@
     except OSError as exc:
         return Failure(StorageFailed(str(exc)))
     storage = Storage(folder, contents.identity, contents)
+    completed: Result[None, LogError] = Success(None)
     if contents.base_index < contents.snapshot.index or rewrite:
         completed = storage.finish_snapshot(contents)
-        if isinstance(completed, Failure):
-            return completed
-    return Success((storage, contents))
+    if rewrite and isinstance(completed, Success):
+        completed = storage.save_identity()
+    return completed.map(lambda _: (storage, contents))
 
 
 def _initialize(
--- a/src/vanillabeam/tasks.py
+++ b/src/vanillabeam/tasks.py
@@ -34,19 +34,27 @@
     name: str, task: Callable[..., Awaitable[None]], *args: Any
 ) -> bool:
     """Run a task once; return whether it ended without a failure."""
+    failures: list[Exception] = []
     try:
         await task(*args)
-    except Exception as exc:
+    except* Exception as group:
+        # A cancellation beside it goes on to its scope.
+        failures.append(_innermost(group))
+    for exc in failures:
         TASK_FAILURES[name] += 1
         log_record(TaskFailed(name, type(exc).__name__, _describe(exc)))
-        return False
-    return True
+    return not failures
 
 
-def _describe(exc: Exception) -> str:
-    """Return the innermost failure of a nursery's group, and where it was raised."""
+def _innermost(exc: Exception) -> Exception:
+    """Return the first failure in a nursery's group."""
     while isinstance(exc, ExceptionGroup):
         exc = exc.exceptions[0]
+    return exc
+
+
+def _describe(exc: Exception) -> str:
+    """Return a failure, and where it was raised."""
     traceback = exc.__traceback__
     while traceback is not None and traceback.tb_next is not None:
         traceback = traceback.tb_next
--- a/tests/log/test_founder.py
+++ b/tests/log/test_founder.py
@@ -110,3 +110,23 @@
     assert not any(node.status()["group_id"] for node in group.nodes.values())
     await group.start("vm-1")
     await wait_until(partial(is_open, group))
+
+
+# Guards against a group that is never founded: its founder lost its disk after the
+# others had promised to let it found.
+@with_open_group
+async def test_another_vm_founds_if_the_founder_loses_its_disk_after_the_promises(
+    group,
+):
+    for vm in FIRST:
+        await group.start(vm)
+
+    def have_promised():
+        storages = [group.nodes[vm]._loop.storage for vm in FIRST[1:]]
+        return all(storage.identity["promised"] for storage in storages)
+
+    await wait_until(have_promised)
+    group.stop("vm-1")
+    del group.folders["vm-1"]
+    await group.start("vm-1", bootstrap=False)
+    await wait_until(partial(is_open, group))
--- a/tests/log/test_recovery.py
+++ b/tests/log/test_recovery.py
@@ -7,6 +7,7 @@
 from tests.log.builders import ListMachine, MemoryFolder, wait_until
 from tests.log.test_node import with_group
 from vanillabeam.exceptions import InvariantBroken, Run
+from vanillabeam.log.contents import MEMBER_NAME
 from vanillabeam.log.exceptions import (
     DataFolderDamaged,
     ReplicaStopped,
@@ -141,3 +142,15 @@
     assert (await leader.propose("later")).failure().run is not Run.NOT_RUN
     await wait_until(lambda: leader.failure is not None)
     assert leader.failure.type == ReplicaStopped.type
+
+
+# Guards against a promise or a group that a replica which began again tells others of,
+# and that a loss of power then takes back: their sync had failed, and no other told.
+def test_a_replica_that_begins_again_writes_its_identity_anew():
+    folder = MemoryFolder()
+    open_storage(folder, "g", lambda: "id-1").unwrap()
+    written = []
+    replace = folder.replace
+    folder.replace = lambda name, data: (written.append(name), replace(name, data))
+    open_storage(folder, "g", lambda: "id-2", rewrite=True).unwrap()
+    assert MEMBER_NAME in written
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -334,6 +334,8 @@
             await run.start()
             await run.disturb(length_s, kinds)
             await run.settle(settle_s)
+            if not calm_attempts(run.history):
+                run.history.report("SHORT", fleet.now_s(), "all", "nothing in calm")
             findings = check(run.history, fleet.ends)
             memory_mb = max(map(fleet.peak_memory_mb, fleet.vms))
             summarise(run.history, folder, seed, memory_mb)
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -49,3 +49,24 @@
         assert scope.cancelled_caught
 
     run(main)
+
+
+# Guards against the end of a process by a task that fails while it is being cancelled.
+def test_a_failure_beside_a_cancellation_ends_nothing_else():
+    async def fail_when_cancelled():
+        try:
+            await trio.sleep_forever()
+        finally:
+            raise ValueError("odd end")
+
+    async def task():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fail_when_cancelled)
+            nursery.start_soon(trio.sleep_forever)
+
+    async def main():
+        with trio.move_on_after(1.0) as scope:
+            await run_guarded("odd", task)
+        return scope.cancelled_caught
+
+    assert run(main)
