Check in the soak that a VM goes back within the rule's own slack

The check allowed eight times rollback_slack_ms to each VM; the rule gives that to slowed ones only. The unit test has more cases (0.5 s after is found now) and is stricter.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 
 from tests.soak.fleet import BOUNDS
-from tests.soak.touch import Touch, is_calm, touch
+from tests.soak.touch import CONTACT_S, SLOW_KINDS, Touch, is_calm, touch
 
 APPLY_S = BOUNDS["config_apply_ms"] / 1000
 SKEW_S = BOUNDS["skew_max_ms"] / 1000
@@ -167,7 +167,7 @@
         sent = [c for c in valid if c.sent_s <= attempt.end_s]
         numbers = [c.number for c in sent if allows(c, attempt)]
         marks = seen[attempt.vm, attempt.starts]
-        slack_s = ROLLBACK_S * SLOWED_FACTOR
+        slack_s = _rollback_slack_s(history, attempt)
         before = [n for at_s, n in marks if at_s + slack_s < attempt.sent_s]
         if numbers and before and max(numbers) < max(before):
             text = f"regresses behind {max(before)} that it had served"
@@ -176,6 +176,18 @@
             marks.append((attempt.end_s, min(numbers)))
 
 
+def _rollback_slack_s(history, attempt):
+    """Return the slack of an attempt's VM, which is longer while it is slowed."""
+    since_s = attempt.sent_s - CONTACT_S
+    is_slowed = any(
+        fault.kind in SLOW_KINDS
+        and fault.touches(attempt.vm)
+        and fault.overlaps(since_s, attempt.sent_s)
+        for fault in history.outages
+    )
+    return ROLLBACK_S * (SLOWED_FACTOR if is_slowed else 1)
+
+
 def _end(attempt):
     return attempt.end_s
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -144,14 +144,23 @@
     assert rules_of(history) == {"ACK"}
 
 
-def test_a_vm_that_goes_back_is_found():
-    down = make_outage("down", ["front-1"], 29.0, 29.9)
-    history = make_history(down)
+@pytest.mark.parametrize(
+    ("kind", "after_s", "rules"),
+    [
+        ("down", 0.1, set()),
+        ("down", 0.5, {"CONFIG"}),
+        ("down", 2.9, {"CONFIG"}),
+        ("slow", 0.5, set()),
+        ("slow", 2.9, {"CONFIG"}),
+    ],
+)
+def test_a_vm_that_goes_back_is_found(kind, after_s, rules):
+    history = make_history(make_outage(kind, ["front-1"], 29.0, 29.9))
     history.attempts += [
         make_attempt("/v5/", at_s=30.0),
-        make_attempt("/v5/", at_s=32.9, status=404, service=""),
+        make_attempt("/v5/", at_s=30.0 + after_s, status=404, service=""),
     ]
-    assert rules_of(history) == {"CONFIG"}
+    assert rules_of(history) == rules
 
 
 @pytest.mark.parametrize(
