--- a/src/vanillabeam/decisions/requests.py
+++ b/src/vanillabeam/decisions/requests.py
@@ -69,6 +69,9 @@
     :param run: whether the request may have run at this target.
     :param framing: how the end of the answer was marked; empty without an answer.
     :param partial_bytes: bytes of a stream after its last complete event.
+    :param open_s: seconds for which the request was open at the target.
+    :param parts: parts of the prompt that other requests may share; the last ones if
+        there are many.
     """
 
     request_id: str
@@ -80,6 +83,8 @@
     age_s: float
     framing: str
     partial_bytes: int
+    open_s: float
+    parts: list[str]
 
 
 class RequestAnswered(NamedTuple):
--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -54,6 +54,8 @@
 SUSPECT_CHECK_S = 0.1
 #: Characters of a header's value in a log line.
 MAX_LOGGED_TEXT = 40
+#: Parts of a prompt in a log line.
+MAX_LOGGED_PARTS = 8
 
 
 class Resources(NamedTuple):
@@ -382,5 +384,7 @@
                 str(outcome.exc.run),
                 self._choice.age_s,
                 *self.answer_end,
+                round(trio.current_time() - self._open_request.began_s, 3),
+                list(self._request.metadata.shared_parts[-MAX_LOGGED_PARTS:]),
             )
         )
--- a/src/vanillabeam/forwarding/dialect.py
+++ b/src/vanillabeam/forwarding/dialect.py
@@ -57,6 +57,11 @@
     output_tokens: int = 0
     last_event_id: str = ""
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share: all but the last."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
 
 class ForwardingContext(NamedTuple):
     """Context that the system adds to a request for its target.
--- a/tests/forwarding/exchanges.py
+++ b/tests/forwarding/exchanges.py
@@ -118,7 +118,7 @@
                 target._replace(sequence=self._sequence), trio.current_time()
             )
 
-    async def request(self, limit_s=4.0):
+    async def request(self, limit_s=4.0, metadata=None):
         """Return what a caller gets that waits ``limit_s`` seconds."""
         sent, now_s = [], trio.current_time()
 
@@ -126,7 +126,13 @@
             sent.append(message)
 
         request = AdmittedRequest(
-            make_metadata(), self.route, None, [], b"", now_s, now_s + limit_s
+            metadata or make_metadata(),
+            self.route,
+            None,
+            [],
+            b"",
+            now_s,
+            now_s + limit_s,
         )
         failure = await Exchange(request, self._resources(), ResponseWriter(send)).run()
         head = sent[0] if sent else {"status": 0, "headers": []}
