--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -200,10 +200,11 @@
         """Start a worker that a test has made."""
         self.workers[worker.name] = worker
         await self.nursery.start(worker.run)
-        self.nursery.start_soon(self._announce, worker, changes, host)
+        self.nursery.start_soon(self.announce, worker, changes, host)
         return worker
 
-    async def _announce(self, worker, changes, host):
+    async def announce(self, worker, changes, host):
+        """Announce a worker until it is taken out of ``workers``."""
         sequence = 0
         while worker.name in self.workers:
             sequence += 1
@@ -234,12 +235,17 @@
                 await trio.sleep(POLL_INTERVAL_S)
 
     async def send_request(
-        self, path="/orders/1", headers=(), key=b"key-1", body=b"{}"
+        self,
+        path="/orders/1",
+        headers=(),
+        key=b"key-1",
+        body=b"{}",
+        request_id=b"r-1",
     ):
         """Send a client's request; return the answer."""
         all_headers = [
             (b"Host", b"shop.example"),
-            (b"X-Vanillabeam-Request-Id", b"r-1"),
+            (b"X-Vanillabeam-Request-Id", request_id),
             (b"X-Vanillabeam-Deadline-Ms", b"5000"),
             (b"X-Vanillabeam-Key", key),
             *headers,
