Keep parts of prompts under which targets end from the other targets

What callers saw: while requests with one part in their prompts were under way, target after target ended; their own answers were cut or refused with 502, of clerk-query 1 of 21 in one second was served.

Cause: the end of a target counts as that target's failure only. The request's second attempt, the caller's retry and the next request with the part each took another target, and what nine entry VMs saw was never brought together.

Change: an entry VM that sees an answer break off checks whether the target's address refuses connections, or a later start announces itself; only then do the requests that broke there count. It reports them, with the last whole answer to each accused part, with its polls. The leader convicts the part that explains most ends: three targets that ended one after the other (the next under a request sent after the one before) without a whole answer by any entry VM; six and nine tenths of the ends for a part that was answered before. The quarantine is a command of the fleet log, so it is in force on each VM with the fleet state, also after restarts and changes of leader; releases that don't know it apply it without effect. One request is tried at once by one entry VM, which tells the culprit from what merely was open beside it: a whole answer ends the quarantine, another end of a target makes the next trial 10 minutes, 1 hour, 6 hours later. Requests with such a part are refused as not run; those already sent get no second target and are never called not run. A request under which two targets ended gets no third, with or without parts.

Why it works: each end adds evidence that no sound part can share for long, as sound parts are answered; targets killed together count once.

--- a/src/vanillabeam/cli/__init__.py
+++ b/src/vanillabeam/cli/__init__.py
@@ -6,6 +6,7 @@
     data,
     explain,
     keys,
+    parts,
     reports,
     settings,
     status,
@@ -25,6 +26,7 @@
 app.add_typer(reports.app, name="report")
 app.add_typer(data.app, name="data")
 app.add_typer(keys.app, name="workspace")
+app.add_typer(parts.app, name="part")
 app.command("status")(status.status)
 app.command("trace")(traces.trace)
 app.command("explain")(explain.explain)
--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -36,6 +36,12 @@
     Stopped,
     TaskFailed,
 )
+from vanillabeam.decisions.quarantine import (
+    PartConvicted,
+    QuarantineChanged,
+    RequestAccused,
+    TargetEnded,
+)
 from vanillabeam.decisions.requests import (
     AnswerCut,
     AttemptFailed,
@@ -82,11 +88,14 @@
     "MemberRemoved",
     "OrderSettled",
     "OrderUnsettled",
+    "PartConvicted",
     "PartsFreed",
     "PartsRetired",
     "PortFree",
     "PortTaken",
+    "QuarantineChanged",
     "Ready",
+    "RequestAccused",
     "RequestAdmitted",
     "RequestAnswered",
     "RequestRefused",
@@ -99,6 +108,7 @@
     "StoreLost",
     "TargetChanged",
     "TargetChosen",
+    "TargetEnded",
     "TargetLeaving",
     "TargetLeft",
     "TargetPaused",
--- a/src/vanillabeam/decisions/control.py
+++ b/src/vanillabeam/decisions/control.py
@@ -16,12 +16,17 @@
 
 
 class StateInForce(NamedTuple):
-    """A newer fleet state came into force on this VM."""
+    """A newer fleet state came into force on this VM.
+
+    :param quarantined: parts of prompts that are kept from targets; some of them if
+        there are many.
+    """
 
     index: int
     number: int
     evacuated: list[str]
     weights: dict[str, int]
+    quarantined: list[str]
 
 
 class OrderSettled(NamedTuple):
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -30,6 +30,12 @@
     Stopped,
     TaskFailed,
 )
+from vanillabeam.decisions.quarantine import (
+    PartConvicted,
+    QuarantineChanged,
+    RequestAccused,
+    TargetEnded,
+)
 from vanillabeam.decisions.requests import (
     AnswerCut,
     AttemptFailed,
@@ -90,6 +96,10 @@
     TargetRested: Kind("WARNING", _RARE_LINES_S),
     TargetLeaving: Kind("INFO", _RARE_LINES_S),
     TargetPaused: Kind("INFO", _RARE_LINES_S),
+    TargetEnded: Kind("WARNING", _RARE_LINES_S),
+    RequestAccused: Kind("WARNING", _RARE_LINES_S),
+    PartConvicted: Kind("ERROR", _RARE_LINES_S),
+    QuarantineChanged: Kind("WARNING", _RARE_LINES_S),
     AnnouncementUnreadable: Kind("WARNING", _FREQUENT_LINES_S),
     StateInForce: Kind("INFO", _RARE_LINES_S),
     OrderSettled: Kind("INFO", _RARE_LINES_S),
--- a/src/vanillabeam/exceptions.py
+++ b/src/vanillabeam/exceptions.py
@@ -29,6 +29,7 @@
     "TargetUnreachable",
     "Unauthenticated",
     "UnknownModel",
+    "UnknownPart",
     "UnknownPath",
     "UnknownService",
     "UnknownTrace",
@@ -166,6 +167,15 @@
     advice = "List the models with GET /v1/models."
 
 
+class UnknownPart(VanillabeamError):
+    """A part of prompts that is not quarantined."""
+
+    type = "unknown-part"
+    status = HTTPStatus.NOT_FOUND
+    run = Run.NOT_RUN
+    advice = "List the quarantined parts; it may have been released already."
+
+
 class UnknownService(VanillabeamError):
     """A plain service that is not in force or not this workspace's."""
 
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -27,8 +27,13 @@
     add_loads,
     make_load,
 )
-from vanillabeam.fleet.machine import Command, FleetMachine, FleetState
+from vanillabeam.fleet.machine import (
+    Command,
+    FleetMachine,
+    FleetState,
+)
 from vanillabeam.fleet.parts import FETCH_LIMIT_S
+from vanillabeam.fleet.quarantining import QUARANTINE_PATH, QuarantineTask
 from vanillabeam.fleet.reclaimer import is_outdated
 from vanillabeam.fleet.records import Deployment, FleetSettings, Target
 from vanillabeam.fleet.stores import StoreCalls, StoreTracker
@@ -119,10 +124,17 @@
         #: Loads of entry VMs that report to this one only.
         self._home_loads = EntryLoads()
         self._absent_since_s: dict[str, float] = {}
+        self._quarantine = QuarantineTask(
+            self.node, self.machine, self.propose, self._loads.active_vms
+        )
 
     def routes(self) -> PeerRoutes:
         """Return the handlers of requests from other VMs."""
-        return {**self.node.routes(), WATCH_PATH: self._handle_watch}
+        return {
+            **self.node.routes(),
+            WATCH_PATH: self._handle_watch,
+            QUARANTINE_PATH: self._quarantine.handle,
+        }
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run the replica and the maintenance tasks until cancelled."""
@@ -132,6 +144,7 @@
                 (self._remove_absent_voters,),
                 (self._drop_silent_targets,),
                 (self._track_stores, nursery),
+                (self._quarantine.run,),
                 (self.follower.run,),
             ):
                 nursery.start_soon(keep_running, task.__name__, task, *args)
@@ -232,6 +245,8 @@
         now_s = trio.current_time()
         if request["sends"]:
             self._record_load(request, now_s)
+        if "evidence" in request:
+            self._quarantine.update(request["vm"], request["evidence"], now_s)
         for salt, part, age_s in request["fetched"]:
             self.stores.index.mark_used((salt, part), now_s - age_s)
         with trio.move_on_after(min(request["wait_s"], MAX_WAIT_S)):
@@ -316,6 +331,7 @@
         self, reply: WatchReply, request: WatchRequest, now_s: float
     ) -> None:
         reply["paused"] = sorted(self.paused)
+        reply["accused"] = self._quarantine.accused(now_s)
         reply["seen"] = [
             (*incarnation, *observed)
             for incarnation, observed in self._observed_versions.items()
--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -105,6 +105,14 @@
         self.records[target.name] = record._replace(target=target, version=self.version)
         return True
 
+    def is_leaving(self, incarnation: tuple[str, int]) -> bool:
+        """Return whether a target drains, or its incarnation has left already."""
+        if incarnation in self._ended:
+            return True
+        record = self.records.get(incarnation[0])
+        is_known = record is not None and record.target.incarnation == incarnation
+        return is_known and record.target.draining
+
     def refresh(self, name: str, last_seen_s: float) -> None:
         """Record a later announcement that changed nothing else.
 
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -17,6 +17,7 @@
     log_record,
 )
 from vanillabeam.fleet.directory import Directory
+from vanillabeam.fleet.evidence import EvidenceSource, NoEvidence
 from vanillabeam.fleet.loads import (
     ENTRY_SILENCE_S,
     EntryLoad,
@@ -60,6 +61,8 @@
 DISCOVERY_HEARTBEATS = 1.3
 #: Seconds for which a target stays paused after the leader's last reply with it.
 PAUSE_S = 1.0
+#: Quarantined parts in a log line.
+MAX_LOGGED_PARTS = 8
 #: Number of the most recently fetched parts that requests report.
 MAX_FETCHES_KEPT = 32
 
@@ -108,6 +111,9 @@
     :ivar parts: copy of the leader's index of stored parts.
     :ivar entry_vms: names of the live entry VMs, this one included.
     :ivar load: open work that requests report and replies update.
+    :ivar evidence: what this VM has seen of targets that ended.
+    :ivar accused: parts that the leader asks about, with the number of targets that
+        ended under them one after the other.
     :ivar relayed: on a control VM, the load that entry VMs report to each other
         control VM only, by the process id of that one.
 
@@ -128,6 +134,8 @@
         self.parts = PartView()
         self.entry_vms: tuple[str, ...] = (cfg.vm,)
         self.load: LoadView = _NoLoad()
+        self.evidence: EvidenceSource = NoEvidence()
+        self.accused: dict[str, int] = {}
         self.relayed = EntryLoads()
         self._cfg = cfg
         self._call = call
@@ -245,6 +253,8 @@
             self.load.update_others(reply["others"], trio.current_time())
         if "parts" in reply:
             self.parts.apply(reply["parts"], requested_s, trio.current_time())
+        if "accused" in reply:
+            self.accused = reply["accused"]
         return MIN_INTERVAL_S
 
     def _plan(self, control_vm: ControlVm) -> Poll:
@@ -291,6 +301,9 @@
             scope=poll.scope,
             entries_digest=digest_names(self.entry_vms),
         )
+        evidence = self.evidence.evidence(self.accused, requested_s)
+        if evidence is not None:
+            request["evidence"] = evidence
         due_s = requested_s + poll.wait_s + REPLY_MARGIN_S
         control_vm.due_s = min(control_vm.due_s, due_s)
         with trio.move_on_after(REPLY_TIMEOUT_S):
@@ -308,7 +321,7 @@
             log_record(ControlHeard(control_vm.address, reply["epoch"], reply["index"]))
         control_vm.epoch, control_vm.version = reply["epoch"], reply["version"]
         control_vm.last_seen_s, control_vm.due_s = now_s, float("inf")
-        control_vm.is_leader = "parts" in reply
+        control_vm.is_leader = "accused" in reply or "parts" in reply
         control_vm.data_centre = reply.get("data_centre", "")
         if "reported" in reply:
             self.relayed.update(reply["epoch"], reply["reported"], now_s)
@@ -335,6 +348,7 @@
             merge_version_times(
                 view.version_times, reply.get("named", {}), trio.current_time()
             ),
+            state.get("quarantine", {}),
         )
         if self.view.is_known:
             self._known.set()
@@ -344,6 +358,7 @@
                 deployment.number,
                 state["evacuated"],
                 state["weights"],
+                sorted(self.view.quarantine)[:MAX_LOGGED_PARTS],
             )
         )
 
--- a/src/vanillabeam/fleet/machine.py
+++ b/src/vanillabeam/fleet/machine.py
@@ -11,8 +11,20 @@
 import msgspec
 
 from vanillabeam.exceptions import InvariantBroken
-
-__all__ = ["Command", "FleetMachine", "FleetState", "make_deploy"]
+from vanillabeam.fleet.quarantine import (
+    Quarantine,
+    QuarantineChange,
+    QuarantinedPart,
+    apply_change,
+)
+
+__all__ = [
+    "Command",
+    "FleetMachine",
+    "FleetState",
+    "make_deploy",
+    "make_quarantine_change",
+]
 
 #: Characters from which a document is packed in its command. Replicas send a command
 #: whole, and each text inside another doubles the quotes of the inner one. Shorter
@@ -30,6 +42,8 @@
     :param number: number of the deployment, or weight version.
     :param document: deployment document as the operator sent it.
     :param packed: the document compressed, in base64, in place of ``document``.
+    :param quarantine: change of a quarantined part, in a ``restore`` of no data centre,
+        which releases that know no quarantine apply without effect.
     """
 
     kind: Literal["deploy", "evacuate", "restore", "weights"]
@@ -38,6 +52,7 @@
     packed: NotRequired[str]
     data_centre: NotRequired[str]
     model: NotRequired[str]
+    quarantine: NotRequired[QuarantineChange]
 
 
 class FleetState(TypedDict):
@@ -48,6 +63,7 @@
     :param document: deployment document in force.
     :param evacuated: data centres that get no new work.
     :param weights: newest version named for each model.
+    :param quarantine: parts of prompts that are kept from targets.
     """
 
     index: int
@@ -55,6 +71,7 @@
     document: str
     evacuated: list[str]
     weights: dict[str, int]
+    quarantine: NotRequired[Quarantine]
 
 
 def make_deploy(number: int, document: str) -> Command:
@@ -65,6 +82,17 @@
     return Command(kind="deploy", number=number, packed=packed.decode())
 
 
+def make_quarantine_change(
+    part: str, basis: int | None, record: QuarantinedPart | None
+) -> Command:
+    """Return the command that replaces a part's record, or ends its quarantine.
+
+    :param basis: number of the record that is replaced; ``None`` replaces any.
+    """
+    change = QuarantineChange(part=part, basis=basis, record=record)
+    return Command(kind="restore", data_centre="", quarantine=change)
+
+
 def _read_document(command: Command) -> str:
     if "packed" not in command:
         return command["document"]
@@ -99,7 +127,7 @@
             raise InvariantBroken(f"index {index} after {self.state['index']}")
         try:
             decoded = msgspec.json.decode(command, type=Command)
-            changes = _changes(decoded, self.state)
+            changes = _changes(decoded, self.state, index)
         except (msgspec.MsgspecError, ValueError, KeyError, zlib.error) as exc:
             raise InvariantBroken(f"no command of this release: {exc!r}") from exc
         self.state = self.state | changes | {"index": index}
@@ -128,8 +156,11 @@
             self.on_change()
 
 
-def _changes(command: Command, state: FleetState) -> dict:
+def _changes(command: Command, state: FleetState, index: int) -> dict:
     """Return the fields that ``command`` changes."""
+    if "quarantine" in command:
+        known = state.get("quarantine", {})
+        return {"quarantine": apply_change(known, command["quarantine"], index)}
     match command["kind"]:
         case "deploy" if not state["document"] or command["number"] > state["number"]:
             return {"number": command["number"], "document": _read_document(command)}
--- a/src/vanillabeam/fleet/view.py
+++ b/src/vanillabeam/fleet/view.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from vanillabeam.fleet.machine import FleetState
+from vanillabeam.fleet.quarantine import Quarantine
 from vanillabeam.fleet.records import Deployment
 
 __all__ = ["MAX_VERSIONS_KEPT", "NO_DEPLOYMENT", "FleetView", "merge_version_times"]
@@ -25,6 +26,7 @@
     :param weights: newest version of each model.
     :param version_times: versions of each model with the monotonic time at which
         each was named, the newest last.
+    :param quarantine: parts of prompts that are kept from targets.
     """
 
     index: int = 0
@@ -32,6 +34,7 @@
     evacuated: frozenset[str] = frozenset()
     weights: dict[str, int] = {}
     version_times: VersionTimes = {}
+    quarantine: Quarantine = {}
 
     @property
     def is_known(self) -> bool:
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -5,6 +5,7 @@
 from typing import NotRequired, TypedDict
 
 from vanillabeam.fleet.directory import Directory, TargetRecord
+from vanillabeam.fleet.evidence import Evidence
 from vanillabeam.fleet.loads import EntryLoad, LoadScope
 from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.parts import PartChanges, PartRequest
@@ -39,6 +40,7 @@
         how many seconds ago.
     :param scope: control VMs that it reports its load to; every one if omitted.
     :param entries_digest: digest of the names of entry VMs that it knows.
+    :param evidence: what it has seen of targets that ended; omitted if nothing.
     """
 
     vm: str
@@ -52,6 +54,7 @@
     fetched: list[tuple[str, str, float]]
     scope: NotRequired[LoadScope]
     entries_digest: NotRequired[str]
+    evidence: NotRequired[Evidence]
 
 
 class TargetReport(TypedDict):
@@ -84,6 +87,8 @@
     :param seen: name, start time, model and weight version of targets whose
         version the leader has read since their last announcement; from the
         leader only.
+    :param accused: parts that the leader asks entry VMs about, with the number of
+        targets that ended under them one after the other; from the leader only.
     """
 
     epoch: str
@@ -102,6 +107,7 @@
     named: NotRequired[dict[str, list[tuple[int, float]]]]
     paused: NotRequired[list[str]]
     seen: NotRequired[list[tuple[str, int, str, int]]]
+    accused: NotRequired[dict[str, int]]
 
 
 def make_reply(
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -188,6 +188,7 @@
             self.counters,
             self.rng,
             memory,
+            self.cfg.vm,
         )
         self.counters.add_gauge(
             "held_bytes", "Bytes of bodies held.", lambda: memory.used_bytes
@@ -196,6 +197,7 @@
         self._add_notice_metrics(self.follower, chooser)
         nursery.start_soon(keep_running, "follower", self.follower.run)
         nursery.start_soon(keep_running, "forwarding", app.run)
+        nursery.start_soon(keep_running, "ended targets", app.probe.run)
         readiness = self.adapter.readiness_app(self.lifecycle)
         async with trio.open_nursery() as ports:
             address = self.cfg.readiness_address
@@ -236,6 +238,11 @@
             "deployment_number", "Deployment in force.", follower.deployment_number
         )
         add_gauge("targets", "Targets that are known.", follower.target_count)
+        add_gauge(
+            "quarantined_parts",
+            "Parts of prompts that are kept from targets.",
+            lambda: len(follower.view.quarantine),
+        )
         add_gauge("news_age_seconds", "Age of the newest control news.", follower.age_s)
         add_gauge(
             "open_requests", "Requests without a whole answer.", self._open_requests
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -29,8 +29,11 @@
     read_body,
     spread_retry_after,
 )
+from vanillabeam.forwarding.endings import TargetEnds
+from vanillabeam.forwarding.endprobe import EndProbe
 from vanillabeam.forwarding.exceptions import StateUnknown
 from vanillabeam.forwarding.exchange import Exchange
+from vanillabeam.forwarding.gate import QuarantineGate
 from vanillabeam.forwarding.pools import Pools
 from vanillabeam.forwarding.routes import RouteTable
 from vanillabeam.forwarding.sentparts import SentParts
@@ -61,6 +64,8 @@
     :param counters: counts the outcomes of requests.
     :param rng: seeded; adds jitter to the Retry-After of refused callers.
     :param memory: bytes of bodies that all requests may hold.
+    :param vm: name of this VM.
+    :ivar probe: task that checks whether targets have ended.
     """
 
     def __init__(
@@ -72,11 +77,25 @@
         counters: Counters,
         rng: random.Random,
         memory: MemoryBudget | None = None,
+        vm: str = "",
     ):
         memory = memory or MemoryBudget()
+        ends = TargetEnds()
+        self.probe = EndProbe(ends, follower.directory, chooser)
+        gate = QuarantineGate(vm, ends)
         self._resources = Resources(
-            dialect, follower, chooser, Pools(), SentParts(), counters, memory
+            dialect,
+            follower,
+            chooser,
+            Pools(),
+            SentParts(),
+            counters,
+            memory,
+            ends,
+            self.probe,
+            gate,
         )
+        follower.evidence = gate
         self._counters = counters
         chooser.is_paused = follower.is_paused
         follower.load = chooser.load
@@ -96,6 +115,8 @@
             now_s = trio.current_time()
             chooser.keep_only(incarnations, now_s)
             self._resources.sent_parts.keep_only(incarnations)
+            view = self._resources.follower.view
+            self._resources.gate.keep_only(view.quarantine)
             leaving = chooser.notices.leaving(incarnations)
             await self._resources.pools.keep_only(incarnations - leaving)
 
--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -20,6 +20,8 @@
 from vanillabeam.forwarding.context import make_context
 from vanillabeam.forwarding.dialect import AnswerKind, Dialect, Headers
 from vanillabeam.forwarding.downstream import ResponseWriter
+from vanillabeam.forwarding.endings import BrokenAnswer, TargetEnds
+from vanillabeam.forwarding.endprobe import EndProbe
 from vanillabeam.forwarding.events import EventCutter
 from vanillabeam.forwarding.exceptions import (
     AnswerBroken,
@@ -28,6 +30,7 @@
     NoTarget,
     TargetWithdrawn,
 )
+from vanillabeam.forwarding.gate import Pass, QuarantineGate
 from vanillabeam.forwarding.load import OpenRequest
 from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome
 from vanillabeam.forwarding.plain import Prefix, read_plain, read_refusal
@@ -64,6 +67,9 @@
     :param follower: follows the state of the fleet.
     :param sent_parts: prompt parts that targets were sent recently.
     :param memory: bytes of bodies that all requests may hold.
+    :param ends: requests that broke with their targets.
+    :param probe: checks whether targets have ended.
+    :param gate: bars requests with quarantined parts.
     """
 
     dialect: Dialect
@@ -73,6 +79,9 @@
     sent_parts: SentParts
     counters: Counters
     memory: MemoryBudget
+    ends: TargetEnds
+    probe: EndProbe
+    gate: QuarantineGate
 
 
 class Attempt:
@@ -82,6 +91,7 @@
     :param cutter: cuts a stream into whole events, over all attempts.
     :param may_go_elsewhere: whether the request may be sent to another target, so
         that it is given up as soon as this one turns suspect.
+    :param is_trial: whether it tries a quarantined part of its prompt.
     :ivar was_sent: whether any of the request may have reached the target.
     :ivar may_have_run: whether the target may have run the request.
     :ivar has_passed_on: whether a part of a plain answer was passed on to the caller.
@@ -97,6 +107,7 @@
         cutter: EventCutter,
         choice: Choice,
         may_go_elsewhere: bool,
+        is_trial: bool = False,
     ):
         self.was_sent = False
         self.may_have_run = False
@@ -109,6 +120,7 @@
         self._cutter = cutter
         self._choice = choice
         self._may_go_elsewhere = may_go_elsewhere
+        self._is_trial = is_trial
         self._was_refused = False
         self._is_return = False
         self._open_request: OpenRequest | None = None
@@ -214,10 +226,25 @@
             notices.record_end(self._choice.target.incarnation, is_answered)
 
     def _may_send(self) -> bool:
-        """Return whether the target has not asked to be left out since its choice."""
-        notices = self._resources.chooser.notices
+        """Return whether the request may still be sent, after a wait for a connection.
+
+        The target may have asked to be left out, or a part may have been quarantined.
+        """
+        resources = self._resources
+        if self._is_barred():
+            return False
+        notices = resources.chooser.notices
         return notices.may_send(self._choice.target.incarnation, trio.current_time())
 
+    def _is_barred(self) -> bool:
+        if self._is_trial:
+            return False
+        parts = self._request.metadata.shared_parts
+        verdict = self._resources.gate.judge(
+            parts, self._resources.follower.view.quarantine
+        )
+        return verdict.result is not Pass.FREE
+
     def _request_headers(self, target: Target) -> Headers:
         resources, now_s = self._resources, trio.current_time()
         context, plan = make_context(
@@ -367,12 +394,37 @@
         if isinstance(outcome, Broken):
             self._log_failure(outcome)
             log_record(chooser.record_failure(target, now_s))
+            self._record_broken(outcome, now_s)
         else:
             chooser.record_success(target)
+        if isinstance(outcome, Delivered) and outcome.status < 300:
+            parts = self._request.metadata.shared_parts
+            self._resources.ends.record_answer(parts, now_s)
         if not self._was_refused:
             failed = not isinstance(outcome, Delivered)
             chooser.load.observed.record_answer(target.name, failed, now_s)
 
+    def _record_broken(self, outcome: Broken, now_s: float) -> None:
+        """Record an answer that broke off, perhaps because its target has ended.
+
+        Targets that leave as planned end too; no request is at fault there.
+        """
+        target, resources = self._choice.target, self._resources
+        if not self.may_have_run or resources.chooser.is_leaving(target):
+            return
+        if isinstance(outcome.exc, AnswerTooLong | MismatchedAnswer):
+            return
+        broken = BrokenAnswer(
+            self._request.metadata.request_id,
+            target,
+            self._request.metadata.shared_parts,
+            self._open_request.began_s,
+            now_s,
+        )
+        for line in resources.ends.record_broken(broken):
+            log_record(line)
+        resources.probe.check(target)
+
     def _log_failure(self, outcome: Broken) -> None:
         log_record(
             AttemptFailed(
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -204,6 +204,17 @@
         is_unreachable = self._health.is_unreachable(target, now_s)
         return TargetRested(target.name, backoff_s, is_unreachable)
 
+    def record_end(self, incarnation: tuple[str, int]) -> None:
+        """Record that a target has ended: its failures tell nothing of its network."""
+        self._health.record_end(incarnation)
+
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether a target leaves as planned, by its word or announcement."""
+        incarnation = target.incarnation
+        return self._directory.is_leaving(incarnation) or bool(
+            self.notices.leaving({incarnation})
+        )
+
     def keep_only(self, incarnations: set[tuple[str, int]], now_s: float) -> None:
         """Forget what is recorded of all other incarnations of targets."""
         names = {name for name, _ in incarnations}
--- a/src/vanillabeam/forwarding/exceptions.py
+++ b/src/vanillabeam/forwarding/exceptions.py
@@ -13,6 +13,7 @@
     "MismatchedAnswer",
     "NoTarget",
     "NotSent",
+    "PartQuarantined",
     "RouteUnknown",
     "StateUnknown",
     "TargetWithdrawn",
@@ -86,6 +87,17 @@
         self.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
 
 
+class PartQuarantined(NoTarget):
+    """Targets end under a part of the prompt, so no target gets it.
+
+    A caller gains nothing by an early return: the next trial may be far.
+    """
+
+    type = "part-quarantined"
+    advice = "Change the prompt, or ask the operators to release the part."
+    retry_after_s: ClassVar[float | None] = 60.0
+
+
 class TooLate(NoTarget):
     """The request would wait far longer than its objective.
 
--- a/src/vanillabeam/forwarding/health.py
+++ b/src/vanillabeam/forwarding/health.py
@@ -48,6 +48,10 @@
         self._backoffs[target.incarnation] = _Backoff(failures, now_s + backoff_s)
         return backoff_s
 
+    def record_end(self, incarnation: tuple[str, int]) -> None:
+        """Record that a target has ended, which says nothing of its data centre."""
+        self._reachability.forget(incarnation[0])
+
     def keep_only(self, incarnations: set[tuple[str, int]]) -> None:
         """Forget all other incarnations."""
         self._backoffs = {
--- a/src/vanillabeam/forwarding/reachability.py
+++ b/src/vanillabeam/forwarding/reachability.py
@@ -35,6 +35,11 @@
         """Record an answer, which shows that the data centre is reachable."""
         self._failed.pop(target.data_centre, None)
 
+    def forget(self, name: str) -> None:
+        """Forget the failures of a target, which had another cause."""
+        for failed in self._failed.values():
+            failed.pop(name, None)
+
     def is_suspect(self, data_centre: str, now_s: float) -> bool:
         """Return whether a data centre seems unreachable, so its targets come last."""
         times = self._failed.get(data_centre, {}).values()
--- a/tests/forwarding/builders.py
+++ b/tests/forwarding/builders.py
@@ -1,9 +1,16 @@
 import random
 
 from tests.fleet.builders import BOUNDS
+from vanillabeam.counters import Counters
 from vanillabeam.fleet import Directory
+from vanillabeam.forwarding.attempt import Resources
 from vanillabeam.forwarding.choice import Chooser
 from vanillabeam.forwarding.dialect import PromptPart, RequestMetadata
+from vanillabeam.forwarding.endings import TargetEnds
+from vanillabeam.forwarding.endprobe import EndProbe
+from vanillabeam.forwarding.gate import QuarantineGate
+from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.memory import MemoryBudget
 
 
 def make_metadata(**changes):
@@ -27,3 +34,21 @@
     for target in targets:
         directory.update(target, now_s)
     return Chooser("vm-1", "a", directory, BOUNDS, random.Random(1))
+
+
+def make_resources(follower, chooser, **changes):
+    """Return what the requests of one entry VM share, without a network."""
+    ends = TargetEnds()
+    fields = {
+        "dialect": None,
+        "follower": follower,
+        "chooser": chooser,
+        "pools": None,
+        "sent_parts": SentParts(),
+        "counters": Counters(),
+        "memory": MemoryBudget(),
+        "ends": ends,
+        "probe": EndProbe(ends, chooser._directory, chooser),
+        "gate": QuarantineGate("vm-1", ends),
+    }
+    return Resources(**(fields | changes))
--- a/tests/forwarding/exchanges.py
+++ b/tests/forwarding/exchanges.py
@@ -8,19 +8,17 @@
 import trio.testing
 
 from tests.fleet.builders import make_route, make_target, make_view
-from tests.forwarding.builders import make_chooser, make_metadata
-from vanillabeam.counters import Counters
+from tests.forwarding.builders import make_chooser, make_metadata, make_resources
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.forwarding import attempt as attempt_module
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.attempt import Resources
 from vanillabeam.forwarding.dialect import AnswerKind
 from vanillabeam.forwarding.downstream import ResponseWriter
+from vanillabeam.forwarding.endings import TargetEnds
 from vanillabeam.forwarding.exceptions import AnswerBroken, TargetWithdrawn
 from vanillabeam.forwarding.exchange import Exchange
+from vanillabeam.forwarding.gate import QuarantineGate
 from vanillabeam.forwarding.sending import Broken, OpenResponse
-from vanillabeam.forwarding.sentparts import SentParts
-from vanillabeam.memory import MemoryBudget
 from vanillabeam.notices import Notice
 
 REFUSED = 503
@@ -92,6 +90,9 @@
     :param route: settings of the route of all requests.
     :ivar replies: next answers by target; the last one is given again and again.
     :ivar sent: the requests that reached a target.
+    :ivar quarantine: quarantined parts, as this VM knows them.
+    :ivar accused: parts that the leader asks about.
+    :ivar checked: targets that may have ended.
     :ivar connect_s: seconds from the choice of a target until the request is sent.
     """
 
@@ -108,6 +109,9 @@
         self.directory = self.chooser._directory
         self._sequence = 1
         self.entry_vms = ("vm-1",)
+        self.ends = TargetEnds()
+        self.gate = QuarantineGate("vm-1", self.ends)
+        self.quarantine, self.accused, self.checked = {}, {}, []
         monkeypatch.setattr(attempt_module, "open_response", self._open_response)
 
     def announce(self, *targets):
@@ -145,21 +149,22 @@
 
     def _resources(self):
         follower = SimpleNamespace(
-            view=make_view(),
+            view=make_view(quarantine=self.quarantine),
+            accused=self.accused,
             directory=self.directory,
             entry_vms=self.entry_vms,
             parts=PartView(),
             is_discovering=lambda now_s: False,
         )
         pools = SimpleNamespace(pool=lambda target, connections: None)
-        return Resources(
-            ScriptedDialect(),
+        return make_resources(
             follower,
             self.chooser,
-            pools,
-            SentParts(),
-            Counters(),
-            MemoryBudget(),
+            dialect=ScriptedDialect(),
+            pools=pools,
+            ends=self.ends,
+            probe=SimpleNamespace(check=self.checked.append),
+            gate=self.gate,
         )
 
     async def _open_response(self, pool, target, metadata, headers, body, may_send):
--- a/tests/forwarding/test_app.py
+++ b/tests/forwarding/test_app.py
@@ -6,7 +6,7 @@
 import trio.testing
 
 from tests.fleet.builders import make_view
-from vanillabeam.fleet import FleetView
+from vanillabeam.fleet import Directory, FleetView
 from vanillabeam.forwarding.app import (
     STARTUP_S,
     STATE_WAIT_S,
@@ -23,7 +23,10 @@
     async def main():
         known = trio.Event()
         follower = SimpleNamespace(
-            view=FleetView(), wait_for_deployment=known.wait, is_paused=None
+            view=FleetView(),
+            wait_for_deployment=known.wait,
+            is_paused=None,
+            directory=Directory(),
         )
         chooser = SimpleNamespace(load=None)
         app = ForwardingApp(None, follower, chooser, None, None, None)
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -7,19 +7,20 @@
 import trio.testing
 
 from tests.fleet.builders import make_route, make_target, make_view
-from tests.forwarding.builders import make_chooser, make_metadata, make_prompt
-from vanillabeam.counters import Counters
+from tests.forwarding.builders import (
+    make_chooser,
+    make_metadata,
+    make_prompt,
+    make_resources,
+)
 from vanillabeam.fleet import RouteKind
 from vanillabeam.fleet.loads import make_load
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.attempt import Resources
 from vanillabeam.forwarding.exceptions import AnswerBroken
 from vanillabeam.forwarding.exchange import MEMORY_WAIT_OBJECTIVES, Exchange
 from vanillabeam.forwarding.outcomes import Delivered
 from vanillabeam.forwarding.sending import Broken
-from vanillabeam.forwarding.sentparts import SentParts
-from vanillabeam.memory import MemoryBudget
 
 GATHERS_UNTIL_S = 1.5
 OBJECTIVE_S = 1.0
@@ -32,6 +33,7 @@
         entry_vms=("vm-1",),
         parts=PartView(),
         is_discovering=is_discovering,
+        accused={},
     )
 
 
@@ -48,9 +50,7 @@
         request = AdmittedRequest(
             metadata, route, None, [], b"", began_s, began_s + 10.0
         )
-        resources = Resources(
-            None, follower, chooser, None, SentParts(), None, MemoryBudget()
-        )
+        resources = make_resources(follower, chooser)
         exchange = Exchange(request, resources, SimpleNamespace(started=False))
         async with trio.open_nursery() as nursery:
             for at_s, func in events:
@@ -141,10 +141,7 @@
         request = AdmittedRequest(
             make_metadata(), route, None, [], b"", now_s, now_s + 10.0
         )
-        counters = SimpleNamespace(repeats=Counters().repeats)
-        resources = Resources(
-            None, follower, chooser, None, SentParts(), counters, MemoryBudget()
-        )
+        resources = make_resources(follower, chooser)
         exchanges = []
         async with trio.open_nursery() as nursery:
             for _ in range(5):
--- a/tests/platform/test_poison.py
+++ b/tests/platform/test_poison.py
@@ -1,13 +1,19 @@
 """Prompts with one part under which each worker ends, end to end."""
 
+import json
 from functools import partial
 from typing import NamedTuple
 
 import trio
+from returns.result import Success
+from typer.testing import CliRunner
 
+from tests.fleet.evidence import make_record
 from tests.platform.builders import make_document
 from tests.platform.poison import POISON, PoisonedPool, send_prompt
 from tests.platform.standin import running_platform, wait_until
+from vanillabeam.cli import app
+from vanillabeam.fleet.machine import make_quarantine_change
 
 WORKERS = 6
 DOWN_S = 0.8
@@ -106,3 +112,40 @@
     # What is known not to be servable is refused at once, as not run.
     late = [s for s in day.sent if s.is_poisoned and s.at_s > day.fifth_end_s + 6.0]
     assert {sent.status for sent in late} == {503}
+
+
+# Guards against a part that nobody can see or release.
+def test_an_operator_lists_and_releases_a_quarantined_part(tmp_path):
+    runner = CliRunner()
+
+    async def run_command(platform, *words):
+        address = f"127.0.0.2:{platform.peer_port}"
+        arguments = ["part", *words, "--address", address, "--json"]
+        return await trio.to_thread.run_sync(runner.invoke, app, arguments)
+
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            await platform.call_control("POST", "/api/Config.Put", make_document())
+            await platform.wait_ready()
+            _, control, _ = [vm.control for vm, _ in platform.vms.values()][:3]
+            command = make_quarantine_change("p-1", 0, make_record())
+            await wait_until(partial(is_committed, control, command))
+            front = platform.vms["front"][0].follower
+            await wait_until(lambda: "p-1" in front.view.quarantine)
+            listed = await run_command(platform, "list")
+            unknown = await run_command(platform, "release", "p-2")
+            released = await run_command(platform, "release", "p-1")
+            await wait_until(lambda: "p-1" not in front.view.quarantine)
+            return listed, unknown, released
+
+    listed, unknown, released = trio.run(main)
+    assert list(json.loads(listed.stdout)["quarantine"]) == ["p-1"]
+    assert (unknown.exit_code, json.loads(unknown.stdout)["type"]) == (
+        1,
+        "unknown-part",
+    )
+    assert json.loads(released.stdout)["quarantine"] == {}
+
+
+async def is_committed(control, command):
+    return isinstance(await control.propose(command), Success)
