--- a/src/vanillabeam/fleet/keeper.py
+++ b/src/vanillabeam/fleet/keeper.py
@@ -16,9 +16,9 @@
 __all__ = ["Change", "QuarantineKeeper", "Reason"]
 
 #: Age up to which an entry VM's word counts that a request waits or is being tried.
-WORD_S = 2.5
+WORD_S = 1.2
 #: Time after which a trial without any word of its entry VM is given again.
-SILENT_TRIAL_S = 3.0
+SILENT_TRIAL_S = 2.0
 #: Longest time that a trial may take.
 MAX_TRIAL_S = 60.0
 #: Time without a request after which a part whose trial is due is forgotten.
@@ -133,7 +133,8 @@
             change = self._decide_trial(part, record, now_s, now_ms)
             if change is not None:
                 return change
-        conviction = self.suspects.convict(entries, frozenset(quarantine), now_s)
+        confirmed = {part: r["failed"] > 0 for part, r in quarantine.items()}
+        conviction = self.suspects.convict(entries, confirmed, now_s)
         if conviction is None:
             self._forget_answers(quarantine)
             return None
@@ -141,6 +142,7 @@
             number=0,
             since_ms=int(now_ms),
             targets=len(conviction.targets),
+            was_answered=conviction.answered_age_s is not None,
             failed=0,
             trial=OPEN_TRIAL,
             next_ms=int(now_ms),
@@ -177,7 +179,7 @@
             return Change(part, Reason.ANSWERED, record["number"], None)
         if self.suspects.ended_after(part, began_s):
             failed = record["failed"] + 1
-            later_ms = now_ms + 1000 * trial_delay_s(failed)
+            later_ms = now_ms + 1000 * trial_delay_s(failed, record["was_answered"])
             after = record | {"failed": failed, "targets": record["targets"] + 1}
             return _change(part, after, Reason.TRIAL_FAILED, NO_TRIAL, later_ms)
         since_s = now_s - began_s
--- a/src/vanillabeam/fleet/quarantine.py
+++ b/src/vanillabeam/fleet/quarantine.py
@@ -20,6 +20,9 @@
 
 #: Quarantined parts that are kept; the oldest record gives way.
 MAX_QUARANTINED = 256
+#: Time until the first trials after failed ones of a part that was answered before: it
+#: is more likely to be sound.
+EARLY_DELAYS_S = (2.0, 10.0, 60.0)
 #: Time until the next trial after the first failed one, and the factor for each later
 #: one: three trials fall into a day.
 FIRST_DELAY_S = 600.0
@@ -37,6 +40,7 @@
     :param number: index of the log entry that made this record; names a trial.
     :param since_ms: begin of the quarantine, in Unix milliseconds.
     :param targets: number of targets that ended under the part.
+    :param was_answered: whether a target had answered a prompt with it before.
     :param failed: number of failed trials.
     :param trial: entry VM that may send one request with the part; ``OPEN_TRIAL``
         while the first that has one is looked for, ``NO_TRIAL`` otherwise.
@@ -46,6 +50,7 @@
     number: int
     since_ms: int
     targets: int
+    was_answered: bool
     failed: int
     trial: str
     next_ms: int
@@ -93,12 +98,15 @@
     return kept | {part: change["record"] | {"number": index}}
 
 
-def trial_delay_s(failed: int) -> float:
+def trial_delay_s(failed: int, was_answered: bool) -> float:
     """Return the seconds until the next trial.
 
     :param failed: number of failed trials. The first trial is made at once: it tells a
         part from others that were merely open beside it.
+    :param was_answered: whether a target had answered a prompt with it before.
     """
-    if not failed:
-        return 0.0
-    return min(FIRST_DELAY_S * DELAY_FACTOR ** (failed - 1), MAX_DELAY_S)
+    soon = EARLY_DELAYS_S if was_answered else ()
+    if failed <= len(soon):
+        return (0.0, *soon)[failed]
+    delay_s = FIRST_DELAY_S * DELAY_FACTOR ** (failed - len(soon) - 1)
+    return min(delay_s, MAX_DELAY_S)
--- a/src/vanillabeam/fleet/quarantining.py
+++ b/src/vanillabeam/fleet/quarantining.py
@@ -141,7 +141,13 @@
 
 def _describe_change(change: Change, failure: str) -> QuarantineChanged:
     record = change.record or QuarantinedPart(
-        number=0, since_ms=0, targets=0, failed=0, trial="", next_ms=0
+        number=0,
+        since_ms=0,
+        targets=0,
+        was_answered=False,
+        failed=0,
+        trial="",
+        next_ms=0,
     )
     next_s = max(0.0, record["next_ms"] / 1000 - time.time())
     return QuarantineChanged(
--- a/src/vanillabeam/fleet/suspects.py
+++ b/src/vanillabeam/fleet/suspects.py
@@ -9,7 +9,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from vanillabeam.fleet.evidence import BrokenRequest, Evidence
@@ -96,7 +96,7 @@
 
     >>> suspects = Suspects()
     >>> suspects.update("entry-1", evidence, now_s=1.0)
-    >>> suspects.convict(["entry-1"], frozenset(), now_s=1.2).part
+    >>> suspects.convict(["entry-1"], {}, now_s=1.2).part
     'p-1'
     """
 
@@ -155,27 +155,39 @@
         return any(end.sent_s.get(part, sent_s) > sent_s for end in ends)
 
     def convict(
-        self, entries: Iterable[str], quarantined: frozenset[str], now_s: float
+        self, entries: Iterable[str], quarantined: Mapping[str, bool], now_s: float
     ) -> Conviction | None:
         """Return the part that explains most ends of targets, if it is convicted.
 
-        Ends that a quarantined part explains accuse no other one.
+        Ends that a quarantined part explains accuse no other one. Before its first
+        trial has failed, they still accuse parts without any whole answer that explain
+        as many.
 
         :param entries: entry VMs that are asked about accused parts.
+        :param quarantined: whether a trial has failed, by quarantined part.
         """
         self._expire(now_s)
         known = frozenset(entries)
-        unexplained = [
-            end for end in self._ends.values() if quarantined.isdisjoint(end.sent_s)
-        ]
-        found = [
-            verdict
-            for part in self._parts_under(unexplained, MIN_ENDS)
-            if (verdict := self._weigh(part, unexplained, known, now_s)) is not None
-        ]
+        found = []
+        for part in self._parts_under(self._ends.values(), MIN_ENDS):
+            if part not in quarantined:
+                unexplained = self._unexplained(part, quarantined)
+                verdict = self._weigh(part, unexplained, known, now_s)
+                found += [verdict] if verdict is not None else []
         never = [verdict for verdict in found if verdict.answered_age_s is None]
         return self._choose(never or found)
 
+    def _unexplained(self, part: str, quarantined: Mapping[str, bool]) -> list[_End]:
+        """Return the ends that no quarantined part explains better than this one."""
+        totals = Counter(each for end in self._ends.values() for each in end.sent_s)
+        was_answered = self.answered_s(part) is not None
+        better = {
+            other
+            for other, is_confirmed in quarantined.items()
+            if is_confirmed or was_answered or totals[other] > totals[part]
+        }
+        return [end for end in self._ends.values() if better.isdisjoint(end.sent_s)]
+
     def _choose(self, found: list[Conviction]) -> Conviction | None:
         """Return the most specific part of those that explain nearly as many ends.
 
--- a/src/vanillabeam/forwarding/exceptions.py
+++ b/src/vanillabeam/forwarding/exceptions.py
@@ -24,6 +24,9 @@
 #: Limits of the Retry-After of a refused caller.
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
+#: The same where a part of the prompt is quarantined.
+MIN_TRIAL_WAIT_S = 1.0
+MAX_TRIAL_WAIT_S = 600.0
 
 
 class ForwardingError(VanillabeamError):
@@ -90,12 +93,15 @@
 class PartQuarantined(NoTarget):
     """Targets end under a part of the prompt, so no target gets it.
 
-    A caller gains nothing by an early return: the next trial may be far.
+    :param wait_s: seconds until the part may be released.
     """
 
     type = "part-quarantined"
     advice = "Change the prompt, or ask the operators to release the part."
-    retry_after_s: ClassVar[float | None] = 60.0
+
+    def __init__(self, detail: str = "", wait_s: float = MIN_TRIAL_WAIT_S):
+        super().__init__(detail)
+        self.retry_after_s = min(max(MIN_TRIAL_WAIT_S, wait_s), MAX_TRIAL_WAIT_S)
 
 
 class TooLate(NoTarget):
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -1,5 +1,7 @@
 """The exchange of one caller's request: attempts, retries and the final answer."""
 
+import time
+
 import trio
 
 from vanillabeam.decisions import TargetChosen, log_record
@@ -145,15 +147,14 @@
         gate.begin_wait(part)
         try:
             until_s = trio.current_time() + TRIAL_WAIT_S
-            while verdict.result is not Pass.FREE and trio.current_time() < until_s:
-                if verdict.result is Pass.TRIAL:
-                    return verdict
+            while verdict.result is Pass.WAIT and trio.current_time() < until_s:
                 await trio.sleep(BUSY_POLL_INTERVAL_S)
                 verdict = self._judge()
         finally:
             gate.end_wait(part)
-        is_free = verdict.result is Pass.FREE
-        return verdict if is_free else verdict._replace(result=Pass.BARRED)
+        if verdict.result is Pass.WAIT:
+            return verdict._replace(result=Pass.BARRED)
+        return verdict
 
     def _is_barred(self) -> bool:
         """Return whether a part was quarantined since the request was admitted."""
@@ -168,8 +169,12 @@
     def _quarantined(self) -> PartQuarantined:
         view, part = self._resources.follower.view, self._verdict.part
         record = view.quarantine.get(part)
-        ended = f", {record['targets']} targets ended under it" if record else ""
-        return PartQuarantined(f"part {part}{ended}")
+        if record is None:
+            return PartQuarantined(f"part {part}")
+        wait_s = record["next_ms"] / 1000 - time.time()
+        return PartQuarantined(
+            f"part {part}, {record['targets']} targets ended under it", wait_s
+        )
 
     def _has_ended_targets(self) -> bool:
         """Return whether so many targets ended under the request that it may be why."""
--- a/src/vanillabeam/forwarding/gate.py
+++ b/src/vanillabeam/forwarding/gate.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from vanillabeam.fleet.evidence import Evidence
-from vanillabeam.fleet.quarantine import OPEN_TRIAL, Quarantine
+from vanillabeam.fleet.quarantine import NO_TRIAL, Quarantine
 from vanillabeam.forwarding.endings import TargetEnds
 
 __all__ = ["Pass", "QuarantineGate", "Verdict"]
@@ -21,7 +21,7 @@
 
     :cvar FREE: none of its parts is quarantined.
     :cvar TRIAL: it is the one request that tries its part.
-    :cvar WAIT: the trial of its part is about to be given to an entry VM.
+    :cvar WAIT: its part is about to be tried, or being tried.
     :cvar BARRED: a part of its prompt is kept from targets.
     """
 
@@ -72,10 +72,10 @@
         if len(held) > 1:
             # A trial of two parts would tell nothing of either.
             return verdict
-        if record["trial"] == OPEN_TRIAL:
-            return verdict._replace(result=Pass.WAIT)
-        if record["trial"] != self._vm or self._begun.get(part) == record["number"]:
+        if record["trial"] == NO_TRIAL:
             return verdict
+        if record["trial"] != self._vm or self._begun.get(part) == record["number"]:
+            return verdict._replace(result=Pass.WAIT)
         return verdict._replace(result=Pass.TRIAL)
 
     def begin_trial(self, verdict: Verdict) -> None:
--- a/tests/fleet/evidence.py
+++ b/tests/fleet/evidence.py
@@ -26,6 +26,7 @@
         "number": 1,
         "since_ms": NOW_MS,
         "targets": 3,
+        "was_answered": False,
         "failed": 0,
         "trial": OPEN_TRIAL,
         "next_ms": NOW_MS,
--- a/tests/forwarding/test_quarantined.py
+++ b/tests/forwarding/test_quarantined.py
@@ -1,5 +1,8 @@
 """Exchanges of requests whose prompts have suspect or quarantined parts."""
 
+import time
+
+import pytest
 import trio
 
 from tests.fleet.evidence import make_record
@@ -47,6 +50,18 @@
     assert (vm.sent, took_s) == ([], 0.0)
 
 
+# Guards against a long pause for callers of a part that may be released at once.
+@pytest.mark.parametrize("wait_s, least_s, most_s", [(0, 1, 1), (60, 50, 60)])
+def test_callers_are_told_when_a_part_may_be_released(
+    monkeypatch, wait_s, least_s, most_s
+):
+    vm = make_vm(monkeypatch, [])
+    next_ms = int(1000 * (time.time() + wait_s))
+    vm.quarantine[PART] = make_record(trial=NO_TRIAL, next_ms=next_ms)
+    result, _ = serve(vm)
+    assert least_s <= result.failure.retry_after_s <= most_s
+
+
 def test_the_last_part_of_a_prompt_is_never_quarantined(monkeypatch):
     vm = make_vm(monkeypatch, [])
     vm.quarantine["own"] = make_record(trial=NO_TRIAL)
