Don't count a data centre as out of reach because its targets refuse connections

Cause: two failed targets of a data centre within 2 s make it suspect, whatever the failure. A refused connection, or a target that is known to have ended, shows that its host answers.

Cuts, where connections time out, count as before.

--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -28,6 +28,7 @@
     AnswerTooLong,
     MismatchedAnswer,
     NoTarget,
+    NotListening,
     TargetWithdrawn,
 )
 from vanillabeam.forwarding.gate import Pass, QuarantineGate
@@ -393,7 +394,8 @@
         counters.answer_ends.labels(self.answer_end.framing, kind, end).inc()
         if isinstance(outcome, Broken):
             self._log_failure(outcome)
-            log_record(chooser.record_failure(target, now_s))
+            is_refused = isinstance(outcome.exc, NotListening)
+            log_record(chooser.record_failure(target, now_s, is_refused))
             self._record_broken(outcome, now_s)
         else:
             chooser.record_success(target)
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -198,9 +198,14 @@
         """Record a valid answer of a target."""
         self._health.record_success(target)
 
-    def record_failure(self, target: Target, now_s: float) -> TargetRested:
-        """Record a request without a valid answer; return the decision to log."""
-        backoff_s = self._health.record_failure(target, now_s)
+    def record_failure(
+        self, target: Target, now_s: float, is_refused: bool = False
+    ) -> TargetRested:
+        """Record a request without a valid answer; return the decision to log.
+
+        :param is_refused: whether the target's address refused the connection.
+        """
+        backoff_s = self._health.record_failure(target, now_s, is_refused)
         is_unreachable = self._health.is_unreachable(target, now_s)
         return TargetRested(target.name, backoff_s, is_unreachable)
 
--- a/src/vanillabeam/forwarding/endprobe.py
+++ b/src/vanillabeam/forwarding/endprobe.py
@@ -7,6 +7,7 @@
 from vanillabeam.fleet import Directory, Target
 from vanillabeam.forwarding.choice import Chooser
 from vanillabeam.forwarding.endings import TargetEnds
+from vanillabeam.refusals import is_refusal
 
 __all__ = ["EndProbe"]
 
@@ -84,13 +85,7 @@
         try:
             stream = await trio.open_tcp_stream(host, port)
         except OSError as exc:
-            return True if _is_refusal(exc) else None
+            return True if is_refusal(exc) else None
         await stream.aclose()
         return False
     return None
-
-
-def _is_refusal(exc: OSError) -> bool:
-    """Return whether each connection that was tried has been refused."""
-    causes = getattr(exc.__cause__, "exceptions", (exc.__cause__,))
-    return all(isinstance(cause, ConnectionRefusedError) for cause in causes)
--- a/src/vanillabeam/forwarding/exceptions.py
+++ b/src/vanillabeam/forwarding/exceptions.py
@@ -12,6 +12,7 @@
     "ForwardingError",
     "MismatchedAnswer",
     "NoTarget",
+    "NotListening",
     "NotSent",
     "PartQuarantined",
     "RouteUnknown",
@@ -71,6 +72,12 @@
     type = "not-sent"
 
 
+class NotListening(NotSent):
+    """The target's address refused the connection: no process listens there."""
+
+    type = "not-listening"
+
+
 class TargetWithdrawn(NotSent):
     """The target asked for no more requests after it was chosen."""
 
--- a/src/vanillabeam/forwarding/health.py
+++ b/src/vanillabeam/forwarding/health.py
@@ -36,12 +36,17 @@
         self._backoffs.pop(target.incarnation, None)
         self._reachability.record_success(target)
 
-    def record_failure(self, target: Target, now_s: float) -> float:
+    def record_failure(
+        self, target: Target, now_s: float, is_refused: bool = False
+    ) -> float:
         """Record a request without a valid answer.
 
+        :param is_refused: whether the target's address refused the connection. Its
+            host, and so its data centre, is within reach then.
         :returns: the target's backoff in seconds.
         """
-        self._reachability.record_failure(target, now_s)
+        if not is_refused:
+            self._reachability.record_failure(target, now_s)
         backoff = self._backoffs.get(target.incarnation)
         failures = 1 if backoff is None else backoff.failures + 1
         backoff_s = min(BACKOFF_S * 2 ** (failures - 1), MAX_BACKOFF_S)
--- a/src/vanillabeam/forwarding/sending.py
+++ b/src/vanillabeam/forwarding/sending.py
@@ -11,7 +11,13 @@
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet import Target
 from vanillabeam.forwarding.dialect import Headers, RequestMetadata
-from vanillabeam.forwarding.exceptions import AnswerBroken, NotSent, TargetWithdrawn
+from vanillabeam.forwarding.exceptions import (
+    AnswerBroken,
+    NotListening,
+    NotSent,
+    TargetWithdrawn,
+)
+from vanillabeam.refusals import is_refusal
 
 __all__ = ["Broken", "Framing", "OpenResponse", "iter_body", "open_response"]
 
@@ -136,7 +142,8 @@
     except _Withdrawn:
         return Broken(TargetWithdrawn(target.name))
     except _NOT_SENT as exc:
-        return Broken(NotSent(f"{target.name}: {type(exc).__name__}"))
+        failure = NotListening if is_refusal(exc) else NotSent
+        return Broken(failure(f"{target.name}: {type(exc).__name__}"))
     except _BROKEN as exc:
         return Broken(AnswerBroken(f"{target.name}: {type(exc).__name__}"))
     return OpenResponse(response.status, response.headers, response)
--- a/tests/forwarding/test_health.py
+++ b/tests/forwarding/test_health.py
@@ -49,3 +49,21 @@
     health.record_failure(make_target("u", data_centre="a"), 1.0)
     assert health.is_unreachable(make_target("v", data_centre="a"), 1.0)
     assert not health.is_unreachable(make_target("w", data_centre="b"), 1.0)
+
+
+# Guards against a data centre that is left alone because some of its targets ended.
+def test_targets_that_refuse_connections_say_nothing_of_their_data_centre():
+    health = Health()
+    for name in ("t", "u", "v"):
+        health.record_failure(make_target(name, data_centre="a"), 1.0, is_refused=True)
+    assert not health.is_unreachable(TARGET, 1.0)
+    assert not health.is_available(TARGET, 1.0)
+
+
+def test_targets_that_have_ended_say_nothing_of_their_data_centre():
+    health = Health()
+    for name in ("t", "u"):
+        health.record_failure(make_target(name, data_centre="a"), 1.0)
+    assert health.is_unreachable(TARGET, 1.0)
+    health.record_end(TARGET.incarnation)
+    assert not health.is_unreachable(TARGET, 1.0)
