Play a part under which targets end in the soak of real processes

Its first run found a real fault: when the prompts begin before any prompt was answered, the first part of all prompts was convicted beside the culprit, by the same ends (three sound requests refused within 1 s). A part that stands before a quarantined one in the same prompts now needs more ends than that one; a new test of test_suspects failed before.

The soak's proxy accepts connections for targets that have ended, as other middleboxes do. An accepted connection therefore no longer acquits: the target's next announcement does, and its later start tells of its end.

--- a/src/vanillabeam/fleet/suspects.py
+++ b/src/vanillabeam/fleet/suspects.py
@@ -184,7 +184,10 @@
         better = {
             other
             for other, is_confirmed in quarantined.items()
-            if is_confirmed or was_answered or totals[other] > totals[part]
+            if is_confirmed
+            or was_answered
+            or totals[other] > totals[part]
+            or (totals[other] == totals[part] and self._follows(other, part))
         }
         return [end for end in self._ends.values() if better.isdisjoint(end.sent_s)]
 
@@ -210,6 +213,15 @@
             if part in parts
         )
 
+    def _follows(self, later: str, earlier: str) -> bool:
+        """Return whether a part comes after another one in some prompt."""
+        return any(
+            earlier in parts[: parts.index(later)]
+            for end in self._ends.values()
+            for parts in end.requests.values()
+            if later in parts
+        )
+
     def _parts_under(self, ends: Iterable[_End], least: int) -> list[str]:
         """Return the parts under which at least so many targets ended."""
         counts = Counter(part for end in ends for part in end.sent_s)
--- a/src/vanillabeam/forwarding/endings.py
+++ b/src/vanillabeam/forwarding/endings.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from vanillabeam.decisions import RequestAccused, TargetEnded
-from vanillabeam.fleet import Directory, Target
+from vanillabeam.fleet import Directory, Target, TargetRecord
 from vanillabeam.fleet.evidence import BrokenRequest
 
 __all__ = ["BrokenAnswer", "TargetEnds"]
@@ -17,6 +17,8 @@
 REPORT_S = 30.0
 #: Time within which the end of a target is known after its answers broke off.
 PENDING_S = 10.0
+#: Age of news that is taken to be older than the break of an answer.
+NEWS_MARGIN_S = 0.3
 #: Broken requests that are kept at most.
 MAX_BROKEN = 256
 #: Parts whose last whole answer is known.
@@ -102,19 +104,21 @@
         accused = [self._accuse(answer) for answer in broken]
         return [TargetEnded(*incarnation, evidence, len(broken)), *accused]
 
-    def restarted(self, directory: Directory) -> list[Incarnation]:
-        """Return the incarnations of broken answers that later ones have replaced."""
-        found = []
-        for incarnation in {answer.target.incarnation for answer in self._pending}:
-            target = next(
-                a.target for a in self._pending if a.target.incarnation == incarnation
-            )
-            if any(
-                _replaces(record.target, target)
-                for record in directory.records.values()
-            ):
-                found.append(incarnation)
-        return found
+    def settle(self, directory: Directory) -> list[Incarnation]:
+        """Return the incarnations of broken answers that later ones have replaced.
+
+        The broken answers of a target that has announced itself since are dropped.
+        """
+        records = directory.records.values()
+        pending = {answer.target.incarnation: answer for answer in self._pending}
+        for incarnation, answer in pending.items():
+            if any(_is_alive(record, answer) for record in records):
+                self.record_alive(incarnation)
+        return [
+            incarnation
+            for incarnation, answer in pending.items()
+            if any(_replaces(record.target, answer.target) for record in records)
+        ]
 
     def expire(self, now_s: float) -> None:
         """Forget what no longer counts."""
@@ -161,6 +165,12 @@
         )
 
 
+def _is_alive(record: TargetRecord, answer: BrokenAnswer) -> bool:
+    """Return whether a target has announced itself since its answer broke off."""
+    is_same = record.target.incarnation == answer.target.incarnation
+    return is_same and record.last_seen_s > answer.broken_s + NEWS_MARGIN_S
+
+
 def _replaces(later: Target, earlier: Target) -> bool:
     """Return whether a target is a later start of another one, or at its address."""
     is_same_place = later.name == earlier.name or later.address == earlier.address
--- a/src/vanillabeam/forwarding/endprobe.py
+++ b/src/vanillabeam/forwarding/endprobe.py
@@ -23,8 +23,9 @@
 class EndProbe:
     """Task that opens a connection to each target whose answers broke off.
 
-    A process that has ended leaves an address that refuses connections. Where nothing
-    answers, a later start of the target tells that it has ended.
+    A process that has ended leaves an address that refuses connections. Where it is not
+    refused, a later start of the target tells that it has ended, and a later
+    announcement that it has not.
 
     :param directory: the known targets.
     """
@@ -62,14 +63,12 @@
             self._queued.discard(target.incarnation)
         if refused:
             self._record_end(target.incarnation, "refused")
-        elif refused is False:
-            self._ends.record_alive(target.incarnation)
 
     async def _watch_restarts(self) -> None:
         while True:
             await trio.sleep(PERIOD_S)
             self._ends.expire(trio.current_time())
-            for incarnation in self._ends.restarted(self._directory):
+            for incarnation in self._ends.settle(self._directory):
                 self._record_end(incarnation, "restarted")
 
     def _record_end(self, incarnation: tuple[str, int], evidence: str) -> None:
@@ -78,14 +77,13 @@
         self._chooser.record_end(incarnation)
 
 
-async def _refuses(address: str) -> bool | None:
-    """Return whether an address refuses connections; ``None`` if nothing answers."""
+async def _refuses(address: str) -> bool:
+    """Return whether an address refuses connections."""
     host, port = split_address(address)
     with trio.move_on_after(CONNECT_TIMEOUT_S):
         try:
             stream = await trio.open_tcp_stream(host, port)
         except OSError as exc:
-            return True if is_refusal(exc) else None
+            return is_refusal(exc)
         await stream.aclose()
-        return False
-    return None
+    return False
--- a/tests/fleet/test_suspects.py
+++ b/tests/fleet/test_suspects.py
@@ -92,6 +92,17 @@
     assert convicted(suspects, fleet, 4.0, beside=True) is None
 
 
+# Guards against blame for the first part of all prompts before any was answered.
+def test_a_part_before_the_quarantined_one_is_not_convicted_by_the_same_ends():
+    suspects, fleet = make_fleet()
+    for number in range(MIN_ENDS):
+        fleet.end(1.0 + number, ("first", "bad"), ("first",))
+    assert convicted(suspects, fleet, 4.0) == "bad"
+    assert convicted(suspects, fleet, 4.1, bad=False) is None
+    fleet.end(4.2, ("first", "another"))
+    assert convicted(suspects, fleet, 4.3, bad=False) == "first"
+
+
 def test_a_culprit_that_is_the_first_part_is_found_once_the_next_is_quarantined():
     suspects, fleet = make_fleet()
     for number in range(MIN_ENDS):
--- a/tests/forwarding/test_endings.py
+++ b/tests/forwarding/test_endings.py
@@ -67,9 +67,18 @@
         ends, directory = TargetEnds(), Directory()
         directory.update(TARGET, 1.0)
         break_answer(ends)
-        assert ends.restarted(directory) == []
+        assert ends.settle(directory) == []
         directory.update(later, 1.5)
-        assert ends.restarted(directory) == [TARGET.incarnation]
+        assert ends.settle(directory) == [TARGET.incarnation]
+
+
+def test_a_target_that_announces_itself_after_the_break_has_not_ended():
+    ends, directory = TargetEnds(), Directory()
+    directory.update(TARGET, 1.1)
+    break_answer(ends)
+    directory.update(TARGET._replace(sequence=2), 2.0)
+    assert ends.settle(directory) == []
+    assert ends.record_end(TARGET.incarnation, "refused", 2.1) == []
 
 
 def test_a_broken_answer_is_no_evidence_after_some_time():
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -19,8 +19,8 @@
 PROMPT = {
     "X-Vanillabeam-Model": "m",
     "X-Vanillabeam-Token-Usage": "100,12",
-    "X-Vanillabeam-Prefix-Hash": "5c1e07a2:80,91bd3f06:20",
 }
+FIRST_PART, OWN_PART = "5c1e07a2:80", "91bd3f06:20"
 FIRST_ROUTES = (
     ("/pay/", "unsafe"),
     ("/look/", "safe"),
@@ -35,6 +35,15 @@
 _numbers = count(1)
 
 
+def make_prompt(part=""):
+    """Return the headers of a prompt.
+
+    :param part: id of a shared part beside the first one; empty for none.
+    """
+    parts = [FIRST_PART, *([f"{part}:40"] if part else []), OWN_PART]
+    return PROMPT | {"X-Vanillabeam-Prefix-Hash": ",".join(parts)}
+
+
 class Balancer:
     """Chooses an entry VM for each new connection, by readiness checks."""
 
@@ -91,8 +100,11 @@
         self.vm = vm
         self._http = httpcore.AsyncConnectionPool(max_connections=1)
 
-    async def send(self, path, kind, limit_s, group, key=FIXED_KEY):
-        """Send a request once; record and return the attempt."""
+    async def send(self, path, kind, limit_s, group, key=FIXED_KEY, part=""):
+        """Send a request once; record and return the attempt.
+
+        :param part: shared part of the prompt beside the first one.
+        """
         request_id = f"{self.name}-{next(_numbers)}"
         vm, starts, sent_s = self.vm, self.vm.starts, self.history.now_s()
         headers = {
@@ -109,7 +121,7 @@
                 async with self._http.stream(
                     "POST",
                     url,
-                    headers=headers | (PROMPT if is_stream else {}),
+                    headers=headers | (make_prompt(part) if is_stream else {}),
                     content=b"{}",
                     extensions={"timeout": {"connect": 1.0}},
                 ) as response:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -119,6 +119,8 @@
         self.runs: list[Run] = []
         self.outages: list[Outage] = []
         self.drained: dict[str, float] = {}
+        #: Times at which a target began an answer to a poisoned prompt.
+        self.poisoned: list[float] = []
         self.findings: list[str] = []
 
     @contextmanager
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -11,6 +11,7 @@
 from tests.soak.fleet import BOUNDS, RESTART_DELAY_S, running_fleet
 from tests.soak.history import History
 from tests.soak.operators import Operator
+from tests.soak.poison import check_convictions, check_poison, send_poison
 from tests.soak.proxy import running_proxy
 from tests.soak.targets import TargetPool, choose_target
 
@@ -59,7 +60,7 @@
     async def start(self):
         """Start the targets, callers and operators."""
         zones = sorted(self.fleet.shape.entries)
-        for service in ("llm", "llm", "app-a", "app-a", "app-b", "app-c"):
+        for service in (*["llm"] * 6, "app-a", "app-a", "app-b", "app-c"):
             await self.targets.add(service, self.rng.choice(zones))
         balancer = Balancer(self.fleet, self.rng)
         self.nursery.start_soon(balancer.run)
@@ -314,6 +315,7 @@
     harm_target,
     harm_target,
     busy,
+    send_poison,
 )
 
 
@@ -336,6 +338,8 @@
             await run.settle(settle_s)
             if not calm_attempts(run.history):
                 run.history.report("SHORT", fleet.now_s(), "all", "nothing in calm")
+            check_poison(run.history)
+            check_convictions(run.history, fleet)
             findings = check(run.history, fleet.ends)
             memory_mb = max(map(fleet.peak_memory_mb, fleet.vms))
             summarise(run.history, folder, seed, memory_mb)
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -18,6 +18,9 @@
 EVENT_PERIOD_S = 0.04
 EVENTS = 12
 SLOW_S = 0.4
+#: Part of prompts under which a target ends, and seconds until another one starts.
+POISON = b"deadbeef"
+DOWN_S = 2.0
 #: Seconds that a target works on after its notice has lapsed.
 LINGER_S = 0.3
 
@@ -29,8 +32,9 @@
     :ivar state: what its heartbeats say.
     """
 
-    def __init__(self, name, service, data_centre, history):
+    def __init__(self, name, service, data_centre, history, on_poison=None):
         super().__init__(name)
+        self._on_poison = on_poison
         self.service = service
         self.data_centre = data_centre
         self.history = history
@@ -56,6 +60,11 @@
             await send_answer(send, 500, b"failed", headers)
             return
         await trio.sleep(SLOW_S if self.mode == "slow" else WORK_S)
+        parts = headers.get(b"x-vanillabeam-prefix-hash", b"").split(b",")[:-1]
+        if any(part.partition(b":")[0] == POISON for part in parts):
+            self.history.poisoned.append(self.history.now_s())
+            self._on_poison(self.name)
+            await trio.sleep_forever()
         if b"x-vanillabeam-model" in headers:
             await self._stream(headers, send)
             return
@@ -101,7 +110,7 @@
         """Start a target under a new name."""
         self._made += 1
         name = f"i-{service}-{self._made}"
-        target = SoakTarget(name, service, data_centre, self.history)
+        target = SoakTarget(name, service, data_centre, self.history, self._end)
         self._scopes[name] = await self.nursery.start(self._run, target)
         self.targets[name] = target
         self.nursery.start_soon(self._announce, target)
@@ -145,6 +154,16 @@
                     return True
         return False
 
+    def _end(self, name):
+        """End a target at once; another one of its service starts some time later."""
+        if name in self.targets:
+            self.nursery.start_soon(self._replace_later, self.targets.pop(name))
+            self._scopes.pop(name).cancel()
+
+    async def _replace_later(self, target):
+        await trio.sleep(DOWN_S)
+        await self.add(target.service, target.data_centre)
+
     async def crash(self, name):
         """End a target at once and start another one of its service."""
         target = self.targets.pop(name)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 import trio
 
 from tests.soak.fleet import ICUPA, PHOTO, SMALL
+from tests.soak.poison import send_poison
 from tests.soak.scenario import (
     cut_entry,
     freeze_any,
@@ -45,3 +46,9 @@
 def test_a_few_faults_break_no_rule(tmp_path):
     findings = trio.run(play, tmp_path, SMALL, 1, 6.0, SHORT_KINDS, 8.0)
     assert findings == [], f"logs in {tmp_path}"
+
+
+# Guards against prompts with one part that end target after target.
+def test_a_part_under_which_targets_end_breaks_no_rule(tmp_path):
+    findings = trio.run(play, tmp_path, SMALL, 2, 10.0, (send_poison,), 8.0)
+    assert findings == [], f"logs in {tmp_path}"
