Let the next initial VM found the log if the founder's disk is lost

Cause: a VM that has promised to wait for a founder never founds itself, and the promise could not be dropped: a group might have opened with control VMs that are no initial ones, unknown to it.

Change: where a group needs all initial VMs to open, it needs each of them by name, not their number. One that belongs to no group then knows that none has opened, and founds if the replica that it promised to wait for is gone: all other initial VMs answer, without a group, and none is that replica. A founder that is only away is still waited for.

Ruled out: a time limit on promises (a founder may be slow, and then two found).

Open: control VMs that had joined the lost founder's group before it could open stay in it.

--- a/src/vanillabeam/log/bootstrap.py
+++ b/src/vanillabeam/log/bootstrap.py
@@ -7,7 +7,8 @@
 
 An initial VM stores at its first start that it is one, as it may end before there is
 a group, and its settings allow a bootstrap only once. If the first one has lost its
-disk, the next one takes its place.
+disk, the next one takes its place, also if it had promised to wait for that replica:
+without this VM no group can have opened (where that requires all initial VMs).
 """
 
 import secrets
@@ -91,8 +92,9 @@
         return MEMBER_RETRY_S if self._loop.replica.group_id else RETRY_S
 
     async def _bootstrap_or_join(self) -> None:
-        if await self._no_group_exists():
-            await self._bootstrap()
+        replicas = await self._others_without_group()
+        if replicas is not None:
+            await self._bootstrap(replicas)
         elif self._others:
             await self._request_join()
 
@@ -108,13 +110,18 @@
                 return False
         return True
 
-    async def _no_group_exists(self) -> bool:
-        """Return whether every other initial VM replies that it has no group."""
+    async def _others_without_group(self) -> frozenset[str] | None:
+        """Return the member ids of the other initial VMs, which promise to wait.
+
+        :returns: ``None`` unless each of them replies that it has no group.
+        """
+        replicas = set()
         for other in self._others:
             identity = await self._identity(other, self._loop.replica.member_id)
             if identity is None or identity["group_id"]:
-                return False
-        return True
+                return None
+            replicas.add(identity["member_id"])
+        return frozenset(replicas)
 
     async def _identity(self, other: Address, founder: str) -> IdentityReply | None:
         body = wire.encode(IdentityRequest(founder=founder))
@@ -126,7 +133,7 @@
             return wire.decode(IdentityReply, answer.unwrap()).value_or(None)
         return None
 
-    async def _bootstrap(self) -> None:
+    async def _bootstrap(self, replicas: frozenset[str]) -> None:
         member = Member(self._loop.replica.member_id, *self._me)
         membership = Membership(
             index=1,
@@ -137,7 +144,7 @@
         )
         logger.warning("{} bootstraps group {}", self._me.vm, self._group)
         await self._loop.put(
-            BootstrapGroup(secrets.token_hex(GROUP_ID_BYTES), membership)
+            BootstrapGroup(secrets.token_hex(GROUP_ID_BYTES), membership, replicas)
         )
 
     async def _request_join(self) -> None:
--- a/src/vanillabeam/log/loop.py
+++ b/src/vanillabeam/log/loop.py
@@ -75,10 +75,14 @@
 
 
 class BootstrapGroup(NamedTuple):
-    """Bootstrap the group with this replica as its only voter."""
+    """Bootstrap the group with this replica as its only voter.
+
+    :param replicas: member ids of all other initial VMs' replicas, which have no group.
+    """
 
     group_id: str
     membership: Membership
+    replicas: frozenset[str] = frozenset()
 
 
 class BootstrapPromise(NamedTuple):
@@ -377,6 +381,15 @@
             return
         handle(SnapshotSaved(index), state, trio.current_time())
 
+    def _is_free_to_bootstrap(self, replicas: frozenset[str]) -> bool:
+        """Return whether this replica has promised no existing one to wait for it.
+
+        :param replicas: the replicas of all other initial VMs.
+        """
+        promised = self.storage.identity["promised"]
+        is_lost = promised not in replicas and self.replica.settings.open_requires_all
+        return not promised or is_lost
+
     async def _handle_bootstrap(self, item: BootstrapGroup | BootstrapPromise) -> None:
         if isinstance(item, BootstrapPromise):
             has_group = bool(self.replica.group_id)
@@ -385,7 +398,7 @@
             else:
                 item.answer.close()
             return
-        if self.replica.group_id or self.storage.identity["promised"]:
+        if self.replica.group_id or not self._is_free_to_bootstrap(item.replicas):
             return
         contents = bootstrap_contents(self.storage.identity, item)
         if not await self._save(partial(store_bootstrap, self.storage, contents)):
--- a/src/vanillabeam/log/members.py
+++ b/src/vanillabeam/log/members.py
@@ -218,9 +218,7 @@
 
 
 def _append_change(changed: Membership, state: Replica, now_s: float) -> list[Effect]:
-    requires_all = state.settings.open_requires_all
-    required = changed.founding if requires_all else changed.founding // 2 + 1
-    opened = changed.opened or len(changed.voters) >= required
+    opened = changed.opened or _may_open(changed, state.settings.open_requires_all)
     changed = changed._replace(index=state.log.last_index + 1, opened=opened)
     effects = add_entry(state, EntryKind.MEMBERS, encode_membership(changed))
     previous = state.progress
@@ -232,6 +230,19 @@
     return effects
 
 
+def _may_open(membership: Membership, requires_all: bool) -> bool:
+    """Return whether a group of these members may open.
+
+    Where all are required, it is each VM of the initial membership by name: one that
+    belongs to no group then knows that none has opened.
+    """
+    voters = membership.voters
+    if not requires_all:
+        return len(voters) >= membership.founding // 2 + 1
+    names = {voter.vm for voter in voters}
+    return len(voters) >= membership.founding and names.issuperset(membership.allowed)
+
+
 def _promoted(membership: Membership, learner: Member) -> Membership:
     learners = tuple(m for m in membership.learners if m != learner)
     return membership._replace(voters=(*membership.voters, learner), learners=learners)
--- a/tests/log/test_founder.py
+++ b/tests/log/test_founder.py
@@ -130,3 +130,39 @@
     del group.folders["vm-1"]
     await group.start("vm-1", bootstrap=False)
     await wait_until(partial(is_open, group))
+
+
+# Guards against a second group: one that had opened with VMs that are no initial ones
+# would be unknown to a VM that withdraws its promise.
+@with_open_group
+async def test_a_group_opens_only_with_each_initial_vm(group):
+    for vm in FIRST:
+        await group.start(vm)
+    await wait_until(lambda: group.leader is not None)
+    group.stop("vm-3")
+    for vm in ("vm-4", "vm-5"):
+        await group.start(vm)
+    await trio.sleep(20)
+    assert not votes(group, "vm-3")
+    assert votes(group, "vm-4")
+    assert not is_open(group)
+    await group.start("vm-3")
+    await wait_until(partial(is_open, group))
+
+
+# Guards against a promise that is withdrawn while its founder still exists.
+@with_open_group
+async def test_a_vm_keeps_its_promise_while_the_founder_is_away_with_its_disk(group):
+    for vm in FIRST:
+        await group.start(vm)
+
+    def have_promised():
+        storages = [group.nodes[vm]._loop.storage for vm in FIRST[1:]]
+        return all(storage.identity["promised"] for storage in storages)
+
+    await wait_until(have_promised)
+    group.stop("vm-1")
+    await trio.sleep(20)
+    assert not is_open(group)
+    await group.start("vm-1", bootstrap=False)
+    await wait_until(partial(is_open, group))
