--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -31,9 +31,10 @@
     NotListening,
     TargetWithdrawn,
 )
-from vanillabeam.forwarding.gate import Pass, QuarantineGate
+from vanillabeam.forwarding.gate import QuarantineGate
 from vanillabeam.forwarding.load import OpenRequest
 from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome
+from vanillabeam.forwarding.passage import Passage
 from vanillabeam.forwarding.plain import Prefix, read_plain, read_refusal
 from vanillabeam.forwarding.pools import Pools
 from vanillabeam.forwarding.relay import StreamRelay
@@ -90,9 +91,9 @@
 
     :param service: name of the service that the target belongs to.
     :param cutter: cuts a stream into whole events, over all attempts.
+    :param passage: tells whether a part of the prompt was quarantined meanwhile.
     :param may_go_elsewhere: whether the request may be sent to another target, so
         that it is given up as soon as this one turns suspect.
-    :param is_trial: whether it tries a quarantined part of its prompt.
     :ivar was_sent: whether any of the request may have reached the target.
     :ivar may_have_run: whether the target may have run the request.
     :ivar has_passed_on: whether a part of a plain answer was passed on to the caller.
@@ -107,8 +108,8 @@
         writer: ResponseWriter,
         cutter: EventCutter,
         choice: Choice,
+        passage: Passage,
         may_go_elsewhere: bool,
-        is_trial: bool = False,
     ):
         self.was_sent = False
         self.may_have_run = False
@@ -121,7 +122,7 @@
         self._cutter = cutter
         self._choice = choice
         self._may_go_elsewhere = may_go_elsewhere
-        self._is_trial = is_trial
+        self._passage = passage
         self._was_refused = False
         self._is_return = False
         self._open_request: OpenRequest | None = None
@@ -231,21 +232,11 @@
 
         The target may have asked to be left out, or a part may have been quarantined.
         """
-        resources = self._resources
-        if self._is_barred():
+        if self._passage.is_barred():
             return False
-        notices = resources.chooser.notices
+        notices = self._resources.chooser.notices
         return notices.may_send(self._choice.target.incarnation, trio.current_time())
 
-    def _is_barred(self) -> bool:
-        if self._is_trial:
-            return False
-        parts = self._request.metadata.shared_parts
-        verdict = self._resources.gate.judge(
-            parts, self._resources.follower.view.quarantine
-        )
-        return verdict.result is not Pass.FREE
-
     def _request_headers(self, target: Target) -> Headers:
         resources, now_s = self._resources, trio.current_time()
         context, plan = make_context(
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -1,7 +1,5 @@
 """The exchange of one caller's request: attempts, retries and the final answer."""
 
-import time
-
 import trio
 
 from vanillabeam.decisions import TargetChosen, log_record
@@ -16,12 +14,11 @@
     AnswerBroken,
     AnswerLate,
     NoTarget,
-    PartQuarantined,
     TargetsPaused,
     TooLate,
 )
-from vanillabeam.forwarding.gate import TRIAL_WAIT_S, Pass, Verdict
 from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome, Whole
+from vanillabeam.forwarding.passage import Passage
 from vanillabeam.forwarding.requestcosts import estimate_request_costs
 from vanillabeam.forwarding.sending import Broken
 
@@ -73,7 +70,9 @@
         self._attempts: list[Attempt] = []
         #: Incarnations that the request was sent to.
         self._incarnations: list[tuple[str, int]] = []
-        self._verdict = Verdict(Pass.FREE)
+        self._passage = Passage(
+            resources.gate, resources.follower, request.metadata.shared_parts
+        )
         #: Answer of a target that ran the request and failed.
         self._error: Whole | None = None
 
@@ -99,19 +98,12 @@
             sent.
         """
         self._resources.chooser.record_request(self._service, trio.current_time())
-        gate = self._resources.gate
         with trio.move_on_at(self._request.ends_s):
-            self._verdict = await self._pass_gate()
-            if self._verdict.result is Pass.BARRED:
-                return self._quarantined()
-            is_trial = self._verdict.result is Pass.TRIAL
-            if is_trial:
-                gate.begin_trial(self._verdict)
-            try:
+            await self._passage.enter()
+            if self._passage.was_barred:
+                return self._passage.failure()
+            with self._passage.sending():
                 return await self._run_attempts()
-            finally:
-                if is_trial:
-                    gate.end_trial(self._verdict)
         if self.may_have_run:
             return AnswerLate(f"after {self._request.route.timeout_s:g} s")
         return NoTarget("no target in time")
@@ -132,50 +124,6 @@
             if self._has_ended_targets():
                 return await self._conclude(previous)
 
-    def _judge(self) -> Verdict:
-        """Return whether the request may be sent, by its quarantined parts."""
-        parts = self._request.metadata.shared_parts
-        quarantine = self._resources.follower.view.quarantine
-        return self._resources.gate.judge(parts, quarantine)
-
-    async def _pass_gate(self) -> Verdict:
-        """Return whether the request may be sent; wait a short time for a trial."""
-        verdict = self._judge()
-        if verdict.result is not Pass.WAIT:
-            return verdict
-        gate, part = self._resources.gate, verdict.part
-        gate.begin_wait(part)
-        try:
-            until_s = trio.current_time() + TRIAL_WAIT_S
-            while verdict.result is Pass.WAIT and trio.current_time() < until_s:
-                await trio.sleep(BUSY_POLL_INTERVAL_S)
-                verdict = self._judge()
-        finally:
-            gate.end_wait(part)
-        if verdict.result is Pass.WAIT:
-            return verdict._replace(result=Pass.BARRED)
-        return verdict
-
-    def _is_barred(self) -> bool:
-        """Return whether a part was quarantined since the request was admitted."""
-        if self._verdict.result is Pass.TRIAL:
-            return False
-        verdict = self._judge()
-        if verdict.result is Pass.FREE:
-            return False
-        self._verdict = verdict._replace(result=Pass.BARRED)
-        return True
-
-    def _quarantined(self) -> PartQuarantined:
-        view, part = self._resources.follower.view, self._verdict.part
-        record = view.quarantine.get(part)
-        if record is None:
-            return PartQuarantined(f"part {part}")
-        wait_s = record["next_ms"] / 1000 - time.time()
-        return PartQuarantined(
-            f"part {part}, {record['targets']} targets ended under it", wait_s
-        )
-
     def _has_ended_targets(self) -> bool:
         """Return whether so many targets ended under the request that it may be why."""
         ends = self._resources.ends
@@ -185,7 +133,7 @@
     async def _wait_for_choice(self) -> Choice | None:
         """Return a target; wait a short time if none can take the request yet."""
         while True:
-            if self._is_barred():
+            if self._passage.is_barred():
                 return None
             choice = self._choose()
             if choice is not None or not self._may_wait(trio.current_time()):
@@ -305,7 +253,7 @@
         route = self._request.route
         if self._attempts and self._attempts[-1].has_passed_on:
             return False
-        if self._verdict.result is Pass.TRIAL or self._is_suspect():
+        if self._passage.is_trial or (self.may_have_run and self._passage.is_suspect):
             return False
         if isinstance(previous, Broken) and previous.exc.run is Run.NOT_RUN:
             self._connect_failures += 1
@@ -323,19 +271,12 @@
         self._resources.counters.repeats.labels(self._service).inc()
         return True
 
-    def _is_suspect(self) -> bool:
-        """Return whether targets may have ended because of a part of the prompt."""
-        if not self.may_have_run:
-            return False
-        resources, parts = self._resources, self._request.metadata.shared_parts
-        return resources.gate.is_suspect(parts, resources.follower.accused)
-
     async def _conclude(self, previous: Outcome | None) -> VanillabeamError | None:
         """Pass the last answer on, or return the failure to report to the caller."""
         if isinstance(previous, Whole):
             return await self._pass_on(previous)
-        if previous is None and self._verdict.result is Pass.BARRED:
-            return self._quarantined()
+        if previous is None and self._passage.was_barred:
+            return self._passage.failure()
         if previous is None and self._pause_left_s is not None:
             return TargetsPaused(self._explain_refusal(), self._pause_left_s)
         if previous is None and self._refused_wait_s is not None:
@@ -397,8 +338,8 @@
             self._writer,
             self._cutter,
             choice,
+            self._passage,
             may_go_elsewhere=route.is_idempotent and self._sent + 1 < route.attempts,
-            is_trial=self._verdict.result is Pass.TRIAL,
         )
         self._tried.add(choice.target.name)
         self._incarnations.append(choice.target.incarnation)
