--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -20,7 +20,6 @@
 from vanillabeam.exceptions import MalformedBody, VanillabeamError
 from vanillabeam.fleet import Deployment, Follower
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.attempt import Resources
 from vanillabeam.forwarding.choice import Chooser
 from vanillabeam.forwarding.dialect import Dialect, RequestMetadata
 from vanillabeam.forwarding.downstream import (
@@ -35,6 +34,7 @@
 from vanillabeam.forwarding.exchange import Exchange
 from vanillabeam.forwarding.gate import QuarantineGate
 from vanillabeam.forwarding.pools import Pools
+from vanillabeam.forwarding.resources import Resources
 from vanillabeam.forwarding.routes import RouteTable
 from vanillabeam.forwarding.sentparts import SentParts
 from vanillabeam.httpserver import abort_of
--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -2,53 +2,44 @@
 
 from collections.abc import AsyncIterator
 from functools import partial
-from typing import NamedTuple
 
 import trio
 
-from vanillabeam.counters import Counters
 from vanillabeam.decisions import (
-    AttemptFailed,
     TargetLeaving,
     TargetPaused,
     log_record,
 )
 from vanillabeam.exceptions import Run
-from vanillabeam.fleet import Follower, RouteKind, Target
+from vanillabeam.fleet import RouteKind, Target
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.choice import Choice, Chooser
+from vanillabeam.forwarding.choice import Choice
 from vanillabeam.forwarding.context import make_context
-from vanillabeam.forwarding.dialect import AnswerKind, Dialect, Headers
+from vanillabeam.forwarding.dialect import AnswerKind, Headers
 from vanillabeam.forwarding.downstream import ResponseWriter
-from vanillabeam.forwarding.endings import BrokenAnswer, TargetEnds
-from vanillabeam.forwarding.endprobe import EndProbe
 from vanillabeam.forwarding.events import EventCutter
 from vanillabeam.forwarding.exceptions import (
     AnswerBroken,
     AnswerTooLong,
     MismatchedAnswer,
     NoTarget,
-    NotListening,
-    TargetWithdrawn,
 )
-from vanillabeam.forwarding.gate import QuarantineGate
 from vanillabeam.forwarding.load import OpenRequest
 from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome
 from vanillabeam.forwarding.passage import Passage
 from vanillabeam.forwarding.plain import Prefix, read_plain, read_refusal
-from vanillabeam.forwarding.pools import Pools
+from vanillabeam.forwarding.recorder import AttemptEnd, OutcomeRecorder
 from vanillabeam.forwarding.relay import StreamRelay
+from vanillabeam.forwarding.resources import Resources
 from vanillabeam.forwarding.sending import (
     Broken,
     OpenResponse,
     iter_body,
     open_response,
 )
-from vanillabeam.forwarding.sentparts import SentParts
-from vanillabeam.memory import MemoryBudget
 from vanillabeam.notices import Notice
 
-__all__ = ["Attempt", "Resources"]
+__all__ = ["Attempt"]
 
 SERVER_ERROR = 500
 #: Silence after which a target is suspect: a multiple of the route's latency
@@ -59,31 +50,6 @@
 SUSPECT_CHECK_S = 0.1
 #: Characters of a header's value in a log line.
 MAX_LOGGED_TEXT = 40
-#: Parts of a prompt in a log line.
-MAX_LOGGED_PARTS = 8
-
-
-class Resources(NamedTuple):
-    """State that all requests of an entry VM share.
-
-    :param follower: follows the state of the fleet.
-    :param sent_parts: prompt parts that targets were sent recently.
-    :param memory: bytes of bodies that all requests may hold.
-    :param ends: requests that broke with their targets.
-    :param probe: checks whether targets have ended.
-    :param gate: bars requests with quarantined parts.
-    """
-
-    dialect: Dialect
-    follower: Follower
-    chooser: Chooser
-    pools: Pools
-    sent_parts: SentParts
-    counters: Counters
-    memory: MemoryBudget
-    ends: TargetEnds
-    probe: EndProbe
-    gate: QuarantineGate
 
 
 class Attempt:
@@ -373,63 +339,14 @@
         return broken or Delivered(response.status)
 
     def _record_outcome(self, outcome: Outcome) -> None:
-        target, chooser = self._choice.target, self._resources.chooser
-        now_s = trio.current_time()
-        if isinstance(outcome, Broken) and isinstance(outcome.exc, TargetWithdrawn):
-            self._log_failure(outcome)
-            return
-        kind = type(outcome).__name__.lower()
-        counters = self._resources.counters
-        counters.attempts.labels(self._service, kind).inc()
-        end = "partial" if self.answer_end.partial_bytes else "whole"
-        counters.answer_ends.labels(self.answer_end.framing, kind, end).inc()
-        if isinstance(outcome, Broken):
-            self._log_failure(outcome)
-            is_refused = isinstance(outcome.exc, NotListening)
-            log_record(chooser.record_failure(target, now_s, is_refused))
-            self._record_broken(outcome, now_s)
-        else:
-            chooser.record_success(target)
-        if isinstance(outcome, Delivered) and outcome.status < 300:
-            parts = self._request.metadata.shared_parts
-            self._resources.ends.record_answer(parts, now_s)
-        if not self._was_refused:
-            failed = not isinstance(outcome, Delivered)
-            chooser.load.observed.record_answer(target.name, failed, now_s)
-
-    def _record_broken(self, outcome: Broken, now_s: float) -> None:
-        """Record an answer that broke off, perhaps because its target has ended.
-
-        Targets that leave as planned end too; no request is at fault there.
-        """
-        target, resources = self._choice.target, self._resources
-        if not self.may_have_run or resources.chooser.is_leaving(target):
-            return
-        if isinstance(outcome.exc, AnswerTooLong | MismatchedAnswer):
-            return
-        broken = BrokenAnswer(
-            self._request.metadata.request_id,
-            target,
-            self._request.metadata.shared_parts,
-            self._open_request.began_s,
-            now_s,
+        recorder = OutcomeRecorder(
+            self._resources, self._request.metadata, self._service, self._choice
         )
-        for line in resources.ends.record_broken(broken):
-            log_record(line)
-        resources.probe.check(target)
-
-    def _log_failure(self, outcome: Broken) -> None:
-        log_record(
-            AttemptFailed(
-                self._request.metadata.request_id,
-                self._service,
-                self._choice.target.name,
-                outcome.exc.type,
-                outcome.exc.detail,
-                str(outcome.exc.run),
-                self._choice.age_s,
-                *self.answer_end,
-                round(trio.current_time() - self._open_request.began_s, 3),
-                list(self._request.metadata.shared_parts[-MAX_LOGGED_PARTS:]),
-            )
+        end = AttemptEnd(
+            outcome,
+            self.answer_end,
+            self._open_request.began_s,
+            self.may_have_run,
+            self._was_refused,
         )
+        recorder.record(end, trio.current_time())
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -5,7 +5,7 @@
 from vanillabeam.decisions import TargetChosen, log_record
 from vanillabeam.exceptions import Run, VanillabeamError
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.attempt import Attempt, Resources
+from vanillabeam.forwarding.attempt import Attempt
 from vanillabeam.forwarding.choice import Choice
 from vanillabeam.forwarding.costs import PromptCosts
 from vanillabeam.forwarding.downstream import ResponseWriter
@@ -20,6 +20,7 @@
 from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome, Whole
 from vanillabeam.forwarding.passage import Passage
 from vanillabeam.forwarding.requestcosts import estimate_request_costs
+from vanillabeam.forwarding.resources import Resources
 from vanillabeam.forwarding.sending import Broken
 
 __all__ = ["Exchange"]
--- a/tests/forwarding/builders.py
+++ b/tests/forwarding/builders.py
@@ -3,12 +3,12 @@
 from tests.fleet.builders import BOUNDS
 from vanillabeam.counters import Counters
 from vanillabeam.fleet import Directory
-from vanillabeam.forwarding.attempt import Resources
 from vanillabeam.forwarding.choice import Chooser
 from vanillabeam.forwarding.dialect import PromptPart, RequestMetadata
 from vanillabeam.forwarding.endings import TargetEnds
 from vanillabeam.forwarding.endprobe import EndProbe
 from vanillabeam.forwarding.gate import QuarantineGate
+from vanillabeam.forwarding.resources import Resources
 from vanillabeam.forwarding.sentparts import SentParts
 from vanillabeam.memory import MemoryBudget
 
