--- a/bench/placement.py
+++ b/bench/placement.py
@@ -18,6 +18,7 @@
     POLL_INTERVAL_S,
 )
 from vanillabeam.forwarding.load import Load, UnreportedLoad
+from vanillabeam.forwarding.ordering import TargetOrder
 
 __all__ = [
     "POLICIES",
@@ -122,10 +123,11 @@
         return UnreportedLoad(0, 0)
 
 
-class ComparingChooser(Chooser):
-    """Chooser that compares all targets for each prompt."""
+class ComparingOrder(TargetOrder):
+    """Order that compares all targets for each prompt."""
 
-    def _candidates(self, preferred, by_name, costs) -> set[str]:
+    def candidates(self, preferred, by_name, costs) -> set[str]:
+        """Return all targets."""
         return set(preferred)
 
 
@@ -133,20 +135,20 @@
     """Variant of the choice of a target by entry VMs.
 
     :param load: class that tracks the load of targets.
-    :param chooser: class that chooses the targets.
+    :param order: class that sorts the targets.
     :param uses_store_index: whether parts that no store keeps count as not
         cached anywhere. Otherwise the preferred target counts as having cached
         all shared parts.
     """
 
     load: type[Load] = Load
-    chooser: type[Chooser] = Chooser
+    order: type[TargetOrder] = TargetOrder
     uses_store_index: bool = True
 
 
 POLICIES = {
     "product": Policy(),
-    "all_compared": Policy(chooser=ComparingChooser),
+    "all_compared": Policy(order=ComparingOrder),
     "others_unseen": Policy(load=ReportedLoad),
     "favourite_has_all": Policy(uses_store_index=False),
     "neither": Policy(load=ReportedLoad, uses_store_index=False),
@@ -284,13 +286,11 @@
         self.data_centre = shape.data_centre(index)
         self.period_s = shape.report_period_s
         self.directory = fleet.Directory()
-        self.chooser = simulation.policy.chooser(
-            name,
-            self.data_centre,
-            self.directory,
-            fleet.Bounds(),
-            random.Random(f"{name}-{simulation.rng.random()}"),
+        rng = random.Random(f"{name}-{simulation.rng.random()}")
+        self.chooser = Chooser(
+            name, self.data_centre, self.directory, fleet.Bounds(), rng
         )
+        self.chooser.order = simulation.policy.order(self.data_centre, rng)
         self.chooser.load = simulation.policy.load()
         offset_s = self.period_s * index / len(names)
         simulation.clock.call_at(offset_s, self._exchange_reports)
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import NamedTuple
 
 from vanillabeam.decisions import TargetRested
@@ -16,7 +16,6 @@
     Target,
 )
 from vanillabeam.forwarding.bounds import ColdTargetLimiter, ServiceRetryBudget
-from vanillabeam.forwarding.candidates import sample_candidates
 from vanillabeam.forwarding.costs import PromptCosts
 from vanillabeam.forwarding.dialect import RequestMetadata
 from vanillabeam.forwarding.downstream import spread_retry_after
@@ -24,22 +23,14 @@
 from vanillabeam.forwarding.leftout import LeftOutTargets
 from vanillabeam.forwarding.load import Load
 from vanillabeam.forwarding.memory import with_free_memory
+from vanillabeam.forwarding.ordering import TargetOrder
 from vanillabeam.forwarding.usable import Checks, usable_targets
 from vanillabeam.notices import LeftOut, Reason, TargetNotices
-from vanillabeam.rendezvous import rank
 
 __all__ = ["Choice", "Chooser"]
 
 #: Heartbeat periods without an announcement after which a target is suspect.
 SUSPECT_HEARTBEATS = 1.9
-#: Penalty of targets in other data centres: tokens of work for a prompt, or open
-#: requests for a plain call.
-REMOTE_PENALTY_TOKENS = 400
-REMOTE_PENALTY_REQUESTS = 1
-#: Penalty of a target all of whose requests fail while those of others succeed: open
-#: requests for a plain call, objectives of waiting for a prompt.
-FAILURE_PENALTY_REQUESTS = 20
-FAILURE_PENALTY_OBJECTIVES = 4.0
 
 
 class Choice(NamedTuple):
@@ -77,6 +68,7 @@
     :param bounds: limits that all entry VMs keep together.
     :param rng: seeded; breaks ties.
     :ivar load: open requests at the targets.
+    :ivar order: sorts the targets that may take a request.
     :ivar notices: what targets have asked of this VM.
     :ivar is_paused: returns whether a target is paused to load weights, given its
         name and the monotonic time.
@@ -91,13 +83,13 @@
         rng: random.Random,
     ):
         self._vm = vm
-        self._data_centre = data_centre
         self._directory = directory
         self._bounds = bounds
         self._rng = rng
         self.load = Load()
         self.notices = TargetNotices(rng)
         self.is_paused: Callable[[str, float], bool] = _never_paused
+        self.order = TargetOrder(data_centre, rng)
         self._health = Health()
         self._budgets: dict[str, ServiceRetryBudget] = {}
         self._cold_limiter = ColdTargetLimiter(bounds)
@@ -168,8 +160,8 @@
         usable = self._with_free_memory(
             usable, service, view.deployment, costs, count, now_s
         )
-        for target, work in self._by_expected_work(
-            service, usable, costs, count, now_s
+        for target, work in self.order.sort(
+            self.load, service, usable, costs, count, now_s
         ):
             is_cold = self._is_cold(target, rate, now_s)
             if is_cold and not self._cold_limiter.may_send(
@@ -385,82 +377,6 @@
             memory_tokens=memory_tokens,
         )
 
-    def _is_remote(self, target: Target) -> bool:
-        return target.data_centre != self._data_centre
-
-    def _by_open_requests(self, usable: list[Target]) -> list[Target]:
-        """Return targets for a plain call, the best first."""
-        failures = self.load.observed.failure_excess(target.name for target in usable)
-
-        def score(target: Target) -> float:
-            penalty = REMOTE_PENALTY_REQUESTS if self._is_remote(target) else 0
-            penalty += FAILURE_PENALTY_REQUESTS * failures.get(target.name, 0.0)
-            return self.load.open_requests(target.name) + penalty
-
-        usable = sorted(usable, key=lambda target: target.name)
-        self._rng.shuffle(usable)
-        return sorted(usable, key=score)
-
-    def _by_expected_work(
-        self,
-        service: str,
-        usable: list[Target],
-        costs: PromptCosts | None,
-        entries: int,
-        now_s: float,
-    ) -> Iterator[tuple[Target, int]]:
-        """Yield the targets with the work of the request there, the best first.
-
-        The few that are compared come before all others, unless the prompt would be
-        late at each of them.
-        """
-        if costs is None:
-            yield from ((target, 0) for target in self._by_open_requests(usable))
-            return
-        by_name = {target.name: target for target in usable}
-        preferred = rank(costs.affinity_key, by_name)
-        if not preferred:
-            return
-        failures = self.load.observed.failure_excess(by_name)
-        failure_tokens = self._failure_penalty_tokens(service, costs)
-
-        def work(name: str) -> int:
-            return costs.work_at(by_name[name], is_preferred=name == preferred[0])
-
-        def expected(name: str) -> float:
-            unreported = self.load.unreported_load(name, entries, now_s).tokens
-            penalty = REMOTE_PENALTY_TOKENS if self._is_remote(by_name[name]) else 0
-            penalty += failure_tokens * failures.get(name, 0.0)
-            queued = self.load.queued_tokens(name, costs.rank)
-            return queued + unreported + work(name) + penalty
-
-        candidates = self._candidates(preferred, by_name, costs)
-        compared = sorted((n for n in preferred if n in candidates), key=expected)
-        if self._is_late(service, expected(compared[0]), costs):
-            compared = sorted(preferred, key=expected)
-        yield from ((by_name[name], work(name)) for name in compared)
-        others = [name for name in preferred if name not in compared]
-        others.sort(key=expected)
-        yield from ((by_name[name], work(name)) for name in others)
-
-    def _failure_penalty_tokens(self, service: str, costs: PromptCosts) -> float:
-        """Return the work that a target counts as having if all its requests fail."""
-        lost_s = FAILURE_PENALTY_OBJECTIVES * costs.objective_s
-        return lost_s * self.load.tokens_s(service)
-
-    def _candidates(
-        self, preferred: list[str], by_name: dict[str, Target], costs: PromptCosts
-    ) -> set[str]:
-        """Return the names of the targets that are compared for a prompt."""
-        return sample_candidates(
-            preferred, by_name, costs.holders, self._data_centre, self._rng
-        )
-
-    def _is_late(self, service: str, tokens: int, costs: PromptCosts) -> bool:
-        """Return whether a prompt would miss its objective behind that much work."""
-        expected_s = self.load.wait_s(service, tokens)
-        return 0 < costs.objective_s < expected_s
-
 
 def _is_late_choice(choice: Choice, costs: PromptCosts | None) -> bool:
     """Return whether a prompt would miss its objective at the chosen target."""
--- /dev/null
+++ b/src/vanillabeam/forwarding/ordering.py
@@ -0,0 +1,116 @@
+"""Order in which the targets that may take a request are tried."""
+
+import random
+from collections.abc import Iterator
+
+from vanillabeam.fleet import Target
+from vanillabeam.forwarding.candidates import sample_candidates
+from vanillabeam.forwarding.costs import PromptCosts
+from vanillabeam.forwarding.load import Load
+from vanillabeam.rendezvous import rank
+
+__all__ = ["TargetOrder"]
+
+#: Penalty of targets in other data centres: tokens of work for a prompt, or open
+#: requests for a plain call.
+REMOTE_PENALTY_TOKENS = 400
+REMOTE_PENALTY_REQUESTS = 1
+#: Penalty of a target all of whose requests fail while those of others succeed: open
+#: requests for a plain call, objectives of waiting for a prompt.
+FAILURE_PENALTY_REQUESTS = 20
+FAILURE_PENALTY_OBJECTIVES = 4.0
+
+
+class TargetOrder:
+    """Sorts targets by the work that is open there, for one entry VM.
+
+    :param data_centre: data centre of this VM, whose targets come first.
+    :param rng: seeded; breaks ties and picks the targets that are compared.
+    """
+
+    def __init__(self, data_centre: str, rng: random.Random):
+        self._data_centre = data_centre
+        self._rng = rng
+
+    def _is_remote(self, target: Target) -> bool:
+        return target.data_centre != self._data_centre
+
+    def _by_open_requests(self, load: Load, usable: list[Target]) -> list[Target]:
+        """Return targets for a plain call, the best first."""
+        failures = load.observed.failure_excess(target.name for target in usable)
+
+        def score(target: Target) -> float:
+            penalty = REMOTE_PENALTY_REQUESTS if self._is_remote(target) else 0
+            penalty += FAILURE_PENALTY_REQUESTS * failures.get(target.name, 0.0)
+            return load.open_requests(target.name) + penalty
+
+        usable = sorted(usable, key=lambda target: target.name)
+        self._rng.shuffle(usable)
+        return sorted(usable, key=score)
+
+    def sort(
+        self,
+        load: Load,
+        service: str,
+        usable: list[Target],
+        costs: PromptCosts | None,
+        entries: int,
+        now_s: float,
+    ) -> Iterator[tuple[Target, int]]:
+        """Yield the targets with the work of the request there, the best first.
+
+        The few that are compared come before all others, unless the prompt would be
+        late at each of them.
+
+        :param load: open requests at the targets.
+        :param costs: costs of a prompt; ``None`` for a plain call.
+        :param entries: number of entry VMs, this one included.
+        """
+        if costs is None:
+            yield from ((target, 0) for target in self._by_open_requests(load, usable))
+            return
+        by_name = {target.name: target for target in usable}
+        preferred = rank(costs.affinity_key, by_name)
+        if not preferred:
+            return
+        failures = load.observed.failure_excess(by_name)
+        failure_tokens = _failure_penalty_tokens(load, service, costs)
+
+        def work(name: str) -> int:
+            return costs.work_at(by_name[name], is_preferred=name == preferred[0])
+
+        def expected(name: str) -> float:
+            unreported = load.unreported_load(name, entries, now_s).tokens
+            penalty = REMOTE_PENALTY_TOKENS if self._is_remote(by_name[name]) else 0
+            penalty += failure_tokens * failures.get(name, 0.0)
+            queued = load.queued_tokens(name, costs.rank)
+            return queued + unreported + work(name) + penalty
+
+        candidates = self.candidates(preferred, by_name, costs)
+        compared = sorted((n for n in preferred if n in candidates), key=expected)
+        if _is_late(load, service, expected(compared[0]), costs):
+            compared = sorted(preferred, key=expected)
+        yield from ((by_name[name], work(name)) for name in compared)
+        others = [name for name in preferred if name not in compared]
+        others.sort(key=expected)
+        yield from ((by_name[name], work(name)) for name in others)
+
+    def candidates(
+        self, preferred: list[str], by_name: dict[str, Target], costs: PromptCosts
+    ) -> set[str]:
+        """Return the names of the targets that are compared for a prompt."""
+        return sample_candidates(
+            preferred, by_name, costs.holders, self._data_centre, self._rng
+        )
+
+
+def _failure_penalty_tokens(load: Load, service: str, costs: PromptCosts) -> float:
+    """Return the work that a target counts as having if all its requests fail."""
+    lost_s = FAILURE_PENALTY_OBJECTIVES * costs.objective_s
+    return lost_s * load.tokens_s(service)
+
+
+def _is_late(load: Load, service: str, tokens: float, costs: PromptCosts) -> bool:
+    """Return whether a prompt would miss its objective behind that much work."""
+    expected_s = load.wait_s(service, tokens)
+    return 0 < costs.objective_s < expected_s
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -1,8 +1,11 @@
 from tests.fleet.builders import make_target, make_view
 from tests.forwarding.builders import make_chooser, make_metadata, make_prompt
 from vanillabeam.fleet.loads import make_load
-from vanillabeam.forwarding.choice import REMOTE_PENALTY_REQUESTS, REMOTE_PENALTY_TOKENS
 from vanillabeam.forwarding.costs import estimate_costs
+from vanillabeam.forwarding.ordering import (
+    REMOTE_PENALTY_REQUESTS,
+    REMOTE_PENALTY_TOKENS,
+)
 
 ENTRIES = ("vm-1",)
 
