Send evidence of ended targets to the leader only, and for a shorter time

Cause, found in reading: each entry VM repeated up to 256 broken requests with each poll of each control VM for 30 s, some 30 KB a poll after a large loss, where only the leader decides; an entry VM of the larger fleets has 5 Mbit/s.

Change: it goes to the control VM that led at its last reply (to all while none is known to lead), 64 requests at most, for 15 s. The new test of the follower covers the change of leader; not run on the code before, where its second check can't hold.

--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -301,9 +301,10 @@
             scope=poll.scope,
             entries_digest=digest_names(self.entry_vms),
         )
-        evidence = self.evidence.evidence(self.accused, requested_s)
-        if evidence is not None:
-            request["evidence"] = evidence
+        if self._may_lead(control_vm):
+            evidence = self.evidence.evidence(self.accused, requested_s)
+            if evidence is not None:
+                request["evidence"] = evidence
         due_s = requested_s + poll.wait_s + REPLY_MARGIN_S
         control_vm.due_s = min(control_vm.due_s, due_s)
         with trio.move_on_after(REPLY_TIMEOUT_S):
@@ -315,6 +316,11 @@
             return wire.decode(WatchReply, answer.unwrap()).value_or(None)
         return None
 
+    def _may_lead(self, control_vm: ControlVm) -> bool:
+        """Return whether a control VM led at its last reply, or none is known to."""
+        known = any(other.is_leader for other in self._control_vms.values())
+        return control_vm.is_leader or not known
+
     def _apply(self, reply: WatchReply, control_vm: ControlVm) -> None:
         now_s = trio.current_time()
         if control_vm.epoch != reply["epoch"]:
--- a/src/vanillabeam/forwarding/endings.py
+++ b/src/vanillabeam/forwarding/endings.py
@@ -14,13 +14,13 @@
 __all__ = ["BrokenAnswer", "TargetEnds"]
 
 #: Time for which an end of a target is reported to the leader.
-REPORT_S = 30.0
+REPORT_S = 15.0
 #: Time within which the end of a target is known after its answers broke off.
 PENDING_S = 10.0
 #: Age of news that is taken to be older than the break of an answer.
 NEWS_MARGIN_S = 0.3
 #: Broken requests that are kept at most.
-MAX_BROKEN = 256
+MAX_BROKEN = 64
 #: Parts whose last whole answer is known.
 MAX_ANSWERED = 8_192
 #: Parts of a prompt in a log line.
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -30,6 +30,10 @@
         self.entries = ["vm-1", "vm-2"]
         self.silent = False
         self.request_count = 0
+        #: Parts that it asks about as the leader; ``None`` on another control VM.
+        self.accused = None
+        #: Evidence that it was told, with the time.
+        self.told = []
 
     async def answer(self, body):
         self.request_count += 1
@@ -37,6 +41,8 @@
         if self.silent:
             await trio.sleep_forever()
         request = wire.decode(WatchRequest, body).unwrap()
+        if "evidence" in request:
+            self.told.append((trio.current_time(), request["evidence"]))
         if self._is_up_to_date(request):
             await trio.sleep(request["wait_s"])
         now_s = trio.current_time()
@@ -51,6 +57,8 @@
             now_s,
         )
         reply["named"] = self.version_ages
+        if self.accused is not None:
+            reply["accused"] = self.accused
         return Success(wire.encode(reply))
 
     def _is_up_to_date(self, request):
@@ -295,3 +303,43 @@
         assert harness.follower.deployment_number() == 1
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class Observer:
+    """Observations that there always are some of."""
+
+    def evidence(self, accused, now_s):
+        return {
+            "broken": [],
+            "answered": dict.fromkeys(accused, 0.5),
+            "waiting": [],
+            "trying": [],
+        }
+
+
+# Guards against evidence that is lost with a leader, or goes to all control VMs.
+def test_evidence_goes_to_the_leader_and_to_the_next_one():
+    harness = Harness()
+    harness.follower.evidence = Observer()
+    told = {address: [] for address in harness.control_vms}
+    for address, control_vm in harness.control_vms.items():
+        control_vm.told = told[address]
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(harness.follower.run)
+            harness[0].accused = {"p-1": 2}
+            await trio.sleep(3.0)
+            since_s = trio.current_time()
+            first = [at_s for at_s, _ in told["10.0.0.1:7"]]
+            assert max(first) > since_s - 1.0
+            assert told["10.0.0.1:7"][-1][1]["answered"] == {"p-1": 0.5}
+            assert all(at_s < 1.0 for at_s, _ in told["10.0.0.2:7"])
+            harness[0].accused = None
+            harness[1].accused = {}
+            await trio.sleep(3.0)
+            assert max(at_s for at_s, _ in told["10.0.0.2:7"]) > since_s + 2.0
+            assert all(at_s < since_s + 1.0 for at_s, _ in told["10.0.0.1:7"])
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
