Divide the log's loop: bootstrap and promises have a module of their own

The path of the operators' calls stood in two modules and the wait for promises in two tests; each stands once now.

--- a/src/vanillabeam/cli/parts.py
+++ b/src/vanillabeam/cli/parts.py
@@ -17,11 +17,10 @@
     print_json,
     unwrap_or_exit,
 )
+from vanillabeam.fleet.quarantine import QUARANTINE_PATH
 
 __all__ = ["app"]
 
-QUARANTINE_PATH = "/peer/fleet/quarantine"
-
 app = typer.Typer(
     no_args_is_help=True,
     help="Parts of prompts under which targets end; ask a control VM of a fleet.",
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -33,7 +33,8 @@
     FleetState,
 )
 from vanillabeam.fleet.parts import FETCH_LIMIT_S
-from vanillabeam.fleet.quarantining import QUARANTINE_PATH, QuarantineTask
+from vanillabeam.fleet.quarantine import QUARANTINE_PATH
+from vanillabeam.fleet.quarantining import QuarantineTask
 from vanillabeam.fleet.reclaimer import is_outdated
 from vanillabeam.fleet.records import Deployment, FleetSettings, Target
 from vanillabeam.fleet.stores import StoreCalls, StoreTracker
--- a/src/vanillabeam/fleet/quarantine.py
+++ b/src/vanillabeam/fleet/quarantine.py
@@ -11,6 +11,7 @@
     "MAX_QUARANTINED",
     "NO_TRIAL",
     "OPEN_TRIAL",
+    "QUARANTINE_PATH",
     "QuarantineChange",
     "QuarantinedPart",
     "Quarantine",
@@ -18,6 +19,8 @@
     "trial_delay_s",
 ]
 
+#: Path at control VMs at which operators list and release parts.
+QUARANTINE_PATH = "/peer/fleet/quarantine"
 #: Quarantined parts that are kept; the oldest record gives way.
 MAX_QUARANTINED = 256
 #: Time until the first trials after failed ones of a part that was answered before: it
--- a/src/vanillabeam/fleet/quarantining.py
+++ b/src/vanillabeam/fleet/quarantining.py
@@ -18,9 +18,8 @@
 from vanillabeam.log import Applied, LogNode
 from vanillabeam.log.exceptions import LogError
 
-__all__ = ["QUARANTINE_PATH", "QuarantineReply", "QuarantineRequest", "QuarantineTask"]
+__all__ = ["QuarantineReply", "QuarantineRequest", "QuarantineTask"]
 
-QUARANTINE_PATH = "/peer/fleet/quarantine"
 PERIOD_S = 0.1
 #: Targets and requests of a conviction in a log line.
 MAX_LOGGED_EVIDENCE = 8
--- a/src/vanillabeam/log/bootstrap.py
+++ b/src/vanillabeam/log/bootstrap.py
@@ -20,7 +20,8 @@
 
 from vanillabeam import wire
 from vanillabeam.log.client import LogClient
-from vanillabeam.log.loop import BootstrapGroup, ReplicaLoop
+from vanillabeam.log.founding import BootstrapGroup
+from vanillabeam.log.loop import ReplicaLoop
 from vanillabeam.log.records import Address, Member, Membership
 from vanillabeam.log.requests import (
     GroupRequest,
--- a/src/vanillabeam/log/loop.py
+++ b/src/vanillabeam/log/loop.py
@@ -12,7 +12,7 @@
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.log.contents import Contents
 from vanillabeam.log.core import handle, next_tick_s
-from vanillabeam.log.entries import EntryLog, encode_membership
+from vanillabeam.log.entries import EntryLog
 from vanillabeam.log.events import (
     Apply,
     Effect,
@@ -34,13 +34,18 @@
     Tick,
 )
 from vanillabeam.log.exceptions import LogError, ReplicaStopped
+from vanillabeam.log.founding import (
+    BootstrapGroup,
+    BootstrapPromise,
+    bootstrap_contents,
+    is_free_to_bootstrap,
+    store_bootstrap,
+    store_promise,
+)
 from vanillabeam.log.messages import Envelope, SnapshotChunk
 from vanillabeam.log.outbox import Outbox
 from vanillabeam.log.records import (
-    Entry,
-    EntryKind,
     LogSettings,
-    Membership,
     Snapshot,
     StateMachine,
 )
@@ -58,7 +63,6 @@
 ]
 
 INBOX_ITEMS = 1024
-BOOTSTRAP_TERM = 1
 
 
 class EventBatch(NamedTuple):
@@ -74,28 +78,6 @@
     answer: trio.MemorySendChannel[list[Envelope]] | None = None
 
 
-class BootstrapGroup(NamedTuple):
-    """Bootstrap the group with this replica as its only voter.
-
-    :param replicas: member ids of all other initial VMs' replicas, which have no group.
-    """
-
-    group_id: str
-    membership: Membership
-    replicas: frozenset[str] = frozenset()
-
-
-class BootstrapPromise(NamedTuple):
-    """Store a promise to let another replica bootstrap the group.
-
-    :param founder: member id of that replica.
-    :param answer: receives ``None`` once the promise is stored.
-    """
-
-    founder: str
-    answer: trio.MemorySendChannel[None]
-
-
 def load_replica(
     storage: Storage,
     contents: Contents,
@@ -381,24 +363,19 @@
             return
         handle(SnapshotSaved(index), state, trio.current_time())
 
-    def _is_free_to_bootstrap(self, replicas: frozenset[str]) -> bool:
-        """Return whether this replica has promised no existing one to wait for it.
-
-        :param replicas: the replicas of all other initial VMs.
-        """
-        promised = self.storage.identity["promised"]
-        is_lost = promised not in replicas and self.replica.settings.open_requires_all
-        return not promised or is_lost
-
     async def _handle_bootstrap(self, item: BootstrapGroup | BootstrapPromise) -> None:
         if isinstance(item, BootstrapPromise):
             has_group = bool(self.replica.group_id)
-            if has_group or await self._save(partial(_promise, self.storage, item)):
+            if has_group or await self._save(
+                partial(store_promise, self.storage, item)
+            ):
                 item.answer.send_nowait(None)
             else:
                 item.answer.close()
             return
-        if self.replica.group_id or not self._is_free_to_bootstrap(item.replicas):
+        requires_all = self.replica.settings.open_requires_all
+        is_free = is_free_to_bootstrap(self.storage, item, requires_all)
+        if self.replica.group_id or not is_free:
             return
         contents = bootstrap_contents(self.storage.identity, item)
         if not await self._save(partial(store_bootstrap, self.storage, contents)):
@@ -460,37 +437,3 @@
         storage.snapshot_crc,
         effect.round,
     )
-
-
-def bootstrap_contents(identity: dict, item: BootstrapGroup) -> Contents:
-    """Return the contents of a bootstrapping replica's data folder.
-
-    They consist of one entry with the initial membership, of which the replica
-    is the only voter.
-    """
-    body = encode_membership(item.membership)
-    entry = Entry(item.membership.index, BOOTSTRAP_TERM, EntryKind.MEMBERS, body)
-    return Contents(
-        identity | {"group_id": item.group_id},
-        entries=(entry,),
-        term=BOOTSTRAP_TERM,
-        voted_for=identity["member_id"],
-    )
-
-
-def store_bootstrap(storage: Storage, contents: Contents) -> Result[None, LogError]:
-    """Store the contents of a bootstrapping replica's data folder.
-
-    The group id is stored last: the group exists from then on.
-    """
-    term = SaveTerm(contents.term, contents.voted_for)
-    stored = storage.write([term, SaveEntries(contents.entries)], 0)
-    if isinstance(stored, Failure):
-        return stored
-    return storage.save_identity(group_id=contents.identity["group_id"])
-
-
-def _promise(storage: Storage, item: BootstrapPromise) -> Result[None, LogError]:
-    if storage.identity["promised"] == item.founder:
-        return Success(None)
-    return storage.save_identity(promised=item.founder)
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -28,7 +28,8 @@
     StorageFailed,
 )
 from vanillabeam.log.folder import DiskFolder, Folder
-from vanillabeam.log.loop import BootstrapPromise, EventBatch, ReplicaLoop, load_replica
+from vanillabeam.log.founding import BootstrapPromise
+from vanillabeam.log.loop import EventBatch, ReplicaLoop, load_replica
 from vanillabeam.log.messages import (
     Envelope,
     decode_message_batch,
--- a/tests/log/cluster.py
+++ b/tests/log/cluster.py
@@ -33,13 +33,11 @@
     Tick,
     TransferLeadership,
 )
+from vanillabeam.log.founding import BootstrapGroup, bootstrap_contents, store_bootstrap
 from vanillabeam.log.loop import (
-    BootstrapGroup,
-    bootstrap_contents,
     load_replica,
     make_chunk,
     persist_effects,
-    store_bootstrap,
     take_snapshot,
 )
 from vanillabeam.log.members import losses_left
--- a/tests/log/test_bootstrap.py
+++ b/tests/log/test_bootstrap.py
@@ -9,12 +9,8 @@
 from vanillabeam.log import LogSettings
 from vanillabeam.log.bootstrap import GROUP_ID_BYTES
 from vanillabeam.log.exceptions import StorageFailed
-from vanillabeam.log.loop import (
-    BootstrapGroup,
-    BootstrapPromise,
-    ReplicaLoop,
-    load_replica,
-)
+from vanillabeam.log.founding import BootstrapGroup, BootstrapPromise
+from vanillabeam.log.loop import ReplicaLoop, load_replica
 from vanillabeam.log.records import Member, Membership
 from vanillabeam.log.storage import open_storage
 
--- a/tests/log/test_founder.py
+++ b/tests/log/test_founder.py
@@ -31,6 +31,12 @@
     return leader is not None and leader.status()["opened"]
 
 
+def have_promised(group):
+    """Return whether all others have promised to wait for the first VM."""
+    storages = [group.nodes[vm]._loop.storage for vm in FIRST[1:]]
+    return all(storage.identity["promised"] for storage in storages)
+
+
 def votes(group, vm):
     members = group.leader.status()["members"] if group.leader else []
     return any(member["vm"] == vm and member["votes"] for member in members)
@@ -120,12 +126,7 @@
 ):
     for vm in FIRST:
         await group.start(vm)
-
-    def have_promised():
-        storages = [group.nodes[vm]._loop.storage for vm in FIRST[1:]]
-        return all(storage.identity["promised"] for storage in storages)
-
-    await wait_until(have_promised)
+    await wait_until(partial(have_promised, group))
     group.stop("vm-1")
     del group.folders["vm-1"]
     await group.start("vm-1", bootstrap=False)
@@ -155,12 +156,7 @@
 async def test_a_vm_keeps_its_promise_while_the_founder_is_away_with_its_disk(group):
     for vm in FIRST:
         await group.start(vm)
-
-    def have_promised():
-        storages = [group.nodes[vm]._loop.storage for vm in FIRST[1:]]
-        return all(storage.identity["promised"] for storage in storages)
-
-    await wait_until(have_promised)
+    await wait_until(partial(have_promised, group))
     group.stop("vm-1")
     await trio.sleep(20)
     assert not is_open(group)
