Show targets that a control VM hears and this VM doesn't list

The incident's logs say that targets were dropped as silent, and nothing says that others go on hearing them: the absence of a line is all there is. Every VM now counts such targets (vanillabeam_unlisted_targets) and logs each lasting one (target-unlisted, with the control VM that hears it and since when); vanillabeam_targets is served by control VMs too.

--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -65,6 +65,7 @@
     TargetPaused,
     TargetRested,
     TargetSilent,
+    TargetUnlisted,
     WeightsOrdered,
 )
 
@@ -114,6 +115,7 @@
     "TargetPaused",
     "TargetRested",
     "TargetSilent",
+    "TargetUnlisted",
     "TaskFailed",
     "WeightsOrdered",
     "event_name",
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -59,6 +59,7 @@
     TargetPaused,
     TargetRested,
     TargetSilent,
+    TargetUnlisted,
     WeightsOrdered,
 )
 
@@ -93,6 +94,7 @@
     TargetChanged: Kind("INFO", _RARE_LINES_S),
     TargetLeft: Kind("INFO", _RARE_LINES_S),
     TargetSilent: Kind("WARNING", _RARE_LINES_S),
+    TargetUnlisted: Kind("WARNING", _RARE_LINES_S),
     TargetRested: Kind("WARNING", _RARE_LINES_S),
     TargetLeaving: Kind("INFO", _RARE_LINES_S),
     TargetPaused: Kind("INFO", _RARE_LINES_S),
--- a/src/vanillabeam/decisions/targets.py
+++ b/src/vanillabeam/decisions/targets.py
@@ -14,6 +14,7 @@
     "TargetPaused",
     "TargetRested",
     "TargetSilent",
+    "TargetUnlisted",
     "WeightsOrdered",
 ]
 
@@ -76,6 +77,20 @@
     born_ms: int
 
 
+class TargetUnlisted(NamedTuple):
+    """A control VM hears a target that this VM doesn't list.
+
+    :param address: ``host:port`` of the control VM for other VMs.
+    :param age_s: age of the newest announcement in seconds, by that control VM.
+    :param unlisted_s: seconds since its replies first named the target.
+    """
+
+    target: str
+    address: str
+    age_s: float
+    unlisted_s: float
+
+
 class TargetRested(NamedTuple):
     """A target that gave no valid answer gets no requests for a backoff time.
 
--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -113,6 +113,10 @@
         is_known = record is not None and record.target.incarnation == incarnation
         return is_known and record.target.draining
 
+    def has_ended(self, name: str) -> bool:
+        """Return whether an incarnation of this name is known to have ended."""
+        return any(ended == name for ended, _ in self._ended)
+
     def refresh(self, name: str, last_seen_s: float) -> None:
         """Record a later announcement that changed nothing else.
 
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -38,6 +38,7 @@
 )
 from vanillabeam.fleet.records import Deployment, FleetSettings
 from vanillabeam.fleet.targetlog import log_target
+from vanillabeam.fleet.unlisted import note_unlisted
 from vanillabeam.fleet.view import FleetView, merge_version_times
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, digest_names
 from vanillabeam.peercall import PeerCall
@@ -181,6 +182,15 @@
         """Return the number of known targets."""
         return len(self.directory.records)
 
+    def unlisted_count(self) -> int:
+        """Return the number of targets that control VMs hear and this VM doesn't list.
+
+        Replies that are older than the silence of a target don't count.
+        """
+        limit_s = trio.current_time() - self._cfg.bounds.silence_s
+        recent = [vm for vm in self._control_vms.values() if vm.last_seen_s > limit_s]
+        return len({name for vm in recent for name in vm.unlisted_since_s})
+
     def age_s(self) -> float:
         """Return the seconds since the last reply of any control VM."""
         last_seen = [vm.last_seen_s for vm in self._control_vms.values()]
@@ -326,7 +336,6 @@
         if control_vm.epoch != reply["epoch"]:
             log_record(ControlHeard(control_vm.address, reply["epoch"], reply["index"]))
         control_vm.epoch, control_vm.version = reply["epoch"], reply["version"]
-        control_vm.last_seen_s, control_vm.due_s = now_s, float("inf")
         control_vm.is_leader = "accused" in reply or "parts" in reply
         control_vm.data_centre = reply.get("data_centre", "")
         if "reported" in reply:
@@ -336,6 +345,9 @@
         if "state" in reply:
             self._apply_state(reply)
         self._apply_targets(reply, now_s)
+        silence_s = self._cfg.bounds.silence_s
+        note_unlisted(self.directory, reply["ages_s"], control_vm, silence_s, now_s)
+        control_vm.last_seen_s, control_vm.due_s = now_s, float("inf")
         self._apply_entries(reply, control_vm, now_s)
         self._apply_addresses(reply, now_s)
 
--- a/src/vanillabeam/fleet/polling.py
+++ b/src/vanillabeam/fleet/polling.py
@@ -62,6 +62,8 @@
     :ivar last_advertised_s: monotonic time at which a reply last listed it.
     :ivar due_s: monotonic time by which a reply is due, since the last one.
     :ivar scope: cancels the request that is under way; ``None`` before the first.
+    :ivar unlisted_since_s: targets that its last reply names and that this VM doesn't
+        list, with the monotonic time of the first such reply.
     """
 
     def __init__(self, address: str):
@@ -75,6 +77,7 @@
         self.last_advertised_s = float("-inf")
         self.due_s = float("inf")
         self.scope: trio.CancelScope | None = None
+        self.unlisted_since_s: dict[str, float] = {}
 
     def is_silent(self, now_s: float) -> bool:
         """Return whether it has never replied, or its reply is overdue."""
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -237,7 +237,7 @@
         add_gauge(
             "deployment_number", "Deployment in force.", follower.deployment_number
         )
-        add_gauge("targets", "Targets that are known.", follower.target_count)
+        self._add_target_metrics(follower)
         add_gauge(
             "quarantined_parts",
             "Parts of prompts that are kept from targets.",
@@ -248,6 +248,15 @@
             "open_requests", "Requests without a whole answer.", self._open_requests
         )
 
+    def _add_target_metrics(self, follower: Follower) -> None:
+        add_gauge = self.counters.add_gauge
+        add_gauge("targets", "Targets that are known.", follower.target_count)
+        add_gauge(
+            "unlisted_targets",
+            "Targets that control VMs hear and this VM doesn't list.",
+            follower.unlisted_count,
+        )
+
     def _add_notice_metrics(self, follower: Follower, chooser: Chooser) -> None:
         def known() -> set[Incarnation]:
             records = follower.directory.records.values()
@@ -270,6 +279,8 @@
         add_gauge("log_applied", "Index applied.", lambda: control.node.applied)
         add_gauge("log_leads", "Whether this VM leads.", lambda: control.node.is_leader)
         add_gauge("kept_parts", "Parts that stores keep.", control.stores.index.count)
+        if not self.cfg.entry_address:
+            self._add_target_metrics(control.follower)
 
     def _open_requests(self) -> int:
         return self.lifecycle.open_requests
