Two failing tests of targets that are never listed again

A follower that dropped a target as silent, or refused its record once, never learns of it again: ['t-2'] for ['t-1', 't-2'], and [] for ['t-2'].

--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -187,6 +187,46 @@
     assert harness.follower.directory.records == {}
 
 
+async def announce(control_vm, target, period_s=1.2):
+    """Announce a target to a control VM again and again."""
+    while True:
+        control_vm.directory.update(target, trio.current_time())
+        target = target._replace(sequence=target.sequence + 1)
+        await trio.sleep(period_s)
+
+
+# Guards against targets that stay on older weights and get no work: after a cut between
+# control VMs, the others never listed again a target that announced itself to one only.
+@with_harness
+async def test_a_target_heard_by_a_cut_off_control_vm_is_listed_after_the_cut(harness):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(announce, harness[0], make_target("t-1"))
+        nursery.start_soon(announce, harness[1], make_target("t-2"))
+        await trio.sleep(1.0)
+        harness[0].silent = True
+        await trio.sleep(BOUNDS.silence_s + 3.0)
+        assert sorted(harness.follower.directory.records) == ["t-2"]
+        harness[0].silent = False
+        await trio.sleep(3.0)
+        assert sorted(harness.follower.directory.records) == ["t-1", "t-2"]
+        nursery.cancel_scope.cancel()
+
+
+# Guards against a target that stays unlisted: its record came while an earlier start,
+# whose host's clock was ahead, was still listed, and was refused for good.
+@with_harness
+async def test_a_record_that_was_refused_is_taken_once_nothing_contradicts_it(harness):
+    earlier = make_target("t-1", address="10.0.0.9:80", born_ms=9_000)
+    later = make_target("t-2", address="10.0.0.9:80", born_ms=2_000)
+    harness[1].directory.update(earlier, trio.current_time())
+    await trio.sleep(1.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(announce, harness[0], later)
+        await trio.sleep(BOUNDS.silence_s + 3.0)
+        assert sorted(harness.follower.directory.records) == ["t-2"]
+        nursery.cancel_scope.cancel()
+
+
 @with_harness
 async def test_a_control_vm_listed_by_another_is_polled(harness):
     newcomer = harness.control_vms["10.0.0.9:7"] = ControlVm("e-9")
