List a silent target again once a control VM still hears it

Cause: replies to a VM that follows a control VM hold changed records only. A follower drops a target by itself once what it hears of it is 4 s old, here during a cut between control VMs, and after that gets only the target's age, which refresh() ignored for a target that it doesn't list. The control VM that the target calls had heard it all the time, so nothing changed there and nothing was sent again. The leader ordered nothing, and entry VMs refuse targets on older weights.

Change: each VM keeps what each control VM's process has sent, as long as its replies name the target, and offers it to the directory again where that lists another start or none. The same holds for a record that was refused once, as an earlier start at its address was still listed. The age of another start no longer keeps a record alive, and a cold window isn't renewed. No message changes, so both releases can run beside each other.

--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -37,6 +37,7 @@
     plan_relay,
 )
 from vanillabeam.fleet.records import Deployment, FleetSettings
+from vanillabeam.fleet.sent import SentTargets
 from vanillabeam.fleet.targetlog import log_target
 from vanillabeam.fleet.unlisted import note_unlisted
 from vanillabeam.fleet.view import FleetView, merge_version_times
@@ -335,6 +336,7 @@
         now_s = trio.current_time()
         if control_vm.epoch != reply["epoch"]:
             log_record(ControlHeard(control_vm.address, reply["epoch"], reply["index"]))
+            control_vm.sent = SentTargets()
         control_vm.epoch, control_vm.version = reply["epoch"], reply["version"]
         control_vm.is_leader = "accused" in reply or "parts" in reply
         control_vm.data_centre = reply.get("data_centre", "")
@@ -344,7 +346,7 @@
             self._first_reply_s = now_s
         if "state" in reply:
             self._apply_state(reply)
-        self._apply_targets(reply, now_s)
+        self._apply_targets(reply, control_vm, now_s)
         silence_s = self._cfg.bounds.silence_s
         note_unlisted(self.directory, reply["ages_s"], control_vm, silence_s, now_s)
         control_vm.last_seen_s, control_vm.due_s = now_s, float("inf")
@@ -380,15 +382,20 @@
             )
         )
 
-    def _apply_targets(self, reply: WatchReply, now_s: float) -> None:
+    def _apply_targets(
+        self, reply: WatchReply, control_vm: ControlVm, now_s: float
+    ) -> None:
         for incarnation in reply["ended"]:
             self.directory.mark_ended(tuple(incarnation))
-        for report in reply["targets"]:
-            target = report["target"]
-            if self.directory.update(target, now_s - report["age_s"]):
-                log_target(target, report["age_s"])
-        for name, age_s in reply["ages_s"].items():
-            self.directory.refresh(name, now_s - age_s)
+        changed = control_vm.sent.apply(
+            reply["targets"],
+            reply["ages_s"],
+            self.directory,
+            self._cfg.bounds.silence_s,
+            now_s,
+        )
+        for target, age_s in changed:
+            log_target(target, age_s)
         for name, born_ms, model, version in reply.get("seen", ()):
             self.directory.update_weight_version((name, born_ms), model, version)
         for name in reply.get("paused", ()):
--- a/src/vanillabeam/fleet/polling.py
+++ b/src/vanillabeam/fleet/polling.py
@@ -14,6 +14,7 @@
 import trio
 
 from vanillabeam.fleet.loads import LoadScope
+from vanillabeam.fleet.sent import SentTargets
 from vanillabeam.rendezvous import rank
 
 __all__ = [
@@ -62,6 +63,7 @@
     :ivar last_advertised_s: monotonic time at which a reply last listed it.
     :ivar due_s: monotonic time by which a reply is due, since the last one.
     :ivar scope: cancels the request that is under way; ``None`` before the first.
+    :ivar sent: targets that its process has sent.
     :ivar unlisted_since_s: targets that its last reply names and that this VM doesn't
         list, with the monotonic time of the first such reply.
     """
@@ -77,6 +79,7 @@
         self.last_advertised_s = float("-inf")
         self.due_s = float("inf")
         self.scope: trio.CancelScope | None = None
+        self.sent = SentTargets()
         self.unlisted_since_s: dict[str, float] = {}
 
     def is_silent(self, now_s: float) -> bool:
