Records of the settings in a module of their own, so that checks need no circle

Cause: `settings` imported `settingschecks` for its checks, and that imported `Listener` and `Settings` back for its annotations, under TYPE_CHECKING.

Change: the records, with their defaults and bounds, are `settingsrecords`, which both import. `settings` names the same things as before, so nothing that imports from it changes. No behaviour changes: docs/settings.md and docs/settings.schema.json, which a test compares with the code, are the same to the byte.

Ran: tests/test_settings.py, tests/test_reference.py, tests/test_docs.py.

--- a/src/vanillabeam/settingschecks.py
+++ b/src/vanillabeam/settingschecks.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Iterator
 from pathlib import Path
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from vanillabeam.settings import Listener, Settings
+from vanillabeam.settingsrecords import Listener, Settings
 
 __all__ = ["KEY_FILES", "all_listeners", "consistency_faults"]
 
@@ -15,7 +13,7 @@
 KEY_FILES = ("peer_key_file", "target_key_file")
 
 
-def all_listeners(cfg: "Settings") -> Iterator[tuple[str, "Listener"]]:
+def all_listeners(cfg: Settings) -> Iterator[tuple[str, Listener]]:
     """Return all listeners of a VM, each with its path in the settings."""
     for name, listener in cfg["listeners"].items():
         yield f"listeners.{name}", listener
@@ -23,7 +21,7 @@
         yield "store.listener", cfg["store"]["listener"]
 
 
-def consistency_faults(cfg: "Settings") -> Iterator[str]:
+def consistency_faults(cfg: Settings) -> Iterator[str]:
     """Return the faults of settings that their schema allows."""
     yield from _port_faults(cfg)
     yield from _file_faults(cfg)
@@ -31,7 +29,7 @@
     yield from _role_faults(cfg)
 
 
-def _port_faults(cfg: "Settings") -> Iterator[str]:
+def _port_faults(cfg: Settings) -> Iterator[str]:
     earlier: list[tuple[str, Listener]] = []
     for path, listener in all_listeners(cfg):
         clashing = [name for name, other in earlier if _clash(listener, other)]
@@ -40,7 +38,7 @@
         earlier.append((path, listener))
 
 
-def _clash(one: "Listener", other: "Listener") -> bool:
+def _clash(one: Listener, other: Listener) -> bool:
     """Return whether two listeners can't both bind their addresses."""
     if not one["port"] or one["port"] != other["port"]:
         return False
@@ -48,7 +46,7 @@
     return len(hosts) == 1 or bool(hosts & ALL_ADDRESSES)
 
 
-def _file_faults(cfg: "Settings") -> Iterator[str]:
+def _file_faults(cfg: Settings) -> Iterator[str]:
     paths = [(key, cfg[key]) for key in KEY_FILES]
     for path, listener in all_listeners(cfg):
         tls = listener["tls"] or {}
@@ -62,7 +60,7 @@
             yield f"{path}: {name}: {exc.strerror}"
 
 
-def _member_faults(cfg: "Settings") -> Iterator[str]:
+def _member_faults(cfg: Settings) -> Iterator[str]:
     members = cfg["control"]["members"]
     if not members and not cfg["seeds"]:
         yield "control.members: none; name them, or give seeds"
@@ -79,7 +77,7 @@
             yield f"control.members: {vm} is not among the peers"
 
 
-def _role_faults(cfg: "Settings") -> Iterator[str]:
+def _role_faults(cfg: Settings) -> Iterator[str]:
     is_member = cfg["vm"] in cfg["control"]["members"]
     if ("control" in cfg["roles"]) and cfg["data_folder"] is None:
         yield "data_folder: the control role needs one"
