Gauges and operators' answers name what they read of a VM, not the VM

Cause: `gauges` and `operatorservice` imported `Vm` for an annotation, and `vm` imports both to start them.

Change: `observedvm.ObservedVm` is a protocol of the parts that they read. Only annotations change.

--- a/src/vanillabeam/gauges.py
+++ b/src/vanillabeam/gauges.py
@@ -1,13 +1,9 @@
 """Periodic gauges and totals of a VM, sent to statsd."""
 
-from typing import TYPE_CHECKING
-
 import trio
 
 from vanillabeam.metrics import Counter, Gauge, Metrics
-
-if TYPE_CHECKING:
-    from vanillabeam.vm import Vm
+from vanillabeam.observedvm import ObservedVm
 
 __all__ = ["Gauges"]
 
@@ -21,7 +17,7 @@
     :param vm: the VM; its components must have been made.
     """
 
-    def __init__(self, vm: "Vm"):
+    def __init__(self, vm: ObservedVm):
         self._vm = vm
         self._components = vm.components
         self._metrics: Metrics = vm.metrics
--- a/src/vanillabeam/operatorservice.py
+++ b/src/vanillabeam/operatorservice.py
@@ -1,6 +1,6 @@
 """Operators' requests, answered by one VM for the whole system."""
 
-from typing import TYPE_CHECKING, Any, TypedDict
+from typing import Any, TypedDict
 
 import trio
 from returns.result import Failure, Result, Success
@@ -8,12 +8,10 @@
 from vanillabeam import wire
 from vanillabeam.burn import BurnSummary, report
 from vanillabeam.exceptions import PeerUnreachable, UnknownTrace, VanillabeamError
+from vanillabeam.observedvm import ObservedVm
 from vanillabeam.peercall import PeerRoutes
 from vanillabeam.spread.status import find_missing
 
-if TYPE_CHECKING:
-    from vanillabeam.vm import Vm
-
 __all__ = ["OperatorService"]
 
 APPLY_PATH = "/peer/tickets/apply"
@@ -43,7 +41,7 @@
     :param vm: the VM that received the request; its components must be made.
     """
 
-    def __init__(self, vm: "Vm"):
+    def __init__(self, vm: ObservedVm):
         self._vm = vm
         self._components = vm.components
 
