State of an owner of targets apart from its handlers

Cause: `targets.owner` held the state and its event handlers; the handlers call functions of `granting` and `takeover`, which imported the state back, under TYPE_CHECKING.

No behaviour changes.

Ran: tests/targets.

--- a/src/vanillabeam/targets/granting.py
+++ b/src/vanillabeam/targets/granting.py
@@ -1,7 +1,5 @@
 """Queue permit requests for a target and grant them as permits become free."""
 
-from typing import TYPE_CHECKING
-
 from returns.result import Failure, Success
 
 from vanillabeam.admission import FairQueue, QueuedRequest
@@ -11,11 +9,9 @@
 from vanillabeam.targets.events import Effect, GrantedPermit, PermitAnswer
 from vanillabeam.targets.exceptions import BreakerOpen, MovedOn, Shed, TakingOver
 from vanillabeam.targets.grants import Grant, OwnedTarget
+from vanillabeam.targets.ownerstate import Owner
 from vanillabeam.targets.records import PermitRequest
 
-if TYPE_CHECKING:
-    from vanillabeam.targets.owner import Owner
-
 __all__ = [
     "make_granted_permit",
     "remove_queued",
@@ -31,7 +27,7 @@
 
 
 def enqueue(
-    state: "Owner", target: OwnedTarget, request: PermitRequest, now_s: float
+    state: Owner, target: OwnedTarget, request: PermitRequest, now_s: float
 ) -> list[Effect]:
     """Add a request to the target's queue, or refuse it at once.
 
@@ -67,7 +63,7 @@
     return effects + grant_queued(state, target, now_s)
 
 
-def grant_all_queued(state: "Owner", now_s: float) -> list[Effect]:
+def grant_all_queued(state: Owner, now_s: float) -> list[Effect]:
     """Grant queued requests at every target, as far as its limit allows."""
     effects: list[Effect] = []
     for target in state.owned.values():
@@ -75,7 +71,7 @@
     return effects
 
 
-def grant_queued(state: "Owner", target: OwnedTarget, now_s: float) -> list[Effect]:
+def grant_queued(state: Owner, target: OwnedTarget, now_s: float) -> list[Effect]:
     """Grant queued requests of ``target``, as far as its limit allows.
 
     Requests that can no longer be served are removed first.
@@ -102,7 +98,7 @@
     return effects
 
 
-def _drop_unservable(state: "Owner", target: OwnedTarget, now_s: float) -> list[Effect]:
+def _drop_unservable(state: Owner, target: OwnedTarget, now_s: float) -> list[Effect]:
     effects: list[Effect] = []
     for waiting in target.queue.expire(now_s):
         request = state.queued_requests.pop(waiting.key)
@@ -125,15 +121,15 @@
     return max(1.0, target.estimates.run_s.value)
 
 
-def _queued_requests(state: "Owner", queue: FairQueue) -> list[PermitRequest]:
+def _queued_requests(state: Owner, queue: FairQueue) -> list[PermitRequest]:
     return [request for key, request in state.queued_requests.items() if key in queue]
 
 
-def _poll_limit_s(state: "Owner") -> float:
+def _poll_limit_s(state: Owner) -> float:
     return state.settings.poll_s + state.settings.poll_grace_s
 
 
-def remove_queued(state: "Owner", target: OwnedTarget, permit_id: str) -> None:
+def remove_queued(state: Owner, target: OwnedTarget, permit_id: str) -> None:
     """Remove a request from the target's queue, if it waits there."""
     target.queue.remove(permit_id)
     state.queued_requests.pop(permit_id, None)
@@ -141,7 +137,7 @@
 
 
 def refusal_answer(
-    state: "Owner", request: PermitRequest, exc: VanillabeamError
+    state: Owner, request: PermitRequest, exc: VanillabeamError
 ) -> PermitAnswer:
     """Return the final refusal of a request."""
     state.last_poll_s.pop(request.permit_id, None)
@@ -149,7 +145,7 @@
 
 
 def granted_answer(
-    state: "Owner", target: OwnedTarget, request: PermitRequest
+    state: Owner, target: OwnedTarget, request: PermitRequest
 ) -> PermitAnswer:
     """Return the answer to a request whose permit was granted."""
     permit = make_granted_permit(
--- a/src/vanillabeam/targets/shell.py
+++ b/src/vanillabeam/targets/shell.py
@@ -39,7 +39,7 @@
 )
 from vanillabeam.targets.heldpermits import HeldPermit, HeldPermits
 from vanillabeam.targets.outbox import Outbox
-from vanillabeam.targets.owner import Owner
+from vanillabeam.targets.ownerstate import Owner
 from vanillabeam.targets.records import (
     EntryVm,
     Outcome,
--- a/src/vanillabeam/targets/summaries.py
+++ b/src/vanillabeam/targets/summaries.py
@@ -7,7 +7,7 @@
 from vanillabeam.targets import messages
 from vanillabeam.targets.client import OwnerClient
 from vanillabeam.targets.outbox import Outbox
-from vanillabeam.targets.owner import Owner
+from vanillabeam.targets.ownerstate import Owner
 from vanillabeam.targets.settings import TargetsSettings
 
 __all__ = ["Summaries"]
--- a/src/vanillabeam/targets/takeover.py
+++ b/src/vanillabeam/targets/takeover.py
@@ -1,7 +1,5 @@
 """Begin, hand over, take over and end the ownership of targets."""
 
-from typing import TYPE_CHECKING
-
 from returns.result import Failure
 
 from vanillabeam.targets.events import (
@@ -15,11 +13,9 @@
 )
 from vanillabeam.targets.exceptions import NotOwner
 from vanillabeam.targets.grants import OwnedTarget
+from vanillabeam.targets.ownerstate import Owner
 from vanillabeam.targetwire import Announcement
 
-if TYPE_CHECKING:
-    from vanillabeam.targets.owner import Owner
-
 __all__ = [
     "begin_ownership",
     "take_over_lost",
@@ -32,7 +28,7 @@
 
 
 def begin_ownership(
-    state: "Owner", announcement: Announcement, now_s: float
+    state: Owner, announcement: Announcement, now_s: float
 ) -> list[Effect]:
     """Become the owner of a target that this VM did not own.
 
@@ -64,7 +60,7 @@
     return [RequestHandover(name, entry) for entry in peers]
 
 
-def take_over_lost(state: "Owner", name: str, now_s: float) -> None:
+def take_over_lost(state: Owner, name: str, now_s: float) -> None:
     """Take a target over from a VM that can't be reached.
 
     No permit is granted until the other VM must have detected the loss as well.
@@ -85,7 +81,7 @@
 
 
 def receive_handover(
-    state: "Owner", event: HandoverReceived, now_s: float
+    state: Owner, event: HandoverReceived, now_s: float
 ) -> list[Effect]:
     """Merge a handover; own the target once every other entry has answered."""
     handover = event.handover
@@ -111,7 +107,7 @@
     return []
 
 
-def hand_over(state: "Owner", event: HandoverRequested, now_s: float) -> list[Effect]:
+def hand_over(state: Owner, event: HandoverRequested, now_s: float) -> list[Effect]:
     """Stop granting permits of a target and send its state to its new owner."""
     entry = event.entry
     name = event.target
@@ -127,7 +123,7 @@
     return [*effects, SendHandover(handover, entry)]
 
 
-def relinquish_moved(state: "Owner", now_s: float) -> list[Effect]:
+def relinquish_moved(state: Owner, now_s: float) -> list[Effect]:
     """Relinquish the targets that another entry owns in the new view."""
     effects: list[Effect] = []
     for target in list(state.owned.values()):
@@ -139,7 +135,7 @@
     return effects
 
 
-def hand_over_all(state: "Owner", now_s: float) -> list[Effect]:
+def hand_over_all(state: Owner, now_s: float) -> list[Effect]:
     """Hand every target over to the entries that may own it after this VM."""
     effects: list[Effect] = []
     for target in list(state.owned.values()):
@@ -151,7 +147,7 @@
     return effects
 
 
-def remove_stale(state: "Owner", now_s: float) -> None:
+def remove_stale(state: Owner, now_s: float) -> None:
     """Remove silent targets and old records of relinquished ones."""
     max_silence_s = state.settings.target_timeout_s + state.settings.takeover_s
     for name, target in list(state.owned.items()):
@@ -183,7 +179,7 @@
     )
 
 
-def _complete_takeover(state: "Owner", target: OwnedTarget) -> None:
+def _complete_takeover(state: Owner, target: OwnedTarget) -> None:
     name = target.name
     del state.awaiting_handover[name]
     del state.relinquished[name]
@@ -191,9 +187,7 @@
     state.owned[name] = target
 
 
-def _make_target(
-    state: "Owner", announcement: Announcement, now_s: float
-) -> OwnedTarget:
+def _make_target(state: Owner, announcement: Announcement, now_s: float) -> OwnedTarget:
     name = announcement["target"]
     epoch = state.next_epoch(name)
     target = state.relinquished.pop(name, None)
@@ -208,7 +202,7 @@
     return target
 
 
-def _merge_handover(state: "Owner", target: OwnedTarget, handover: Handover) -> None:
+def _merge_handover(state: Owner, target: OwnedTarget, handover: Handover) -> None:
     state.epochs[target.name] = max(handover.epoch, state.epochs.get(target.name, 0))
     if handover.boot_id != target.announcement["boot_id"]:
         return
@@ -219,7 +213,7 @@
         target.window.size = min(target.window.capacity, handover.window)
 
 
-def _relinquish(state: "Owner", target: OwnedTarget) -> list[Effect]:
+def _relinquish(state: Owner, target: OwnedTarget) -> list[Effect]:
     del state.owned[target.name]
     state.relinquished[target.name] = target
     effects: list[Effect] = []
@@ -231,14 +225,14 @@
     return effects
 
 
-def _handed_over_recently(state: "Owner", name: str, now_s: float) -> bool:
+def _handed_over_recently(state: Owner, name: str, now_s: float) -> bool:
     last_handover = state.handed_over.get(name)
     if last_handover is None or now_s - last_handover[0] >= state.settings.takeover_s:
         return False
     return last_handover[1] not in state.ownership.absent
 
 
-def _predecessor_lost(state: "Owner", target: OwnedTarget, now_s: float) -> bool:
+def _predecessor_lost(state: Owner, target: OwnedTarget, now_s: float) -> bool:
     ownership = state.ownership
     if ownership.missing_vm_may_own(target.name, target.data_centre):
         return True
