Block ids outside the cache, placement with the stores: no circle of packages

Cause: `cache` asks stores with the messages of `store`, and `store` took block ids and its own rank for a block from `cache`. No two modules formed a circle, the two packages did, and loading one began the other halfway.

Change: block ids, which routing, targets, cache and stores use, are `vanillabeam.blocks`; the placement of blocks in stores is `store.placement`. Both are moved unchanged; `vanillabeam.cache` still names what `reuse` imports from it. Names on the wire, in logs and in stored data are not touched.

Ran: tests/cache, tests/store, tests/test_blocks.py (moved), tests/routing, tests/targets, tests/test_docs.py.

--- a/bench/cache_model.py
+++ b/bench/cache_model.py
@@ -13,7 +13,6 @@
     should_export,
     token_cost_s,
 )
-from vanillabeam.cache.placement import preferred_stores
 from vanillabeam.cache.transferrecords import (
     ExportOffered,
     ImportAnswer,
@@ -28,6 +27,7 @@
 )
 from vanillabeam.cache.transfers import Transfers, handle as handle_transfers
 from vanillabeam.store.core import handle as handle_store
+from vanillabeam.store.placement import preferred_stores
 from vanillabeam.store.records import (
     FindRequested,
     StoresUpdated,
--- a/bench/routing_model.py
+++ b/bench/routing_model.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from vanillabeam.cache.blocks import BLOCK_TOKENS
+from vanillabeam.blocks import BLOCK_TOKENS
 from vanillabeam.config import Priority
 
 __all__ = ["Engine", "Prompt", "Site", "Store", "make_prompts"]
--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Success
 
 from bench.routing_model import Engine, Prompt, Site, Store
-from vanillabeam.cache.blocks import BLOCK_TOKENS
+from vanillabeam.blocks import BLOCK_TOKENS
 from vanillabeam.config import Config, DataCentre, Priority
 from vanillabeam.rendezvous import rank
 from vanillabeam.routing.records import RouteRequest
--- a/src/vanillabeam/cache/__init__.py
+++ b/src/vanillabeam/cache/__init__.py
@@ -1,6 +1,6 @@
 """Reuse of computed prompts: block ids, placement in stores and transfers."""
 
-from vanillabeam.cache.blocks import (
+from vanillabeam.blocks import (
     BLOCK_TOKENS,
     MAX_BLOCKS,
     PromptChunk,
--- a/src/vanillabeam/cache/lookup.py
+++ b/src/vanillabeam/cache/lookup.py
@@ -7,9 +7,9 @@
 from returns.result import Failure
 
 from vanillabeam import wire
-from vanillabeam.cache.placement import preferred_stores
 from vanillabeam.peercall import PeerCall
 from vanillabeam.store.messages import FIND_PATH, FindReply, FindRequest
+from vanillabeam.store.placement import preferred_stores
 
 __all__ = ["LookupResult", "StoreAddress", "StoreLookup"]
 
--- a/src/vanillabeam/cache/sending.py
+++ b/src/vanillabeam/cache/sending.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result
 
 from vanillabeam import wire
-from vanillabeam.cache.blocks import BLOCK_TOKENS
+from vanillabeam.blocks import BLOCK_TOKENS
 from vanillabeam.cache.transferrecords import (
     StartTransfer,
     TransferEnded,
--- a/src/vanillabeam/cache/shell.py
+++ b/src/vanillabeam/cache/shell.py
@@ -8,7 +8,7 @@
 import trio
 from loguru import logger
 
-from vanillabeam.cache.blocks import BLOCK_TOKENS
+from vanillabeam.blocks import BLOCK_TOKENS
 from vanillabeam.cache.costs import (
     Prices,
     blocks_to_import,
@@ -17,7 +17,6 @@
 )
 from vanillabeam.cache.link import Link
 from vanillabeam.cache.lookup import LookupResult, StoreAddress, StoreLookup
-from vanillabeam.cache.placement import preferred_stores
 from vanillabeam.cache.sending import TargetCall, TransferSender
 from vanillabeam.cache.transferrecords import (
     CancelTransfer,
@@ -39,6 +38,7 @@
 from vanillabeam.config import Config
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.peercall import PeerCall, PeerRoutes
+from vanillabeam.store.placement import preferred_stores
 
 __all__ = ["Cache", "CacheReport", "CacheSettings"]
 
--- a/src/vanillabeam/cache/transfers.py
+++ b/src/vanillabeam/cache/transfers.py
@@ -3,7 +3,7 @@
 from functools import singledispatch
 from typing import NamedTuple
 
-from vanillabeam.cache.blocks import chain_prefix, release_tag_of
+from vanillabeam.blocks import chain_prefix, release_tag_of
 from vanillabeam.cache.link import Link
 from vanillabeam.cache.transferrecords import (
     CancelTransfer,
--- a/src/vanillabeam/routing/score.py
+++ b/src/vanillabeam/routing/score.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from vanillabeam.cache.blocks import BLOCK_TOKENS
+from vanillabeam.blocks import BLOCK_TOKENS
 from vanillabeam.routing.records import RouteRequest, TargetView
 from vanillabeam.routing.weights import CostWeights
 
--- a/src/vanillabeam/store/core.py
+++ b/src/vanillabeam/store/core.py
@@ -7,7 +7,7 @@
 from functools import singledispatch
 from itertools import islice
 
-from vanillabeam.cache.blocks import (
+from vanillabeam.blocks import (
     MAX_BLOCKS,
     chain_prefix,
     is_block_id,
--- a/src/vanillabeam/store/disk.py
+++ b/src/vanillabeam/store/disk.py
@@ -13,7 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from vanillabeam import wire
-from vanillabeam.cache.blocks import chain_prefix, is_block_id
+from vanillabeam.blocks import chain_prefix, is_block_id
 from vanillabeam.store.exceptions import BlockDamaged
 from vanillabeam.store.files import FileLayer, ReadFile
 
--- a/src/vanillabeam/cache/placement.py
+++ b/src/vanillabeam/store/placement.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 
-from vanillabeam.cache.blocks import chain_prefix
+from vanillabeam.blocks import chain_prefix
 from vanillabeam.rendezvous import rank
 
 __all__ = ["COPIES", "preferred_stores", "store_rank"]
--- a/src/vanillabeam/store/records.py
+++ b/src/vanillabeam/store/records.py
@@ -4,7 +4,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from vanillabeam.cache.blocks import workspace_tag_of
+from vanillabeam.blocks import workspace_tag_of
 from vanillabeam.exceptions import VanillabeamError
 
 __all__ = [
--- a/src/vanillabeam/store/server.py
+++ b/src/vanillabeam/store/server.py
@@ -14,7 +14,7 @@
 from starlette.routing import Route
 
 from vanillabeam import wire
-from vanillabeam.cache.blocks import is_block_id
+from vanillabeam.blocks import is_block_id
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.store.disk import Checksum
 from vanillabeam.store.exceptions import (
--- a/src/vanillabeam/store/shell.py
+++ b/src/vanillabeam/store/shell.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from vanillabeam import wire
-from vanillabeam.cache.blocks import release_tag, workspace_tag
+from vanillabeam.blocks import release_tag, workspace_tag
 from vanillabeam.config import Config, Workspace
 from vanillabeam.exceptions import InvariantBroken, NotReady, VanillabeamError
 from vanillabeam.peercall import PeerRoutes
--- a/src/vanillabeam/store/state.py
+++ b/src/vanillabeam/store/state.py
@@ -3,7 +3,7 @@
 import random
 from collections import Counter, OrderedDict
 
-from vanillabeam.cache.blocks import chain_prefix
+from vanillabeam.blocks import chain_prefix
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.store.records import (
     Block,
--- a/src/vanillabeam/store/valuation.py
+++ b/src/vanillabeam/store/valuation.py
@@ -1,7 +1,7 @@
 """Value of a stored block: saved recompute × reuse rate ÷ bytes."""
 
-from vanillabeam.cache.blocks import release_tag_of
-from vanillabeam.cache.placement import store_rank
+from vanillabeam.blocks import release_tag_of
+from vanillabeam.store.placement import store_rank
 from vanillabeam.store.records import Block
 from vanillabeam.store.reuse import ReuseModel
 
--- a/src/vanillabeam/targets/granting.py
+++ b/src/vanillabeam/targets/granting.py
@@ -3,7 +3,7 @@
 from returns.result import Failure, Success
 
 from vanillabeam.admission import FairQueue, QueuedRequest
-from vanillabeam.cache.blocks import BLOCK_TOKENS
+from vanillabeam.blocks import BLOCK_TOKENS
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.targets.eligibility import refusal_of_request
 from vanillabeam.targets.events import Effect, GrantedPermit, PermitAnswer
--- a/src/vanillabeam/targets/grants.py
+++ b/src/vanillabeam/targets/grants.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from vanillabeam.admission import FairQueue, Shares
-from vanillabeam.cache.blocks import BLOCK_TOKENS
+from vanillabeam.blocks import BLOCK_TOKENS
 from vanillabeam.config import Priority
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.routing.records import TargetView
--- a/tests/cache/test_shell.py
+++ b/tests/cache/test_shell.py
@@ -10,9 +10,9 @@
 from tests.cache.builders import make_ids, make_target_ref
 from vanillabeam import wire
 from vanillabeam.cache import BLOCK_TOKENS, Cache, CacheSettings, StoreAddress
-from vanillabeam.cache.placement import preferred_stores
 from vanillabeam.config import Config, Model
 from vanillabeam.exceptions import TargetUnreachable
+from vanillabeam.store.placement import preferred_stores
 from vanillabeam.targetwire import BlockOrder
 
 IDS = make_ids(4)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -1,7 +1,7 @@
 import random
 
 from tests.targets.builders import make_route_request, make_view
-from vanillabeam.cache.blocks import BLOCK_TOKENS
+from vanillabeam.blocks import BLOCK_TOKENS
 from vanillabeam.rendezvous import rank
 from vanillabeam.routing import CostWeights, Router
 
--- a/tests/store/builders.py
+++ b/tests/store/builders.py
@@ -2,7 +2,7 @@
 import random
 
 from tests.cache.builders import make_ids, make_workspace
-from vanillabeam.cache.blocks import release_tag, workspace_tag
+from vanillabeam.blocks import release_tag, workspace_tag
 from vanillabeam.store.disk import Checksum
 from vanillabeam.store.records import ConfigUpdated, WriteBegun
 from vanillabeam.store.state import StoreLimits, StoreState
--- a/tests/cache/test_blocks.py
+++ b/tests/test_blocks.py
@@ -2,7 +2,7 @@
 from hypothesis import given, settings, strategies as st
 
 from tests.cache.builders import make_ids, make_text, make_workspace
-from vanillabeam.cache.blocks import (
+from vanillabeam.blocks import (
     block_ids,
     chain_prefix,
     conversation_root,
