Fetch the summary of a target's cache until one arrives

An owner that missed cache events fetched a summary once. If that call failed, the next events followed the last ones without a gap, so nothing fetched it again: the hints lacked the missed blocks, and kept those evicted meanwhile, until the target started again. The same holds for a new owner, as the first events that it got were never taken as a gap.

Both tests failed before with 'assert [] == [FetchCacheSummary(target=engine-1...)]'. Now a gap lasts until a summary, which is asked for again with later events, at most once in the time limit of a call. tests/targets passes.

--- a/src/vanillabeam/targets/blocks.py
+++ b/src/vanillabeam/targets/blocks.py
@@ -14,8 +14,8 @@
 class ApplyResult(NamedTuple):
     """Result of applying a message of cache events.
 
-    :param gap: whether events before the message were missed, which makes the
-        hints incomplete.
+    :param gap: whether earlier events were missed and no summary has come since, so
+        that the hints are incomplete.
     """
 
     gap: bool
@@ -27,11 +27,13 @@
     def __init__(self):
         self.held: dict[str, None] = {}
         self.next_event = 0
+        self._has_gap = False
 
     def clear(self) -> None:
         """Remove all blocks, after a restart of the target or the loss of its cache."""
         self.held.clear()
         self.next_event = 0
+        self._has_gap = False
 
     def apply(self, message: CacheEvents) -> ApplyResult:
         """Apply events; skip those applied before and detect a gap."""
@@ -39,12 +41,12 @@
         events = message["events"]
         if message.get("summary"):
             return self._replace(first, events)
-        gap = first > self.next_event and self.next_event > 0
+        self._has_gap = self._has_gap or first > self.next_event
         skip = max(0, self.next_event - first)
         for event in events[skip:]:
             self._change(event["kind"], event["blocks"])
         self.next_event = max(self.next_event, first + len(events))
-        return ApplyResult(gap)
+        return ApplyResult(self._has_gap)
 
     def count_leading(self, blocks: Sequence[str]) -> int:
         """Return how many leading ``blocks`` the target is expected to hold."""
@@ -57,6 +59,7 @@
 
     def _replace(self, first: int, events) -> ApplyResult:
         self.held.clear()
+        self._has_gap = False
         for event in events:
             self._change(event["kind"], event["blocks"])
         self.next_event = max(self.next_event, first + len(events))
--- a/src/vanillabeam/targets/owner.py
+++ b/src/vanillabeam/targets/owner.py
@@ -202,9 +202,11 @@
     target = state.owned.get(event.events["target"])
     if target is None or event.events["boot_id"] != target.announcement["boot_id"]:
         return []
-    if target.blocks.apply(event.events).gap:
-        return [FetchCacheSummary(target.name, target.announcement["address"])]
-    return []
+    has_gap = target.blocks.apply(event.events).gap
+    if not has_gap or now_s - target.summary_requested_s < state.settings.call_s:
+        return []
+    target.summary_requested_s = now_s
+    return [FetchCacheSummary(target.name, target.announcement["address"])]
 
 
 @handle.register
--- a/tests/targets/test_owner.py
+++ b/tests/targets/test_owner.py
@@ -286,3 +286,28 @@
     use_up_window(state)
     with pytest.raises(InvariantBroken):
         state.owned["engine-1"].grant(make_permit_request("p9"), 1.0, 0.0)
+
+
+# Guards against hints of cached blocks that stay incomplete: the summary was lost, and
+# the events after it showed no gap.
+def test_a_summary_is_fetched_again_until_one_arrives():
+    state = make_owner()
+    events = {"target": "engine-1", "boot_id": "b1", "first": 0, "events": []}
+    stored = [{"kind": "stored", "blocks": ["x"]}]
+    fetch = [FetchCacheSummary("engine-1", "engine-1:80")]
+    handle(BlocksChanged({**events, "events": stored}), state, 0.0)
+    assert handle(BlocksChanged({**events, "first": 5}), state, 1.0) == fetch
+    later = {**events, "first": 5, "events": stored}
+    assert handle(BlocksChanged(later), state, 1.0 + state.settings.call_s) == fetch
+    summary = {**events, "first": 6, "summary": True, "events": stored}
+    assert handle(BlocksChanged(summary), state, 5.0) == []
+    assert handle(BlocksChanged({**events, "first": 6}), state, 9.0) == []
+
+
+# Guards against a new owner that knows only the blocks stored since: the events before
+# aren't sent again.
+def test_the_first_events_that_an_owner_gets_are_a_gap_unless_they_begin_at_zero():
+    state = make_owner()
+    events = {"target": "engine-1", "boot_id": "b1", "first": 7, "events": []}
+    fetch = [FetchCacheSummary("engine-1", "engine-1:80")]
+    assert handle(BlocksChanged(events), state, 0.0) == fetch
