Take a target over if no entry VM answers for its handover

A new owner asks the other entry VMs for a target's permits and waits for an answer or a failure of each. The requests go through the outbox, which drops jobs when it is full: then neither comes, and the target has no owner until the members change. Callers see taking-over and the target gets no work.

--- a/src/vanillabeam/targets/grants.py
+++ b/src/vanillabeam/targets/grants.py
@@ -70,6 +70,7 @@
         because permits of a previous owner may still be valid.
     :ivar next_sequence: lowest sequence number of a load report still accepted.
     :ivar reported_s: monotonic time of the values in the last load report.
+    :ivar handover_requested_s: monotonic time of the last requests for a handover.
     :ivar summary_requested_s: monotonic time of the last request for a summary of the
         target's cache.
     """
@@ -99,6 +100,7 @@
         self.cold_until_s = float("-inf")
         self.next_sequence = 0
         self.reported_s = float("-inf")
+        self.handover_requested_s = float("-inf")
         self.summary_requested_s = float("-inf")
         self.reported_cached_tokens = 0
         self._end_times_s: deque[float] = deque(maxlen=256)
--- a/src/vanillabeam/targets/outbox.py
+++ b/src/vanillabeam/targets/outbox.py
@@ -17,7 +17,8 @@
     """Runs jobs in the background, a bounded number of them at once.
 
     A job that is put into a full outbox is dropped and counted. This is safe, as
-    the state that its message would have changed expires at the receiver.
+    the state that its message would have changed expires at the receiver, and a
+    sender that awaits an answer does so for a limited time.
 
     :ivar dropped: number of dropped jobs.
     """
--- a/src/vanillabeam/targets/owner.py
+++ b/src/vanillabeam/targets/owner.py
@@ -316,6 +316,7 @@
     for target in [*state.owned.values(), *state.relinquished.values()]:
         expired = target.expire(now_s)
         state.expired_permits.update((grant.permit_id, now_s) for grant in expired)
+    takeover.take_over_unanswered(state, now_s)
     takeover.remove_stale(state, now_s)
     return grant_all_queued(state, now_s)
 
--- a/src/vanillabeam/targets/takeover.py
+++ b/src/vanillabeam/targets/takeover.py
@@ -23,6 +23,7 @@
 __all__ = [
     "begin_ownership",
     "take_over_lost",
+    "take_over_unanswered",
     "remove_stale",
     "hand_over",
     "hand_over_all",
@@ -60,6 +61,7 @@
         state.owned[name] = target
         return []
     state.awaiting_handover[name] = {entry.vm for entry in peers}
+    target.handover_requested_s = now_s
     state.relinquished[name] = target
     return [RequestHandover(name, entry) for entry in peers]
 
@@ -151,6 +153,18 @@
     return effects
 
 
+def take_over_unanswered(state: "Owner", now_s: float) -> None:
+    """Take over the targets whose previous owners never answered.
+
+    The requests may have been dropped before they were sent. After this time the
+    permits of previous owners have expired.
+    """
+    for name in list(state.awaiting_handover):
+        waited_s = now_s - state.relinquished[name].handover_requested_s
+        if waited_s >= state.settings.takeover_s:
+            take_over_lost(state, name, now_s)
+
+
 def remove_stale(state: "Owner", now_s: float) -> None:
     """Remove silent targets and old records of relinquished ones."""
     max_silence_s = state.settings.target_timeout_s + state.settings.takeover_s
--- a/tests/targets/test_owner.py
+++ b/tests/targets/test_owner.py
@@ -1,5 +1,7 @@
 """Tests of the core that owns targets and grants permits."""
 
+import random
+
 import pytest
 from returns.result import Failure, Success
 
@@ -24,9 +26,10 @@
     MembersChanged,
     PermitRequested,
     Released,
+    RequestHandover,
     Tick,
 )
-from vanillabeam.targets.owner import handle
+from vanillabeam.targets.owner import Owner, handle
 
 DONE = Outcome(OutcomeKind.COMPLETED, 0.2, 1000, 0)
 FAILED = Outcome(OutcomeKind.FAILED)
@@ -311,3 +314,24 @@
     events = {"target": "engine-1", "boot_id": "b1", "first": 7, "events": []}
     fetch = [FetchCacheSummary("engine-1", "engine-1:80")]
     assert handle(BlocksChanged(events), state, 0.0) == fetch
+
+
+# Guards against a target without any owner: a full outbox dropped the request for its
+# handover, and neither an answer nor a failure came.
+def test_a_handover_that_nobody_answers_is_not_awaited_for_ever():
+    settings = TargetsSettings()
+    me, other = make_entries("e1", "e2")
+    state = Owner(me, settings, random.Random(1))
+    handle(MembersChanged((me, other)), state, 0.0)
+    name = next(
+        name
+        for name in (f"engine-{number}" for number in range(99))
+        if state.ownership.owner_of(name, "dc1") == me
+    )
+    began_s = settings.view_lag_s + 1.0
+    effects = handle(Announced(make_announcement(name)), state, began_s)
+    assert effects == [RequestHandover(name, other)]
+    for number in range(int(settings.takeover_s) + 1):
+        handle(Tick(), state, began_s + number)
+        handle(Announced(make_announcement(name)), state, began_s + number)
+    assert list(state.owned) == [name]
