Stop believing that a target leaves once it goes on announcing itself

A target that says in one answer to a control VM (to an order, or to a question before one) that it leaves was marked as draining in the directory until it started again.

The test failed on the code before: 'assert (True, True) == (False, False)' with announcements as ready since.

Now it is a belief of the control VM that heard it, with source and age, apart from the announced state. Five announcements as ready, half a heartbeat apart or more, end it; a repeated notice begins the count anew; announced draining stands until a new start, as before. Entry VMs' own notices are unchanged. Ruled out: that each reader counts for itself, as it would drop what the sender repeats.

tests/fleet, tests/forwarding, tests/platform/test_notices.py and tests/test_*.py pass.

--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -55,6 +55,7 @@
 )
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
+    LeavingReported,
     PartsFreed,
     PartsRetired,
     StoreHeard,
@@ -65,6 +66,7 @@
     TargetPaused,
     TargetRested,
     TargetSilent,
+    TargetStays,
     TargetUnlisted,
     WeightsOrdered,
 )
@@ -84,6 +86,7 @@
     "DeploymentRefused",
     "DeploymentUnreadable",
     "HomeChosen",
+    "LeavingReported",
     "LibraryWarned",
     "LinesDropped",
     "MemberRemoved",
@@ -115,6 +118,7 @@
     "TargetPaused",
     "TargetRested",
     "TargetSilent",
+    "TargetStays",
     "TargetUnlisted",
     "TaskFailed",
     "WeightsOrdered",
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -49,6 +49,7 @@
 )
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
+    LeavingReported,
     PartsFreed,
     PartsRetired,
     StoreHeard,
@@ -59,6 +60,7 @@
     TargetPaused,
     TargetRested,
     TargetSilent,
+    TargetStays,
     TargetUnlisted,
     WeightsOrdered,
 )
@@ -96,6 +98,8 @@
     TargetSilent: Kind("WARNING", _RARE_LINES_S),
     TargetUnlisted: Kind("WARNING", _RARE_LINES_S),
     TargetRested: Kind("WARNING", _RARE_LINES_S),
+    TargetStays: Kind("INFO", _RARE_LINES_S),
+    LeavingReported: Kind("INFO", _RARE_LINES_S),
     TargetLeaving: Kind("INFO", _RARE_LINES_S),
     TargetPaused: Kind("INFO", _RARE_LINES_S),
     TargetEnded: Kind("WARNING", _RARE_LINES_S),
--- a/src/vanillabeam/decisions/targets.py
+++ b/src/vanillabeam/decisions/targets.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "AnnouncementUnreadable",
+    "LeavingReported",
     "PartsFreed",
     "PartsRetired",
     "StoreHeard",
@@ -14,6 +15,7 @@
     "TargetPaused",
     "TargetRested",
     "TargetSilent",
+    "TargetStays",
     "TargetUnlisted",
     "WeightsOrdered",
 ]
@@ -54,6 +56,30 @@
     request_id: str
 
 
+class TargetStays(NamedTuple):
+    """A target that said that it leaves, to this control VM, still announces itself.
+
+    It gets requests and orders again.
+
+    :param age_s: seconds since it last said so.
+    """
+
+    target: str
+    born_ms: int
+    age_s: float
+
+
+class LeavingReported(NamedTuple):
+    """Control VMs report that a target leaves by its answer, or no longer do.
+
+    :param leaving: whether one of them does now.
+    """
+
+    target: str
+    born_ms: int
+    leaving: bool
+
+
 class TargetPaused(NamedTuple):
     """A target refused a request of this VM and asked for no more for some time.
 
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -15,11 +15,13 @@
     TargetLeaving,
     TargetLeft,
     TargetSilent,
+    TargetStays,
     log_record,
 )
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.follower import Follower, read_or_keep
+from vanillabeam.fleet.leaving import LeavingNotices
 from vanillabeam.fleet.loads import (
     EntryLoad,
     EntryLoads,
@@ -117,6 +119,7 @@
         self.follower = Follower(cfg, call, read)
         #: Names of targets that are about to load weights.
         self.paused: set[str] = set()
+        self._leaving = LeavingNotices(cfg.bounds.heartbeat_s)
         self._observed_versions: dict[tuple[str, int], tuple[str, int]] = {}
         self._version_times_s: dict[str, dict[int, float]] = {}
         self._changed = trio.Event()
@@ -144,6 +147,7 @@
             for task, *args in (
                 (self._remove_absent_voters,),
                 (self._drop_silent_targets,),
+                (self._weigh_leaving,),
                 (self._track_stores, nursery),
                 (self._quarantine.run,),
                 (self.follower.run,),
@@ -190,14 +194,30 @@
     def receive_leaving(self, target: Target) -> None:
         """Record that a target has answered a call of this VM that it leaves.
 
-        Watchers hear of it as of an announcement, to whichever control VM the target
-        announces itself.
+        Watchers are told for as long as this VM believes it.
         """
-        draining = target._replace(draining=True)
-        self.follower.directory.mark_draining(target.incarnation)
-        if self.directory.update(draining, trio.current_time()):
+        if self._leaving.record(target.incarnation, trio.current_time()):
             log_record(TargetLeaving(target.name, target.born_ms, ""))
-            self._notify()
+            self._publish_leaving()
+
+    def _publish_leaving(self) -> None:
+        leaving = self._leaving.incarnations()
+        self.directory.set_leaving(leaving)
+        self.follower.leaving_here = leaving
+        self.follower.update_leaving()
+        self._notify()
+
+    async def _weigh_leaving(self) -> None:
+        """End the belief that targets leave which go on announcing themselves."""
+        while True:
+            await trio.sleep(self.cfg.bounds.heartbeat_s / 4)
+            now_s = trio.current_time()
+            ended = self._leaving.weigh(self.follower.directory, now_s)
+            for withdrawn in ended:
+                age_s = round(withdrawn.age_s, 3)
+                log_record(TargetStays(*withdrawn.incarnation, age_s))
+            if ended:
+                self._publish_leaving()
 
     def pause(self, target: str) -> None:
         """Ask entry VMs to send no new work to a target."""
--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -8,12 +8,15 @@
 
 from vanillabeam.fleet.records import Target
 
-__all__ = ["Directory", "TargetRecord"]
+__all__ = ["Directory", "Incarnation", "TargetRecord"]
 
 #: Ended incarnations that are kept, so that a delayed announcement of one does
 #: not add it again.
 MAX_ENDED_INCARNATIONS = 4_096
 
+#: Name and start time of a target.
+Incarnation = tuple[str, int]
+
 
 class TargetRecord(NamedTuple):
     """A target's newest announcement and when it was made.
@@ -33,6 +36,8 @@
     """Targets by name, each with its newest incarnation only.
 
     :ivar version: increases with each change that watchers must receive.
+    :ivar leaving: targets that have told a control VM that they leave. Unlike an
+        announcement that a target drains, this may be taken back.
 
     >>> directory = Directory()
     >>> directory.update(target, now_s=1.0)
@@ -43,6 +48,7 @@
     def __init__(self):
         self.version = 0
         self.records: dict[str, TargetRecord] = {}
+        self.leaving: frozenset[Incarnation] = frozenset()
         self._ended: dict[tuple[str, int], int] = {}
 
     def update(self, target: Target, now_s: float) -> bool:
@@ -107,12 +113,32 @@
 
     def is_leaving(self, incarnation: tuple[str, int]) -> bool:
         """Return whether a target drains, or its incarnation has left already."""
-        if incarnation in self._ended:
+        if incarnation in self._ended or incarnation in self.leaving:
             return True
         record = self.records.get(incarnation[0])
         is_known = record is not None and record.target.incarnation == incarnation
         return is_known and record.target.draining
 
+    def set_leaving(self, incarnations: frozenset[Incarnation]) -> bool:
+        """Replace :attr:`leaving`; return whether it has changed."""
+        if incarnations == self.leaving:
+            return False
+        self.leaving = incarnations
+        self.version += 1
+        return True
+
+    def targets(self) -> list[Target]:
+        """Return the targets; those that leave by their answers count as draining."""
+        targets = [record.target for record in self.records.values()]
+        if not self.leaving:
+            return targets
+        return [
+            target._replace(draining=True)
+            if target.incarnation in self.leaving
+            else target
+            for target in targets
+        ]
+
     def has_ended(self, name: str) -> bool:
         """Return whether an incarnation of this name is known to have ended."""
         return any(ended == name for ended, _ in self._ended)
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -12,11 +12,12 @@
     ControlHeard,
     DeploymentUnreadable,
     HomeChosen,
+    LeavingReported,
     StateInForce,
     TargetSilent,
     log_record,
 )
-from vanillabeam.fleet.directory import Directory
+from vanillabeam.fleet.directory import Directory, Incarnation
 from vanillabeam.fleet.evidence import EvidenceSource, NoEvidence
 from vanillabeam.fleet.loads import (
     ENTRY_SILENCE_S,
@@ -63,6 +64,9 @@
 DISCOVERY_HEARTBEATS = 1.3
 #: Seconds for which a target stays paused after the leader's last reply with it.
 PAUSE_S = 1.0
+#: Seconds without a reply of a control VM after which its word no longer counts that a
+#: target leaves: the target's announcements, which would end it, may not reach it.
+LEAVING_SILENCE_S = 5.0
 #: Quarantined parts in a log line.
 MAX_LOGGED_PARTS = 8
 #: Number of the most recently fetched parts that requests report.
@@ -116,6 +120,7 @@
     :ivar evidence: what this VM has seen of targets that ended.
     :ivar accused: parts that the leader asks about, with the number of targets that
         ended under them one after the other.
+    :ivar leaving_here: on a control VM, the targets that have told it that they leave.
     :ivar relayed: on a control VM, the load that entry VMs report to each other
         control VM only, by the process id of that one.
 
@@ -138,6 +143,7 @@
         self.load: LoadView = _NoLoad()
         self.evidence: EvidenceSource = NoEvidence()
         self.accused: dict[str, int] = {}
+        self.leaving_here: frozenset[Incarnation] = frozenset()
         self.relayed = EntryLoads()
         self._cfg = cfg
         self._call = call
@@ -225,6 +231,7 @@
                             keep_running, "follow", self._follow, address
                         )
                 self._drop_silent_targets()
+                self.update_leaving()
                 self._update_home()
                 await trio.sleep(RETRY_S)
 
@@ -346,10 +353,12 @@
             self._first_reply_s = now_s
         if "state" in reply:
             self._apply_state(reply)
+        control_vm.leaving = frozenset(map(tuple, reply.get("leaving", ())))
         self._apply_targets(reply, control_vm, now_s)
         silence_s = self._cfg.bounds.silence_s
         note_unlisted(self.directory, reply["ages_s"], control_vm, silence_s, now_s)
         control_vm.last_seen_s, control_vm.due_s = now_s, float("inf")
+        self.update_leaving()
         self._apply_entries(reply, control_vm, now_s)
         self._apply_addresses(reply, now_s)
 
@@ -440,6 +449,17 @@
             else:
                 self._advertised.add(address)
 
+    def update_leaving(self) -> None:
+        """Combine the targets that leave, by this VM and each one heard lately."""
+        since_s = trio.current_time() - LEAVING_SILENCE_S
+        recent = [vm for vm in self._control_vms.values() if vm.last_seen_s > since_s]
+        leaving = self.leaving_here.union(*(vm.leaving for vm in recent))
+        before = self.directory.leaving
+        if not self.directory.set_leaving(leaving):
+            return
+        for name, born_ms in sorted(leaving ^ before):
+            log_record(LeavingReported(name, born_ms, (name, born_ms) in leaving))
+
     def _drop_silent_targets(self) -> None:
         """Drop targets without recent announcements, if any control VM replies."""
         now_s = trio.current_time()
--- a/src/vanillabeam/fleet/polling.py
+++ b/src/vanillabeam/fleet/polling.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from vanillabeam.fleet.directory import Incarnation
 from vanillabeam.fleet.loads import LoadScope
 from vanillabeam.fleet.sent import SentTargets
 from vanillabeam.rendezvous import rank
@@ -64,6 +65,7 @@
     :ivar due_s: monotonic time by which a reply is due, since the last one.
     :ivar scope: cancels the request that is under way; ``None`` before the first.
     :ivar sent: targets that its process has sent.
+    :ivar leaving: targets that have told it that they leave, by its last reply.
     :ivar unlisted_since_s: targets that its last reply names and that this VM doesn't
         list, with the monotonic time of the first such reply.
     """
@@ -80,6 +82,7 @@
         self.due_s = float("inf")
         self.scope: trio.CancelScope | None = None
         self.sent = SentTargets()
+        self.leaving: frozenset[Incarnation] = frozenset()
         self.unlisted_since_s: dict[str, float] = {}
 
     def is_silent(self, now_s: float) -> bool:
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -125,8 +125,7 @@
         control.paused &= self._in_progress
         if not control.node.is_leader:
             return
-        records = control.follower.directory.records.values()
-        targets = [record.target for record in records]
+        targets = control.follower.directory.targets()
         weights = control.machine.state["weights"]
         for target, model in select_targets(targets, weights, self._in_progress):
             if (target.name, control.node.term) in self._fenced:
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -89,6 +89,8 @@
         leader only.
     :param accused: parts that the leader asks entry VMs about, with the number of
         targets that ended under them one after the other; from the leader only.
+    :param leaving: name and start time of all targets that have told this control VM
+        that they leave; omitted for none.
     """
 
     epoch: str
@@ -108,6 +110,7 @@
     paused: NotRequired[list[str]]
     seen: NotRequired[list[tuple[str, int, str, int]]]
     accused: NotRequired[dict[str, int]]
+    leaving: NotRequired[list[tuple[str, int]]]
 
 
 def make_reply(
@@ -144,6 +147,8 @@
         entries=[] if _knows(request, entries) else list(entries),
         others=others,
     )
+    if directory.leaving:
+        reply["leaving"] = sorted(directory.leaving)
     if state["index"] > request["index"]:
         reply["state"] = state
     return reply
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -246,8 +246,7 @@
         return self._budgets[service]
 
     def _targets_of(self, service: str) -> list[Target]:
-        records = self._directory.records.values()
-        targets = [record.target for record in records]
+        targets = self._directory.targets()
         return [target for target in targets if target.service == service]
 
     def _usable_targets(
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -88,5 +88,6 @@
 
 
 def is_draining(platform, name):
-    record = platform.vms["front"][0].follower.directory.records.get(name)
-    return record is not None and record.target.draining
+    """Return whether the entry VM sends a worker nothing."""
+    directory = platform.vms["front"][0].follower.directory
+    return any(each.name == name and each.draining for each in directory.targets())
