--- a/src/vanillabeam/targets/owner.py
+++ b/src/vanillabeam/targets/owner.py
@@ -93,9 +93,11 @@
     target = state.owned.get(event.events["target"])
     if target is None or event.events["boot_id"] != target.announcement["boot_id"]:
         return []
-    if target.blocks.apply(event.events).gap:
-        return [FetchCacheSummary(target.name, target.announcement["address"])]
-    return []
+    has_gap = target.blocks.apply(event.events).gap
+    if not has_gap or now_s - target.summary_requested_s < state.settings.call_s:
+        return []
+    target.summary_requested_s = now_s
+    return [FetchCacheSummary(target.name, target.announcement["address"])]
 
 
 @handle.register
@@ -205,6 +207,7 @@
     for target in [*state.owned.values(), *state.relinquished.values()]:
         expired = target.expire(now_s)
         state.expired_permits.update((grant.permit_id, now_s) for grant in expired)
+    takeover.take_over_unanswered(state, now_s)
     takeover.remove_stale(state, now_s)
     return grant_all_queued(state, now_s)
 
