Show what is served of names and keys that a configuration gives twice

None is among what the pages call invalid, so each stays accepted; a refusal would be as bad as an invalid one that is taken. The test sends all of them in one document to each control VM and checks what is served: both routes of one name (their hosts differ), the last service of one name, the key, and that a request of a kind that isn't known runs once although the route allows three targets.

--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -9,7 +9,7 @@
 import trio
 
 from tests.platform.builders import make_document
-from tests.platform.standin import running_platform, wait_until
+from tests.platform.standin import running_platform, send_answer, wait_until
 
 LARGE_CHARACTERS = 3_500_000
 
@@ -159,3 +159,61 @@
                 assert (host, res.status) == (host, 200)
 
     trio.run(main)
+
+
+def make_repeating_document(**changes):
+    """Return a document that names a route, a service and a key twice."""
+    orders = make_document()["routes"][1] | {"kind": "of-later-pages"}
+    routes = [
+        orders | {"name": "twice", "host": "one.example", "public": False},
+        orders | {"name": "twice", "host": "two.example", "attempts": 3},
+    ]
+    services = [{"name": "app", "max_conns": 1}, {"name": "app", "max_conns": 96}]
+    tenants = [{"name": "studio", "api_keys": ["key-1", "key-1"]}]
+    return make_document(routes=routes, services=services, tenants=tenants, **changes)
+
+
+async def ask(platform, host, key=b"none"):
+    url = f"http://127.0.0.1:{platform.entry_port}/orders/7"
+    headers = [
+        ("Host", host),
+        ("X-Vanillabeam-Request-Id", "r-1"),
+        ("X-Vanillabeam-Key", key),
+    ]
+    return (await platform.pool.request("POST", url, headers=headers)).status
+
+
+# Guards against a proper configuration that is refused, or confirmed and not served:
+# none of these is among what the pages call invalid.
+def test_names_and_keys_that_are_given_twice_are_served(tmp_path):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            document = make_repeating_document(version=-1)
+            for host in platform.hosts:
+                put = ("POST", "/api/Config.Put", document, host)
+                assert (await platform.call_control(*put)).status == 200
+            res = await platform.call_control("GET", "/api/Config.Get")
+            assert json.loads(res.content) == document
+            workers = [
+                await platform.start_worker(name, service="app")
+                for name in ("i-1", "i-2")
+            ]
+            await platform.wait_ready()
+            for worker in workers:
+                await wait_until(partial(platform.has_target, worker.name))
+            deployment = platform.vms["front"][0].follower.view.deployment
+            assert deployment.services["app"].max_connections == 96
+            assert await ask(platform, "one.example", b"key-1") == 200
+            assert await ask(platform, "one.example") == 401
+            assert await ask(platform, "two.example") == 200
+            # A kind that isn't known runs once at most, whatever its attempts.
+            for worker in workers:
+                worker.script = 3 * [_fail]
+            assert await ask(platform, "two.example") == 500
+            assert sum(len(worker.received_headers) for worker in workers) == 3
+
+    trio.run(main)
+
+
+async def _fail(headers, send):
+    await send_answer(send, 500, b"failed", headers)
