Serve requests that arrive as a listener closes their connection

What callers saw: at a planned stop, connections ended without an answer though their request had been sent: it lay partly read, unread, or its connection was still waiting to be accepted. The same at the idle timeout of a kept connection.

Cause: a closing listener ended its accept loop at once (the kernel resets connections that wait there) and closed each connection without a request, also one whose head had begun to arrive or that had just been accepted. At the idle timeout the closing task is shielded, so a request that was read in the same turn could not end it.

Change: connections that wait at the socket are accepted first (0.2 s at most); a connection on which a request has begun to arrive, or that was just accepted, gets 0.25 s for it; whether it is idle is asked again in the turn that closes. A kept connection on which nothing has arrived is closed as before.

--- a/src/vanillabeam/httpserver.py
+++ b/src/vanillabeam/httpserver.py
@@ -5,6 +5,7 @@
 HTTP/1.0 and HTTP/1.1, and its failure ends nothing else.
 """
 
+import select
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from functools import partial
@@ -33,6 +34,14 @@
 HTTP_VERSION_NOT_SUPPORTED = 505
 #: Bytes that a caller must take within the listener's idle timeout.
 SEND_BYTES = 65_536
+#: Longest time from a planned stop until the connections that wait at the listener's
+#: socket are accepted.
+ACCEPT_S = 0.2
+#: Longest time from a planned stop, or from the idle timeout, until a request that has
+#: begun to arrive has a whole head; also until the first request of a connection that
+#: was accepted so shortly before a stop begins to arrive.
+ARRIVAL_S = 0.25
+POLL_S = 0.01
 #: Connections of one listener. Beyond it, those that have been without a request for
 #: the longest time are closed.
 MAX_CONNECTIONS = 2_000
@@ -77,6 +86,7 @@
                 accepting.start_soon(accept, serve_stream, listeners)
                 task_status.started(urls)
                 await shutdown_trigger()
+                await _accept_waiting(listeners)
                 accepting.cancel_scope.cancel()
             await context.terminated.set()
             outer.cancel_scope.deadline = trio.current_time() + config.graceful_timeout
@@ -99,6 +109,39 @@
     return listeners, urls
 
 
+async def _accept_waiting(listeners: list[trio.abc.Listener]) -> None:
+    """Wait until all connections that were made so far are accepted.
+
+    Closing a listener resets those that wait at its socket.
+    """
+    sockets = [_socket_of(listener) for listener in listeners]
+    await _wait_while(lambda: any(map(_is_readable, sockets)), ACCEPT_S)
+
+
+async def _wait_while(condition: Callable[[], bool], limit_s: float) -> None:
+    """Wait until a condition no longer holds, but not longer than ``limit_s``."""
+    with trio.move_on_after(limit_s):
+        while True:
+            if not condition():
+                return
+            await trio.sleep(POLL_S)
+
+
+def _socket_of(listener: trio.abc.Listener) -> trio.socket.SocketType:
+    if isinstance(listener, trio.SSLListener):
+        listener = listener.transport_listener
+    return listener.socket
+
+
+def _is_readable(sock: trio.socket.SocketType) -> bool:
+    """Return whether an open socket has a connection, bytes or an end to give."""
+    if sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class _Connections:
     """The open connections of a listener."""
 
@@ -224,6 +267,8 @@
         self.address = ""
         self._asgi_app = app
         self._connections = connections
+        self._accepted_s = trio.current_time()
+        self._is_idle = True
         self._reading = trio.CancelScope()
         self._is_tls = isinstance(stream, trio.SSLStream)
         transport = stream.transport_stream if self._is_tls else stream
@@ -285,12 +330,35 @@
             await self._send(event.data)
             return
         if isinstance(event, Updated):
+            self._is_idle = event.idle
             self._connections.set_idle(self, event.idle)
         await super().protocol_send(event)
         if isinstance(event, Closed):
             # The reader may wait for an application that has ended.
             self._reading.cancel()
 
+    async def _idle_timeout(self) -> None:
+        """Close the connection when it was idle for too long, or at a planned stop.
+
+        A request that arrives at that moment is served.
+        """
+        with trio.move_on_after(self.config.keep_alive_timeout):
+            await self.context.terminated.wait()
+        await _wait_while(self._is_request_arriving, ARRIVAL_S)
+        # A request that has begun in this turn can't end this task any more.
+        if not self._is_idle:
+            return
+        with trio.CancelScope(shield=True):
+            await self._initiate_server_close()
+
+    def _is_request_arriving(self) -> bool:
+        """Return whether the next request has begun to arrive, or is about to."""
+        unread, _ = self.protocol.connection.trailing_data
+        if unread or _is_readable(self._socket):
+            return True
+        age_s = trio.current_time() - self._accepted_s
+        return not self.protocol.keep_alive_requests and age_s < ARRIVAL_S
+
     async def _send(self, data: bytes) -> None:
         """Send bytes; close the connection if the caller takes none of them."""
         async with self.send_lock:
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -2,10 +2,12 @@
 
 import socket
 import struct
+import time
 from contextlib import suppress
 
 import pytest
 import trio
+import trio.testing
 from starlette.responses import Response
 
 from tests.builders import make_listener
@@ -270,3 +272,105 @@
         return ended
 
     assert run_listener(scenario, answer_early) == ["/"]
+
+
+def connect_blocking(task):
+    """Return a connection made without a turn of the listener's tasks."""
+    host, _, port = task.address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), TIMEOUT_S)
+    sock.settimeout(TIMEOUT_S)
+    return sock
+
+
+async def read_blocking(sock):
+    """Return all bytes of a connection, read beside the listener's tasks."""
+
+    def read():
+        data = b""
+        with suppress(OSError):
+            while part := sock.recv(65_536):
+                data += part
+        sock.close()
+        return data
+
+    return await trio.to_thread.run_sync(read)
+
+
+def send_after_a_stall(sock):
+    """Send a request, with no turn of the listener's tasks for some time before."""
+    time.sleep(0.1)
+    sock.sendall(REQUEST)
+
+
+async def keep_connection(task):
+    """Return a connection that was used for one request and is kept."""
+    sock = connect_blocking(task)
+    sock.sendall(REQUEST)
+    answer = b""
+    while not answer.endswith(b"served"):
+        answer += await trio.to_thread.run_sync(sock.recv, 65_536)
+    await trio.testing.wait_all_tasks_blocked()
+    return sock
+
+
+REQUEST = b"GET / HTTP/1.1\r\n" + HOST + b"\r\n"
+#: Connections, and the bytes of a request that have arrived at a stop.
+ARRIVALS = [
+    ("kept", REQUEST),
+    ("kept", REQUEST[:9]),
+    ("accepted", REQUEST),
+    ("accepted", REQUEST[:9]),
+    ("accepted", b""),
+    ("waiting", REQUEST),
+    ("waiting", REQUEST[:9]),
+    ("waiting", b""),
+]
+
+
+# Guards against requests that are cut at a planned stop although they have arrived: on
+# a kept connection, on one that was just accepted or waits to be, in one or two pieces.
+@pytest.mark.parametrize("connection, arrived", ARRIVALS)
+def test_a_request_that_arrives_at_a_stop_is_answered(connection, arrived):
+    async def scenario(connect, task):
+        if connection == "kept":
+            sock = await keep_connection(task)
+        else:
+            sock = connect_blocking(task)
+        if connection == "accepted":
+            await trio.testing.wait_all_tasks_blocked()
+        sock.sendall(arrived)
+        task.close()
+        await trio.sleep(0.05)
+        sock.sendall(REQUEST[len(arrived) :])
+        return await read_blocking(sock)
+
+    assert run_listener(scenario, graceful_s=2.0).startswith(b"HTTP/1.1 200")
+
+
+# Guards against a stop that waits for connections on which nothing arrives.
+def test_silent_connections_do_not_hold_back_a_stop():
+    async def scenario(connect, task):
+        kept = await keep_connection(task)
+        begun = connect_blocking(task)
+        begun.sendall(REQUEST[:9])
+        task.close()
+        began_s = trio.current_time()
+        assert await read_blocking(kept) == b""
+        assert await read_blocking(begun) == b""
+        return trio.current_time() - began_s
+
+    assert run_listener(scenario, graceful_s=5.0) < 2.0
+
+
+# Guards against a request that reaches the application on a connection that is closed
+# at its idle timeout in the same turn.
+def test_a_request_that_arrives_at_the_idle_timeout_is_answered():
+    async def scenario(connect, task):
+        sock = await keep_connection(task)
+        await trio.sleep(IDLE_S - 0.05)
+        send_after_a_stall(sock)
+        await trio.sleep(0.05)
+        sock.shutdown(socket.SHUT_WR)
+        return await read_blocking(sock)
+
+    assert run_listener(scenario).startswith(b"HTTP/1.1 200")
