--- a/tests/path/test_drain.py
+++ b/tests/path/test_drain.py
@@ -1,4 +1,6 @@
 import json
+import socket
+from contextlib import suppress
 
 import trio
 
@@ -12,6 +14,7 @@
         "max_tokens": 60,
     }
 ).encode()
+REQUEST = b"GET /v1/models HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 
 def test_a_drain_completes_open_requests(tmp_path):
@@ -60,3 +63,38 @@
         return code, phase
 
     assert run_with_vm(tmp_path, act) == (3, Phase.STOPPED)
+
+
+# Guards against an exit at the moment at which the listeners close: a request that had
+# just been accepted was cut off without an answer.
+def test_a_request_that_arrives_as_the_listener_closes_is_answered(tmp_path):
+    async def act(running):
+        await running.add_target()
+        connections = []
+        lifecycle = running.vm.lifecycle
+        close = lifecycle._close_listeners
+
+        def connect_and_close():
+            host, _, port = running.vm.address("callers").rpartition(":")
+            connections.append(socket.create_connection((host, int(port))))
+            connections[0].sendall(REQUEST)
+            close()
+
+        lifecycle._close_listeners = connect_and_close
+        running.vm.drain()
+        await running.wait_until(lambda: connections)
+        answer = await trio.to_thread.run_sync(read_all, connections[0])
+        return answer, await running.vm.wait_stopped()
+
+    answer, code = run_with_vm(tmp_path, act)
+    assert answer.startswith(b"HTTP/1.1 ")
+    assert code == 0
+
+
+def read_all(sock):
+    """Return all bytes until the end of a connection."""
+    data = b""
+    with sock, suppress(OSError):
+        while part := sock.recv(65_536):
+            data += part
+    return data
