Say why an outdated target gets no order, and count targets by version

Callers saw: nothing by itself.

Change: the leader writes weights-held for each outdated target that it doesn't order, when the reason changes and each 10 s, with the reason's age and the last answer. Control VMs have vanillabeam_targets_behind, vanillabeam_weights_age_seconds (both by model) and vanillabeam_weights_targets (by model and version). The wait for the lease is a core of its own, as it is one of the reasons; its rules are unchanged.

Evidence: the tests of the lines can't be collected on the code before, which has neither the record nor the lines; tests/fleet/rolloutfleet.py plays a rollout on a virtual clock.

--- a/src/vanillabeam/counters.py
+++ b/src/vanillabeam/counters.py
@@ -1,6 +1,6 @@
 """Metrics of a fleet VM in the Prometheus text format."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from prometheus_client import (
     CollectorRegistry,
@@ -9,6 +9,7 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.core import GaugeMetricFamily
 from starlette.responses import Response
 
 from vanillabeam.decisions import LINE_BUDGETS
@@ -67,6 +68,22 @@
         gauge = Gauge(f"vanillabeam_{name}", help_text, registry=self.registry)
         gauge.set_function(value)
 
+    def add_gauges(
+        self,
+        name: str,
+        help_text: str,
+        labels: tuple[str, ...],
+        values: Callable[[], dict[tuple[str, ...], float]],
+    ) -> None:
+        """Add a gauge for each set of labels that ``values`` returns at a request.
+
+        :param name: name of the metric without the prefix ``vanillabeam_``.
+        :param values: returns the current values by the values of the labels.
+        """
+        self.registry.register(
+            _Gauges(f"vanillabeam_{name}", help_text, labels, values)
+        )
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
@@ -84,6 +101,24 @@
         )
 
 
+class _Gauges:
+    """Gauges whose labels are only known when they are read."""
+
+    def __init__(self, name, help_text, labels, values):
+        self._family = (name, help_text)
+        self._labels = labels
+        self._values = values
+
+    def describe(self) -> list[GaugeMetricFamily]:
+        return [GaugeMetricFamily(*self._family, labels=self._labels)]
+
+    def collect(self) -> Iterator[GaugeMetricFamily]:
+        family = GaugeMetricFamily(*self._family, labels=self._labels)
+        for labels, value in self._values().items():
+            family.add_metric(labels, value)
+        yield family
+
+
 class CountersApp:
     """ASGI application that serves the metrics at ``/metrics``."""
 
--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -65,6 +65,7 @@
     TargetPaused,
     TargetRested,
     TargetSilent,
+    WeightsHeld,
     WeightsOrdered,
 )
 
@@ -115,6 +116,7 @@
     "TargetRested",
     "TargetSilent",
     "TaskFailed",
+    "WeightsHeld",
     "WeightsOrdered",
     "event_name",
     "log_record",
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -59,6 +59,7 @@
     TargetPaused,
     TargetRested,
     TargetSilent,
+    WeightsHeld,
     WeightsOrdered,
 )
 
@@ -106,6 +107,7 @@
     OrderUnsettled: Kind("WARNING", _RARE_LINES_S),
     DeploymentRefused: Kind("WARNING", _RARE_LINES_S),
     DeploymentUnreadable: Kind("ERROR", _RARE_LINES_S),
+    WeightsHeld: Kind("WARNING", _RARE_LINES_S),
     WeightsOrdered: Kind("INFO", _RARE_LINES_S),
     StoreHeard: Kind("INFO", _RARE_LINES_S),
     StoreLost: Kind("WARNING", _RARE_LINES_S),
--- a/src/vanillabeam/decisions/targets.py
+++ b/src/vanillabeam/decisions/targets.py
@@ -14,6 +14,7 @@
     "TargetPaused",
     "TargetRested",
     "TargetSilent",
+    "WeightsHeld",
     "WeightsOrdered",
 ]
 
@@ -96,6 +97,25 @@
     detail: str
 
 
+class WeightsHeld(NamedTuple):
+    """A target on older weights gets no order now: why, and for how long already.
+
+    :param newest: newest version of the model.
+    :param reason: ``backoff``, ``draining``, ``fenced``, ``no-lease``, ``no-slot`` or
+        ``not-known``.
+    :param reply: its answer to the last order; empty if it got none.
+    :param held_s: seconds since this has been the reason.
+    """
+
+    target: str
+    model: str
+    version: int
+    newest: int
+    reason: str
+    reply: str
+    held_s: float
+
+
 class WeightsOrdered(NamedTuple):
     """The leader ordered a target to load weights.
 
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -234,6 +234,11 @@
             for model, times in self._version_times_s.items()
         }
 
+    def weight_ages_s(self, now_s: float) -> dict[str, float]:
+        """Return the age in seconds of each model's newest version."""
+        ages_s = self._version_ages_s(now_s)
+        return {model: max(ages)[1] for model, ages in ages_s.items() if ages}
+
     def _notify(self) -> None:
         changed, self._changed = self._changed, trio.Event()
         changed.set()
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -8,6 +8,8 @@
 
 from vanillabeam.decisions import WeightsOrdered, log_record
 from vanillabeam.fleet.control import FleetControl
+from vanillabeam.fleet.heldweights import Held, HeldReason, HeldTargets
+from vanillabeam.fleet.orderlease import OrderLease
 from vanillabeam.fleet.orderrun import OrderReply, OrderRun, Step, WeightsReport
 from vanillabeam.fleet.records import Target
 from vanillabeam.tasks import run_guarded
@@ -95,36 +97,25 @@
         orders.on_leaving = control.receive_leaving
         self._in_progress: set[str] = set()
         self._fenced: set[tuple[str, int]] = set()
-        self._leased_term = -1
+        self._lease = OrderLease(control.cfg.bounds.lease_s)
+        self._held = HeldTargets()
+        #: Newest answer of each target, by name.
+        self._replies: dict[str, OrderReply] = {}
 
     async def run(self) -> None:
         """Send orders until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                await self._wait_for_lease()
-                self._start_orders(nursery)
+                node, now_s = self._control.node, trio.current_time()
+                self._control.paused &= self._in_progress
+                if self._lease.update(node.is_leader, node.term, now_s):
+                    self._start_orders(nursery)
+                for line in self._held.update(self._find_held(), now_s):
+                    log_record(line)
                 await trio.sleep(PERIOD_S)
 
-    async def _wait_for_lease(self) -> None:
-        """Wait until this VM has led for as long as a lease lasts.
-
-        The previous leader may have sent orders until its leadership ended, and
-        no two leaders may order a target within one lease.
-        """
-        node = self._control.node
-        term, since_s = -1, trio.current_time()
-        while not node.is_leader or node.term != self._leased_term:
-            if not node.is_leader or node.term != term:
-                term, since_s = node.term, trio.current_time()
-            elif trio.current_time() - since_s >= self._control.cfg.bounds.lease_s:
-                self._leased_term = term
-            await trio.sleep(PERIOD_S)
-
     def _start_orders(self, nursery: trio.Nursery) -> None:
         control = self._control
-        control.paused &= self._in_progress
-        if not control.node.is_leader:
-            return
         records = control.follower.directory.records.values()
         targets = [record.target for record in records]
         weights = control.machine.state["weights"]
@@ -139,6 +130,36 @@
                 run_guarded, "weights-order", self._execute, target, order
             )
 
+    def _find_held(self) -> list[Held]:
+        """Return the outdated targets that get no order; none if another VM leads."""
+        if not self._control.node.is_leader:
+            return []
+        known = self._control.follower.directory.records
+        found = []
+        for record in {**self._control.directory.records, **known}.values():
+            target = record.target
+            if target.name in self._in_progress:
+                continue
+            for model, newest in self._control.machine.state["weights"].items():
+                version = target.versions.get(model, newest)
+                if version >= newest:
+                    continue
+                reply = str(self._replies.get(target.name, ""))
+                reason = self._reason(target, target.name in known)
+                found.append(Held(target.name, model, version, newest, reason, reply))
+        return found
+
+    def _reason(self, target: Target, is_known: bool) -> HeldReason:
+        if not is_known:
+            return HeldReason.NOT_KNOWN
+        if target.draining:
+            return HeldReason.DRAINING
+        if not self._lease.is_held:
+            return HeldReason.NO_LEASE
+        if (target.name, self._control.node.term) in self._fenced:
+            return HeldReason.FENCED
+        return HeldReason.NO_SLOT
+
     async def _execute(self, target: Target, order: WeightsOrder) -> None:
         try:
             self._control.pause(target.name)
@@ -164,6 +185,7 @@
     async def _send(self, target: Target, order: WeightsOrder, run: OrderRun) -> None:
         reply = await self._orders.load_weights(target, order, run.sequence)
         run.record_reply(reply, trio.current_time())
+        self._replies[target.name] = reply
         log_record(
             WeightsOrdered(
                 target.name, order.model, order.version, order.fence, str(reply)
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -270,6 +270,37 @@
         add_gauge("log_applied", "Index applied.", lambda: control.node.applied)
         add_gauge("log_leads", "Whether this VM leads.", lambda: control.node.is_leader)
         add_gauge("kept_parts", "Parts that stores keep.", control.stores.index.count)
+        self._add_weights_metrics(control)
+
+    def _add_weights_metrics(self, control: "FleetControl") -> None:
+        from vanillabeam.fleet.heldweights import count_behind, count_versions
+
+        def versions() -> list[dict[str, int]]:
+            records = control.follower.directory.records.values()
+            return [record.target.versions for record in records]
+
+        def behind() -> dict[tuple[str], float]:
+            counts = count_behind(versions(), control.machine.state["weights"])
+            return {(model,): count for model, count in counts.items()}
+
+        def ages_s() -> dict[tuple[str], float]:
+            ages_s = control.weight_ages_s(trio.current_time())
+            return {(model,): age_s for model, age_s in ages_s.items()}
+
+        add_gauges = self.counters.add_gauges
+        add_gauges("targets_behind", "Targets on older weights.", ("model",), behind)
+        add_gauges(
+            "weights_age_seconds",
+            "Age of the newest version that was named.",
+            ("model",),
+            ages_s,
+        )
+        add_gauges(
+            "weights_targets",
+            "Targets by version of their weights.",
+            ("model", "version"),
+            lambda: count_versions(versions()),
+        )
 
     def _open_requests(self) -> int:
         return self.lifecycle.open_requests
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -1,6 +1,12 @@
+import trio
+
 from tests.fleet.builders import make_target
+from tests.fleet.rolloutfleet import make_fleet, play
+from vanillabeam.fleet import rollout
 from vanillabeam.fleet.rollout import select_targets
 
+HELD = "WeightsHeld"
+
 
 def make_targets(count, **changes):
     return [
@@ -35,3 +41,56 @@
     assert select_targets(make_targets(3), {"m": 1}, set()) == []
     assert select_targets(make_targets(3, draining=True), {"m": 2}, set()) == []
     assert select_targets(make_targets(3), {"other": 2}, set()) == []
+
+
+def log_lines(monkeypatch):
+    lines = []
+    monkeypatch.setattr(rollout, "log_record", lines.append)
+    return lines
+
+
+def held_lines(lines):
+    return {(line.target, line.reason) for line in lines if type(line).__name__ == HELD}
+
+
+def test_targets_obey_three_at_a_time():
+    fleet = play(lambda: make_fleet(9), 12.0)
+    assert len(fleet.loaded()) == 9
+    assert fleet.most_loading == 3
+    assert len(fleet.orders()) == 9
+
+
+# Guards against a target that is passed over without a line that says why.
+def test_each_outdated_target_without_an_order_is_logged_with_the_reason(monkeypatch):
+    lines = log_lines(monkeypatch)
+
+    async def drain(fleet):
+        target = fleet.targets["t-05"].target
+        fleet.control.follower.directory.mark_draining(target.incarnation)
+        stranger = make_target("t-99", versions={"m": 1}, address="10.9.9.9:80")
+        fleet.control.directory.update(stranger, trio.current_time())
+
+    play(lambda: make_fleet(9, ["liar"] * 3), 4.0, drain)
+    held = held_lines(lines)
+    assert {("t-04", "no-slot"), ("t-05", "draining"), ("t-99", "not-known")} <= held
+    assert ("t-00", "no-slot") not in held
+
+
+def test_a_leader_without_a_lease_says_so(monkeypatch):
+    lines = log_lines(monkeypatch)
+    fleet = play(lambda: make_fleet(2), 2.0, has_lease=False)
+    assert fleet.orders() == []
+    assert held_lines(lines) >= {("t-00", "no-lease"), ("t-01", "no-lease")}
+
+
+def test_a_vm_that_does_not_lead_orders_and_logs_nothing(monkeypatch):
+    lines = log_lines(monkeypatch)
+
+    def make():
+        fleet = make_fleet(2)
+        fleet.control.node.is_leader = False
+        return fleet
+
+    fleet = play(make, 2.0)
+    assert [line for line in lines if type(line).__name__ == HELD] == []
+    assert fleet.orders() == []
--- a/tests/test_counters.py
+++ b/tests/test_counters.py
@@ -31,6 +31,15 @@
     assert 'first_event_seconds_bucket{le="0.4",service="llm"} 1.0' in text
 
 
+def test_gauges_have_the_labels_that_are_there_when_they_are_read():
+    counters, values = Counters(), {("m", "2"): 3}
+    counters.add_gauges("weights", "By version.", ("model", "version"), lambda: values)
+    values["n", "1"] = 4
+    text = counters.text().decode()
+    assert 'vanillabeam_weights{model="m",version="2"} 3.0' in text
+    assert 'vanillabeam_weights{model="n",version="1"} 4.0' in text
+
+
 def test_another_path_is_not_found():
     assert get(CountersApp(Counters()), "/")[0] == 404
 
