Confirm the leadership with a quorum before each weights order

Callers saw: nothing yet. A leader that had lost its leadership went on with its orders for up to 6 s each, beside those of the next one: two holders of one target within a lease.

Cause: the order's task never looked at the leadership again after its start, and is_leader says only that a quorum was heard within the election time.

Change: before each order a read of the log confirms that a quorum still follows this VM in the term of its lease; a task whose term has passed stops polling.

--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -9,7 +9,7 @@
 from vanillabeam.decisions import WeightsOrdered, log_record
 from vanillabeam.fleet.control import FleetControl
 from vanillabeam.fleet.heldweights import Held, HeldReason, HeldTargets
-from vanillabeam.fleet.orderlease import OrderLease
+from vanillabeam.fleet.orderright import OrderRight
 from vanillabeam.fleet.orderrun import OrderReply, OrderRun, Step, WeightsReport
 from vanillabeam.fleet.records import Target
 from vanillabeam.tasks import run_guarded
@@ -97,7 +97,7 @@
         orders.on_leaving = control.receive_leaving
         self._in_progress: set[str] = set()
         self._fenced: set[tuple[str, int]] = set()
-        self._lease = OrderLease(control.cfg.bounds.lease_s)
+        self._right = OrderRight(control)
         self._held = HeldTargets()
         #: Newest answer of each target, by name.
         self._replies: dict[str, OrderReply] = {}
@@ -106,9 +106,9 @@
         """Send orders until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                node, now_s = self._control.node, trio.current_time()
+                now_s = trio.current_time()
                 self._control.paused &= self._in_progress
-                if self._lease.update(node.is_leader, node.term, now_s):
+                if self._right.is_held():
                     self._start_orders(nursery)
                 for line in self._held.update(self._find_held(), now_s):
                     log_record(line)
@@ -154,7 +154,7 @@
             return HeldReason.NOT_KNOWN
         if target.draining:
             return HeldReason.DRAINING
-        if not self._lease.is_held:
+        if not self._right.is_held():
             return HeldReason.NO_LEASE
         if (target.name, self._control.node.term) in self._fenced:
             return HeldReason.FENCED
@@ -171,17 +171,22 @@
     async def _carry_out(self, target: Target, order: WeightsOrder) -> None:
         """Send the order, again if it got lost, until the target has the version."""
         run = OrderRun(order.version, trio.current_time())
-        while True:
+        while self._may_send(order):
             report = await self._orders.report(target, order.model)
             step = run.next_step(report, trio.current_time())
             if step is Step.STOP:
                 break
             if step is Step.SEND:
+                if not await self._right.confirm() or not self._may_send(order):
+                    break
                 await self._send(target, order, run)
             await trio.sleep(POLL_PERIOD_S)
         if run.is_done:
             self._control.report_weights(target, order.model, report.version)
 
+    def _may_send(self, order: WeightsOrder) -> bool:
+        return self._right.is_held() and self._control.node.term == order.fence
+
     async def _send(self, target: Target, order: WeightsOrder, run: OrderRun) -> None:
         reply = await self._orders.load_weights(target, order, run.sequence)
         run.record_reply(reply, trio.current_time())
--- a/tests/fleet/rolloutfleet.py
+++ b/tests/fleet/rolloutfleet.py
@@ -59,6 +59,10 @@
         for target in targets:
             self.announce(target)
 
+    async def read_state(self):
+        confirmed = await self.node.read()
+        return confirmed.map(lambda _: self.machine.state)
+
     def announce(self, target):
         self.follower.directory.update(target, trio.current_time())
 
@@ -258,7 +262,7 @@
         fleet = make()
         term = fleet.control.node.term
         for at_s in (-BOUNDS.lease_s, 0.0) if has_lease else ():
-            fleet.rollout._lease.update(True, term, at_s)
+            fleet.rollout._right._lease.update(True, term, at_s)
         fleet.control.name("m", version)
         await fleet.run(duration_s, *tasks)
         return fleet
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -6,6 +6,8 @@
 from vanillabeam.fleet.rollout import select_targets
 
 HELD = "WeightsHeld"
+#: Longest time from the confirmation of the leadership to an order.
+CONFIRM_S = 0.05
 
 
 def make_targets(count, **changes):
@@ -94,3 +96,42 @@
     fleet = play(make, 2.0)
     assert [line for line in lines if type(line).__name__ == HELD] == []
     assert fleet.orders() == []
+
+
+def ordered_s(fleet):
+    return sorted(at_s for each in fleet.targets.values() for at_s in each.orders_s)
+
+
+# Guards against a former leader whose orders go on beside those of the next one.
+def test_a_leader_that_lost_its_leadership_sends_no_order_again():
+    async def lose(fleet):
+        await trio.sleep(2.0)
+        fleet.control.node.is_leader = False
+
+    fleet = play(lambda: make_fleet(6, ["silent"] * 6), 8.0, lose)
+    assert ordered_s(fleet)
+    assert max(ordered_s(fleet)) <= 2.0
+
+
+# Guards against two leaders: one that hears no quorum can't know of the next one.
+def test_a_leader_without_a_quorum_sends_no_order():
+    async def cut(fleet):
+        await trio.sleep(1.0)
+        fleet.control.node.has_quorum = False
+
+    fleet = play(lambda: make_fleet(9), 8.0, cut)
+    assert max(ordered_s(fleet)) <= 1.0 + CONFIRM_S
+
+
+# Guards against orders that go on in a new term of the same leader without its lease.
+def test_a_leader_in_a_new_term_waits_for_its_lease_before_it_orders():
+    async def elect(fleet):
+        await trio.sleep(1.0)
+        fleet.control.node.term += 1
+
+    fleet = play(lambda: make_fleet(9, ["silent"]), 25.0, elect)
+    lease_s = fleet.control.cfg.bounds.lease_s
+    assert not [at_s for at_s in ordered_s(fleet) if 1.0 < at_s < 1.0 + lease_s]
+    later = [each.orders[-1].fence for each in fleet.targets.values()]
+    assert later[0] == 2
+    assert len(fleet.loaded()) == 8
