Order again under a higher, committed fencing number after a 412

Cause: one 412 was believed for the whole term. It also comes from a log founded anew, whose terms begin below the numbers that targets have seen, or from a spoiled answer.

Evidence, on the code before: nine targets that have seen number 40: 'assert 0 == 9' loaded after 25 s; 'expected 2, got 1' orders.

Change: the fencing number is the term plus an offset that the fleet's log keeps. A target that refused a number gets no order under it.

--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -55,6 +55,7 @@
 )
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
+    FenceRaised,
     PartsFreed,
     PartsRetired,
     StoreHeard,
@@ -83,6 +84,7 @@
     "ControlHeard",
     "DeploymentRefused",
     "DeploymentUnreadable",
+    "FenceRaised",
     "HomeChosen",
     "LibraryWarned",
     "LinesDropped",
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -49,6 +49,7 @@
 )
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
+    FenceRaised,
     PartsFreed,
     PartsRetired,
     StoreHeard,
@@ -107,6 +108,7 @@
     OrderUnsettled: Kind("WARNING", _RARE_LINES_S),
     DeploymentRefused: Kind("WARNING", _RARE_LINES_S),
     DeploymentUnreadable: Kind("ERROR", _RARE_LINES_S),
+    FenceRaised: Kind("WARNING", _RARE_LINES_S),
     WeightsHeld: Kind("WARNING", _RARE_LINES_S),
     WeightsOrdered: Kind("INFO", _RARE_LINES_S),
     StoreHeard: Kind("INFO", _RARE_LINES_S),
--- a/src/vanillabeam/decisions/targets.py
+++ b/src/vanillabeam/decisions/targets.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "AnnouncementUnreadable",
+    "FenceRaised",
     "PartsFreed",
     "PartsRetired",
     "StoreHeard",
@@ -97,6 +98,18 @@
     detail: str
 
 
+class FenceRaised(NamedTuple):
+    """The leader raised its fencing number, as a target refused it though it leads.
+
+    :param refused: fencing number that was refused.
+    :param fence: fencing number from now on.
+    """
+
+    refused: int
+    fence: int
+    failure: str
+
+
 class WeightsHeld(NamedTuple):
     """A target on older weights gets no order now: why, and for how long already.
 
@@ -119,7 +132,7 @@
 class WeightsOrdered(NamedTuple):
     """The leader ordered a target to load weights.
 
-    :param fence: term of the leader, by which the target rejects older leaders.
+    :param fence: fencing number, by which the target rejects older leaders.
     """
 
     target: str
--- a/src/vanillabeam/fleet/machine.py
+++ b/src/vanillabeam/fleet/machine.py
@@ -22,7 +22,9 @@
     "Command",
     "FleetMachine",
     "FleetState",
+    "fence_offset",
     "make_deploy",
+    "make_fence_raise",
     "make_quarantine_change",
 ]
 
@@ -44,6 +46,7 @@
     :param packed: the document compressed, in base64, in place of ``document``.
     :param quarantine: change of a quarantined part, in a ``restore`` of no data centre,
         which releases that know no quarantine apply without effect.
+    :param fence_offset: least offset of fencing numbers from now on, sent likewise.
     """
 
     kind: Literal["deploy", "evacuate", "restore", "weights"]
@@ -53,6 +56,7 @@
     data_centre: NotRequired[str]
     model: NotRequired[str]
     quarantine: NotRequired[QuarantineChange]
+    fence_offset: NotRequired[int]
 
 
 class FleetState(TypedDict):
@@ -64,6 +68,8 @@
     :param evacuated: data centres that get no new work.
     :param weights: newest version named for each model.
     :param quarantine: parts of prompts that are kept from targets.
+    :param fence_offset: number that the log's term is added to for the fencing number
+        of orders; it never decreases. Absent for 0.
     """
 
     index: int
@@ -72,6 +78,7 @@
     evacuated: list[str]
     weights: dict[str, int]
     quarantine: NotRequired[Quarantine]
+    fence_offset: NotRequired[int]
 
 
 def make_deploy(number: int, document: str) -> Command:
@@ -93,6 +100,11 @@
     return Command(kind="restore", data_centre="", quarantine=change)
 
 
+def make_fence_raise(offset: int) -> Command:
+    """Return the command that raises the offset of fencing numbers."""
+    return Command(kind="restore", data_centre="", fence_offset=offset)
+
+
 def _read_document(command: Command) -> str:
     if "packed" not in command:
         return command["document"]
@@ -156,11 +168,18 @@
             self.on_change()
 
 
+def fence_offset(state: FleetState) -> int:
+    """Return the offset of fencing numbers."""
+    return state.get("fence_offset", 0)
+
+
 def _changes(command: Command, state: FleetState, index: int) -> dict:
     """Return the fields that ``command`` changes."""
     if "quarantine" in command:
         known = state.get("quarantine", {})
         return {"quarantine": apply_change(known, command["quarantine"], index)}
+    if "fence_offset" in command:
+        return {"fence_offset": max(command["fence_offset"], fence_offset(state))}
     match command["kind"]:
         case "deploy" if not state["document"] or command["number"] > state["number"]:
             return {"number": command["number"], "document": _read_document(command)}
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -96,7 +96,8 @@
         self._orders = orders
         orders.on_leaving = control.receive_leaving
         self._in_progress: set[str] = set()
-        self._fenced: set[tuple[str, int]] = set()
+        #: Fencing number that each incarnation refused last.
+        self._fenced: dict[tuple[str, int], int] = {}
         self._right = OrderRight(control)
         self._held = HeldTargets()
         #: Newest answer of each target, by name.
@@ -120,16 +121,22 @@
         targets = [record.target for record in records]
         weights = control.machine.state["weights"]
         for target, model in select_targets(targets, weights, self._in_progress):
-            if (target.name, control.node.term) in self._fenced:
+            if self._is_fenced(target):
                 continue
-            order = WeightsOrder(
-                model, weights[model], control.cfg.vm, control.node.term
-            )
             self._in_progress.add(target.name)
             nursery.start_soon(
-                run_guarded, "weights-order", self._execute, target, order
+                run_guarded, "weights-order", self._execute, target, model
+            )
+        fence = self._right.fence
+        if fence in self._fenced.values():
+            nursery.start_soon(
+                run_guarded, "weights-fence", self._right.raise_fence, fence
             )
 
+    def _is_fenced(self, target: Target) -> bool:
+        """Return whether a target has refused the fencing number in force."""
+        return self._fenced.get(target.incarnation, -1) >= self._right.fence
+
     def _find_held(self) -> list[Held]:
         """Return the outdated targets that get no order; none if another VM leads."""
         if not self._control.node.is_leader:
@@ -156,45 +163,44 @@
             return HeldReason.DRAINING
         if not self._right.is_held():
             return HeldReason.NO_LEASE
-        if (target.name, self._control.node.term) in self._fenced:
+        if self._is_fenced(target):
             return HeldReason.FENCED
         return HeldReason.NO_SLOT
 
-    async def _execute(self, target: Target, order: WeightsOrder) -> None:
+    async def _execute(self, target: Target, model: str) -> None:
         try:
             self._control.pause(target.name)
             await trio.sleep(PAUSE_S)
-            await self._carry_out(target, order)
+            await self._carry_out(target, model)
         finally:
             self._in_progress.discard(target.name)
 
-    async def _carry_out(self, target: Target, order: WeightsOrder) -> None:
+    async def _carry_out(self, target: Target, model: str) -> None:
         """Send the order, again if it got lost, until the target has the version."""
-        run = OrderRun(order.version, trio.current_time())
-        while self._may_send(order):
-            report = await self._orders.report(target, order.model)
+        version = self._control.machine.state["weights"][model]
+        run = OrderRun(version, trio.current_time())
+        term = self._right.term
+        while self._right.is_held(term):
+            report = await self._orders.report(target, model)
             step = run.next_step(report, trio.current_time())
             if step is Step.STOP:
                 break
             if step is Step.SEND:
-                if not await self._right.confirm() or not self._may_send(order):
+                if not await self._right.confirm(term):
                     break
-                await self._send(target, order, run)
+                await self._send(target, model, version, run)
             await trio.sleep(POLL_PERIOD_S)
         if run.is_done:
-            self._control.report_weights(target, order.model, report.version)
-
-    def _may_send(self, order: WeightsOrder) -> bool:
-        return self._right.is_held() and self._control.node.term == order.fence
+            self._control.report_weights(target, model, report.version)
 
-    async def _send(self, target: Target, order: WeightsOrder, run: OrderRun) -> None:
+    async def _send(
+        self, target: Target, model: str, version: int, run: OrderRun
+    ) -> None:
+        fence = self._right.fence
+        order = WeightsOrder(model, version, self._control.cfg.vm, fence)
         reply = await self._orders.load_weights(target, order, run.sequence)
         run.record_reply(reply, trio.current_time())
         self._replies[target.name] = reply
-        log_record(
-            WeightsOrdered(
-                target.name, order.model, order.version, order.fence, str(reply)
-            )
-        )
+        log_record(WeightsOrdered(target.name, model, version, fence, str(reply)))
         if reply is OrderReply.FENCED:
-            self._fenced.add((target.name, order.fence))
+            self._fenced[target.incarnation] = fence
--- a/tests/fleet/test_machine.py
+++ b/tests/fleet/test_machine.py
@@ -3,6 +3,7 @@
 from vanillabeam import wire
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.fleet import FleetMachine, make_deploy
+from vanillabeam.fleet.machine import make_fence_raise
 
 
 def apply_all(machine, *commands):
@@ -62,6 +63,27 @@
     assert apply_all(FleetMachine(), newer, older)["weights"] == {"m": 3}
 
 
+def test_a_fence_offset_only_rises_and_is_in_the_snapshot():
+    machine = FleetMachine()
+    assert "fence_offset" not in machine.state
+    out = {"kind": "evacuate", "data_centre": "a"}
+    state = apply_all(machine, out, make_fence_raise(50), make_fence_raise(7))
+    assert state["fence_offset"] == 50
+    assert state["evacuated"] == ["a"]
+    other = FleetMachine()
+    other.restore(machine.snapshot())
+    assert other.state == machine.state
+
+
+# Guards against a command that stops control VMs of the release before.
+def test_a_fence_raise_without_its_field_restores_no_data_centre():
+    machine = FleetMachine()
+    apply_all(machine, {"kind": "evacuate", "data_centre": "a"})
+    command = make_fence_raise(50)
+    del command["fence_offset"]
+    assert apply_all(machine, command)["evacuated"] == ["a"]
+
+
 def test_a_snapshot_brings_another_replica_to_the_same_state():
     one, other = FleetMachine(), FleetMachine()
     apply_all(one, deploy(4, "four"), {"kind": "evacuate", "data_centre": "a"})
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -1,9 +1,12 @@
 import trio
+from returns.result import Failure
 
 from tests.fleet.builders import make_target
 from tests.fleet.rolloutfleet import make_fleet, play
 from vanillabeam.fleet import rollout
+from vanillabeam.fleet.orderright import RAISE_PERIOD_S
 from vanillabeam.fleet.rollout import select_targets
+from vanillabeam.log.exceptions import OutcomeUnknown
 
 HELD = "WeightsHeld"
 #: Longest time from the confirmation of the leadership to an order.
@@ -135,3 +138,62 @@
     later = [each.orders[-1].fence for each in fleet.targets.values()]
     assert later[0] == 2
     assert len(fleet.loaded()) == 8
+
+
+# Guards against a single 412 that is believed until the next election.
+def test_targets_that_have_seen_a_higher_number_get_an_order_under_a_higher_one():
+    fleet = play(lambda: make_fleet(9, fence=40), 25.0)
+    assert len(fleet.loaded()) == 9
+    fences = [order.fence for order in fleet.orders()]
+    assert min(fences) == 1
+    assert max(fences) > 40
+    assert len(fleet.control.node.proposed) == 1
+
+
+# Guards against a leader that orders again beside the one that fenced it.
+def test_a_leader_that_was_fenced_without_a_quorum_raises_and_orders_nothing():
+    async def cut(fleet):
+        while len(fleet.orders()) < 3:
+            await trio.sleep(0.005)
+        fleet.control.node.has_quorum = False
+
+    fleet = play(lambda: make_fleet(9, fence=40), 10.0, cut)
+    assert fleet.control.node.proposed == []
+    assert {order.fence for order in fleet.orders()} == {1}
+    assert len(fleet.orders()) == 3
+
+
+def test_a_raise_that_is_not_committed_does_not_count():
+    async def fail(fleet):
+        propose = fleet.control.propose
+        fleet.control.propose = fail_first(propose)
+
+    fleet = play(lambda: make_fleet(1, fence=40), 15.0, fail)
+    first, second = fleet.orders()
+    assert first.fence == 1
+    assert second.fence > 40
+    assert fleet.targets["t-00"].orders_s[1] >= RAISE_PERIOD_S
+    assert len(fleet.loaded()) == 1
+
+
+def fail_first(propose):
+    calls = []
+
+    async def propose_later(command):
+        calls.append(command)
+        if len(calls) == 1:
+            await trio.sleep(0.1)
+            return Failure(OutcomeUnknown())
+        return await propose(command)
+
+    return propose_later
+
+
+# Guards against a raise for each refusal of a target that refuses all numbers.
+def test_raises_are_bounded_in_time():
+    fleet = play(lambda: make_fleet(9, ["fences"] * 2), 20.0)
+    assert 1 <= len(fleet.control.node.proposed) <= 20.0 / RAISE_PERIOD_S
+    refused = [each.orders for each in fleet.targets.values() if len(each.orders) > 1]
+    for orders in refused:
+        fences = [order.fence for order in orders]
+        assert len(set(fences)) == len(fences)
