--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -55,6 +55,7 @@
 )
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
+    FenceRaised,
     LeavingReported,
     PartsFreed,
     PartsRetired,
@@ -68,6 +69,7 @@
     TargetSilent,
     TargetStays,
     TargetUnlisted,
+    WeightsHeld,
     WeightsOrdered,
 )
 
@@ -85,6 +87,7 @@
     "ControlHeard",
     "DeploymentRefused",
     "DeploymentUnreadable",
+    "FenceRaised",
     "HomeChosen",
     "LeavingReported",
     "LibraryWarned",
@@ -121,6 +124,7 @@
     "TargetStays",
     "TargetUnlisted",
     "TaskFailed",
+    "WeightsHeld",
     "WeightsOrdered",
     "event_name",
     "log_record",
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -49,6 +49,7 @@
 )
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
+    FenceRaised,
     LeavingReported,
     PartsFreed,
     PartsRetired,
@@ -62,6 +63,7 @@
     TargetSilent,
     TargetStays,
     TargetUnlisted,
+    WeightsHeld,
     WeightsOrdered,
 )
 
@@ -112,6 +114,8 @@
     OrderUnsettled: Kind("WARNING", _RARE_LINES_S),
     DeploymentRefused: Kind("WARNING", _RARE_LINES_S),
     DeploymentUnreadable: Kind("ERROR", _RARE_LINES_S),
+    FenceRaised: Kind("WARNING", _RARE_LINES_S),
+    WeightsHeld: Kind("WARNING", _RARE_LINES_S),
     WeightsOrdered: Kind("INFO", _RARE_LINES_S),
     StoreHeard: Kind("INFO", _RARE_LINES_S),
     StoreLost: Kind("WARNING", _RARE_LINES_S),
--- a/src/vanillabeam/decisions/targets.py
+++ b/src/vanillabeam/decisions/targets.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AnnouncementUnreadable",
     "LeavingReported",
+    "FenceRaised",
     "PartsFreed",
     "PartsRetired",
     "StoreHeard",
@@ -17,6 +18,7 @@
     "TargetSilent",
     "TargetStays",
     "TargetUnlisted",
+    "WeightsHeld",
     "WeightsOrdered",
 ]
 
@@ -137,10 +139,41 @@
     detail: str
 
 
+class FenceRaised(NamedTuple):
+    """The leader raised its fencing number, as a target refused it though it leads.
+
+    :param refused: fencing number that was refused.
+    :param fence: fencing number from now on.
+    """
+
+    refused: int
+    fence: int
+    failure: str
+
+
+class WeightsHeld(NamedTuple):
+    """A target on older weights gets no order now: why, and for how long already.
+
+    :param newest: newest version of the model.
+    :param reason: ``backoff``, ``draining``, ``fenced``, ``no-lease``, ``no-slot`` or
+        ``not-known``.
+    :param reply: its answer to the last order; empty if it got none.
+    :param held_s: seconds since this has been the reason.
+    """
+
+    target: str
+    model: str
+    version: int
+    newest: int
+    reason: str
+    reply: str
+    held_s: float
+
+
 class WeightsOrdered(NamedTuple):
     """The leader ordered a target to load weights.
 
-    :param fence: term of the leader, by which the target rejects older leaders.
+    :param fence: fencing number, by which the target rejects older leaders.
     """
 
     target: str
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -8,6 +8,8 @@
 
 from vanillabeam.decisions import WeightsOrdered, log_record
 from vanillabeam.fleet.control import FleetControl
+from vanillabeam.fleet.heldweights import Held, HeldReason, HeldTargets
+from vanillabeam.fleet.orderright import OrderRight
 from vanillabeam.fleet.orderrun import OrderReply, OrderRun, Step, WeightsReport
 from vanillabeam.fleet.records import Target
 from vanillabeam.tasks import run_guarded
@@ -94,79 +96,110 @@
         self._orders = orders
         orders.on_leaving = control.receive_leaving
         self._in_progress: set[str] = set()
-        self._fenced: set[tuple[str, int]] = set()
-        self._leased_term = -1
+        #: Fencing number that each incarnation refused last.
+        self._fenced: dict[tuple[str, int], int] = {}
+        self._right = OrderRight(control)
+        self._held = HeldTargets()
+        #: Newest answer of each target, by name.
+        self._replies: dict[str, OrderReply] = {}
 
     async def run(self) -> None:
         """Send orders until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                await self._wait_for_lease()
-                self._start_orders(nursery)
+                now_s = trio.current_time()
+                self._control.paused &= self._in_progress
+                if self._right.is_held():
+                    self._start_orders(nursery)
+                for line in self._held.update(self._find_held(), now_s):
+                    log_record(line)
                 await trio.sleep(PERIOD_S)
 
-    async def _wait_for_lease(self) -> None:
-        """Wait until this VM has led for as long as a lease lasts.
-
-        The previous leader may have sent orders until its leadership ended, and
-        no two leaders may order a target within one lease.
-        """
-        node = self._control.node
-        term, since_s = -1, trio.current_time()
-        while not node.is_leader or node.term != self._leased_term:
-            if not node.is_leader or node.term != term:
-                term, since_s = node.term, trio.current_time()
-            elif trio.current_time() - since_s >= self._control.cfg.bounds.lease_s:
-                self._leased_term = term
-            await trio.sleep(PERIOD_S)
-
     def _start_orders(self, nursery: trio.Nursery) -> None:
         control = self._control
-        control.paused &= self._in_progress
-        if not control.node.is_leader:
-            return
         targets = control.follower.directory.targets()
         weights = control.machine.state["weights"]
         for target, model in select_targets(targets, weights, self._in_progress):
-            if (target.name, control.node.term) in self._fenced:
+            if self._is_fenced(target):
                 continue
-            order = WeightsOrder(
-                model, weights[model], control.cfg.vm, control.node.term
-            )
             self._in_progress.add(target.name)
             nursery.start_soon(
-                run_guarded, "weights-order", self._execute, target, order
+                run_guarded, "weights-order", self._execute, target, model
+            )
+        fence = self._right.fence
+        if fence in self._fenced.values():
+            nursery.start_soon(
+                run_guarded, "weights-fence", self._right.raise_fence, fence
             )
 
-    async def _execute(self, target: Target, order: WeightsOrder) -> None:
+    def _is_fenced(self, target: Target) -> bool:
+        """Return whether a target has refused the fencing number in force."""
+        return self._fenced.get(target.incarnation, -1) >= self._right.fence
+
+    def _find_held(self) -> list[Held]:
+        """Return the outdated targets that get no order; none if another VM leads."""
+        if not self._control.node.is_leader:
+            return []
+        heard = self._control.directory.targets()
+        known = {t.name: t for t in self._control.follower.directory.targets()}
+        found = []
+        for target in ({t.name: t for t in heard} | known).values():
+            if target.name in self._in_progress:
+                continue
+            for model, newest in self._control.machine.state["weights"].items():
+                version = target.versions.get(model, newest)
+                if version >= newest:
+                    continue
+                reply = str(self._replies.get(target.name, ""))
+                reason = self._reason(target, target.name in known)
+                found.append(Held(target.name, model, version, newest, reason, reply))
+        return found
+
+    def _reason(self, target: Target, is_known: bool) -> HeldReason:
+        if not is_known:
+            return HeldReason.NOT_KNOWN
+        if target.draining:
+            return HeldReason.DRAINING
+        if not self._right.is_held():
+            return HeldReason.NO_LEASE
+        if self._is_fenced(target):
+            return HeldReason.FENCED
+        return HeldReason.NO_SLOT
+
+    async def _execute(self, target: Target, model: str) -> None:
         try:
             self._control.pause(target.name)
             await trio.sleep(PAUSE_S)
-            await self._carry_out(target, order)
+            await self._carry_out(target, model)
         finally:
             self._in_progress.discard(target.name)
 
-    async def _carry_out(self, target: Target, order: WeightsOrder) -> None:
+    async def _carry_out(self, target: Target, model: str) -> None:
         """Send the order, again if it got lost, until the target has the version."""
-        run = OrderRun(order.version, trio.current_time())
-        while True:
-            report = await self._orders.report(target, order.model)
+        version = self._control.machine.state["weights"][model]
+        run = OrderRun(version, trio.current_time())
+        term = self._right.term
+        while self._right.is_held(term):
+            report = await self._orders.report(target, model)
             step = run.next_step(report, trio.current_time())
             if step is Step.STOP:
                 break
             if step is Step.SEND:
-                await self._send(target, order, run)
+                if not await self._right.confirm(term):
+                    break
+                await self._send(target, model, version, run)
             await trio.sleep(POLL_PERIOD_S)
         if run.is_done:
-            self._control.report_weights(target, order.model, report.version)
+            self._control.report_weights(target, model, report.version)
 
-    async def _send(self, target: Target, order: WeightsOrder, run: OrderRun) -> None:
+    async def _send(
+        self, target: Target, model: str, version: int, run: OrderRun
+    ) -> None:
+        fence = self._right.fence
+        order = WeightsOrder(model, version, self._control.cfg.vm, fence)
         reply = await self._orders.load_weights(target, order, run.sequence)
         run.record_reply(reply, trio.current_time())
-        log_record(
-            WeightsOrdered(
-                target.name, order.model, order.version, order.fence, str(reply)
-            )
-        )
+        self._replies[target.name] = reply
+        log_record(WeightsOrdered(target.name, model, version, fence, str(reply)))
         if reply is OrderReply.FENCED:
-            self._fenced.add((target.name, order.fence))
+            self._fenced[target.incarnation] = fence
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -1,5 +1,16 @@
+import trio
+from returns.result import Failure
+
 from tests.fleet.builders import make_target
+from tests.fleet.rolloutfleet import make_fleet, play
+from vanillabeam.fleet import rollout
+from vanillabeam.fleet.orderright import RAISE_PERIOD_S
 from vanillabeam.fleet.rollout import select_targets
+from vanillabeam.log.exceptions import OutcomeUnknown
+
+HELD = "WeightsHeld"
+#: Longest time from the confirmation of the leadership to an order.
+CONFIRM_S = 0.05
 
 
 def make_targets(count, **changes):
@@ -35,3 +46,154 @@
     assert select_targets(make_targets(3), {"m": 1}, set()) == []
     assert select_targets(make_targets(3, draining=True), {"m": 2}, set()) == []
     assert select_targets(make_targets(3), {"other": 2}, set()) == []
+
+
+def log_lines(monkeypatch):
+    lines = []
+    monkeypatch.setattr(rollout, "log_record", lines.append)
+    return lines
+
+
+def held_lines(lines):
+    return {(line.target, line.reason) for line in lines if type(line).__name__ == HELD}
+
+
+def test_targets_obey_three_at_a_time():
+    fleet = play(lambda: make_fleet(9), 12.0)
+    assert len(fleet.loaded()) == 9
+    assert fleet.most_loading == 3
+    assert len(fleet.orders()) == 9
+
+
+# Guards against a target that is passed over without a line that says why.
+def test_each_outdated_target_without_an_order_is_logged_with_the_reason(monkeypatch):
+    lines = log_lines(monkeypatch)
+
+    async def drain(fleet):
+        target = fleet.targets["t-05"].target
+        fleet.control.follower.directory.mark_draining(target.incarnation)
+        stranger = make_target("t-99", versions={"m": 1}, address="10.9.9.9:80")
+        fleet.control.directory.update(stranger, trio.current_time())
+
+    play(lambda: make_fleet(9, ["liar"] * 3), 4.0, drain)
+    held = held_lines(lines)
+    assert {("t-04", "no-slot"), ("t-05", "draining"), ("t-99", "not-known")} <= held
+    assert ("t-00", "no-slot") not in held
+
+
+def test_a_leader_without_a_lease_says_so(monkeypatch):
+    lines = log_lines(monkeypatch)
+    fleet = play(lambda: make_fleet(2), 2.0, has_lease=False)
+    assert fleet.orders() == []
+    assert held_lines(lines) >= {("t-00", "no-lease"), ("t-01", "no-lease")}
+
+
+def test_a_vm_that_does_not_lead_orders_and_logs_nothing(monkeypatch):
+    lines = log_lines(monkeypatch)
+
+    def make():
+        fleet = make_fleet(2)
+        fleet.control.node.is_leader = False
+        return fleet
+
+    fleet = play(make, 2.0)
+    assert [line for line in lines if type(line).__name__ == HELD] == []
+    assert fleet.orders() == []
+
+
+def ordered_s(fleet):
+    return sorted(at_s for each in fleet.targets.values() for at_s in each.orders_s)
+
+
+# Guards against a former leader whose orders go on beside those of the next one.
+def test_a_leader_that_lost_its_leadership_sends_no_order_again():
+    async def lose(fleet):
+        await trio.sleep(2.0)
+        fleet.control.node.is_leader = False
+
+    fleet = play(lambda: make_fleet(6, ["silent"] * 6), 8.0, lose)
+    assert ordered_s(fleet)
+    assert max(ordered_s(fleet)) <= 2.0
+
+
+# Guards against two leaders: one that hears no quorum can't know of the next one.
+def test_a_leader_without_a_quorum_sends_no_order():
+    async def cut(fleet):
+        await trio.sleep(1.0)
+        fleet.control.node.has_quorum = False
+
+    fleet = play(lambda: make_fleet(9), 8.0, cut)
+    assert max(ordered_s(fleet)) <= 1.0 + CONFIRM_S
+
+
+# Guards against orders that go on in a new term of the same leader without its lease.
+def test_a_leader_in_a_new_term_waits_for_its_lease_before_it_orders():
+    async def elect(fleet):
+        await trio.sleep(1.0)
+        fleet.control.node.term += 1
+
+    fleet = play(lambda: make_fleet(9, ["silent"]), 25.0, elect)
+    lease_s = fleet.control.cfg.bounds.lease_s
+    assert not [at_s for at_s in ordered_s(fleet) if 1.0 < at_s < 1.0 + lease_s]
+    later = [each.orders[-1].fence for each in fleet.targets.values()]
+    assert later[0] == 2
+    assert len(fleet.loaded()) == 8
+
+
+# Guards against a single 412 that is believed until the next election.
+def test_targets_that_have_seen_a_higher_number_get_an_order_under_a_higher_one():
+    fleet = play(lambda: make_fleet(9, fence=40), 25.0)
+    assert len(fleet.loaded()) == 9
+    fences = [order.fence for order in fleet.orders()]
+    assert min(fences) == 1
+    assert max(fences) > 40
+    assert len(fleet.control.node.proposed) == 1
+
+
+# Guards against a leader that orders again beside the one that fenced it.
+def test_a_leader_that_was_fenced_without_a_quorum_raises_and_orders_nothing():
+    async def cut(fleet):
+        while len(fleet.orders()) < 3:
+            await trio.sleep(0.005)
+        fleet.control.node.has_quorum = False
+
+    fleet = play(lambda: make_fleet(9, fence=40), 10.0, cut)
+    assert fleet.control.node.proposed == []
+    assert {order.fence for order in fleet.orders()} == {1}
+    assert len(fleet.orders()) == 3
+
+
+def test_a_raise_that_is_not_committed_does_not_count():
+    async def fail(fleet):
+        propose = fleet.control.propose
+        fleet.control.propose = fail_first(propose)
+
+    fleet = play(lambda: make_fleet(1, fence=40), 15.0, fail)
+    first, second = fleet.orders()
+    assert first.fence == 1
+    assert second.fence > 40
+    assert fleet.targets["t-00"].orders_s[1] >= RAISE_PERIOD_S
+    assert len(fleet.loaded()) == 1
+
+
+def fail_first(propose):
+    calls = []
+
+    async def propose_later(command):
+        calls.append(command)
+        if len(calls) == 1:
+            await trio.sleep(0.1)
+            return Failure(OutcomeUnknown())
+        return await propose(command)
+
+    return propose_later
+
+
+# Guards against a raise for each refusal of a target that refuses all numbers.
+def test_raises_are_bounded_in_time():
+    fleet = play(lambda: make_fleet(9, ["fences"] * 2), 20.0)
+    assert 1 <= len(fleet.control.node.proposed) <= 20.0 / RAISE_PERIOD_S
+    refused = [each.orders for each in fleet.targets.values() if len(each.orders) > 1]
+    for orders in refused:
+        fences = [order.fence for order in orders]
+        assert len(set(fences)) == len(fences)
