--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -93,12 +93,12 @@
             history.report("CONFIG", change.confirmed_s, "core", text)
         end_s = change.confirmed_s or float("inf")
         until_s = min(end_s, history.now_s())
-        if change.is_valid and _is_overdue(history, change.sent_s, until_s):
+        if change.is_valid and is_overdue(history, change.sent_s, until_s):
             text = f"{change.number} sent at {change.sent_s:.2f}, confirmed at {end_s}"
             history.report("ACK", change.sent_s, "core", text)
 
 
-def _is_overdue(history, since_s, until_s):
+def is_overdue(history, since_s, until_s):
     """Return whether a stretch without a fault was longer than a change may take."""
     start_s = max(since_s, 2 * RECOVER_S)
     ends = [fault.end_s + RECOVER_S for fault in history.outages]
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -94,11 +94,15 @@
 
     async def move(self, vm):
         """Use a new connection to a VM."""
+        await self.close()
+        self.vm = vm
+        self._http = httpcore.AsyncConnectionPool(max_connections=1)
+
+    async def close(self):
+        """Close the connection, if there is one."""
         if self._http is not None:
             with trio.CancelScope(shield=True):
                 await self._http.aclose()
-        self.vm = vm
-        self._http = httpcore.AsyncConnectionPool(max_connections=1)
 
     async def send(self, path, kind, limit_s, group, key=FIXED_KEY, part=""):
         """Send a request once; record and return the attempt.
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -83,8 +83,11 @@
     "cold_slack": 5,
     "evac_ms": 5000,
     "recover_s": 12,
+    "require_fence": True,
     "lease_ms": 3000,
+    "thaw_ms": 300,
     "version_ms": 10000,
+    "version_all_ms": 14000,
 }
 
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -2,7 +2,10 @@
 
 import json
 from contextlib import contextmanager
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from tests.soak.weights import Life, Order
 
 MAX_NAMES = 6
 
@@ -27,6 +30,21 @@
         self.refused: list[tuple[float, int]] = []
 
 
+class Naming:
+    """A version of weights that an operator named.
+
+    :ivar sent_s: first time it was sent.
+    :ivar confirmed_s: time of its first confirmation; ``None`` without one.
+    :ivar refused: each status with which it was refused, and when.
+    """
+
+    def __init__(self, number, sent_s):
+        self.number = number
+        self.sent_s = sent_s
+        self.confirmed_s: float | None = None
+        self.refused: list[tuple[float, int]] = []
+
+
 class Read(NamedTuple):
     """A read of the configuration that was answered with 200."""
 
@@ -63,18 +81,23 @@
 
 
 class Run(NamedTuple):
-    """A request that a target ran."""
+    """A request that a target ran.
+
+    :param version: weights that it began on; 0 without a model.
+    """
 
     id: str
     target: str
     at_s: float
+    version: int = 0
 
 
 class Outage:
     """A fault: VMs that don't run, or links that don't work.
 
     :ivar kind: ``down``, ``stopped`` or ``frozen`` for VMs; ``cut``, ``slow`` or
-        ``reset`` for the links between ``vms`` and ``others``.
+        ``reset`` for the links between ``vms`` and ``others``; ``target`` or
+        ``orders`` for targets that don't work or don't obey.
     """
 
     def __init__(self, kind, vms, others, start_s):
@@ -114,6 +137,9 @@
         self.entries = list(entries)
         self.controls = list(controls)
         self.changes: list[Change] = []
+        self.namings: list[Naming] = []
+        self.orders: list[Order] = []
+        self.lives: list[Life] = []
         self.reads: list[Read] = []
         self.attempts: list[Attempt] = []
         self.runs: list[Run] = []
@@ -123,6 +149,10 @@
         self.poisoned: list[float] = []
         self.findings: list[str] = []
 
+    def newest_named(self):
+        """Return the newest version of weights that was ever sent."""
+        return max((naming.number for naming in self.namings), default=1)
+
     @contextmanager
     def outage(self, kind, vms, others=()):
         """Record a fault that lasts as long as the context."""
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -1,6 +1,7 @@
 """Operators that change the configuration, send it again and read it back."""
 
 import json
+import random
 
 import httpcore
 import trio
@@ -8,7 +9,8 @@
 from tests.platform.builders import make_document
 from tests.soak.clients import FAILURES, FIRST_ROUTES, FIXED_KEY, HOST
 from tests.soak.fleet import BOUNDS, CONTROL_PORT
-from tests.soak.history import Change, Read
+from tests.soak.history import Change, Naming, Read
+from tests.soak.weights import MODEL
 
 CALL_TIMEOUT_S = 1.0
 BACKOFF_S = 0.1
@@ -20,6 +22,8 @@
 APPLY_S = BOUNDS["config_apply_ms"] / 1000
 #: Most that is added to a version's number.
 MAX_STEP = 9
+#: Most that is added to the number of weights that are named next.
+MAX_VERSION_STEP = 2
 REFUSALS = (400, 409, 412, 413, 422)
 
 
@@ -116,10 +120,28 @@
 
     async def deliver(self, change, *, calls=200):
         """Send a change to any VM until it is confirmed or refused."""
+        return await self._send("/api/Config.Put", change, change.body, calls)
+
+    async def name_version(self):
+        """Name newer weights until they are confirmed or refused."""
+        number = self.history.newest_named() + self.rng.randint(1, MAX_VERSION_STEP)
+        naming = Naming(number, self.history.now_s())
+        self.history.namings.append(naming)
+        body = json.dumps({"model": MODEL, "version": number})
+        return await self._send("/api/version-put", naming, body, calls=200)
+
+    async def name_forever(self, period_s):
+        """Name newer weights from time to time until cancelled."""
+        rng = random.Random(self.rng.random())
+        while True:
+            await trio.sleep(rng.uniform(0.3, 1.7) * period_s)
+            await self.name_version()
+
+    async def _send(self, path, change, body, calls):
         pause_s = BACKOFF_S
         for _ in range(calls):
             async with self._places:
-                put = await self.call("POST", "/api/Config.Put", change.body)
+                put = await self.call("POST", path, body)
             status = put[1]
             if status == 200 and self.rng.random() > 0.1:
                 change.confirmed_s = change.confirmed_s or self.history.now_s()
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -2,21 +2,28 @@
 
 import random
 import sys
+from contextlib import contextmanager
 from pathlib import Path
 
+import httpcore
 import trio
 
-from tests.soak.checks import calm_attempts, check, served_share
+from tests.soak.checks import calm_attempts, check
 from tests.soak.clients import Balancer, Client, call_forever, probe_forever
 from tests.soak.fleet import BOUNDS, RESTART_DELAY_S, running_fleet
 from tests.soak.history import History
+from tests.soak.known import check_known
 from tests.soak.operators import Operator
 from tests.soak.poison import check_convictions, check_poison, send_poison
 from tests.soak.proxy import running_proxy
+from tests.soak.rollouts import ROLLOUT_FAULTS
+from tests.soak.summary import summarise
 from tests.soak.targets import TargetPool, choose_target
+from tests.soak.versions import END_S, check_weights
 
 START_S = 6.0
-SETTLE_S = BOUNDS["recover_s"] + 3.0
+#: After the last fault the core is unstable for a time, then targets must get ready.
+SETTLE_S = BOUNDS["contact_ms"] / 1000 + END_S + 1.0
 CHECK_PERIOD_S = 0.02
 CLIENTS_PER_VM = 2
 CALL_PERIOD_S = 1.0
@@ -29,8 +36,6 @@
 #: Seconds between two losses of a disk.
 DISK_PERIOD_S = 10.0
 LAST_READ_S = 30.0
-#: Requests that are printed of those that were not served.
-SHOWN = 6
 BUSY_LOOP = """
 import sys, time
 end = time.monotonic() + float(sys.argv[1])
@@ -55,6 +60,7 @@
         hosts = [vm.host for vm in fleet.controls]
         self.targets = TargetPool(self.history, hosts, nursery, rng)
         self.operator = Operator(self.history, fleet, rng)
+        self.http = httpcore.AsyncConnectionPool(keepalive_expiry=2.0)
         self._disk_lost_s = float("-inf")
 
     async def start(self):
@@ -91,6 +97,7 @@
     async def settle(self, length_s=SETTLE_S):
         """Wait until everything must have recovered, then read back."""
         await trio.sleep(length_s)
+        await check_known(self)
         with trio.move_on_after(LAST_READ_S) as scope:
             while not await self.operator.read():
                 await trio.sleep(0.2)
@@ -316,13 +323,18 @@
     harm_target,
     busy,
     send_poison,
+    *ROLLOUT_FAULTS,
 )
 
 
-async def play(folder, shape, seed, length_s, kinds=None, settle_s=SETTLE_S):
+async def play(
+    folder, shape, seed, length_s, kinds=None, settle_s=SETTLE_S, naming_s=None
+):
     """Play one run; return its findings.
 
     :param kinds: the faults to choose from; ``None`` for all.
+    :param naming_s: mean of the seconds between two versions of weights that are
+        named beside the faults; ``None`` for none.
     """
     rng = random.Random(seed)
     with running_proxy() as proxy:
@@ -334,12 +346,14 @@
             run = Scenario(fleet, proxy, nursery, rng)
             nursery.start_soon(watch_lag, run.history)
             await run.start()
-            await run.disturb(length_s, kinds)
+            with naming(run, naming_s):
+                await run.disturb(length_s, kinds)
             await run.settle(settle_s)
             if not calm_attempts(run.history):
                 run.history.report("SHORT", fleet.now_s(), "all", "nothing in calm")
             check_poison(run.history)
             check_convictions(run.history, fleet)
+            check_weights(run.history)
             findings = check(run.history, fleet.ends)
             memory_mb = max(map(fleet.peak_memory_mb, fleet.vms))
             summarise(run.history, folder, seed, memory_mb)
@@ -347,6 +361,21 @@
     return findings
 
 
+@contextmanager
+def naming(run, period_s):
+    """Name versions of weights as long as the context lasts."""
+    scope = trio.CancelScope()
+
+    async def name():
+        with scope:
+            await run.operator.name_forever(period_s)
+
+    if period_s is not None:
+        run.nursery.start_soon(name)
+    yield
+    scope.cancel()
+
+
 async def watch_lag(history):
     """Record when this process wasn't scheduled: then the VMs may not have been."""
     while True:
@@ -355,23 +384,3 @@
         if history.now_s() - before_s - LAG_PERIOD_S > MAX_LAG_S:
             with history.outage("lag", [*history.entries, *history.controls]) as lag:
                 lag.start_s = before_s
-
-
-def summarise(history, folder, seed, memory_mb):
-    """Print the figures and findings of a run."""
-    calm = calm_attempts(history)
-    confirmed = sum(change.confirmed_s is not None for change in history.changes)
-    print(
-        f"seed {seed}: {len(history.changes)} changes, {confirmed} confirmed, "
-        f"{len(history.reads)} reads, {len(history.attempts)} requests, in calm "
-        f"{len(calm)}, of which served {served_share(calm):.4f}; peak memory "
-        f"{memory_mb:.0f} MB; logs in {folder}"
-    )
-    lags = [o.end_s - o.start_s for o in history.outages if o.kind == "lag"]
-    print(f"  not scheduled {len(lags)} times, {max(lags, default=0.0):.2f} s at most")
-    for outage in history.outages:
-        print(f"  fault: {outage}")
-    for attempt in [a for a in calm if a.status != 200][:SHOWN]:
-        print(f"  not served in calm: {attempt}")
-    for finding in history.findings:
-        print(f"  finding, seed {seed}: {finding}")
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -11,6 +11,7 @@
 from tests.platform.standin import Worker, refuse_with, send_answer
 from tests.soak.fleet import BOUNDS, CONTROL_PORT
 from tests.soak.history import Run
+from tests.soak.weights import Weights
 
 HEARTBEAT_S = 1.2
 CALL_TIMEOUT_S = 1.0
@@ -21,6 +22,12 @@
 #: Part of prompts under which a target ends, and seconds until another one starts.
 POISON = b"deadbeef"
 DOWN_S = 2.0
+MODEL_SERVICE = "llm"
+VERSIONS = b"x-vanillabeam-weight-versions"
+NOT_EXECUTED = ((b"x-vanillabeam-not-executed", b"1"),)
+LAST_SEQUENCE = 1_000_000
+#: Control VMs that a target calls for one heartbeat.
+MAX_CALLS = 3
 #: Seconds that a target works on after its notice has lapsed.
 LINGER_S = 0.3
 
@@ -28,19 +35,53 @@
 class SoakTarget(Worker):
     """A target that records its runs.
 
+    :param version: version of its weights, if its service has a model.
+    :param on_poison: called with its name when a poisoned prompt has ended it.
+    :param on_crash: called with its name when it ends in a load of weights.
     :ivar mode: ``fine``, ``slow``, ``full`` (refuses) or ``failing``.
     :ivar state: what its heartbeats say.
+    :ivar started_s: its start, since that of the fleet.
+    :ivar host: control VM that answered its last heartbeat.
     """
 
-    def __init__(self, name, service, data_centre, history, on_poison=None):
+    def __init__(
+        self,
+        name,
+        service,
+        data_centre,
+        history,
+        version=1,
+        rng=None,
+        on_poison=None,
+        on_crash=None,
+    ):
         super().__init__(name)
         self._on_poison = on_poison
+        self.nursery = None
+        self.host = ""
         self.service = service
         self.data_centre = data_centre
         self.history = history
         self.mode = "fine"
         self.state = "ready"
         self.born_ms = int(time.time() * 1000)
+        self.started_s = history.now_s()
+        self.weights = None
+        if service == MODEL_SERVICE:
+            self.weights = Weights(self, history, version, rng, on_crash)
+
+    @property
+    def models(self):
+        """Models as heartbeats list them."""
+        return self.weights.models if self.weights else []
+
+    async def _control(self, path, body, send):
+        if self.weights is None:
+            await send_answer(send, 404, b"{}")
+        elif path == "/api/order":
+            await self.weights.answer_order(body, send)
+        else:
+            await self.weights.answer_report(send)
 
     @property
     def script(self):
@@ -51,11 +92,32 @@
         """Ignore the answers of the base class: all requests are answered alike."""
 
     async def _run(self, headers, send):
-        request_id = headers.get(b"x-vanillabeam-request-id", b"").decode()
-        if self.mode == "full":
+        if self.mode == "full" or (self.weights and self.weights.is_busy):
             await refuse_with(503)(headers, send)
             return
-        self.history.runs.append(Run(request_id, self.name, self.history.now_s()))
+        if self._is_misdirected(headers):
+            await send_answer(send, 421, b"", headers, NOT_EXECUTED)
+            return
+        with trio.CancelScope() as scope:
+            runs = self.weights.runs if self.weights else set()
+            runs.add(scope)
+            try:
+                await self._work(headers, send)
+            finally:
+                runs.discard(scope)
+
+    def _is_misdirected(self, headers):
+        """Return whether a request wants other weights than these."""
+        expected = headers.get(b"x-vanillabeam-expect-version")
+        if expected is None or self.weights is None:
+            return False
+        return int(expected) != self.weights.version
+
+    async def _work(self, headers, send):
+        request_id = headers.get(b"x-vanillabeam-request-id", b"").decode()
+        version = self.weights.version if self.weights else 0
+        run = Run(request_id, self.name, self.history.now_s(), version)
+        self.history.runs.append(run)
         if self.mode == "failing":
             await send_answer(send, 500, b"failed", headers)
             return
@@ -73,17 +135,21 @@
 
     async def _stream(self, headers, send):
         request_id = headers[b"x-vanillabeam-request-id"]
+        version = self.weights.version
         names = [
             (b"content-type", b"text/event-stream"),
             (b"x-vanillabeam-request-id", request_id),
             (b"x-vanillabeam-response-stamp", b"stamp"),
-            (b"x-vanillabeam-weight-versions", b"1"),
+            (VERSIONS, str(version).encode()),
         ]
         await send({"type": "http.response.start", "status": 200, "headers": names})
         begin = int(headers.get(b"last-event-id", b"0")) + 1
         for number in range(begin, EVENTS + 1):
             data = {"id": request_id.decode(), "service": self.service}
             event = f"id: {number}\ndata: {json.dumps(data)}\n\n".encode()
+            if version != self.weights.version:
+                version = self.weights.version
+                event = VERSIONS + f": {version}\n".encode() + event
             part = {"type": "http.response.body", "body": event, "more_body": True}
             await send(part)
             await trio.sleep(EVENT_PERIOD_S)
@@ -91,7 +157,7 @@
 
 
 class TargetPool:
-    """Targets by name, which heartbeat to random control VMs.
+    """Targets by name; each sends its heartbeats to the control VM that answered last.
 
     :param hosts: hosts of the control VMs.
     """
@@ -107,10 +173,25 @@
         self._http = httpcore.AsyncConnectionPool(keepalive_expiry=2.0)
 
     async def add(self, service, data_centre):
-        """Start a target under a new name."""
+        """Start a target under a new name, with the newest weights."""
         self._made += 1
         name = f"i-{service}-{self._made}"
-        target = SoakTarget(name, service, data_centre, self.history, self._end)
+        newest = self.history.newest_named()
+        return await self._start(name, service, data_centre, newest)
+
+    async def _start(self, name, service, data_centre, version):
+        rng = random.Random(self.rng.random())
+        target = SoakTarget(
+            name,
+            service,
+            data_centre,
+            self.history,
+            version,
+            rng,
+            self._end,
+            self._end_in_load,
+        )
+        target.host = self.rng.choice(self.hosts)
         self._scopes[name] = await self.nursery.start(self._run, target)
         self.targets[name] = target
         self.nursery.start_soon(self._announce, target)
@@ -118,47 +199,51 @@
 
     async def _run(self, target, *, task_status=trio.TASK_STATUS_IGNORED):
         with trio.CancelScope() as scope:
-            async with trio.open_nursery() as nursery:
-                await nursery.start(target.run)
+            async with trio.open_nursery() as target.nursery:
+                await target.nursery.start(target.run)
                 task_status.started(scope)
 
     async def _announce(self, target):
         sequence = 0
-        while target.name in self.targets:
+        while self.targets.get(target.name) is target:
             sequence += 1
-            models = [{"name": "m", "version": target.version, "adapters": []}]
-            heartbeat = make_heartbeat(
-                service=target.service,
-                address=target.address,
-                zone=target.data_centre,
-                slots=64,
-                state=target.state,
-                models=models if target.service == "llm" else [],
-                seq=sequence,
-                born=target.born_ms,
-            )
-            await self._call(f"/api/Instances.Heartbeat/{target.name}", heartbeat)
+            await self._call(target, "Heartbeat", self._heartbeat(target, sequence))
             await trio.sleep(HEARTBEAT_S)
 
-    async def _call(self, path, document):
-        """Call random control VMs until one acknowledges, but three at most."""
+    def _heartbeat(self, target, sequence):
+        return make_heartbeat(
+            service=target.service,
+            address=target.address,
+            zone=target.data_centre,
+            slots=64,
+            state=target.state,
+            models=target.models,
+            seq=sequence,
+            born=target.born_ms,
+        )
+
+    async def _call(self, target, name, document):
+        """Call the control VM that answered last; go on to the next after a failure."""
         body = json.dumps(document).encode()
-        for host in self.rng.sample(self.hosts, min(3, len(self.hosts))):
-            url = f"http://{host}:{CONTROL_PORT}{path}"
+        for _ in range(min(MAX_CALLS, len(self.hosts))):
+            url = f"http://{target.host}:{CONTROL_PORT}/api/Instances.{name}"
             with trio.move_on_after(CALL_TIMEOUT_S):
                 try:
-                    res = await self._http.request("POST", url, content=body)
+                    res = await self._http.request(
+                        "POST", f"{url}/{target.name}", content=body
+                    )
+                    if res.status < 300:
+                        return True
                 except (httpcore.NetworkError, httpcore.ProtocolError):
-                    continue
-                if res.status < 300:
-                    return True
+                    pass
+            next_host = self.hosts.index(target.host) + 1
+            target.host = self.hosts[next_host % len(self.hosts)]
         return False
 
     def _end(self, name):
         """End a target at once; another one of its service starts some time later."""
         if name in self.targets:
-            self.nursery.start_soon(self._replace_later, self.targets.pop(name))
-            self._scopes.pop(name).cancel()
+            self.nursery.start_soon(self._replace_later, self._stop(name))
 
     async def _replace_later(self, target):
         await trio.sleep(DOWN_S)
@@ -166,33 +251,45 @@
 
     async def crash(self, name):
         """End a target at once and start another one of its service."""
+        target = self._stop(name)
+        await self.add(target.service, target.data_centre)
+
+    def _stop(self, name):
         target = self.targets.pop(name)
         self._scopes.pop(name).cancel()
-        await self.add(target.service, target.data_centre)
+        if target.weights:
+            target.weights.life.end_s = self.history.now_s()
+        return target
+
+    def _end_in_load(self, name):
+        """End a target at once; it starts again with the version that it had."""
+        if name in self.targets:
+            self.nursery.start_soon(self._restart_later, self._stop(name))
+
+    async def _restart_later(self, target):
+        await trio.sleep(DOWN_S)
+        version = target.weights.version
+        await self._start(target.name, target.service, target.data_centre, version)
 
     async def replace(self, name):
         """Have a target leave as planned, after another one has started."""
         target = self.targets[name]
         await self.add(target.service, target.data_centre)
         target.state = "draining"
-        heartbeat = make_heartbeat(
-            service=target.service,
-            address=target.address,
-            zone=target.data_centre,
-            state="draining",
-            models=[],
-            seq=1_000_000,
-            born=target.born_ms,
-        )
-        path = f"/api/Instances.Heartbeat/{name}"
-        while not await self._call(path, heartbeat):
+        if target.weights:
+            target.weights.life.leaving_s = self.history.now_s()
+        heartbeat = self._heartbeat(target, LAST_SEQUENCE)
+        while not await self._call(target, "Heartbeat", heartbeat):
             await trio.sleep(0.1)
         self.history.drained[name] = self.history.now_s()
         await trio.sleep(BOUNDS["drain_ms"] / 1000 + LINGER_S)
+        if self.targets.get(name) is not target:
+            return
         del self.targets[name]
-        await self._call(f"/api/Instances.Leave/{name}", {"born": target.born_ms})
+        scope = self._scopes.pop(name)
+        await self._call(target, "Leave", {"born": target.born_ms})
         await trio.sleep(LINGER_S)
-        self._scopes.pop(name).cancel()
+        scope.cancel()
 
 
 def choose_target(pool, rng: random.Random):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,12 +1,14 @@
 """Real processes under random faults keep the rules of the platform."""
 
 import os
+from functools import partial
 
 import pytest
 import trio
 
 from tests.soak.fleet import ICUPA, PHOTO, SMALL
 from tests.soak.poison import send_poison
+from tests.soak.rollouts import disobey, kill_core_in_rollout, rest
 from tests.soak.scenario import (
     cut_entry,
     freeze_any,
@@ -29,7 +31,13 @@
     isolate_control,
     cut_entry,
     silence,
+    disobey,
+    kill_core_in_rollout,
 )
+#: Mean of the seconds between two versions that are named in a short run.
+NAMING_S = 4.0
+#: Seconds between two versions in a day of nothing else.
+QUIET_NAMING_S = 15.0
 
 
 @pytest.mark.soak
@@ -43,8 +51,21 @@
         assert findings == [], f"seed {seed}, logs in {folder}"
 
 
+@pytest.mark.soak
+@pytest.mark.parametrize("shape", [ICUPA, PHOTO], ids=["icupa", "photo"])
+def test_rollouts_without_faults_break_no_rule(shape, tmp_path):
+    first = int(os.environ.get("SOAK_SEED", "1"))
+    runs = int(os.environ.get("SOAK_RUNS", "50"))
+    for seed in range(first, first + max(1, runs // SHARE_OF_RUNS)):
+        folder = tmp_path / str(seed)
+        play_quiet = partial(play, naming_s=QUIET_NAMING_S)
+        findings = trio.run(play_quiet, folder, shape, seed, LENGTH_S, (rest,))
+        assert findings == [], f"seed {seed}, logs in {folder}"
+
+
 def test_a_few_faults_break_no_rule(tmp_path):
-    findings = trio.run(play, tmp_path, SMALL, 1, 6.0, SHORT_KINDS, 8.0)
+    play_short = partial(play, naming_s=NAMING_S)
+    findings = trio.run(play_short, tmp_path, SMALL, 1, 6.0, SHORT_KINDS, 8.0)
     assert findings == [], f"logs in {tmp_path}"
 
 
