A page on the two systems in the package; operators' face in a package of its own

What developers met: 53 flat modules beside 17 packages, and nothing that says why there are `vm` and `fleetvm`, `targets`, `tickets`, `spread` and `fleet`.

Change: docs/design/faces.md says which part is for which system and what is shared. Six modules go into `operators` with `git mv`: operators (now `paths`), operatorservice (`service`), auth, accounting, traces and observedvm. Only imports change in them; their test goes with them. `gauges`, `metrics`, `logs` and `burn` stay, as both faces or other parts use them or others change them now. No old import path is kept: nothing outside src and tests used one. tests/test_layers.py also checks that neither system imports the other's parts; the code passed that as it was.

Names on the wire, in logs, metrics and settings do not change.

Ran: tests/test_layers.py, tests/operators, tests/test_reference.py, tests/test_docs.py, tests/test_metrics.py, tests/test_logs.py, tests/log, tests/path/test_daemon.py, tests/path/test_cli.py.

--- a/src/vanillabeam/entry.py
+++ b/src/vanillabeam/entry.py
@@ -4,7 +4,6 @@
 
 from returns.result import Failure, Result
 
-from vanillabeam.accounting import Accounting
 from vanillabeam.answers import (
     Answer,
     PromptRequest,
@@ -16,6 +15,7 @@
 from vanillabeam.config import Config, Priority, Workspace
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.lifecycle import Lifecycle
+from vanillabeam.operators import Accounting
 from vanillabeam.reuse import CacheReuse
 from vanillabeam.targets import Permit, RouteRequest
 
--- a/src/vanillabeam/gauges.py
+++ b/src/vanillabeam/gauges.py
@@ -3,7 +3,7 @@
 import trio
 
 from vanillabeam.metrics import Counter, Gauge, Metrics
-from vanillabeam.observedvm import ObservedVm
+from vanillabeam.operators import ObservedVm
 
 __all__ = ["Gauges"]
 
--- a/src/vanillabeam/accounting.py
+++ b/src/vanillabeam/operators/accounting.py
@@ -10,7 +10,7 @@
 from vanillabeam.claims import ClaimUnknown
 from vanillabeam.exceptions import Run, VanillabeamError
 from vanillabeam.metrics import Counter, Metrics, Timer
-from vanillabeam.traces import Traces
+from vanillabeam.operators.traces import Traces
 
 __all__ = ["Accounting"]
 
--- a/src/vanillabeam/observedvm.py
+++ b/src/vanillabeam/operators/observedvm.py
@@ -2,13 +2,13 @@
 
 from typing import Protocol
 
-from vanillabeam.accounting import Accounting
 from vanillabeam.burn import BurnCounter
 from vanillabeam.components import Components
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.metrics import Metrics
+from vanillabeam.operators.accounting import Accounting
+from vanillabeam.operators.traces import Traces
 from vanillabeam.settings import Settings
-from vanillabeam.traces import Traces
 
 __all__ = ["ObservedVm"]
 
--- a/src/vanillabeam/operators.py
+++ b/src/vanillabeam/operators/paths.py
@@ -9,9 +9,9 @@
 from starlette.routing import Route
 
 from vanillabeam import wire
-from vanillabeam.auth import Operators
 from vanillabeam.exceptions import AuthorDiffers, MalformedBody, VanillabeamError
 from vanillabeam.limits import read_body
+from vanillabeam.operators.auth import Operators
 from vanillabeam.peerhttp import bearer_key
 from vanillabeam.problems import problem_response
 from vanillabeam.tickets import parse
--- a/src/vanillabeam/operatorservice.py
+++ b/src/vanillabeam/operators/service.py
@@ -8,7 +8,7 @@
 from vanillabeam import wire
 from vanillabeam.burn import BurnSummary, report
 from vanillabeam.exceptions import PeerUnreachable, UnknownTrace, VanillabeamError
-from vanillabeam.observedvm import ObservedVm
+from vanillabeam.operators.observedvm import ObservedVm
 from vanillabeam.peercall import PeerRoutes
 from vanillabeam.spread.status import find_missing
 
--- a/src/vanillabeam/vm.py
+++ b/src/vanillabeam/vm.py
@@ -8,8 +8,6 @@
 from returns.result import Failure
 from starlette.applications import Starlette
 
-from vanillabeam.accounting import Accounting
-from vanillabeam.auth import Operators
 from vanillabeam.burn import BurnCounter, Objectives
 from vanillabeam.callers import caller_app
 from vanillabeam.components import Components
@@ -20,8 +18,13 @@
 from vanillabeam.listeners import ListenerTask
 from vanillabeam.metrics import Counter, Metrics, Timer
 from vanillabeam.middleware import DeferredApp, SharedKeyMiddleware, read_key
-from vanillabeam.operators import operator_routes
-from vanillabeam.operatorservice import OperatorService
+from vanillabeam.operators import (
+    Accounting,
+    Operators,
+    OperatorService,
+    Traces,
+    operator_routes,
+)
 from vanillabeam.orders import OrdersSettings
 from vanillabeam.peercall import PeerCall
 from vanillabeam.peerhttp import PeerClient, peer_routes
@@ -30,7 +33,6 @@
 from vanillabeam.store import make_app
 from vanillabeam.targetapp import target_app
 from vanillabeam.tls import client_context
-from vanillabeam.traces import Traces
 
 __all__ = ["Vm"]
 
--- a/tests/test_auth.py
+++ b/tests/operators/test_auth.py
@@ -1,4 +1,4 @@
-from vanillabeam.auth import Operators
+from vanillabeam.operators.auth import Operators
 from vanillabeam.tickets.keys import key_digest
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,24 +16,36 @@
     "base": """
         addresses blocks config counters decisions earlysignals exceptions hopheaders
         memory metrics notices output peercall problems refusals rendezvous targetwire
-        tasks traces wire
+        tasks wire
     """,
     "settings": "logs reference settings settingschecks settingsrecords",
     "connections": """
         httpread httpserver limits listeners middleware peerhttp ports servicepath tls
     """,
     "parts": """
-        admission answers auth burn cache claims control fleet forwarding imports
+        admission answers burn cache claims control fleet forwarding imports
         lifecycle log members openai orders readiness remotemembers routing spread store
         targets tickets
     """,
     "assembly": "components fleetvm",
     "faces": """
-        accounting callerrequests callers entry gauges observedvm operators
-        operatorservice reuse streaming targetapp
+        callerrequests callers entry gauges operators reuse streaming targetapp
     """,
     "programs": "cli daemon platform vm",
 }
+#: Top-level modules and packages of only one of the two systems
+#: (docs/design/faces.md). Neither uses the other's.
+SYSTEMS = {
+    "a system of its own": """
+        admission answers blocks burn cache callerrequests callers claims components
+        config control daemon entry gauges imports members metrics middleware openai
+        operators orders remotemembers reuse routing servicepath spread store streaming
+        targetapp targets targetwire tickets vm
+    """,
+    "a fleet on the platform": """
+        counters earlysignals fleet fleetvm forwarding platform ports refusals
+    """,
+}
 RANKS = {
     unit: rank for rank, units in enumerate(LAYERS.values()) for unit in units.split()
 }
@@ -140,3 +152,16 @@
         if name and RANKS[name] < RANKS[other]
     }
     assert upward == set()
+
+
+# Guards against parts of one system that change when the other does.
+def test_neither_system_imports_the_other():
+    graph = unit_imports()
+    own, fleet = (set(units.split()) for units in SYSTEMS.values())
+    crossing = {
+        (name, other)
+        for names, others in ((own, fleet), (fleet, own))
+        for name in names
+        for other in graph[name] & others
+    }
+    assert crossing == set()
