End a weight version that was read once later announcements differ

When a target reports new weights after an order, the leader tells all VMs before the target's next announcement does, and repeated it in every reply until the target started again. Followers set the version in their copy of the record, and a control VM whose record of the target hadn't changed never sent it again. So one false report (spoiled, or of weights that were lost again) made the target count as up to date for ever: it got no order, and requests for weights that it doesn't hold.

Both tests failed before: '{(t-1, 1000): (m, 2)} == {}' and '{m: 2} == {m: 1}' after later announcements. Now a record keeps what was announced beside what was read; from 3 s after the last announcement before it, the announced versions count again, unless the leader still says otherwise, which it stops as soon as later announcements are lower. tests/fleet and tests/platform/test_path.py pass.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -19,7 +19,12 @@
     log_record,
 )
 from vanillabeam.exceptions import VanillabeamError
-from vanillabeam.fleet.directory import Directory
+from vanillabeam.fleet.directory import (
+    READ_MARGIN_S,
+    Directory,
+    Incarnation,
+    TargetRecord,
+)
 from vanillabeam.fleet.follower import Follower, read_or_keep
 from vanillabeam.fleet.holders import WeightHolders
 from vanillabeam.fleet.leaving import LeavingNotices
@@ -122,7 +127,9 @@
         self.paused: set[str] = set()
         self._holders = WeightHolders()
         self._leaving = LeavingNotices(cfg.bounds.heartbeat_s)
-        self._observed_versions: dict[tuple[str, int], tuple[str, int]] = {}
+        self._observed_versions: dict[Incarnation, tuple[str, int]] = {}
+        #: Time of the newest announcement before a version was observed.
+        self._observed_after_s: dict[Incarnation, float] = {}
         self._version_times_s: dict[str, dict[int, float]] = {}
         self._changed = trio.Event()
         #: Loads of entry VMs that report to every control VM.
@@ -229,6 +236,9 @@
     def report_weights(self, target: Target, model: str, version: int) -> None:
         """Record a target's weight version before its next announcement."""
         self._observed_versions[target.incarnation] = (model, version)
+        record = self.follower.directory.records.get(target.name)
+        if record is not None:
+            self._observed_after_s[target.incarnation] = record.last_seen_s
         self.follower.directory.update_weight_version(
             target.incarnation, model, version
         )
@@ -346,15 +356,36 @@
         return reply
 
     def _forget_left_targets(self) -> None:
-        """Forget the observed versions of incarnations that are no longer known."""
-        records = self.follower.directory.records.values()
-        known = {record.target.incarnation for record in records}
+        """Forget observed versions that no longer count.
+
+        Their incarnation is no longer known, or has announced a lower one since.
+        """
+        kept = {
+            record.target.incarnation
+            for record in self.follower.directory.records.values()
+            if not self._is_contradicted(record)
+        }
         self._observed_versions = {
             incarnation: observed
             for incarnation, observed in self._observed_versions.items()
-            if incarnation in known
+            if incarnation in kept
+        }
+        self._observed_after_s = {
+            incarnation: after_s
+            for incarnation, after_s in self._observed_after_s.items()
+            if incarnation in kept
         }
 
+    def _is_contradicted(self, record: TargetRecord) -> bool:
+        """Return whether a target has announced a lower version than was observed."""
+        incarnation = record.target.incarnation
+        if incarnation not in self._observed_after_s:
+            return False
+        model, version = self._observed_versions[incarnation]
+        age_s = record.last_seen_s - self._observed_after_s[incarnation]
+        is_lower = record.announced_versions.get(model, 0) < version
+        return is_lower and age_s > READ_MARGIN_S
+
     def _add_leader_fields(
         self, reply: WatchReply, request: WatchRequest, now_s: float
     ) -> None:
--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -8,12 +8,16 @@
 
 from vanillabeam.fleet.records import Target
 
-__all__ = ["Directory", "Incarnation", "TargetRecord"]
+__all__ = ["READ_MARGIN_S", "Directory", "Incarnation", "TargetRecord"]
 
 #: Ended incarnations that are kept, so that a delayed announcement of one does
 #: not add it again.
 MAX_ENDED_INCARNATIONS = 4_096
 
+#: Seconds after an announcement within which a later one may have been made before a
+#: weight version was read from the target.
+READ_MARGIN_S = 3.0
+
 #: Name and start time of a target.
 Incarnation = tuple[str, int]
 
@@ -24,12 +28,28 @@
     :param last_seen_s: monotonic time of the newest announcement.
     :param version: version of the directory at which the record last changed.
     :param cold_until_s: monotonic time until which the target is cold.
+    :param read_after: the newest announcement before a weight version of ``target`` was
+        read from it; ``None`` if all its versions were announced.
     """
 
     target: Target
     last_seen_s: float
     version: int
     cold_until_s: float
+    read_after: "_Announced | None" = None
+
+    @property
+    def announced_versions(self) -> dict[str, int]:
+        """Weight versions by the newest announcement."""
+        before = self.read_after
+        return self.target.versions if before is None else before.versions
+
+
+class _Announced(NamedTuple):
+    """Weight versions that a target announced, and when it was last seen."""
+
+    versions: dict[str, int]
+    seen_s: float
 
 
 class Directory:
@@ -83,21 +103,26 @@
     ) -> bool:
         """Record a weight version that was read between two announcements.
 
+        What the target announces counts again from :data:`READ_MARGIN_S` after the last
+        call on.
+
         :returns: whether the record has changed.
         """
         record = self.records.get(incarnation[0])
         if record is None or record.target.incarnation != incarnation:
             return False
-        if record.target.versions.get(model, version) >= version:
+        known = record.target.versions.get(model, version)
+        if known > version or (known == version and record.read_after is None):
             return False
-        self.version += 1
-        target = record.target._replace(
-            versions=record.target.versions | {model: version}
-        )
-        self.records[incarnation[0]] = record._replace(
-            target=target, version=self.version
-        )
-        return True
+        announced = _Announced(record.announced_versions, record.last_seen_s)
+        record = record._replace(read_after=announced)
+        if known < version:
+            self.version += 1
+            versions = record.target.versions | {model: version}
+            target = record.target._replace(versions=versions)
+            record = record._replace(target=target, version=self.version)
+        self.records[incarnation[0]] = record
+        return known < version
 
     def mark_draining(self, incarnation: tuple[str, int]) -> bool:
         """Record that a target drains; return whether the record has changed."""
@@ -149,8 +174,17 @@
         :param last_seen_s: monotonic time of that announcement.
         """
         record = self.records.get(name)
-        if record is not None and last_seen_s > record.last_seen_s:
-            self.records[name] = record._replace(last_seen_s=last_seen_s)
+        if record is None or last_seen_s <= record.last_seen_s:
+            return
+        record = record._replace(last_seen_s=last_seen_s)
+        before = record.read_after
+        if before is not None and last_seen_s > before.seen_s + READ_MARGIN_S:
+            self.version += 1
+            target = record.target._replace(versions=before.versions)
+            record = record._replace(
+                target=target, version=self.version, read_after=None
+            )
+        self.records[name] = record
 
     def mark_ended(self, incarnation: tuple[str, int]) -> None:
         """Record that an incarnation has ended, and drop its target."""
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -9,6 +9,7 @@
 from tests.fleet.builders import BOUNDS, make_target
 from vanillabeam.fleet import FleetSettings
 from vanillabeam.fleet.control import VOTER_ABSENCE_S, FleetControl
+from vanillabeam.fleet.directory import READ_MARGIN_S
 from vanillabeam.fleet.holders import SILENT_TARGET_S
 from vanillabeam.fleet.view import MAX_VERSIONS_KEPT
 
@@ -149,6 +150,34 @@
     assert control._observed_versions == {stays.incarnation: ("m", 2)}
 
 
+# Guards against a false report that the leader repeats in each reply for ever.
+def test_an_observed_version_is_forgotten_once_later_announcements_can_tell(tmp_path):
+    control = make_control(tmp_path)
+    directory = control.follower.directory
+    target = make_target("t-1", versions={"m": 1})
+    directory.update(target, 10.0)
+    control.report_weights(target, "m", 2)
+    directory.refresh("t-1", 10.0 + READ_MARGIN_S)
+    control._forget_left_targets()
+    assert control._observed_versions == {target.incarnation: ("m", 2)}
+    directory.refresh("t-1", 10.1 + READ_MARGIN_S)
+    control._forget_left_targets()
+    assert control._observed_versions == {}
+    assert directory.records["t-1"].target.versions == {"m": 1}
+
+
+def test_an_observed_version_that_is_announced_too_is_kept(tmp_path):
+    control = make_control(tmp_path)
+    directory = control.follower.directory
+    target = make_target("t-1", versions={"m": 1})
+    directory.update(target, 10.0)
+    control.report_weights(target, "m", 2)
+    directory.update(target._replace(sequence=2, versions={"m": 2}), 11.0)
+    directory.refresh("t-1", 90.0)
+    control._forget_left_targets()
+    assert control._observed_versions == {target.incarnation: ("m", 2)}
+
+
 def test_the_times_of_the_newest_weight_versions_only_are_kept(tmp_path):
     control = make_control(tmp_path)
 
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -1,5 +1,6 @@
 from tests.fleet.builders import make_target
 from vanillabeam.fleet import Directory
+from vanillabeam.fleet.directory import READ_MARGIN_S
 
 
 def names(directory):
@@ -110,3 +111,37 @@
     assert [r.target.name for r in directory.changed_after(version)] == ["t-1"]
     directory.update(make_target(sequence=2), 2.0)
     assert directory.records["t-1"].target.draining
+
+
+# Guards against a target that gets no order for newer weights: one false report said
+# that it has them, and none of its later announcements, which differ, changed that.
+def test_a_version_that_was_read_counts_until_later_announcements_differ():
+    directory = Directory()
+    directory.update(make_target(versions={"m": 1}), 1.0)
+    assert directory.update_weight_version(("t-1", 1_000), "m", 2)
+    version = directory.version
+    directory.refresh("t-1", 1.0 + READ_MARGIN_S)
+    assert directory.records["t-1"].target.versions == {"m": 2}
+    directory.refresh("t-1", 1.1 + READ_MARGIN_S)
+    assert directory.records["t-1"].target.versions == {"m": 1}
+    assert [r.target.name for r in directory.changed_after(version)] == ["t-1"]
+
+
+def test_a_version_that_was_read_and_announced_stays():
+    directory = Directory()
+    directory.update(make_target(versions={"m": 1}), 1.0)
+    directory.update_weight_version(("t-1", 1_000), "m", 2)
+    directory.update(make_target(sequence=2, versions={"m": 2}), 2.0)
+    directory.refresh("t-1", 9.0)
+    assert directory.records["t-1"].target.versions == {"m": 2}
+
+
+def test_a_version_that_is_read_again_and_again_stays():
+    directory = Directory()
+    directory.update(make_target(versions={"m": 1}), 1.0)
+    directory.update_weight_version(("t-1", 1_000), "m", 2)
+    for number in range(2, 30):
+        directory.refresh("t-1", float(number))
+        assert not directory.update_weight_version(("t-1", 1_000), "m", 2)
+        assert directory.records["t-1"].target.versions == {"m": 2}
+    assert directory.records["t-1"].announced_versions == {"m": 1}
