Keep stuck targets from holding the loads of a weight store for ever

Operators saw a rollout of our own protocol stand still: two targets that accept an order and never load, or never answer, held both load leases of the weight store; under a floor one was enough. The time limit of a load (300 s) never came: each repetition of the order, every 6 to 15 s, began it anew, so the leases were renewed without end. And with a limit the same targets could take the leases again, as whoever asked first got them, and each order that confirmed just the role reset the number of failures.

Tests failed before: 'None not in [None, None, None, None]' (two stuck, an hour of virtual time), the same with three, with one under a floor of five, and in the rollouts after.

Now the limit counts from the first preparation of an order, failures last until the target has what the configuration asks for, and a request for a lease is refused while a target that has failed less often waits for the same store or floor and could have it.

--- a/src/vanillabeam/orders/core.py
+++ b/src/vanillabeam/orders/core.py
@@ -166,7 +166,7 @@
     if not stores and not floors:
         return _end_imports(target, now_s)
     target.enter_phase(Phase.LEASING, now_s)
-    return [AskLease(target.name, stores, floors)]
+    return [AskLease(target.name, stores, floors, failures=target.failures)]
 
 
 def _floored_models(state: OrdersState, target: TargetState) -> tuple[str, ...]:
@@ -207,6 +207,7 @@
 def _end_imports(target: TargetState, now_s: float) -> list[Effect]:
     # Imports end before every order: even an order that changes only the role
     # loads models if it reaches a target that has restarted in the meantime.
+    target.began_s = now_s
     target.enter_phase(Phase.ENDING_IMPORTS, now_s)
     return [EndImports(target.name)]
 
@@ -322,12 +323,14 @@
     if ordered and is_met_by(target.desired, target.announcement):
         target.role = target.order["role"]
         target.unconfirmed = False
-        target.failures = 0
+        # An order that only confirms the role says nothing of what failed before.
+        if next_step(state, target) is None:
+            target.failures = 0
         target.hold_reason = ""
         return _return_to_idle(state, target, now_s, retry_after_s=0.0)
-    waited_s = now_s - target.phase_since_s
-    if waited_s >= state.cfg.load_timeout_s:
+    if now_s - target.began_s >= state.cfg.load_timeout_s:
         return _return_to_idle(state, target, now_s, failed=True)
+    waited_s = now_s - target.phase_since_s
     if waited_s >= state.cfg.confirm_timeout_s and now_s >= target.busy_until_s:
         # Compare with the configuration and send again under the same lease.
         return _send_again(state, target, now_s)
--- a/src/vanillabeam/orders/events.py
+++ b/src/vanillabeam/orders/events.py
@@ -129,12 +129,14 @@
     :param models: models with a ``min_ready`` that the target stops serving
         during the lease.
     :param lease: the lease to renew; empty for a new one.
+    :param failures: number of failed orders to the target.
     """
 
     target: str
     stores: tuple[str, ...]
     models: tuple[str, ...]
     lease: str = ""
+    failures: int = 0
 
 
 class ReleaseLease(NamedTuple):
--- a/src/vanillabeam/orders/leases.py
+++ b/src/vanillabeam/orders/leases.py
@@ -1,7 +1,7 @@
 """Load leases: limits on targets that load weights or are out of service at once."""
 
 from collections.abc import Iterable
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 from returns.result import Failure, Result, Success
 
@@ -27,6 +27,8 @@
 LEASE_MARGIN_S = 1.0
 #: Age up to which a ready report counts.
 REPORT_KEPT_S = 12.0
+#: Time for which a refused request counts as waiting: owners ask again each second.
+WAITING_KEPT_S = 3.0
 #: Time for which an ended lease is kept: reports that do not list it are too old
 #: to count by then.
 ENDED_LEASE_KEPT_S = 35.0
@@ -46,6 +48,7 @@
     :param stores: weight stores from which the target loads.
     :param models: models with a ``min_ready`` that the target stops serving
         during the lease.
+    :param failures: number of failed orders to the target; those with fewer go first.
     """
 
     lease: str
@@ -54,6 +57,7 @@
     target: str
     stores: list[str]
     models: list[str]
+    failures: NotRequired[int]
 
 
 class LeaseReply(TypedDict):
@@ -86,6 +90,13 @@
     ends_s: float
 
 
+class _Waiting(NamedTuple):
+    """A request for a new lease that was refused, and when."""
+
+    request: LeaseRequest
+    refused_s: float
+
+
 class _Report(NamedTuple):
     report: ReadyReport
     received_s: float
@@ -112,6 +123,7 @@
         self._ended: list[_Lease] = []
         self._reports: dict[str, _Report] = {}
         self._granted_count = 0
+        self._waiting: dict[str, _Waiting] = {}
 
     def grant(
         self, request: LeaseRequest, now_s: float
@@ -135,8 +147,11 @@
             self._end(held, now_s)
             held = None
         refusal = self._check_limits(request, held, now_s)
+        refusal = refusal or self._check_turn(request, now_s)
         if refusal is not None:
+            self._waiting[request["target"]] = _Waiting(request, now_s)
             return Failure(refusal)
+        self._waiting.pop(request["target"], None)
         self._granted_count += 1
         name = f"{self.keeper}-{self.started_s:.0f}-{self._granted_count}"
         reply = self._record_lease(request, name, now_s)
@@ -178,6 +193,24 @@
                 return FloorReached(f"{model}: {ready} ready, floor {floor}")
         return None
 
+    def _check_turn(self, request: LeaseRequest, now_s: float) -> LoadsLimited | None:
+        """Return a refusal if a target with fewer failures could have the lease now.
+
+        Targets that fail again and again would otherwise keep the others waiting.
+        """
+        self._waiting = {
+            name: waiting
+            for name, waiting in self._waiting.items()
+            if now_s - waiting.refused_s < WAITING_KEPT_S
+        }
+        for name, waiting in self._waiting.items():
+            other = waiting.request
+            if _failures(other) >= _failures(request) or not _compete(other, request):
+                continue
+            if self._check_limits(other, self._leases.get(name), now_s) is None:
+                return LoadsLimited(f"{name} goes first, it has failed less often")
+        return None
+
     def _load_count(self, store: str) -> int:
         return sum(store in lease.request["stores"] for lease in self._leases.values())
 
@@ -251,3 +284,13 @@
             "ready": ready,
             "leases": leases,
         }
+
+
+def _failures(request: LeaseRequest) -> int:
+    return request.get("failures", 0)
+
+
+def _compete(one: LeaseRequest, other: LeaseRequest) -> bool:
+    """Return whether two requests are limited by the same store or floor."""
+    shares_store = not set(one["stores"]).isdisjoint(other["stores"])
+    return shares_store or not set(one["models"]).isdisjoint(other["models"])
--- a/src/vanillabeam/orders/shell.py
+++ b/src/vanillabeam/orders/shell.py
@@ -202,6 +202,7 @@
             "target": effect.target,
             "stores": list(effect.stores),
             "models": list(effect.models),
+            "failures": effect.failures,
         }
         match await self._keeper.request_lease(request):
             case Success(reply):
--- a/src/vanillabeam/orders/state.py
+++ b/src/vanillabeam/orders/state.py
@@ -20,7 +20,8 @@
         may still act as its owner.
     :param confirm_timeout_s: time after an answer in which the target's
         announcement must match the order before the order is sent again.
-    :param load_timeout_s: longest time that loading weights may take.
+    :param load_timeout_s: longest time that loading weights may take, with all
+        repetitions of the order.
     :param proof_max_age_s: longest time after the request in which a quorum's
         confirmation of the ticket index counts as fresh.
     :param step_timeout_s: longest wait for imports to end, for a lease or for a
@@ -75,8 +76,10 @@
     :ivar obeyed: whether the target answered that it has obeyed the last order.
     :ivar attempt: number of the last order that was sent.
     :ivar busy_until_s: monotonic time until which an order may still arrive.
+    :ivar began_s: monotonic time at which the current order was first prepared.
     :ivar retry_at_s: monotonic time before which no new order is started.
-    :ivar failures: number of failed orders since the last confirmed one.
+    :ivar failures: number of failed orders since the target last had the state that
+        the configuration asks for.
     :ivar renewal_requested_s: monotonic time of the last request for a renewal.
     :ivar hold_reason: why the target is not ordered now, for ``status``.
     """
@@ -97,6 +100,7 @@
         self.obeyed = False
         self.attempt = 0
         self.busy_until_s = 0.0
+        self.began_s = 0.0
         self.retry_at_s = 0.0
         self.failures = 0
         self.lease: str | None = None
--- a/tests/orders/builders.py
+++ b/tests/orders/builders.py
@@ -1,6 +1,7 @@
 """Simulation of owners, targets and a lease table on virtual time."""
 
 import random
+from enum import StrEnum
 from typing import Any
 
 from returns.result import Success
@@ -57,8 +58,19 @@
     return Config(index=index, models={"m": model}, target_roles=kinds)
 
 
+class Stuck(StrEnum):
+    """How a target never loads what it is ordered to."""
+
+    LOADING = "loading"
+    FAILING = "failing"
+    SILENT = "silent"
+
+
 class FakeTarget:
-    """Target that obeys orders after a load time, with or without fencing."""
+    """Target that obeys orders after a load time, with or without fencing.
+
+    :ivar stuck: how it never loads; ``None`` for a sound one.
+    """
 
     def __init__(self, sim: "Simulation", name: str, checks_fencing: bool):
         self.sim, self.name, self.checks_fencing = sim, name, checks_fencing
@@ -66,6 +78,7 @@
         self.highest_obeyed = 0
         self.loading: set[str] = set()
         self.orders_in_flight = 0
+        self.stuck: Stuck | None = None
         self.restart()
 
     def restart(self) -> None:
@@ -104,6 +117,9 @@
         ordered_models = {
             name: model["version"] for name, model in order["models"].items()
         }
+        if self.stuck and ordered_models != self.models:
+            status = "failed" if self.stuck is Stuck.FAILING else "in-progress"
+            return {"status": status, "order_index": self.index}
         if ordered_models == self.models:
             return {"status": "obeyed", "order_index": self.index}
         assert not self.sim.imports.get(self.name), "swap and import overlap"
@@ -187,7 +203,7 @@
             case SendOrder():
                 sim.deliver(self, effect)
 
-    def request_lease(self, target, stores, models, lease) -> None:
+    def request_lease(self, target, stores, models, lease, failures) -> None:
         request = {
             "lease": lease,
             "owner": self.name,
@@ -195,6 +211,7 @@
             "target": target,
             "stores": list(stores),
             "models": list(models),
+            "failures": failures,
         }
         refusal = LeaseRefused(target, "no keeper")
         if self.isolated:
@@ -272,6 +289,8 @@
         lost = self.net.rng.random() < self.loss_share
         target.orders_in_flight += 1
 
+        lost = lost or target.stuck is Stuck.SILENT
+
         def arrive():
             target.orders_in_flight -= 1
             if not lost:
--- a/tests/orders/test_core.py
+++ b/tests/orders/test_core.py
@@ -6,6 +6,7 @@
 from tests.orders.builders import (
     CFG,
     Simulation,
+    Stuck,
     make_announcement,
     make_orders_config,
 )
@@ -26,7 +27,7 @@
     SendOrder,
     Tick,
 )
-from vanillabeam.orders.leases import LeaseTable
+from vanillabeam.orders.leases import LEASE_S, LeaseTable
 from vanillabeam.orders.state import OrdersState
 
 FLOOR = 4
@@ -211,6 +212,85 @@
         run_with_faults(seed)
 
 
+def make_fleet(stuck, floor=0, targets=6, seed=1):
+    """Return a simulation after a first rollout.
+
+    :param stuck: how the first targets are stuck from now on.
+    """
+    sim = Simulation(seed, (True,) * targets)
+    for name in sim.targets:
+        sim.own(name, "x")
+    sim.accept(make_orders_config(1, "1", floor=floor))
+    sim.net.run_until(600)
+    assert {target.models["m"] for target in sim.targets.values()} == {"1"}
+    for target, how in zip(sim.targets.values(), stuck, strict=False):
+        target.stuck = how
+    return sim
+
+
+def roll_out(sim, version, floor=0):
+    """Roll out a version.
+
+    :returns: seconds from the ticket until each sound target has the version;
+        ``None`` for those that don't have it after an hour.
+    """
+    began_s = sim.net.now_s
+    sim.accept(make_orders_config(int(version), version, floor=floor))
+    sound = [target for target in sim.targets.values() if target.stuck is None]
+    done_s = dict.fromkeys(target.name for target in sound)
+    while sim.net.now_s < began_s + 3600 and None in done_s.values():
+        sim.net.run_until(sim.net.now_s + 1.0)
+        for target in sound:
+            if target.models["m"] == version and done_s[target.name] is None:
+                done_s[target.name] = sim.net.now_s - began_s
+    return list(done_s.values())
+
+
+def longest_s(sound):
+    """Return the longest time that a rollout to some sound targets may take.
+
+    Stuck targets may hold all loads once, for as long as one may take. Each sound one
+    has a lease time for itself, and leases that were left run out.
+    """
+    return CFG.load_timeout_s + (sound + 2) * LEASE_S
+
+
+# Guards against a rollout that stands still: two targets that never finish a load held
+# both leases of the weight store, as each repetition of an order began its time anew.
+@pytest.mark.parametrize("how", Stuck)
+def test_two_stuck_targets_do_not_stop_a_rollout(how):
+    done_s = roll_out(make_fleet([how, how]), "2")
+    assert None not in done_s and max(done_s) <= longest_s(sound=4), done_s
+
+
+# Guards against the same by the floor: what the one stuck target holds, no other gets.
+# A silent one can't count as ready again, so a floor of five does stop that rollout.
+@pytest.mark.parametrize("how", [Stuck.LOADING, Stuck.FAILING])
+def test_a_stuck_target_does_not_stop_a_rollout_under_a_floor(how):
+    done_s = roll_out(make_fleet([how], floor=5), "2", floor=5)
+    assert None not in done_s and max(done_s) <= longest_s(sound=5), done_s
+
+
+# Guards against stuck targets that get their leases again before the others' turn.
+def test_three_stuck_targets_hold_up_a_rollout_no_more_than_twice():
+    done_s = roll_out(make_fleet([Stuck.LOADING] * 3), "2")
+    bound_s = longest_s(sound=3) + CFG.load_timeout_s
+    assert None not in done_s and max(done_s) <= bound_s, done_s
+
+
+def test_without_stuck_targets_a_rollout_is_short():
+    assert max(roll_out(make_fleet([]), "2")) <= 6 * LEASE_S
+
+
+def test_targets_that_were_stuck_in_a_rollout_hold_up_no_later_one():
+    sim = make_fleet([Stuck.LOADING] * 3)
+    roll_out(sim, "2")
+    for version in range(3, 8):
+        sim.net.run_until(sim.net.now_s + 100.0)
+        done_s = roll_out(sim, str(version))
+        assert None not in done_s and max(done_s) <= 6 * LEASE_S, (version, done_s)
+
+
 class NoTakeoverWaitState(OrdersState):
     """Breaks a rule: does not wait until the previous owner's orders have ended."""
 
