Let requests that had been accepted start before a planned stop exits

What callers saw: requests that had just been accepted were cut off without an answer at a planned stop, on both protocols.

Cause: the lifecycle closed the listeners and, if no request was counted as open at that moment, exited in the same step. A request is counted once its head has been read and its application runs, so all that had arrived and wasn't read yet ended with the process.

Change: the exit waits 0.6 s after the closing of the listeners, which is longer than a listener waits for requests to arrive, and then for open requests, within the same deadline.

--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -19,7 +19,7 @@
 from vanillabeam.notices import Incarnation
 from vanillabeam.peerhttp import PeerClient, peer_routes
 from vanillabeam.ports import wait_for_port
-from vanillabeam.readiness import Readiness
+from vanillabeam.readiness import SETTLE_S, Readiness
 from vanillabeam.tasks import TASK_FAILURES, keep_running
 
 if TYPE_CHECKING:
@@ -90,8 +90,9 @@
         self.rng = rng
         deadline_s = max(1.0, cfg.bounds.grace_s - EXIT_MARGIN_S)
         notice_s = min(NOTICE_S, deadline_s / 2) if cfg.entry_address else 0.0
+        settle_s = SETTLE_S if cfg.entry_address else 0.0
         self.lifecycle = Lifecycle(
-            Readiness(notice_s, deadline_s), self._close_listeners
+            Readiness(notice_s, deadline_s, settle_s), self._close_listeners
         )
         self.follower: Follower | None = None
         self.control: FleetControl | None = None
--- a/src/vanillabeam/readiness.py
+++ b/src/vanillabeam/readiness.py
@@ -11,6 +11,7 @@
 from vanillabeam.exceptions import InvariantBroken
 
 __all__ = [
+    "SETTLE_S",
     "CloseListeners",
     "ConfigReady",
     "DrainRequested",
@@ -26,6 +27,11 @@
 ]
 
 
+#: Time from the closing of the listeners to the exit, for requests that had been
+#: accepted before; longer than a listener waits for them to arrive.
+SETTLE_S = 0.6
+
+
 class Phase(StrEnum):
     """Phases of a VM's lifecycle, in order."""
 
@@ -99,6 +105,8 @@
     :param notice_s: seconds between the start of a drain and the closing of the
         listeners, in which the balancer notices that the VM is not ready.
     :param deadline_s: seconds after which a drain cuts off open requests.
+    :param settle_s: seconds between the closing of the listeners and the exit, in
+        which requests that had been accepted still start.
 
     >>> state = Readiness(notice_s=5.0, deadline_s=60.0)
     >>> handle(ConfigReady(index=1), state, now_s=0.0)
@@ -107,9 +115,10 @@
     <Phase.READY: 'ready'>
     """
 
-    def __init__(self, notice_s: float, deadline_s: float):
+    def __init__(self, notice_s: float, deadline_s: float, settle_s: float = 0.0):
         self.notice_s = notice_s
         self.deadline_s = deadline_s
+        self.settle_s = settle_s
         self.phase = Phase.STARTING
         self.open_requests: set[str] = set()
         self.drain_began_s: float | None = None
@@ -172,7 +181,8 @@
     if drained_s >= state.notice_s and not state.listeners_closed:
         state.listeners_closed = True
         effects.append(CloseListeners())
-    is_drained = state.listeners_closed and not state.open_requests
+    is_settled = drained_s >= state.notice_s + state.settle_s
+    is_drained = is_settled and not state.open_requests
     if is_drained or drained_s >= state.deadline_s:
         effects.extend(_stop(state))
     return effects
--- a/src/vanillabeam/vm.py
+++ b/src/vanillabeam/vm.py
@@ -25,7 +25,7 @@
 from vanillabeam.orders import OrdersSettings
 from vanillabeam.peercall import PeerCall
 from vanillabeam.peerhttp import PeerClient, peer_routes
-from vanillabeam.readiness import Readiness
+from vanillabeam.readiness import SETTLE_S, Readiness
 from vanillabeam.settings import Settings
 from vanillabeam.store import make_app
 from vanillabeam.targetapp import target_app
@@ -73,7 +73,8 @@
         self.burn = BurnCounter(Objectives(**cfg["objectives"]), cfg["vm"])
         self.metrics = _make_metrics(cfg)
         self._target_key = read_key(cfg["target_key_file"])
-        readiness = Readiness(cfg["drain"]["notice_s"], cfg["drain"]["deadline_s"])
+        drain = cfg["drain"]
+        readiness = Readiness(drain["notice_s"], drain["deadline_s"], SETTLE_S)
         self.lifecycle = Lifecycle(readiness, self._close_callers)
         self.apps = {name: DeferredApp() for name in _listener_settings(cfg)}
         self.listeners = {
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -8,6 +8,7 @@
     DrainRequested,
     Exit,
     Phase,
+    Readiness,
     ReportCutRequests,
     RequestEnded,
     RequestStarted,
@@ -39,6 +40,26 @@
     assert handle(Tick(), state, NOTICE_S) == [CloseListeners(), Exit(0)]
 
 
+# Guards against an exit at the moment at which the listeners close: it cuts off
+# requests that had arrived and were not counted yet.
+def test_requests_that_had_been_accepted_start_after_the_listeners_closed():
+    state = Readiness(NOTICE_S, DEADLINE_S, settle_s=0.5)
+    handle(DrainRequested(), state, 0.0)
+    assert handle(Tick(), state, NOTICE_S) == [CloseListeners()]
+    handle(RequestStarted("a"), state, NOTICE_S + 0.1)
+    handle(RequestEnded("a"), state, NOTICE_S + 0.2)
+    handle(RequestStarted("b"), state, NOTICE_S + 0.3)
+    assert handle(Tick(), state, NOTICE_S + 0.6) == []
+    assert handle(RequestEnded("b"), state, NOTICE_S + 0.7) == [Exit(0)]
+
+
+def test_the_time_to_settle_ends_with_the_drain_deadline():
+    state = Readiness(NOTICE_S, NOTICE_S + 0.1, settle_s=0.5)
+    handle(DrainRequested(), state, 0.0)
+    handle(Tick(), state, NOTICE_S)
+    assert handle(Tick(), state, NOTICE_S + 0.1) == [Exit(0)]
+
+
 def test_the_drain_deadline_reports_the_requests_cut_off():
     state = make_readiness()
     handle(RequestStarted("b"), state, 0.0)
