Announce the end of a connection in each answer sent during a planned stop

What callers saw: a kept connection was closed without a word, while the next request was on its way, although its last answer had come after the stop began.

Cause: whether an answer says 'Connection: close' was decided when its request arrived, so requests that were open at the stop left their connections kept.

Evidence: tests/platform/test_stops.py, before: (200, None) == (200, b'close').

Change: it is decided as the head of the answer is sent. The test of the writer passes a function in place of a constant, with the same assertion.

Measured: the new test and tests/forwarding pass.

--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -126,7 +126,7 @@
         number = str(next(self._numbers))
         writer = ResponseWriter(
             send,
-            closes=self._lifecycle.draining.is_set(),
+            closes=self._lifecycle.draining.is_set,
             collects=scope["http_version"] == "1.0",
         )
         self._lifecycle.request_started(number)
--- a/src/vanillabeam/forwarding/downstream.py
+++ b/src/vanillabeam/forwarding/downstream.py
@@ -38,7 +38,8 @@
 class ResponseWriter:
     """Sends one answer through an ASGI ``send``.
 
-    :param closes: whether the connection is closed after this answer.
+    :param closes: asked as the head is sent, whether the connection is closed after
+        this answer.
     :param collects: whether a stream is held until it is whole and sent with its
         length, because the caller's HTTP version has no chunks: only the end of the
         connection would mark the end of the stream, broken off or not.
@@ -49,7 +50,12 @@
     :ivar status: HTTP status of the answer; 0 before its head is sent.
     """
 
-    def __init__(self, send, closes: bool = False, collects: bool = False):
+    def __init__(
+        self,
+        send,
+        closes: Callable[[], bool] = lambda: False,
+        collects: bool = False,
+    ):
         self._send = send
         self._closes = closes
         self._collects = collects
@@ -155,7 +161,7 @@
         self.started = True
         self.status = status
         self._collected_head = None
-        if self._closes:
+        if self._closes():
             headers = [*headers, (b"connection", b"close")]
         await self._send_message(
             {"type": "http.response.start", "status": status, "headers": headers}
--- a/tests/forwarding/test_downstream.py
+++ b/tests/forwarding/test_downstream.py
@@ -82,7 +82,7 @@
     async def send(message):
         sent.append(message)
 
-    run(ResponseWriter(send, closes=True).send_response, 200, [], b"")
+    run(ResponseWriter(send, closes=lambda: True).send_response, 200, [], b"")
     assert (b"connection", b"close") in sent[0]["headers"]
 
 
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -8,7 +8,7 @@
 import trio
 
 from tests.platform.builders import make_document
-from tests.platform.standin import running_platform, wait_until
+from tests.platform.standin import running_platform, send_answer, wait_until
 
 REQUEST = (
     b"POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\n"
@@ -81,3 +81,23 @@
     answer, code = trio.run(main)
     assert answer.startswith(b"HTTP/1.1 200 ")
     assert code == 0
+
+
+# Guards against a kept connection that is closed without a word while its caller sends
+# the next request: the answer to one that was open at the stop must announce it.
+def test_an_answer_that_is_sent_after_the_stop_began_closes_its_connection(tmp_path):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            worker = await start(platform)
+            vm, _ = platform.vms["front"]
+
+            async def answer_after_drain(headers, send):
+                vm.drain()
+                await trio.sleep(0.05)
+                await send_answer(send, 200, b"late", headers)
+
+            worker.script.append(answer_after_drain)
+            res = await platform.send_request()
+            return res.status, dict(res.headers).get(b"connection")
+
+    assert trio.run(main) == (200, b"close")
