--- a/tests/path/test_drain.py
+++ b/tests/path/test_drain.py
@@ -1,11 +1,14 @@
 import json
+import random
 import socket
 from contextlib import suppress
 
 import trio
 
-from tests.path.builders import run_with_vm
+from tests.builders import make_settings
+from tests.path.builders import FAST_ORDERS, run_with_vm
 from vanillabeam.readiness import Phase
+from vanillabeam.vm import Vm
 
 BODY = json.dumps(
     {
@@ -68,25 +71,27 @@
 # Guards against an exit at the moment at which the listeners close: a request that had
 # just been accepted was cut off without an answer.
 def test_a_request_that_arrives_as_the_listener_closes_is_answered(tmp_path):
-    async def act(running):
-        await running.add_target()
+    async def main():
+        cfg = make_settings(tmp_path, drain={"notice_s": 0.2, "deadline_s": 20.0})
+        vm = Vm(cfg, random.Random(1), FAST_ORDERS)
         connections = []
-        lifecycle = running.vm.lifecycle
-        close = lifecycle._close_listeners
+        close = vm.lifecycle._close_listeners
 
         def connect_and_close():
-            host, _, port = running.vm.address("callers").rpartition(":")
+            host, _, port = vm.address("callers").rpartition(":")
             connections.append(socket.create_connection((host, int(port))))
             connections[0].sendall(REQUEST)
             close()
 
-        lifecycle._close_listeners = connect_and_close
-        running.vm.drain()
-        await running.wait_until(lambda: connections)
-        answer = await trio.to_thread.run_sync(read_all, connections[0])
-        return answer, await running.vm.wait_stopped()
+        vm.lifecycle._close_listeners = connect_and_close
+        async with trio.open_nursery() as nursery:
+            await nursery.start(vm.run)
+            vm.drain()
+            code = await vm.wait_stopped()
+            nursery.cancel_scope.cancel()
+        return code, await trio.to_thread.run_sync(read_all, connections[0])
 
-    answer, code = run_with_vm(tmp_path, act)
+    code, answer = trio.run(main)
     assert answer.startswith(b"HTTP/1.1 ")
     assert code == 0
 
