Give targets turns in a rollout, and slots only to those that load

Cause: who is next was decided by version and name alone, so those that failed were first again, and each attempt held a slot of the share for 6 s whatever the target did.

Evidence, tests/fleet/test_rollout.py on the code before: 3 or 6 stuck of 9, and 1 of 2, each of six kinds (refuses, silent, unreachable, busy, 412, accepts and does nothing): none of the others loads ('assert 0 == (9 - 3)'); 2 of 9: the last at 16.8 s; targets that end and return under new names: 'assert 0 == 6'; a newer version follows 6.0 s after the older one.

Change: fleet.rolloutplan, a core, keeps the turns: the longest wait first, a failed target waits 1, 2, 4 s and then goes behind the others, a new incarnation too. A slot is held by a target that was just sent an order (1.5 s) or accepted one (3 s; 1 s if it reports that it does nothing); two thirds at most are without work. The order to a target that left the directory ends at once. An order is given up after a refusal, or 2 s without acceptance; an accepted one lasts while the target is busy, 60 s at most. The next version follows the one under way without a pause.

--- a/src/vanillabeam/fleet/orderrun.py
+++ b/src/vanillabeam/fleet/orderrun.py
@@ -13,10 +13,16 @@
 #: Seconds without an answer after which an order is sent again, if the target reports
 #: that it has accepted none. Reports are some hundred milliseconds old.
 RESEND_S = 0.6
-#: Seconds after a refusal until the order is sent again.
-REFUSED_PAUSE_S = 0.5
-#: Seconds without any effect after which the order is given up.
+#: Seconds until an order is sent again to a target that carries out another one, or
+#: has accepted one since its report.
+BUSY_PAUSE_S = 0.5
+#: Seconds after which an order that was not accepted is given up for this turn.
+UNANSWERED_S = 2.0
+#: Seconds without any effect after which an accepted order is given up.
 EFFECT_TIMEOUT_S = 6.0
+#: Seconds after which an accepted order is given up though the target is busy: runs
+#: may last as long as a route allows.
+BUSY_TIMEOUT_S = 60.0
 
 
 class OrderReply(StrEnum):
@@ -55,6 +61,8 @@
     """State of one order.
 
     :param version: version that the target is to load.
+    :ivar is_accepted: whether the target has accepted the order, by its answer or by
+        the number of orders that it reports.
 
     >>> run = OrderRun(version=2, now_s=1.0)
     >>> run.next_step(WeightsReport(1, False, 7), now_s=1.0)
@@ -66,37 +74,67 @@
     def __init__(self, version: int, now_s: float):
         self.sequence: int | None = None
         self.is_done = False
-        self._version = version
+        self.is_accepted = False
+        self.version = version
         self._reply: OrderReply | None = None
+        self._begun_s = now_s
         self._changed_s = now_s
 
     def record_reply(self, reply: OrderReply, now_s: float) -> None:
         """Record the target's answer to the order."""
         self._reply = reply
         self._changed_s = now_s
+        if reply in (OrderReply.ACCEPTED, OrderReply.HOLDS):
+            self._accept(now_s)
 
     def next_step(self, report: WeightsReport | None, now_s: float) -> Step:
         """Return the next step.
 
         :param report: the target's newest report, ``None`` if it gave none.
         """
-        waited_s = now_s - self._changed_s
-        if report is not None and (report.version or 0) >= self._version:
+        if report is not None and (report.version or 0) >= self.version:
             self.is_done = True
             return Step.STOP
-        if self._reply is OrderReply.FENCED or waited_s > EFFECT_TIMEOUT_S:
+        self._read(report, now_s)
+        if self._is_over(now_s):
             return Step.STOP
+        waited_s = now_s - self._changed_s
         if report is None or report.is_busy or not self._may_send(report, waited_s):
             return Step.WAIT
         self.sequence = report.sequence
         return Step.SEND
 
+    def _accept(self, now_s: float) -> None:
+        if not self.is_accepted:
+            self.is_accepted, self._begun_s = True, now_s
+
+    def _read(self, report: WeightsReport | None, now_s: float) -> None:
+        """Learn from a report whether the order was accepted, and still counts."""
+        if report is None:
+            return
+        if self._reply is OrderReply.UNKNOWN and self._counts_more(report):
+            self._accept(now_s)
+        if self.is_accepted and report.is_busy:
+            self._changed_s = now_s
+
+    def _counts_more(self, report: WeightsReport) -> bool:
+        if report.sequence is None or self.sequence is None:
+            return False
+        return report.sequence > self.sequence
+
+    def _is_over(self, now_s: float) -> bool:
+        if self._reply in (OrderReply.FENCED, OrderReply.REFUSED):
+            return True
+        lasted_s = now_s - self._begun_s
+        if not self.is_accepted:
+            return lasted_s > UNANSWERED_S
+        waited_s = now_s - self._changed_s
+        return waited_s > EFFECT_TIMEOUT_S or lasted_s > BUSY_TIMEOUT_S
+
     def _may_send(self, report: WeightsReport, waited_s: float) -> bool:
         if self._reply is None:
             return True
         if self._reply is OrderReply.UNKNOWN:
             is_unchanged = report.sequence == self.sequence
             return is_unchanged and waited_s >= RESEND_S
-        if self._reply in (OrderReply.BUSY, OrderReply.REFUSED):
-            return waited_s >= REFUSED_PAUSE_S
-        return False
+        return self._reply is OrderReply.BUSY and waited_s >= BUSY_PAUSE_S
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -1,6 +1,5 @@
 """Rollout of new weights: the fleet log's leader orders targets to load them."""
 
-import math
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -12,15 +11,15 @@
 from vanillabeam.fleet.orderright import OrderRight
 from vanillabeam.fleet.orderrun import OrderReply, OrderRun, Step, WeightsReport
 from vanillabeam.fleet.records import Target
+from vanillabeam.fleet.rolloutplan import Outcome, RolloutPlan
 from vanillabeam.tasks import run_guarded
 
-__all__ = ["Rollout", "TargetOrders", "WeightsOrder", "select_targets"]
+__all__ = ["Rollout", "TargetOrders", "WeightsOrder"]
 
 PERIOD_S = 0.25
-#: Share of a model's targets that may load new weights at the same time, so that
-#: the others keep serving and the weight store is not overloaded.
-MAX_CONCURRENT_SHARE = 1 / 3
 POLL_PERIOD_S = 0.4
+#: Seconds between two looks whether a prepared order has a slot.
+SLOT_PERIOD_S = 0.05
 #: Seconds before an order is sent, for entry VMs to receive the target's pause.
 PAUSE_S = 0.3
 
@@ -60,31 +59,6 @@
         """Return the target's report on a model; ``None`` if no valid one came."""
 
 
-def select_targets(
-    targets: list[Target], weights: dict[str, int], in_progress: set[str]
-) -> list[tuple[Target, str]]:
-    """Return the targets to order now, each with its outdated model.
-
-    :param weights: newest version of each model.
-    :param in_progress: names of targets that are carrying out an order.
-    """
-    selected: list[tuple[Target, str]] = []
-    for model, newest in sorted(weights.items()):
-        holders = [target for target in targets if model in target.versions]
-        limit = max(1, math.ceil(len(holders) * MAX_CONCURRENT_SHARE))
-        available = limit - sum(1 for target in holders if target.name in in_progress)
-        outdated = [
-            target
-            for target in holders
-            if target.versions[model] < newest
-            and not target.draining
-            and target.name not in in_progress
-        ]
-        outdated.sort(key=lambda target: (target.versions[model], target.name))
-        selected += [(target, model) for target in outdated[: max(0, available)]]
-    return selected
-
-
 class Rollout:
     """Orders targets to load new weights while this VM leads the fleet log.
 
@@ -95,112 +69,130 @@
         self._control = control
         self._orders = orders
         orders.on_leaving = control.receive_leaving
-        self._in_progress: set[str] = set()
-        #: Fencing number that each incarnation refused last.
-        self._fenced: dict[tuple[str, int], int] = {}
+        self._plan = RolloutPlan()
         self._right = OrderRight(control)
         self._held = HeldTargets()
-        #: Newest answer of each target, by name.
-        self._replies: dict[str, OrderReply] = {}
+        self._scopes: dict[tuple[str, int], trio.CancelScope] = {}
+        self._woken = trio.Event()
 
     async def run(self) -> None:
         """Send orders until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                now_s = trio.current_time()
-                self._control.paused &= self._in_progress
+                self._update_plan()
                 if self._right.is_held():
                     self._start_orders(nursery)
-                for line in self._held.update(self._find_held(), now_s):
+                for line in self._held.update(self._find_held(), trio.current_time()):
                     log_record(line)
-                await trio.sleep(PERIOD_S)
+                self._woken = trio.Event()
+                with trio.move_on_after(PERIOD_S):
+                    await self._woken.wait()
 
-    def _start_orders(self, nursery: trio.Nursery) -> None:
-        control = self._control
-        records = control.follower.directory.records.values()
+    @property
+    def _weights(self) -> dict[str, int]:
+        return self._control.machine.state["weights"]
+
+    def _update_plan(self) -> None:
+        """Apply what is known, and end the orders to targets that are gone."""
+        records = self._control.follower.directory.records.values()
         targets = [record.target for record in records]
-        weights = control.machine.state["weights"]
-        for target, model in select_targets(targets, weights, self._in_progress):
-            if self._is_fenced(target):
-                continue
-            self._in_progress.add(target.name)
+        for gone in self._plan.update(targets, self._weights, trio.current_time()):
+            if gone in self._scopes:
+                self._scopes[gone].cancel()
+        self._control.paused &= self._plan.names_under_way()
+
+    def _start_orders(self, nursery: trio.Nursery) -> None:
+        fence, now_s = self._right.fence, trio.current_time()
+        for target, model in self._plan.select(fence, now_s):
+            self._plan.start(target, model)
             nursery.start_soon(
                 run_guarded, "weights-order", self._execute, target, model
             )
-        fence = self._right.fence
-        if fence in self._fenced.values():
+        if self._plan.is_refused(fence):
             nursery.start_soon(
                 run_guarded, "weights-fence", self._right.raise_fence, fence
             )
 
-    def _is_fenced(self, target: Target) -> bool:
-        """Return whether a target has refused the fencing number in force."""
-        return self._fenced.get(target.incarnation, -1) >= self._right.fence
-
     def _find_held(self) -> list[Held]:
         """Return the outdated targets that get no order; none if another VM leads."""
         if not self._control.node.is_leader:
             return []
-        known = self._control.follower.directory.records
-        found = []
-        for record in {**self._control.directory.records, **known}.values():
-            target = record.target
-            if target.name in self._in_progress:
-                continue
-            for model, newest in self._control.machine.state["weights"].items():
-                version = target.versions.get(model, newest)
-                if version >= newest:
-                    continue
-                reply = str(self._replies.get(target.name, ""))
-                reason = self._reason(target, target.name in known)
-                found.append(Held(target.name, model, version, newest, reason, reply))
-        return found
-
-    def _reason(self, target: Target, is_known: bool) -> HeldReason:
-        if not is_known:
-            return HeldReason.NOT_KNOWN
-        if target.draining:
-            return HeldReason.DRAINING
+        held = self._plan.held(self._right.fence, trio.current_time())
         if not self._right.is_held():
-            return HeldReason.NO_LEASE
-        if self._is_fenced(target):
-            return HeldReason.FENCED
-        return HeldReason.NO_SLOT
+            held = [each._replace(reason=HeldReason.NO_LEASE) for each in held]
+        return held + self._find_unknown()
+
+    def _find_unknown(self) -> list[Held]:
+        known = self._control.follower.directory.records
+        return [
+            Held(name, model, version, self._weights[model], HeldReason.NOT_KNOWN)
+            for name, record in self._control.directory.records.items()
+            for model, version in record.target.versions.items()
+            if name not in known and version < self._weights.get(model, 0)
+        ]
 
     async def _execute(self, target: Target, model: str) -> None:
+        outcome = Outcome.STOPPED
         try:
-            self._control.pause(target.name)
-            await trio.sleep(PAUSE_S)
-            await self._carry_out(target, model)
+            with trio.CancelScope() as scope:
+                self._scopes[target.incarnation] = scope
+                self._control.pause(target.name)
+                await trio.sleep(PAUSE_S)
+                outcome = await self._carry_out(target, model)
+        except Exception:
+            outcome = Outcome.FAILED
+            raise
         finally:
-            self._in_progress.discard(target.name)
+            self._scopes.pop(target.incarnation, None)
+            self._plan.finish(target.incarnation, outcome, trio.current_time())
+            self._woken.set()
+
+    async def _carry_out(self, target: Target, model: str) -> Outcome:
+        """Send the order, again if it got lost, until the target has the version.
 
-    async def _carry_out(self, target: Target, model: str) -> None:
-        """Send the order, again if it got lost, until the target has the version."""
-        version = self._control.machine.state["weights"][model]
-        run = OrderRun(version, trio.current_time())
+        An order for a newer version follows at once.
+        """
         term = self._right.term
+        while not self._plan.begin(target.incarnation, trio.current_time()):
+            if not self._right.is_held(term):
+                return Outcome.STOPPED
+            await trio.sleep(SLOT_PERIOD_S)
+        run = OrderRun(self._weights[model], trio.current_time())
         while self._right.is_held(term):
             report = await self._orders.report(target, model)
-            step = run.next_step(report, trio.current_time())
+            step = self._next_step(target, run, report)
+            if run.is_done:
+                self._control.report_weights(target, model, report.version)
+            newest = self._weights[model]
+            if newest > run.version and (run.is_done or not run.is_accepted):
+                run = OrderRun(newest, trio.current_time())
+                self._plan.begin_next(target.incarnation, trio.current_time())
+                continue
             if step is Step.STOP:
-                break
+                return Outcome.DONE if run.is_done else Outcome.FAILED
             if step is Step.SEND:
                 if not await self._right.confirm(term):
-                    break
-                await self._send(target, model, version, run)
+                    return Outcome.STOPPED
+                await self._send(target, model, run)
             await trio.sleep(POLL_PERIOD_S)
-        if run.is_done:
-            self._control.report_weights(target, model, report.version)
-
-    async def _send(
-        self, target: Target, model: str, version: int, run: OrderRun
-    ) -> None:
+        return Outcome.STOPPED
+
+    def _next_step(
+        self, target: Target, run: OrderRun, report: WeightsReport | None
+    ) -> Step:
+        now_s = trio.current_time()
+        step = run.next_step(report, now_s)
+        is_busy = report is not None and report.is_busy
+        self._plan.record_state(target.incarnation, run.is_accepted, is_busy, now_s)
+        self._woken.set()
+        return step
+
+    async def _send(self, target: Target, model: str, run: OrderRun) -> None:
         fence = self._right.fence
-        order = WeightsOrder(model, version, self._control.cfg.vm, fence)
+        order = WeightsOrder(model, run.version, self._control.cfg.vm, fence)
         reply = await self._orders.load_weights(target, order, run.sequence)
-        run.record_reply(reply, trio.current_time())
-        self._replies[target.name] = reply
-        log_record(WeightsOrdered(target.name, model, version, fence, str(reply)))
-        if reply is OrderReply.FENCED:
-            self._fenced[target.incarnation] = fence
+        now_s = trio.current_time()
+        run.record_reply(reply, now_s)
+        self._plan.record_reply(target.incarnation, reply, fence)
+        self._plan.record_state(target.incarnation, run.is_accepted, False, now_s)
+        log_record(WeightsOrdered(target.name, model, run.version, fence, str(reply)))
--- a/tests/fleet/test_orderrun.py
+++ b/tests/fleet/test_orderrun.py
@@ -1,9 +1,11 @@
 import pytest
 
 from vanillabeam.fleet.orderrun import (
+    BUSY_PAUSE_S,
+    BUSY_TIMEOUT_S,
     EFFECT_TIMEOUT_S,
-    REFUSED_PAUSE_S,
     RESEND_S,
+    UNANSWERED_S,
     OrderReply,
     OrderRun,
     Step,
@@ -62,20 +64,50 @@
     assert not run.is_done
 
 
-@pytest.mark.parametrize("reply", [OrderReply.BUSY, OrderReply.REFUSED])
-def test_a_refused_order_is_sent_again_with_a_new_sequence(reply):
-    run = start(reply)
+def test_an_order_to_a_busy_target_is_sent_again_with_a_new_sequence():
+    run = start(OrderReply.BUSY)
     later = IDLE._replace(sequence=9)
-    assert run.next_step(later, REFUSED_PAUSE_S / 2) is Step.WAIT
-    assert run.next_step(later, REFUSED_PAUSE_S) is Step.SEND
+    assert run.next_step(later, BUSY_PAUSE_S / 2) is Step.WAIT
+    assert run.next_step(later, BUSY_PAUSE_S) is Step.SEND
     assert run.sequence == 9
 
 
-def test_a_leader_that_is_fenced_stops():
-    assert start(OrderReply.FENCED).next_step(IDLE, 0.1) is Step.STOP
+# Guards against a target that refuses each order and is sent a dozen of them.
+@pytest.mark.parametrize("reply", [OrderReply.FENCED, OrderReply.REFUSED])
+def test_an_order_that_was_refused_stops_at_once(reply):
+    run = start(reply)
+    assert run.next_step(IDLE, 0.1) is Step.STOP
+    assert not run.is_done
 
 
-def test_without_reports_an_order_is_given_up_in_the_end():
+# Guards against a target without reports that holds up the others.
+def test_without_reports_an_order_is_soon_given_up():
     run = start()
-    assert run.next_step(None, EFFECT_TIMEOUT_S) is Step.WAIT
-    assert run.next_step(None, EFFECT_TIMEOUT_S + 0.1) is Step.STOP
+    assert run.next_step(None, UNANSWERED_S) is Step.WAIT
+    assert run.next_step(None, UNANSWERED_S + 0.1) is Step.STOP
+
+
+@pytest.mark.parametrize("reply", [OrderReply.UNKNOWN, OrderReply.BUSY, None])
+def test_an_order_that_nobody_accepts_is_soon_given_up(reply):
+    run = start(reply)
+    assert run.next_step(BUSY._replace(sequence=7), UNANSWERED_S) is Step.WAIT
+    assert run.next_step(BUSY._replace(sequence=7), UNANSWERED_S + 0.1) is Step.STOP
+
+
+def test_an_order_whose_answer_was_lost_is_accepted_by_the_count_of_orders():
+    run = start(OrderReply.UNKNOWN)
+    run.next_step(IDLE, 0.5)
+    assert not run.is_accepted
+    run.next_step(BUSY, 1.0)
+    assert run.is_accepted
+    assert run.next_step(BUSY, 1.0 + EFFECT_TIMEOUT_S) is Step.WAIT
+
+
+# Guards against an order that is given up while the target waits for its runs.
+def test_an_accepted_order_lasts_while_the_target_is_busy():
+    run = start(OrderReply.ACCEPTED)
+    now_s = 0.0
+    while now_s < BUSY_TIMEOUT_S - 1:
+        now_s += 1.0
+        assert run.next_step(BUSY, now_s) is Step.WAIT
+    assert run.next_step(BUSY, BUSY_TIMEOUT_S + 0.1) is Step.STOP
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -1,53 +1,24 @@
+import pytest
 import trio
 from returns.result import Failure
 
 from tests.fleet.builders import make_target
-from tests.fleet.rolloutfleet import make_fleet, play
+from tests.fleet.rolloutfleet import LOAD_S, StandInTarget, make_fleet, play
 from vanillabeam.fleet import rollout
 from vanillabeam.fleet.orderright import RAISE_PERIOD_S
-from vanillabeam.fleet.rollout import select_targets
+from vanillabeam.fleet.rolloutplan import MAX_BACKOFF_S
 from vanillabeam.log.exceptions import OutcomeUnknown
 
 HELD = "WeightsHeld"
+#: Time that operators allow for new weights.
+VERSION_S = 10.0
+#: Longest time from one version to the order for the next: the age of a report, and the
+#: time between two of them.
+FOLLOWED_S = 1.0
 #: Longest time from the confirmation of the leadership to an order.
 CONFIRM_S = 0.05
 
 
-def make_targets(count, **changes):
-    return [
-        make_target(f"t-{n}", versions={"m": 1}, **changes) for n in range(1, count + 1)
-    ]
-
-
-def names(selected):
-    return [target.name for target, _ in selected]
-
-
-def test_a_third_of_the_targets_load_at_once():
-    targets = make_targets(9)
-    assert names(select_targets(targets, {"m": 2}, set())) == ["t-1", "t-2", "t-3"]
-    assert names(select_targets(targets, {"m": 2}, {"t-1", "t-2"})) == ["t-3"]
-    assert select_targets(targets, {"m": 2}, {"t-1", "t-2", "t-3"}) == []
-
-
-def test_a_single_target_gets_new_weights():
-    assert names(select_targets(make_targets(1), {"m": 2}, set())) == ["t-1"]
-
-
-def test_targets_with_the_oldest_weights_go_first():
-    old, older = (
-        make_target("t-1", versions={"m": 2}),
-        make_target("t-2", versions={"m": 1}),
-    )
-    assert names(select_targets([old, older], {"m": 3}, set())) == ["t-2"]
-
-
-def test_up_to_date_and_draining_targets_get_no_order():
-    assert select_targets(make_targets(3), {"m": 1}, set()) == []
-    assert select_targets(make_targets(3, draining=True), {"m": 2}, set()) == []
-    assert select_targets(make_targets(3), {"other": 2}, set()) == []
-
-
 def log_lines(monkeypatch):
     lines = []
     monkeypatch.setattr(rollout, "log_record", lines.append)
@@ -197,3 +168,81 @@
     for orders in refused:
         fences = [order.fence for order in orders]
         assert len(set(fences)) == len(fences)
+
+
+STUCK = ["refuses", "silent", "unreachable", "busy", "fences", "liar"]
+
+
+# Guards against a third of stuck targets that hold all slots for ever.
+@pytest.mark.parametrize("behaviour", STUCK)
+@pytest.mark.parametrize("count", [2, 3, 6])
+def test_stuck_targets_do_not_starve_the_others(behaviour, count):
+    fleet = play(lambda: make_fleet(9, [behaviour] * count), 20.0)
+    assert len(fleet.loaded()) == 9 - count
+    assert fleet.loaded()[-1] <= VERSION_S
+
+
+@pytest.mark.parametrize("behaviour", STUCK)
+def test_a_stuck_target_of_two_does_not_starve_the_other(behaviour):
+    fleet = play(lambda: make_fleet(2, [behaviour]), 20.0)
+    assert len(fleet.loaded()) == 1
+    assert fleet.loaded()[-1] <= VERSION_S
+
+
+def test_nine_sound_targets_have_the_version_in_time():
+    fleet = play(lambda: make_fleet(9), 20.0)
+    assert fleet.loaded()[-1] <= 0.8 * VERSION_S
+    assert fleet.most_loading <= 3
+
+
+# Guards against targets in a crash loop that take each turn of the others.
+def test_targets_that_end_and_return_under_new_names_do_not_starve_the_others():
+    async def crash(fleet):
+        for start in range(20):
+            await trio.sleep(1.5)
+            for number in range(3):
+                name = f"t-{number:02}"
+                old = fleet.targets.pop(name if not start else f"{name}-{start}")
+                fleet.control.follower.directory.mark_ended(old.target.incarnation)
+                fresh = old.target._replace(
+                    name=f"{name}-{start + 1}", born_ms=2_000 + start
+                )
+                fleet.targets[fresh.name] = StandInTarget(fresh, "unreachable")
+                fleet.control.announce(fresh)
+
+    fleet = play(lambda: make_fleet(9, ["unreachable"] * 3), 20.0, crash)
+    assert len(fleet.loaded()) == 6
+    assert fleet.loaded()[-1] <= VERSION_S
+
+
+def test_an_order_that_is_carried_out_late_counts_once():
+    fleet = play(lambda: make_fleet(9, ["late"] * 3), 20.0)
+    assert len(fleet.loaded()) == 9
+    assert fleet.loaded()[-1] <= VERSION_S
+    assert {each.sequence for each in fleet.targets.values()} == {1}
+
+
+# Guards against a newer version that waits for the end of the older one's rollout.
+def test_an_order_that_is_overtaken_is_followed_by_the_newer_one():
+    async def overtake(fleet):
+        await trio.sleep(0.5)
+        fleet.control.name("m", 3)
+
+    fleet = play(lambda: make_fleet(9), 20.0, overtake)
+    assert len(fleet.loaded(3)) == 9
+    assert len(fleet.loaded(2)) == 3
+    for each in fleet.targets.values():
+        versions = [order.version for order in each.orders]
+        assert versions in ([2, 3], [3])
+        if versions == [2, 3]:
+            assert each.orders_s[1] - each.loaded_s[2] <= FOLLOWED_S
+
+
+def test_a_target_that_failed_once_gets_its_next_order_soon():
+    async def mend(fleet):
+        await trio.sleep(3.0)
+        fleet.targets["t-00"].behaviour = "sound"
+
+    fleet = play(lambda: make_fleet(1, ["refuses"]), 20.0, mend)
+    assert fleet.loaded()[0] <= 3.0 + MAX_BACKOFF_S + 2 * LOAD_S
+    assert len(fleet.targets["t-00"].orders) <= 5
