Prepare the next target before a slot is free, and ask for fewer reports

Callers saw: less time than needed until all targets have new weights, and priced reports.

Cause: each wave waited up to 0.25 s to be noticed, 0.3 s for the pause to be heard and up to 0.4 s for the next report, one after the other; reports were asked for all through a load.

Change: the plan learns how long a load takes until it is reported; the next target is paused 0.3 s before that and gets its order when the slot is free, so the share holds. Reports are asked for from 0.2 s before that time on, each 0.2 s, and each 0.4 s where it isn't known or has passed by 0.6 s. The rollout looks each 0.1 s and at each change.

--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -16,8 +16,13 @@
 
 __all__ = ["Rollout", "TargetOrders", "WeightsOrder"]
 
-PERIOD_S = 0.25
+PERIOD_S = 0.1
+#: Seconds between two reports of a target, and between those near the time at which it
+#: is likely to have loaded, from ``EARLY_S`` before it to ``LATE_S`` after it.
 POLL_PERIOD_S = 0.4
+SHORT_POLL_PERIOD_S = 0.2
+EARLY_S = 0.2
+LATE_S = 0.6
 #: Seconds between two looks whether a prepared order has a slot.
 SLOT_PERIOD_S = 0.05
 #: Seconds before an order is sent, for entry VMs to receive the target's pause.
@@ -69,7 +74,7 @@
         self._control = control
         self._orders = orders
         orders.on_leaving = control.receive_leaving
-        self._plan = RolloutPlan()
+        self._plan = RolloutPlan(PAUSE_S)
         self._right = OrderRight(control)
         self._held = HeldTargets()
         self._scopes: dict[tuple[str, int], trio.CancelScope] = {}
@@ -174,7 +179,7 @@
                 if not await self._right.confirm(term):
                     return Outcome.STOPPED
                 await self._send(target, model, run)
-            await trio.sleep(POLL_PERIOD_S)
+            await trio.sleep(self._pause_s(target))
         return Outcome.STOPPED
 
     def _next_step(
@@ -187,6 +192,14 @@
         self._woken.set()
         return step
 
+    def _pause_s(self, target: Target) -> float:
+        """Return the time until the next report, which is priced."""
+        end_s = self._plan.expected_end_s(target.incarnation)
+        left_s = float("-inf") if end_s is None else end_s - trio.current_time()
+        if left_s < -LATE_S:
+            return POLL_PERIOD_S
+        return max(SHORT_POLL_PERIOD_S, left_s - EARLY_S)
+
     async def _send(self, target: Target, model: str, run: OrderRun) -> None:
         fence = self._right.fence
         order = WeightsOrder(model, run.version, self._control.cfg.vm, fence)
