Keep a target's lease through a first load of more than six seconds

The first order to a target in one ownership leaves its role unknown until it is confirmed. When the order was repeated after six seconds, the next step was to order what is loaded, in role serving: the lease was given back while the target was loading, another target got it, and the target was ordered back to its older weights. So up to all targets loaded from one store at once. Found with rollouts beside stuck targets; the randomised run loads for one second only.

The test (loads of 20 s) failed before: 'loading at once: [t2, t3, t4]'. Now an order is repeated as long as the configuration asks for its state.

--- a/src/vanillabeam/orders/core.py
+++ b/src/vanillabeam/orders/core.py
@@ -28,7 +28,7 @@
     Tick,
 )
 from vanillabeam.orders.state import OrdersState, Phase, TargetState
-from vanillabeam.orders.steps import next_step
+from vanillabeam.orders.steps import is_still_wanted, next_step
 from vanillabeam.targetwire import Order
 
 __all__ = ["handle"]
@@ -250,7 +250,7 @@
 
 def _send_order(state: OrdersState, target: TargetState, now_s: float) -> list[Effect]:
     # The desired state may have changed while a lease and a proof were requested.
-    if next_step(state, target) != target.desired:
+    if not is_still_wanted(state, target):
         return _return_to_idle(state, target, now_s, retry_after_s=0.0)
     index = state.config.index
     if index < target.highest_index or now_s < target.busy_until_s:
@@ -340,7 +340,7 @@
 def _send_again(state: OrdersState, target: TargetState, now_s: float) -> list[Effect]:
     if target.lease is not None and now_s >= target.lease_until_s:
         return _return_to_idle(state, target, now_s)
-    if next_step(state, target) != target.desired:
+    if not is_still_wanted(state, target):
         return _return_to_idle(state, target, now_s, retry_after_s=0.0)
     return _prove_freshness(state, target, now_s)
 
