Take requests for a data centre at once when a ticket puts it back

Seen once on: tests/path/test_orders.py::test_a_data_centre_out_of_service_gets_no_ new_work_until_it_is_back got 503 for 200 right after the ticket that puts the data centre back, refused at once. Read which state may lag once config().index is in force: the list of data centres out of service and the owner's configuration don't, as listeners run in the same step; the routing view does. It says whether a target takes work, by the owner's configuration at its last tick (0.25 s). If a tick falls between the two tickets the view says no until the next one, and a request that finds no open target is refused at once. Ruled out by that: the permit's owner (not asked in the failing case) and admission.

The deterministic test failed before: 'assert False' for Success, after a tick out of service. Now the views are worked out, and sent to other entry VMs, when a configuration comes into force. An entry VM whose configuration is newer than that of a target's owner still refuses at once until the owner's view arrives (docs/design/beliefs.md). tests/targets and tests/path/test_orders.py pass.

--- a/src/vanillabeam/targets/shell.py
+++ b/src/vanillabeam/targets/shell.py
@@ -158,6 +158,8 @@
         self.config = config
         self._acquirer.config = config
         self._dispatcher.post(ConfigChanged(config))
+        # Whether targets take work may have changed: other data centres in service.
+        self._summaries.tick()
 
     def members_changed(
         self, live: Mapping[str, Iterable[EntryVm]] | Iterable[EntryVm]
--- a/tests/targets/test_shell.py
+++ b/tests/targets/test_shell.py
@@ -279,6 +279,23 @@
     run(main)
 
 
+# Guards against requests that are refused right after their data centre is back: the
+# views of its targets still said that they take no work, until the next tick.
+def test_a_data_centre_that_is_back_gets_requests_at_once():
+    async def main(nursery):
+        targets = await start_one(nursery)
+        targets.config_changed(make_config(data_centres_out=["dc1"]))
+        await trio.sleep(2 * targets.settings.tick_s)
+        refusal = await targets.acquire(make_route_request())
+        assert refusal.failure().type == "no-eligible-target"
+        targets.config_changed(make_config()._replace(index=2))
+        began_s = trio.current_time()
+        assert isinstance(await targets.acquire(make_route_request()), Success)
+        assert trio.current_time() == began_s
+
+    run(main)
+
+
 def test_a_request_with_a_deadline_before_the_end_of_a_takeover_is_refused_at_once():
     async def main(nursery):
         network, (one, two) = await start_two(nursery, TargetsSettings())
