Try an old estimate of a service's speed with a prompt to an idle target

An entry VM refuses a prompt as too late if the expected wait at the best target is over 1.5 times the route's objective. The wait comes from the service's speed, which only answers to prompts of 4,000 queued tokens or more update. After a slow spell (each such answer moves the speed by 5 %) an estimate may be so low that every such prompt is refused: none is sent whose answer would raise it, and callers get refusals for as long as the process lives, with idle targets. Found by reading for beliefs that no later evidence can end.

The test failed before: 'assert (None is not None)' for a prompt to an idle target 10 s after the last slow answer. Now such a prompt is sent if no answer has shown the speed for 10 s and nothing that is as urgent is queued at its target, so one at a time for each target. An estimate that answers keep up to date refuses as before. tests/forwarding passes. What it costs under load was not measured here.

--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -45,6 +45,7 @@
     :param failing: by how much more often the target fails than its service does.
     :param wait_s: expected time to the first event; 0 if it is unknown.
     :param memory_tokens: tokens of memory that the request takes at the target.
+    :param tries_speed: whether the expected time is to be tried, as it is of old.
     """
 
     target: Target
@@ -56,6 +57,7 @@
     work: int = 0
     wait_s: float = 0.0
     memory_tokens: int = 0
+    tries_speed: bool = False
 
 
 class Chooser:
@@ -374,6 +376,7 @@
             work=work,
             wait_s=wait_s,
             memory_tokens=memory_tokens,
+            tries_speed=self.load.tries_speed(target.name, service, rank, now_s),
         )
 
 
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -231,6 +231,7 @@
             not objective_s
             or self._request.metadata.last_event_id
             or self._writer.started
+            or choice.tries_speed
         ):
             return False
         is_too_long = choice.wait_s > MAX_WAIT_OBJECTIVES * objective_s
--- a/src/vanillabeam/forwarding/load.py
+++ b/src/vanillabeam/forwarding/load.py
@@ -12,6 +12,8 @@
 STREAM_WORK_TOKENS = 150
 #: Fewest queued tokens of a request whose wait updates the estimated speed.
 MIN_SAMPLE_TOKENS = 4_000
+#: Seconds without such a wait after which the estimated speed is tried again.
+SPEED_TTL_S = 10.0
 #: Weight of one wait in the moving average of the speed.
 RATE_SMOOTHING = 0.05
 #: Time until requests of an entry VM appear in the load reports to the others.
@@ -77,6 +79,7 @@
         self._unanswered: dict[str, dict[int, OpenRequest]] = {}
         self._last_activity_s: dict[str, float] = {}
         self._rates: dict[str, float] = {}
+        self._rated_s: dict[str, float] = {}
         self._sent: deque[OpenRequest] = deque()
         self._next = 0
 
@@ -162,6 +165,18 @@
         """
         return self._rates.get(service, 0.0)
 
+    def tries_speed(self, target: str, service: str, rank: int, now_s: float) -> bool:
+        """Return whether a prompt is to be sent although it seems to be too late.
+
+        Prompts that are refused show no speed, so a wrong estimate would stand. One at
+        a time goes to an idle target.
+
+        :param rank: urgency of the prompt, 0 is the most urgent.
+        """
+        rated_s = self._rated_s.get(service)
+        is_old = rated_s is not None and now_s - rated_s > SPEED_TTL_S
+        return is_old and not self.queued_tokens(target, rank)
+
     def record_start(
         self,
         target: str,
@@ -244,6 +259,7 @@
         rate = request.queued_tokens / waited_s
         previous_rate = self._rates.get(service, rate)
         self._rates[service] = previous_rate + RATE_SMOOTHING * (rate - previous_rate)
+        self._rated_s[service] = now_s
 
     def _add(self, target: str, rank: int, tokens: int) -> None:
         work = self._own.setdefault(target, {})
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -19,6 +19,7 @@
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.exceptions import AnswerBroken
 from vanillabeam.forwarding.exchange import MEMORY_WAIT_OBJECTIVES, Exchange
+from vanillabeam.forwarding.load import MIN_SAMPLE_TOKENS, SPEED_TTL_S
 from vanillabeam.forwarding.outcomes import Delivered
 from vanillabeam.forwarding.sending import Broken
 
@@ -107,6 +108,38 @@
     assert (choice.target, waited_s) == (TARGET, 0.4)
 
 
+def record_slow_answer(chooser, at_s):
+    """Record an answer after which every prompt seems to be too late."""
+    load = chooser.load
+    opened = load.record_start(TARGET.name, 0, MIN_SAMPLE_TOKENS, at_s - 4_000.0)
+    load.record_response(opened, TARGET.service, at_s)
+    load.record_end(opened)
+
+
+def test_a_prompt_that_would_be_too_late_is_not_sent():
+    chooser = make_chooser(TARGET)
+    record_slow_answer(chooser, at_s=0.0)
+    choice, _ = wait_for_choice(chooser, make_prompt())
+    assert choice is None
+
+
+# Guards against prompts that are all refused as too late for ever: slow answers lowered
+# the speed so far that none was sent whose answer would have raised it.
+def test_a_prompt_is_sent_to_an_idle_target_once_the_known_speed_is_old():
+    chooser = make_chooser(TARGET)
+    record_slow_answer(chooser, at_s=-SPEED_TTL_S - 0.1)
+    choice, waited_s = wait_for_choice(chooser, make_prompt())
+    assert choice is not None and (choice.target, waited_s) == (TARGET, 0.0)
+
+
+def test_an_old_speed_counts_where_other_work_is_queued():
+    chooser = make_chooser(TARGET)
+    record_slow_answer(chooser, at_s=-SPEED_TTL_S - 0.1)
+    chooser.load.update_others(make_load({TARGET.name: {0: 50}}), 0.0)
+    choice, _ = wait_for_choice(chooser, make_prompt())
+    assert choice is None
+
+
 class FailingExchange(Exchange):
     """Exchange whose attempts in data centre b break off one after the other."""
 
--- a/tests/forwarding/test_load.py
+++ b/tests/forwarding/test_load.py
@@ -1,5 +1,10 @@
 from vanillabeam.fleet.loads import make_load
-from vanillabeam.forwarding.load import MIN_SAMPLE_TOKENS, STREAM_WORK_TOKENS, Load
+from vanillabeam.forwarding.load import (
+    MIN_SAMPLE_TOKENS,
+    SPEED_TTL_S,
+    STREAM_WORK_TOKENS,
+    Load,
+)
 
 
 def test_work_is_queued_before_requests_of_the_same_or_a_less_urgent_rank():
@@ -58,3 +63,25 @@
     load.record_start("t", 0, 4 * MIN_SAMPLE_TOKENS, 1.0)
     assert not load.is_suspect("t", "llm", 6.0)
     assert load.is_suspect("t", "llm", 8.0)
+
+
+# Guards against prompts that are all refused as too late: slow answers lowered the
+# speed so far that no prompt was sent whose answer would have raised it.
+def test_a_speed_without_recent_evidence_is_tried_at_idle_targets():
+    load = Load()
+    opened = load.record_start("t", 0, 2 * MIN_SAMPLE_TOKENS, 0.0)
+    load.record_response(opened, "llm", 20.0)
+    load.record_end(opened)
+    assert not load.tries_speed("t", "llm", 0, 20.0 + SPEED_TTL_S)
+    assert load.tries_speed("t", "llm", 0, 20.1 + SPEED_TTL_S)
+    opened = load.record_start("t", 0, MIN_SAMPLE_TOKENS, 40.0)
+    assert not load.tries_speed("t", "llm", 0, 40.0)
+    load.record_response(opened, "llm", 40.1)
+    load.record_end(opened)
+    assert not load.tries_speed("t", "llm", 0, 41.0)
+
+
+def test_targets_with_work_of_others_are_no_place_to_try_the_speed():
+    load = Load()
+    load.others = make_load({"t": {0: 50}})
+    assert not load.tries_speed("t", "llm", 0, 99.0)
