Raise the estimated rate of a link to a store while nothing measures it

A transfer that stalls lowers the rate of its link, at worst to 1,000 bytes a second, and only transfers raise it. At a low rate neither an import nor an export pays, so none is made: one stalled transfer ended all transfers between a data centre and a store for as long as the entry VM lived, and prompts were computed again. Found by reading for beliefs that no later evidence can end.

The test failed before: 'assert 1000.0 == 1000000' after 1,000 s. Now the estimate doubles each minute without a measurement, up to the limit. tests/cache passes.

--- a/src/vanillabeam/cache/link.py
+++ b/src/vanillabeam/cache/link.py
@@ -13,6 +13,9 @@
 #: Age in seconds at which a running transfer starts to bound the rate estimate.
 OVERDUE_S = 1.0
 MIN_RATE_BYTES_S = 1_000.0
+#: Seconds without a measurement after which the rate estimate doubles: at a low one no
+#: transfer pays, so that none would show that the link is fast again.
+UNMEASURED_S = 60.0
 
 
 class Link:
@@ -40,6 +43,8 @@
         self.estimated_bytes_s = limit_bytes_s
         self.level = self.burst
         self.refilled_s = now_s
+        self._is_measured = False
+        self._measured_s = now_s
 
     @property
     def rate_bytes_s(self) -> float:
@@ -98,6 +103,7 @@
             return
         measured = size * sharing / seconds
         self.estimated_bytes_s += RATE_SMOOTHING * (measured - self.estimated_bytes_s)
+        self._is_measured = True
 
     def record_overdue(self, size: int, elapsed_s: float, sharing: int) -> None:
         """Lower the rate estimate if a running transfer takes too long.
@@ -113,8 +119,21 @@
             return
         bound = size * sharing / elapsed_s
         self.estimated_bytes_s = min(self.estimated_bytes_s, bound)
+        self._is_measured = True
 
     def _refill(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self.refilled_s)
         self.refilled_s = now_s
         self.level = min(self.burst, self.level + elapsed_s * self.rate_bytes_s)
+        self._raise_unmeasured(now_s)
+
+    def _raise_unmeasured(self, now_s: float) -> None:
+        """Double the estimate if nothing has shown the rate for some time."""
+        if self._is_measured:
+            self._is_measured, self._measured_s = False, now_s
+        if now_s - self._measured_s >= UNMEASURED_S:
+            raised = max(2 * self.estimated_bytes_s, MIN_RATE_BYTES_S)
+            self.estimated_bytes_s = max(
+                self.estimated_bytes_s, min(self.limit_bytes_s, raised)
+            )
+            self._measured_s = now_s
--- a/tests/cache/test_transfers.py
+++ b/tests/cache/test_transfers.py
@@ -119,6 +119,23 @@
     assert link.rate_bytes_s > 900_000
 
 
+# Guards against a link that is never used again: a stalled transfer lowered its rate so
+# far that no transfer paid, and only transfers raised it.
+def test_a_low_rate_estimate_rises_while_no_transfer_shows_the_rate():
+    link = Link(1_000_000, now_s=0.0)
+    link.record_overdue(1_000_000, elapsed_s=1_000.0, sharing=1)
+    link.expected_s(1, 0, now_s=1.0)
+    assert link.rate_bytes_s == 1_000
+    for now_s in range(2, 61):
+        link.expected_s(1, 0, float(now_s))
+    assert link.rate_bytes_s == 1_000
+    for now_s in range(61, 1_000):
+        link.expected_s(1, 0, float(now_s))
+    assert link.rate_bytes_s == 1_000_000
+    link.record_transfer(10_000, 1.0, sharing=1)
+    assert link.rate_bytes_s < 1_000_000
+
+
 def test_bytes_started_stay_within_the_bucket():
     link = Link(1_000, now_s=0.0)
     started = 0
