Read an unchanged list of entry VMs as that of the request

A control VM leaves out the names of entry VMs if the digest in the request matches them. The reader took the empty list for the names that it knew when the reply came, which another control VM's reply may have changed meanwhile; shares of limits are divided by their number until the next poll. And a control VM that knows no entry VM at all sends the same empty list, so control VMs went on counting entry VMs after all had ended.

--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -323,6 +323,7 @@
             evidence = self.evidence.evidence(self.accused, requested_s)
             if evidence is not None:
                 request["evidence"] = evidence
+        control_vm.asked_entries = frozenset(self.entry_vms)
         due_s = requested_s + poll.wait_s + REPLY_MARGIN_S
         control_vm.due_s = min(control_vm.due_s, due_s)
         with trio.move_on_after(REPLY_TIMEOUT_S):
@@ -433,8 +434,11 @@
         A control VM that has just started knows only a few, and limits are divided
         by their number.
         """
-        # An empty list says that the control VM knows exactly the same ones.
-        control_vm.entries = frozenset(reply["entries"] or self.entry_vms)
+        # An empty list says that the control VM knows those that this VM knew when it
+        # asked, unless it says otherwise.
+        is_same = not reply["entries"] and reply.get("entries_same", True)
+        named = control_vm.asked_entries if is_same else reply["entries"]
+        control_vm.entries = frozenset(named)
         known = {self._cfg.vm} if self._cfg.entry_address else set()
         for other in self._control_vms.values():
             if now_s - other.last_seen_s < ENTRY_SILENCE_S:
--- a/src/vanillabeam/fleet/polling.py
+++ b/src/vanillabeam/fleet/polling.py
@@ -59,6 +59,7 @@
     :ivar data_centre: its data centre, by its last reply; empty if unknown.
     :ivar version: directory version in its last reply.
     :ivar entries: entry VMs that it knew at its last reply.
+    :ivar asked_entries: entry VMs that this VM knew at its last request.
     :ivar is_leader: whether its last reply came from the fleet log's leader.
     :ivar last_seen_s: monotonic time of its last reply.
     :ivar last_advertised_s: monotonic time at which a reply last listed it.
@@ -76,6 +77,7 @@
         self.data_centre = ""
         self.version = 0
         self.entries: frozenset[str] = frozenset()
+        self.asked_entries: frozenset[str] = frozenset()
         self.is_leader = False
         self.last_seen_s = float("-inf")
         self.last_advertised_s = float("-inf")
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -76,6 +76,7 @@
     :param control: peer addresses of the known control VMs.
     :param entries: entry VMs that sent requests recently; empty if the requesting VM
         knows exactly these.
+    :param entries_same: false if ``entries`` is empty because there are none.
     :param parts: changes to the index of stored parts, from the leader only.
     :param others: summed open work of all other entry VMs at targets; empty if the
         requesting VM reports its load elsewhere.
@@ -103,6 +104,7 @@
     ended: list[tuple[str, int]]
     control: list[str]
     entries: list[str]
+    entries_same: NotRequired[bool]
     parts: NotRequired[PartChanges]
     others: EntryLoad
     reported: NotRequired[EntryLoad]
@@ -147,6 +149,8 @@
         entries=[] if _knows(request, entries) else list(entries),
         others=others,
     )
+    if not entries and not _knows(request, entries):
+        reply["entries_same"] = False
     if directory.leaving:
         reply["leaving"] = sorted(directory.leaving)
     if state["index"] > request["index"]:
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -321,6 +321,31 @@
     assert harness.follower.entry_vms == ("vm-1", "vm-2")
 
 
+# Guards against control VMs that count entry VMs for ever after all have ended: an
+# empty list also says that nothing has changed.
+@with_harness
+async def test_entry_vms_that_have_all_ended_are_forgotten(harness):
+    harness.follower._cfg = harness.cfg._replace(entry_address="")
+    await trio.sleep(1.0)
+    assert harness.follower.entry_vms == ("vm-1", "vm-2")
+    for control_vm in harness.control_vms.values():
+        control_vm.entries = []
+    await trio.sleep(2.0)
+    assert harness.follower.entry_vms == ()
+
+
+# Guards against entry VMs that a control VM never named: its empty list was taken for
+# those known when the reply came, not for those of the request.
+@with_harness
+async def test_an_unchanged_list_of_entry_vms_is_that_of_the_request(harness):
+    await trio.sleep(1.0)
+    harness.follower.entry_vms = ("vm-1", "vm-2", "vm-3")
+    for _ in range(50):
+        await trio.sleep(0.01)
+        for control_vm in harness.follower._control_vms.values():
+            assert control_vm.entries == {"vm-1", "vm-2"}
+
+
 # Guards against an entry VM that hears of no change any more: after an error of the
 # task that starts the polls, the control VMs polled before were never polled again.
 def test_polls_go_on_after_a_failure_of_the_task_that_starts_them(monkeypatch):
