A failing test: a call that was refused as not run is called unknown at the next VM

Callers see 503 claims-unavailable, run "not-run", "send the request again with the same key", from a VM whose claim got no reply from the log for 5 s; they send it to another VM and get 409 claim-in-progress, run "unknown", though nothing has run. The claim of the refused try is in the log; its withdrawal waits in the first VM until the log answers it. A leader of the claims log that restarts, or a VM that has just joined, loses such replies.

On the code as it is: "AssertionError: ClaimInProgress('claim-in-progress')".

--- a/tests/claims/test_shell.py
+++ b/tests/claims/test_shell.py
@@ -82,6 +82,23 @@
     run_scenario(scenario)
 
 
+# Guards against "unknown" for a call that was just refused as not run: the claim of the
+# refused try is in the log until its withdrawal arrives there.
+def test_a_retry_elsewhere_after_a_refusal_as_not_run_is_not_called_unknown():
+    async def scenario(claims, log):
+        other = make_claims(log, "e2", seed=2)
+        # Replies to this VM are lost, as just after the restart of the log's leader.
+        log.lose_replies = 10_000
+        refusal = (await claim_key(claims)).failure()
+        assert refusal.run is Run.NOT_RUN
+        log.lose_replies = 0
+        retry = await claim_key(other)
+        if isinstance(retry, Failure):
+            assert retry.failure().run is Run.NOT_RUN, retry.failure()
+
+    run_scenario(scenario)
+
+
 def test_caller_who_leaves_during_the_claim_frees_the_key():
     async def scenario(claims, log):
         log.lose_replies = 10_000
