Close a connection on which bytes follow a whole answer

What callers saw: a target sent more than its answer (a second copy, or bytes that are no answer); the next request on that connection got them. Where the extra answer bore no id, the next caller got an answer that wasn't its own; else its request was sent, perhaps run, and failed with 502.

Cause: bytes that come in one piece with the end of an answer stay in the reader of the kept connection, which shows them nowhere; only bytes that arrive while the connection is idle were noticed. The same in the system's own calls: reports, orders, stores, and calls between VMs.

Our own protocol calls each target on a connection of its own, so an extra answer reaches nobody there.

--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -34,6 +34,7 @@
 from vanillabeam.forwarding.sending import (
     Broken,
     OpenResponse,
+    close_response,
     iter_body,
     open_response,
 )
@@ -136,8 +137,7 @@
         try:
             return await self._handle_response(response)
         finally:
-            with trio.CancelScope(shield=True):
-                await response.raw.aclose()
+            await close_response(response)
 
     def _record_response(self, now_s: float) -> None:
         """Record the time from sending the request to the head of its answer."""
--- a/src/vanillabeam/forwarding/sending.py
+++ b/src/vanillabeam/forwarding/sending.py
@@ -17,9 +17,17 @@
     NotSent,
     TargetWithdrawn,
 )
+from vanillabeam.httpread import discard_leftover
 from vanillabeam.refusals import is_refusal
 
-__all__ = ["Broken", "Framing", "OpenResponse", "iter_body", "open_response"]
+__all__ = [
+    "Broken",
+    "Framing",
+    "OpenResponse",
+    "close_response",
+    "iter_body",
+    "open_response",
+]
 
 CONTENT_TYPE = b"content-type"
 LENGTH = b"content-length"
@@ -162,3 +170,10 @@
                 await trio.lowlevel.checkpoint()
     except _BROKEN as exc:
         yield Broken(AnswerBroken(f"{target.name}: {type(exc).__name__}"))
+
+
+async def close_response(response: OpenResponse) -> None:
+    """Give the connection of an answer back, or close it if it can't be used again."""
+    with trio.CancelScope(shield=True):
+        discard_leftover(response.raw)
+        await response.raw.aclose()
--- a/src/vanillabeam/httpread.py
+++ b/src/vanillabeam/httpread.py
@@ -2,9 +2,10 @@
 
 from typing import Any
 
+import h11
 import httpcore
 
-__all__ = ["AnswerUnbounded", "request_bounded"]
+__all__ = ["AnswerUnbounded", "discard_leftover", "request_bounded"]
 
 
 class AnswerUnbounded(httpcore.ProtocolError):
@@ -30,8 +31,28 @@
             body += part
             if len(body) > limit_bytes:
                 raise AnswerUnbounded(f"over {limit_bytes} bytes")
+        discard_leftover(response)
     whole = httpcore.Response(
         response.status, headers=response.headers, content=bytes(body)
     )
     whole.read()
     return whole
+
+
+def discard_leftover(response: httpcore.Response) -> None:
+    """Have the connection closed if more bytes came with the end of an answer.
+
+    They belong to no request; the next one on the connection would be given them.
+    httpcore keeps them and shows them nowhere, hence its private attributes.
+
+    :param response: answer that is not closed yet; one that came over no connection
+        has no such bytes.
+    """
+    source = getattr(response.stream, "_stream", None)
+    connection = getattr(source, "_connection", None)
+    if connection is None:
+        return
+    state: h11.Connection = connection._h11_state
+    leftover, _ = state.trailing_data
+    if leftover and state.their_state is h11.DONE:
+        state.send_failed()
--- a/tests/test_httpread.py
+++ b/tests/test_httpread.py
@@ -1,11 +1,13 @@
 """Answers to the system's own calls, with and without an end."""
 
+from contextlib import suppress
 from functools import partial
 
 import pytest
 import trio
 from returns.result import Failure, Success
 
+from tests.platform.rawworker import read_head
 from vanillabeam.exceptions import PeerSilent
 from vanillabeam.peerhttp import PeerClient
 from vanillabeam.platform.client import MAX_ANSWER_BYTES, PlatformClient
@@ -54,6 +56,17 @@
     )
 
 
+async def call_twice_worker(address):
+    client = PlatformClient()
+    answers = [await client.call("GET", address, b"/api/report") for _ in range(2)]
+    return [answer.content for answer in answers]
+
+
+async def call_twice_peer(address):
+    client = PeerClient(None, None)
+    return [(await client(address, "/peer/x", b"{}")).unwrap() for _ in range(2)]
+
+
 async def call_peer(address):
     client = PeerClient(None, None, answer_bytes=MAX_ANSWER_BYTES)
     return await client(address, "/peer/x", b"{}")
@@ -88,3 +101,35 @@
 def test_a_whole_answer_of_another_vm_is_returned():
     result, _ = serve(call_peer, HEAD + b"Content-Length: 65536\r\n\r\n", PIECE, 1)
     assert result == Success(PIECE)
+
+
+# Guards against bytes after a whole answer that are taken for the next call's answer.
+@pytest.mark.parametrize("call", [call_twice_worker, call_twice_peer])
+def test_bytes_after_an_answer_are_not_the_answer_to_the_next_call(call):
+    answer = HEAD + b"Content-Length: %d\r\n\r\n%b"
+    extra = answer % (7, b'"extra"')
+
+    async def serve_two(stream):
+        bodies = [b'"first"', b'"other"']
+        numbers.append(len(numbers))
+        # The caller closes its connection with bytes that it hasn't read.
+        with suppress(trio.BrokenResourceError):
+            while await read_head(stream) is not None:
+                body = bodies[len(served) % 2]
+                served.append(body)
+                await stream.send_all(answer % (7, body) + extra)
+
+    served, numbers = [], []
+
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        with trio.fail_after(TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, serve_two, listeners)
+                results = await call(f"127.0.0.1:{port}")
+                nursery.cancel_scope.cancel()
+        return results
+
+    assert trio.run(main) == [b'"first"', b'"other"']
+    assert len(numbers) == 2
