Drop a target for another one at its address, don't end it for good

A late announcement of an earlier start whose host's clock was ahead ended the live target at that address: no control VM and no entry VM listed it again, so it got no request and no order until it started anew.

Which of two targets at one address is the later one is told by clocks of their hosts, which differ; the belief that the other has ended had no later evidence to end it. It is now dropped, as a silent one is, and refused while the other is heard. The test failed before ('assert False' for the announcement after the earlier one fell silent).

--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -13,6 +13,8 @@
 #: Ended incarnations that are kept, so that a delayed announcement of one does
 #: not add it again.
 MAX_ENDED_INCARNATIONS = 4_096
+#: Names of which the start that was listed last is kept.
+MAX_NAMES = 4_096
 
 #: Seconds after an announcement within which a later one may have been made before a
 #: weight version was read from the target.
@@ -70,6 +72,8 @@
         self.records: dict[str, TargetRecord] = {}
         self.leaving: frozenset[Incarnation] = frozenset()
         self._ended: dict[tuple[str, int], int] = {}
+        #: Start time that was listed last, by name, and whether another one was before.
+        self._starts: dict[str, tuple[int, bool]] = {}
 
     def update(self, target: Target, now_s: float) -> bool:
         """Apply a target's announcement; return whether anything has changed.
@@ -95,7 +99,8 @@
         version = self.version if changed else record.version
         cold_until_s = now_s + target.cold_ms / 1000
         self.records[target.name] = TargetRecord(target, now_s, version, cold_until_s)
-        self._end_predecessors(target)
+        self._record_start(target)
+        self._drop_predecessors(target)
         return changed
 
     def update_weight_version(
@@ -164,6 +169,11 @@
             for target in targets
         ]
 
+    def is_only_start(self, incarnation: Incarnation) -> bool:
+        """Return whether no other start of this name was ever listed."""
+        name, born_ms = incarnation
+        return self._starts.get(name, (born_ms, False)) == (born_ms, False)
+
     def has_ended(self, name: str) -> bool:
         """Return whether an incarnation of this name is known to have ended."""
         return any(ended == name for ended, _ in self._ended)
@@ -216,6 +226,13 @@
         """Return the incarnations that ended after ``version``."""
         return [incarnation for incarnation, at in self._ended.items() if at > version]
 
+    def _record_start(self, target: Target) -> None:
+        born_ms, has_restarted = self._starts.get(target.name, (target.born_ms, False))
+        has_restarted = has_restarted or born_ms != target.born_ms
+        self._starts[target.name] = (target.born_ms, has_restarted)
+        if len(self._starts) > MAX_NAMES:
+            del self._starts[next(iter(self._starts))]
+
     def _is_superseded(self, target: Target) -> bool:
         return any(
             other.target.address == target.address
@@ -224,11 +241,15 @@
             for other in self.records.values()
         )
 
-    def _end_predecessors(self, target: Target) -> None:
+    def _drop_predecessors(self, target: Target) -> None:
+        """Drop other targets at the address of a target, until they are heard again.
+
+        That is no proof that they have ended: clocks by which starts are compared differ.
+        """
         for other in list(self.records.values()):
             same_address = other.target.address == target.address
             if same_address and other.target.name != target.name:
-                self.mark_ended(other.target.incarnation)
+                self.forget(other.target.name)
 
 
 def _order(target: Target) -> tuple[int, int]:
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -145,3 +145,18 @@
         assert not directory.update_weight_version(("t-1", 1_000), "m", 2)
         assert directory.records["t-1"].target.versions == {"m": 2}
     assert directory.records["t-1"].announced_versions == {"m": 1}
+
+
+# Guards against a live target that is never listed again: one late announcement of an
+# earlier start at its address, whose host's clock was ahead, ended it for good.
+def test_a_target_outlives_an_earlier_one_at_its_address():
+    directory = Directory()
+    address = "10.0.0.9:80"
+    live = make_target("live", address=address, born_ms=2_000)
+    directory.update(live, 1.0)
+    directory.update(make_target("earlier", address=address, born_ms=9_000), 1.1)
+    assert names(directory) == ["earlier"]
+    assert not directory.update(live._replace(sequence=2), 2.2)
+    directory.forget("earlier")
+    assert directory.update(live._replace(sequence=3), 3.4)
+    assert names(directory) == ["live"]
