--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -345,7 +345,6 @@
         if control_vm.epoch != reply["epoch"]:
             log_record(ControlHeard(control_vm.address, reply["epoch"], reply["index"]))
             control_vm.sent = SentTargets()
-        control_vm.epoch, control_vm.version = reply["epoch"], reply["version"]
         control_vm.is_leader = "accused" in reply or "parts" in reply
         control_vm.data_centre = reply.get("data_centre", "")
         if "reported" in reply:
@@ -362,6 +361,8 @@
         self.update_leaving()
         self._apply_entries(reply, control_vm, now_s)
         self._apply_addresses(reply, now_s)
+        # Only now: a reply that could not be applied is asked for again.
+        control_vm.epoch, control_vm.version = reply["epoch"], reply["version"]
 
     def _apply_state(self, reply: WatchReply) -> None:
         view, state = self.view, reply["state"]
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -212,6 +212,25 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against targets that are lost for good with a reply that could not be applied.
+@with_harness
+async def test_a_reply_that_could_not_be_applied_is_asked_for_again(harness):
+    failures, read = [TypeError()], harness.follower._read
+
+    def fail_once(document):
+        if failures:
+            raise failures.pop()
+        return read(document)
+
+    harness.follower._read = fail_once
+    harness[0].commit(5, 7, document="7")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(announce, harness[0], make_target("t-1"))
+        await trio.sleep(20.0)
+        assert "t-1" in harness.follower.directory.records
+        nursery.cancel_scope.cancel()
+
+
 # Guards against a target that stays unlisted: its record came while an earlier start,
 # whose host's clock was ahead, was still listed, and was refused for good.
 @with_harness
