Tell which start of a target an age belongs to, where there were several

Entry VMs get ages that a control VM merges over all control VMs, by name. Where a target had started again under its name, such an age kept, or since listed again, the earlier start: its address, its weights, no cold window.

A record that one control VM sent again gives way to a newer one of another.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -19,6 +19,7 @@
     log_record,
 )
 from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.fleet.ages import merge_ages
 from vanillabeam.fleet.directory import (
     READ_MARGIN_S,
     Directory,
@@ -311,21 +312,6 @@
             self.follower.relayed.total_except(self.epoch, now_s),
         )
 
-    def _ages_s(self, now_s: float) -> dict[str, float]:
-        """Return the age of each target's newest announcement to any control VM.
-
-        It is for entry VMs only: between control VMs, each answer would make the
-        age that it passes on a little younger, and a lost target would stay.
-        """
-        last_seen_s = {
-            name: record.last_seen_s
-            for name, record in self.follower.directory.records.items()
-        }
-        for name, record in self.directory.records.items():
-            seen_s = last_seen_s.get(name, record.last_seen_s)
-            last_seen_s[name] = max(seen_s, record.last_seen_s)
-        return {name: round(now_s - at_s, 3) for name, at_s in last_seen_s.items()}
-
     def _has_changes(self, request: WatchRequest) -> bool:
         if request["epoch"] != self.epoch:
             return True
@@ -346,7 +332,7 @@
         )
         reply["data_centre"] = self.cfg.data_centre
         if request["sends"]:
-            reply["ages_s"] = self._ages_s(now_s)
+            self._merge_ages(reply, now_s)
         else:
             reply["reported"] = self._home_loads.total_except("", now_s)
         if "state" in reply:
@@ -355,6 +341,17 @@
             self._add_leader_fields(reply, request, now_s)
         return reply
 
+    def _merge_ages(self, reply: WatchReply, now_s: float) -> None:
+        """Put the ages of the targets that any control VM hears into a reply.
+
+        It is for entry VMs only: between control VMs, each answer would make the
+        age that it passes on a little younger, and a lost target would stay.
+        """
+        merged = merge_ages(self.directory, self.follower.directory, now_s)
+        reply["ages_s"] = merged.ages_s
+        if merged.starts:
+            reply["starts"] = merged.starts
+
     def _forget_left_targets(self) -> None:
         """Forget observed versions that no longer count.
 
--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -244,7 +244,7 @@
     def _drop_predecessors(self, target: Target) -> None:
         """Drop other targets at the address of a target, until they are heard again.
 
-        That is no proof that they have ended: clocks by which starts are compared differ.
+        It is no proof that they have ended: the clocks that tell starts apart differ.
         """
         for other in list(self.records.values()):
             same_address = other.target.address == target.address
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -398,13 +398,8 @@
     ) -> None:
         for incarnation in reply["ended"]:
             self.directory.mark_ended(tuple(incarnation))
-        changed = control_vm.sent.apply(
-            reply["targets"],
-            reply["ages_s"],
-            self.directory,
-            self._cfg.bounds.silence_s,
-            now_s,
-        )
+        silence_s = self._cfg.bounds.silence_s
+        changed = control_vm.sent.apply(reply, self.directory, silence_s, now_s)
         for target, age_s in changed:
             log_target(target, age_s)
         for name, born_ms, model, version in reply.get("seen", ()):
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -72,6 +72,8 @@
     :param targets: targets whose records have changed.
     :param ages_s: age of every target's newest announcement, by name; for entry VMs
         as far as the control VM knows from the others too.
+    :param starts: start time that an age in ``ages_s`` belongs to, where several starts
+        were listed under a name; for entry VMs only.
     :param ended: incarnations that have ended.
     :param control: peer addresses of the known control VMs.
     :param entries: entry VMs that sent requests recently; empty if the requesting VM
@@ -101,6 +103,7 @@
     state: NotRequired[FleetState]
     targets: list[TargetReport]
     ages_s: dict[str, float]
+    starts: NotRequired[dict[str, int]]
     ended: list[tuple[str, int]]
     control: list[str]
     entries: list[str]
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -1,5 +1,7 @@
 """A follower polls several control VMs on virtual time."""
 
+from types import SimpleNamespace
+
 import trio
 import trio.testing
 from returns.result import Failure, Success
@@ -8,9 +10,10 @@
 from vanillabeam import wire
 from vanillabeam.exceptions import PeerSilent
 from vanillabeam.fleet import Directory, FleetSettings, Follower
+from vanillabeam.fleet.ages import merge_ages
 from vanillabeam.fleet.loads import ENTRY_SILENCE_S, make_load
 from vanillabeam.fleet.machine import FleetState
-from vanillabeam.fleet.watch import WatchRequest, make_reply
+from vanillabeam.fleet.watch import WatchReply, WatchRequest, make_reply
 from vanillabeam.tasks import keep_running
 
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
@@ -212,6 +215,94 @@
         nursery.cancel_scope.cancel()
 
 
+def tell_merged_ages(control_vm):
+    """Have a control VM tell ages as a real one does; return all announcements."""
+    others, answer = Directory(), control_vm.answer
+
+    async def answer_merged(body):
+        result = await answer(body)
+        reply = wire.decode(WatchReply, result.unwrap()).unwrap()
+        merged = merge_ages(control_vm.directory, others, trio.current_time())
+        reply |= {"ages_s": merged.ages_s, "starts": merged.starts}
+        return Success(wire.encode(reply))
+
+    control_vm.answer = answer_merged
+    return others
+
+
+async def drop_silent(directory):
+    while True:
+        await trio.sleep(BOUNDS.silence_s / 4)
+        limit_s = trio.current_time() - BOUNDS.silence_s
+        for incarnation in directory.silent_since(limit_s):
+            directory.forget(incarnation[0])
+
+
+# Guards against an entry VM that returns to an ended start: once it loses touch with
+# the control VM that hears the later start, another one passes that one's age on.
+@with_harness
+async def test_a_merged_age_keeps_the_start_that_it_belongs_to(harness):
+    earlier = make_target("t-1", address="10.0.0.9:80", born_ms=1_000)
+    later = make_target("t-1", address="10.0.0.8:80", born_ms=5_000)
+    others = tell_merged_ages(harness[0])
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(drop_silent, harness[0].directory)
+        harness[0].directory.update(earlier, trio.current_time())
+        await trio.sleep(2.0)
+        nursery.start_soon(announce, harness[1], later)
+        nursery.start_soon(announce, SimpleNamespace(directory=others), later, 0.3)
+        await trio.sleep(8.0)
+        assert harness.follower.directory.records["t-1"].target.born_ms == 5_000
+        harness[1].silent = True
+        await trio.sleep(8.0)
+        assert harness.follower.directory.records["t-1"].target.born_ms == 5_000
+        nursery.cancel_scope.cancel()
+
+
+# Guards against an entry VM that stays on an ended start, as a merged age of a later
+# one, whose host's clock is behind, keeps it alive.
+@with_harness
+async def test_a_merged_age_keeps_no_ended_start_alive(harness):
+    earlier = make_target("t-1", address="10.0.0.9:80", born_ms=9_000)
+    later = make_target("t-1", address="10.0.0.8:80", born_ms=2_000)
+    others = tell_merged_ages(harness[0])
+    async with trio.open_nursery() as nursery:
+        for directory in (harness[0].directory, others):
+            directory.update(earlier, trio.current_time())
+            nursery.start_soon(drop_silent, directory)
+        await trio.sleep(2.0)
+        nursery.start_soon(announce, harness[1], later)
+        nursery.start_soon(announce, SimpleNamespace(directory=others), later, 0.3)
+        await trio.sleep(30.0)
+        assert harness.follower.directory.records["t-1"].target.born_ms == 2_000
+        nursery.cancel_scope.cancel()
+
+
+# Guards against a target that each reply drops and lists again.
+@with_harness
+async def test_a_target_that_goes_on_announcing_itself_is_never_dropped(harness):
+    forgotten = []
+    harness.follower.directory.forget = forgotten.append
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(announce, harness[0], make_target("t-1"))
+        await trio.sleep(30.0)
+        nursery.cancel_scope.cancel()
+    assert forgotten == []
+
+
+# Guards against records of a control VM's process that has ended.
+@with_harness
+async def test_a_new_process_of_a_control_vm_has_sent_nothing_before(harness):
+    harness[0].directory.update(make_target("t-1"), trio.current_time())
+    await trio.sleep(1.0)
+    harness[0].epoch, harness[0].directory = "next", Directory()
+    harness[0].directory.update(make_target("t-2"), trio.current_time())
+    harness.follower.directory.forget("t-1")
+    tell_merged_ages(harness[0]).update(make_target("t-1"), trio.current_time())
+    await trio.sleep(1.0)
+    assert sorted(harness.follower.directory.records) == ["t-2"]
+
+
 # Guards against targets that are lost for good with a reply that could not be applied.
 @with_harness
 async def test_a_reply_that_could_not_be_applied_is_asked_for_again(harness):
--- a/tests/fleet/test_sent.py
+++ b/tests/fleet/test_sent.py
@@ -19,8 +19,8 @@
 
     def apply(self, now_s, targets=(), age_s=0.2, names=("t-1",)):
         reports = [{"target": target, "age_s": age_s} for target in targets]
-        ages_s = dict.fromkeys(names, age_s)
-        changed = self.sent.apply(reports, ages_s, self.directory, SILENCE_S, now_s)
+        reply = {"targets": reports, "ages_s": dict.fromkeys(names, age_s)}
+        changed = self.sent.apply(reply, self.directory, SILENCE_S, now_s)
         return [target.name for target, _ in changed]
 
     @property
@@ -60,6 +60,35 @@
     assert replies.apply(9.0) == []
 
 
+# Guards against a target that is listed again with weights that it had before.
+def test_a_target_is_listed_again_with_its_newest_record(replies):
+    newer = make_target("t-1", sequence=5, versions={"m": 2})
+    replies.apply(2.0, [newer])
+    replies.directory.forget("t-1")
+    replies.apply(8.0)
+    assert replies.directory.records["t-1"].target.versions == {"m": 2}
+
+
+# Guards against an older record, sent by another control VM, that hides a newer one.
+def test_a_newer_record_replaces_the_one_that_another_control_vm_sent_again(replies):
+    replies.apply(2.0, [make_target("t-1", sequence=5, versions={"m": 2})])
+    replies.directory.forget("t-1")
+    replies.directory.update(make_target("t-1", versions={"m": 1}), 8.0)
+    replies.apply(8.5)
+    assert replies.directory.records["t-1"].target.versions == {"m": 2}
+
+
+# Guards against a live target that is dropped for an earlier one at its address, whose
+# host's clock was ahead: a reply that came late still named that one.
+def test_a_late_reply_replaces_no_target_that_was_heard_later(replies):
+    address = TARGET.address
+    later = make_target("t-2", address=address, born_ms=500)
+    replies.directory.forget("t-1")
+    replies.directory.update(later, 5.5)
+    assert replies.apply(5.6, age_s=SILENCE_S - 0.1) == []
+    assert replies.names == ["t-2"]
+
+
 # Guards against a target that counts as cold again each time it is listed again.
 def test_a_cold_window_isnt_renewed(replies):
     cold = make_target("t-2", cold_ms=3_000.0)
