End a cold window at the same time for all VMs

Callers' requests could end a cold target: entry VMs took its cold window for shorter by the age of its announcement, up to a heartbeat, as a report's cold time is counted from the report on and was read as counted from the announcement on.

--- a/src/vanillabeam/fleet/sent.py
+++ b/src/vanillabeam/fleet/sent.py
@@ -29,7 +29,9 @@
 
         :param age_s: age of that announcement in seconds.
         """
-        cold_ms = max(0.0, 1000 * (self.cold_until_s - now_s + age_s))
+        cold_ms = 0.0
+        if self.cold_until_s > now_s:
+            cold_ms = round(1000 * (self.cold_until_s - now_s + age_s), 1)
         return self.target._replace(cold_ms=cold_ms)
 
 
@@ -74,7 +76,7 @@
 
     def _record(self, report: TargetReport, now_s: float) -> tuple[Target, float]:
         target, age_s = report["target"], report["age_s"]
-        cold_until_s = now_s - age_s + target.cold_ms / 1000
+        cold_until_s = now_s + target.cold_ms / 1000 if target.cold_ms else 0.0
         sent = _Sent(target, cold_until_s)
         self._records[target.name] = sent
         return sent.at(age_s, now_s), age_s
