Choose for each order what becomes of runs that last

Callers saw: with streams as long as their time limit, entry VMs sent nothing to targets on older weights from 8 s on, as each of three rounds waited for its runs one after the other.

Cause: each order said wait, whatever the runs and the time that was left.

Evidence, on the code before (its orders read as wait): the tests of a round of half of the targets and of the first round fail: 'assert 9 == 3' orders that wait, 'assert 13.56 <= (10.0 + 1.5)' and 'assert 13.5 <= (0.8 * 10.0)' seconds.

Change: the leader learns from its reports how long targets wait for their runs in this rollout. An order says wait where that fits the time that is left after a load for each round behind it, or is 1 s at most. Otherwise it is held back for the round's share of the time, with the target paused, and then says truncate if every route to the service may go on at another target and the runs are few enough for half of the retry budget's floor, or retain. Where a round is half of the targets or more, an order is held back first even without evidence: at two targets the other one is refused from 8 s on. The evidence is of one version of a model and ends with it. weights-ordered has the strategy; platform.orders translates it, and the number of runs in reports.

--- a/src/vanillabeam/decisions/targets.py
+++ b/src/vanillabeam/decisions/targets.py
@@ -133,12 +133,15 @@
     """The leader ordered a target to load weights.
 
     :param fence: fencing number, by which the target rejects older leaders.
+    :param strategy: what becomes of the target's runs: they end first (``wait``), are
+        broken off (``truncate``) or go on under the new weights (``retain``).
     """
 
     target: str
     model: str
     version: int
     fence: int
+    strategy: str
     reply: str
 
 
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -234,6 +234,11 @@
             for model, times in self._version_times_s.items()
         }
 
+    @property
+    def deployment(self) -> Deployment:
+        """The deployment in force, as far as this VM can read it."""
+        return self._deployment
+
     def weight_ages_s(self, now_s: float) -> dict[str, float]:
         """Return the age in seconds of each model's newest version."""
         ages_s = self._version_ages_s(now_s)
--- a/src/vanillabeam/fleet/orderrun.py
+++ b/src/vanillabeam/fleet/orderrun.py
@@ -42,11 +42,13 @@
     :param version: version in use; ``None`` if the target doesn't have the model.
     :param is_busy: whether it carries out an order.
     :param sequence: number of orders that it has accepted; ``None`` if it counts none.
+    :param running: number of its runs; ``None`` if it doesn't say.
     """
 
     version: int | None
     is_busy: bool
     sequence: int | None = None
+    running: int | None = None
 
 
 class Step(StrEnum):
@@ -63,6 +65,8 @@
     :param version: version that the target is to load.
     :ivar is_accepted: whether the target has accepted the order, by its answer or by
         the number of orders that it reports.
+    :ivar made_s: time at which the target's turn began.
+    :ivar begun_s: time at which it did, or at which the first attempt began.
 
     >>> run = OrderRun(version=2, now_s=1.0)
     >>> run.next_step(WeightsReport(1, False, 7), now_s=1.0)
@@ -76,8 +80,9 @@
         self.is_done = False
         self.is_accepted = False
         self.version = version
+        self.made_s = now_s
         self._reply: OrderReply | None = None
-        self._begun_s = now_s
+        self.begun_s = now_s
         self._changed_s = now_s
 
     def record_reply(self, reply: OrderReply, now_s: float) -> None:
@@ -87,6 +92,10 @@
         if reply in (OrderReply.ACCEPTED, OrderReply.HOLDS):
             self._accept(now_s)
 
+    def hold(self, now_s: float) -> None:
+        """Record that the order is held back, so that the target's runs may end."""
+        self.begun_s = now_s
+
     def next_step(self, report: WeightsReport | None, now_s: float) -> Step:
         """Return the next step.
 
@@ -106,7 +115,7 @@
 
     def _accept(self, now_s: float) -> None:
         if not self.is_accepted:
-            self.is_accepted, self._begun_s = True, now_s
+            self.is_accepted, self.begun_s = True, now_s
 
     def _read(self, report: WeightsReport | None, now_s: float) -> None:
         """Learn from a report whether the order was accepted, and still counts."""
@@ -125,7 +134,7 @@
     def _is_over(self, now_s: float) -> bool:
         if self._reply in (OrderReply.FENCED, OrderReply.REFUSED):
             return True
-        lasted_s = now_s - self._begun_s
+        lasted_s = now_s - self.begun_s
         if not self.is_accepted:
             return lasted_s > UNANSWERED_S
         waited_s = now_s - self._changed_s
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -12,6 +12,13 @@
 from vanillabeam.fleet.orderrun import OrderReply, OrderRun, Step, WeightsReport
 from vanillabeam.fleet.records import Target
 from vanillabeam.fleet.rolloutplan import Outcome, RolloutPlan
+from vanillabeam.fleet.runwaits import (
+    REPEATS_SHARE,
+    RunWaits,
+    Strategy,
+    choose_strategy,
+    has_time,
+)
 from vanillabeam.tasks import run_guarded
 
 __all__ = ["Rollout", "TargetOrders", "WeightsOrder"]
@@ -35,12 +42,14 @@
     :param holder: VM that sends the order.
     :param fence: fencing number of the ordering leader; increases with each
         leader.
+    :param strategy: what becomes of the target's runs.
     """
 
     model: str
     version: int
     holder: str
     fence: int
+    strategy: Strategy = Strategy.WAIT
 
 
 class TargetOrders(Protocol):
@@ -77,6 +86,7 @@
         self._plan = RolloutPlan(PAUSE_S)
         self._right = OrderRight(control)
         self._held = HeldTargets()
+        self._waits = RunWaits()
         self._scopes: dict[tuple[str, int], trio.CancelScope] = {}
         self._woken = trio.Event()
 
@@ -149,7 +159,9 @@
             raise
         finally:
             self._scopes.pop(target.incarnation, None)
-            self._plan.finish(target.incarnation, outcome, trio.current_time())
+            waited_s = self._waits.finish(target.incarnation)
+            now_s = trio.current_time()
+            self._plan.finish(target.incarnation, outcome, now_s, waited_s)
             self._woken.set()
 
     async def _carry_out(self, target: Target, model: str) -> Outcome:
@@ -165,33 +177,80 @@
         run = OrderRun(self._weights[model], trio.current_time())
         while self._right.is_held(term):
             report = await self._orders.report(target, model)
-            step = self._next_step(target, run, report)
-            if run.is_done:
-                self._control.report_weights(target, model, report.version)
-            newest = self._weights[model]
-            if newest > run.version and (run.is_done or not run.is_accepted):
-                run = OrderRun(newest, trio.current_time())
+            step = self._next_step(target, model, run, report)
+            if self._is_overtaken(run, model):
+                run = OrderRun(self._weights[model], trio.current_time())
                 self._plan.begin_next(target.incarnation, trio.current_time())
                 continue
             if step is Step.STOP:
                 return Outcome.DONE if run.is_done else Outcome.FAILED
+            if step is Step.SEND and not await self._right.confirm(term):
+                break
             if step is Step.SEND:
-                if not await self._right.confirm(term):
-                    return Outcome.STOPPED
-                await self._send(target, model, run)
+                await self._send_or_hold(target, model, run, report)
             await trio.sleep(self._pause_s(target))
         return Outcome.STOPPED
 
+    def _is_overtaken(self, run: OrderRun, model: str) -> bool:
+        """Return whether an order for a newer version is to follow now."""
+        is_over = run.is_done or not run.is_accepted
+        return is_over and self._weights[model] > run.version
+
     def _next_step(
-        self, target: Target, run: OrderRun, report: WeightsReport | None
+        self, target: Target, model: str, run: OrderRun, report: WeightsReport | None
     ) -> Step:
         now_s = trio.current_time()
         step = run.next_step(report, now_s)
         is_busy = report is not None and report.is_busy
         self._plan.record_state(target.incarnation, run.is_accepted, is_busy, now_s)
+        if run.is_accepted and is_busy:
+            self._record_wait(target, model, run, report)
+        if run.is_done:
+            self._control.report_weights(target, model, report.version)
         self._woken.set()
         return step
 
+    def _record_wait(
+        self, target: Target, model: str, run: OrderRun, report: WeightsReport
+    ) -> None:
+        waited_s = trio.current_time() - run.begun_s
+        if report.running:
+            self._waits.record(target.incarnation, model, run.version, waited_s)
+        else:
+            self._waits.end_wait(target.incarnation)
+
+    def _choose_strategy(
+        self, target: Target, model: str, run: OrderRun, report: WeightsReport
+    ) -> Strategy | None:
+        """Return the strategy of the order; ``None`` to hold it back."""
+        control, now_s = self._control, trio.current_time()
+        age_s = control.weight_ages_s(now_s).get(model, 0.0)
+        left_s = control.cfg.bounds.version_s - age_s
+        spare_s, round_s = self._plan.spare_s(model, left_s)
+        is_bounded = self._plan.is_half(model) and bool(report.running)
+        expected_s = self._waits.expected_s(model, run.version)
+        if not is_bounded and has_time(expected_s, spare_s):
+            return Strategy.WAIT
+        if report.running and now_s - run.made_s < round_s:
+            return None
+        floor = REPEATS_SHARE * control.cfg.bounds.retry_floor
+        return choose_strategy(
+            control.deployment.routes,
+            target.service,
+            report.running,
+            floor / self._plan.round_size(model),
+        )
+
+    async def _send_or_hold(
+        self, target: Target, model: str, run: OrderRun, report: WeightsReport
+    ) -> None:
+        strategy = self._choose_strategy(target, model, run, report)
+        if strategy is None:
+            run.hold(trio.current_time())
+            self._plan.hold(target.incarnation, trio.current_time())
+        else:
+            await self._send(target, model, run, strategy)
+
     def _pause_s(self, target: Target) -> float:
         """Return the time until the next report, which is priced."""
         end_s = self._plan.expected_end_s(target.incarnation)
@@ -200,12 +259,18 @@
             return POLL_PERIOD_S
         return max(SHORT_POLL_PERIOD_S, left_s - EARLY_S)
 
-    async def _send(self, target: Target, model: str, run: OrderRun) -> None:
+    async def _send(
+        self, target: Target, model: str, run: OrderRun, strategy: Strategy
+    ) -> None:
         fence = self._right.fence
-        order = WeightsOrder(model, run.version, self._control.cfg.vm, fence)
+        order = WeightsOrder(model, run.version, self._control.cfg.vm, fence, strategy)
         reply = await self._orders.load_weights(target, order, run.sequence)
         now_s = trio.current_time()
         run.record_reply(reply, now_s)
         self._plan.record_reply(target.incarnation, reply, fence)
         self._plan.record_state(target.incarnation, run.is_accepted, False, now_s)
-        log_record(WeightsOrdered(target.name, model, run.version, fence, str(reply)))
+        log_record(
+            WeightsOrdered(
+                target.name, model, run.version, fence, str(strategy), str(reply)
+            )
+        )
--- a/src/vanillabeam/fleet/rolloutplan.py
+++ b/src/vanillabeam/fleet/rolloutplan.py
@@ -33,6 +33,9 @@
 FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 4.0
 
+#: Seconds that a load is expected to take until one was seen.
+LOAD_S = 1.5
+
 Incarnation = tuple[str, int]
 
 
@@ -179,6 +182,12 @@
             refused = fence if reply is OrderReply.FENCED else turn.refused
             self._turns[key] = turn._replace(reply=str(reply), refused=refused)
 
+    def hold(self, incarnation: Incarnation, now_s: float) -> None:
+        """Record that an order is held back while the target's runs end."""
+        attempt = self._attempts.get(incarnation)
+        if attempt is not None:
+            self._attempts[incarnation] = attempt._replace(begun_s=now_s)
+
     def record_state(
         self, incarnation: Incarnation, is_accepted: bool, is_busy: bool, now_s: float
     ) -> None:
@@ -194,13 +203,22 @@
             accepted_s=accepted_s, is_busy=is_busy, is_idle=is_late and not is_busy
         )
 
-    def finish(self, incarnation: Incarnation, outcome: Outcome, now_s: float) -> None:
-        """Record the end of an attempt."""
+    def finish(
+        self,
+        incarnation: Incarnation,
+        outcome: Outcome,
+        now_s: float,
+        waited_s: float = 0.0,
+    ) -> None:
+        """Record the end of an attempt.
+
+        :param waited_s: time for which the target waited for its runs.
+        """
         attempt = self._attempts.pop(incarnation, None)
         if attempt is None:
             return
         if outcome is Outcome.DONE and attempt.accepted_s is not None:
-            self._load_s = now_s - attempt.accepted_s
+            self._load_s = now_s - attempt.accepted_s - waited_s
         key = (incarnation, attempt.model)
         turn = self._turns.get(key)
         if turn is None or outcome is Outcome.STOPPED:
@@ -219,6 +237,32 @@
             return None
         return attempt.accepted_s + self._load_s
 
+    def spare_s(self, model: str, left_s: float) -> tuple[float, float]:
+        """Return how long targets may wait for their runs: all rounds, and each one.
+
+        :param left_s: seconds until all targets should have loaded.
+        """
+        waiting = sum(
+            turn.model == model and turn.target.incarnation not in self._attempts
+            for turn in self._turns.values()
+        )
+        rounds = 1 + math.ceil(waiting / self._limit(model))
+        load_s = LOAD_S if self._load_s is None else self._load_s
+        spare_s = left_s - rounds * load_s
+        return spare_s, spare_s / rounds
+
+    def is_half(self, model: str) -> bool:
+        """Return whether half of a model's targets or more load in one round.
+
+        While these wait for runs that last, the others can't stand in for them.
+        """
+        count = self._count(model)
+        return count > 1 and 2 * self._limit(model) >= count
+
+    def round_size(self, model: str) -> int:
+        """Return how many targets may load a model at the same time."""
+        return self._limit(model)
+
     def names_under_way(self) -> set[str]:
         """Return the names of the targets whose order is under way."""
         return {target for target, _ in self._attempts}
--- a/src/vanillabeam/platform/orders.py
+++ b/src/vanillabeam/platform/orders.py
@@ -26,6 +26,7 @@
     busy: bool
     #: Number of orders that the worker has accepted since its start.
     seq: NotRequired[int]
+    running: NotRequired[int]
 
 
 class WorkerOrders:
@@ -41,12 +42,12 @@
     async def load_weights(
         self, target: Target, order: WeightsOrder, sequence: int | None
     ) -> OrderReply:
-        """Order a worker to load a version after its running requests have ended."""
+        """Order a worker to load a version."""
         document = {
             "op": "version",
             "model": order.model,
             "version": order.version,
-            "strategy": "wait",
+            "strategy": str(order.strategy),
             "holder": order.holder,
             "fence": order.fence,
         }
@@ -66,7 +67,10 @@
             return None
         version = read_versions(report["models"]).get(model)
         return WeightsReport(
-            None if report["busy"] else version, report["busy"], report.get("seq")
+            None if report["busy"] else version,
+            report["busy"],
+            report.get("seq"),
+            report.get("running"),
         )
 
     async def _call(self, method: str, target: Target, path: bytes, body: bytes):
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -2,8 +2,14 @@
 import trio
 from returns.result import Failure
 
-from tests.fleet.builders import make_target
-from tests.fleet.rolloutfleet import LOAD_S, StandInTarget, make_fleet, play
+from bench.rollout_model import (
+    LOAD_S,
+    StandInTarget,
+    make_fleet,
+    make_stream,
+    play,
+)
+from tests.fleet.builders import make_deployment, make_target
 from vanillabeam.fleet import rollout
 from vanillabeam.fleet.orderright import RAISE_PERIOD_S
 from vanillabeam.fleet.rolloutplan import MAX_BACKOFF_S
@@ -12,6 +18,8 @@
 HELD = "WeightsHeld"
 #: Time that operators allow for new weights.
 VERSION_S = 10.0
+#: Time from which on a rule is broken if over a tenth of the targets lack them.
+VERSION_ALL_S = 14.0
 #: Longest time from one version to the order for the next: the age of a report, and the
 #: time between two of them.
 FOLLOWED_S = 1.0
@@ -246,3 +254,56 @@
     fleet = play(lambda: make_fleet(1, ["refuses"]), 20.0, mend)
     assert fleet.loaded()[0] <= 3.0 + MAX_BACKOFF_S + 2 * LOAD_S
     assert len(fleet.targets["t-00"].orders) <= 5
+
+
+def strategies(fleet):
+    return [str(order.strategy) for order in fleet.orders()]
+
+
+def test_short_runs_are_waited_for():
+    fleet = play(lambda: make_fleet(9, runs_s=0.9), 20.0)
+    assert set(strategies(fleet)) == {"wait"}
+    assert fleet.loaded()[-1] <= VERSION_S
+
+
+# Guards against waves that wait one after the other for runs of their whole time limit.
+@pytest.mark.parametrize("count", [9, 65])
+@pytest.mark.parametrize("runs_s", [5.0, 8.75, 12.0])
+def test_only_the_first_round_waits_for_long_runs(count, runs_s):
+    fleet = play(lambda: make_fleet(count, runs_s=runs_s), 40.0)
+    assert len(fleet.loaded()) == count
+    first = -(-count // 3)
+    assert strategies(fleet).count("wait") == first
+    assert fleet.loaded()[-1] <= VERSION_ALL_S
+    assert fleet.most_paused <= 2 * count / 3
+
+
+# Guards against one of two targets that waits for long runs until the other one is
+# too old to be used.
+@pytest.mark.parametrize("runs_s", [0.9, 3.0, 5.0, 8.75, 12.0])
+@pytest.mark.parametrize("count", [2, 4])
+def test_a_round_of_half_of_the_targets_waits_for_a_bounded_time(count, runs_s):
+    fleet = play(lambda: make_fleet(count, runs_s=runs_s), 40.0)
+    assert fleet.most_paused <= count / 2
+    assert len(fleet.loaded()) == count
+    assert fleet.loaded()[0] <= 0.8 * VERSION_S
+    assert fleet.loaded()[-1] <= VERSION_S + LOAD_S
+
+
+# Guards against a rollout that uses up the budget of repeats.
+def test_runs_are_broken_off_within_the_budget_of_repeats():
+    fleet = play(lambda: make_fleet(9, runs_s=8.75), 40.0)
+    broken = sum(each.broken for each in fleet.targets.values())
+    assert broken <= fleet.control.cfg.bounds.retry_floor
+
+
+def test_runs_that_cannot_go_on_elsewhere_are_kept():
+    def make():
+        fleet = make_fleet(9, runs_s=8.75)
+        routes = (make_stream(), make_stream(resumable=False))
+        fleet.control.deployment = make_deployment(routes=routes)
+        return fleet
+
+    fleet = play(make, 40.0)
+    assert set(strategies(fleet)) == {"wait", "retain"}
+    assert sum(each.broken for each in fleet.targets.values()) == 0
--- a/tests/fleet/test_rolloutplan.py
+++ b/tests/fleet/test_rolloutplan.py
@@ -1,3 +1,5 @@
+import pytest
+
 from tests.fleet.builders import make_target
 from vanillabeam.fleet.orderrun import OrderReply
 from vanillabeam.fleet.rolloutplan import (
@@ -204,3 +206,20 @@
     plan.finish(incarnation, Outcome.FAILED, 0.0)
     (held,) = plan.held(FENCE, 0.5)
     assert (held.reason, held.reply) == ("backoff", "refused")
+
+
+def test_an_order_that_is_held_back_keeps_its_slot():
+    plan = make_plan(9)
+    for incarnation in begin(plan, "t-1", "t-2", "t-3"):
+        plan.hold(incarnation, SILENT_S)
+    assert due(plan, SILENT_S) == []
+    assert due(plan, 2 * SILENT_S) == ["t-4", "t-5", "t-6"]
+
+
+def test_the_spare_time_leaves_a_load_for_each_round():
+    plan = make_plan(9)
+    (incarnation,) = begin(plan, "t-1")
+    plan.record_state(incarnation, True, True, 0.0)
+    plan.finish(incarnation, Outcome.DONE, 3.0, waited_s=2.0)
+    begin(plan, "t-2", "t-3", "t-4", now_s=3.0)
+    assert plan.spare_s("m", 7.0) == (4.0, pytest.approx(4.0 / 3))
