Let a target without a slot serve while it doesn't take its order

Callers saw: fewer targets than there were: one that is silent, or accepts and does nothing, was kept from new work for up to 6 s though it loaded nothing.

Cause: all targets with an order under way were paused.

Evidence: the plan had no such distinction (AttributeError in the new test); in the model at two targets both were paused beside a silent one.

Change: paused are those that hold a slot, or report that they carry out an order. An accepted order counts as carried out until a report says otherwise, so that a load of over 3 s, for which no report is asked for meanwhile, stays paused.

--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -111,10 +111,11 @@
         """Apply what is known, and end the orders to targets that are gone."""
         records = self._control.follower.directory.records.values()
         targets = [record.target for record in records]
-        for gone in self._plan.update(targets, self._weights, trio.current_time()):
+        now_s = trio.current_time()
+        for gone in self._plan.update(targets, self._weights, now_s):
             if gone in self._scopes:
                 self._scopes[gone].cancel()
-        self._control.paused &= self._plan.names_under_way()
+        self._control.paused &= self._plan.paused_names(now_s)
 
     def _start_orders(self, nursery: trio.Nursery) -> None:
         fence, now_s = self._right.fence, trio.current_time()
@@ -268,7 +269,8 @@
         now_s = trio.current_time()
         run.record_reply(reply, now_s)
         self._plan.record_reply(target.incarnation, reply, fence)
-        self._plan.record_state(target.incarnation, run.is_accepted, False, now_s)
+        accepted = run.is_accepted
+        self._plan.record_state(target.incarnation, accepted, accepted, now_s)
         log_record(
             WeightsOrdered(
                 target.name, model, run.version, fence, str(strategy), str(reply)
--- a/src/vanillabeam/fleet/rolloutplan.py
+++ b/src/vanillabeam/fleet/rolloutplan.py
@@ -263,9 +263,16 @@
         """Return how many targets may load a model at the same time."""
         return self._limit(model)
 
-    def names_under_way(self) -> set[str]:
-        """Return the names of the targets whose order is under way."""
-        return {target for target, _ in self._attempts}
+    def paused_names(self, now_s: float) -> set[str]:
+        """Return the names of the targets that should get no new work.
+
+        One that doesn't take the order goes on serving on its older weights.
+        """
+        return {
+            each.target.name
+            for each in self._attempts.values()
+            if each.holds_slot(now_s) or each.is_busy
+        }
 
     def is_refused(self, fence: int) -> bool:
         """Return whether a target that waits has refused a fencing number."""
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -307,3 +307,19 @@
     fleet = play(make, 40.0)
     assert set(strategies(fleet)) == {"wait", "retain"}
     assert sum(each.broken for each in fleet.targets.values()) == 0
+
+
+# Guards against requests to a target whose load takes longer than its slot is held.
+def test_a_target_is_paused_until_it_has_loaded():
+    gaps = []
+
+    async def look(fleet):
+        while True:
+            await trio.sleep(0.1)
+            for name, each in fleet.targets.items():
+                if each.is_loading() and name not in fleet.control.paused:
+                    gaps.append((name, trio.current_time()))
+
+    fleet = play(lambda: make_fleet(9, load_s=4.5), 30.0, look)
+    assert len(fleet.loaded()) == 9
+    assert gaps == []
--- a/tests/fleet/test_rolloutplan.py
+++ b/tests/fleet/test_rolloutplan.py
@@ -148,6 +148,15 @@
     assert due(plan, HOLD_S) == ["t-4", "t-5", "t-6"]
 
 
+# Guards against a target that is kept from work and doesn't load either.
+def test_a_target_without_a_slot_serves_unless_it_is_busy():
+    plan = make_plan(9)
+    first, second = begin(plan, "t-1", "t-2")
+    assert plan.paused_names(SILENT_S - 0.1) == {"t-1", "t-2"}
+    plan.record_state(second, False, True, SILENT_S)
+    assert plan.paused_names(SILENT_S) == {"t-2"}
+
+
 def test_a_target_that_accepted_and_does_nothing_holds_no_slot():
     plan = make_plan(9)
     for incarnation in begin(plan, "t-1", "t-2", "t-3"):
