--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -109,7 +109,7 @@
     DeploymentRefused: Kind("WARNING", _RARE_LINES_S),
     DeploymentUnreadable: Kind("ERROR", _RARE_LINES_S),
     FenceRaised: Kind("WARNING", _RARE_LINES_S),
-    WeightsHeld: Kind("WARNING", _RARE_LINES_S),
+    WeightsHeld: Kind("INFO", _RARE_LINES_S),
     WeightsOrdered: Kind("INFO", _RARE_LINES_S),
     StoreHeard: Kind("INFO", _RARE_LINES_S),
     StoreLost: Kind("WARNING", _RARE_LINES_S),
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -323,3 +323,32 @@
     fleet = play(lambda: make_fleet(9, load_s=4.5), 30.0, look)
     assert len(fleet.loaded()) == 9
     assert gaps == []
+
+
+def test_a_target_that_ends_in_its_load_loads_after_its_return():
+    async def crash(fleet):
+        await trio.sleep(1.0)
+        old = fleet.targets["t-00"]
+        fresh = old.target._replace(born_ms=2_000, versions={"m": 1})
+        old.behaviour = "unreachable"
+        await trio.sleep(1.5)
+        fleet.targets["t-00"] = StandInTarget(fresh)
+        fleet.control.announce(fresh)
+
+    fleet = play(lambda: make_fleet(9), 20.0, crash)
+    assert len(fleet.loaded()) == 9
+    assert fleet.loaded()[-1] <= VERSION_S
+    assert len(fleet.targets["t-00"].orders) == 1
+
+
+# Guards against a second load of targets that the leader before had ordered.
+@pytest.mark.parametrize("runs_s", [0.0, 5.0])
+def test_orders_of_the_leader_before_are_not_repeated(runs_s):
+    async def elect(fleet):
+        await trio.sleep(1.0)
+        fleet.control.node.term += 1
+
+    fleet = play(lambda: make_fleet(9, runs_s=runs_s), 40.0, elect)
+    assert len(fleet.loaded()) == 9
+    assert {each.sequence for each in fleet.targets.values()} == {1}
+    assert len(fleet.orders()) == 9
