Wait for the owners of targets right after their data centre is back

The test (the owner gets the ticket 0.5 s later) failed before: 'assert False' for Success. Now a request that finds no open target, but some that serve what it asks for, looks again each 0.1 s within 2 s of the return of a data centre.

--- a/src/vanillabeam/routing/router.py
+++ b/src/vanillabeam/routing/router.py
@@ -90,6 +90,10 @@
             ),
         )
 
+    def knows_targets(self, request: RouteRequest) -> bool:
+        """Return whether any target, open or not, serves what a request asks for."""
+        return bool(self._serving_targets(request))
+
     def _serving_targets(self, request: RouteRequest) -> list[str]:
         if request.service:
             return self._targets_by_key.get(("", request.service), [])
--- a/src/vanillabeam/targets/acquire.py
+++ b/src/vanillabeam/targets/acquire.py
@@ -24,6 +24,10 @@
 
 __all__ = ["Acquirer"]
 
+#: Seconds after a data centre is back in service for which requests wait for its
+#: targets: their owners may hear of it later than this VM, and views may overtake each
+#: other on their way here.
+REOPENING_S = 2.0
 #: Seconds before targets that refused for a transient reason are tried again.
 RETRY_PAUSE_S = 0.1
 #: A waiting request moves to a target whose cost is below this fraction of the
@@ -96,6 +100,13 @@
         self._incarnation = first_epoch
         self.permit_requests_made = 0
         self._budget = RetryBudget(RETRIES_PER_REQUEST, RETRY_BUDGET_MAX)
+        self._reopened_s = float("-inf")
+
+    def update_config(self, config: Config) -> None:
+        """Apply the configuration that is in force now."""
+        if set(_out_of_service(self.config)) - set(_out_of_service(config)):
+            self._reopened_s = trio.current_time()
+        self.config = config
 
     async def acquire(
         self, request: RouteRequest
@@ -169,18 +180,23 @@
             required_s = max(RETRY_PAUSE_S, _retry_after_s(refusal))
             return _Wait(required_s, RETRY_PAUSE_S)
         pause_s = self._pause_left_s(request)
+        if pause_s is None and self._may_reopen(request):
+            return _Wait(RETRY_PAUSE_S, RETRY_PAUSE_S)
         if pause_s is None:
             return None
         return _Wait(pause_s, max(pause_s, RETRY_PAUSE_S))
 
+    def _may_reopen(self, request: RouteRequest) -> bool:
+        """Return whether a closed target may take work again in a moment."""
+        is_recent = trio.current_time() - self._reopened_s < REOPENING_S
+        return is_recent and self._router.knows_targets(request)
+
     def _candidates(self, request: RouteRequest, skipped: set[str]) -> list[Candidate]:
         return self._choose(request, skipped | self._left_out())
 
     def _choose(self, request: RouteRequest, skipped: set[str]) -> list[Candidate]:
         request = request._replace(excluded=request.excluded | skipped)
-        out_of_service = [
-            d.name for d in self.config.data_centres.values() if not d.in_service
-        ]
+        out_of_service = _out_of_service(self.config)
         return self._router.choose(request, out_of_service, trio.current_time())
 
     def _left_out(self) -> set[str]:
@@ -341,6 +357,11 @@
         return NoTarget(f"no target for {wanted}{reason}", _retry_after_s(refusal))
 
 
+def _out_of_service(config: Config) -> list[str]:
+    """Return the names of the data centres that get no new work."""
+    return [each.name for each in config.data_centres.values() if not each.in_service]
+
+
 def _delay_limit_s(candidates: list[Candidate]) -> float | None:
     """Return the delay above which the second candidate is better than the first."""
     if len(candidates) < 2:
--- a/src/vanillabeam/targets/shell.py
+++ b/src/vanillabeam/targets/shell.py
@@ -156,7 +156,7 @@
     def config_changed(self, config: Config) -> None:
         """Apply the configuration that is in force now."""
         self.config = config
-        self._acquirer.config = config
+        self._acquirer.update_config(config)
         self._dispatcher.post(ConfigChanged(config))
         # Whether targets take work may have changed: other data centres in service.
         self._summaries.tick()
--- a/tests/targets/test_shell.py
+++ b/tests/targets/test_shell.py
@@ -296,6 +296,35 @@
     run(main)
 
 
+# Guards against the same at an entry VM that has the ticket before their owner has it.
+def test_a_data_centre_that_is_back_gets_requests_once_its_owners_know():
+    async def main(nursery):
+        network = Network()
+        owner, entry = network.add("e1"), network.add("e2", data_centre="dc2")
+        everyone = make_entries("e1") + make_entries("e2", data_centre="dc2")
+        for shell in (owner, entry):
+            await nursery.start(shell.run)
+            shell.members_changed(everyone)
+        for _ in range(5):
+            await owner.announce(make_announcement())
+            await trio.sleep(5.0)
+        for shell in (owner, entry):
+            shell.config_changed(make_config(data_centres_out=["dc1"]))
+        await trio.sleep(1.0)
+        assert isinstance(await entry.acquire(make_route_request()), Failure)
+        back = make_config()._replace(index=2)
+        entry.config_changed(back)
+
+        async def tell_owner():
+            await trio.sleep(0.5)
+            owner.config_changed(back)
+
+        nursery.start_soon(tell_owner)
+        assert isinstance(await entry.acquire(make_route_request()), Success)
+
+    run(main)
+
+
 def test_a_request_with_a_deadline_before_the_end_of_a_takeover_is_refused_at_once():
     async def main(nursery):
         network, (one, two) = await start_two(nursery, TargetsSettings())
