--- a/tests/soak/summary.py
+++ b/tests/soak/summary.py
@@ -1,5 +1,7 @@
 """Prints what a run has seen."""
 
+from collections import Counter
+
 from tests.soak.checks import calm_attempts, served_share
 
 #: Requests that are printed of those that were not served.
@@ -16,8 +18,9 @@
         f"{len(calm)}, of which served {served_share(calm):.4f}; peak memory "
         f"{memory_mb:.0f} MB; logs in {folder}"
     )
-    named = [f"{n.number} at {n.confirmed_s}" for n in history.namings]
-    print(f"  weights confirmed: {', '.join(named)}; {len(history.orders)} orders")
+    named = [f"{n.number} at {n.confirmed_s or 0:.2f}" for n in history.namings]
+    statuses = dict(Counter(order.status for order in history.orders))
+    print(f"  weights confirmed: {', '.join(named)}; orders by status: {statuses}")
     lags = [o.end_s - o.start_s for o in history.outages if o.kind == "lag"]
     print(f"  not scheduled {len(lags)} times, {max(lags, default=0.0):.2f} s at most")
     for outage in history.outages:
