Pass no answer on that doesn't name its request

What callers saw: the next caller on a connection got an answer that wasn't its own, when a target sent another answer late, after the request had been sent, and that answer bore no id.

Cause: an answer without the id counted as the request's own; of two ids the last one counted.

Change: on the platform, where workers repeat the id, an answer without it is no answer to this request: it may have run, and its connection is closed. All ids of an answer must be the request's. A request that bears no id is answered as before.

The test of the classification expected (503, no headers) to be an answer. That row stood for 'a 503 that doesn't say not run'; it has the id now, and the row without one expects the answer to be refused, with four more rows.

--- a/src/vanillabeam/platform/headers.py
+++ b/src/vanillabeam/platform/headers.py
@@ -127,15 +127,22 @@
     def classify_answer(
         self, metadata: RequestMetadata, status: int, headers: Headers
     ) -> AnswerKind:
-        """Return the kind of a worker's answer, by its status and headers."""
-        by_name = {name.lower(): value for name, value in headers}
-        echoed_id = by_name.get(REQUEST_ID)
-        if echoed_id is not None and echoed_id.decode("latin-1") != metadata.request_id:
+        """Return the kind of a worker's answer, by its status and headers.
+
+        Workers repeat the id of a request in their answers. A refusal without it is
+        taken for what it says.
+        """
+        names = {name.lower() for name, _ in headers}
+        ids = {value for name, value in headers if name.lower() == REQUEST_ID}
+        own_id = metadata.request_id.encode("latin-1")
+        if ids - {own_id}:
             return AnswerKind.WRONG_REQUEST
         if status == MISDIRECTED_REQUEST:
             return AnswerKind.OTHER_TARGET
-        if NOT_EXECUTED in by_name:
+        if NOT_EXECUTED in names:
             return AnswerKind.NOT_RUN
+        if own_id and not ids:
+            return AnswerKind.WRONG_REQUEST
         return AnswerKind.ANSWER
 
     def read_notice(self, status: int, headers: Headers) -> Notice:
--- a/tests/platform/test_extraanswers.py
+++ b/tests/platform/test_extraanswers.py
@@ -122,9 +122,11 @@
 #: caller may get: its own answer, or a failure that promises nothing.
 LATE = {
     "copy": {502},
+    "copy without its id": {502},
     "copy of a refusal": {502},
     "copy of a failure": {502},
     "copy of a stream": {502},
+    "copy of a stream without its id": {502},
     "interim answer": {200},
     "two interim answers": {200},
     "no answer": {502},
@@ -144,3 +146,11 @@
     assert b"for r-1" not in second.content
     assert (b"for r-2" in second.content) == (second.status == 200)
     assert [head[REQUEST_ID] for head in worker.received_headers] == [b"r-1", b"r-2"]
+
+
+# Guards against an answer that names two requests.
+def test_an_answer_with_the_ids_of_two_requests_is_not_passed_on(tmp_path):
+    other = b"X-Vanillabeam-Request-Id: r-1\r\n"
+    answers = [make_answer, partial(make_answer, extra=other)]
+    (_, second), _ = ask_twice(tmp_path, answers, "/orders/1")
+    assert second.status == 502
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -98,14 +98,32 @@
         (200, [(b"X-Vanillabeam-Request-Id", b"r-1")], AnswerKind.ANSWER),
         (200, [(b"X-Vanillabeam-Request-Id", b"r-2")], AnswerKind.WRONG_REQUEST),
         (503, [(b"X-Vanillabeam-Not-Executed", b"1")], AnswerKind.NOT_RUN),
-        (503, [], AnswerKind.ANSWER),
+        (503, [(b"X-Vanillabeam-Request-Id", b"r-1")], AnswerKind.ANSWER),
+        (503, [], AnswerKind.WRONG_REQUEST),
+        (200, [], AnswerKind.WRONG_REQUEST),
+        (
+            200,
+            [
+                (b"X-Vanillabeam-Request-Id", b"r-2"),
+                (b"x-vanillabeam-request-id", b"r-1"),
+            ],
+            AnswerKind.WRONG_REQUEST,
+        ),
         (421, [], AnswerKind.OTHER_TARGET),
+        (421, [(b"X-Vanillabeam-Request-Id", b"r-2")], AnswerKind.WRONG_REQUEST),
     ],
 )
 def test_an_answer_is_classified_by_status_and_headers(status, headers, kind):
     assert DIALECT.classify_answer(make_metadata(), status, headers) is kind
 
 
+def test_the_answer_to_a_request_without_an_id_bears_none():
+    metadata = make_metadata()._replace(request_id="")
+    other = [(b"X-Vanillabeam-Request-Id", b"r-2")]
+    assert DIALECT.classify_answer(metadata, 200, []) is AnswerKind.ANSWER
+    assert DIALECT.classify_answer(metadata, 200, other) is AnswerKind.WRONG_REQUEST
+
+
 # Guards against 404 for a route that is in force: the target may name the host itself.
 @pytest.mark.parametrize(
     "target, host, path",
