Give each call that changes something a connection of its own

What operators saw, or could have: an order, or the freeing of stored parts, was taken as answered by an extra answer that a worker or store had sent late for an earlier call, so that an order that was never read counted as taken.

Cause: the system's own calls to workers and stores share kept connections, and their answers name no call by which an extra one could be told.

Evidence: tests/test_httpread.py, before: [b'1', b'1', b'3'] == [b'1', b'2', b'3'], after a report and after another order.

Change: calls other than GET use connections that are not kept. Reports, lists and events keep theirs: a stale one is corrected by the next. The price is one connection for each order and each freeing.

--- a/src/vanillabeam/platform/client.py
+++ b/src/vanillabeam/platform/client.py
@@ -23,12 +23,20 @@
 
 
 class PlatformClient:
-    """HTTP client for the system's own calls, as opposed to forwarded requests."""
+    """HTTP client for the system's own calls, as opposed to forwarded requests.
+
+    A worker or store may send an extra answer late, and its answers to these calls name
+    no call. So each call that changes something has a connection of its own; what is
+    read is asked again soon.
+    """
 
     def __init__(self):
-        self._pool = httpcore.AsyncConnectionPool(
+        self._reading_pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS, keepalive_expiry=IDLE_EXPIRY_S
         )
+        self._changing_pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
+        )
 
     async def call(
         self,
@@ -56,10 +64,11 @@
         if body:
             all_headers.append((b"Content-Type", b"application/json"))
             all_headers.append((b"Content-Length", str(len(body)).encode()))
+        pool = self._reading_pool if method == "GET" else self._changing_pool
         with trio.move_on_after(timeout_s):
             try:
                 return await request_bounded(
-                    self._pool,
+                    pool,
                     method,
                     url,
                     limit_bytes,
--- a/tests/test_httpread.py
+++ b/tests/test_httpread.py
@@ -133,3 +133,36 @@
 
     assert trio.run(main) == [b'"first"', b'"other"']
     assert len(numbers) == 2
+
+
+# Guards against an extra answer that arrives late, where the answer to an order or to a
+# call that frees parts is expected: it says nothing of that call.
+@pytest.mark.parametrize("first", ["GET", "POST"])
+def test_a_late_extra_answer_is_not_the_answer_to_a_call_that_changes_something(first):
+    async def serve_late(stream):
+        extra = b""
+        with suppress(trio.BrokenResourceError):
+            while await read_head(stream) is not None:
+                served.append(b"%d" % (len(served) + 1))
+                answer = HEAD + b"Content-Length: 1\r\n\r\n" + served[-1]
+                await stream.send_all(extra + answer)
+                extra = answer
+
+    served = []
+
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        client = PlatformClient()
+        with trio.fail_after(TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, serve_late, listeners)
+                answers = [
+                    await client.call(first, address, b"/api/report"),
+                    await client.call("POST", address, b"/api/order", b"{}"),
+                    await client.call("POST", address, b"/api/kv-free", b"{}"),
+                ]
+                nursery.cancel_scope.cancel()
+        return [answer.content for answer in answers]
+
+    assert trio.run(main) == [b"1", b"2", b"3"]
