Take a trickle inside an event for silence

What callers saw: on our own protocol, a prompt whose engine stalled inside an event and sent a byte now and then waited until its deadline and then got an error, though another target could have continued it.

Cause: the silence limit counted reads, so any byte began it anew.

Evidence: tests/answers/test_prompts.py, before: trio.TooSlowError after 5 s, with a silence limit of 0.1 s and a deadline of 20 s.

Change: a connection on which an event stays incomplete for the silence limit counts as lost and is closed. Comments and whole events count as life, so a run that waits behind others is not disturbed; a second test has comments in halves.

--- a/src/vanillabeam/answers/answer.py
+++ b/src/vanillabeam/answers/answer.py
@@ -127,6 +127,7 @@
         self._connection: Connection | None = None
         self._connection_id = 0
         self._reader = EventReader()
+        self._last_event_s = 0.0
         self._emitted = Emitted()
         self._limit_tokens = limit_tokens(request.body)
         self._rewriter: Rewriter | None = None
@@ -270,6 +271,7 @@
         )
         self._deps.background.spawn(self._connection.run)
         head = await self._connection.head()
+        self._last_event_s = trio.current_time()
         if head is None:
             self._handle_loss(self._connection.error)
         else:
@@ -298,11 +300,23 @@
             self._handle_loss(result.failure().detail)
             return
         batch = result.unwrap()
+        if batch.is_empty:
+            if self._is_stalled():
+                self._connection.close()
+                self._handle_loss("an event is incomplete for too long")
+            return
+        self._last_event_s = trio.current_time()
         if batch.pieces or batch.end:
             self._handle(pe.Read(self._connection_id, batch.pieces, batch.end))
-        elif batch.keep_alive:
+        else:
             self._send_keep_alive()
 
+    def _is_stalled(self) -> bool:
+        """Return whether only bytes inside an event have come for the silence limit."""
+        silent_s = trio.current_time() - self._last_event_s
+        limit_s = self._deps.timeouts.connection.idle_timeout_s
+        return self._reader.is_inside_event and silent_s >= limit_s
+
     def _send_keep_alive(self) -> None:
         waited_s = trio.current_time() - self._started_s
         head_due = self._opened or waited_s >= self._deps.timeouts.first_piece_timeout_s
--- a/src/vanillabeam/answers/events.py
+++ b/src/vanillabeam/answers/events.py
@@ -59,6 +59,11 @@
     end: End | None = None
     keep_alive: bool = False
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no event and no comment was completed."""
+        return not (self.pieces or self.end or self.keep_alive)
+
 
 class _Delta(msgspec.Struct):
     content: str | None = None
@@ -99,6 +104,11 @@
     def __init__(self):
         self._pending = b""
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether bytes of an incomplete event have come."""
+        return bool(self._pending)
+
     def feed(self, data: bytes) -> Result[Batch, TargetFailed]:
         """Return the events that ``data`` completes.
 
--- a/tests/answers/test_prompts.py
+++ b/tests/answers/test_prompts.py
@@ -6,7 +6,7 @@
 from returns.result import Failure
 
 from bench.fake_target import Faults
-from tests.answers.builders import make_prompt, run_scenario, stream_text
+from tests.answers.builders import make_piece, make_prompt, run_scenario, stream_text
 from vanillabeam.answers import AnswerCut, AnswerLost, PromptRejected, TargetRefused
 from vanillabeam.exceptions import DeadlineExceeded, Run
 
@@ -108,6 +108,53 @@
     run_scenario(scenario)
 
 
+# Guards against an engine that stalls inside an event and sends a byte now and then: it
+# was waited for until the deadline.
+def test_a_trickle_inside_an_event_counts_as_silence():
+    async def scenario(harness):
+        async def stall(stream, data):
+            if data.startswith(b"GET "):
+                await stream.send_all(b"HTTP/1.1 404 Gone\r\nContent-Length: 0\r\n\r\n")
+                return
+            head = b"HTTP/1.1 200 OK\r\nVanillabeam-Model-Version: v1\r\n"
+            await stream.send_all(
+                head + b"Content-Type: text/event-stream\r\n\r\nid: 1"
+            )
+            while True:
+                await trio.sleep(0.02)
+                await stream.send_all(b" ")
+
+        requests = await harness.serve_script(stall)
+        await harness.serve_fake_target()
+        with trio.fail_after(5.0):
+            assert_complete(await harness.read(make_prompt(deadline_s=20.0)))
+        assert len(requests) > 1
+
+    run_scenario(scenario)
+
+
+# Guards against a run that is taken for silent although its engine says that it waits.
+def test_comments_of_an_engine_count_as_life():
+    async def scenario(harness):
+        async def wait_long(stream, data):
+            head = b"HTTP/1.1 200 OK\r\nVanillabeam-Model-Version: v1\r\n"
+            await stream.send_all(head + b"Content-Type: text/event-stream\r\n\r\n")
+            for _ in range(10):
+                await trio.sleep(0.04)
+                await stream.send_all(b": ali")
+                await trio.sleep(0.04)
+                await stream.send_all(b"ve\n\n")
+            piece = make_piece(1, last=True)
+            end = b'event: end\ndata: {"pieces": 1, "version": "v1"}\n\n'
+            await stream.send_all(b"id: 1\ndata: " + piece.data + b"\n\n" + end)
+
+        requests = await harness.serve_script(wait_long)
+        assert stream_text(await harness.read(make_prompt(tokens=1))) == "1 "
+        assert len(requests) == 1
+
+    run_scenario(scenario)
+
+
 def test_duplicated_reordered_and_lost_pieces_make_a_complete_answer():
     async def scenario(harness):
         fake = await harness.serve_fake_target(decode_tokens_s=1e6)
