Callers' face in a package of its own

Change: callers (now `app`), callerrequests (`requests`), openai, servicepath, streaming, reuse and entry go into `callers` with `git mv`, and the tests of two of them into tests/callers. Only imports change in them. No old import path is kept: nothing outside src and tests used one; the program in tests/log/test_seeds.py loads the moved test under its new name.

Names on the wire, in logs, metrics and settings do not change.

Not moved: the daemon.

Ran: tests/test_layers.py, tests/callers, tests/operators, tests/test_reference.py, tests/test_docs.py, tests/log/test_seeds.py, tests/path/test_callers.py, test_services.py, test_reuse.py and test_daemon.py.

--- /dev/null
+++ b/src/vanillabeam/callers/__init__.py
@@ -0,0 +1,6 @@
+"""What callers of a VM ask for, and the role that serves them."""
+
+from vanillabeam.callers.app import EntryInterface, caller_app
+from vanillabeam.callers.entry import Entry
+
+__all__ = ["Entry", "EntryInterface", "caller_app"]
--- a/src/vanillabeam/callers.py
+++ b/src/vanillabeam/callers/app.py
@@ -12,7 +12,20 @@
 from starlette.types import ASGIApp
 
 from vanillabeam.answers import Answer, PromptRequest, ServiceAnswer, ServiceRequest
-from vanillabeam.callerrequests import prompt_request, service_request
+from vanillabeam.callers.openai import (
+    CHAT_PATH,
+    COMPLETIONS_PATH,
+    model_list,
+    parse_prompt,
+)
+from vanillabeam.callers.requests import prompt_request, service_request
+from vanillabeam.callers.servicepath import parse_service_path
+from vanillabeam.callers.streaming import (
+    StreamingAnswer,
+    buffered_answer,
+    client_closed_response,
+    while_connected,
+)
 from vanillabeam.config import Config, Workspace
 from vanillabeam.exceptions import (
     NotReady,
@@ -22,16 +35,8 @@
     VanillabeamError,
 )
 from vanillabeam.limits import read_body
-from vanillabeam.openai import CHAT_PATH, COMPLETIONS_PATH, model_list, parse_prompt
 from vanillabeam.peerhttp import bearer_key
 from vanillabeam.problems import RUN_HEADER, problem_response
-from vanillabeam.servicepath import parse_service_path
-from vanillabeam.streaming import (
-    StreamingAnswer,
-    buffered_answer,
-    client_closed_response,
-    while_connected,
-)
 from vanillabeam.tickets.keys import key_digest
 
 __all__ = ["REQUEST_ID_HEADER", "EntryInterface", "caller_app"]
--- a/src/vanillabeam/entry.py
+++ b/src/vanillabeam/callers/entry.py
@@ -11,12 +11,12 @@
     ServiceAnswer,
     ServiceRequest,
 )
+from vanillabeam.callers.reuse import CacheReuse
 from vanillabeam.claims import ClaimError
 from vanillabeam.config import Config, Priority, Workspace
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.operators import Accounting
-from vanillabeam.reuse import CacheReuse
 from vanillabeam.targets import Permit, RouteRequest
 
 if TYPE_CHECKING:
@@ -31,7 +31,7 @@
 class Entry:
     """Run callers' requests on this VM.
 
-    Implements :class:`~vanillabeam.callers.EntryInterface`.
+    Implements :class:`~vanillabeam.callers.app.EntryInterface`.
 
     :param components: the components of the VM.
     :param lifecycle: tracks the open requests.
--- a/src/vanillabeam/callerrequests.py
+++ b/src/vanillabeam/callers/requests.py
@@ -8,10 +8,10 @@
 
 from vanillabeam.answers import PromptRequest, ServiceRequest
 from vanillabeam.cache import block_ids, conversation_root, cut, salt
+from vanillabeam.callers.openai import ModelChoice, Prompt, choose_model
+from vanillabeam.callers.servicepath import ServicePath, forwardable_headers
 from vanillabeam.config import Config, Priority, Workspace
 from vanillabeam.exceptions import MalformedHeader, UnknownService, VanillabeamError
-from vanillabeam.openai import ModelChoice, Prompt, choose_model
-from vanillabeam.servicepath import ServicePath, forwardable_headers
 from vanillabeam.targets import RouteRequest
 
 __all__ = ["prompt_request", "service_request"]
--- a/src/vanillabeam/vm.py
+++ b/src/vanillabeam/vm.py
@@ -9,9 +9,8 @@
 from starlette.applications import Starlette
 
 from vanillabeam.burn import BurnCounter, Objectives
-from vanillabeam.callers import caller_app
+from vanillabeam.callers import Entry, caller_app
 from vanillabeam.components import Components
-from vanillabeam.entry import Entry
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.gauges import Gauges
 from vanillabeam.lifecycle import Lifecycle
--- a/tests/test_openai.py
+++ b/tests/callers/test_openai.py
@@ -4,15 +4,15 @@
 from returns.result import Success
 
 from tests.builders import make_workspace
-from vanillabeam.callerrequests import prompt_request
-from vanillabeam.config import Adapter, Config, Model, Priority
-from vanillabeam.openai import (
+from vanillabeam.callers.openai import (
     CHAT_PATH,
     COMPLETIONS_PATH,
     choose_model,
     model_list,
     parse_prompt,
 )
+from vanillabeam.callers.requests import prompt_request
+from vanillabeam.config import Adapter, Config, Model, Priority
 
 CONFIG = Config(
     4,
--- a/tests/test_servicepath.py
+++ b/tests/callers/test_servicepath.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings, strategies as st
 from returns.result import Success
 
-from vanillabeam.servicepath import forwardable_headers, parse_service_path
+from vanillabeam.callers.servicepath import forwardable_headers, parse_service_path
 
 
 def path_of(raw, query=b""):
--- a/tests/log/test_seeds.py
+++ b/tests/log/test_seeds.py
@@ -11,7 +11,7 @@
 from hashlib import sha256
 
 if "loaded" in sys.argv:
-    import tests.test_openai
+    import tests.callers.test_openai
     import tests.platform.standin
 
 from tests.log.test_runs import Runs, explore
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,16 +20,16 @@
     """,
     "settings": "logs reference settings settingschecks settingsrecords",
     "connections": """
-        httpread httpserver limits listeners middleware peerhttp ports servicepath tls
+        httpread httpserver limits listeners middleware peerhttp ports tls
     """,
     "parts": """
         admission answers burn cache claims control fleet forwarding imports
-        lifecycle log members openai orders readiness remotemembers routing spread store
+        lifecycle log members orders readiness remotemembers routing spread store
         targets tickets
     """,
     "assembly": "components fleetvm",
     "faces": """
-        callerrequests callers entry gauges operators reuse streaming targetapp
+        callers gauges operators targetapp
     """,
     "programs": "cli daemon platform vm",
 }
@@ -37,10 +37,9 @@
 #: (docs/design/faces.md). Neither uses the other's.
 SYSTEMS = {
     "a system of its own": """
-        admission answers blocks burn cache callerrequests callers claims components
-        config control daemon entry gauges imports members metrics middleware openai
-        operators orders remotemembers reuse routing servicepath spread store streaming
-        targetapp targets targetwire tickets vm
+        admission answers blocks burn cache callers claims components config control
+        daemon gauges imports members metrics middleware operators orders remotemembers
+        routing spread store targetapp targets targetwire tickets vm
     """,
     "a fleet on the platform": """
         counters earlysignals fleet fleetvm forwarding platform ports refusals
