Files of a replica apart from its main loop

`log.loop` was 439 lines with two jobs: the loop, and what it reads from and writes to the data folder. Tests and the log's measurement import it from there. No behaviour changes.

`log.node` (434 lines) stays as it is: its handlers share its state.

Ran: tests/log, tests/test_layers.py, tests/bench/test_tool.py.

--- a/bench/log.py
+++ b/bench/log.py
@@ -17,7 +17,7 @@
 from vanillabeam.exceptions import Run, VanillabeamError
 from vanillabeam.log import Address, LogNode, LogSettings, group_folder
 from vanillabeam.log.folder import DiskFolder
-from vanillabeam.log.loop import load_replica
+from vanillabeam.log.persistence import load_replica
 from vanillabeam.log.records import DEFAULT_SETTINGS
 from vanillabeam.log.storage import open_storage
 
--- a/src/vanillabeam/log/loop.py
+++ b/src/vanillabeam/log/loop.py
@@ -1,6 +1,5 @@
 """Main loop of a replica: handles events and executes their effects."""
 
-import random
 from contextlib import suppress
 from functools import partial
 from typing import NamedTuple
@@ -10,9 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from vanillabeam.exceptions import InvariantBroken
-from vanillabeam.log.contents import Contents
 from vanillabeam.log.core import handle, next_tick_s
-from vanillabeam.log.entries import EntryLog
 from vanillabeam.log.events import (
     Apply,
     Effect,
@@ -42,10 +39,15 @@
     store_bootstrap,
     store_promise,
 )
-from vanillabeam.log.messages import Envelope, SnapshotChunk
+from vanillabeam.log.messages import Envelope
 from vanillabeam.log.outbox import Outbox
+from vanillabeam.log.persistence import (
+    load_replica,
+    make_chunk,
+    persist_effects,
+    take_snapshot,
+)
 from vanillabeam.log.records import (
-    LogSettings,
     Snapshot,
     StateMachine,
 )
@@ -54,13 +56,7 @@
 from vanillabeam.log.storage import Storage
 from vanillabeam.log.waiters import Waiters
 
-__all__ = [
-    "ReplicaLoop",
-    "EventBatch",
-    "persist_effects",
-    "load_replica",
-    "take_snapshot",
-]
+__all__ = ["EventBatch", "ReplicaLoop"]
 
 INBOX_ITEMS = 1024
 
@@ -78,77 +74,6 @@
     answer: trio.MemorySendChannel[list[Envelope]] | None = None
 
 
-def load_replica(
-    storage: Storage,
-    contents: Contents,
-    settings: LogSettings,
-    rng: random.Random,
-    now_s: float,
-    kind: type[Replica] = Replica,
-) -> Replica:
-    """Return the replica state for the contents of a data folder.
-
-    Without a group id the contents are ignored, because only an interrupted
-    bootstrap leaves entries there.
-
-    :param now_s: monotonic time in seconds.
-    :param kind: class of the replica state.
-    """
-    identity = storage.identity
-    if not identity["group_id"]:
-        contents = Contents(identity)
-    return kind(
-        identity["member_id"],
-        identity["group_id"],
-        settings,
-        rng,
-        EntryLog(contents.snapshot, list(contents.entries)),
-        term=contents.term,
-        voted_for=contents.voted_for,
-        commit=contents.commit,
-        now_s=now_s,
-    )
-
-
-def persist_effects(
-    storage: Storage, effects: list[Effect], state: Replica
-) -> Result[None, LogError]:
-    """Store and sync the data of a batch of effects, log records in one write."""
-    result: Result[None, LogError] = Success(None)
-    joined = [effect for effect in effects if isinstance(effect, SaveGroupId)]
-    if joined:
-        result = storage.save_identity(group_id=joined[-1].group_id)
-    snapshots = [e for e in effects if isinstance(e, SaveSnapshot)]
-    if snapshots and isinstance(result, Success):
-        return _save_snapshot(storage, snapshots[-1].snapshot, state)
-    records = [e for e in effects if isinstance(e, SaveTerm | SaveEntries)]
-    if records and isinstance(result, Success):
-        return storage.write(records, state.commit)
-    return result
-
-
-def take_snapshot(
-    storage: Storage, state: Replica, data: bytes
-) -> Result[None, LogError]:
-    """Store a snapshot of the state machine at the applied index.
-
-    :param data: what :meth:`StateMachine.snapshot` returned.
-    """
-    index = state.applied
-    term = state.log.term_at(index)
-    membership = state.log.membership_at(index)
-    return _save_snapshot(storage, Snapshot(index, term, membership, data), state)
-
-
-def _save_snapshot(
-    storage: Storage, snapshot: Snapshot, state: Replica
-) -> Result[None, LogError]:
-    entries = state.log.after(snapshot.index)
-    return storage.save_snapshot(
-        snapshot, state.term, state.voted_for, entries, state.commit
-    )
-
-
 class ReplicaLoop:
     """Runs a replica with its storage and its state machine.
 
@@ -419,21 +344,3 @@
 
 
 _STORED = (SaveTerm, SaveEntries, SaveSnapshot, SaveGroupId)
-
-
-def make_chunk(
-    term: int, storage: Storage, effect: SendChunk, data: bytes
-) -> SnapshotChunk:
-    """Return the message with a chunk of the newest snapshot."""
-    snapshot = storage.snapshot
-    return SnapshotChunk(
-        term,
-        snapshot.index,
-        snapshot.term,
-        snapshot.membership,
-        effect.offset,
-        data,
-        storage.snapshot_bytes,
-        storage.snapshot_crc,
-        effect.round,
-    )
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -29,13 +29,14 @@
 )
 from vanillabeam.log.folder import DiskFolder, Folder
 from vanillabeam.log.founding import BootstrapPromise
-from vanillabeam.log.loop import EventBatch, ReplicaLoop, load_replica
+from vanillabeam.log.loop import EventBatch, ReplicaLoop
 from vanillabeam.log.messages import (
     Envelope,
     decode_message_batch,
     encode_message_batch,
 )
 from vanillabeam.log.outbox import Outbox
+from vanillabeam.log.persistence import load_replica
 from vanillabeam.log.records import (
     DEFAULT_SETTINGS,
     Address,
--- a/tests/log/cluster.py
+++ b/tests/log/cluster.py
@@ -34,12 +34,6 @@
     TransferLeadership,
 )
 from vanillabeam.log.founding import BootstrapGroup, bootstrap_contents, store_bootstrap
-from vanillabeam.log.loop import (
-    load_replica,
-    make_chunk,
-    persist_effects,
-    take_snapshot,
-)
 from vanillabeam.log.members import losses_left
 from vanillabeam.log.messages import (
     Envelope,
@@ -47,6 +41,12 @@
     decode_message_batch,
     encode_message_batch,
 )
+from vanillabeam.log.persistence import (
+    load_replica,
+    make_chunk,
+    persist_effects,
+    take_snapshot,
+)
 from vanillabeam.log.records import LogSettings, Member, Membership
 from vanillabeam.log.replica import Replica
 from vanillabeam.log.snapshots import is_sending_snapshot
--- a/tests/log/test_bootstrap.py
+++ b/tests/log/test_bootstrap.py
@@ -10,7 +10,8 @@
 from vanillabeam.log.bootstrap import GROUP_ID_BYTES
 from vanillabeam.log.exceptions import StorageFailed
 from vanillabeam.log.founding import BootstrapGroup, BootstrapPromise
-from vanillabeam.log.loop import ReplicaLoop, load_replica
+from vanillabeam.log.loop import ReplicaLoop
+from vanillabeam.log.persistence import load_replica
 from vanillabeam.log.records import Member, Membership
 from vanillabeam.log.storage import open_storage
 
