Checks of the store's core and records of the block cache in modules of their own

What the core refuses, and what can't be, is `store.checks`; settings and report of the cache are `cache.records`. Moved unchanged but for names that are now shared. No behaviour changes.

--- a/src/vanillabeam/cache/__init__.py
+++ b/src/vanillabeam/cache/__init__.py
@@ -12,7 +12,8 @@
 )
 from vanillabeam.cache.costs import Prices
 from vanillabeam.cache.lookup import LookupResult, StoreAddress
-from vanillabeam.cache.shell import Cache, CacheReport, CacheSettings
+from vanillabeam.cache.records import CacheReport, CacheSettings
+from vanillabeam.cache.shell import Cache
 from vanillabeam.cache.transferrecords import TargetRef
 
 __all__ = [
--- a/src/vanillabeam/store/core.py
+++ b/src/vanillabeam/store/core.py
@@ -8,12 +8,18 @@
 from itertools import islice
 
 from vanillabeam.blocks import (
-    MAX_BLOCKS,
-    chain_prefix,
-    is_block_id,
     workspace_tag_of,
 )
 from vanillabeam.exceptions import InvariantBroken, VanillabeamError
+from vanillabeam.store.checks import (
+    check_quota,
+    find_refusal,
+    is_in_force,
+    is_over_quota,
+    require_block,
+    require_upload,
+    write_refusal,
+)
 from vanillabeam.store.eviction import (
     drop_memory_copies,
     evict_for_quota,
@@ -23,10 +29,8 @@
     trim_workspace,
 )
 from vanillabeam.store.exceptions import (
-    BlockBusy,
     BlockUnknown,
     ChecksumMismatch,
-    HeaderInvalid,
     NotWorthKeeping,
     QuotaExceeded,
     StoreFull,
@@ -92,7 +96,7 @@
 
 @handle.register
 def _(event: WriteBegun, state: StoreState, now_s: float) -> list[Effect]:
-    failure = _write_refusal(event, state)
+    failure = write_refusal(event, state)
     if failure is not None:
         return _refuse(state, failure)
     if event.block_id in state.blocks:
@@ -109,18 +113,18 @@
     state.writing[event.block_id] = block
     state.used[block.workspace] += block.length
     adjust_usage(state, block, block.in_memory, block.on_disk)
-    _check_quota(state, block)
+    check_quota(state, block)
     return [*effects, WriteAccepted(block.block_id, block.generation, block.in_memory)]
 
 
 @handle.register
 def _(event: WriteEnded, state: StoreState, now_s: float) -> list[Effect]:
-    block = _require_upload(state, event.block_id, event.generation)
+    block = require_upload(state, event.block_id, event.generation)
     del state.writing[event.block_id]
     failure: VanillabeamError | None = None
     if (event.length, event.checksum) != (block.length, block.checksum):
         failure = ChecksumMismatch(f"{event.length} bytes of {block.length}")
-    elif not _is_in_force(state, block.block_id):
+    elif not is_in_force(state, block.block_id):
         failure = WorkspaceNotInForce()
     if failure is not None:
         return free(state, block) + _refuse(state, failure)
@@ -134,7 +138,7 @@
 
 @handle.register
 def _(event: WriteAborted, state: StoreState, now_s: float) -> list[Effect]:
-    block = _require_upload(state, event.block_id, event.generation)
+    block = require_upload(state, event.block_id, event.generation)
     del state.writing[event.block_id]
     state.counts["aborted"] += 1
     effects = free(state, block)
@@ -168,12 +172,12 @@
 
 @handle.register
 def _(event: ReadEnded, state: StoreState, now_s: float) -> list[Effect]:
-    return release_hold(state, _require_block(state, event.block_id, event.generation))
+    return release_hold(state, require_block(state, event.block_id, event.generation))
 
 
 @handle.register
 def _(event: ReadFailed, state: StoreState, now_s: float) -> list[Effect]:
-    block = _require_block(state, event.block_id, event.generation)
+    block = require_block(state, event.block_id, event.generation)
     state.counts["damaged"] += 1
     if block.state is not BlockState.SEALED:
         return []
@@ -182,7 +186,7 @@
 
 @handle.register
 def _(event: Persisted, state: StoreState, now_s: float) -> list[Effect]:
-    block = _require_block(state, event.block_id, event.generation)
+    block = require_block(state, event.block_id, event.generation)
     if not block.persisting:
         raise InvariantBroken("a disk write ended that had not begun")
     block.persisting = False
@@ -205,9 +209,9 @@
     is_stored = event.block_id in state.blocks or event.block_id in state.writing
     fits = state.disk_used + event.length <= state.limits.disk_bytes
     expired = event.idle_s > state.limits.ttl_s
-    if is_stored or not fits or expired or not _is_in_force(state, event.block_id):
+    if is_stored or not fits or expired or not is_in_force(state, event.block_id):
         return drop
-    if _is_over_quota(state, block.workspace, event.length):
+    if is_over_quota(state, block.workspace, event.length):
         return drop
     block.on_disk = True
     block.used_s = now_s - event.idle_s
@@ -219,7 +223,7 @@
 
 @handle.register
 def _(event: FindRequested, state: StoreState, now_s: float) -> list[Effect]:
-    failure = _find_refusal(event, state)
+    failure = find_refusal(event, state)
     if failure is not None:
         return _refuse(state, failure)
     blocks = [state.blocks.get(block_id) for block_id in event.block_ids]
@@ -289,31 +293,6 @@
     return effects
 
 
-def _write_refusal(event: WriteBegun, state: StoreState) -> VanillabeamError | None:
-    if not is_block_id(event.block_id):
-        return HeaderInvalid("the path does not end in a block id")
-    if not 0 < event.length <= state.limits.max_block_bytes:
-        return HeaderInvalid(f"{event.length} bytes is no length of a block")
-    if event.parent and chain_prefix(event.parent) != chain_prefix(event.block_id):
-        return HeaderInvalid("the parent is of another chain")
-    if not _is_in_force(state, event.block_id):
-        return WorkspaceNotInForce()
-    if event.block_id in state.writing:
-        return BlockBusy()
-    return None
-
-
-def _find_refusal(event: FindRequested, state: StoreState) -> VanillabeamError | None:
-    block_ids = event.block_ids
-    if not 0 < len(block_ids) <= MAX_BLOCKS or not all(map(is_block_id, block_ids)):
-        return HeaderInvalid("not a list of block ids")
-    if len({chain_prefix(block_id) for block_id in block_ids}) > 1:
-        return HeaderInvalid("the blocks are of several chains")
-    if not _is_in_force(state, block_ids[0]):
-        return WorkspaceNotInForce()
-    return None
-
-
 def _admit(
     state: StoreState, block: Block, now_s: float, effects: list[Effect]
 ) -> VanillabeamError | None:
@@ -371,34 +350,6 @@
     reuse.record_idle_start(workspace)
 
 
-def _check_quota(state: StoreState, block: Block) -> None:
-    if _is_over_quota(state, block.workspace, 0):
-        raise InvariantBroken("a workspace is above its quota")
-
-
-def _is_over_quota(state: StoreState, workspace: str, added_bytes: int) -> bool:
-    quota = (state.quotas or {}).get(workspace, 0)
-    return 0 < quota < state.used[workspace] + added_bytes
-
-
-def _is_in_force(state: StoreState, block_id: str) -> bool:
-    return state.quotas is None or workspace_tag_of(block_id) in state.quotas
-
-
-def _require_upload(state: StoreState, block_id: str, generation: int) -> Block:
-    block = state.writing.get(block_id)
-    if block is None or block.generation != generation:
-        raise InvariantBroken(f"no upload of {block_id} is under way")
-    return block
-
-
-def _require_block(state: StoreState, block_id: str, generation: int) -> Block:
-    block = state.find(block_id, generation)
-    if block is None or block.state is BlockState.FREED:
-        raise InvariantBroken(f"block {block_id} was freed while it was held")
-    return block
-
-
 def _refuse(state: StoreState, failure: VanillabeamError) -> list[Effect]:
     state.counts[failure.type] += 1
     return [Refused(failure)]
