Test the fencing number's raise on the real log of three control VMs

A worker that refuses numbers below 1,000 gets a second order, above it, and each control VM holds the offset.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -28,6 +28,7 @@
     :ivar script: the next answers; each is a function of the request's headers and
         ``send``.
     :ivar orders: weight orders that it has received.
+    :ivar fence: lowest fencing number of an order that it takes.
     """
 
     def __init__(self, name):
@@ -37,6 +38,7 @@
         self.script = []
         self.version = 1
         self.orders = []
+        self.fence = 0
         self.address = ""
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
@@ -76,6 +78,9 @@
         if path == "/api/order":
             order = json.loads(body)
             self.orders.append(order)
+            if order["fence"] < self.fence:
+                await send_answer(send, 412, b"{}")
+                return
             self.version = order["version"]
             await send_answer(send, 202, b"{}")
             return
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -176,6 +176,26 @@
     trio.run(main)
 
 
+# Guards against a 412 that is believed though a quorum follows the leader.
+def test_a_leader_that_is_fenced_orders_again_under_a_committed_number(tmp_path):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            (worker,) = await start_workers(platform, "i-1")
+            worker.fence = 1_000
+            version_order = {"model": "m", "version": 2}
+            await platform.call_control("POST", "/api/version-put", version_order)
+            await wait_until(lambda: worker.version == 2)
+            first, second = (order["fence"] for order in worker.orders)
+            assert first < 1_000 <= second
+            vms = [vm for vm, _ in platform.vms.values() if vm.control is not None]
+            assert len(vms) == 3
+            await wait_until(
+                lambda: all("fence_offset" in vm.control.machine.state for vm in vms)
+            )
+
+    trio.run(main)
+
+
 def test_the_leader_orders_targets_that_announce_only_to_other_control_vms(tmp_path):
     async def main():
         async with running_platform(tmp_path) as platform:
