Free no stored parts as outdated right after a control VM's start

After a restart of all VMs the leader lists only the targets that have announced themselves so far. If those on older weights came later, their stored parts were retired as used by nobody, and freed 15 s later, though they were in use.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -411,7 +411,10 @@
                 self._deployment = read_or_keep(self._read, state, self._deployment)
             leads = self.node.is_leader
             await self.stores.track(self._deployment.stores if leads else (), nursery)
-            await self.stores.free(self._outdated(), FETCH_LIMIT_S)
+            # Until then targets may be missing that use older weights.
+            is_complete = not self.follower.is_discovering(trio.current_time())
+            outdated = self._outdated() if is_complete else _never_outdated
+            await self.stores.free(outdated, FETCH_LIMIT_S)
             await trio.sleep(STORE_CHECK_PERIOD_S)
 
     def _outdated(self) -> Callable[[str], bool]:
@@ -454,6 +457,10 @@
         return None
 
 
+def _never_outdated(salt: str) -> bool:
+    return False
+
+
 def _seeds(cfg: FleetSettings) -> list[Address]:
     pairs = zip(cfg.seeds, cfg.seed_addresses, strict=True)
     return [Address(host, address) for host, address in pairs]
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -126,6 +126,43 @@
     trio.run(main, clock=make_clock())
 
 
+class StoresStandin:
+    """Stores that record which salts they are told are outdated."""
+
+    def __init__(self, salt):
+        self.salt = salt
+        self.told = []
+
+    async def track(self, stores, nursery):
+        pass
+
+    async def free(self, outdated, longest_fetch_s):
+        self.told.append((trio.current_time(), outdated(self.salt)))
+
+
+# Guards against stored parts that are freed while they are used: a leader that had just
+# started knew only the targets that had announced themselves first.
+def test_no_weights_are_outdated_until_all_live_targets_may_have_announced(tmp_path):
+    control = make_control(tmp_path)
+    control.node.is_leader = True
+    control.stores = StoresStandin("/m/1")
+
+    async def main():
+        control.follower._first_reply_s = trio.current_time()
+        target = make_target("t-2", versions={"m": 2})
+        control.follower.directory.update(target, trio.current_time())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(control._track_stores, nursery)
+            await trio.sleep(3.0)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=make_clock())
+    began_s = control.stores.told[0][0]
+    early = [told for at_s, told in control.stores.told if at_s < began_s + 1.5]
+    assert set(early) == {False}
+    assert control.stores.told[-1][1]
+
+
 def test_the_weights_of_a_target_that_has_ended_are_outdated_at_once(tmp_path):
     control = make_control(tmp_path)
     directory = control.follower.directory
