--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -174,8 +174,8 @@
         name, born_ms = incarnation
         return self._starts.get(name, (born_ms, False)) == (born_ms, False)
 
-    def has_ended(self, name: str) -> bool:
-        """Return whether an incarnation of this name is known to have ended."""
+    def has_ended_start(self, name: str) -> bool:
+        """Return whether some incarnation of this name is known to have ended."""
         return any(ended == name for ended, _ in self._ended)
 
     def refresh(self, name: str, last_seen_s: float) -> None:
--- a/src/vanillabeam/fleet/unlisted.py
+++ b/src/vanillabeam/fleet/unlisted.py
@@ -31,7 +31,7 @@
         for name, age_s in ages_s.items()
         if name not in directory.records
         and age_s < silence_s
-        and not directory.has_ended(name)
+        and not directory.has_ended_start(name)
     }
     for name, since_s in control_vm.unlisted_since_s.items():
         unlisted_s = now_s - since_s
