Divide the fake target and two models of bench by job

Moved out: the fake target's settings and faults (`fake_settings`), its streams' events (`fake_stream`), its block transfers (`fake_transfers`) and its calls and answers (`fake_http`); traffic and events of the two models (`placement_scenes`, `poison_scenes`).

Ran: tests/bench, tests/fakes, tests/answers, tests/test_docs.py.

--- a/bench/fake_target.py
+++ b/bench/fake_target.py
@@ -8,10 +8,8 @@
 
 from collections import Counter
 from collections.abc import AsyncIterator
-from hashlib import blake2b
 from typing import Annotated, Any
 
-import httpcore
 import msgspec
 import trio
 import typer
@@ -22,13 +20,15 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
-from bench.fake_engine import FakeEngine, FakeTargetSettings, Faults, Refusal, Run
+from bench.fake_engine import FakeEngine, Run
+from bench.fake_http import as_json, call, problem
+from bench.fake_settings import FakeTargetSettings, Faults, Refusal
+from bench.fake_stream import inject_faults, make_events, pieces_before_fault
+from bench.fake_transfers import FakeTransfers
 
 __all__ = ["FakeTarget", "FakeTargetSettings", "Faults", "serve"]
 
 KEEPALIVE_PERIOD_S = 5.0
-CALL_TIMEOUT_S = 5.0
-CHECKSUM_BYTES = 16
 GRACEFUL_TIMEOUT_S = 1.0
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 
@@ -52,6 +52,7 @@
         self.settings = settings
         self._announce_now = trio.Event()
         self.engine = FakeEngine(settings, self._request_announcement)
+        self._transfers = FakeTransfers(self.engine)
         self.executions: Counter[str] = Counter()
         self.connections = 0
         self.address = ""
@@ -82,8 +83,12 @@
                 Route("/runs/{run}", self._resume, methods=["GET"]),
                 Route("/runs/{run}", self._cancel, methods=["DELETE"]),
                 Route("/order", self._order, methods=["PUT"]),
-                Route("/blocks/export", self._export, methods=["POST"]),
-                Route("/blocks/import", self._import, methods=["POST"]),
+                Route(
+                    "/blocks/export", self._transfers.export_blocks, methods=["POST"]
+                ),
+                Route(
+                    "/blocks/import", self._transfers.import_blocks, methods=["POST"]
+                ),
                 Route("/blocks/summary", self._summary, methods=["POST"]),
                 Route("/services/{name}/{path:path}", self._service, methods=METHODS),
                 Route("/fake/command", self._command, methods=["POST"]),
@@ -109,7 +114,7 @@
         await trio.sleep(self.engine.faults.delay_s)
         run = self.engine.admit(request.headers, body)
         if isinstance(run, Refusal):
-            return _problem(run)
+            return problem(run)
         self._nursery.start_soon(self.engine.generate, run, body, request.headers)
         model = str(body["model"]).partition(":")[0]
         return self._stream(run, 0, self.engine.models[model])
@@ -117,7 +122,7 @@
     async def _resume(self, request: Request) -> Response:
         run = self.engine.runs.get(request.path_params["run"])
         if run is None or self.engine.faults.forget_runs:
-            return _problem(Refusal(404, "unknown-run"))
+            return problem(Refusal(404, "unknown-run"))
         after = int(request.query_params.get("after", "0"))
         version = next(iter(self.engine.models.values()))
         return self._stream(run, after, version)
@@ -126,7 +131,7 @@
         run_id = request.path_params["run"]
         run = self.engine.runs.pop(run_id, None)
         if run is None:
-            return _problem(Refusal(404, "unknown-run"))
+            return problem(Refusal(404, "unknown-run"))
         self.engine.cancelled.append(run_id)
         run.scope.cancel()
         return Response(status_code=204)
@@ -152,11 +157,16 @@
                 new_pieces = run.pieces[sent:]
                 if new_pieces:
                     new_pieces = (
-                        new_pieces[: _pieces_before_fault(faults, sent)]
+                        new_pieces[: pieces_before_fault(faults, sent)]
                         if is_faulty
                         else new_pieces
                     )
-                    yield b"".join(self._make_events(sent, new_pieces, is_faulty))
+                    events = make_events(sent, new_pieces)
+                    if is_faulty:
+                        events = inject_faults(
+                            events, self.engine.faults, self.engine.rng
+                        )
+                    yield b"".join(events)
                     sent += len(new_pieces)
                 elif run.done:
                     end = {"pieces": sent, "version": version, "boot_id": boot_id}
@@ -178,42 +188,24 @@
         if silenced.is_set():
             await trio.sleep_forever()
 
-    def _make_events(self, sent: int, pieces: list[bytes], faulty: bool) -> list[bytes]:
-        events = [
-            b"id: %d\ndata: %b\n\n" % (number, piece)
-            for number, piece in enumerate(pieces, sent + 1)
-        ]
-        return self._inject_faults(events) if faulty else events
-
-    def _inject_faults(self, events: list[bytes]) -> list[bytes]:
-        rng, faults = self.engine.rng, self.engine.faults
-        if not (faults.duplicate or faults.reorder or faults.lose):
-            return events
-        events = [event for event in events if rng.random() >= faults.lose]
-        for i in range(len(events) - 1):
-            if rng.random() < faults.reorder:
-                events[i], events[i + 1] = events[i + 1], events[i]
-        copies = [2 if rng.random() < faults.duplicate else 1 for _ in events]
-        return [e for e, n in zip(events, copies, strict=True) for _ in range(n)]
-
     # Orders and blocks.
 
     async def _order(self, request: Request) -> Response:
         order = msgspec.json.decode(await request.body())
         engine = self.engine
         if order["index"] < engine.order_index and self.settings.checks_fencing:
-            return _json({"status": "stale", "order_index": engine.order_index})
+            return as_json({"status": "stale", "order_index": engine.order_index})
         if engine.loading:
-            return _json({"status": "in-progress", "order_index": engine.order_index})
+            return as_json({"status": "in-progress", "order_index": engine.order_index})
         engine.order_index = order["index"]
         wanted = {name: model["version"] for name, model in order["models"].items()}
         engine.role = order["role"]
         engine.adapters = {k: a["version"] for k, a in order["adapters"].items()}
         if wanted == engine.models:
             self._request_announcement()
-            return _json({"status": "obeyed", "order_index": engine.order_index})
+            return as_json({"status": "obeyed", "order_index": engine.order_index})
         self._nursery.start_soon(self._load, wanted)
-        return _json({"status": "in-progress", "order_index": engine.order_index})
+        return as_json({"status": "in-progress", "order_index": engine.order_index})
 
     async def _load(self, models: dict[str, str]) -> None:
         changed = [m for m, v in models.items() if self.engine.models.get(m) != v]
@@ -224,74 +216,18 @@
         self.engine.go_cold()
         self._request_announcement()
 
-    async def _export(self, request: Request) -> Response:
-        return await self._transfer(request, "PUT")
-
-    async def _import(self, request: Request) -> Response:
-        return await self._transfer(request, "GET")
-
-    async def _transfer(self, request: Request, method: str) -> Response:
-        order = msgspec.json.decode(await request.body())
-        reply = {"transfer": order["transfer"], "blocks": [], "bytes": 0}
-        version = self.engine.models.get(order["model"])
-        if order["boot_id"] != self.engine.boot_id or order["version"] != version:
-            return _json({**reply, "status": "stale", "seconds": 0.0})
-        began_s = trio.current_time()
-        parent = ""
-        for block in order["blocks"]:
-            size_bytes = await self._transfer_block(
-                method, order["store"], block, parent
-            )
-            if size_bytes is None:
-                break
-            parent = block
-            reply["blocks"].append(block)
-            reply["bytes"] += size_bytes
-        seconds = trio.current_time() - began_s
-        is_complete = len(reply["blocks"]) == len(order["blocks"])
-        status = "done" if is_complete else "partial" if reply["blocks"] else "failed"
-        return _json({**reply, "status": status, "seconds": seconds})
-
-    async def _transfer_block(
-        self, method: str, store: str, block: str, parent: str
-    ) -> int | None:
-        if method == "PUT" and block not in self.engine.cache:
-            return None
-        seed = block.encode() or b"0"
-        size = self.settings.block_bytes
-        content = (seed * (size // len(seed) + 1))[:size] if method == "PUT" else None
-        headers = {} if content is None else self._block_headers(content, parent)
-        reply = await _call(method, f"http://{store}/blocks/{block}", content, headers)
-        if reply is None or reply.status >= 300:
-            return None
-        if method == "GET":
-            size = len(reply.content)
-            declared = dict(reply.headers).get(b"vanillabeam-checksum", b"").decode()
-            if declared != _checksum(reply.content):
-                return None
-            self.engine.import_blocks([block])
-        await trio.sleep(size / self.settings.link_bytes_s)
-        return size
-
-    def _block_headers(self, content: bytes, parent: str) -> dict[str, str]:
-        headers = {
-            "Vanillabeam-Checksum": _checksum(content),
-            "Vanillabeam-Tokens": str(self.settings.block_tokens),
-        }
-        return headers | ({"Vanillabeam-Parent": parent} if parent else {})
-
     async def _summary(self, request: Request) -> Response:
         contents = {"kind": "stored", "blocks": list(self.engine.cache)}
         self.engine.events.clear()
-        return _json({**self._event_head(), "events": [contents], "summary": True})
+        return as_json({**self._event_head(), "events": [contents], "summary": True})
 
     # Plain services.
 
     async def _service(self, request: Request) -> Response:
         if request.path_params["name"] != self.settings.service:
-            return _problem(Refusal(404, "unknown-service"))
+            return problem(Refusal(404, "unknown-service"))
         if self.engine.leaving:
-            return _problem(Refusal(503, "leaving"))
+            return problem(Refusal(503, "leaving"))
         body = await request.body()
         key = request.headers.get("idempotency-key", "")
         if key and self.settings.dedup_keys and key in self._answers:
@@ -319,7 +255,7 @@
             "leave": self.leave,
         }
         commands.get(message.get("command"), lambda: None)()
-        return _json({"executions": dict(self.executions)})
+        return as_json({"executions": dict(self.executions)})
 
     # Announcements and reports.
 
@@ -392,7 +328,7 @@
 
     async def _send(self, kind: str, message: dict[str, Any]) -> dict[str, Any] | None:
         url = f"http://{self.owner}/target/{kind}"
-        reply = await _call("POST", url, msgspec.json.encode(message))
+        reply = await call("POST", url, msgspec.json.encode(message))
         if reply is None or reply.status >= 300:
             return None
         try:
@@ -429,33 +365,6 @@
         task_status.started(int(address.rpartition(":")[2]))
 
 
-async def _call(
-    method: str, url: str, content: bytes | None, headers: dict[str, str] | None = None
-) -> httpcore.Response | None:
-    timeout = dict.fromkeys(("connect", "read", "write", "pool"), CALL_TIMEOUT_S)
-    try:
-        async with httpcore.AsyncConnectionPool() as pool:
-            return await pool.request(
-                method,
-                url,
-                headers=headers or {},
-                content=content,
-                extensions={"timeout": timeout},
-            )
-    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
-        return None
-
-
-def _checksum(content: bytes) -> str:
-    return blake2b(content, digest_size=CHECKSUM_BYTES).hexdigest()
-
-
-def _pieces_before_fault(faults: Faults, sent: int) -> int | None:
-    """Return how many pieces are sent before the next cut or silence."""
-    limits = [n for n in (faults.cut_after, faults.silent_after) if n is not None]
-    return min(limits) - sent if limits else None
-
-
 def _read_order(body: bytes) -> str:
     try:
         value = msgspec.json.decode(body)
@@ -464,20 +373,6 @@
     return str(value.get("order", "")) if isinstance(value, dict) else ""
 
 
-def _json(value: Any) -> Response:
-    return Response(msgspec.json.encode(value), media_type="application/json")
-
-
-def _problem(refusal: Refusal) -> Response:
-    body = msgspec.json.encode({"type": refusal.type, "status": refusal.status})
-    return Response(
-        body,
-        refusal.status,
-        headers={"vanillabeam-run": "not-run"},
-        media_type="application/problem+json",
-    )
-
-
 def main(
     listener: Annotated[
         str, typer.Option(help="host:port of a VM's listener for targets.")
--- a/bench/poison.py
+++ b/bench/poison.py
@@ -2,9 +2,10 @@
 
 import random
 from collections import Counter
-from typing import Any, NamedTuple
+from typing import Any
 
 from bench.batch_model import Clock
+from bench.poison_scenes import LARGE, POISON_FROM_S, SCENARIOS, SMALL, Scenario, Shape
 from vanillabeam import fleet
 from vanillabeam.fleet.keeper import QuarantineKeeper
 from vanillabeam.fleet.quarantine import Quarantine, apply_change
@@ -12,7 +13,7 @@
 from vanillabeam.forwarding.exchange import RETRY_DELAY_S
 from vanillabeam.forwarding.gate import TRIAL_WAIT_S, Pass, QuarantineGate, Verdict
 
-__all__ = ["LARGE", "SCENARIOS", "SMALL", "Scenario", "Shape", "run", "simulate"]
+__all__ = ["run", "simulate"]
 
 POISON = "bad"
 FIRST_PARTS = 4
@@ -27,63 +28,11 @@
 DECIDE_PERIOD_S = 0.1
 COMMIT_S = 0.03
 SPREAD_S = 0.05
-POISON_FROM_S = 3.0
 DURATION_S = 30.0
 COUNTED_ENDS = 5
 START_MS = 1_700_000_000_000
 
 
-class Shape(NamedTuple):
-    """A fleet and its traffic.
-
-    :param sound_s: sound prompts a second.
-    :param poll_s: seconds between two polls of the leader by an entry VM.
-    """
-
-    entries: int
-    targets: int
-    sound_s: float
-    poll_s: float
-    contact_s: float
-
-
-SMALL = Shape(9, 9, 30.0, 0.25, 3.0)
-LARGE = Shape(194, 59, 400.0, 0.65, 4.0)
-
-
-class Scenario(NamedTuple):
-    """Events from ``POISON_FROM_S`` on.
-
-    :param poison_s: prompts with the part a second.
-    :param killed: times at which targets are killed, and the share of them.
-    :param flap_s: mean seconds for which each target runs; 0 if it doesn't end.
-    :param lost: share of answers that are lost while their target goes on.
-    :param hot: share of the prompts that have the same first part.
-    """
-
-    poison_s: float = 0.0
-    killed: tuple[tuple[float, float], ...] = ()
-    flap_s: float = 0.0
-    lost: float = 0.0
-    hot: float = 0.25
-
-
-SCENARIOS = {
-    "part, 7 a second": Scenario(7.0),
-    "part, 0.3 a second": Scenario(0.3),
-    "part, 30 a second": Scenario(30.0),
-    "part beside targets that flap": Scenario(2.0, flap_s=6.0),
-    "half killed at once": Scenario(killed=((4.0, 0.5),)),
-    "killed in series": Scenario(killed=tuple((4 + 0.3 * n, 0.2) for n in range(20))),
-    "all killed, hot part": Scenario(
-        killed=((4.0, 1.0), (9.0, 1.0), (14.0, 1.0)), hot=0.8
-    ),
-    "targets flap": Scenario(flap_s=4.0),
-    "targets flap fast, hot part": Scenario(flap_s=0.7, hot=0.8),
-    "answers lost": Scenario(lost=0.5),
-}
-
-
 class _Target:
     """A place whose target starts again some time after each end."""
 
--- a/tests/bench/test_placement.py
+++ b/tests/bench/test_placement.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from bench.placement import KINDS, POLICIES, FleetShape, Scenario, simulate
+from bench.placement import POLICIES, simulate
+from bench.placement_scenes import KINDS, FleetShape, Scenario
 
 HEAVY = Scenario(duration_s=12.0, load=1.5, returns_s=6.0)
 MORE_SEEDS = range(1, 9)
--- a/tests/bench/test_poison.py
+++ b/tests/bench/test_poison.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from bench.poison import LARGE, SCENARIOS, SMALL, simulate
+from bench.poison import simulate
+from bench.poison_scenes import LARGE, SCENARIOS, SMALL
 
 #: Prompts with the part that may reach targets after contact_ms from the fifth end on.
 MAX_LATE_ARRIVALS = 3
