A member's reply to its leader is recorded in one place

`on_append_reply` and `on_chunk_reply` began with the same five lines: is this replica the leader, does it know the member, when and in which round did it reply. They are now `Replica.record_reply`. No behaviour changes.

--- a/src/vanillabeam/log/replica.py
+++ b/src/vanillabeam/log/replica.py
@@ -233,6 +233,19 @@
             self.leader_contact_s = now_s
         self.restart_election_timer(now_s)
 
+    def record_reply(self, sender: str, round_: int, now_s: float) -> Progress | None:
+        """Record a member's reply to its leader.
+
+        :param round_: heartbeat round that the member replies to.
+        :returns: the member's progress, ``None`` if this replica does not lead it.
+        """
+        progress = self.progress.get(sender)
+        if self.role is not Role.LEADER or progress is None:
+            return None
+        progress.last_contact_s = now_s
+        progress.round = max(progress.round, round_)
+        return progress
+
     def append_entries(self, entries: list[Entry]) -> SaveEntries:
         """Append entries to the log, after removing entries that conflict.
 
--- a/src/vanillabeam/log/replication.py
+++ b/src/vanillabeam/log/replication.py
@@ -198,11 +198,9 @@
     message: AppendReply, sender: str, state: Replica, now_s: float
 ) -> list[Effect]:
     """Update a member's progress, then the commit index and pending reads."""
-    progress = state.progress.get(sender)
-    if state.role is not Role.LEADER or progress is None:
+    progress = state.record_reply(sender, message.round, now_s)
+    if progress is None:
         return []
-    progress.last_contact_s = now_s
-    progress.round = max(progress.round, message.round)
     if not message.success:
         if message.hint >= progress.match_index and progress.snapshot_offset is None:
             progress.next_index = min(message.hint, progress.next_index - 1) + 1
--- a/src/vanillabeam/log/snapshots.py
+++ b/src/vanillabeam/log/snapshots.py
@@ -86,11 +86,9 @@
     message: SnapshotReply, sender: str, state: Replica, now_s: float
 ) -> list[Effect]:
     """Continue with the next chunk, or with log entries after the last one."""
-    progress = state.progress.get(sender)
-    if state.role is not Role.LEADER or progress is None:
+    progress = state.record_reply(sender, message.round, now_s)
+    if progress is None:
         return []
-    progress.last_contact_s = now_s
-    progress.round = max(progress.round, message.round)
     if not message.done:
         repeated = message.offset == progress.snapshot_offset
         if progress.snapshot_offset is not None and not repeated:
