Calls that a replica's loop answers apart from its shell

No behaviour changes: each call reads the node's loop once, as before, with no await between.

Ran: tests/log, tests/fleet, tests/test_layers.py, tests/fakes, tests/answers.

--- a/bench/fake_target.py
+++ b/bench/fake_target.py
@@ -156,11 +156,8 @@
                 await self._break_connection(silenced, sent if is_faulty else -1)
                 new_pieces = run.pieces[sent:]
                 if new_pieces:
-                    new_pieces = (
-                        new_pieces[: pieces_before_fault(faults, sent)]
-                        if is_faulty
-                        else new_pieces
-                    )
+                    if is_faulty:
+                        new_pieces = new_pieces[: pieces_before_fault(faults, sent)]
                     events = make_events(sent, new_pieces)
                     if is_faulty:
                         events = inject_faults(
--- a/src/vanillabeam/log/__init__.py
+++ b/src/vanillabeam/log/__init__.py
@@ -8,7 +8,8 @@
 from vanillabeam.log.check import FolderView, GroupCheck, check, show
 from vanillabeam.log.client import LogClient
 from vanillabeam.log.exceptions import LogError
-from vanillabeam.log.node import LogNode, group_folder
+from vanillabeam.log.folder import group_folder
+from vanillabeam.log.node import LogNode
 from vanillabeam.log.records import (
     Address,
     Applied,
--- a/src/vanillabeam/log/folder.py
+++ b/src/vanillabeam/log/folder.py
@@ -4,11 +4,16 @@
 from pathlib import Path
 from typing import Protocol
 
-__all__ = ["DiskFolder", "Folder", "ReadFolder"]
+__all__ = ["DiskFolder", "Folder", "ReadFolder", "group_folder"]
 
 TEMPORARY_SUFFIX = ".tmp"
 
 
+def group_folder(data_folder: Path, group: str) -> Path:
+    """Return the folder with the files of a group's replica."""
+    return data_folder / "log" / group
+
+
 class Folder(Protocol):
     """A flat folder of files. Every method may raise :class:`OSError`."""
 
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -12,7 +12,6 @@
 from vanillabeam import wire
 from vanillabeam.exceptions import (
     InvariantBroken,
-    MalformedBody,
     VanillabeamError,
 )
 from vanillabeam.log.bootstrap import Bootstrapper, is_initial
@@ -23,13 +22,16 @@
 from vanillabeam.log.exceptions import (
     DataFolderDamaged,
     LogError,
-    OutcomeUnknown,
     ReplicaStopped,
     StorageFailed,
 )
-from vanillabeam.log.folder import DiskFolder, Folder
-from vanillabeam.log.founding import BootstrapPromise
+from vanillabeam.log.folder import DiskFolder, Folder, group_folder
 from vanillabeam.log.loop import EventBatch, ReplicaLoop
+from vanillabeam.log.loopcalls import (
+    exchange_messages,
+    promise_bootstrap,
+    submit_request,
+)
 from vanillabeam.log.messages import (
     Envelope,
     decode_message_batch,
@@ -49,11 +51,9 @@
     IdentityReply,
     IdentityRequest,
     LogStatus,
-    Outcome,
     failure_outcome,
     identity_path,
     messages_path,
-    request_event,
     request_path,
     status_path,
 )
@@ -62,7 +62,7 @@
 from vanillabeam.log.waiters import Waiters
 from vanillabeam.peercall import PeerCall, PeerRoutes
 
-__all__ = ["LogNode", "group_folder", "make_random_id"]
+__all__ = ["LogNode", "make_random_id"]
 
 ID_BYTES = 8
 #: Seconds between two attempts to use a data folder that has failed.
@@ -76,11 +76,6 @@
     return secrets.token_hex(ID_BYTES)
 
 
-def group_folder(data_folder: Path, group: str) -> Path:
-    """Return the folder with the files of a group's replica."""
-    return data_folder / "log" / group
-
-
 class LogNode:
     """One replica of a group.
 
@@ -316,7 +311,7 @@
             self._call,
             nursery,
             self._receive_replies,
-            self._peer_timeout_s,
+            ANSWER_ELECTIONS * self.settings.election_s,
             self.settings.slowest_bytes_s,
         )
         loop = ReplicaLoop(replica, storage, self._machine, self._waiters, outbox)
@@ -327,10 +322,6 @@
             return Failure(ReplicaStopped(f"{exc.type}: {exc}"))
         return Success(loop)
 
-    @property
-    def _peer_timeout_s(self) -> float:
-        return ANSWER_ELECTIONS * self.settings.election_s
-
     def _make_bootstrapper(self) -> Bootstrapper:
         stored = self._loop.storage.identity.get("initial")
         return Bootstrapper(
@@ -368,38 +359,22 @@
         envelopes = decoded.unwrap()
         if self._loop is None:
             return Failure(ReplicaStopped())
-        if not envelopes:
-            return Success(encode_message_batch([]))
-        send, receive = trio.open_memory_channel[list[Envelope]](1)
-        events = tuple(Received(envelope) for envelope in envelopes)
-        put = await self._loop.put(EventBatch(events, envelopes[0].sender, send))
-        if isinstance(put, Failure):
-            return put
-        return Success(encode_message_batch(await receive.receive()))
+        answered = await exchange_messages(self._loop, envelopes)
+        return answered.map(encode_message_batch)
 
     async def _on_request(self, body: bytes) -> Result[bytes, VanillabeamError]:
         decoded = wire.decode(GroupRequest, body)
         if isinstance(decoded, Failure):
             return decoded
-        outcome = await self._submit(decoded.unwrap())
-        return outcome.map(wire.encode)
-
-    async def _submit(self, request: GroupRequest) -> Result[Outcome, MalformedBody]:
         if self._loop is None:
-            return Success(failure_outcome(ReplicaStopped()))
-        request_id, answers = self._waiters.add()
-        event = request_event(request, request_id)
-        if event is None:
-            self._waiters.drop(request_id)
-            return Failure(MalformedBody(f"{request['kind']} lacks a field"))
-        put = await self._loop.put(EventBatch((event,)))
-        if isinstance(put, Failure):
-            self._waiters.drop(request_id)
-            return Success(failure_outcome(put.failure()))
-        with trio.move_on_after(self.settings.propose_timeout_s):
-            return Success(await answers.receive())
-        self._waiters.drop(request_id)
-        return Success(failure_outcome(OutcomeUnknown("not committed in time")))
+            return Success(wire.encode(failure_outcome(ReplicaStopped())))
+        outcome = await submit_request(
+            self._loop,
+            self._waiters,
+            decoded.unwrap(),
+            self.settings.propose_timeout_s,
+        )
+        return outcome.map(wire.encode)
 
     async def _on_identity(self, body: bytes) -> Result[bytes, VanillabeamError]:
         decoded = wire.decode(IdentityRequest, body)
@@ -408,7 +383,7 @@
         if self._loop is None or self._bootstrapper is None:
             return Failure(ReplicaStopped())
         founder = decoded.unwrap()["founder"]
-        if founder and not await self._promise(founder):
+        if founder and not await promise_bootstrap(self._loop, founder):
             return Failure(ReplicaStopped())
         state = self._loop.replica
         reply = IdentityReply(
@@ -418,17 +393,5 @@
         )
         return Success(wire.encode(reply))
 
-    async def _promise(self, founder: str) -> bool:
-        """Return whether the promise to leave the bootstrap to a VM is stored."""
-        send, receive = trio.open_memory_channel[None](1)
-        put = await self._loop.put(BootstrapPromise(founder, send))
-        if isinstance(put, Failure):
-            return False
-        try:
-            await receive.receive()
-        except trio.EndOfChannel:
-            return False
-        return True
-
     async def _on_status(self, body: bytes) -> Result[bytes, VanillabeamError]:
         return Success(wire.encode(self.status()))
--- a/tests/log/test_storage.py
+++ b/tests/log/test_storage.py
@@ -8,8 +8,7 @@
 from vanillabeam.log.contents import read_contents, segment_name
 from vanillabeam.log.events import SaveEntries, SaveTerm
 from vanillabeam.log.exceptions import DataFolderDamaged, StorageFailed
-from vanillabeam.log.folder import DiskFolder
-from vanillabeam.log.node import group_folder
+from vanillabeam.log.folder import DiskFolder, group_folder
 from vanillabeam.log.records import Entry, EntryKind, Snapshot
 from vanillabeam.log.storage import open_storage
 
