Count only orders that wait among the waits for runs

Callers saw: nothing yet; found in review of the choice between waiting and changing weights under runs.

Cause: a target whose runs go on beside its load (retain) reports runs while it is busy. That counted as a wait, so the load seemed short, reports were asked for too early and too much time seemed left for later rounds.

Change: only orders that say wait are counted.

--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -264,6 +264,7 @@
     ) -> None:
         fence = self._right.fence
         order = WeightsOrder(model, run.version, self._control.cfg.vm, fence, strategy)
+        self._waits.start(target.incarnation, strategy)
         reply = await self._orders.load_weights(target, order, run.sequence)
         now_s = trio.current_time()
         run.record_reply(reply, now_s)
--- a/src/vanillabeam/fleet/runwaits.py
+++ b/src/vanillabeam/fleet/runwaits.py
@@ -41,6 +41,7 @@
     """Times for which targets have waited for their runs in the rollout of a version.
 
     >>> waits = RunWaits()
+    >>> waits.start(("t-1", 1_000), Strategy.WAIT)
     >>> waits.record(("t-1", 1_000), "m", version=2, waited_s=1.5)
     >>> waits.expected_s("m", version=2)
     3.0
@@ -53,11 +54,17 @@
         #: Wait of each order that goes on.
         self._waited_s: dict[Incarnation, float] = {}
 
+    def start(self, incarnation: Incarnation, strategy: Strategy) -> None:
+        """Record that a target gets an order; only some orders wait for runs."""
+        self.finish(incarnation)
+        if strategy is Strategy.WAIT:
+            self._waited_s[incarnation] = 0.0
+
     def record(
         self, incarnation: Incarnation, model: str, version: int, waited_s: float
     ) -> None:
-        """Record that a target has waited for this long and still waits."""
-        if self._begin(model, version):
+        """Record that a target has waited for this long and still has runs."""
+        if incarnation in self._waited_s and self._begin(model, version):
             self._ongoing_s[model][incarnation] = waited_s
 
     def end_wait(self, incarnation: Incarnation) -> None:
@@ -65,9 +72,8 @@
         for model, ongoing_s in self._ongoing_s.items():
             waited_s = ongoing_s.pop(incarnation, 0.0)
             self._ended_s[model] = max(self._ended_s[model], waited_s)
-            self._waited_s[incarnation] = max(
-                waited_s, self._waited_s.get(incarnation, 0.0)
-            )
+            if waited_s > self._waited_s.get(incarnation, 0.0):
+                self._waited_s[incarnation] = waited_s
 
     def finish(self, incarnation: Incarnation) -> float:
         """Record the end of an order; return for how long the target waited."""
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -352,3 +352,22 @@
     assert len(fleet.loaded()) == 9
     assert {each.sequence for each in fleet.targets.values()} == {1}
     assert len(fleet.orders()) == 9
+
+
+# Guards against loads that seem short, as runs went on beside them.
+def test_the_time_of_a_load_counts_where_runs_are_kept():
+    def make():
+        fleet = make_fleet(9, runs_s=12.0)
+        routes = (make_stream(), make_stream(resumable=False))
+        fleet.control.deployment = make_deployment(routes=routes)
+        return fleet
+
+    seen = []
+
+    async def look(fleet):
+        while len(fleet.loaded()) < 6:
+            await trio.sleep(0.05)
+            seen.append(fleet.rollout._plan._load_s)
+
+    play(make, 40.0, look)
+    assert min(each for each in seen if each is not None) >= LOAD_S
--- a/tests/fleet/test_runwaits.py
+++ b/tests/fleet/test_runwaits.py
@@ -16,8 +16,24 @@
 STREAM = make_route(kind=RouteKind.STREAM, attempts=2)
 
 
-def test_a_wait_that_goes_on_is_expected_to_last():
+def make_waits():
     waits = RunWaits()
+    for incarnation in (ONE, OTHER):
+        waits.start(incarnation, Strategy.WAIT)
+    return waits
+
+
+# Guards against loads that count as waits, as runs go on beside them.
+def test_runs_that_are_kept_are_not_waited_for():
+    waits = RunWaits()
+    waits.start(ONE, Strategy.RETAIN)
+    waits.record(ONE, "m", 2, 3.0)
+    assert waits.expected_s("m", 2) == 0.0
+    assert waits.finish(ONE) == 0.0
+
+
+def test_a_wait_that_goes_on_is_expected_to_last():
+    waits = make_waits()
     assert waits.expected_s("m", 2) == 0.0
     waits.record(ONE, "m", 2, 1.5)
     waits.record(OTHER, "m", 2, 2.0)
@@ -31,7 +47,7 @@
 
 # Guards against a belief that no later rollout ends.
 def test_the_waits_of_an_older_version_say_nothing_of_the_next():
-    waits = RunWaits()
+    waits = make_waits()
     waits.record(ONE, "m", 2, 8.0)
     assert waits.expected_s("m", 3) == 0.0
     waits.record(ONE, "m", 2, 9.0)
