Serve only by a state that is likely to be the newest after a start

What callers saw, or could have: after a restart of an entry VM, a key that had been withdrawn, or a route that had been dropped, was in use again for a moment.

Cause: the VM reported itself ready once most control VMs had answered, but served requests by the first state that it heard, and the first control VM that answers may be behind: paused, cut off, or itself just started.

Evidence: tests/fleet/test_follower.py and tests/forwarding/test_app.py, with the condition that the application asked before: the state of one control VM alone was in force ('assert not is_current' failed), and the request was admitted (UnwrapFailedError on failure()).

Change: requests wait, and are refused as not run, until the VM was ready once: most control VMs have answered, or had 2.5 s for it. From then on nothing changes: the state never goes back, and further control VMs that are heard of don't take the service away. Where most control VMs don't answer, a restarted VM refuses for up to 2.5 s in which it served before.

Measured: tests/platform, tests/fleet and tests/forwarding pass.

--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -107,6 +107,8 @@
     :param call: sends requests to the control VMs.
     :param read: parses an operator's document into a deployment.
     :ivar view: newest fleet state that a control VM has sent.
+    :ivar is_current: whether :attr:`is_ready` was true once: the state never goes back
+        from then on.
     :ivar directory: targets that announced themselves to any control VM.
     :ivar parts: copy of the leader's index of stored parts.
     :ivar entry_vms: names of the live entry VMs, this one included.
@@ -148,7 +150,8 @@
         self._paused_until_s: dict[str, float] = {}
         self._started_s = 0.0
         self._first_reply_s: float | None = None
-        self._known = trio.Event()
+        self.is_current = False
+        self._current = trio.Event()
 
     @property
     def is_ready(self) -> bool:
@@ -187,8 +190,8 @@
         return trio.current_time() - max(last_seen, default=self._started_s)
 
     async def wait_for_deployment(self) -> None:
-        """Wait until a deployment is in force."""
-        await self._known.wait()
+        """Wait until a deployment is in force that is likely to be the newest."""
+        await self._current.wait()
 
     async def wait_ready(self) -> None:
         """Wait until :attr:`is_ready` is true."""
@@ -213,6 +216,7 @@
                         nursery.start_soon(
                             keep_running, "follow", self._follow, address
                         )
+                self._update_current()
                 self._drop_silent_targets()
                 self._update_home()
                 await trio.sleep(RETRY_S)
@@ -335,10 +339,20 @@
             self._first_reply_s = now_s
         if "state" in reply:
             self._apply_state(reply)
+        self._update_current()
         self._apply_targets(reply, now_s)
         self._apply_entries(reply, control_vm, now_s)
         self._apply_addresses(reply, now_s)
 
+    def _update_current(self) -> None:
+        """Record the first time that the state is likely to be the newest.
+
+        A control VM that is behind may be the first that answers.
+        """
+        if self.is_ready:
+            self.is_current = True
+            self._current.set()
+
     def _apply_state(self, reply: WatchReply) -> None:
         view, state = self.view, reply["state"]
         if state["index"] <= view.index:
@@ -356,8 +370,6 @@
             ),
             state.get("quarantine", {}),
         )
-        if self.view.is_known:
-            self._known.set()
         log_record(
             StateInForce(
                 state["index"],
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -193,7 +193,7 @@
         """
         follower = self._resources.follower
         until_s = min(began_s + STATE_WAIT_S, self._began_s + STARTUP_S)
-        if not follower.view.is_known and trio.current_time() < until_s:
+        if not follower.is_current and trio.current_time() < until_s:
             with trio.move_on_at(until_s):
                 await follower.wait_for_deployment()
 
@@ -205,7 +205,7 @@
         :param began_s: monotonic time at which the head of the request was read.
         """
         view = self._resources.follower.view
-        if not view.is_known:
+        if not self._resources.follower.is_current:
             return Failure(StateUnknown())
         if view.deployment is not self._table.deployment:
             self._table = RouteTable(view.deployment)
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -14,6 +14,8 @@
 from vanillabeam.tasks import keep_running
 
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+#: Addresses of control VMs that answer later than the first one.
+LATER = ("10.0.0.2:7", "10.0.0.3:7")
 
 
 class ControlVm:
@@ -159,6 +161,36 @@
     assert harness.follower.is_ready
 
 
+# Guards against a key or a route that was withdrawn and is in use after a restart: the
+# control VM that answers first may be behind.
+@with_harness
+async def test_the_state_of_one_control_vm_alone_is_not_in_force_after_a_start(harness):
+    harness[0].commit(3, 6, document="6")
+    later = {address: harness.control_vms.pop(address) for address in LATER}
+    await trio.sleep(1.0)
+    assert harness.follower.view.is_known
+    assert not harness.follower.is_current
+    for control_vm in later.values():
+        control_vm.commit(5, 7, document="7")
+    harness.control_vms.update(later)
+    await harness.follower.wait_for_deployment()
+    assert harness.follower.is_current
+    assert harness.follower.view.deployment.number == 7
+
+
+# Guards against a VM that stops serving when it hears of more control VMs.
+@with_harness
+async def test_a_state_that_was_in_force_stays_so(harness):
+    for number in range(3):
+        harness[number].commit(5, 7, document="7")
+    await trio.sleep(1.0)
+    assert harness.follower.is_current
+    harness[0].control_addresses = [f"10.0.1.{number}:7" for number in range(9)]
+    harness[0].commit(6, 8, document="8")
+    await trio.sleep(0.5)
+    assert harness.follower.is_current
+
+
 @with_harness
 async def test_without_a_deployment_it_is_never_ready(harness):
     await trio.sleep(30.0)
--- a/tests/forwarding/test_app.py
+++ b/tests/forwarding/test_app.py
@@ -6,6 +6,7 @@
 import trio.testing
 
 from tests.fleet.builders import make_view
+from tests.forwarding.builders import make_metadata
 from vanillabeam.fleet import Directory, FleetView
 from vanillabeam.forwarding.app import (
     STARTUP_S,
@@ -14,7 +15,7 @@
     _abort_at,
 )
 from vanillabeam.forwarding.downstream import ResponseWriter
-from vanillabeam.forwarding.exceptions import NoTarget
+from vanillabeam.forwarding.exceptions import NoTarget, StateUnknown
 
 
 def wait_for_state(known_after_s, arrived_s=0.0):
@@ -24,6 +25,7 @@
         known = trio.Event()
         follower = SimpleNamespace(
             view=FleetView(),
+            is_current=False,
             wait_for_deployment=known.wait,
             is_paused=None,
             directory=Directory(),
@@ -45,6 +47,7 @@
 async def become_known(follower, known, after_s):
     await trio.sleep(after_s)
     follower.view = make_view()
+    follower.is_current = True
     known.set()
 
 
@@ -64,6 +67,24 @@
     assert wait_for_state(known_after_s=0.0, arrived_s=0.1) == 0.0
 
 
+# Guards against requests that are served by a state that may be an older one.
+def test_a_request_is_refused_until_the_state_is_likely_to_be_the_newest():
+    async def main():
+        follower = SimpleNamespace(
+            view=make_view(), is_current=False, is_paused=None, directory=Directory()
+        )
+        chooser = SimpleNamespace(load=None)
+        app = ForwardingApp(None, follower, chooser, None, None, None)
+        metadata = make_metadata()._replace(host="shop.example", path="/orders/1")
+        refused = app._admit(metadata, {"headers": []}, 0.0)
+        follower.is_current = True
+        return refused, app._admit(metadata, {"headers": []}, 0.0)
+
+    refused, admitted = trio.run(main)
+    assert isinstance(refused.failure(), StateUnknown)
+    assert admitted.unwrap().route.name == "orders"
+
+
 def is_cut_at_the_limit(send_answer):
     """Return whether a caller that takes nothing for 3 s is cut off after 1 s."""
 
