Let a restarted control VM believe the others that a target has ended

What could happen: a control VM was started again and its directory was empty; a delayed announcement of a target that had left arrived there and was listed. An entry VM that started since, and heard this control VM first, used the target.

Cause: a control VM asked only its own directory, which a restart empties, whether an incarnation has ended, though it follows those of the others.

Evidence: tests/fleet/test_control.py, before: {'t-1'} == set() failed.

Change: an announcement of an incarnation that any control VM lists as ended is dropped. A later start under the name is taken as before.

Measured: tests/fleet/test_control and test_directory pass. Not covered: all control VMs started again within the delay of the announcement, as nothing keeps what ended on disk; the target is then dropped by its silence.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -166,7 +166,13 @@
         return confirmed.map(lambda _: self.machine.state)
 
     def receive_announcement(self, target: Target) -> None:
-        """Record a target's announcement and notify watchers if it changed."""
+        """Record a target's announcement and notify watchers if it changed.
+
+        A delayed one of an incarnation that another control VM has heard the end of
+        changes nothing, as this VM may have been started since.
+        """
+        if self.follower.directory.has_ended(target.incarnation):
+            return
         if not self.directory.update(target, trio.current_time()):
             return
         log_target(target, 0.0)
--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -105,6 +105,10 @@
         self.records[target.name] = record._replace(target=target, version=self.version)
         return True
 
+    def has_ended(self, incarnation: tuple[str, int]) -> bool:
+        """Return whether an incarnation is known to have ended."""
+        return incarnation in self._ended
+
     def is_leaving(self, incarnation: tuple[str, int]) -> bool:
         """Return whether a target drains, or its incarnation has left already."""
         if incarnation in self._ended:
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -118,3 +118,21 @@
     times = control._version_times_s["m"]
     assert len(times) == MAX_VERSIONS_KEPT
     assert max(times) == 3 * MAX_VERSIONS_KEPT - 1
+
+
+# Guards against a target that has left and is in use again after a restart of a control
+# VM: a delayed announcement arrived there, and a new entry VM believed it.
+def test_a_restarted_control_vm_believes_the_others_that_a_target_has_ended(tmp_path):
+    control = make_control(tmp_path)
+    left, returned = make_target("t-1"), make_target("t-1", born_ms=2_000)
+    control.follower.directory.mark_ended(left.incarnation)
+
+    async def main():
+        control.receive_announcement(left)
+        names = set(control.directory.records)
+        control.receive_announcement(returned)
+        return names, control.directory.records["t-1"].target
+
+    names, target = trio.run(main, clock=trio.testing.MockClock())
+    assert names == set()
+    assert target == returned
