Divide the follower: targets by replies, and recent fetches, in modules of their own

Behaviour is unchanged. The test of recent fetches moves with them, its assertions are the same; two stand-ins of the follower follow the names. tests/fleet, tests/forwarding and the roles and paths of tests/platform pass.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -219,8 +219,8 @@
     def _publish_leaving(self) -> None:
         leaving = self._leaving.incarnations()
         self.directory.set_leaving(leaving)
-        self.follower.leaving_here = leaving
-        self.follower.update_leaving()
+        self.follower.targets.leaving_here = leaving
+        self.follower.targets.update_leaving()
         self._notify()
 
     async def _weigh_leaving(self) -> None:
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -12,12 +12,10 @@
     ControlHeard,
     DeploymentUnreadable,
     HomeChosen,
-    LeavingReported,
     StateInForce,
-    TargetSilent,
     log_record,
 )
-from vanillabeam.fleet.directory import Directory, Incarnation
+from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.evidence import EvidenceSource, NoEvidence
 from vanillabeam.fleet.loads import (
     ENTRY_SILENCE_S,
@@ -27,7 +25,7 @@
     make_load,
 )
 from vanillabeam.fleet.machine import FleetState
-from vanillabeam.fleet.parts import PartView
+from vanillabeam.fleet.parts import PartView, RecentFetches
 from vanillabeam.fleet.polling import (
     REPLY_MARGIN_S,
     ControlVm,
@@ -39,8 +37,7 @@
 )
 from vanillabeam.fleet.records import Deployment, FleetSettings
 from vanillabeam.fleet.sent import SentTargets
-from vanillabeam.fleet.targetlog import log_target
-from vanillabeam.fleet.unlisted import note_unlisted
+from vanillabeam.fleet.targetnews import TargetNews
 from vanillabeam.fleet.view import FleetView, merge_version_times
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, digest_names
 from vanillabeam.peercall import PeerCall
@@ -57,20 +54,10 @@
 CONTROL_EXPIRY_S = 30.0
 #: Number of polled control VMs up to which advertised ones are added.
 MAX_WATCHED = 8
-#: Seconds without a reply from any control VM after which silent targets are
-#: kept, because their announcements can't arrive.
-CONTROL_SILENCE_S = 2.0
 #: Heartbeat periods within which every live target has announced itself.
 DISCOVERY_HEARTBEATS = 1.3
-#: Seconds for which a target stays paused after the leader's last reply with it.
-PAUSE_S = 1.0
-#: Seconds without a reply of a control VM after which its word no longer counts that a
-#: target leaves: the target's announcements, which would end it, may not reach it.
-LEAVING_SILENCE_S = 5.0
 #: Quarantined parts in a log line.
 MAX_LOGGED_PARTS = 8
-#: Number of the most recently fetched parts that requests report.
-MAX_FETCHES_KEPT = 32
 
 
 class LoadView(Protocol):
@@ -116,13 +103,14 @@
     :ivar is_current: whether :attr:`is_ready` was true once: the state never goes back
         from then on.
     :ivar directory: targets that announced themselves to any control VM.
+    :ivar targets: what control VMs say of them.
+    :ivar fetches: parts that targets fetched lately at this VM's word.
     :ivar parts: copy of the leader's index of stored parts.
     :ivar entry_vms: names of the live entry VMs, this one included.
     :ivar load: open work that requests report and replies update.
     :ivar evidence: what this VM has seen of targets that ended.
     :ivar accused: parts that the leader asks about, with the number of targets that
         ended under them one after the other.
-    :ivar leaving_here: on a control VM, the targets that have told it that they leave.
     :ivar relayed: on a control VM, the load that entry VMs report to each other
         control VM only, by the process id of that one.
 
@@ -141,21 +129,21 @@
         self.view = FleetView()
         self.directory = Directory()
         self.parts = PartView()
+        self.fetches = RecentFetches()
         self.entry_vms: tuple[str, ...] = (cfg.vm,)
         self.load: LoadView = _NoLoad()
         self.evidence: EvidenceSource = NoEvidence()
         self.accused: dict[str, int] = {}
-        self.leaving_here: frozenset[Incarnation] = frozenset()
         self.relayed = EntryLoads()
         self._cfg = cfg
         self._call = call
         self._read = read
         self._control_vms: dict[str, ControlVm] = {}
+        silence_s = cfg.bounds.silence_s
+        self.targets = TargetNews(self.directory, self._control_vms, silence_s)
         self._home = ""
         self._seeds = cfg.seed_addresses
         self._advertised: set[str] = set()
-        self._fetched: dict[tuple[str, str], float] = {}
-        self._paused_until_s: dict[str, float] = {}
         self._started_s = 0.0
         self._first_reply_s: float | None = None
         self.is_current = False
@@ -192,15 +180,6 @@
         """Return the number of known targets."""
         return len(self.directory.records)
 
-    def unlisted_count(self) -> int:
-        """Return the number of targets that control VMs hear and this VM doesn't list.
-
-        Replies that are older than the silence of a target don't count.
-        """
-        limit_s = trio.current_time() - self._cfg.bounds.silence_s
-        recent = [vm for vm in self._control_vms.values() if vm.last_seen_s > limit_s]
-        return len({name for vm in recent for name in vm.unlisted_since_s})
-
     def age_s(self) -> float:
         """Return the seconds since the last reply of any control VM."""
         last_seen = [vm.last_seen_s for vm in self._control_vms.values()]
@@ -235,7 +214,7 @@
                         )
                 self._update_current()
                 self._drop_silent_targets()
-                self.update_leaving()
+                self.targets.update_leaving()
                 self._update_home()
                 await trio.sleep(RETRY_S)
 
@@ -319,7 +298,7 @@
             wait_s=poll.wait_s,
             parts=self.parts.request(),
             load=self.load.own(requested_s) if reports else make_load(),
-            fetched=self._recent_fetches(),
+            fetched=self.fetches.ages_s(requested_s),
             scope=poll.scope,
             entries_digest=digest_names(self.entry_vms),
         )
@@ -357,12 +336,9 @@
             self._first_reply_s = now_s
         if "state" in reply:
             self._apply_state(reply)
-        control_vm.leaving = frozenset(map(tuple, reply.get("leaving", ())))
-        self._apply_targets(reply, control_vm, now_s)
-        silence_s = self._cfg.bounds.silence_s
-        note_unlisted(self.directory, reply["ages_s"], control_vm, silence_s, now_s)
+        self.targets.apply(reply, control_vm, now_s)
         control_vm.last_seen_s, control_vm.due_s = now_s, float("inf")
-        self.update_leaving()
+        self.targets.update_leaving()
         self._apply_entries(reply, control_vm, now_s)
         self._apply_addresses(reply, now_s)
         # Only now: a reply that could not be applied is asked for again.
@@ -405,35 +381,6 @@
             )
         )
 
-    def _apply_targets(
-        self, reply: WatchReply, control_vm: ControlVm, now_s: float
-    ) -> None:
-        for incarnation in reply["ended"]:
-            self.directory.mark_ended(tuple(incarnation))
-        silence_s = self._cfg.bounds.silence_s
-        changed = control_vm.sent.apply(reply, self.directory, silence_s, now_s)
-        for target, age_s in changed:
-            log_target(target, age_s)
-        for name, born_ms, model, version in reply.get("seen", ()):
-            self.directory.update_weight_version((name, born_ms), model, version)
-        for name in reply.get("paused", ()):
-            self._paused_until_s[name] = now_s + PAUSE_S
-
-    def mark_fetched(self, salt: str, part: str) -> None:
-        """Record that a target fetches a stored part now."""
-        self._fetched.pop((salt, part), None)
-        self._fetched[(salt, part)] = trio.current_time()
-        if len(self._fetched) > MAX_FETCHES_KEPT:
-            del self._fetched[next(iter(self._fetched))]
-
-    def _recent_fetches(self) -> list[tuple[str, str, float]]:
-        now_s = trio.current_time()
-        return [(*key, round(now_s - at_s, 3)) for key, at_s in self._fetched.items()]
-
-    def is_paused(self, target: str, now_s: float) -> bool:
-        """Return whether a target is about to load weights."""
-        return now_s < self._paused_until_s.get(target, 0.0)
-
     def _apply_entries(
         self, reply: WatchReply, control_vm: ControlVm, now_s: float
     ) -> None:
@@ -461,26 +408,5 @@
             else:
                 self._advertised.add(address)
 
-    def update_leaving(self) -> None:
-        """Combine the targets that leave, by this VM and each one heard lately."""
-        since_s = trio.current_time() - LEAVING_SILENCE_S
-        recent = [vm for vm in self._control_vms.values() if vm.last_seen_s > since_s]
-        leaving = self.leaving_here.union(*(vm.leaving for vm in recent))
-        before = self.directory.leaving
-        if not self.directory.set_leaving(leaving):
-            return
-        for name, born_ms in sorted(leaving ^ before):
-            log_record(LeavingReported(name, born_ms, (name, born_ms) in leaving))
-
     def _drop_silent_targets(self) -> None:
-        """Drop targets without recent announcements, if any control VM replies."""
-        now_s = trio.current_time()
-        if all(
-            now_s - vm.last_seen_s > CONTROL_SILENCE_S
-            for vm in self._control_vms.values()
-        ):
-            return
-        limit_s = now_s - self._cfg.bounds.silence_s
-        for incarnation in self.directory.silent_since(limit_s):
-            log_record(TargetSilent(*incarnation))
-            self.directory.forget(incarnation[0])
+        self.targets.drop_silent()
--- a/src/vanillabeam/fleet/parts.py
+++ b/src/vanillabeam/fleet/parts.py
@@ -18,11 +18,14 @@
     "PartChanges",
     "PartRequest",
     "PartView",
+    "RecentFetches",
     "StoreEvent",
 ]
 
 #: Removals that are kept for readers; one further behind gets the whole index.
 MAX_REMOVED = 20_000
+#: Number of the most recently fetched parts that requests report.
+MAX_FETCHES_KEPT = 32
 #: Seconds for which a view is valid, from the sending of its request.
 VIEW_LEASE_S = 8.0
 #: Seconds after the sending of its request at which a fetch is abandoned.
@@ -271,3 +274,27 @@
     def clock_ms(self, now_s: float) -> float:
         """Return the time of the stores' clock in ms, or slightly less."""
         return self._clock_ms + 1000 * (now_s - self._clock_at_s)
+
+
+class RecentFetches:
+    """Stored parts that targets were told to fetch, with the time of the last one.
+
+    >>> fetches = RecentFetches()
+    >>> fetches.mark("salt", "part", now_s=1.0)
+    >>> fetches.ages_s(now_s=3.0)
+    [('salt', 'part', 2.0)]
+    """
+
+    def __init__(self):
+        self._times_s: dict[tuple[str, str], float] = {}
+
+    def mark(self, salt: str, part: str, now_s: float) -> None:
+        """Record that a target fetches a stored part now."""
+        self._times_s.pop((salt, part), None)
+        self._times_s[(salt, part)] = now_s
+        if len(self._times_s) > MAX_FETCHES_KEPT:
+            del self._times_s[next(iter(self._times_s))]
+
+    def ages_s(self, now_s: float) -> list[tuple[str, str, float]]:
+        """Return salt and id of each part and the seconds since, the newest last."""
+        return [(*key, round(now_s - at_s, 3)) for key, at_s in self._times_s.items()]
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -255,7 +255,7 @@
         add_gauge(
             "unlisted_targets",
             "Targets that control VMs hear and this VM doesn't list.",
-            follower.unlisted_count,
+            lambda: follower.targets.unlisted_count(trio.current_time()),
         )
 
     def _add_notice_metrics(self, follower: Follower, chooser: Chooser) -> None:
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -97,7 +97,7 @@
         )
         follower.evidence = gate
         self._counters = counters
-        chooser.is_paused = follower.is_paused
+        chooser.is_paused = follower.targets.is_paused
         follower.load = chooser.load
         self._lifecycle = lifecycle
         self._began_s = trio.current_time()
--- a/src/vanillabeam/forwarding/context.py
+++ b/src/vanillabeam/forwarding/context.py
@@ -63,7 +63,7 @@
     sent_parts.record(target.incarnation, salt, ids[:-1], now_s)
     for part_id, stored in zip(ids, plan.fetches, strict=False):
         if stored is not None:
-            follower.mark_fetched(salt, part_id)
+            follower.fetches.mark(salt, part_id, now_s)
     return context, plan
 
 
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -423,17 +423,6 @@
     assert not harness.follower.is_discovering(trio.current_time())
 
 
-@with_harness
-async def test_requests_report_the_time_since_a_part_was_last_fetched(harness):
-    harness.follower.mark_fetched("s", "p")
-    await trio.sleep(1.0)
-    harness.follower.mark_fetched("s", "q")
-    await trio.sleep(1.0)
-    assert harness.follower._recent_fetches() == [("s", "p", 2.0), ("s", "q", 1.0)]
-    harness.follower.mark_fetched("s", "p")
-    assert harness.follower._recent_fetches() == [("s", "q", 1.0), ("s", "p", 0.0)]
-
-
 @with_harness
 async def test_a_control_vm_that_has_just_started_does_not_hide_entry_vms(harness):
     everybody = [f"vm-{number}" for number in range(1, 5)]
--- a/tests/fleet/test_leaving.py
+++ b/tests/fleet/test_leaving.py
@@ -9,8 +9,8 @@
 from tests.fleet.builders import BOUNDS, make_target
 from vanillabeam.fleet import Directory, FleetSettings, Follower
 from vanillabeam.fleet.control import FleetControl
-from vanillabeam.fleet.follower import LEAVING_SILENCE_S
 from vanillabeam.fleet.leaving import READY_ANNOUNCEMENTS, LeavingNotices
+from vanillabeam.fleet.targetnews import LEAVING_SILENCE_S
 
 HOST = "10.0.0.1"
 HEARTBEAT_S = BOUNDS.heartbeat_s
--- a/tests/fleet/test_parts.py
+++ b/tests/fleet/test_parts.py
@@ -3,6 +3,7 @@
     VIEW_LEASE_S,
     PartIndex,
     PartView,
+    RecentFetches,
     StoredPart,
     StoreEvent,
 )
@@ -146,3 +147,12 @@
     keys = index.keys_of(STORE.address, lambda salt: salt == "other")
     assert keys == [("other", "p")]
     assert index.keys_of("10.0.0.6:80", lambda salt: True) == []
+
+
+def test_requests_report_the_time_since_a_part_was_last_fetched():
+    fetches = RecentFetches()
+    fetches.mark("s", "p", 0.0)
+    fetches.mark("s", "q", 1.0)
+    assert fetches.ages_s(2.0) == [("s", "p", 2.0), ("s", "q", 1.0)]
+    fetches.mark("s", "p", 2.0)
+    assert fetches.ages_s(2.0) == [("s", "q", 1.0), ("s", "p", 0.0)]
--- a/tests/forwarding/test_app.py
+++ b/tests/forwarding/test_app.py
@@ -27,7 +27,7 @@
             view=FleetView(),
             is_current=False,
             wait_for_deployment=known.wait,
-            is_paused=None,
+            targets=SimpleNamespace(is_paused=None),
             directory=Directory(),
         )
         chooser = SimpleNamespace(load=None)
@@ -71,7 +71,10 @@
 def test_a_request_is_refused_until_the_state_is_likely_to_be_the_newest():
     async def main():
         follower = SimpleNamespace(
-            view=make_view(), is_current=False, is_paused=None, directory=Directory()
+            view=make_view(),
+            is_current=False,
+            targets=SimpleNamespace(is_paused=None),
+            directory=Directory(),
         )
         chooser = SimpleNamespace(load=None)
         app = ForwardingApp(None, follower, chooser, None, None, None)
