--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -39,6 +39,7 @@
     :param on_poison: called with its name when a poisoned prompt has ended it.
     :param on_crash: called with its name when it ends in a load of weights.
     :ivar mode: ``fine``, ``slow``, ``full`` (refuses) or ``failing``.
+    :ivar event_period_s: seconds between two events of its streams.
     :ivar state: what its heartbeats say.
     :ivar started_s: its start, since that of the fleet.
     :ivar host: control VM that answered its last heartbeat.
@@ -63,6 +64,7 @@
         self.data_centre = data_centre
         self.history = history
         self.mode = "fine"
+        self.event_period_s = EVENT_PERIOD_S
         self.state = "ready"
         self.born_ms = int(time.time() * 1000)
         self.started_s = history.now_s()
@@ -152,7 +154,7 @@
                 event = VERSIONS + f": {version}\n".encode() + event
             part = {"type": "http.response.body", "body": event, "more_body": True}
             await send(part)
-            await trio.sleep(EVENT_PERIOD_S)
+            await trio.sleep(self.event_period_s)
         await send({"type": "http.response.body", "body": b""})
 
 
