Let a leader free stored parts only once a quorum has confirmed it

What could happen: a control VM that led was paused, or cut off, and another one was elected and listed the stores. The former one went on and freed parts that it had retired long before; entry VMs had targets fetch them by the new list.

Cause: whether it leads was asked before the stores were gone through, by what the replica had noticed, and a store took the call for 1.5 s, twice as long as it takes to elect another leader (0.7 s).

There was no test of the freeing at the tracker before.

Change: before it frees parts a leader confirms by a read of the log, which a quorum answers, that it still leads in the same term; the call counts for 0.6 s from before that read. Parts of a store whose answer takes longer are freed at a later try.

Not covered: a planned transfer of the leadership, which doesn't wait for an election timeout; there a call that is on its way is late by its way only.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -362,9 +362,18 @@
                 self._deployment = read_or_keep(self._read, state, self._deployment)
             leads = self.node.is_leader
             await self.stores.track(self._deployment.stores if leads else (), nursery)
-            await self.stores.free(self._outdated(), FETCH_LIMIT_S)
+            await self.stores.free(
+                self._outdated(), FETCH_LIMIT_S, self._confirm_leadership
+            )
             await trio.sleep(STORE_CHECK_PERIOD_S)
 
+    async def _confirm_leadership(self) -> bool:
+        """Return whether a quorum has confirmed that this VM leads the fleet log."""
+        term = self.node.term
+        confirmed = await self.node.read()
+        leads = self.node.is_leader and self.node.term == term
+        return leads and not isinstance(confirmed, Failure)
+
     def _outdated(self) -> Callable[[str], bool]:
         """Return a predicate: whether no known target uses a salt's weights."""
         lowest: dict[str, int] = {}
--- a/src/vanillabeam/fleet/stores.py
+++ b/src/vanillabeam/fleet/stores.py
@@ -1,6 +1,6 @@
 """Tracking of the parts that each KV cache store holds, by the leader."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
 import trio
@@ -26,8 +26,9 @@
 #: the store's clock.
 FIRST_WAIT_S = 0.2
 RETRY_S = 0.3
-#: Seconds after which a store ignores a request to free parts.
-FREE_TIMEOUT_S = 1.5
+#: Seconds after which a store ignores a request to free parts. It is shorter than the
+#: time after which another leader may be elected, which lists these parts anew.
+FREE_TIMEOUT_S = 0.6
 #: Maximum number of parts in one request to free them.
 MAX_FREED = 200
 
@@ -181,12 +182,17 @@
         self._epochs.pop(store, None)
 
     async def free(
-        self, outdated: Callable[[str], bool], longest_fetch_s: float
+        self,
+        outdated: Callable[[str], bool],
+        longest_fetch_s: float,
+        confirm: Callable[[], Awaitable[bool]],
     ) -> None:
         """Retire parts and free those that were retired long enough ago.
 
         :param outdated: predicate, whether no target uses a salt any more.
         :param longest_fetch_s: seconds within which every fetch has finished.
+        :param confirm: asks a quorum whether this VM still leads. Another leader would
+            have entry VMs fetch parts that this one has retired.
         """
         for store, epoch in list(self._epochs.items()):
             now_s = trio.current_time()
@@ -197,6 +203,8 @@
             if not keys:
                 continue
             until_ms = self._clock(now_s) + 1000 * FREE_TIMEOUT_S
+            if not await confirm():
+                return
             if await self._calls.free(store, keys, epoch, until_ms):
                 self.reclaimer.mark_freed(keys)
                 log_record(PartsFreed(store.name, len(keys)))
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -3,13 +3,16 @@
 import random
 from types import SimpleNamespace
 
+import pytest
 import trio
 import trio.testing
+from returns.result import Failure, Success
 
 from tests.fleet.builders import BOUNDS, make_target
 from vanillabeam.fleet import FleetSettings
 from vanillabeam.fleet.control import VOTER_ABSENCE_S, FleetControl
 from vanillabeam.fleet.view import MAX_VERSIONS_KEPT
+from vanillabeam.log.exceptions import NoLeader
 
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 
@@ -136,3 +139,27 @@
     names, target = trio.run(main, clock=trio.testing.MockClock())
     assert names == set()
     assert target == returned
+
+
+# Guards against a VM that was paused while another one was elected, and still acts as
+# the leader because it hasn't noticed.
+@pytest.mark.parametrize(
+    "after, leads",
+    [
+        ({}, True),
+        ({"is_leader": False}, False),
+        ({"term": 4}, False),
+        ({"answer": Failure(NoLeader())}, False),
+    ],
+)
+def test_a_leader_is_confirmed_by_a_read(tmp_path, after, leads):
+    control = make_control(tmp_path)
+    node = SimpleNamespace(is_leader=True, term=3, answer=Success(7))
+
+    async def read():
+        vars(node).update(after)
+        return node.answer
+
+    node.read = read
+    control.node = node
+    assert trio.run(control._confirm_leadership) == leads
--- a/tests/fleet/test_stores.py
+++ b/tests/fleet/test_stores.py
@@ -6,8 +6,15 @@
 import trio.testing
 
 from vanillabeam.fleet import Store
+from vanillabeam.fleet.control import LOG_SETTINGS
 from vanillabeam.fleet.parts import StoreEvent
-from vanillabeam.fleet.stores import LIST_PERIOD_S, StoreEvents, StoreList, StoreTracker
+from vanillabeam.fleet.stores import (
+    FREE_TIMEOUT_S,
+    LIST_PERIOD_S,
+    StoreEvents,
+    StoreList,
+    StoreTracker,
+)
 
 STORE = Store("keep", "10.0.0.5:80", "a", 1_000)
 ANSWER_S = 0.001
@@ -23,6 +30,12 @@
         self.up = True
         self.list_requests = 0
         self.answers_list_requests = True
+        #: Calls that free parts: the parts, the epoch, and until when they count.
+        self.freed = []
+
+    async def free(self, store, keys, epoch, until_ms):
+        self.freed.append((keys, epoch, until_ms))
+        return True
 
     def save(self, part, sends_event=True):
         self.held[part] = 100
@@ -57,7 +70,7 @@
         async def main():
             vm = StoreVm()
             calls = SimpleNamespace(
-                list_parts=vm.answer_list, read_events=vm.answer_events, free=None
+                list_parts=vm.answer_list, read_events=vm.answer_events, free=vm.free
             )
             stores = StoreTracker(calls, "e")
             async with trio.open_nursery() as nursery:
@@ -141,3 +154,44 @@
     vm.up = False
     await trio.sleep(10.0)
     assert vm.list_requests < 50
+
+
+#: Seconds after which a retired part may be freed, with a fetch of at most 1 s.
+RETIRED_S = 15.0
+
+
+async def free_after_a_while(vm, stores, leads):
+    """Retire a part and free it; return the time at which a quorum was asked."""
+    asked_s = []
+
+    async def confirm():
+        asked_s.append(trio.current_time())
+        await trio.sleep(0.05)
+        return leads
+
+    vm.save("p-1")
+    await trio.sleep(1.0)
+    await stores.free(lambda salt: True, 1.0, confirm)
+    assert (vm.freed, asked_s) == ([], [])
+    await trio.sleep(RETIRED_S)
+    await stores.free(lambda salt: True, 1.0, confirm)
+    return asked_s
+
+
+# Guards against a former leader that frees parts which the next one has listed: entry
+# VMs have targets fetch them by the list of the next one.
+@with_store
+async def test_a_leader_that_is_not_confirmed_frees_nothing(vm, stores):
+    assert await free_after_a_while(vm, stores, leads=False)
+    assert vm.freed == []
+
+
+@with_store
+async def test_parts_are_freed_only_as_long_as_no_other_leader_can_be_elected(
+    vm, stores
+):
+    (asked_s,) = await free_after_a_while(vm, stores, leads=True)
+    ((keys, epoch, until_ms),) = vm.freed
+    assert (keys, epoch) == ([("s", "p-1")], 1)
+    assert until_ms <= stores._clock(asked_s) + 1000 * FREE_TIMEOUT_S
+    assert LOG_SETTINGS.election_s > FREE_TIMEOUT_S
