--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -425,9 +425,16 @@
             # Until then targets may be missing that use older weights.
             is_complete = not self.follower.is_discovering(trio.current_time())
             outdated = self._outdated() if is_complete else _never_outdated
-            await self.stores.free(outdated, FETCH_LIMIT_S)
+            await self.stores.free(outdated, FETCH_LIMIT_S, self._confirm_leadership)
             await trio.sleep(STORE_CHECK_PERIOD_S)
 
+    async def _confirm_leadership(self) -> bool:
+        """Return whether a quorum has confirmed that this VM leads the fleet log."""
+        term = self.node.term
+        confirmed = await self.node.read()
+        leads = self.node.is_leader and self.node.term == term
+        return leads and not isinstance(confirmed, Failure)
+
     def _outdated(self) -> Callable[[str], bool]:
         """Return a predicate: whether no known target uses a salt's weights."""
         self._holders.update(self.follower.directory, trio.current_time())
