--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -19,6 +19,7 @@
     log_record,
 )
 from vanillabeam.exceptions import VanillabeamError
+from vanillabeam.fleet.absence import AbsentVoters
 from vanillabeam.fleet.ages import merge_ages
 from vanillabeam.fleet.directory import (
     READ_MARGIN_S,
@@ -48,7 +49,7 @@
 from vanillabeam.fleet.records import Deployment, FleetSettings, Target
 from vanillabeam.fleet.stores import StoreCalls, StoreTracker
 from vanillabeam.fleet.targetlog import log_target
-from vanillabeam.fleet.view import MAX_VERSIONS_KEPT
+from vanillabeam.fleet.versiontimes import VersionTimes
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, make_reply
 from vanillabeam.log import Address, Applied, LogNode, LogSettings
 from vanillabeam.log.exceptions import LogError
@@ -69,11 +70,6 @@
 MAX_WAIT_S = 2.0
 MEMBER_CHECK_PERIOD_S = 1.0
 STORE_CHECK_PERIOD_S = 0.3
-#: Seconds of silence after which a voter is removed, if enough voters remain.
-VOTER_ABSENCE_S = 8.0
-#: Age in seconds reported for weight versions committed before this process
-#: started, whose true age is not recorded.
-INITIAL_AGE_S = 1e6
 
 
 class FleetControl:
@@ -131,13 +127,13 @@
         self._observed_versions: dict[Incarnation, tuple[str, int]] = {}
         #: Time of the newest announcement before a version was observed.
         self._observed_after_s: dict[Incarnation, float] = {}
-        self._version_times_s: dict[str, dict[int, float]] = {}
+        self._version_times = VersionTimes()
         self._changed = trio.Event()
         #: Loads of entry VMs that report to every control VM.
         self._loads = EntryLoads()
         #: Loads of entry VMs that report to this one only.
         self._home_loads = EntryLoads()
-        self._absent_since_s: dict[str, float] = {}
+        self._absent_voters = AbsentVoters(kept=len(cfg.seeds))
         self._quarantine = QuarantineTask(
             self.node, self.machine, self.propose, self._loads.active_vms
         )
@@ -257,22 +253,9 @@
         Versions restored from disk before this process runs count as old.
         """
         at_s = trio.current_time() if self._is_running else float("-inf")
-        for model, version in self.machine.state["weights"].items():
-            times = self._version_times_s.setdefault(model, {})
-            times.setdefault(version, at_s)
-            while len(times) > MAX_VERSIONS_KEPT:
-                del times[min(times)]
+        self._version_times.record(self.machine.state["weights"], at_s)
         self._notify()
 
-    def _version_ages_s(self, now_s: float) -> dict[str, list[tuple[int, float]]]:
-        return {
-            model: [
-                (version, min(now_s - at, INITIAL_AGE_S))
-                for version, at in times.items()
-            ]
-            for model, times in self._version_times_s.items()
-        }
-
     @property
     def deployment(self) -> Deployment:
         """The deployment in force, as far as this VM can read it."""
@@ -280,8 +263,7 @@
 
     def weight_ages_s(self, now_s: float) -> dict[str, float]:
         """Return the age in seconds of each model's newest version."""
-        ages_s = self._version_ages_s(now_s)
-        return {model: max(ages)[1] for model, ages in ages_s.items() if ages}
+        return self._version_times.newest_ages_s(now_s)
 
     def _notify(self) -> None:
         changed, self._changed = self._changed, trio.Event()
@@ -347,7 +329,7 @@
         else:
             reply["reported"] = self._home_loads.total_except("", now_s)
         if "state" in reply:
-            reply["named"] = self._version_ages_s(now_s)
+            reply["named"] = self._version_times.ages_s(now_s)
         if self.node.is_leader:
             self._add_leader_fields(reply, request, now_s)
         return reply
@@ -461,18 +443,8 @@
             log_record(MemberRemoved(absent, result.failure().type if failed else ""))
 
     def _absent_voter(self) -> str | None:
-        now_s = trio.current_time()
-        voters = [member for member in self.node.status()["members"] if member["votes"]]
-        silent = {voter["vm"] for voter in voters if voter["active"] is False}
-        self._absent_since_s = {
-            vm: self._absent_since_s.get(vm, now_s) for vm in sorted(silent)
-        }
-        if len(voters) - 1 < len(self.cfg.seeds):
-            return None
-        for vm, since_s in self._absent_since_s.items():
-            if now_s - since_s >= VOTER_ABSENCE_S:
-                return vm
-        return None
+        members = self.node.status()["members"]
+        return self._absent_voters.find(members, trio.current_time())
 
 
 def _never_outdated(salt: str) -> bool:
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -10,7 +10,8 @@
 
 from tests.fleet.builders import BOUNDS, make_target
 from vanillabeam.fleet import FleetSettings
-from vanillabeam.fleet.control import VOTER_ABSENCE_S, FleetControl
+from vanillabeam.fleet.absence import VOTER_ABSENCE_S
+from vanillabeam.fleet.control import FleetControl
 from vanillabeam.fleet.directory import READ_MARGIN_S
 from vanillabeam.fleet.holders import SILENT_TARGET_S
 from vanillabeam.fleet.view import MAX_VERSIONS_KEPT
@@ -139,7 +140,7 @@
     async def track(self, stores, nursery):
         pass
 
-    async def free(self, outdated, longest_fetch_s):
+    async def free(self, outdated, longest_fetch_s, confirm):
         self.told.append((trio.current_time(), outdated(self.salt)))
 
 
@@ -227,9 +228,9 @@
             control._state_changed()
 
     trio.run(main, clock=trio.testing.MockClock())
-    times = control._version_times_s["m"]
-    assert len(times) == MAX_VERSIONS_KEPT
-    assert max(times) == 3 * MAX_VERSIONS_KEPT - 1
+    versions = [version for version, _ in control._version_times.ages_s(0.0)["m"]]
+    assert len(versions) == MAX_VERSIONS_KEPT
+    assert max(versions) == 3 * MAX_VERSIONS_KEPT - 1
 
 
 # Guards against a target that has left and is in use again after a restart of a control
