Soak: half of the targets of a model don't obey orders, in each of five ways

Real processes; three of six targets refuse orders, don't answer them, answer 412, end in each load or carry orders out late, all the while. The other three must have the version 14 s after its confirmation.

--- a/tests/soak/test_rollout.py
+++ b/tests/soak/test_rollout.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from contextlib import asynccontextmanager
 
+import pytest
 import trio
 
 from tests.soak.checks import check
@@ -12,10 +13,11 @@
 from tests.soak.known import KNOWN_S, check_known
 from tests.soak.proxy import running_proxy
 from tests.soak.rollouts import cut_from_core
-from tests.soak.scenario import Scenario
+from tests.soak.scenario import CHECK_PERIOD_S, Scenario
 from tests.soak.summary import summarise
 from tests.soak.touch import CONTACT_S
 from tests.soak.versions import ALL_S, check_weights
+from tests.soak.weights import ORDER_MODES
 
 #: Seconds of a cut, longer than a target may be silent, and when a version is named.
 CUT_S = 7.0
@@ -43,6 +45,14 @@
     assert findings == [], "\n".join(["findings:", *findings])
 
 
+# Guards against targets that disobey and keep the others from their turn.
+@pytest.mark.soak
+@pytest.mark.parametrize("mode", ORDER_MODES)
+def test_targets_that_disobey_do_not_hold_up_the_others(mode, tmp_path):
+    findings = trio.run(play_disobedient, tmp_path, mode)
+    assert findings == [], "\n".join(["findings:", *findings])
+
+
 @asynccontextmanager
 async def running_scenario(folder):
     """Yield a run of a small fleet whose targets and callers work."""
@@ -94,6 +104,29 @@
         return findings_of(run, folder)
 
 
+async def play_disobedient(folder, mode):
+    """Name a version that half of the targets don't load; return the findings."""
+    async with running_scenario(folder) as run:
+        targets = run.targets.targets.items()
+        names = [name for name, target in targets if target.weights]
+        stuck = names[: len(names) // 2]
+        run.nursery.start_soon(keep_disobedient, run, stuck, mode)
+        await trio.sleep(BEFORE_S)
+        await run.operator.name_version()
+        await trio.sleep(ALL_S + AFTER_S)
+        return findings_of(run, folder)
+
+
+async def keep_disobedient(run, names, mode):
+    """Have targets not obey orders, also after they have started again."""
+    with run.history.outage("orders", names):
+        while True:
+            for name in names:
+                if name in run.targets.targets:
+                    run.targets.targets[name].weights.mode = mode
+            await trio.sleep(CHECK_PERIOD_S)
+
+
 async def stream_forever(run, number, kind):
     """Send one prompt after the other."""
     path = {"resumable": "/chat/", "stream": "/flag/"}[kind]
