--- a/src/vanillabeam/callers/__init__.py
+++ b/src/vanillabeam/callers/__init__.py
@@ -1,4 +1,4 @@
-"""What callers of a VM ask for, and the role that serves them."""
+"""Requests of a VM's callers, and the role that serves them."""
 
 from vanillabeam.callers.app import EntryInterface, caller_app
 from vanillabeam.callers.entry import Entry
--- a/src/vanillabeam/fleet/ages.py
+++ b/src/vanillabeam/fleet/ages.py
@@ -3,8 +3,9 @@
 from typing import NamedTuple
 
 from vanillabeam.fleet.directory import Directory
+from vanillabeam.fleet.watch import WatchReply
 
-__all__ = ["MergedAges", "merge_ages"]
+__all__ = ["MergedAges", "add_merged_ages", "merge_ages"]
 
 
 class MergedAges(NamedTuple):
@@ -39,3 +40,17 @@
             or not others.is_only_start(record.target.incarnation)
         },
     )
+
+
+def add_merged_ages(
+    reply: WatchReply, own: Directory, others: Directory, now_s: float
+) -> None:
+    """Put the ages of the targets that any control VM hears into a reply.
+
+    It is for entry VMs only: between control VMs, each answer would make the age that
+    it passes on a little younger, and a lost target would stay.
+    """
+    merged = merge_ages(own, others, now_s)
+    reply["ages_s"] = merged.ages_s
+    if merged.starts:
+        reply["starts"] = merged.starts
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -20,12 +20,9 @@
 )
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet.absence import AbsentVoters
-from vanillabeam.fleet.ages import merge_ages
+from vanillabeam.fleet.ages import add_merged_ages
 from vanillabeam.fleet.directory import (
-    READ_MARGIN_S,
     Directory,
-    Incarnation,
-    TargetRecord,
 )
 from vanillabeam.fleet.follower import Follower, read_or_keep
 from vanillabeam.fleet.holders import WeightHolders
@@ -42,6 +39,7 @@
     FleetMachine,
     FleetState,
 )
+from vanillabeam.fleet.observed import ObservedVersions
 from vanillabeam.fleet.parts import FETCH_LIMIT_S
 from vanillabeam.fleet.quarantine import QUARANTINE_PATH
 from vanillabeam.fleet.quarantining import QuarantineTask
@@ -81,6 +79,7 @@
     :param store_calls: client of the KV cache stores.
     :ivar directory: targets that announced themselves to this VM.
     :ivar follower: merged view over the directories of all control VMs.
+    :ivar observed: weight versions that were read from targets.
     :ivar epoch: random id of this process, sent in each watch reply.
 
     >>> control = FleetControl(cfg, call, random.Random(), read, store_calls)
@@ -108,7 +107,10 @@
             cfg.peer_address,
             Path(cfg.data_folder),
             self.machine,
-            _seeds(cfg),
+            [
+                Address(*seed)
+                for seed in zip(cfg.seeds, cfg.seed_addresses, strict=True)
+            ],
             call,
             rng,
             LOG_SETTINGS,
@@ -124,9 +126,7 @@
         self.paused: set[str] = set()
         self._holders = WeightHolders()
         self._leaving = LeavingNotices(cfg.bounds.heartbeat_s)
-        self._observed_versions: dict[Incarnation, tuple[str, int]] = {}
-        #: Time of the newest announcement before a version was observed.
-        self._observed_after_s: dict[Incarnation, float] = {}
+        self.observed = ObservedVersions(self.follower.directory)
         self._version_times = VersionTimes()
         self._changed = trio.Event()
         #: Loads of entry VMs that report to every control VM.
@@ -238,13 +238,7 @@
 
     def report_weights(self, target: Target, model: str, version: int) -> None:
         """Record a target's weight version before its next announcement."""
-        self._observed_versions[target.incarnation] = (model, version)
-        record = self.follower.directory.records.get(target.name)
-        if record is not None:
-            self._observed_after_s[target.incarnation] = record.last_seen_s
-        self.follower.directory.update_weight_version(
-            target.incarnation, model, version
-        )
+        self.observed.record(target.incarnation, model, version)
         self._notify()
 
     def _state_changed(self) -> None:
@@ -325,7 +319,7 @@
         )
         reply["data_centre"] = self.cfg.data_centre
         if request["sends"]:
-            self._merge_ages(reply, now_s)
+            add_merged_ages(reply, self.directory, self.follower.directory, now_s)
         else:
             reply["reported"] = self._home_loads.total_except("", now_s)
         if "state" in reply:
@@ -334,48 +328,6 @@
             self._add_leader_fields(reply, request, now_s)
         return reply
 
-    def _merge_ages(self, reply: WatchReply, now_s: float) -> None:
-        """Put the ages of the targets that any control VM hears into a reply.
-
-        It is for entry VMs only: between control VMs, each answer would make the
-        age that it passes on a little younger, and a lost target would stay.
-        """
-        merged = merge_ages(self.directory, self.follower.directory, now_s)
-        reply["ages_s"] = merged.ages_s
-        if merged.starts:
-            reply["starts"] = merged.starts
-
-    def _forget_left_targets(self) -> None:
-        """Forget observed versions that no longer count.
-
-        Their incarnation is no longer known, or has announced a lower one since.
-        """
-        kept = {
-            record.target.incarnation
-            for record in self.follower.directory.records.values()
-            if not self._is_contradicted(record)
-        }
-        self._observed_versions = {
-            incarnation: observed
-            for incarnation, observed in self._observed_versions.items()
-            if incarnation in kept
-        }
-        self._observed_after_s = {
-            incarnation: after_s
-            for incarnation, after_s in self._observed_after_s.items()
-            if incarnation in kept
-        }
-
-    def _is_contradicted(self, record: TargetRecord) -> bool:
-        """Return whether a target has announced a lower version than was observed."""
-        incarnation = record.target.incarnation
-        if incarnation not in self._observed_after_s:
-            return False
-        model, version = self._observed_versions[incarnation]
-        age_s = record.last_seen_s - self._observed_after_s[incarnation]
-        is_lower = record.announced_versions.get(model, 0) < version
-        return is_lower and age_s > READ_MARGIN_S
-
     def _add_leader_fields(
         self, reply: WatchReply, request: WatchRequest, now_s: float
     ) -> None:
@@ -383,7 +335,7 @@
         reply["accused"] = self._quarantine.accused(now_s)
         reply["seen"] = [
             (*incarnation, *observed)
-            for incarnation, observed in self._observed_versions.items()
+            for incarnation, observed in self.observed.versions.items()
         ]
         if self.stores.has_clock:
             reply["parts"] = self.stores.changes_since(
@@ -429,7 +381,7 @@
             for incarnation in self.directory.silent_since(limit_s):
                 log_record(TargetSilent(*incarnation))
                 self.directory.forget(incarnation[0])
-            self._forget_left_targets()
+            self.observed.forget_outdated()
 
     async def _remove_absent_voters(self) -> None:
         """Remove voters that stay silent, down to the number of seeds."""
@@ -449,8 +401,3 @@
 
 def _never_outdated(salt: str) -> bool:
     return False
-
-
-def _seeds(cfg: FleetSettings) -> list[Address]:
-    pairs = zip(cfg.seeds, cfg.seed_addresses, strict=True)
-    return [Address(host, address) for host, address in pairs]
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -1,7 +1,6 @@
 """Client of the control VMs: polls them for fleet state and targets."""
 
 from collections.abc import Callable
-from typing import Protocol
 
 import trio
 from returns.result import Failure
@@ -19,9 +18,10 @@
 from vanillabeam.fleet.evidence import EvidenceSource, NoEvidence
 from vanillabeam.fleet.loads import (
     ENTRY_SILENCE_S,
-    EntryLoad,
     EntryLoads,
     LoadScope,
+    LoadView,
+    NoLoad,
     make_load,
 )
 from vanillabeam.fleet.machine import FleetState
@@ -60,16 +60,6 @@
 MAX_LOGGED_PARTS = 8
 
 
-class LoadView(Protocol):
-    """Open work at targets, of this entry VM and of all others."""
-
-    def own(self, now_s: float) -> EntryLoad:
-        """Return this VM's open work."""
-
-    def update_others(self, load: EntryLoad, now_s: float) -> None:
-        """Replace the open work of all other entry VMs."""
-
-
 def read_or_keep(
     read: Callable[[str], Deployment], state: FleetState, known: Deployment
 ) -> Deployment:
@@ -84,16 +74,6 @@
         return known
 
 
-class _NoLoad:
-    """Load of a VM that sends no work to targets."""
-
-    def own(self, now_s: float) -> EntryLoad:
-        return make_load()
-
-    def update_others(self, load: EntryLoad, now_s: float) -> None:
-        pass
-
-
 class Follower:
     """Keeps this VM's copy of the fleet state and of the target directory.
 
@@ -131,7 +111,7 @@
         self.parts = PartView()
         self.fetches = RecentFetches()
         self.entry_vms: tuple[str, ...] = (cfg.vm,)
-        self.load: LoadView = _NoLoad()
+        self.load: LoadView = NoLoad()
         self.evidence: EvidenceSource = NoEvidence()
         self.accused: dict[str, int] = {}
         self.relayed = EntryLoads()
--- a/src/vanillabeam/fleet/loads.py
+++ b/src/vanillabeam/fleet/loads.py
@@ -1,13 +1,15 @@
 """Open work of the entry VMs at targets, as each VM last reported it."""
 
 from enum import StrEnum
-from typing import NamedTuple, NotRequired, TypedDict
+from typing import NamedTuple, NotRequired, Protocol, TypedDict
 
 __all__ = [
     "ENTRY_SILENCE_S",
     "EntryLoad",
     "EntryLoads",
     "LoadScope",
+    "LoadView",
+    "NoLoad",
     "WorkByRank",
     "accumulate",
     "add_loads",
@@ -169,3 +171,24 @@
             sums[key] = total
         else:
             sums.pop(key, None)
+
+
+class LoadView(Protocol):
+    """Open work at targets, of this entry VM and of all others."""
+
+    def own(self, now_s: float) -> EntryLoad:
+        """Return this VM's open work."""
+
+    def update_others(self, load: EntryLoad, now_s: float) -> None:
+        """Replace the open work of all other entry VMs."""
+
+
+class NoLoad:
+    """Load of a VM that sends no work to targets."""
+
+    def own(self, now_s: float) -> EntryLoad:
+        """Return no load."""
+        return make_load()
+
+    def update_others(self, load: EntryLoad, now_s: float) -> None:
+        """Ignore the load of other VMs."""
--- a/src/vanillabeam/fleet/records.py
+++ b/src/vanillabeam/fleet/records.py
@@ -146,6 +146,16 @@
     workspaces: tuple[Workspace, ...] = ()
     limits: Limits = Limits()
 
+    def engine(self, service: str) -> Engine | None:
+        """Return the engine of a service's targets; ``None`` for any other service."""
+        record = self.services.get(service)
+        return record.engine if record is not None else None
+
+    def cold_rate(self, service: str) -> float:
+        """Return the requests a second that a cold target accepts; 0 for no limit."""
+        record = self.services.get(service)
+        return record.cold_requests_s if record is not None else 0.0
+
 
 class Target(NamedTuple):
     """A target's announcement of itself.
--- a/src/vanillabeam/fleet/runwaits.py
+++ b/src/vanillabeam/fleet/runwaits.py
@@ -27,7 +27,7 @@
 
 
 class Strategy(StrEnum):
-    """What becomes of a target's runs when its weights change."""
+    """Treatment of a target's runs when its weights change."""
 
     #: They end first.
     WAIT = "wait"
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -10,7 +10,6 @@
     Bounds,
     Deployment,
     Directory,
-    Engine,
     FleetView,
     Route,
     Target,
@@ -90,7 +89,7 @@
         self._rng = rng
         self.load = Load()
         self.notices = TargetNotices(rng)
-        self.is_paused: Callable[[str, float], bool] = _never_paused
+        self.is_paused: Callable[[str, float], bool] = _never
         self.order = TargetOrder(data_centre, rng)
         self._health = Health()
         self._budgets: dict[str, ServiceRetryBudget] = {}
@@ -157,7 +156,7 @@
         now_s: float,
         costs: PromptCosts | None,
     ) -> Choice | None:
-        rate = _cold_rate(view.deployment, service)
+        rate = view.deployment.cold_rate(service)
         count = len(entries)
         usable = self._with_free_memory(
             usable, service, view.deployment, costs, count, now_s
@@ -185,7 +184,7 @@
     ) -> None:
         """Record a request that is sent to a target, if the target is cold."""
         if choice.is_cold:
-            rate = _cold_rate(view.deployment, service)
+            rate = view.deployment.cold_rate(service)
             self._cold_limiter.record_sent(choice.target.name, rate, entries, now_s)
 
     def record_success(self, target: Target) -> None:
@@ -342,7 +341,7 @@
         entries: int,
         now_s: float,
     ) -> list[Target]:
-        engine = _engine(deployment, service)
+        engine = deployment.engine(service)
         if costs is None or engine is None:
             return usable
         return with_free_memory(
@@ -385,24 +384,9 @@
     return costs is not None and 0 < costs.objective_s < choice.wait_s
 
 
-def _engine(deployment: Deployment, service: str) -> Engine | None:
-    record = deployment.services.get(service)
-    return record.engine if record is not None else None
-
-
-def _cold_rate(deployment: Deployment, service: str) -> float:
-    record = deployment.services.get(service)
-    return record.cold_requests_s if record is not None else 0.0
-
-
-def _never_paused(target: str, now_s: float) -> bool:
-    """Default of ``Chooser.is_paused``: no target is paused."""
-    return False
-
-
 def _always(target: Target, now_s: float) -> bool:
     return True
 
 
-def _never(target: Target, now_s: float) -> bool:
+def _never(target: Target | str, now_s: float) -> bool:
     return False
--- a/src/vanillabeam/operators/__init__.py
+++ b/src/vanillabeam/operators/__init__.py
@@ -1,4 +1,4 @@
-"""What operators of a VM ask for, and the records of requests that answer them."""
+"""Requests of a VM's operators, and the records that answer them."""
 
 from vanillabeam.operators.accounting import Accounting
 from vanillabeam.operators.auth import Operators
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -187,8 +187,8 @@
     control.follower.directory.update(stays, 0.0)
     control.report_weights(stays, "m", 2)
     control.report_weights(leaves, "m", 2)
-    control._forget_left_targets()
-    assert control._observed_versions == {stays.incarnation: ("m", 2)}
+    control.observed.forget_outdated()
+    assert control.observed.versions == {stays.incarnation: ("m", 2)}
 
 
 # Guards against a false report that the leader repeats in each reply for ever.
@@ -199,11 +199,11 @@
     directory.update(target, 10.0)
     control.report_weights(target, "m", 2)
     directory.refresh("t-1", 10.0 + READ_MARGIN_S)
-    control._forget_left_targets()
-    assert control._observed_versions == {target.incarnation: ("m", 2)}
+    control.observed.forget_outdated()
+    assert control.observed.versions == {target.incarnation: ("m", 2)}
     directory.refresh("t-1", 10.1 + READ_MARGIN_S)
-    control._forget_left_targets()
-    assert control._observed_versions == {}
+    control.observed.forget_outdated()
+    assert control.observed.versions == {}
     assert directory.records["t-1"].target.versions == {"m": 1}
 
 
@@ -215,8 +215,8 @@
     control.report_weights(target, "m", 2)
     directory.update(target._replace(sequence=2, versions={"m": 2}), 11.0)
     directory.refresh("t-1", 90.0)
-    control._forget_left_targets()
-    assert control._observed_versions == {target.incarnation: ("m", 2)}
+    control.observed.forget_outdated()
+    assert control.observed.versions == {target.incarnation: ("m", 2)}
 
 
 def test_the_times_of_the_newest_weight_versions_only_are_kept(tmp_path):
