Wait a moment for a call that is in progress at another VM

Callers saw 503 'not-run, send the request again' from a VM whose claim got no reply from the log, and at the next VM 409 claim-in-progress, outcome unknown, though nothing had run: the withdrawal of the first claim was still queued.

--- a/src/vanillabeam/claims/shell.py
+++ b/src/vanillabeam/claims/shell.py
@@ -192,7 +192,8 @@
             by_key=by_key,
             settled=settlement.ran if settlement else None,
         )
-        reply = await self._propose_claim(command)
+        until_s = started_s + min(self.cfg.claim_timeout_s, deadline_s)
+        reply = await self._claim_when_free(command, until_s)
         if isinstance(reply, Failure):
             return reply
         send_by_s = started_s + deadline_s
@@ -219,6 +220,23 @@
             "now_ms": self._wall_ms(),
         }
 
+    async def _claim_when_free(
+        self, command: Claim, until_s: float
+    ) -> Result[Reply, VanillabeamError]:
+        """Propose ``command``, again while another try of the call is in progress.
+
+        That one may end soon, or be withdrawn if it got no reply from the log.
+        """
+        pause_s = self.cfg.retry_interval_s
+        while True:
+            reply = await self._propose_claim(command)
+            is_over = trio.current_time() + pause_s >= until_s
+            if is_over or not _is_in_progress(reply):
+                return reply
+            await trio.sleep(pause_s)
+            pause_s *= 2
+            command = msgspec.structs.replace(command, now_ms=self._wall_ms())
+
     async def _propose_claim(self, command: Claim) -> Result[Reply, VanillabeamError]:
         """Propose ``command`` until it is applied.
 
@@ -284,6 +302,11 @@
         return result.bind(lambda applied: wire.decode(Reply, applied.reply.encode()))
 
 
+def _is_in_progress(reply: Result[Reply, VanillabeamError]) -> bool:
+    status = reply.map(lambda decoded: decoded["status"]).value_or("")
+    return status == ReplyStatus.IN_PROGRESS
+
+
 def _parse_claim_reply(
     reply: Reply, command: Claim, send_by_s: float
 ) -> Result[ClaimGrant | RecordedOutcome, VanillabeamError]:
