--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -358,7 +358,7 @@
             await self.stores.track(self._deployment.stores if leads else (), nursery)
             # Until then targets may be missing that use older weights.
             is_complete = not self.follower.is_discovering(trio.current_time())
-            outdated = self._outdated() if is_complete else _never_outdated
+            outdated = self._outdated() if is_complete else lambda salt: False
             await self.stores.free(outdated, FETCH_LIMIT_S, self._confirm_leadership)
             await trio.sleep(STORE_CHECK_PERIOD_S)
 
@@ -397,7 +397,3 @@
     def _absent_voter(self) -> str | None:
         members = self.node.status()["members"]
         return self._absent_voters.find(members, trio.current_time())
-
-
-def _never_outdated(salt: str) -> bool:
-    return False
--- a/src/vanillabeam/httpserver.py
+++ b/src/vanillabeam/httpserver.py
@@ -5,10 +5,8 @@
 HTTP/1.0 and HTTP/1.1, and its failure ends nothing else.
 """
 
-import os
 import select
-import socket
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -20,8 +18,9 @@
 from hypercorn.trio.task_group import TaskGroup, _handle
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
-from hypercorn.utils import parse_socket_addr, repr_socket_addr
+from hypercorn.utils import parse_socket_addr
 
+from vanillabeam.accepting import accept_rest, hold_socket, open_listeners
 from vanillabeam.decisions import ConnectionFailed, ConnectionStalled, log_record
 
 if TYPE_CHECKING:
@@ -72,7 +71,7 @@
     """
     context = WorkerContext(None)
     connections = _Connections()
-    listeners, urls = _open_listeners(config)
+    listeners, urls = open_listeners(config)
 
     async def serve_stream(stream: trio.abc.Stream) -> None:
         await connections.run(_Connection(app, config, context, connections, stream))
@@ -85,32 +84,16 @@
                 accepting.start_soon(accept, serve_stream, listeners)
                 task_status.started(urls)
                 await shutdown_trigger()
-                held = [_hold(listener) for listener in listeners]
+                held = [hold_socket(listener) for listener in listeners]
                 accepting.cancel_scope.cancel()
             for listener, sock in zip(listeners, held, strict=True):
-                for stream in _accept_rest(listener, sock):
+                for stream in accept_rest(listener, sock):
                     handlers.start_soon(serve_stream, stream)
             await context.terminated.set()
             outer.cancel_scope.deadline = trio.current_time() + config.graceful_timeout
         outer.cancel_scope.cancel()
 
 
-def _open_listeners(config: "Config") -> tuple[list[trio.abc.Listener], list[str]]:
-    sockets = config.create_sockets()
-    tls = config.create_ssl_context()
-    listeners: list[trio.abc.Listener] = []
-    urls = []
-    for sock in (*sockets.secure_sockets, *sockets.insecure_sockets):
-        sock.listen(config.backlog)
-        listener = trio.SocketListener(trio.socket.from_stdlib_socket(sock))
-        if tls is not None:
-            listener = trio.SSLListener(listener, tls, https_compatible=True)
-        listeners.append(listener)
-        scheme = "http" if tls is None else "https"
-        urls.append(f"{scheme}://{repr_socket_addr(sock.family, sock.getsockname())}")
-    return listeners, urls
-
-
 async def _wait_while(condition: Callable[[], bool], limit_s: float) -> None:
     """Wait until a condition no longer holds, but not longer than ``limit_s``."""
     with trio.move_on_after(limit_s):
@@ -120,46 +103,6 @@
             await trio.sleep(POLL_S)
 
 
-def _hold(listener: trio.abc.Listener) -> socket.socket | None:
-    """Return a second handle on a listener's socket, which stays open with it.
-
-    :returns: ``None`` if the listener is closed already.
-    """
-    is_tls = isinstance(listener, trio.SSLListener)
-    transport = listener.transport_listener if is_tls else listener
-    if transport.socket.fileno() < 0:
-        return None
-    sock = socket.socket(fileno=os.dup(transport.socket.fileno()))
-    sock.setblocking(False)
-    return sock
-
-
-def _accept_rest(
-    listener: trio.abc.Listener, sock: socket.socket | None
-) -> Iterator[trio.abc.Stream]:
-    """Yield the connections that wait at a listener's socket, then close it.
-
-    Closing it resets those that were not accepted.
-
-    :param listener: the listener, whose own handle is closed.
-    :param sock: the handle that was held, if any.
-    """
-    if sock is None:
-        return
-    with sock, suppress(OSError):
-        while True:
-            accepted, _ = sock.accept()
-            stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
-            if isinstance(listener, trio.SSLListener):
-                stream = trio.SSLStream(
-                    stream,
-                    listener._ssl_context,
-                    server_side=True,
-                    https_compatible=True,
-                )
-            yield stream
-
-
 def _is_readable(sock: trio.socket.SocketType) -> bool:
     """Return whether an open socket has a connection, bytes or an end to give."""
     if sock.fileno() < 0:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,7 +20,7 @@
     """,
     "settings": "logs reference settings settingschecks settingsrecords",
     "connections": """
-        httpread httpserver limits listeners middleware peerhttp ports tls
+        accepting httpread httpserver limits listeners middleware peerhttp ports tls
     """,
     "parts": """
         admission answers burn cache claims control fleet forwarding imports
