--- a/src/vanillabeam/forwarding/load.py
+++ b/src/vanillabeam/forwarding/load.py
@@ -12,7 +12,7 @@
 STREAM_WORK_TOKENS = 150
 #: Fewest queued tokens of a request whose wait updates the estimated speed.
 MIN_SAMPLE_TOKENS = 4_000
-#: Seconds without such a wait after which the estimated speed is tried again.
+#: Seconds without such a wait after which a prompt may test the estimated speed.
 SPEED_TTL_S = 10.0
 #: Weight of one wait in the moving average of the speed.
 RATE_SMOOTHING = 0.05
--- a/src/vanillabeam/forwarding/recorder.py
+++ b/src/vanillabeam/forwarding/recorder.py
@@ -19,8 +19,8 @@
 
 __all__ = ["AttemptEnd", "OutcomeRecorder"]
 
-#: Failures of targets that go on.
-_WHOLE = (AnswerTooLong, MismatchedAnswer, RefusalUnproven)
+#: Failures after which the target is known to run on.
+_FAILURES_OF_RUNNING_TARGETS = (AnswerTooLong, MismatchedAnswer, RefusalUnproven)
 #: Parts of a prompt in a log line.
 MAX_LOGGED_PARTS = 8
 
@@ -98,7 +98,7 @@
         target, resources = self._choice.target, self._resources
         if not end.may_have_run or resources.chooser.is_leaving(target):
             return
-        if isinstance(broken.exc, _WHOLE):
+        if isinstance(broken.exc, _FAILURES_OF_RUNNING_TARGETS):
             return
         metadata = self._metadata
         answer = BrokenAnswer(
