--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -252,7 +252,7 @@
             await self._send(target, model, run, strategy)
 
     def _pause_s(self, target: Target) -> float:
-        """Return the time until the next report, which is priced."""
+        """Return the time until the next report; each takes the target's time."""
         end_s = self._plan.expected_end_s(target.incarnation)
         left_s = float("-inf") if end_s is None else end_s - trio.current_time()
         if left_s < -LATE_S:
