Read, log and count the limits that targets name

Now an answer's Server-Limit is read (it is no longer passed on to callers) and believed by start of the target; which of two answers is later is told by when their requests were sent. Lines target-limited, target-unlimited, limit-unreadable; metrics target_limit and limited_requests by target. Nothing is held back yet.

--- a/src/vanillabeam/counters.py
+++ b/src/vanillabeam/counters.py
@@ -51,6 +51,9 @@
         self.parts = self._counter(
             "prompt_parts", "Shared parts of prompts.", "outcome"
         )
+        self.limited_requests = self._counter(
+            "limited_requests", "Requests sent to targets that name a limit.", "target"
+        )
         self.total_s = self._histogram(
             "request_seconds", "Time to the end of an answer.", "route"
         )
--- a/src/vanillabeam/decisions/targets.py
+++ b/src/vanillabeam/decisions/targets.py
@@ -4,8 +4,9 @@
 
 __all__ = [
     "AnnouncementUnreadable",
-    "LeavingReported",
     "FenceRaised",
+    "LeavingReported",
+    "LimitUnreadable",
     "PartsFreed",
     "PartsRetired",
     "StoreHeard",
@@ -13,7 +14,9 @@
     "TargetChanged",
     "TargetLeaving",
     "TargetLeft",
+    "TargetLimited",
     "TargetPaused",
+    "TargetUnlimited",
     "TargetRested",
     "TargetSilent",
     "TargetStays",
@@ -98,6 +101,58 @@
     pause_s: float
 
 
+class TargetLimited(NamedTuple):
+    """A target takes so many requests a second from all VMs together, from now on.
+
+    :param rate_s: requests a second.
+    :param before_s: requests a second before; ``None`` without a limit.
+    :param request_id: the request whose answer said so; empty for a call of this VM.
+    :param source: VM that told this one; empty if this VM had the answer itself.
+    :param age_s: seconds since that answer arrived.
+    """
+
+    target: str
+    born_ms: int
+    rate_s: float
+    before_s: float | None
+    request_id: str
+    source: str
+    age_s: float
+
+
+class TargetUnlimited(NamedTuple):
+    """A target no longer names a limit; its rate returns by steps.
+
+    :param rate_s: requests a second until now.
+    :param held_s: seconds for which that limit held, as this VM knows.
+    :param request_id: the request whose answer said so; empty for a call of this VM.
+    :param source: VM that told this one; empty if this VM had the answer itself.
+    :param age_s: seconds since that answer arrived.
+    """
+
+    target: str
+    born_ms: int
+    rate_s: float
+    held_s: float
+    request_id: str
+    source: str
+    age_s: float
+
+
+class LimitUnreadable(NamedTuple):
+    """A target named a limit that can't be believed, or several.
+
+    :param text: the values as received.
+    :param rate_s: requests a second that count; ``None`` if all else stays as it was.
+    """
+
+    target: str
+    born_ms: int
+    request_id: str
+    text: str
+    rate_s: float | None
+
+
 class TargetSilent(NamedTuple):
     """No announcement of a target has arrived for too long."""
 
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -273,6 +273,17 @@
             "Known targets that asked this VM for a pause that runs.",
             lambda: len(chooser.notices.paused(known(), trio.current_time())),
         )
+        self.counters.add_gauges(
+            "target_limit",
+            "Requests a second that a target takes from all VMs together.",
+            ("target",),
+            lambda: {
+                (name,): rate_s
+                for (name, _), rate_s in chooser.limits.limited(
+                    trio.current_time()
+                ).items()
+            },
+        )
 
     def _add_control_metrics(self, control: "FleetControl") -> None:
         add_gauge = self.counters.add_gauge
--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -5,11 +5,6 @@
 
 import trio
 
-from vanillabeam.decisions import (
-    TargetLeaving,
-    TargetPaused,
-    log_record,
-)
 from vanillabeam.exceptions import Run
 from vanillabeam.fleet import RouteKind, Target
 from vanillabeam.forwarding.admitted import AdmittedRequest
@@ -26,6 +21,7 @@
     RefusalUnproven,
 )
 from vanillabeam.forwarding.load import OpenRequest
+from vanillabeam.forwarding.noticing import apply_notice
 from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome
 from vanillabeam.forwarding.passage import Passage
 from vanillabeam.forwarding.plain import Prefix, read_plain, read_refusal
@@ -50,8 +46,6 @@
 DEFAULT_SILENCE_LIMIT_S = 0.5
 #: Interval of the checks for a target that turned suspect.
 SUSPECT_CHECK_S = 0.1
-#: Characters of a header's value in a log line.
-MAX_LOGGED_TEXT = 40
 
 
 class Attempt:
@@ -201,8 +195,13 @@
         """
         if self._passage.is_barred():
             return False
-        notices = self._resources.chooser.notices
-        return notices.may_send(self._choice.target.incarnation, trio.current_time())
+        chooser, now_s = self._resources.chooser, trio.current_time()
+        target = self._choice.target
+        if not chooser.notices.may_send(target.incarnation, now_s):
+            return False
+        if chooser.limits.rate_s(target.incarnation, now_s) is not None:
+            self._resources.counters.limited_requests.labels(target.name).inc()
+        return True
 
     def _request_headers(self, target: Target) -> Headers:
         resources, now_s = self._resources, trio.current_time()
@@ -237,7 +236,13 @@
         self._apply_keep_alive(response)
         notice = Notice()
         if kind is not AnswerKind.OTHER_TARGET:
-            notice = self._apply_notice(response)
+            notice = apply_notice(
+                self._resources,
+                target,
+                request.metadata.request_id,
+                response,
+                self._open_request.began_s,
+            )
         headers = self._resources.dialect.answer_headers(
             response.status, response.headers
         )
@@ -299,27 +304,6 @@
             return False
         return response.may_be_event_stream or self._writer.started
 
-    def _apply_notice(self, response: OpenResponse) -> Notice:
-        """Record and return what the target said of itself in its answer."""
-        notices, target = self._resources.chooser.notices, self._choice.target
-        request_id, now_s = self._request.metadata.request_id, trio.current_time()
-        notice = self._resources.dialect.read_notice(response.status, response.headers)
-        applied = notices.apply(target.incarnation, notice, now_s)
-        if applied.is_leaving:
-            log_record(TargetLeaving(target.name, target.born_ms, request_id))
-        if applied.reading is not None:
-            log_record(
-                TargetPaused(
-                    target.name,
-                    target.born_ms,
-                    request_id,
-                    notice.pause[:MAX_LOGGED_TEXT],
-                    applied.reading.is_literal,
-                    round(applied.pause_s, 3),
-                )
-            )
-        return notice
-
     def _apply_keep_alive(self, response: OpenResponse) -> None:
         for name, value in response.headers:
             if name.lower() == b"keep-alive":
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -14,6 +14,7 @@
     Route,
     Target,
 )
+from vanillabeam.fleet.ratelimits import RateLimits
 from vanillabeam.forwarding.bounds import ColdTargetLimiter, ServiceRetryBudget
 from vanillabeam.forwarding.costs import PromptCosts
 from vanillabeam.forwarding.dialect import RequestMetadata
@@ -71,6 +72,7 @@
     :ivar load: open requests at the targets.
     :ivar order: sorts the targets that may take a request.
     :ivar notices: what targets have asked of this VM.
+    :ivar limits: requests a second that targets take from all VMs together.
     :ivar is_paused: returns whether a target is paused to load weights, given its
         name and the monotonic time.
     """
@@ -89,6 +91,7 @@
         self._rng = rng
         self.load = Load()
         self.notices = TargetNotices(rng)
+        self.limits = RateLimits()
         self.is_paused: Callable[[str, float], bool] = _never
         self.order = TargetOrder(data_centre, rng)
         self._health = Health()
@@ -218,6 +221,7 @@
         names = {name for name, _ in incarnations}
         self._health.keep_only(incarnations)
         self.notices.keep_only(incarnations, now_s)
+        self.limits.expire(now_s)
         self._cold_limiter.keep_only(names)
         self.load.keep_only(names)
 
--- a/src/vanillabeam/notices.py
+++ b/src/vanillabeam/notices.py
@@ -62,10 +62,13 @@
 
     :param leaving: whether it takes no more work until it starts again.
     :param pause: value of ``Retry-After`` in a refusal; ``None`` without one.
+    :param limits: values of the field that names the requests a second that it takes
+        from all VMs together; empty if it names no limit.
     """
 
     leaving: bool = False
     pause: str | None = None
+    limits: tuple[str, ...] = ()
 
 
 class PauseReading(NamedTuple):
--- a/src/vanillabeam/platform/headers.py
+++ b/src/vanillabeam/platform/headers.py
@@ -27,6 +27,7 @@
 LAST_EVENT_ID = b"last-event-id"
 KV_FROM = b"kv-from"
 LEAVING = b"server-leaving"
+LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 EXPECT_VERSION = PREFIX + b"expect-version"
 KV_SOURCE = PREFIX + b"kv-source"
@@ -153,7 +154,7 @@
 
     def answer_headers(self, status: int, headers: Headers) -> Headers:
         """Return the headers of an answer without what its worker said of itself."""
-        dropped = {LEAVING, RETRY_AFTER} if status == UNAVAILABLE else {LEAVING}
+        dropped = {LEAVING, LIMIT} | ({RETRY_AFTER} if status == UNAVAILABLE else set())
         return [header for header in headers if header[0].lower() not in dropped]
 
 
@@ -161,7 +162,10 @@
     """Return what a worker said of itself in an answer to any call."""
     by_name = {name.lower(): value.decode("latin-1") for name, value in headers}
     pause = by_name.get(RETRY_AFTER) if status == UNAVAILABLE else None
-    return Notice(by_name.get(LEAVING, "").strip() == "1", pause)
+    limits = tuple(
+        value.decode("latin-1") for name, value in headers if name.lower() == LIMIT
+    )
+    return Notice(by_name.get(LEAVING, "").strip() == "1", pause, limits)
 
 
 def _prefix_headers(context: ForwardingContext) -> Headers:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -145,3 +145,10 @@
     metadata = DIALECT.read_metadata(scope).unwrap()
     assert (metadata.host, metadata.path) == (host, path)
     assert metadata.target == path.encode() + b"?a=1"
+
+
+def test_a_limit_is_read_and_not_passed_on():
+    headers = [(b"Server-Limit", b"2.5"), (b"server-limit", b"abc"), (b"a", b"1")]
+    assert DIALECT.read_notice(200, headers).limits == ("2.5", "abc")
+    assert DIALECT.answer_headers(200, headers) == [(b"a", b"1")]
+    assert DIALECT.answer_headers(503, headers) == [(b"a", b"1")]
