--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -179,12 +179,15 @@
         )
         await self._start(cfg)
 
-    async def start_entry(self):
+    async def start_entry(self, number=0):
+        """Start an entry VM; the first one is ``front``, further ones have a number."""
+        host = f"127.0.0.{number + 1}"
         listen = {
-            "front": f"127.0.0.1:{self.entry_port}",
-            "ready": f"127.0.0.1:{self.readiness_port}",
+            "front": f"{host}:{self.entry_port}",
+            "ready": f"{host}:{self.readiness_port}",
         }
-        await self._start(self.settings("front", "127.0.0.1", listen, data_dir=None))
+        name = f"front-{number}" if number else "front"
+        await self._start(self.settings(name, host, listen, data_dir=None))
 
     async def _start(self, cfg):
         vm = FleetVm(cfg, PlatformAdapter(), random.Random(cfg.vm))
@@ -246,8 +249,9 @@
         key=b"key-1",
         body=b"{}",
         request_id=b"r-1",
+        entry=0,
     ):
-        """Send a client's request; return the answer."""
+        """Send a client's request to an entry VM; return the answer."""
         all_headers = [
             (b"Host", b"shop.example"),
             (b"X-Vanillabeam-Request-Id", request_id),
@@ -255,14 +259,14 @@
             (b"X-Vanillabeam-Key", key),
             *headers,
         ]
-        url = f"http://127.0.0.1:{self.entry_port}{path}"
+        url = f"http://127.0.0.{entry + 1}:{self.entry_port}{path}"
         with trio.fail_after(TIMEOUT_S):
             return await self.pool.request(
                 "POST", url, headers=all_headers, content=body
             )
 
-    async def wait_ready(self):
-        url = f"http://127.0.0.1:{self.readiness_port}/api/ready"
+    async def wait_ready(self, entry=0):
+        url = f"http://127.0.0.{entry + 1}:{self.readiness_port}/api/ready"
         await wait_until(partial(self._is_ready, url))
 
     async def _is_ready(self, url):
