Keep the limits that targets name, by permits for each request

Now each request to a target with a limit takes a permit from one control VM, which counts tokens at that rate: exact for any number of entry VMs. Limits are told by all VMs to all; a request that had chosen a target before its limit was heard chooses anew before its first byte; where all targets are limited a request waits for its turn, by class and workspace, or is refused at once with the time until then. Why it works: no request leaves for such a target but with a permit, checked at the only place where one is sent.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -17,13 +17,13 @@
 from vanillabeam.forwarding.choice import Chooser
 from vanillabeam.forwarding.costs import FetchCost, estimate_costs, fetch_cost_ratio
 from vanillabeam.forwarding.dialect import PromptPart, RequestMetadata
-from vanillabeam.forwarding.exchange import (
+from vanillabeam.forwarding.load import Load, UnreportedLoad
+from vanillabeam.forwarding.ordering import TargetOrder
+from vanillabeam.forwarding.selection import (
     MAX_WAIT_OBJECTIVES,
     MEMORY_WAIT_OBJECTIVES,
     POLL_INTERVAL_S,
 )
-from vanillabeam.forwarding.load import Load, UnreportedLoad
-from vanillabeam.forwarding.ordering import TargetOrder
 
 __all__ = ["POLICIES", "run", "simulate"]
 
--- a/bench/ratelimits.py
+++ b/bench/ratelimits.py
@@ -246,7 +246,7 @@
             rank=0,
             workspace="",
             waited_s=0.0,
-            waits=False,
+            patience_s=0.0,
             previous=previous,
         )
 
--- a/bench/rollout_model.py
+++ b/bench/rollout_model.py
@@ -91,6 +91,9 @@
         self.follower = SimpleNamespace(directory=Directory())
         self.paused: set[str] = set()
         self.deployment = Deployment(routes=(make_stream(),))
+        # What targets say of themselves is ignored.
+        self.leaving = SimpleNamespace(receive=None)
+        self.permits = SimpleNamespace(receive_limit=None)
         self._named_s: dict[str, float] = {}
         self._targets = {each.target.name: each for each in targets}
         for each in targets:
@@ -122,9 +125,6 @@
         if name in self._targets:
             self._targets[name].paused_s = trio.current_time()
 
-    def receive_leaving(self, target: Target) -> None:
-        """Ignore a notice."""
-
     def report_weights(self, target: Target, model: str, version: int) -> None:
         """Record a target's version."""
         self.follower.directory.update_weight_version(
@@ -268,7 +268,7 @@
     def __init__(self, targets: list[StandInTarget]):
         self.targets = {each.target.name: each for each in targets}
         self.control = StandInControl(targets)
-        self.on_leaving = None
+        self.on_leaving = self.on_limit = None
         self.reports = 0
         self.most_loading = 0
         self.most_paused = 0
--- a/src/vanillabeam/decisions/requests.py
+++ b/src/vanillabeam/decisions/requests.py
@@ -8,6 +8,7 @@
     "CallerGone",
     "ConnectionFailed",
     "ConnectionStalled",
+    "PermitDenied",
     "RequestAdmitted",
     "RequestAnswered",
     "RequestRefused",
@@ -151,3 +152,27 @@
     """
 
     address: str
+
+
+class PermitDenied(NamedTuple):
+    """A target takes no further request now, by the limit that it names.
+
+    Its requests go to other targets meanwhile, wait, or are refused.
+
+    :param request_id: the request that asked.
+    :param rate_s: requests a second that the target takes from all VMs together.
+    :param wait_s: seconds until the turn of a request of this VM.
+    :param queued: whether this VM has a place until then, as its request waits.
+    :param rivals: other VMs that wait for it.
+    :param granter: address of the control VM that counts; empty if none answers, and
+        this VM keeps to its share.
+    """
+
+    request_id: str
+    target: str
+    born_ms: int
+    rate_s: float
+    wait_s: float
+    queued: bool
+    rivals: int
+    granter: str
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -12,10 +12,8 @@
 from vanillabeam import wire
 from vanillabeam.decisions import (
     MemberRemoved,
-    TargetLeaving,
     TargetLeft,
     TargetSilent,
-    TargetStays,
     log_record,
 )
 from vanillabeam.exceptions import VanillabeamError
@@ -24,9 +22,9 @@
 from vanillabeam.fleet.directory import (
     Directory,
 )
-from vanillabeam.fleet.follower import Follower, read_or_keep
+from vanillabeam.fleet.follower import Follower
 from vanillabeam.fleet.holders import WeightHolders
-from vanillabeam.fleet.leaving import LeavingNotices
+from vanillabeam.fleet.leavingtask import LeavingTask
 from vanillabeam.fleet.loads import (
     EntryLoad,
     EntryLoads,
@@ -41,6 +39,8 @@
 )
 from vanillabeam.fleet.observed import ObservedVersions
 from vanillabeam.fleet.parts import FETCH_LIMIT_S
+from vanillabeam.fleet.permits import PERMIT_PATH
+from vanillabeam.fleet.permitting import PermitTask
 from vanillabeam.fleet.quarantine import QUARANTINE_PATH
 from vanillabeam.fleet.quarantining import QuarantineTask
 from vanillabeam.fleet.reclaimer import is_outdated
@@ -48,6 +48,7 @@
 from vanillabeam.fleet.stores import StoreCalls, StoreTracker
 from vanillabeam.fleet.targetlog import log_target
 from vanillabeam.fleet.versiontimes import VersionTimes
+from vanillabeam.fleet.view import read_or_keep
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, make_reply
 from vanillabeam.log import Address, Applied, LogNode, LogSettings
 from vanillabeam.log.exceptions import LogError
@@ -80,6 +81,8 @@
     :ivar directory: targets that announced themselves to this VM.
     :ivar follower: merged view over the directories of all control VMs.
     :ivar observed: weight versions that were read from targets.
+    :ivar leaving: targets that have told this VM that they leave.
+    :ivar permits: grants permits of targets that name a limit.
     :ivar epoch: random id of this process, sent in each watch reply.
 
     >>> control = FleetControl(cfg, call, random.Random(), read, store_calls)
@@ -125,7 +128,11 @@
         #: Names of targets that are about to load weights.
         self.paused: set[str] = set()
         self._holders = WeightHolders()
-        self._leaving = LeavingNotices(cfg.bounds.heartbeat_s)
+        self.leaving = LeavingTask(
+            self.directory, self.follower, self._notify, cfg.bounds.heartbeat_s
+        )
+        self.permits = PermitTask(cfg.peer_address, self.follower.limits)
+        self.follower.limits.on_change = self._limits_changed
         self.observed = ObservedVersions(self.follower.directory)
         self._version_times = VersionTimes()
         self._changed = trio.Event()
@@ -144,6 +151,7 @@
             **self.node.routes(),
             WATCH_PATH: self._handle_watch,
             QUARANTINE_PATH: self._quarantine.handle,
+            PERMIT_PATH: self.permits.handle,
         }
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -153,7 +161,8 @@
             for task, *args in (
                 (self._remove_absent_voters,),
                 (self._drop_silent_targets,),
-                (self._weigh_leaving,),
+                (self.leaving.run,),
+                (self.permits.run,),
                 (self._track_stores, nursery),
                 (self._quarantine.run,),
                 (self.follower.run,),
@@ -203,34 +212,6 @@
         log_record(TargetLeft(name, born_ms))
         self._notify()
 
-    def receive_leaving(self, target: Target) -> None:
-        """Record that a target has answered a call of this VM that it leaves.
-
-        Watchers are told for as long as this VM believes it.
-        """
-        if self._leaving.record(target.incarnation, trio.current_time()):
-            log_record(TargetLeaving(target.name, target.born_ms, ""))
-            self._publish_leaving()
-
-    def _publish_leaving(self) -> None:
-        leaving = self._leaving.incarnations()
-        self.directory.set_leaving(leaving)
-        self.follower.targets.leaving_here = leaving
-        self.follower.targets.update_leaving()
-        self._notify()
-
-    async def _weigh_leaving(self) -> None:
-        """End the belief that targets leave which go on announcing themselves."""
-        while True:
-            await trio.sleep(self.cfg.bounds.heartbeat_s / 4)
-            now_s = trio.current_time()
-            ended = self._leaving.weigh(self.follower.directory, now_s)
-            for withdrawn in ended:
-                age_s = round(withdrawn.age_s, 3)
-                log_record(TargetStays(*withdrawn.incarnation, age_s))
-            if ended:
-                self._publish_leaving()
-
     def pause(self, target: str) -> None:
         """Ask entry VMs to send no new work to a target."""
         self.paused.add(target)
@@ -259,6 +240,10 @@
         """Return the age in seconds of each model's newest version."""
         return self._version_times.newest_ages_s(now_s)
 
+    def _limits_changed(self) -> None:
+        self.directory.mark_changed()
+        self._notify()
+
     def _notify(self) -> None:
         changed, self._changed = self._changed, trio.Event()
         changed.set()
@@ -273,6 +258,7 @@
             self._record_load(request, now_s)
         if "evidence" in request:
             self._quarantine.update(request["vm"], request["evidence"], now_s)
+        self.follower.limits.apply(request.get("limits", []), request["vm"], now_s)
         for salt, part, age_s in request["fetched"]:
             self.stores.index.mark_used((salt, part), now_s - age_s)
         with trio.move_on_after(min(request["wait_s"], MAX_WAIT_S)):
@@ -318,6 +304,7 @@
             now_s,
         )
         reply["data_centre"] = self.cfg.data_centre
+        self.follower.limits.add_to(reply, now_s)
         if request["sends"]:
             add_merged_ages(reply, self.directory, self.follower.directory, now_s)
         else:
--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -161,6 +161,10 @@
         self.version += 1
         return True
 
+    def mark_changed(self) -> None:
+        """Record a change of something else that watchers must receive at once."""
+        self.version += 1
+
     def targets(self) -> list[Target]:
         """Return the targets; those that leave by their answers count as draining."""
         targets = [record.target for record in self.records.values()]
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -9,13 +9,13 @@
 from vanillabeam.decisions import (
     ControlForgotten,
     ControlHeard,
-    DeploymentUnreadable,
     HomeChosen,
     StateInForce,
     log_record,
 )
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.evidence import EvidenceSource, NoEvidence
+from vanillabeam.fleet.limitnews import LimitNews
 from vanillabeam.fleet.loads import (
     ENTRY_SILENCE_S,
     EntryLoads,
@@ -24,7 +24,6 @@
     NoLoad,
     make_load,
 )
-from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.parts import PartView, RecentFetches
 from vanillabeam.fleet.polling import (
     REPLY_MARGIN_S,
@@ -38,12 +37,12 @@
 from vanillabeam.fleet.records import Deployment, FleetSettings
 from vanillabeam.fleet.sent import SentTargets
 from vanillabeam.fleet.targetnews import TargetNews
-from vanillabeam.fleet.view import FleetView, merge_version_times
+from vanillabeam.fleet.view import FleetView, merge_version_times, read_or_keep
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, digest_names
 from vanillabeam.peercall import PeerCall
 from vanillabeam.tasks import keep_running
 
-__all__ = ["Follower", "read_or_keep"]
+__all__ = ["Follower"]
 
 REPLY_TIMEOUT_S = 2.5
 RETRY_S = 0.25
@@ -60,20 +59,6 @@
 MAX_LOGGED_PARTS = 8
 
 
-def read_or_keep(
-    read: Callable[[str], Deployment], state: FleetState, known: Deployment
-) -> Deployment:
-    """Return the deployment of a fleet state, or ``known`` if it can't be read.
-
-    Another release may have committed a document that this one doesn't read.
-    """
-    try:
-        return read(state["document"])
-    except (ValueError, RecursionError) as exc:
-        log_record(DeploymentUnreadable(state["number"], str(exc)))
-        return known
-
-
 class Follower:
     """Keeps this VM's copy of the fleet state and of the target directory.
 
@@ -87,10 +72,12 @@
     :ivar fetches: parts that targets fetched lately at this VM's word.
     :ivar parts: copy of the leader's index of stored parts.
     :ivar entry_vms: names of the live entry VMs, this one included.
+    :ivar control_vms: the polled control VMs by address.
     :ivar load: open work that requests report and replies update.
     :ivar evidence: what this VM has seen of targets that ended.
     :ivar accused: parts that the leader asks about, with the number of targets that
         ended under them one after the other.
+    :ivar limits: requests a second that targets take from all VMs together.
     :ivar relayed: on a control VM, the load that entry VMs report to each other
         control VM only, by the process id of that one.
 
@@ -115,12 +102,13 @@
         self.evidence: EvidenceSource = NoEvidence()
         self.accused: dict[str, int] = {}
         self.relayed = EntryLoads()
+        self.limits = LimitNews()
         self._cfg = cfg
         self._call = call
         self._read = read
-        self._control_vms: dict[str, ControlVm] = {}
+        self.control_vms: dict[str, ControlVm] = {}
         silence_s = cfg.bounds.silence_s
-        self.targets = TargetNews(self.directory, self._control_vms, silence_s)
+        self.targets = TargetNews(self.directory, self.control_vms, silence_s)
         self._home = ""
         self._seeds = cfg.seed_addresses
         self._advertised: set[str] = set()
@@ -137,9 +125,9 @@
         """
         if not self.view.is_known:
             return False
-        replied = [vm for vm in self._control_vms.values() if vm.epoch]
+        replied = [vm for vm in self.control_vms.values() if vm.epoch]
         waited = trio.current_time() - self._started_s > REPLY_TIMEOUT_S
-        return waited or len(replied) > len(self._control_vms) // 2
+        return waited or len(replied) > len(self.control_vms) // 2
 
     def is_discovering(self, now_s: float) -> bool:
         """Return whether live targets may still be missing from the directory.
@@ -162,7 +150,7 @@
 
     def age_s(self) -> float:
         """Return the seconds since the last reply of any control VM."""
-        last_seen = [vm.last_seen_s for vm in self._control_vms.values()]
+        last_seen = [vm.last_seen_s for vm in self.control_vms.values()]
         return trio.current_time() - max(last_seen, default=self._started_s)
 
     async def wait_for_deployment(self) -> None:
@@ -176,6 +164,18 @@
                 return
             await trio.sleep(MIN_INTERVAL_S)
 
+    def report_limits(self) -> None:
+        """Tell the control VMs at once of a limit that a target has named.
+
+        The requests that wait there are given up and sent anew.
+        """
+        for control_vm in self.control_vms.values():
+            is_read = control_vm.address == self._home or not is_large(
+                len(self.entry_vms)
+            )
+            if is_read and control_vm.scope is not None:
+                control_vm.scope.cancel()
+
     def update_seeds(self, cfg: FleetSettings) -> None:
         """Poll the seeds of changed settings from now on."""
         self._seeds = cfg.seed_addresses
@@ -183,35 +183,35 @@
     async def run(self) -> None:
         """Poll the control VMs until cancelled, also again after a failure."""
         self._started_s = trio.current_time()
-        self._control_vms.clear()
+        self.control_vms.clear()
         async with trio.open_nursery() as nursery:
             while True:
                 for address in self._addresses_to_add():
-                    if address not in self._control_vms:
-                        self._control_vms[address] = ControlVm(address)
+                    if address not in self.control_vms:
+                        self.control_vms[address] = ControlVm(address)
                         nursery.start_soon(
                             keep_running, "follow", self._follow, address
                         )
                 self._update_current()
-                self._drop_silent_targets()
+                self.targets.drop_silent()
                 self.targets.update_leaving()
                 self._update_home()
                 await trio.sleep(RETRY_S)
 
     def _addresses_to_add(self) -> list[str]:
-        available = max(0, MAX_WATCHED - len(self._control_vms))
-        seeds = [seed for seed in self._seeds if seed not in self._control_vms]
-        advertised = self._advertised - set(self._seeds) - set(self._control_vms)
+        available = max(0, MAX_WATCHED - len(self.control_vms))
+        seeds = [seed for seed in self._seeds if seed not in self.control_vms]
+        advertised = self._advertised - set(self._seeds) - set(self.control_vms)
         self._advertised.clear()
         return [*seeds, *sorted(advertised)[:available]]
 
     async def _follow(self, address: str) -> None:
-        control_vm = self._control_vms[address]
+        control_vm = self.control_vms[address]
         control_vm.last_advertised_s = trio.current_time()
         while not self._is_forgotten(address, control_vm):
             pause_s = await self._poll(control_vm)
             await trio.sleep(pause_s)
-        del self._control_vms[address]
+        del self.control_vms[address]
         log_record(ControlForgotten(address))
 
     def _is_forgotten(self, address: str, control_vm: ControlVm) -> bool:
@@ -243,7 +243,7 @@
             return plan_relay(len(self.entry_vms))
         return plan_poll(
             len(self.entry_vms),
-            len(self._control_vms),
+            len(self.control_vms),
             is_home=control_vm.address == self._home,
             is_leader=control_vm.is_leader,
         )
@@ -257,7 +257,7 @@
         if not self._cfg.entry_address or not is_large(len(self.entry_vms)):
             return
         cfg, now_s = self._cfg, trio.current_time()
-        home = choose_home(cfg.vm, cfg.data_centre, self._control_vms, now_s)
+        home = choose_home(cfg.vm, cfg.data_centre, self.control_vms, now_s)
         if home is None or home.address == self._home:
             return
         log_record(HomeChosen(home.address, self._home))
@@ -286,6 +286,7 @@
             evidence = self.evidence.evidence(self.accused, requested_s)
             if evidence is not None:
                 request["evidence"] = evidence
+        self.limits.add_to(request, requested_s)
         control_vm.asked_entries = frozenset(self.entry_vms)
         due_s = requested_s + poll.wait_s + REPLY_MARGIN_S
         control_vm.due_s = min(control_vm.due_s, due_s)
@@ -300,7 +301,7 @@
 
     def _may_lead(self, control_vm: ControlVm) -> bool:
         """Return whether a control VM led at its last reply, or none is known to."""
-        known = any(other.is_leader for other in self._control_vms.values())
+        known = any(other.is_leader for other in self.control_vms.values())
         return control_vm.is_leader or not known
 
     def _apply(self, reply: WatchReply, control_vm: ControlVm) -> None:
@@ -317,6 +318,7 @@
         if "state" in reply:
             self._apply_state(reply)
         self.targets.apply(reply, control_vm, now_s)
+        self.limits.apply(reply.get("limits", []), control_vm.address, now_s)
         control_vm.last_seen_s, control_vm.due_s = now_s, float("inf")
         self.targets.update_leaving()
         self._apply_entries(reply, control_vm, now_s)
@@ -375,7 +377,7 @@
         named = control_vm.asked_entries if is_same else reply["entries"]
         control_vm.entries = frozenset(named)
         known = {self._cfg.vm} if self._cfg.entry_address else set()
-        for other in self._control_vms.values():
+        for other in self.control_vms.values():
             if now_s - other.last_seen_s < ENTRY_SILENCE_S:
                 known |= other.entries
         if known != set(self.entry_vms):
@@ -383,10 +385,7 @@
 
     def _apply_addresses(self, reply: WatchReply, now_s: float) -> None:
         for address in reply["control"]:
-            if address in self._control_vms:
-                self._control_vms[address].last_advertised_s = now_s
+            if address in self.control_vms:
+                self.control_vms[address].last_advertised_s = now_s
             else:
                 self._advertised.add(address)
-
-    def _drop_silent_targets(self) -> None:
-        self.targets.drop_silent()
--- a/src/vanillabeam/fleet/permits.py
+++ b/src/vanillabeam/fleet/permits.py
@@ -2,8 +2,9 @@
 
 One control VM grants all permits of a target, each for one request. It counts tokens
 that come at the target's rate, so what all entry VMs together send is exact, however
-many they are. An ask that gets none is told when to come back; meanwhile the VM waits
-in order of urgency, of what its workspace has had, and of time.
+many they are. An ask that gets none is told when its turn comes. A VM whose request
+would wait as long has a place until then, in order of urgency, of what its workspace
+has had, and of age.
 """
 
 from collections import Counter, deque
@@ -44,7 +45,8 @@
     :param rank: urgency of the request, 0 is the most urgent.
     :param workspace: the caller's; empty on a route that needs no key.
     :param waited_s: seconds since the request came.
-    :param waits: whether it waits for this target if it gets no permit now.
+    :param patience_s: seconds for which it would wait for this target; 0 if it goes
+        elsewhere.
     :param previous: address of the granter of this VM's last permits; empty if it has
         had none lately.
     """
@@ -56,19 +58,22 @@
     rank: int
     workspace: str
     waited_s: float
-    waits: bool
+    patience_s: float
     previous: str
 
 
 class PermitReply(TypedDict):
     """Answer to an ask.
 
-    :param wait_s: seconds after which to ask again, without a permit.
+    :param wait_s: seconds until the turn of the request that asked, without a permit.
+    :param queued: whether its VM has a place among those that wait: it is to ask again
+        at that time.
     :param rivals: other VMs that wait.
     """
 
     granted: bool
     wait_s: float
+    queued: bool
     rivals: int
 
 
@@ -150,10 +155,19 @@
     def count_before(self, vm: str, ask: _Waiter, now_s: float) -> int:
         """Return the number of other VMs whose turn comes before an ask."""
         key = self._key(ask, now_s)
-        return sum(
-            other != vm and self._key(waiter, now_s) < key
-            for other, waiter in self.waiters.items()
+        others = [waiter for other, waiter in self.waiters.items() if other != vm]
+        return sum(self._key(waiter, now_s) < key for waiter in others)
+
+    def has_token(self, vm: str, rank: int) -> bool:
+        """Return whether there is a token that no more urgent request waits for.
+
+        Among requests of one rank the one that comes gets it: a VM asks again at its
+        turn, and what is kept for one that doesn't come would be lost.
+        """
+        urgent = sum(
+            other != vm and waiter.rank < rank for other, waiter in self.waiters.items()
         )
+        return self.tokens >= 1.0 + urgent
 
     def _key(self, waiter: _Waiter, now_s: float) -> tuple[int, int, float]:
         used = self.grants.count(waiter.workspace, now_s)
@@ -167,7 +181,7 @@
 
     >>> granter = PermitGranter()
     >>> granter.grant(ask, rate_s=2.0, now_s=1.0)
-    {'granted': False, 'wait_s': 0.5, 'rivals': 0}
+    {'granted': False, 'wait_s': 0.5, 'queued': False, 'rivals': 0}
     """
 
     def __init__(self, address: str = ""):
@@ -191,17 +205,20 @@
         bucket.refill(rate_s, now_s)
         vm, since_s = ask["vm"], now_s - ask["waited_s"]
         waiter = _Waiter(ask["rank"], ask["workspace"], since_s, now_s)
-        before = bucket.count_before(vm, waiter, now_s)
         rivals = len(bucket.waiters.keys() - {vm})
         bucket.waiters.pop(vm, None)
-        if bucket.tokens >= 1.0 + before:
+        if bucket.has_token(vm, ask["rank"]):
             bucket.tokens -= 1.0
             bucket.grants.record(ask["workspace"], now_s)
-            return PermitReply(granted=True, wait_s=0.0, rivals=rivals)
-        wait_s = (1.0 + before - bucket.tokens) / rate_s
-        if ask["waits"]:
+            return PermitReply(granted=True, wait_s=0.0, queued=False, rivals=rivals)
+        before = bucket.count_before(vm, waiter, now_s)
+        wait_s = max(0.0, 1.0 + before - bucket.tokens) / rate_s
+        queued = wait_s <= ask["patience_s"]
+        if queued:
             bucket.waiters[vm] = waiter._replace(due_s=now_s + wait_s)
-        return PermitReply(granted=False, wait_s=round(wait_s, 4), rivals=rivals)
+        return PermitReply(
+            granted=False, wait_s=round(wait_s, 4), queued=queued, rivals=rivals
+        )
 
     def granted(self, now_s: float) -> dict[Incarnation, int]:
         """Return the permits of the last seconds by target."""
--- a/src/vanillabeam/fleet/polling.py
+++ b/src/vanillabeam/fleet/polling.py
@@ -26,6 +26,7 @@
     "is_large",
     "plan_poll",
     "plan_relay",
+    "rank_replying",
 ]
 
 #: Seconds that a control VM may hold a request until there is a change: short
@@ -107,18 +108,25 @@
 
     :returns: ``None`` while none replies.
     """
+    address = next(iter(rank_replying(vm, data_centre, control_vms, now_s)), None)
+    return control_vms[address] if address else None
+
+
+def rank_replying(
+    key: str, data_centre: str, control_vms: Mapping[str, ControlVm], now_s: float
+) -> list[str]:
+    """Return the addresses of the control VMs that reply, by rendezvous hashing.
+
+    :param data_centre: data centre whose control VMs come first.
+    """
     replying = [
         address
-        for address in rank(vm, control_vms)
+        for address in rank(key, control_vms)
         if not control_vms[address].is_silent(now_s)
     ]
-    nearby = [
-        address
-        for address in replying
-        if control_vms[address].data_centre == data_centre
-    ]
-    address = next(iter(nearby or replying), None)
-    return control_vms[address] if address else None
+    return sorted(
+        replying, key=lambda address: control_vms[address].data_centre != data_centre
+    )
 
 
 def plan_poll(
--- a/src/vanillabeam/fleet/rollout.py
+++ b/src/vanillabeam/fleet/rollout.py
@@ -21,7 +21,7 @@
 )
 from vanillabeam.tasks import run_guarded
 
-__all__ = ["Rollout", "TargetOrders", "WeightsOrder"]
+__all__ = ["OnLimit", "Rollout", "TargetOrders", "WeightsOrder"]
 
 PERIOD_S = 0.1
 #: Seconds between two reports of a target, and between those near the time at which it
@@ -36,6 +36,11 @@
 PAUSE_S = 0.3
 
 
+#: Receives a target, the values of the limit that it named in an answer, and the
+#: monotonic time at which the call was sent.
+OnLimit = Callable[[Target, tuple[str, ...], float], None]
+
+
 class WeightsOrder(NamedTuple):
     """An order to load a model's weights.
 
@@ -56,9 +61,11 @@
     """Client that sends weight orders to targets.
 
     :ivar on_leaving: called with a target that says in an answer that it leaves.
+    :ivar on_limit: called with a target that names a limit in an answer.
     """
 
     on_leaving: Callable[[Target], None]
+    on_limit: OnLimit
 
     async def load_weights(
         self, target: Target, order: WeightsOrder, sequence: int | None
@@ -82,7 +89,8 @@
     def __init__(self, control: FleetControl, orders: TargetOrders):
         self._control = control
         self._orders = orders
-        orders.on_leaving = control.receive_leaving
+        orders.on_leaving = control.leaving.receive
+        orders.on_limit = control.permits.receive_limit
         self._plan = RolloutPlan(PAUSE_S)
         self._right = OrderRight(control)
         self._held = HeldTargets()
--- a/src/vanillabeam/fleet/view.py
+++ b/src/vanillabeam/fleet/view.py
@@ -1,12 +1,20 @@
 """The committed fleet state as one VM knows it."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
+from vanillabeam.decisions import DeploymentUnreadable, log_record
 from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.quarantine import Quarantine
 from vanillabeam.fleet.records import Deployment
 
-__all__ = ["MAX_VERSIONS_KEPT", "NO_DEPLOYMENT", "FleetView", "merge_version_times"]
+__all__ = [
+    "MAX_VERSIONS_KEPT",
+    "NO_DEPLOYMENT",
+    "FleetView",
+    "merge_version_times",
+    "read_or_keep",
+]
 
 #: In place of a deployment before the first one.
 NO_DEPLOYMENT = Deployment()
@@ -71,3 +79,17 @@
         model: tuple(sorted(times.items())[-MAX_VERSIONS_KEPT:])
         for model, times in merged.items()
     }
+
+
+def read_or_keep(
+    read: Callable[[str], Deployment], state: FleetState, known: Deployment
+) -> Deployment:
+    """Return the deployment of a fleet state, or ``known`` if it can't be read.
+
+    Another release may have committed a document that this one doesn't read.
+    """
+    try:
+        return read(state["document"])
+    except (ValueError, RecursionError) as exc:
+        log_record(DeploymentUnreadable(state["number"], str(exc)))
+        return known
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -9,6 +9,7 @@
 from vanillabeam.fleet.loads import EntryLoad, LoadScope
 from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.parts import PartChanges, PartRequest
+from vanillabeam.fleet.ratelimits import RateReport
 from vanillabeam.fleet.records import Target
 
 __all__ = [
@@ -41,6 +42,7 @@
     :param scope: control VMs that it reports its load to; every one if omitted.
     :param entries_digest: digest of the names of entry VMs that it knows.
     :param evidence: what it has seen of targets that ended; omitted if nothing.
+    :param limits: limits of targets that it knows of; omitted for none.
     """
 
     vm: str
@@ -55,6 +57,7 @@
     scope: NotRequired[LoadScope]
     entries_digest: NotRequired[str]
     evidence: NotRequired[Evidence]
+    limits: NotRequired[list[RateReport]]
 
 
 class TargetReport(TypedDict):
@@ -94,6 +97,7 @@
         targets that ended under them one after the other; from the leader only.
     :param leaving: name and start time of all targets that have told this control VM
         that they leave; omitted for none.
+    :param limits: limits of targets that this control VM knows of; omitted for none.
     """
 
     epoch: str
@@ -116,6 +120,7 @@
     seen: NotRequired[list[tuple[str, int, str, int]]]
     accused: NotRequired[dict[str, int]]
     leaving: NotRequired[list[tuple[str, int]]]
+    limits: NotRequired[list[RateReport]]
 
 
 def make_reply(
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -10,6 +10,7 @@
 from vanillabeam.counters import Counters, CountersApp
 from vanillabeam.decisions import Ready, SeedsChanged, log_record
 from vanillabeam.fleet import Follower
+from vanillabeam.fleet.permitclient import PermitClient
 from vanillabeam.fleet.records import FleetSettings
 from vanillabeam.forwarding import Dialect, ForwardingApp
 from vanillabeam.forwarding.choice import Chooser
@@ -179,7 +180,11 @@
             self.follower.directory,
             self.cfg.bounds,
             self.rng,
+            self.follower.limits.limits,
         )
+        follower = self.follower
+        chooser.rates.ask = PermitClient(call, follower.control_vms)
+        chooser.rates.entry_count = lambda: len(follower.entry_vms)
         memory = MemoryBudget.of_memory(self.cfg.memory_bytes)
         app = ForwardingApp(
             dialect,
@@ -279,7 +284,7 @@
             ("target",),
             lambda: {
                 (name,): rate_s
-                for (name, _), rate_s in chooser.limits.limited(
+                for (name, _), rate_s in chooser.rates.limits.limited(
                     trio.current_time()
                 ).items()
             },
@@ -290,6 +295,12 @@
         add_gauge("log_term", "Term of the fleet log.", lambda: control.node.term)
         add_gauge("log_applied", "Index applied.", lambda: control.node.applied)
         add_gauge("log_leads", "Whether this VM leads.", lambda: control.node.is_leader)
+        self.counters.add_gauges(
+            "granted_permits",
+            "Permits of the last 4 s by target that names a limit.",
+            ("target",),
+            control.permits.granted,
+        )
         add_gauge("kept_parts", "Parts that stores keep.", control.stores.index.count)
         if not self.cfg.entry_address:
             self._add_target_metrics(control.follower)
--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -25,6 +25,7 @@
 from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome
 from vanillabeam.forwarding.passage import Passage
 from vanillabeam.forwarding.plain import Prefix, read_plain, read_refusal
+from vanillabeam.forwarding.ratelines import Permit
 from vanillabeam.forwarding.recorder import AttemptEnd, OutcomeRecorder
 from vanillabeam.forwarding.relay import StreamRelay
 from vanillabeam.forwarding.resources import Resources
@@ -54,6 +55,7 @@
     :param service: name of the service that the target belongs to.
     :param cutter: cuts a stream into whole events, over all attempts.
     :param passage: tells whether a part of the prompt was quarantined meanwhile.
+    :param permit: permit for the target, if it names a limit.
     :param may_go_elsewhere: whether the request may be sent to another target, so
         that it is given up as soon as this one turns suspect.
     :ivar was_sent: whether any of the request may have reached the target.
@@ -71,6 +73,7 @@
         cutter: EventCutter,
         choice: Choice,
         passage: Passage,
+        permit: Permit,
         may_go_elsewhere: bool,
     ):
         self.was_sent = False
@@ -85,6 +88,7 @@
         self._choice = choice
         self._may_go_elsewhere = may_go_elsewhere
         self._passage = passage
+        self._permit = permit
         self._was_refused = False
         self._is_return = False
         self._open_request: OpenRequest | None = None
@@ -191,7 +195,8 @@
     def _may_send(self) -> bool:
         """Return whether the request may still be sent, after a wait for a connection.
 
-        The target may have asked to be left out, or a part may have been quarantined.
+        The target may have asked to be left out or have named a limit, or a part may
+        have been quarantined.
         """
         if self._passage.is_barred():
             return False
@@ -199,7 +204,9 @@
         target = self._choice.target
         if not chooser.notices.may_send(target.incarnation, now_s):
             return False
-        if chooser.limits.rate_s(target.incarnation, now_s) is not None:
+        if not chooser.rates.may_send(self._permit, now_s):
+            return False
+        if chooser.rates.is_limited(target, now_s):
             self._resources.counters.limited_requests.labels(target.name).inc()
         return True
 
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choice.py
@@ -3,7 +3,6 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from typing import NamedTuple
 
 from vanillabeam.decisions import TargetRested
 from vanillabeam.fleet import (
@@ -16,6 +15,7 @@
 )
 from vanillabeam.fleet.ratelimits import RateLimits
 from vanillabeam.forwarding.bounds import ColdTargetLimiter, ServiceRetryBudget
+from vanillabeam.forwarding.chosen import Choice
 from vanillabeam.forwarding.costs import PromptCosts
 from vanillabeam.forwarding.dialect import RequestMetadata
 from vanillabeam.forwarding.downstream import spread_retry_after
@@ -24,6 +24,8 @@
 from vanillabeam.forwarding.load import Load
 from vanillabeam.forwarding.memory import with_free_memory
 from vanillabeam.forwarding.ordering import TargetOrder
+from vanillabeam.forwarding.rategate import RateGate
+from vanillabeam.forwarding.ratelines import Claim
 from vanillabeam.forwarding.usable import Checks, usable_targets
 from vanillabeam.notices import LeftOut, Reason, TargetNotices
 
@@ -33,33 +35,6 @@
 SUSPECT_HEARTBEATS = 1.9
 
 
-class Choice(NamedTuple):
-    """A chosen target and the inputs of the choice.
-
-    :param candidates: number of targets that could have taken the request.
-    :param is_cold: whether the target is in its cold window.
-    :param age_s: seconds since the target's last announcement.
-    :param work: work that the request causes at the target, in tokens to prefill.
-    :param loads_age_s: seconds since the load of other entry VMs arrived; ``None``
-        before.
-    :param failing: by how much more often the target fails than its service does.
-    :param wait_s: expected time to the first event; 0 if it is unknown.
-    :param memory_tokens: tokens of memory that the request takes at the target.
-    :param tries_speed: whether the expected time is to be tried, as it is of old.
-    """
-
-    target: Target
-    candidates: int = 1
-    is_cold: bool = False
-    age_s: float = 0.0
-    loads_age_s: float | None = None
-    failing: float = 0.0
-    work: int = 0
-    wait_s: float = 0.0
-    memory_tokens: int = 0
-    tries_speed: bool = False
-
-
 class Chooser:
     """Chooses targets by their health, load and memory, and records requests.
 
@@ -69,10 +44,11 @@
     :param directory: the known targets.
     :param bounds: limits that all entry VMs keep together.
     :param rng: seeded; breaks ties.
+    :param limits: what this VM knows of targets' limits.
     :ivar load: open requests at the targets.
     :ivar order: sorts the targets that may take a request.
     :ivar notices: what targets have asked of this VM.
-    :ivar limits: requests a second that targets take from all VMs together.
+    :ivar rates: permits for targets that name a limit.
     :ivar is_paused: returns whether a target is paused to load weights, given its
         name and the monotonic time.
     """
@@ -84,6 +60,7 @@
         directory: Directory,
         bounds: Bounds,
         rng: random.Random,
+        limits: RateLimits | None = None,
     ):
         self._vm = vm
         self._directory = directory
@@ -91,7 +68,7 @@
         self._rng = rng
         self.load = Load()
         self.notices = TargetNotices(rng)
-        self.limits = RateLimits()
+        self.rates = RateGate(vm, limits or RateLimits(), rng)
         self.is_paused: Callable[[str, float], bool] = _never
         self.order = TargetOrder(data_centre, rng)
         self._health = Health()
@@ -108,7 +85,7 @@
 
     def has_targets(self, service: str) -> bool:
         """Return whether any target of a service is known."""
-        return bool(self._targets_of(service))
+        return bool(self.targets_of(service))
 
     def pick_service(self, route: Route) -> str:
         """Return one of the route's services at random, by weight."""
@@ -168,15 +145,20 @@
             self.load, service, usable, costs, count, now_s
         ):
             is_cold = self._is_cold(target, rate, now_s)
-            if is_cold and not self._cold_limiter.may_send(
-                target.name, rate, self._vm, entries, now_s
-            ):
+            if is_cold and not self.may_send_cold(target, view, entries, now_s):
                 continue
             return self._choice(service, target, work, costs, now_s)._replace(
                 candidates=len(usable), is_cold=is_cold
             )
         return None
 
+    def may_send_cold(
+        self, target: Target, view: FleetView, entries: tuple[str, ...], now_s: float
+    ) -> bool:
+        """Return whether a request to a cold target is within this VM's share."""
+        rate = view.deployment.cold_rate(target.service)
+        return self._cold_limiter.may_send(target.name, rate, self._vm, entries, now_s)
+
     def record_sent(
         self,
         service: str,
@@ -221,7 +203,7 @@
         names = {name for name, _ in incarnations}
         self._health.keep_only(incarnations)
         self.notices.keep_only(incarnations, now_s)
-        self.limits.expire(now_s)
+        self.rates.keep_only(incarnations, now_s)
         self._cold_limiter.keep_only(names)
         self.load.keep_only(names)
 
@@ -235,7 +217,7 @@
         costs: PromptCosts | None,
     ) -> str:
         """Return why no target may take a request: the count left after each filter."""
-        known = self._targets_of(service)
+        known = self.targets_of(service)
         usable = self._usable_targets(service, metadata, view, set(), now_s)
         fitting = self._with_free_memory(
             usable, service, view.deployment, costs, entries, now_s
@@ -250,7 +232,8 @@
             self._budgets[service] = ServiceRetryBudget(self._bounds)
         return self._budgets[service]
 
-    def _targets_of(self, service: str) -> list[Target]:
+    def targets_of(self, service: str) -> list[Target]:
+        """Return the known targets of a service."""
         targets = self._directory.targets()
         return [target for target in targets if target.service == service]
 
@@ -264,7 +247,7 @@
         newest_only: bool = True,
     ) -> list[Target]:
         return usable_targets(
-            self._targets_of(service),
+            self.targets_of(service),
             metadata,
             view,
             tried,
@@ -281,13 +264,11 @@
 
     @property
     def _left_out(self) -> LeftOutTargets:
-        return LeftOutTargets(self.notices, self.load)
+        return LeftOutTargets(self.notices, self.load, self.rates)
 
     def left_out(self, service: str, now_s: float) -> dict[str, LeftOut]:
         """Return the targets of a service that are left out for that, by name."""
-        if self.notices.is_empty:
-            return {}
-        return self._left_out.among(self._targets_of(service), now_s)
+        return self._left_out.among(self.targets_of(service), now_s)
 
     def spread_retry_after(self, wait_s: float) -> float:
         """Return the seconds after which one of several callers should return."""
@@ -300,9 +281,11 @@
         view: FleetView,
         tried: set[str],
         now_s: float,
+        claim: Claim | None = None,
     ) -> float | None:
         """Return the seconds until the first paused target may take a request.
 
+        :param claim: its claim to targets that name a limit.
         :returns: ``None`` if another target may take it now, or if none is paused that
             could take it otherwise.
         """
@@ -311,7 +294,7 @@
             return None
         paused = [
             target
-            for target in self._targets_of(service)
+            for target in self.targets_of(service)
             if target.name in left_out
             and left_out[target.name].reason is not Reason.LEAVING
         ]
@@ -324,8 +307,10 @@
             self._bounds.version_s,
             now_s,
         )
-        ends_s = [left_out[target.name].remaining_s for target in waiting]
-        return min(ends_s, default=None)
+        if not waiting:
+            return None
+        first_s = min(left_out[target.name].remaining_s for target in waiting)
+        return first_s + self.rates.queue_s(service, claim, waiting, now_s)
 
     def _is_suspect(self, target: Target, now_s: float) -> bool:
         """Return whether the target is silent or its data centre unreachable."""
@@ -369,7 +354,7 @@
         queued_tokens = self.load.queued_tokens(target.name, rank) + work
         wait_s = self.load.wait_s(service, queued_tokens)
         loads_age_s = self.load.others_age_s(now_s)
-        names = [other.name for other in self._targets_of(service)]
+        names = [other.name for other in self.targets_of(service)]
         failures = self.load.observed.failure_excess(names)
         return Choice(
             target,
--- a/src/vanillabeam/forwarding/exceptions.py
+++ b/src/vanillabeam/forwarding/exceptions.py
@@ -19,6 +19,7 @@
     "RouteUnknown",
     "StateUnknown",
     "TargetWithdrawn",
+    "TargetsLimited",
     "TargetsPaused",
     "TooLate",
 ]
@@ -98,6 +99,15 @@
         self.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
 
 
+class TargetsLimited(TargetsPaused):
+    """Every target takes so few requests a second that the request would be late.
+
+    :param wait_s: seconds until one could take it, by the rate that is left.
+    """
+
+    type = "targets-limited"
+
+
 class PartQuarantined(NoTarget):
     """Targets end under a part of the prompt, so no target gets it.
 
--- a/src/vanillabeam/forwarding/noticing.py
+++ b/src/vanillabeam/forwarding/noticing.py
@@ -77,8 +77,9 @@
         )
         if reading.rate_s is None:
             return
-    change = resources.chooser.limits.record_answer(
+    change = resources.chooser.rates.limits.record_answer(
         target.incarnation, reading.rate_s, sent_s, trio.current_time()
     )
     if change is not None:
         log_limit(change, request_id)
+        resources.follower.report_limits()
--- a/src/vanillabeam/notices.py
+++ b/src/vanillabeam/notices.py
@@ -49,12 +49,14 @@
     :cvar PAUSED: it has asked for a pause that hasn't ended.
     :cvar RETURNING: its pause has ended, and it takes a few requests at a time.
     :cvar FULL: it has refused a request lately, and this VM has enough open there.
+    :cvar LIMITED: it names a limit, and all that it takes now has been granted.
     """
 
     LEAVING = "leaving"
     PAUSED = "paused"
     RETURNING = "returning"
     FULL = "full"
+    LIMITED = "limited"
 
 
 class Notice(NamedTuple):
--- a/src/vanillabeam/platform/orders.py
+++ b/src/vanillabeam/platform/orders.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable
 from typing import NotRequired, TypedDict
 
+import trio
+
 from vanillabeam import wire
 from vanillabeam.fleet import Target
 from vanillabeam.fleet.orderrun import OrderReply, WeightsReport
-from vanillabeam.fleet.rollout import WeightsOrder
+from vanillabeam.fleet.rollout import OnLimit, WeightsOrder
 from vanillabeam.platform.client import PlatformClient, decode_response
 from vanillabeam.platform.headers import MISDIRECTED_REQUEST, read_notice
 from vanillabeam.platform.heartbeats import Model, read_versions
@@ -33,11 +35,13 @@
     """Client with which the leader of the fleet log calls workers.
 
     :ivar on_leaving: called with a worker that says in an answer that it leaves.
+    :ivar on_limit: called with a worker that names a limit in an answer.
     """
 
     def __init__(self, client: PlatformClient):
         self._client = client
         self.on_leaving: Callable[[Target], None] = lambda target: None
+        self.on_limit: OnLimit = lambda target, texts, sent_s: None
 
     async def load_weights(
         self, target: Target, order: WeightsOrder, sequence: int | None
@@ -75,9 +79,13 @@
 
     async def _call(self, method: str, target: Target, path: bytes, body: bytes):
         headers = [(b"X-Vanillabeam-Expect-Instance", target.name.encode())]
+        sent_s = trio.current_time()
         response = await self._client.call(method, target.address, path, body, headers)
         if response is None or response.status == MISDIRECTED_REQUEST:
             return response
-        if read_notice(response.status, response.headers).leaving:
+        notice = read_notice(response.status, response.headers)
+        if notice.leaving:
             self.on_leaving(target)
+        if notice.limits:
+            self.on_limit(target, notice.limits, sent_s)
         return response
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -473,7 +473,7 @@
     harness.follower.entry_vms = ("vm-1", "vm-2", "vm-3")
     for _ in range(50):
         await trio.sleep(0.01)
-        for control_vm in harness.follower._control_vms.values():
+        for control_vm in harness.follower.control_vms.values():
             assert control_vm.entries == {"vm-1", "vm-2"}
 
 
@@ -489,7 +489,7 @@
             if failure is not None:
                 raise failure
 
-        monkeypatch.setattr(harness.follower, "_drop_silent_targets", drop)
+        monkeypatch.setattr(harness.follower.targets, "drop_silent", drop)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(keep_running, "follower", harness.follower.run)
             await trio.sleep(5.0)
--- a/tests/fleet/test_leaving.py
+++ b/tests/fleet/test_leaving.py
@@ -67,7 +67,7 @@
         async def main():
             fleet = Fleet(tmp_path)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(fleet.control._weigh_leaving)
+                nursery.start_soon(fleet.control.leaving.run)
                 nursery.start_soon(fleet.control.follower.run)
                 nursery.start_soon(fleet.entry.run)
                 await function(fleet, nursery)
@@ -87,7 +87,7 @@
 ):
     nursery.start_soon(fleet.announce)
     await trio.sleep(1.0)
-    fleet.control.receive_leaving(TARGET)
+    fleet.control.leaving.receive(TARGET)
     await trio.sleep(SHORT_S)
     assert fleet.beliefs() == (True, True)
     await trio.sleep((READY_ANNOUNCEMENTS - 1) * HEARTBEAT_S)
@@ -104,7 +104,7 @@
 ):
     nursery.start_soon(fleet.announce)
     await trio.sleep(1.0)
-    fleet.control.receive_leaving(TARGET)
+    fleet.control.leaving.receive(TARGET)
     fleet.sequence += 1
     draining = TARGET._replace(sequence=fleet.sequence, draining=True)
     fleet.control.receive_announcement(draining)
@@ -119,7 +119,7 @@
     nursery.start_soon(fleet.announce)
     await trio.sleep(1.0)
     for _ in range(20):
-        fleet.control.receive_leaving(TARGET)
+        fleet.control.leaving.receive(TARGET)
         await trio.sleep((READY_ANNOUNCEMENTS - 1) * HEARTBEAT_S)
         assert fleet.beliefs() == (True, True)
 
@@ -128,7 +128,7 @@
 async def test_a_new_start_is_not_taken_to_leave(fleet, nursery):
     nursery.start_soon(fleet.announce)
     await trio.sleep(1.0)
-    fleet.control.receive_leaving(TARGET)
+    fleet.control.leaving.receive(TARGET)
     again = TARGET._replace(born_ms=TARGET.born_ms + 1)
     fleet.control.receive_announcement(again)
     await trio.sleep(SHORT_S)
@@ -138,7 +138,7 @@
 
 @with_fleet
 async def test_the_word_of_a_silent_control_vm_ends(fleet, nursery):
-    fleet.control.receive_leaving(TARGET)
+    fleet.control.leaving.receive(TARGET)
     await trio.sleep(SHORT_S)
     assert fleet.entry.directory.leaving == {TARGET.incarnation}
     fleet.is_silent = True
--- a/tests/forwarding/exchanges.py
+++ b/tests/forwarding/exchanges.py
@@ -24,6 +24,7 @@
 REFUSED = 503
 MISDIRECTED = 421
 LEAVING = (b"x-leaving", b"1")
+LIMIT = b"x-limit"
 
 
 class Reply(NamedTuple):
@@ -47,6 +48,11 @@
     return Reply(REFUSED, ((b"retry-after", text),), **changes)
 
 
+def limited(rate_s, **changes):
+    """Return an answer that names a limit."""
+    return Reply(headers=((LIMIT, str(rate_s).encode()),), **changes)
+
+
 class Sent(NamedTuple):
     """A request that reached a target, and when."""
 
@@ -77,7 +83,8 @@
     def read_notice(self, status, headers):
         by_name = dict(headers)
         pause = by_name.get(b"retry-after")
-        return Notice(LEAVING[0] in by_name, pause and pause.decode())
+        limits = tuple(v.decode() for n, v in headers if n == LIMIT)
+        return Notice(LEAVING[0] in by_name, pause and pause.decode(), limits)
 
     def answer_headers(self, status, headers):
         return [(n, v) for n, v in headers if n not in (LEAVING[0], b"retry-after")]
@@ -122,7 +129,12 @@
                 target._replace(sequence=self._sequence), trio.current_time()
             )
 
-    async def request(self, limit_s=4.0, metadata=None):
+    def limit(self, target, rate_s):
+        """Have this VM know a limit of a target since the start of the clock."""
+        limits = self.chooser.rates.limits
+        limits.record_answer(target.incarnation, rate_s, sent_s=0.0, now_s=0.0)
+
+    async def request(self, limit_s=4.0, metadata=None, workspace=None, **route):
         """Return what a caller gets that waits ``limit_s`` seconds."""
         sent, now_s = [], trio.current_time()
 
@@ -131,8 +143,8 @@
 
         request = AdmittedRequest(
             metadata or make_metadata(),
-            self.route,
-            None,
+            self.route._replace(**route),
+            workspace,
             [],
             b"",
             now_s,
@@ -155,6 +167,7 @@
             entry_vms=self.entry_vms,
             parts=PartView(),
             is_discovering=lambda now_s: False,
+            report_limits=lambda: None,
         )
         pools = SimpleNamespace(pool=lambda target, connections: None)
         return make_resources(
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -18,9 +18,10 @@
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.exceptions import AnswerBroken
-from vanillabeam.forwarding.exchange import MEMORY_WAIT_OBJECTIVES, Exchange
+from vanillabeam.forwarding.exchange import Exchange
 from vanillabeam.forwarding.load import MIN_SAMPLE_TOKENS, SPEED_TTL_S
 from vanillabeam.forwarding.outcomes import Delivered
+from vanillabeam.forwarding.selection import MEMORY_WAIT_OBJECTIVES
 from vanillabeam.forwarding.sending import Broken
 
 GATHERS_UNTIL_S = 1.5
@@ -56,10 +57,10 @@
         async with trio.open_nursery() as nursery:
             for at_s, func in events:
                 nursery.start_soon(call_after, at_s, func)
-            choice = await exchange._wait_for_choice()
+            selected = await exchange._selection.wait(0, False)
             waited_s = trio.current_time() - began_s
             nursery.cancel_scope.cancel()
-        return choice, round(waited_s, 1)
+        return selected and selected.choice, round(waited_s, 1)
 
     return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
@@ -149,9 +150,10 @@
         super().__init__(*args)
         self.targets = []
 
-    async def _attempt(self, choice):
+    async def _attempt(self, selected):
+        choice = selected.choice
         self.targets.append(choice.target.name)
-        self._tried.add(choice.target.name)
+        self._selection.tried.add(choice.target.name)
         self._sent += 1
         if choice.target.data_centre != "b":
             return Delivered(200)
