Soak: targets that name limits, change and drop them, beside faults and in calm

Stand-in targets name 0 to 1 requests a second, other values and odd ones, and none again; each request is counted at its target. Checked: the users' rule, less the VMs that were killed, frozen, cut or restarted; and in calm 4 s of the limit and three requests.

--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from tests.soak.limits import Arrival, NamedLimit
     from tests.soak.weights import Life, Order
 
 MAX_NAMES = 6
@@ -143,6 +144,8 @@
         self.reads: list[Read] = []
         self.attempts: list[Attempt] = []
         self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
+        self.limits: list[NamedLimit] = []
         self.outages: list[Outage] = []
         self.drained: dict[str, float] = {}
         #: Times at which a target began an answer to a poisoned prompt.
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -13,6 +13,7 @@
 from tests.soak.fleet import BOUNDS, RESTART_DELAY_S, running_fleet
 from tests.soak.history import History
 from tests.soak.known import check_known
+from tests.soak.limits import check_limits, name_limits
 from tests.soak.operators import Operator
 from tests.soak.poison import check_convictions, check_poison, send_poison
 from tests.soak.proxy import running_proxy
@@ -331,6 +332,8 @@
     harm_target,
     busy,
     send_poison,
+    name_limits,
+    name_limits,
     *ROLLOUT_FAULTS,
 )
 
@@ -363,6 +366,7 @@
             check_poison(run.history)
             check_convictions(run.history, fleet)
             check_weights(run.history)
+            check_limits(run.history)
             findings = check(run.history, fleet.ends)
             memory_mb = max(map(fleet.peak_memory_mb, fleet.vms))
             summarise(run.history, folder, seed, memory_mb)
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -11,6 +11,7 @@
 from tests.platform.standin import Worker, refuse_with, send_answer
 from tests.soak.fleet import BOUNDS, CONTROL_PORT
 from tests.soak.history import Run
+from tests.soak.limits import Arrival
 from tests.soak.weights import Weights
 
 HEARTBEAT_S = 1.2
@@ -39,6 +40,7 @@
     :param on_poison: called with its name when a poisoned prompt has ended it.
     :param on_crash: called with its name when it ends in a load of weights.
     :ivar mode: ``fine``, ``slow``, ``full`` (refuses) or ``failing``.
+    :ivar limit: value with which its answers name a limit; empty for none.
     :ivar event_period_s: seconds between two events of its streams.
     :ivar state: what its heartbeats say.
     :ivar started_s: its start, since that of the fleet.
@@ -64,6 +66,7 @@
         self.data_centre = data_centre
         self.history = history
         self.mode = "fine"
+        self.limit = ""
         self.event_period_s = EVENT_PERIOD_S
         self.state = "ready"
         self.born_ms = int(time.time() * 1000)
@@ -94,8 +97,12 @@
         """Ignore the answers of the base class: all requests are answered alike."""
 
     async def _run(self, headers, send):
+        request_id = headers.get(b"x-vanillabeam-request-id", b"").decode()
+        arrival = Arrival(request_id, self.name, self.born_ms, self.history.now_s())
+        self.history.arrivals.append(arrival)
         if self.mode == "full" or (self.weights and self.weights.is_busy):
-            await refuse_with(503)(headers, send)
+            refusal = (*NOT_EXECUTED, *self._limit_headers())
+            await refuse_with(503, refusal)(headers, send)
             return
         if self._is_misdirected(headers):
             await send_answer(send, 421, b"", headers, NOT_EXECUTED)
@@ -121,7 +128,7 @@
         run = Run(request_id, self.name, self.history.now_s(), version)
         self.history.runs.append(run)
         if self.mode == "failing":
-            await send_answer(send, 500, b"failed", headers)
+            await send_answer(send, 500, b"failed", headers, self._limit_headers())
             return
         await trio.sleep(SLOW_S if self.mode == "slow" else WORK_S)
         parts = headers.get(b"x-vanillabeam-prefix-hash", b"").split(b",")[:-1]
@@ -133,7 +140,10 @@
             await self._stream(headers, send)
             return
         body = json.dumps({"id": request_id, "service": self.service}).encode()
-        await send_answer(send, 200, body, headers)
+        await send_answer(send, 200, body, headers, self._limit_headers())
+
+    def _limit_headers(self):
+        return ((b"server-limit", self.limit.encode()),) if self.limit else ()
 
     async def _stream(self, headers, send):
         request_id = headers[b"x-vanillabeam-request-id"]
@@ -143,6 +153,7 @@
             (b"x-vanillabeam-request-id", request_id),
             (b"x-vanillabeam-response-stamp", b"stamp"),
             (VERSIONS, str(version).encode()),
+            *self._limit_headers(),
         ]
         await send({"type": "http.response.start", "status": 200, "headers": names})
         begin = int(headers.get(b"last-event-id", b"0")) + 1
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -7,6 +7,7 @@
 from tests.soak.checks import check
 from tests.soak.fleet import End
 from tests.soak.history import Attempt, Change, History, Outage, Read, Run
+from tests.soak.limits import Arrival, NamedLimit, check_limits
 from tests.soak.operators import make_config
 
 CONTROLS = ("core-1", "core-2", "core-3")
@@ -204,3 +205,40 @@
     history = make_history()
     history.attempts += [make_attempt(status=503, service="", group="first")] * 3
     assert rules_of(history) == {"SHORT"}
+
+
+def make_limited(count, span_s, *outages):
+    """Return a history in which a target that names 1.0 gets requests, evenly."""
+    history = make_history(*outages)
+    limit = NamedLimit("t-1", 1, 1.0, 50.0)
+    history.limits.append(limit)
+    for number in range(count):
+        request_id, at_s = f"r-{number}", 60.0 + number * span_s / count
+        history.attempts.append(make_attempt(id=request_id, at_s=at_s))
+        history.arrivals.append(Arrival(request_id, "t-1", 1, at_s))
+    return history
+
+
+@pytest.mark.parametrize(
+    ("count", "outages", "is_found"),
+    [
+        (7, (), False),
+        (8, (), True),
+        (11, (make_outage("frozen", ["core-1"], 58.0, 59.0),), False),
+        (12, (make_outage("frozen", ["core-1"], 58.0, 59.0),), True),
+        (12, (make_outage("frozen", ["front-1"], 58.0, 59.0),), False),
+    ],
+)
+def test_more_than_a_limit_is_found_unless_its_vm_was_disturbed(
+    count, outages, is_found
+):
+    history = make_limited(count, 3.9, *outages)
+    check_limits(history)
+    assert bool(history.findings) == is_found
+
+
+def test_requests_before_a_limit_must_be_kept_are_not_counted():
+    history = make_limited(30, 3.9)
+    history.limits[0].start_s = 61.0
+    check_limits(history)
+    assert history.findings == []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
 import trio
 
 from tests.soak.fleet import ICUPA, PHOTO, SMALL
+from tests.soak.limits import name_limits
 from tests.soak.poison import send_poison
 from tests.soak.rollouts import disobey, kill_core_in_rollout, rest
 from tests.soak.scenario import (
@@ -73,3 +74,22 @@
 def test_a_part_under_which_targets_end_breaks_no_rule(tmp_path):
     findings = trio.run(play, tmp_path, SMALL, 2, 10.0, (send_poison,), 8.0)
     assert findings == [], f"logs in {tmp_path}"
+
+
+# Guards against targets that get more than the limit that they name, in calm.
+@pytest.mark.soak
+@pytest.mark.parametrize("shape", [ICUPA, PHOTO], ids=["icupa", "photo"])
+def test_limits_without_faults_are_kept(shape, tmp_path):
+    first = int(os.environ.get("SOAK_SEED", "1"))
+    runs = int(os.environ.get("SOAK_RUNS", "50"))
+    for seed in range(first, first + max(1, runs // SHARE_OF_RUNS)):
+        folder = tmp_path / str(seed)
+        findings = trio.run(play, folder, shape, seed, LENGTH_S, (name_limits,))
+        assert findings == [], f"seed {seed}, logs in {folder}"
+
+
+# Guards against limits that are not kept beside kills, cuts, freezes and restarts.
+def test_limits_beside_faults_are_kept(tmp_path):
+    kinds = (name_limits, name_limits, *SHORT_KINDS[:-2])
+    findings = trio.run(play, tmp_path, SMALL, 3, 12.0, kinds, 8.0)
+    assert findings == [], f"logs in {tmp_path}"
