Tell only a new or a much lower limit to all VMs at once

A target may name another limit in each answer. Each change woke all entry VMs at all control VMs: at 194 entry VMs and two changes a second that alone is over what a control VM should answer.

--- a/src/vanillabeam/fleet/limitnews.py
+++ b/src/vanillabeam/fleet/limitnews.py
@@ -14,7 +14,8 @@
     Each message holds the whole list, so that a lost one does no harm.
 
     :ivar limits: what this VM knows.
-    :ivar on_change: called when another VM's word has changed it.
+    :ivar on_change: called when another VM's word has changed it so that others must
+        hear of it at once.
     """
 
     def __init__(self):
@@ -35,5 +36,5 @@
         changes = self.limits.merge(reports, now_s)
         for change in changes:
             log_limit(change, source=source)
-        if changes:
+        if any(change.is_urgent for change in changes):
             self.on_change()
--- a/src/vanillabeam/fleet/permitting.py
+++ b/src/vanillabeam/fleet/permitting.py
@@ -54,7 +54,8 @@
         )
         if change is not None:
             log_limit(change)
-            self._news.on_change()
+            if change.is_urgent:
+                self._news.on_change()
 
     def granted(self) -> dict[tuple[str, ...], float]:
         """Return the permits of the last seconds by target's name, for metrics."""
--- a/src/vanillabeam/fleet/ratelimits.py
+++ b/src/vanillabeam/fleet/ratelimits.py
@@ -29,6 +29,8 @@
 DOUBLING_S = 0.5
 #: Seconds for which the end of a limit is told to other VMs.
 KEPT_AFTER_END_S = 10.0
+#: Share of a limit below which a new one is told at once.
+URGENT_SHARE = 0.8
 #: Targets whose limits are kept.
 MAX_LIMITS = 4_096
 
@@ -81,6 +83,17 @@
     held_s: float
     age_s: float
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether other VMs must hear of it at once: a limit is new or much lower.
+
+        A target may change its limit with each answer; all else can wait for the next
+        regular message.
+        """
+        if self.has_ended:
+            return False
+        return self.before_s is None or self.rate_s < URGENT_SHARE * self.before_s
+
 
 class _Belief(NamedTuple):
     """What an answer said, with the times at which its request was sent and it came."""
--- a/src/vanillabeam/forwarding/noticing.py
+++ b/src/vanillabeam/forwarding/noticing.py
@@ -82,4 +82,5 @@
     )
     if change is not None:
         log_limit(change, request_id)
-        resources.follower.report_limits()
+        if change.is_urgent:
+            resources.follower.report_limits()
--- a/tests/fleet/test_ratelimits.py
+++ b/tests/fleet/test_ratelimits.py
@@ -138,3 +138,14 @@
     limits.expire(10.3 + KEPT_AFTER_END_S)
     assert limits.is_empty
     assert limits.reports(30.0) == []
+
+
+# Guards against a target that names another limit in each answer, and has all VMs tell
+# each other at once each time.
+@pytest.mark.parametrize(
+    ("rate_s", "is_urgent"), [(1.0, True), (1.9, False), (3.0, False), (None, False)]
+)
+def test_only_a_new_or_a_much_lower_limit_is_told_at_once(rate_s, is_urgent):
+    limits = RateLimits()
+    assert limits.record_answer(TARGET, 2.0, 9.9, 10.0).is_urgent
+    assert limits.record_answer(TARGET, rate_s, 10.1, 10.2).is_urgent == is_urgent
