Bound connections where there are more entry VMs than a target takes connections

A VM's share of max_connections is rounded down, and a share of 0 stood for no bound: with 97 entry VMs and more before a target of 96 connections each VM opened up to 64. A pool made while few other VMs were known, as after a restart of all, kept its size for good. Now a share is 1 at least (pools have 2), and a pool gives way to one of half its size. Three of seven tests of tests/forwarding/ test_pools.py failed before (shares of 97 and 340 VMs, the pool that gives way). Open: 2 each for 200 VMs are still 400.

--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/attempt.py
@@ -231,7 +231,7 @@
         service = follower.view.deployment.services.get(self._service)
         if service is None or not service.max_connections:
             return 0
-        return service.max_connections // max(1, len(follower.entry_vms))
+        return max(1, service.max_connections // max(1, len(follower.entry_vms)))
 
     async def _handle_response(self, response: OpenResponse) -> Outcome:
         request, target = self._request, self._choice.target
--- a/src/vanillabeam/forwarding/pools.py
+++ b/src/vanillabeam/forwarding/pools.py
@@ -14,6 +14,8 @@
 EXPIRY_MARGIN_S = 0.75
 MAX_EXPIRY_S = 30.0
 MIN_CONNECTIONS = 2
+#: Share of a pool's maximum at which it is replaced by a smaller one.
+REMAKE_SHARE = 0.5
 #: Limit where the service's record sets none.
 DEFAULT_CONNECTIONS = 64
 
@@ -29,16 +31,23 @@
 
     def __init__(self):
         self._pools: dict[tuple[str, int], httpcore.AsyncConnectionPool] = {}
+        #: Maximum number of connections of each pool.
+        self._limits: dict[tuple[str, int], int] = {}
         self._expiry_s: dict[str, float] = {}
 
     def pool(self, target: Target, connections: int) -> httpcore.AsyncConnectionPool:
         """Return the pool of a target.
 
+        It is replaced when this VM's share has become much smaller, as more entry VMs
+        are known; requests on the old pool complete there.
+
         :param connections: maximum number of connections; 0 if the service sets none.
         """
+        limit = max(MIN_CONNECTIONS, connections or DEFAULT_CONNECTIONS)
         pool = self._pools.get(target.incarnation)
-        if pool is None:
-            limit = max(MIN_CONNECTIONS, connections or DEFAULT_CONNECTIONS)
+        made_with = self._limits.get(target.incarnation, limit)
+        if pool is None or limit <= REMAKE_SHARE * made_with:
+            self._limits[target.incarnation] = limit
             pool = httpcore.AsyncConnectionPool(
                 max_connections=limit,
                 max_keepalive_connections=limit,
@@ -61,6 +70,7 @@
             return
         self._expiry_s[target.service] = expiry_s
         self._pools.pop(target.incarnation, None)
+        self._limits.pop(target.incarnation, None)
 
     async def keep_only(self, incarnations: set[tuple[str, int]]) -> None:
         """Close the pools of all other incarnations, once they are idle."""
@@ -73,4 +83,5 @@
             if any(not conn.is_idle() for conn in pool.connections):
                 continue
             del self._pools[incarnation]
+            self._limits.pop(incarnation, None)
             await pool.aclose()
