--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -7,69 +7,7 @@
 
 from loguru import logger
 
-from vanillabeam.decisions.control import (
-    ControlForgotten,
-    ControlHeard,
-    DeploymentRefused,
-    DeploymentUnreadable,
-    HomeChosen,
-    MemberRemoved,
-    OrderSettled,
-    OrderUnsettled,
-    StateInForce,
-)
-from vanillabeam.decisions.process import (
-    LibraryWarned,
-    LinesDropped,
-    PortFree,
-    PortTaken,
-    Ready,
-    SeedsChanged,
-    SettingsUnreadable,
-    Started,
-    Stopped,
-    TaskFailed,
-)
-from vanillabeam.decisions.quarantine import (
-    PartConvicted,
-    QuarantineChanged,
-    RequestAccused,
-    TargetEnded,
-)
-from vanillabeam.decisions.requests import (
-    AnswerCut,
-    AttemptFailed,
-    CallerGone,
-    ConnectionFailed,
-    ConnectionStalled,
-    PermitDenied,
-    RequestAdmitted,
-    RequestAnswered,
-    RequestRefused,
-    TargetChosen,
-)
-from vanillabeam.decisions.targets import (
-    AnnouncementUnreadable,
-    FenceRaised,
-    LeavingReported,
-    LimitUnreadable,
-    PartsFreed,
-    PartsRetired,
-    StoreHeard,
-    StoreLost,
-    TargetChanged,
-    TargetLeaving,
-    TargetLeft,
-    TargetLimited,
-    TargetPaused,
-    TargetRested,
-    TargetSilent,
-    TargetStays,
-    TargetUnlimited,
-    TargetUnlisted,
-    WeightsHeld,
-    WeightsOrdered,
-)
+from vanillabeam.decisions import control, process, quarantine, requests, targets
 
 __all__ = ["KINDS", "LINE_BUDGETS", "LineBudgets", "event_name", "log_record"]
 
@@ -90,59 +28,59 @@
 
 #: Level and budget by record class; failures have the largest budgets.
 KINDS: dict[type, Kind] = {
-    RequestAdmitted: Kind("INFO", _FREQUENT_LINES_S),
-    TargetChosen: Kind("INFO", _FREQUENT_LINES_S),
-    RequestAnswered: Kind("INFO", _FREQUENT_LINES_S),
-    AttemptFailed: Kind("WARNING", _FAILURE_LINES_S),
-    RequestRefused: Kind("WARNING", _FAILURE_LINES_S),
-    AnswerCut: Kind("WARNING", _FAILURE_LINES_S),
-    CallerGone: Kind("INFO", _RARE_LINES_S),
-    ConnectionFailed: Kind("ERROR", _RARE_LINES_S),
-    ConnectionStalled: Kind("INFO", _RARE_LINES_S),
-    TargetChanged: Kind("INFO", _RARE_LINES_S),
-    TargetLeft: Kind("INFO", _RARE_LINES_S),
-    TargetSilent: Kind("WARNING", _RARE_LINES_S),
-    TargetUnlisted: Kind("WARNING", _RARE_LINES_S),
-    TargetRested: Kind("WARNING", _RARE_LINES_S),
-    TargetStays: Kind("INFO", _RARE_LINES_S),
-    LeavingReported: Kind("INFO", _RARE_LINES_S),
-    TargetLeaving: Kind("INFO", _RARE_LINES_S),
-    TargetPaused: Kind("INFO", _RARE_LINES_S),
-    TargetLimited: Kind("INFO", _RARE_LINES_S),
-    TargetUnlimited: Kind("INFO", _RARE_LINES_S),
-    LimitUnreadable: Kind("WARNING", _FREQUENT_LINES_S),
-    PermitDenied: Kind("INFO", _FREQUENT_LINES_S),
-    TargetEnded: Kind("WARNING", _RARE_LINES_S),
-    RequestAccused: Kind("WARNING", _RARE_LINES_S),
-    PartConvicted: Kind("ERROR", _RARE_LINES_S),
-    QuarantineChanged: Kind("WARNING", _RARE_LINES_S),
-    AnnouncementUnreadable: Kind("WARNING", _FREQUENT_LINES_S),
-    StateInForce: Kind("INFO", _RARE_LINES_S),
-    OrderSettled: Kind("INFO", _RARE_LINES_S),
-    OrderUnsettled: Kind("WARNING", _RARE_LINES_S),
-    DeploymentRefused: Kind("WARNING", _RARE_LINES_S),
-    DeploymentUnreadable: Kind("ERROR", _RARE_LINES_S),
-    FenceRaised: Kind("WARNING", _RARE_LINES_S),
-    WeightsHeld: Kind("INFO", _RARE_LINES_S),
-    WeightsOrdered: Kind("INFO", _RARE_LINES_S),
-    StoreHeard: Kind("INFO", _RARE_LINES_S),
-    StoreLost: Kind("WARNING", _RARE_LINES_S),
-    PartsRetired: Kind("INFO", _RARE_LINES_S),
-    PartsFreed: Kind("INFO", _RARE_LINES_S),
-    ControlHeard: Kind("INFO", _RARE_LINES_S),
-    ControlForgotten: Kind("WARNING", _RARE_LINES_S),
-    HomeChosen: Kind("INFO", _RARE_LINES_S),
-    MemberRemoved: Kind("WARNING", _RARE_LINES_S),
-    TaskFailed: Kind("ERROR", _RARE_LINES_S),
-    Started: Kind("INFO", _RARE_LINES_S),
-    PortTaken: Kind("ERROR", _RARE_LINES_S),
-    PortFree: Kind("WARNING", _RARE_LINES_S),
-    Ready: Kind("INFO", _RARE_LINES_S),
-    Stopped: Kind("INFO", _RARE_LINES_S),
-    SeedsChanged: Kind("INFO", _RARE_LINES_S),
-    SettingsUnreadable: Kind("ERROR", _RARE_LINES_S),
-    LibraryWarned: Kind("WARNING", _FREQUENT_LINES_S),
-    LinesDropped: Kind("WARNING", _RARE_LINES_S),
+    requests.RequestAdmitted: Kind("INFO", _FREQUENT_LINES_S),
+    requests.TargetChosen: Kind("INFO", _FREQUENT_LINES_S),
+    requests.RequestAnswered: Kind("INFO", _FREQUENT_LINES_S),
+    requests.AttemptFailed: Kind("WARNING", _FAILURE_LINES_S),
+    requests.RequestRefused: Kind("WARNING", _FAILURE_LINES_S),
+    requests.AnswerCut: Kind("WARNING", _FAILURE_LINES_S),
+    requests.CallerGone: Kind("INFO", _RARE_LINES_S),
+    requests.ConnectionFailed: Kind("ERROR", _RARE_LINES_S),
+    requests.ConnectionStalled: Kind("INFO", _RARE_LINES_S),
+    targets.TargetChanged: Kind("INFO", _RARE_LINES_S),
+    targets.TargetLeft: Kind("INFO", _RARE_LINES_S),
+    targets.TargetSilent: Kind("WARNING", _RARE_LINES_S),
+    targets.TargetUnlisted: Kind("WARNING", _RARE_LINES_S),
+    targets.TargetRested: Kind("WARNING", _RARE_LINES_S),
+    targets.TargetStays: Kind("INFO", _RARE_LINES_S),
+    targets.LeavingReported: Kind("INFO", _RARE_LINES_S),
+    targets.TargetLeaving: Kind("INFO", _RARE_LINES_S),
+    targets.TargetPaused: Kind("INFO", _RARE_LINES_S),
+    targets.TargetLimited: Kind("INFO", _RARE_LINES_S),
+    targets.TargetUnlimited: Kind("INFO", _RARE_LINES_S),
+    targets.LimitUnreadable: Kind("WARNING", _FREQUENT_LINES_S),
+    requests.PermitDenied: Kind("INFO", _FREQUENT_LINES_S),
+    quarantine.TargetEnded: Kind("WARNING", _RARE_LINES_S),
+    quarantine.RequestAccused: Kind("WARNING", _RARE_LINES_S),
+    quarantine.PartConvicted: Kind("ERROR", _RARE_LINES_S),
+    quarantine.QuarantineChanged: Kind("WARNING", _RARE_LINES_S),
+    targets.AnnouncementUnreadable: Kind("WARNING", _FREQUENT_LINES_S),
+    control.StateInForce: Kind("INFO", _RARE_LINES_S),
+    control.OrderSettled: Kind("INFO", _RARE_LINES_S),
+    control.OrderUnsettled: Kind("WARNING", _RARE_LINES_S),
+    control.DeploymentRefused: Kind("WARNING", _RARE_LINES_S),
+    control.DeploymentUnreadable: Kind("ERROR", _RARE_LINES_S),
+    targets.FenceRaised: Kind("WARNING", _RARE_LINES_S),
+    targets.WeightsHeld: Kind("INFO", _RARE_LINES_S),
+    targets.WeightsOrdered: Kind("INFO", _RARE_LINES_S),
+    targets.StoreHeard: Kind("INFO", _RARE_LINES_S),
+    targets.StoreLost: Kind("WARNING", _RARE_LINES_S),
+    targets.PartsRetired: Kind("INFO", _RARE_LINES_S),
+    targets.PartsFreed: Kind("INFO", _RARE_LINES_S),
+    control.ControlHeard: Kind("INFO", _RARE_LINES_S),
+    control.ControlForgotten: Kind("WARNING", _RARE_LINES_S),
+    control.HomeChosen: Kind("INFO", _RARE_LINES_S),
+    control.MemberRemoved: Kind("WARNING", _RARE_LINES_S),
+    process.TaskFailed: Kind("ERROR", _RARE_LINES_S),
+    process.Started: Kind("INFO", _RARE_LINES_S),
+    process.PortTaken: Kind("ERROR", _RARE_LINES_S),
+    process.PortFree: Kind("WARNING", _RARE_LINES_S),
+    process.Ready: Kind("INFO", _RARE_LINES_S),
+    process.Stopped: Kind("INFO", _RARE_LINES_S),
+    process.SeedsChanged: Kind("INFO", _RARE_LINES_S),
+    process.SettingsUnreadable: Kind("ERROR", _RARE_LINES_S),
+    process.LibraryWarned: Kind("WARNING", _FREQUENT_LINES_S),
+    process.LinesDropped: Kind("WARNING", _RARE_LINES_S),
 }
 
 _WORD_START = re.compile(r"(?<!^)(?=[A-Z])")
@@ -155,7 +93,7 @@
     :ivar dropped: number of lines that this process has dropped.
 
     >>> budgets = LineBudgets()
-    >>> budgets.consume(Ready, now_s=1.0)
+    >>> budgets.consume(process.Ready, now_s=1.0)
     True
     """
 
@@ -180,9 +118,12 @@
         self._dropped_by_kind[kind] += 1
         return False
 
-    def pop_dropped(self) -> list[LinesDropped]:
+    def pop_dropped(self) -> list[process.LinesDropped]:
         """Return the lines dropped since the last call, counted by kind."""
-        lines = [LinesDropped(_EVENTS[k], n) for k, n in self._dropped_by_kind.items()]
+        lines = [
+            process.LinesDropped(_EVENTS[k], n)
+            for k, n in self._dropped_by_kind.items()
+        ]
         self._dropped_by_kind.clear()
         return lines
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -40,28 +40,33 @@
 LONG_NAMING_S = 12.0
 
 
-@pytest.mark.soak
-@pytest.mark.parametrize("shape", [ICUPA, PHOTO], ids=["icupa", "photo"])
-def test_random_faults_break_no_rule(shape, tmp_path):
+def play_seeds(folder, shape, **options):
+    """Play as many runs as asked for; stop at the first one with findings."""
     first = int(os.environ.get("SOAK_SEED", "1"))
     runs = int(os.environ.get("SOAK_RUNS", "50"))
     for seed in range(first, first + max(1, runs // SHARE_OF_RUNS)):
-        folder = tmp_path / str(seed)
-        play_long = partial(play, naming_s=LONG_NAMING_S)
-        findings = trio.run(play_long, folder, shape, seed, LENGTH_S)
-        assert findings == [], f"seed {seed}, logs in {folder}"
+        logs = folder / str(seed)
+        findings = trio.run(partial(play, **options), logs, shape, seed, LENGTH_S)
+        assert findings == [], f"seed {seed}, logs in {logs}"
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize("shape", [ICUPA, PHOTO], ids=["icupa", "photo"])
+def test_random_faults_break_no_rule(shape, tmp_path):
+    play_seeds(tmp_path, shape, naming_s=LONG_NAMING_S)
 
 
 @pytest.mark.soak
 @pytest.mark.parametrize("shape", [ICUPA, PHOTO], ids=["icupa", "photo"])
 def test_rollouts_without_faults_break_no_rule(shape, tmp_path):
-    first = int(os.environ.get("SOAK_SEED", "1"))
-    runs = int(os.environ.get("SOAK_RUNS", "50"))
-    for seed in range(first, first + max(1, runs // SHARE_OF_RUNS)):
-        folder = tmp_path / str(seed)
-        play_quiet = partial(play, naming_s=LONG_NAMING_S)
-        findings = trio.run(play_quiet, folder, shape, seed, LENGTH_S, (rest,))
-        assert findings == [], f"seed {seed}, logs in {folder}"
+    play_seeds(tmp_path, shape, kinds=(rest,), naming_s=LONG_NAMING_S)
+
+
+# Guards against targets that get more than the limit that they name, in calm.
+@pytest.mark.soak
+@pytest.mark.parametrize("shape", [ICUPA, PHOTO], ids=["icupa", "photo"])
+def test_limits_without_faults_are_kept(shape, tmp_path):
+    play_seeds(tmp_path, shape, kinds=(name_limits,))
 
 
 def test_a_few_faults_break_no_rule(tmp_path):
@@ -76,18 +81,6 @@
     assert findings == [], f"logs in {tmp_path}"
 
 
-# Guards against targets that get more than the limit that they name, in calm.
-@pytest.mark.soak
-@pytest.mark.parametrize("shape", [ICUPA, PHOTO], ids=["icupa", "photo"])
-def test_limits_without_faults_are_kept(shape, tmp_path):
-    first = int(os.environ.get("SOAK_SEED", "1"))
-    runs = int(os.environ.get("SOAK_RUNS", "50"))
-    for seed in range(first, first + max(1, runs // SHARE_OF_RUNS)):
-        folder = tmp_path / str(seed)
-        findings = trio.run(play, folder, shape, seed, LENGTH_S, (name_limits,))
-        assert findings == [], f"seed {seed}, logs in {folder}"
-
-
 # Guards against limits that are not kept beside kills, cuts, freezes and restarts.
 def test_limits_beside_faults_are_kept(tmp_path):
     kinds = (name_limits, name_limits, *SHORT_KINDS[:-2])
