--- a/bench/rollout_model.py
+++ b/bench/rollout_model.py
@@ -91,7 +91,7 @@
         self.follower = SimpleNamespace(directory=Directory())
         self.paused: set[str] = set()
         self.deployment = Deployment(routes=(make_stream(),))
-        # What targets say of themselves is ignored.
+        # Notices and limits of targets are ignored.
         self.leaving = SimpleNamespace(receive=None)
         self.permits = SimpleNamespace(receive_limit=None)
         self._named_s: dict[str, float] = {}
--- a/src/vanillabeam/decisions/targets.py
+++ b/src/vanillabeam/decisions/targets.py
@@ -105,7 +105,7 @@
     """A target takes so many requests a second from all VMs together, from now on.
 
     :param rate_s: requests a second.
-    :param before_s: requests a second before; ``None`` without a limit.
+    :param before_rate_s: requests a second before; ``None`` without a limit.
     :param request_id: the request whose answer said so; empty for a call of this VM.
     :param source: VM that told this one; empty if this VM had the answer itself.
     :param age_s: seconds since that answer arrived.
@@ -114,7 +114,7 @@
     target: str
     born_ms: int
     rate_s: float
-    before_s: float | None
+    before_rate_s: float | None
     request_id: str
     source: str
     age_s: float
--- a/src/vanillabeam/fleet/limitlog.py
+++ b/src/vanillabeam/fleet/limitlog.py
@@ -22,7 +22,7 @@
         line = TargetLimited(
             *change.incarnation,
             change.rate_s,
-            change.before_s,
+            change.before_rate_s,
             request_id,
             source,
             age_s,
--- a/src/vanillabeam/fleet/permits.py
+++ b/src/vanillabeam/fleet/permits.py
@@ -20,7 +20,7 @@
 ]
 
 PERMIT_PATH = "/peer/fleet/permits"
-#: What may be saved up beyond one request, so that uneven arrivals use all of a rate:
+#: Tokens that may be saved up beyond one, so that uneven arrivals use all of a rate:
 #: seconds of it, or a number of requests if that is more.
 SAVED_S = 0.5
 SAVED_REQUESTS = 1.0
--- a/src/vanillabeam/fleet/ratelimits.py
+++ b/src/vanillabeam/fleet/ratelimits.py
@@ -51,7 +51,7 @@
 
 
 class RateReport(NamedTuple):
-    """What one VM believes of a target's limit, for others.
+    """Belief of one VM about a target's limit, for others.
 
     :param rate_s: requests a second, the last ones if the limit has ended.
     :param has_ended: whether the target no longer names a limit.
@@ -71,7 +71,7 @@
     """A limit that was first heard, has changed or has ended.
 
     :param rate_s: requests a second; the last ones if the limit has ended.
-    :param before_s: requests a second before; ``None`` if there was no limit.
+    :param before_rate_s: requests a second before; ``None`` if there was no limit.
     :param held_s: seconds since the belief before was first heard.
     :param age_s: seconds since the answer that said so arrived.
     """
@@ -79,7 +79,7 @@
     incarnation: Incarnation
     rate_s: float
     has_ended: bool
-    before_s: float | None
+    before_rate_s: float | None
     held_s: float
     age_s: float
 
@@ -92,11 +92,14 @@
         """
         if self.has_ended:
             return False
-        return self.before_s is None or self.rate_s < URGENT_SHARE * self.before_s
+        return (
+            self.before_rate_s is None
+            or self.rate_s < URGENT_SHARE * self.before_rate_s
+        )
 
 
 class _Belief(NamedTuple):
-    """What an answer said, with the times at which its request was sent and it came."""
+    """Limit by one answer, and when that answer came and its request was sent."""
 
     rate_s: float
     has_ended: bool
@@ -222,13 +225,13 @@
         self._beliefs[incarnation] = belief
         if len(self._beliefs) > MAX_LIMITS:
             del self._beliefs[next(iter(self._beliefs))]
-        before_s, held_s = None, 0.0
+        before_rate_s, held_s = None, 0.0
         if known is not None:
             held_s = now_s - known.heard_s
-            before_s = None if known.has_ended else known.rate_s
+            before_rate_s = None if known.has_ended else known.rate_s
         age_s = now_s - belief.heard_s
         return RateChange(
-            incarnation, belief.rate_s, belief.has_ended, before_s, held_s, age_s
+            incarnation, belief.rate_s, belief.has_ended, before_rate_s, held_s, age_s
         )
 
 
--- a/tests/fleet/test_ratelimits.py
+++ b/tests/fleet/test_ratelimits.py
@@ -93,10 +93,10 @@
 def test_changes_say_what_was_before():
     limits = RateLimits()
     first = limits.record_answer(TARGET, 2.0, 9.9, 10.0)
-    assert (first.before_s, first.rate_s, first.has_ended) == (None, 2.0, False)
+    assert (first.before_rate_s, first.rate_s, first.has_ended) == (None, 2.0, False)
     assert limits.record_answer(TARGET, 2.0, 10.1, 10.2) is None
     ended = limits.record_answer(TARGET, None, 10.3, 10.5)
-    assert (ended.before_s, ended.held_s, ended.has_ended) == (2.0, 0.5, True)
+    assert (ended.before_rate_s, ended.held_s, ended.has_ended) == (2.0, 0.5, True)
     assert limits.record_answer(TARGET, None, 10.6, 10.7) is None
 
 
