--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,103 +1,84 @@
-"""A leave call that was acknowledged is forgotten when processes are killed."""
+"""A tenant becomes isolated; others go on using the parts that its requests made."""
 
-import threading
 import time
 
 from review.standins.case import run_case
-from review.standins.clients import Clients, wait_ready
-from review.standins.configs import make_plain_config
-from review.standins.fleet import BOUNDS, CONTROL_PORT, ZONES
+from review.standins.clients import HOST, wait_ready
+from review.standins.configs import make_model_config
+from review.standins.engines import MODEL, Engine
+from review.standins.fleet import BOUNDS, ENTRY_PORT
 from review.standins.http import call
 from review.standins.operator import send_order
-from review.standins.workers import Worker
 
-#: Seconds until the provider starts a process again.
-DOWN_S = 0.8
-#: Seconds by which the last ping before the leave call arrives late.
-PING_DELAY_S = 3.5
-DRAIN_S = BOUNDS["drain_ms"] / 1000
-CONTACT_S = BOUNDS["contact_ms"] / 1000
-#: Seconds from its leave call until the worker exits.
-SERVES_S = 9.0
+APPLY_S = BOUNDS["config_apply_ms"] / 1000
+#: Seconds after the confirmation of a configuration at which clients go on, at least.
+PAUSE_S = APPLY_S + 3.0
+SHARED_PART = "5c1e07a2"
+FIRST, SECOND = "brewer", "depot"
+KEYS = {FIRST: "fqasnmgkcuyj8pjbvk9m", SECOND: "68k7b2ex5wa5xwyhks8n"}
 
 
-def send_late(fleet, worker, host):
-    """Have a ping, made now, arrive late at the control VM that it was sent to."""
-    beat = worker.heartbeat()
-    made_s = fleet.record.write(f"{worker.name} sends ping {beat['seq']}: ready")
+def make_tenants(is_isolated):
+    """Return the tenants, of which the first one is isolated or not."""
+    return [
+        {"name": FIRST, "api_keys": [KEYS[FIRST]], "isolated": is_isolated},
+        {"name": SECOND, "api_keys": [KEYS[SECOND]], "isolated": False},
+    ]
 
-    def arrive():
-        time.sleep(PING_DELAY_S)
-        path = f"/api/Instances.Heartbeat/{worker.name}"
-        status, _, _ = call(host, CONTROL_PORT, "POST", path, beat)
-        fleet.record.write(f"ping {beat['seq']} of {made_s:.3f} arrives: {status}")
 
-    threading.Thread(target=arrive, daemon=True).start()
+def send_prompt(fleet, request_id, tenant, own_part):
+    """Send a prompt that begins with the shared part; return the status."""
+    headers = {
+        "Host": HOST,
+        "X-Vanillabeam-Request-Id": request_id,
+        "X-Vanillabeam-Deadline-Ms": "10000",
+        "X-Vanillabeam-Key": KEYS[tenant],
+        "X-Vanillabeam-Model": MODEL,
+        "X-Vanillabeam-Token-Usage": "977,36",
+        "X-Vanillabeam-Prefix-Hash": f"{SHARED_PART}:800,{own_part}:177",
+    }
+    host = fleet.hosts[fleet.fronts[0]]
+    fleet.record.write(f"client of {tenant} sends {request_id}")
+    status, _, _ = call(
+        host, ENTRY_PORT, "POST", "/clerk/1", {"ask": "crates"}, 10.0, headers
+    )
+    fleet.record.write(f"client hears {status} for {request_id}")
+    return status
 
 
-def leave(fleet, worker, host):
-    """Send the leave call; return the time of its confirmation, ``None`` without."""
-    worker.stop_announcing()
-    path = f"/api/Instances.Leave/{worker.name}"
-    body = {"born": worker.born_ms}
-    status, _, _ = call(host, CONTROL_PORT, "POST", path, body)
-    at_s = fleet.record.write(f"{worker.name} hears {status} for its leave call")
-    return at_s if 200 <= status < 300 else None
+def put_config(fleet, version, is_isolated):
+    """Put a configuration in force; return whether it was confirmed."""
+    config = make_model_config(version, make_tenants(is_isolated))
+    fleet.record.write(f"version {version}: is {FIRST} isolated: {is_isolated}")
+    return send_order(fleet, "/api/Config.Put", fleet.controls, config, limit_s=25.0)
 
 
 def play(fleet, trouble):
-    """Have a worker leave, and kill many processes; return the exit code."""
-    record, controls = fleet.record, fleet.controls
-    first, host = controls[0], fleet.hosts[controls[0]]
+    """Isolate a tenant between two prompts; return the exit code."""
     fleet.start_all()
-    config = make_plain_config(3)
-    if send_order(fleet, "/api/Config.Put", controls, config, limit_s=25.0) is None:
+    if put_config(fleet, 3, False) is None:
         return 2
-    workers = [
-        Worker(fleet, f"i-{number}", "deposit-api", ZONES[number % 4], number)
-        for number in range(4)
-    ]
-    for worker in workers:
-        worker.announce()
+    engine = Engine(fleet, "i-1", "inanga-llm", "kgl-a", 1)
+    engine.announce()
     if not wait_ready(fleet):
         return 2
-    clients = Clients(fleet)
-    time.sleep(5.0)
-    leaver = workers[0]
-    send_late(fleet, leaver, host)
-    time.sleep(0.2)
-    left_s = leave(fleet, leaver, host)
-    if left_s is None:
+    time.sleep(PAUSE_S)
+    if send_prompt(fleet, "q1", FIRST, "aa01") != 200:
         return 2
-    time.sleep(0.5)
-    killed = [first, *fleet.fronts] if trouble else []
-    for name in killed:
-        fleet.kill(name)
-    time.sleep(DOWN_S)
-    for name in killed:
-        fleet.start(name)
-    in_touch_s = record.now_s() + CONTACT_S
-    time.sleep(max(0.0, left_s + SERVES_S - record.now_s()))
-    leaver.close()
-    record.write(f"{leaver.name} exits")
-    clients.stop()
-    return judge(record, workers, clients, max(left_s + DRAIN_S, in_touch_s), left_s)
-
-
-def judge(record, workers, clients, from_s, left_s):
-    """Return 1 if requests reached the worker that had left."""
-    late = [
-        sum(clients.sent_s[request_id] > from_s for _, request_id in worker.arrivals)
-        for worker in workers
-    ]
-    record.write(
-        f"leave call of {workers[0].name} acknowledged at {left_s:.3f}; requests sent"
-        f" after {from_s:.3f}, when all machines are in touch: {late[0]} ran there,"
-        f" {sum(late[1:])} elsewhere"
+    confirmed_s = put_config(fleet, 5, trouble)
+    if confirmed_s is None:
+        return 2
+    time.sleep(PAUSE_S)
+    if send_prompt(fleet, "q2", SECOND, "bb01") != 200:
+        return 2
+    late = [use for use in engine.uses if use.at_s > confirmed_s + APPLY_S]
+    is_broken = trouble and bool(late)
+    fleet.record.write(
+        f"uses of another tenant's parts later than {APPLY_S:g} s after the"
+        f" confirmation of version 5 at {confirmed_s:.3f}: {len(late)};"
+        f" is {FIRST} isolated since: {trouble}"
     )
-    if late[0]:
-        return 1
-    return 0 if sum(late) else 2
+    return 1 if is_broken else 0
 
 
 if __name__ == "__main__":
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -168,6 +168,15 @@
         self.signal(name, signal.SIGKILL)
         self.processes[name].wait()
 
+    def memory_mb(self, name):
+        """Return the memory of the process of a VM, 0 while it is down."""
+        try:
+            text = Path(f"/proc/{self.processes[name].pid}/status").read_text()
+        except OSError:
+            return 0
+        lines = [line for line in text.splitlines() if line.startswith("VmRSS:")]
+        return int(lines[0].split()[1]) // 1024 if lines else 0
+
     def stop(self):
         """End all processes and remove the folder."""
         for process in self.processes.values():
