review: each case has its stand-ins and reads TROUBLE in its own folder

Cause: shared stand-ins stood outside review/1 to review/5, and TROUBLE was read there, not in the cases.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,14 +1,15 @@
 """A copy of Evacuate.End that a frozen control VM carries out after a later Start."""
 
+import os
 import signal
 import time
 
-from review.standins.case import run_case
-from review.standins.clients import Clients, wait_ready
-from review.standins.configs import make_plain_config
-from review.standins.fleet import BOUNDS, ZONES
-from review.standins.operator import send_order
-from review.standins.workers import Worker
+from standins.case import run_case
+from standins.clients import Clients, wait_ready
+from standins.configs import make_plain_config
+from standins.fleet import BOUNDS, ZONES
+from standins.operator import send_order
+from standins.workers import Worker
 
 ZONE = "kgl-a"
 #: Freeze of a control VM, as long as in the site's list of troubles.
@@ -78,4 +79,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    run_case(__file__, play, os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins/operator.py
+++ b/review/3/standins/operator.py
@@ -2,8 +2,8 @@
 
 import time
 
-from review.standins.fleet import CONTROL_PORT
-from review.standins.http import call
+from standins.fleet import CONTROL_PORT
+from standins.http import call
 
 FINAL = (400, 409, 412, 413, 422)
 BACKOFF_S = 0.1
--- a/review/standins/workers.py
+++ b/review/3/standins/workers.py
@@ -8,8 +8,8 @@
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-from review.standins.fleet import CONTROL_PORT
-from review.standins.http import call
+from standins.fleet import CONTROL_PORT
+from standins.http import call
 
 HEARTBEAT_S = 1.2
 RESET_LINGER = struct.pack("ii", 1, 0)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,14 +1,15 @@
 """A tenant becomes isolated; others go on using the parts that its requests made."""
 
+import os
 import time
 
-from review.standins.case import run_case
-from review.standins.clients import HOST, wait_ready
-from review.standins.configs import make_model_config
-from review.standins.engines import MODEL, Engine
-from review.standins.fleet import BOUNDS, ENTRY_PORT
-from review.standins.http import call
-from review.standins.operator import send_order
+from standins.case import run_case
+from standins.clients import HOST, wait_ready
+from standins.configs import make_model_config
+from standins.engines import MODEL, Engine
+from standins.fleet import BOUNDS, ENTRY_PORT
+from standins.http import call
+from standins.operator import send_order
 
 APPLY_S = BOUNDS["config_apply_ms"] / 1000
 #: Seconds after the confirmation of a configuration at which clients go on, at least.
@@ -82,4 +83,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    run_case(__file__, play, os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins/engines.py
+++ b/review/4/standins/engines.py
@@ -3,7 +3,7 @@
 import threading
 from typing import NamedTuple
 
-from review.standins.workers import Worker
+from standins.workers import Worker
 
 MODEL = "m0"
 VERSION = 1
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,15 +1,16 @@
 """A leave call that was acknowledged is forgotten when processes are killed."""
 
+import os
 import threading
 import time
 
-from review.standins.case import run_case
-from review.standins.clients import Clients, wait_ready
-from review.standins.configs import make_plain_config
-from review.standins.fleet import BOUNDS, CONTROL_PORT, ZONES
-from review.standins.http import call
-from review.standins.operator import send_order
-from review.standins.workers import Worker
+from standins.case import run_case
+from standins.clients import Clients, wait_ready
+from standins.configs import make_plain_config
+from standins.fleet import BOUNDS, CONTROL_PORT, ZONES
+from standins.http import call
+from standins.operator import send_order
+from standins.workers import Worker
 
 #: Seconds until the provider starts a process again.
 DOWN_S = 0.8
@@ -101,4 +102,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    run_case(__file__, play, os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins for the scripts of the review: fleet, workers, operator, clients."""
