--- a/src/vanillabeam/decisions/control.py
+++ b/src/vanillabeam/decisions/control.py
@@ -9,6 +9,7 @@
     "DeploymentUnreadable",
     "HomeChosen",
     "MemberRemoved",
+    "OrderRead",
     "OrderSettled",
     "OrderUnsettled",
     "StateInForce",
@@ -29,6 +30,21 @@
     quarantined: list[str]
 
 
+class OrderRead(NamedTuple):
+    """An operator's order, of those that undo each other, was read.
+
+    :param index: index up to which this VM had applied the fleet log then.
+    :param connection_s: age of the caller's connection in seconds.
+    :param pause_s: length of this process's last pause in seconds; 0 for none.
+    """
+
+    kind: str
+    subject: str
+    index: int
+    connection_s: float
+    pause_s: float
+
+
 class OrderSettled(NamedTuple):
     """An operator's order is settled for good.
 
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -56,6 +56,7 @@
     quarantine.QuarantineChanged: Kind("WARNING", _RARE_LINES_S),
     targets.AnnouncementUnreadable: Kind("WARNING", _FREQUENT_LINES_S),
     control.StateInForce: Kind("INFO", _RARE_LINES_S),
+    control.OrderRead: Kind("INFO", _RARE_LINES_S),
     control.OrderSettled: Kind("INFO", _RARE_LINES_S),
     control.OrderUnsettled: Kind("WARNING", _RARE_LINES_S),
     control.DeploymentRefused: Kind("WARNING", _RARE_LINES_S),
--- a/src/vanillabeam/exceptions.py
+++ b/src/vanillabeam/exceptions.py
@@ -18,10 +18,12 @@
     "MemoryShort",
     "NoEligibleTarget",
     "NotReady",
+    "OrderAbandoned",
     "Overloaded",
     "PeerSilent",
     "PeerUnreachable",
     "PortUnavailable",
+    "ProcessPaused",
     "RemoteFailure",
     "Run",
     "SettingsInvalid",
@@ -223,6 +225,24 @@
     retry_after_s = 1.0
 
 
+class OrderAbandoned(VanillabeamError):
+    """The caller of an order closed its connection before it was settled."""
+
+    type = "order-abandoned"
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    advice = "Send the order again if it still stands."
+
+
+class ProcessPaused(VanillabeamError):
+    """This process did not run for a while: the order may have been sent long ago."""
+
+    type = "process-paused"
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    run = Run.NOT_RUN
+    advice = "Send the order again if it still stands."
+    retry_after_s = 0.5
+
+
 class NoEligibleTarget(VanillabeamError):
     """No target in service can run the request now."""
 
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -36,8 +36,10 @@
     Command,
     FleetMachine,
     FleetState,
+    order_subject,
 )
 from vanillabeam.fleet.observed import ObservedVersions
+from vanillabeam.fleet.orderguard import OrderGuard
 from vanillabeam.fleet.parts import FETCH_LIMIT_S
 from vanillabeam.fleet.permits import PERMIT_PATH
 from vanillabeam.fleet.permitting import PermitTask
@@ -52,6 +54,7 @@
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, make_reply
 from vanillabeam.log import Address, Applied, LogNode, LogSettings
 from vanillabeam.log.exceptions import LogError
+from vanillabeam.pauses import PauseDetector
 from vanillabeam.peercall import PeerCall, PeerRoutes
 from vanillabeam.tasks import keep_running
 
@@ -64,6 +67,7 @@
     propose_timeout_s=3.0,
     allow_any_vm=True,
     open_requires_all=True,
+    subject=order_subject,
 )
 EPOCH_BYTES = 6
 MAX_WAIT_S = 2.0
@@ -82,6 +86,8 @@
     :ivar follower: merged view over the directories of all control VMs.
     :ivar observed: weight versions that were read from targets.
     :ivar leaving: targets that have told this VM that they leave.
+    :ivar pauses: pauses of this process.
+    :ivar orders: puts orders into the log that undo each other.
     :ivar permits: grants permits of targets that name a limit.
     :ivar epoch: random id of this process, sent in each watch reply.
 
@@ -131,6 +137,8 @@
         self.leaving = LeavingTask(
             self.directory, self.follower, self._notify, cfg.bounds.heartbeat_s
         )
+        self.pauses = PauseDetector()
+        self.orders = OrderGuard(self, self.pauses)
         self.permits = PermitTask(cfg.peer_address, self.follower.limits)
         self.follower.limits.on_change = self._limits_changed
         self.observed = ObservedVersions(self.follower.directory)
@@ -166,22 +174,36 @@
                 (self._track_stores, nursery),
                 (self._quarantine.run,),
                 (self.follower.run,),
+                (self.pauses.run,),
             ):
                 nursery.start_soon(keep_running, task.__name__, task, *args)
             self._is_running = True
             task_status.started()
 
-    async def propose(self, command: Command) -> Result[Applied, LogError]:
+    async def propose(
+        self, command: Command, after: int | None = None
+    ) -> Result[Applied, LogError]:
         """Append a command to the fleet log and wait until it is committed.
 
+        :param after: index after which another order about the same data centre has
+            this one refused.
         :returns: after a failure whose ``run`` is ``NOT_RUN`` the command never
             takes effect; after any other failure the outcome is unknown.
         """
-        return await self.node.propose(wire.encode(command).decode())
+        return await self.node.propose(wire.encode(command).decode(), after)
+
+    @property
+    def applied(self) -> int:
+        """Index up to which the log has been applied here."""
+        return self.node.applied
+
+    async def catch_up(self) -> Result[int, LogError]:
+        """Wait until every command committed before the call is applied here."""
+        return await self.node.read()
 
     async def read_state(self) -> Result[FleetState, LogError]:
         """Return a state that includes every command committed before the call."""
-        confirmed = await self.node.read()
+        confirmed = await self.catch_up()
         return confirmed.map(lambda _: self.machine.state)
 
     def receive_announcement(self, target: Target) -> None:
--- a/src/vanillabeam/fleet/machine.py
+++ b/src/vanillabeam/fleet/machine.py
@@ -1,6 +1,9 @@
 """The fleet log's state machine: deployments, evacuations, weight versions.
 
-Every command is numbered or idempotent, so applying one twice changes nothing.
+A deployment or weight version is numbered: a copy of one changes nothing, wherever it
+stands in the log. An evacuation or its end holds until the next order about the same
+data centre, so a copy must not come after that one: :func:`order_subject` names what
+such orders are about, and the log's leader refuses those that others have overtaken.
 """
 
 import base64
@@ -26,6 +29,7 @@
     "make_deploy",
     "make_fence_raise",
     "make_quarantine_change",
+    "order_subject",
 ]
 
 #: Characters from which a document is packed in its command. Replicas send a command
@@ -105,6 +109,24 @@
     return Command(kind="restore", data_centre="", fence_offset=offset)
 
 
+class _Order(TypedDict):
+    kind: str
+    data_centre: NotRequired[str]
+
+
+def order_subject(command: str) -> str:
+    """Return the data centre that an order is about, empty for other commands.
+
+    Orders about one data centre undo each other, so their order matters.
+    """
+    try:
+        order = msgspec.json.decode(command, type=_Order)
+    except msgspec.MsgspecError:
+        return ""
+    is_order = order["kind"] in ("evacuate", "restore")
+    return order.get("data_centre", "") if is_order else ""
+
+
 def _read_document(command: Command) -> str:
     if "packed" not in command:
         return command["document"]
--- a/src/vanillabeam/httpserver.py
+++ b/src/vanillabeam/httpserver.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from functools import partial
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -26,10 +27,12 @@
 if TYPE_CHECKING:
     from hypercorn.config import Config
 
-__all__ = ["ABORT", "abort_of", "serve"]
+__all__ = ["ABORT", "abort_of", "connected_s", "serve"]
 
 #: Extension of the ASGI scope: closes the connection of the request at once.
 ABORT = "vanillabeam.abort"
+#: Extension of the ASGI scope: monotonic time at which the connection was accepted.
+ACCEPTED_S = "vanillabeam.accepted_s"
 MAJOR_VERSION = b"1."
 DISCONNECT = "http.disconnect"
 HTTP_VERSION_NOT_SUPPORTED = 505
@@ -53,6 +56,11 @@
     return scope.get("extensions", {}).get(ABORT, _ignore)
 
 
+def connected_s(scope) -> float:
+    """Return the monotonic time at which a request's connection was accepted."""
+    return scope.get("extensions", {}).get(ACCEPTED_S, -inf)
+
+
 def _ignore() -> None:
     """Do nothing: the request came over no connection."""
 
@@ -358,6 +366,7 @@
     ) -> None:
         """Call the application as hypercorn does, with :data:`ABORT` in its scope."""
         scope["extensions"][ABORT] = self.abort
+        scope["extensions"][ACCEPTED_S] = self._accepted_s
         try:
             await self._asgi_app(scope, receive, send)
         except* Exception as group:
--- a/src/vanillabeam/log/client.py
+++ b/src/vanillabeam/log/client.py
@@ -75,14 +75,21 @@
         if members:
             self._addresses = [member.address for member in members]
 
-    async def propose(self, command: str) -> Result[Applied, LogError]:
+    async def propose(
+        self, command: str, after: int | None = None
+    ) -> Result[Applied, LogError]:
         """Propose a command and wait until it is committed and applied.
 
+        :param after: index of the log that the command's author knew; ``None`` if
+            it may follow any other command.
         :returns: its index, term and reply. If the ``run`` of a failure is
             ``NOT_RUN``, the command was not and will not be committed; after
             any other failure it may be.
         """
-        outcome = await self.request(GroupRequest(kind="propose", command=command))
+        request = GroupRequest(kind="propose", command=command)
+        if after is not None:
+            request["after"] = after
+        outcome = await self.request(request)
         return outcome.map(_applied)
 
     async def read(self) -> Result[int, LogError]:
--- a/src/vanillabeam/log/core.py
+++ b/src/vanillabeam/log/core.py
@@ -26,7 +26,7 @@
     Tick,
     TransferLeadership,
 )
-from vanillabeam.log.exceptions import GroupNotOpen
+from vanillabeam.log.exceptions import GroupNotOpen, Overtaken
 from vanillabeam.log.messages import (
     AppendReply,
     AppendRequest,
@@ -89,6 +89,8 @@
         return refused
     if not state.membership.opened:
         return [Refused(event.request_id, GroupNotOpen())]
+    if replication.is_overtaken(state, event.command, event.after):
+        return [Refused(event.request_id, Overtaken(f"after {event.after}"))]
     effects = replication.add_entry(state, EntryKind.COMMAND, event.command)
     return [*effects, Proposed(event.request_id, state.log.last_index, state.term)]
 
--- a/src/vanillabeam/log/events.py
+++ b/src/vanillabeam/log/events.py
@@ -60,10 +60,15 @@
 
 
 class Propose(NamedTuple):
-    """Append a command to the log, to be committed."""
+    """Append a command to the log, to be committed.
+
+    :param after: index of the log that the command's author knew; an entry after it
+        that concerns the same subject refuses the command. ``None`` refuses nothing.
+    """
 
     request_id: int
     command: str
+    after: int | None = None
 
 
 class Read(NamedTuple):
--- a/src/vanillabeam/log/exceptions.py
+++ b/src/vanillabeam/log/exceptions.py
@@ -14,6 +14,7 @@
     "NotAllowed",
     "NotLeader",
     "OutcomeUnknown",
+    "Overtaken",
     "ProposalLost",
     "ReplicaStopped",
     "StorageFailed",
@@ -76,6 +77,13 @@
     type = "log-proposal-lost"
 
 
+class Overtaken(LogError):
+    """A command about the same subject came first, which the author didn't know."""
+
+    type = "log-overtaken"
+    advice = "Send the command again if it still stands."
+
+
 class OutcomeUnknown(LogError):
     """The command was proposed; whether it was or will be committed is open."""
 
--- a/src/vanillabeam/log/loopcalls.py
+++ b/src/vanillabeam/log/loopcalls.py
@@ -50,9 +50,11 @@
     if isinstance(put, Failure):
         waiters.drop(request_id)
         return Success(failure_outcome(put.failure()))
-    with trio.move_on_after(timeout_s):
-        return Success(await answers.receive())
-    waiters.drop(request_id)
+    try:
+        with trio.move_on_after(timeout_s):
+            return Success(await answers.receive())
+    finally:
+        waiters.drop(request_id)
     return Success(failure_outcome(OutcomeUnknown("not committed in time")))
 
 
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -203,15 +203,20 @@
             storage.close()
         return self._loop.failure
 
-    async def propose(self, command: str) -> Result[Applied, LogError]:
+    async def propose(
+        self, command: str, after: int | None = None
+    ) -> Result[Applied, LogError]:
         """Propose a command to the leader; wait until it is committed and applied.
 
+        :param after: index of the log that the command's author knew; the command is
+            refused as :class:`~vanillabeam.log.exceptions.Overtaken` if another one
+            about the same subject came after it.
         :returns: its index, term and reply. If the ``run`` of a failure is
             ``NOT_RUN``, the command was not and will not be committed; after
             any other failure it may be.
         """
         self._hint_leader()
-        return await self._client.propose(command)
+        return await self._client.propose(command, after)
 
     async def read(self) -> Result[int, LogError]:
         """Wait until everything committed before the call is applied on this VM.
--- a/src/vanillabeam/log/records.py
+++ b/src/vanillabeam/log/records.py
@@ -1,5 +1,6 @@
 """Values of the replicated log: entries, members, snapshots and settings."""
 
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -15,6 +16,7 @@
     "Membership",
     "Snapshot",
     "StateMachine",
+    "no_subject",
 ]
 
 CHUNK_BYTES = 64 * 1024
@@ -159,6 +161,11 @@
     reply: str
 
 
+def no_subject(command: str) -> str:
+    """Return that a command concerns no subject."""
+    return ""
+
+
 class LogSettings(NamedTuple):
     """Timeouts and limits of a group, which must be equal on all its VMs.
 
@@ -178,6 +185,8 @@
     :param allow_any_vm: whether any VM may join, not only the allowed ones.
     :param open_requires_all: whether the group accepts commands only once all
         initial VMs are voters at one time; otherwise a majority is enough.
+    :param subject: returns the subject that a command concerns, empty for none, by
+        which commands with an index in ``after`` are refused.
     """
 
     heartbeat_s: float = 0.5
@@ -191,6 +200,7 @@
     slowest_bytes_s: int = SLOWEST_BYTES_S
     allow_any_vm: bool = False
     open_requires_all: bool = False
+    subject: Callable[[str], str] = no_subject
 
 
 DEFAULT_SETTINGS = LogSettings()
--- a/src/vanillabeam/log/replication.py
+++ b/src/vanillabeam/log/replication.py
@@ -20,6 +20,7 @@
     "confirm_reads",
     "refuse_pending",
     "follow_leader",
+    "is_overtaken",
     "on_append_reply",
     "on_append_request",
     "replicate",
@@ -54,6 +55,27 @@
     return [state.append_entries([entry])]
 
 
+def is_overtaken(state: Replica, command: str, after: int | None) -> bool:
+    """Return whether the log has another command about the same subject.
+
+    What a leader finds before it appends holds for all replicas, as they commit an
+    entry only with the same ones before it.
+
+    :param after: index of the last entry that doesn't count; ``None`` counts nothing.
+        Entries that are compacted count, as what they were is no longer known.
+    """
+    subject_of = state.settings.subject
+    subject = subject_of(command) if after is not None else ""
+    if not subject:
+        return False
+    if after < state.log.base_index:
+        return True
+    return any(
+        entry.kind is EntryKind.COMMAND and subject_of(entry.body) == subject
+        for entry in state.log.after(after)
+    )
+
+
 def replicate(state: Replica, now_s: float) -> list[Effect]:
     """Send missing entries to each member, and a heartbeat if one is due."""
     heartbeat_due = now_s >= state.round_sent_s + state.settings.heartbeat_s
--- a/src/vanillabeam/log/requests.py
+++ b/src/vanillabeam/log/requests.py
@@ -33,12 +33,15 @@
     """Body of a request to a group's leader.
 
     :param command: command, for the kind ``propose``.
+    :param after: index that the command's author knew, see
+        :class:`~vanillabeam.log.events.Propose`. Older releases don't read it.
     :param vm: name of a VM, for the kinds ``add`` and ``remove``.
     :param member: replica that asks to join, for the kind ``knock``.
     """
 
     kind: Literal["propose", "read", "add", "remove", "knock"]
     command: NotRequired[str]
+    after: NotRequired[int]
     vm: NotRequired[str]
     member: NotRequired[Member]
 
@@ -153,7 +156,7 @@
     if kind == "read":
         return Read(request_id)
     if kind == "propose" and "command" in request:
-        return Propose(request_id, request["command"])
+        return Propose(request_id, request["command"], request.get("after"))
     if kind == "add" and "vm" in request:
         return AllowVm(request_id, request["vm"])
     if kind == "remove" and "vm" in request:
--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -1,6 +1,7 @@
 """HTTP API of a control VM for the platform's workers and operators."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import NamedTuple, TypedDict
 from urllib.parse import unquote
 
@@ -19,8 +20,11 @@
 from vanillabeam.fleet import Command, Limits, make_deploy
 from vanillabeam.fleet.control import FleetControl
 from vanillabeam.fleet.deployments import MAX_NUMBER
+from vanillabeam.fleet.orderguard import Caller
 from vanillabeam.fleetvm import MAX_BODY_BYTES
 from vanillabeam.forwarding.downstream import read_body
+from vanillabeam.httpserver import connected_s
+from vanillabeam.log import Applied
 from vanillabeam.memory import MemoryBudget
 from vanillabeam.platform.documents import check_document
 from vanillabeam.platform.heartbeats import read_born, read_heartbeat
@@ -38,12 +42,23 @@
     body: bytes = b"{}"
 
 
+class _Call(NamedTuple):
+    """A call of a worker or an operator.
+
+    :param argument: rest of the path behind the call's name.
+    """
+
+    argument: str
+    body: bytes
+    caller: Caller
+
+
 class _VersionOrder(TypedDict):
     model: str
     version: int
 
 
-Handler = Callable[[str, bytes], Awaitable[Answer]]
+Handler = Callable[[_Call], Awaitable[Answer]]
 
 
 class ControlApp:
@@ -78,43 +93,50 @@
             if isinstance(body, Failure):
                 exc = body.failure()
                 return _error_answer(int(exc.status), exc)
-            return await handler(unquote(argument), body.unwrap())
+            caller = Caller(connected_s(scope), partial(_wait_gone, receive))
+            return await handler(_Call(unquote(argument), body.unwrap(), caller))
 
-    async def _heartbeat(self, worker: str, body: bytes) -> Answer:
-        target = read_heartbeat(worker, body)
+    async def _heartbeat(self, call: _Call) -> Answer:
+        target = read_heartbeat(call.argument, call.body)
         if isinstance(target, Failure):
-            log_record(AnnouncementUnreadable(worker, target.failure().detail))
+            log_record(AnnouncementUnreadable(call.argument, target.failure().detail))
             return _error_answer(BAD_REQUEST, target.failure())
         self._control.receive_announcement(target.unwrap())
         return Answer(OK)
 
-    async def _leave(self, worker: str, body: bytes) -> Answer:
-        self._control.receive_leave(worker, read_born(body))
+    async def _leave(self, call: _Call) -> Answer:
+        self._control.receive_leave(call.argument, read_born(call.body))
         return Answer(OK)
 
-    async def _put_config(self, _: str, body: bytes) -> Answer:
-        deployment = check_document(body)
+    async def _put_config(self, call: _Call) -> Answer:
+        deployment = check_document(call.body)
         if isinstance(deployment, Failure):
             log_record(DeploymentRefused(deployment.failure().detail))
             return _error_answer(BAD_REQUEST, deployment.failure())
         number = deployment.unwrap().number
-        return await self._propose(make_deploy(number, body.decode()))
+        return await self._propose(make_deploy(number, call.body.decode()))
 
-    async def _get_config(self, _: str, body: bytes) -> Answer:
+    async def _get_config(self, call: _Call) -> Answer:
         state = await self._control.read_state()
         if isinstance(state, Failure):
             return _error_answer(UNAVAILABLE, state.failure())
         document = state.unwrap()["document"]
         return Answer(OK, document.encode()) if document else Answer(UNAVAILABLE)
 
-    async def _evacuate(self, zone: str, body: bytes) -> Answer:
-        return await self._propose(Command(kind="evacuate", data_centre=zone))
+    async def _evacuate(self, call: _Call) -> Answer:
+        command = Command(kind="evacuate", data_centre=call.argument)
+        return _order_answer(
+            command, await self._control.orders.settle(command, call.caller)
+        )
 
-    async def _restore(self, zone: str, body: bytes) -> Answer:
-        return await self._propose(Command(kind="restore", data_centre=zone))
+    async def _restore(self, call: _Call) -> Answer:
+        command = Command(kind="restore", data_centre=call.argument)
+        return _order_answer(
+            command, await self._control.orders.settle(command, call.caller)
+        )
 
-    async def _put_version(self, _: str, body: bytes) -> Answer:
-        order = wire.read(_VersionOrder, body)
+    async def _put_version(self, call: _Call) -> Answer:
+        order = wire.read(_VersionOrder, call.body)
         if isinstance(order, Failure):
             return _error_answer(BAD_REQUEST, order.failure())
         model, version = order.unwrap()["model"], order.unwrap()["version"]
@@ -123,15 +145,27 @@
         return await self._propose(Command(kind="weights", model=model, number=version))
 
     async def _propose(self, command: Command) -> Answer:
-        proposed: Result = await self._control.propose(command)
-        subject = command.get("data_centre") or command.get("model")
-        fields = (command["kind"], command.get("number"), subject)
-        if isinstance(proposed, Failure):
-            failure = proposed.failure()
-            log_record(OrderUnsettled(*fields, failure.type, str(failure.run)))
-            return _error_answer(UNAVAILABLE, failure)
-        log_record(OrderSettled(*fields, proposed.unwrap().index))
-        return Answer(OK)
+        return _order_answer(command, await self._control.propose(command))
+
+
+def _order_answer(
+    command: Command, settled: Result[Applied, VanillabeamError]
+) -> Answer:
+    """Return the answer to an operator's order, and log its outcome."""
+    subject = command.get("data_centre") or command.get("model")
+    fields = (command["kind"], command.get("number"), subject)
+    if isinstance(settled, Failure):
+        failure = settled.failure()
+        log_record(OrderUnsettled(*fields, failure.type, str(failure.run)))
+        return _error_answer(UNAVAILABLE, failure)
+    log_record(OrderSettled(*fields, settled.unwrap().index))
+    return Answer(OK)
+
+
+async def _wait_gone(receive) -> None:
+    """Wait until the caller of a request that was read has closed the connection."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
 
 
 def _split_path(path: str) -> tuple[str, str]:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from tests.soak.limits import Arrival, NamedLimit
     from tests.soak.weights import Life, Order
+    from tests.soak.words import Word
 
 MAX_NAMES = 6
 
@@ -148,6 +149,10 @@
         self.limits: list[NamedLimit] = []
         self.outages: list[Outage] = []
         self.drained: dict[str, float] = {}
+        self.words: list[Word] = []
+        #: Data centre of each target that ever was, and the names of those that run.
+        self.zones: dict[str, str] = {}
+        self.running: set[str] = set()
         #: Times at which a target began an answer to a poisoned prompt.
         self.poisoned: list[float] = []
         self.findings: list[str] = []
@@ -156,6 +161,10 @@
         """Return the newest version of weights that was ever sent."""
         return max((naming.number for naming in self.namings), default=1)
 
+    def staffed(self):
+        """Return the data centres that have targets."""
+        return {self.zones[name] for name in self.running}
+
     @contextmanager
     def outage(self, kind, vms, others=()):
         """Record a fault that lasts as long as the context."""
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -21,6 +21,7 @@
 from tests.soak.summary import summarise
 from tests.soak.targets import TargetPool, choose_target
 from tests.soak.versions import END_S, check_weights
+from tests.soak.words import check_words, order_beside_freeze
 
 START_S = 6.0
 #: After the last fault the core is unstable for a time, then targets must get ready.
@@ -65,6 +66,8 @@
         self.operator = Operator(self.history, fleet, rng)
         self.http = httpcore.AsyncConnectionPool(keepalive_expiry=2.0)
         self._disk_lost_s = float("-inf")
+        #: Data centres that an operator is about to evacuate or take back.
+        self.ordered: set[str] = set()
 
     async def start(self):
         """Start the targets, callers and operators."""
@@ -334,6 +337,8 @@
     send_poison,
     name_limits,
     name_limits,
+    order_beside_freeze,
+    order_beside_freeze,
     *ROLLOUT_FAULTS,
 )
 
@@ -367,6 +372,7 @@
             check_convictions(run.history, fleet)
             check_weights(run.history)
             check_limits(run.history)
+            check_words(run.history)
             findings = check(run.history, fleet.ends)
             memory_mb = max(map(fleet.peak_memory_mb, fleet.vms))
             summarise(run.history, folder, seed, memory_mb)
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -207,6 +207,8 @@
         target.host = self.rng.choice(self.hosts)
         self._scopes[name] = await self.nursery.start(self._run, target)
         self.targets[name] = target
+        self.history.zones[name] = data_centre
+        self.history.running.add(name)
         self.nursery.start_soon(self._announce, target)
         return target
 
@@ -269,6 +271,7 @@
 
     def _stop(self, name):
         target = self.targets.pop(name)
+        self.history.running.discard(name)
         self._scopes.pop(name).cancel()
         if target.weights:
             target.weights.life.end_s = self.history.now_s()
@@ -299,6 +302,7 @@
         if self.targets.get(name) is not target:
             return
         del self.targets[name]
+        self.history.running.discard(name)
         scope = self._scopes.pop(name)
         await self._call(target, "Leave", {"born": target.born_ms})
         await trio.sleep(LINGER_S)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,7 +15,7 @@
 LAYERS = {
     "base": """
         addresses blocks config counters decisions earlysignals exceptions hopheaders
-        memory metrics notices output peercall problems refusals rendezvous targetwire
+        memory metrics notices output pauses peercall problems refusals rendezvous targetwire
         tasks wire
     """,
     "settings": "logs reference settings settingschecks settingsrecords",
@@ -42,7 +42,7 @@
         routing spread store targetapp targets targetwire tickets vm
     """,
     "a fleet on the platform": """
-        counters earlysignals fleet fleetvm forwarding platform ports refusals
+        counters earlysignals fleet fleetvm forwarding pauses platform ports refusals
     """,
 }
 RANKS = {
