--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -3,7 +3,6 @@
 import random
 import secrets
 from collections.abc import Callable
-from functools import partial
 from pathlib import Path
 
 import trio
@@ -19,6 +18,7 @@
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet.absence import AbsentVoters
 from vanillabeam.fleet.ages import add_merged_ages
+from vanillabeam.fleet.cachescopes import is_ended_scope, make_scopes
 from vanillabeam.fleet.departing import DepartingTask
 from vanillabeam.fleet.directory import Directory, Incarnation
 from vanillabeam.fleet.follower import Follower
@@ -385,9 +385,18 @@
         return leads and not isinstance(confirmed, Failure)
 
     def _outdated(self) -> Callable[[str], bool]:
-        """Return a predicate: whether no known target uses a salt's weights."""
+        """Return a predicate: whether no request uses a salt any more.
+
+        No known target has its weights, or its workspaces share another scope.
+        """
         self._holders.update(self.follower.directory, trio.current_time())
-        return partial(is_outdated, versions=self._holders.lowest_versions())
+        versions = self._holders.lowest_versions()
+        scopes = make_scopes(self.machine.state, self._deployment)
+
+        def is_unused(salt: str) -> bool:
+            return is_outdated(salt, versions) or is_ended_scope(salt, scopes)
+
+        return is_unused
 
     async def _drop_silent_targets(self) -> None:
         while True:
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -13,6 +13,7 @@
     StateInForce,
     log_record,
 )
+from vanillabeam.fleet.cachescopes import make_scopes
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.evidence import EvidenceSource, NoEvidence
 from vanillabeam.fleet.limitnews import LimitNews
@@ -343,6 +344,7 @@
         deployment = view.deployment
         if view.is_older_than(state):
             deployment = read_or_keep(self._read, state, deployment)
+        is_kept = deployment is view.deployment
         self.view = FleetView(
             state["index"],
             deployment,
@@ -352,6 +354,7 @@
                 view.version_times, reply.get("named", {}), trio.current_time()
             ),
             state.get("quarantine", {}),
+            view.scopes if is_kept else make_scopes(state, deployment),
         )
         log_record(
             StateInForce(
--- a/src/vanillabeam/fleet/machine.py
+++ b/src/vanillabeam/fleet/machine.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.fleet.cachescopes import Sharing, apply_sharing
 from vanillabeam.fleet.departures import Departures, apply_departures, make_departures
 from vanillabeam.fleet.quarantine import (
     Quarantine,
@@ -51,6 +52,8 @@
     :param number: number of the deployment, or weight version.
     :param document: deployment document as the operator sent it.
     :param packed: the document compressed, in base64, in place of ``document``.
+    :param sharing: the workspaces of the deployment, by whether they are isolated;
+        absent from releases without scopes of cached prompts.
     :param quarantine: change of a quarantined part, in a ``restore`` of no data centre,
         which releases that know no quarantine apply without effect.
     :param fence_offset: least offset of fencing numbers from now on, sent likewise.
@@ -61,6 +64,7 @@
     number: NotRequired[int]
     document: NotRequired[str]
     packed: NotRequired[str]
+    sharing: NotRequired[Sharing]
     data_centre: NotRequired[str]
     model: NotRequired[str]
     quarantine: NotRequired[QuarantineChange]
@@ -80,6 +84,8 @@
     :param fence_offset: number that the log's term is added to for the fencing number
         of orders; it never decreases. Absent for 0.
     :param departures: starts of targets that have ended or drain; absent for none.
+    :param cache_scope: name of the scope that workspaces share cached prompts in.
+    :param sharers: workspaces that may have put something into it.
     """
 
     index: int
@@ -90,14 +96,24 @@
     quarantine: NotRequired[Quarantine]
     fence_offset: NotRequired[int]
     departures: NotRequired[Departures]
+    cache_scope: NotRequired[str]
+    sharers: NotRequired[list[str]]
 
 
-def make_deploy(number: int, document: str) -> Command:
-    """Return the command that puts a document in force; a long one is packed."""
+def make_deploy(number: int, document: str, sharing: Sharing | None = None) -> Command:
+    """Return the command that puts a document in force; a long one is packed.
+
+    :param sharing: its workspaces, by whether they are isolated.
+    """
+    command = Command(kind="deploy", number=number)
     if len(document) < PACKED_LENGTH:
-        return Command(kind="deploy", number=number, document=document)
-    packed = base64.b64encode(zlib.compress(document.encode(), PACKING_LEVEL))
-    return Command(kind="deploy", number=number, packed=packed.decode())
+        command["document"] = document
+    else:
+        packed = base64.b64encode(zlib.compress(document.encode(), PACKING_LEVEL))
+        command["packed"] = packed.decode()
+    if sharing is not None:
+        command["sharing"] = sharing
+    return command
 
 
 def make_quarantine_change(
@@ -179,7 +195,7 @@
             changes = _changes(decoded, self.state, index)
         except (msgspec.MsgspecError, ValueError, KeyError, zlib.error) as exc:
             raise InvariantBroken(f"no command of this release: {exc!r}") from exc
-        self.state = self.state | changes | {"index": index}
+        self.state = _replace(self.state, changes) | {"index": index}
         if "departures" not in changes:
             self.news_index = index
         self._notify()
@@ -218,6 +234,12 @@
     return state.get("departures") or make_departures()
 
 
+def _replace(state: FleetState, changes: dict) -> FleetState:
+    """Return the state with changed fields, without those that are ``None``."""
+    merged = state | changes
+    return FleetState(**{k: v for k, v in merged.items() if v is not None})
+
+
 def _changes(command: Command, state: FleetState, index: int) -> dict:
     """Return the fields that ``command`` changes."""
     if "quarantine" in command:
@@ -230,7 +252,10 @@
         return {"departures": change}
     match command["kind"]:
         case "deploy" if not state["document"] or command["number"] > state["number"]:
-            return {"number": command["number"], "document": _read_document(command)}
+            scope = apply_sharing(state, command.get("sharing"), index)
+            fields = {"cache_scope": None, "sharers": None} | scope
+            document = _read_document(command)
+            return {"number": command["number"], "document": document} | fields
         case "evacuate":
             evacuated = {*state["evacuated"], command["data_centre"]}
             return {"evacuated": sorted(evacuated)}
--- a/src/vanillabeam/fleet/reclaimer.py
+++ b/src/vanillabeam/fleet/reclaimer.py
@@ -109,7 +109,7 @@
 def is_outdated(salt: str, versions: dict[str, int]) -> bool:
     """Return whether a salt names weights that no target holds any more.
 
-    :param salt: ``workspace/model/version``; any other form is never outdated.
+    :param salt: ``scope/model/version``; any other form is never outdated.
     :param versions: lowest weight version in use, by model.
     """
     _, model, version = salt.rsplit("/", 2) if salt.count("/") >= 2 else ("", "", "")
--- a/src/vanillabeam/fleet/view.py
+++ b/src/vanillabeam/fleet/view.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from vanillabeam.decisions import DeploymentUnreadable, log_record
+from vanillabeam.fleet.cachescopes import CacheScopes
 from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.quarantine import Quarantine
 from vanillabeam.fleet.records import Deployment
@@ -35,6 +36,7 @@
     :param version_times: versions of each model with the monotonic time at which
         each was named, the newest last.
     :param quarantine: parts of prompts that are kept from targets.
+    :param scopes: scopes of cached prompts of the deployment's workspaces.
     """
 
     index: int = 0
@@ -43,6 +45,7 @@
     weights: dict[str, int] = {}
     version_times: VersionTimes = {}
     quarantine: Quarantine = {}
+    scopes: CacheScopes = CacheScopes()
 
     @property
     def is_known(self) -> bool:
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -23,6 +23,8 @@
 
 WATCH_PATH = "/peer/fleet/watch"
 DIGEST_BYTES = 8
+#: Fields of the state that watchers don't need: they hear of targets otherwise.
+KEPT_BACK = ("departures", "sharers")
 
 
 class WatchRequest(TypedDict):
@@ -166,13 +168,13 @@
         reply["leaving"] = sorted(directory.leaving)
     newest = state["index"] if news_index is None else news_index
     if newest > request["index"]:
-        reply["state"] = _without_departures(state)
+        reply["state"] = _for_watchers(state)
     return reply
 
 
-def _without_departures(state: FleetState) -> FleetState:
-    """Return a state as watchers need it: they hear of targets otherwise."""
-    return FleetState(**{key: state[key] for key in state if key != "departures"})
+def _for_watchers(state: FleetState) -> FleetState:
+    """Return a state without what only control VMs need."""
+    return FleetState(**{key: state[key] for key in state if key not in KEPT_BACK})
 
 
 def digest_names(names: Iterable[str]) -> str:
--- a/src/vanillabeam/forwarding/context.py
+++ b/src/vanillabeam/forwarding/context.py
@@ -1,6 +1,7 @@
 """Context that is sent to a target along with a request."""
 
 from vanillabeam.fleet import Follower, Target
+from vanillabeam.fleet.cachescopes import CacheScopes
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.dialect import ForwardingContext
 from vanillabeam.forwarding.prefixes import PrefixPlan, Sources, plan_prefix
@@ -12,14 +13,14 @@
 FIRST_VERSION = 1
 
 
-def cache_salt(request: AdmittedRequest, version: int) -> str:
-    """Return the salt of a prompt, by isolated workspace, model and weight version.
+def cache_salt(request: AdmittedRequest, version: int, scopes: CacheScopes) -> str:
+    """Return the salt of a prompt, by scope, model and weight version.
 
     Only requests of the same salt share cached prompts.
+
+    :param scopes: those in force now: a request may have been admitted under others.
     """
-    workspace = request.workspace
-    cache_scope = workspace.name if workspace and workspace.isolated else ""
-    return f"{cache_scope}/{request.metadata.model}/{version}"
+    return f"{scopes.of(request.workspace)}/{request.metadata.model}/{version}"
 
 
 def make_context(
@@ -48,7 +49,7 @@
     version = target.versions.get(model)
     if version is None:
         return context, PrefixPlan()
-    salt = cache_salt(request, version)
+    salt = cache_salt(request, version, follower.view.scopes)
     parts = request.metadata.parts
     sources = _sources(target, salt, follower, sent_parts, now_s)
     plan = plan_prefix(parts, salt, sources, now_s, context.remaining_s)
--- a/src/vanillabeam/forwarding/requestcosts.py
+++ b/src/vanillabeam/forwarding/requestcosts.py
@@ -34,7 +34,7 @@
         return None
     view, index = follower.view, follower.parts
     version = view.weights.get(metadata.model, FIRST_VERSION)
-    salt = cache_salt(request, version)
+    salt = cache_salt(request, version, view.scopes)
     stores = {store.address: store for store in view.deployment.stores}
     record = view.deployment.services.get(service)
     kv_bytes = record.engine.kv_bytes if record and record.engine else 0.0
--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -18,6 +18,7 @@
 )
 from vanillabeam.exceptions import MalformedBody, VanillabeamError
 from vanillabeam.fleet import Command, Limits, make_deploy
+from vanillabeam.fleet.cachescopes import make_sharing
 from vanillabeam.fleet.control import FleetControl
 from vanillabeam.fleet.deployments import MAX_NUMBER
 from vanillabeam.fleet.orderguard import Caller
@@ -120,8 +121,8 @@
         if isinstance(deployment, Failure):
             log_record(DeploymentRefused(deployment.failure().detail))
             return _error_answer(BAD_REQUEST, deployment.failure())
-        number = deployment.unwrap().number
-        return await self._propose(make_deploy(number, call.body.decode()))
+        number, sharing = deployment.unwrap().number, make_sharing(deployment.unwrap())
+        return await self._propose(make_deploy(number, call.body.decode(), sharing))
 
     async def _get_config(self, call: _Call) -> Answer:
         state = await self._control.read_state()
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -86,12 +86,16 @@
     """A request that a target ran.
 
     :param version: weights that it began on; 0 without a model.
+    :param salt: cache salt that it came with.
+    :param tenant: workspace that it came from.
     """
 
     id: str
     target: str
     at_s: float
     version: int = 0
+    salt: str = ""
+    tenant: str = ""
 
 
 class Outage:
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -19,6 +19,8 @@
 MAX_ORDERS = 8
 MOVING_SERVICES = ("app-a", "app-b", "app-c")
 KEPT_ROUTES = 6
+#: Workspace that is isolated by some versions, and its key.
+WALLED, WALLED_KEY = "t-3", "key-walled"
 APPLY_S = BOUNDS["config_apply_ms"] / 1000
 #: Most that is added to a version's number.
 MAX_STEP = 9
@@ -45,11 +47,12 @@
     }
 
 
-def make_config(number, added, moving):
+def make_config(number, added, moving, isolates=False):
     """Return a configuration.
 
     :param added: numbers of the versions whose own route is there.
     :param moving: service of the route that changes services.
+    :param isolates: whether one of the workspaces is isolated.
     """
     routes = [
         make_route(path, kind, "llm" if kind in ("stream", "resumable") else "app-a")
@@ -64,6 +67,7 @@
     tenants = [
         {"name": "t-1", "api_keys": [FIXED_KEY], "priority": 1},
         {"name": "t-2", "api_keys": [f"key-{n}" for n in added[-2:]], "priority": 1},
+        {"name": WALLED, "api_keys": [WALLED_KEY], "isolated": isolates},
     ]
     llm = make_document()["services"][0]
     return make_document(
@@ -100,6 +104,7 @@
         self.rng = rng
         self.number = 0
         self.added: list[int] = []
+        self.isolates = False
         self._http = httpcore.AsyncConnectionPool(keepalive_expiry=2.0)
         self._places = trio.CapacityLimiter(MAX_ORDERS)
 
@@ -159,7 +164,7 @@
             self.number += self.rng.randint(1, MAX_STEP)
             self.added = [*self.added, self.number][-KEPT_ROUTES:]
         moving = self.rng.choice(MOVING_SERVICES)
-        document = make_config(self.number, self.added, moving)
+        document = make_config(self.number, self.added, moving, self.isolates)
         document["note"] = self.rng.random()
         change = Change(json.dumps(document), self.history.now_s(), added=self.added)
         self.history.changes.append(change)
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -21,6 +21,7 @@
 from tests.soak.summary import summarise
 from tests.soak.targets import TargetPool, choose_target
 from tests.soak.versions import END_S, check_weights
+from tests.soak.walls import check_walls, wall_off
 from tests.soak.words import check_words, leave_beside_kill, order_beside_freeze
 
 START_S = 6.0
@@ -341,6 +342,7 @@
     order_beside_freeze,
     leave_beside_kill,
     leave_beside_kill,
+    wall_off,
     *ROLLOUT_FAULTS,
 )
 
@@ -375,6 +377,7 @@
             check_weights(run.history)
             check_limits(run.history)
             check_words(run.history)
+            check_walls(run.history)
             findings = check(run.history, fleet.ends)
             memory_mb = max(map(fleet.peak_memory_mb, fleet.vms))
             summarise(run.history, folder, seed, memory_mb)
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -126,7 +126,10 @@
     async def _work(self, headers, send):
         request_id = headers.get(b"x-vanillabeam-request-id", b"").decode()
         version = self.weights.version if self.weights else 0
-        run = Run(request_id, self.name, self.history.now_s(), version)
+        salt = headers.get(b"x-vanillabeam-cache-salt", b"").decode()
+        tenant = headers.get(b"x-vanillabeam-tenant", b"").decode()
+        at_s = self.history.now_s()
+        run = Run(request_id, self.name, at_s, version, salt, tenant)
         self.history.runs.append(run)
         if self.mode == "failing":
             await send_answer(send, 500, b"failed", headers, self._limit_headers())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,7 @@
     silence,
     stop_any,
 )
+from tests.soak.walls import wall_off
 from tests.soak.words import leave_beside_kill, order_beside_freeze
 
 LENGTH_S = 35.0
@@ -94,6 +95,12 @@
     assert findings == [], f"logs in {tmp_path}"
 
 
+# Guards against prompts that go on from what a workspace made before it was isolated.
+def test_a_workspace_that_becomes_isolated_shares_nothing(tmp_path):
+    findings = trio.run(play, tmp_path, SMALL, 6, 8.0, (wall_off,), 8.0)
+    assert findings == [], f"logs in {tmp_path}"
+
+
 # Guards against limits that are not kept beside kills, cuts, freezes and restarts.
 def test_limits_beside_faults_are_kept(tmp_path):
     kinds = (name_limits, name_limits, *SHORT_KINDS[:-2])
--- a/tests/soak/words.py
+++ b/tests/soak/words.py
@@ -12,7 +12,7 @@
 import trio
 
 from tests.soak.fleet import BOUNDS, CONTROL_PORT
-from tests.soak.targets import choose_target
+from tests.soak.targets import HEARTBEAT_S
 from tests.soak.touch import CONTACT_S, Touch, touch
 
 EVAC_S = BOUNDS["evac_ms"] / 1000
@@ -22,8 +22,11 @@
 PATIENCE_S = 1.0
 ACK_S = BOUNDS["ack_ms"] / 1000
 FREEZE_S = 4.0
-#: Seconds by which a ping of before a leave call comes late.
+#: Seconds by which pings of before a leave call come late, and their number.
 PING_LATE_S = 3.5
+LATE_PINGS = 5
+#: Service whose targets get requests all the time, from all callers.
+BUSY_SERVICE = "app-a"
 WATCH_S = 4.0
 #: Requests elsewhere beside which some must reach a data centre that is in service.
 MIN_ELSEWHERE = 40
@@ -173,8 +176,9 @@
 
 
 async def leave_beside_kill(run):
-    """Have a target leave, kill what heard of it, and have an older ping come late."""
-    name = choose_target(run.targets, run.rng)
+    """Have a target leave, kill what heard of it, and have older pings come late."""
+    names = [n for n, t in run.targets.targets.items() if t.service == BUSY_SERVICE]
+    name = run.rng.choice(sorted(names))
     left = run.targets.targets[name]
     await run.targets.add(left.service, left.data_centre)
     (heard,) = run.some(run.fleet.controls)
@@ -188,8 +192,12 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_kill_witnesses, run, heard)
             await trio.sleep(PING_LATE_S)
-            await call_once(f"{url}.Heartbeat/{name}", json.dumps(heartbeat).encode())
-        await trio.sleep(CONTACT_S + WATCH_S)
+        # As many as a link held that was cut before the leave call.
+        for number in range(LATE_PINGS):
+            ping = heartbeat | {"seq": heartbeat["seq"] + number}
+            await call_once(f"{url}.Heartbeat/{name}", json.dumps(ping).encode())
+            await trio.sleep(HEARTBEAT_S)
+        await trio.sleep(WATCH_S)
 
 
 async def _kill_witnesses(run, heard):
