A leave call that can't be read, or is an outdated copy, ends no target

Targets saw: a leave call with another writer's bytes ended the start on record; one without a start time that a frozen control VM read when it woke ended a start that had begun since.

Cause: a body that can't be read was taken as one without a start time.

Change: such a body is answered 400; a call that names no start is answered 503 if its caller has left or the process was paused (docs/design/copies.md).

Evidence: tests/platform/test_path.py, test_a_leave_call_ends_a_worker_unless_ it_can_not_be_read, fails on the code before (200 for 400); the two tests that asked read_born for None ask read_leave for a typed failure now.

--- a/src/vanillabeam/fleet/orderguard.py
+++ b/src/vanillabeam/fleet/orderguard.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple, Protocol
 
 import trio
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from vanillabeam.decisions import OrderRead, log_record
 from vanillabeam.exceptions import OrderAbandoned, ProcessPaused, VanillabeamError
@@ -99,6 +99,20 @@
             nursery.cancel_scope.cancel()
         return settled
 
+    async def check(
+        self, caller: Caller
+    ) -> Result[None, OrderAbandoned | ProcessPaused]:
+        """Return whether a call that was just read is no outdated copy.
+
+        It may be one if its caller has left, or this process was paused.
+        """
+        with trio.move_on_after(LOOK_S):
+            await caller.wait_gone()
+            return Failure(OrderAbandoned())
+        if self._pauses.has_just_ended(trio.current_time()):
+            return Failure(ProcessPaused(f"for {self._pauses.pause_s:.1f} s"))
+        return Success(None)
+
     async def _propose(
         self, command: Command, index: int, is_young: bool
     ) -> Result[Applied, VanillabeamError]:
--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -28,7 +28,7 @@
 from vanillabeam.log import Applied
 from vanillabeam.memory import MemoryBudget
 from vanillabeam.platform.documents import check_document
-from vanillabeam.platform.heartbeats import read_born, read_heartbeat
+from vanillabeam.platform.heartbeats import read_heartbeat, read_leave
 
 __all__ = ["ControlApp"]
 
@@ -111,7 +111,16 @@
         )
 
     async def _leave(self, call: _Call) -> Answer:
-        left = self._control.receive_leave(call.argument, read_born(call.body))
+        born = read_leave(call.body)
+        if isinstance(born, Failure):
+            log_record(AnnouncementUnreadable(call.argument, born.failure().detail))
+            return _error_answer(BAD_REQUEST, born.failure())
+        if born.unwrap() is None:
+            # Nothing but its caller tells a copy from the call of a later start.
+            current = await self._control.orders.check(call.caller)
+            if isinstance(current, Failure):
+                return _error_answer(UNAVAILABLE, current.failure())
+        left = self._control.receive_leave(call.argument, born.unwrap())
         if left is None:
             return Answer(OK)
         return _departure_answer(await self._control.departing.commit_end(left))
--- a/src/vanillabeam/platform/heartbeats.py
+++ b/src/vanillabeam/platform/heartbeats.py
@@ -10,7 +10,7 @@
 from vanillabeam.fleet import Target
 from vanillabeam.fleet.deployments import MAX_NUMBER
 
-__all__ = ["read_born", "read_heartbeat", "read_versions"]
+__all__ = ["read_heartbeat", "read_leave", "read_versions"]
 
 
 class Model(TypedDict):
@@ -38,7 +38,7 @@
 
 
 class _Leave(TypedDict):
-    born: int
+    born: NotRequired[int]
 
 
 def read_heartbeat(worker: str, body: bytes) -> Result[Target, MalformedBody]:
@@ -81,11 +81,19 @@
     return {model["name"]: model["version"] for model in models}
 
 
-def read_born(body: bytes) -> int | None:
+def read_leave(body: bytes) -> Result[int | None, MalformedBody]:
     """Return the start time of the worker that sent a leave call.
 
     :param body: body of the call, as JSON.
-    :returns: Unix milliseconds, or ``None`` if the body has none.
+    :returns: Unix milliseconds, or ``None`` if the call has none. A body that can't be
+        read is another writer's: it ends no worker.
     """
+    if not body:
+        return Success(None)
     leave = wire.decode(_Leave, body)
-    return None if isinstance(leave, Failure) else leave.unwrap()["born"]
+    if isinstance(leave, Failure):
+        return leave
+    born_ms = leave.unwrap().get("born")
+    if born_ms is not None and abs(born_ms) > MAX_NUMBER:
+        return Failure(MalformedBody("a number is out of range"))
+    return Success(born_ms)
--- a/tests/fleet/test_orderguard.py
+++ b/tests/fleet/test_orderguard.py
@@ -1,6 +1,7 @@
 """Orders that undo each other, and copies of them that come late."""
 
 import random
+from functools import partial
 from math import inf
 from typing import NamedTuple
 
@@ -266,3 +267,19 @@
         return (await desk.settle()).failure()
 
     assert type(run_desk(run)) is NoLeader
+
+
+# Guards against a leave call without a start time that a frozen VM reads when it wakes,
+# and that ends the start which is on record by then.
+def test_a_call_is_outdated_if_its_caller_has_left_or_the_process_was_paused():
+    async def run(desk):
+        waiting = Caller(trio.current_time(), trio.sleep_forever)
+        left = Caller(trio.current_time(), partial(trio.sleep, 0))
+        current, gone = await desk.guard.check(waiting), await desk.guard.check(left)
+        desk.pauses.has_just_ended(trio.current_time())
+        await trio.sleep(4.0)
+        return current, gone.failure(), (await desk.guard.check(waiting)).failure()
+
+    current, gone, paused = run_desk(run)
+    assert current == Success(None)
+    assert (type(gone), type(paused)) == (OrderAbandoned, ProcessPaused)
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -5,7 +5,7 @@
 from returns.result import Failure, Success
 
 from tests.platform.builders import make_heartbeat
-from vanillabeam.platform.heartbeats import read_born, read_heartbeat
+from vanillabeam.platform.heartbeats import read_heartbeat, read_leave
 
 
 def read(worker="i-1", **changes):
@@ -60,12 +60,23 @@
 @given(st.binary(max_size=100))
 def test_any_bytes_give_a_target_or_a_typed_failure(body):
     assert isinstance(read_heartbeat("i-1", body), Success | Failure)
-    assert read_born(body) is None or isinstance(read_born(body), int)
+    assert isinstance(read_leave(body), Success | Failure)
 
 
 def test_a_leave_call_contains_the_start_time_of_the_worker():
-    assert read_born(b'{"born":5,"state":"draining"}') == 5
-    assert read_born(b"") is None
+    assert read_leave(b'{"born":5,"state":"draining"}') == Success(5)
+    assert read_leave(b"") == Success(None)
+    assert read_leave(b"{}") == Success(None)
+
+
+# Guards against another writer's bytes that end the start on record.
+@pytest.mark.parametrize(
+    "body",
+    [b"\xff", b"{", b'"i-1"', b'{"born":"5"}', b'{"born":1e400}', b'{"born":-%d}'],
+)
+def test_a_leave_call_that_can_not_be_read_names_no_start(body):
+    body = body.replace(b"%d", b"9" * 400)
+    assert isinstance(read_leave(body), Failure)
 
 
 # Guards against an answer of 500 and a traceback for each such call.
@@ -73,7 +84,7 @@
     deep = 9**4 * b"[" + 9**4 * b"]"
     body = json.dumps(make_heartbeat()).encode().replace(b'"colocated"', deep)
     assert isinstance(read_heartbeat("i-1", body), Failure)
-    assert read_born(b'{"born":1,"x":' + deep + b"}") is None
+    assert isinstance(read_leave(b'{"born":1,"x":' + deep + b"}"), Failure)
 
 
 # Guards against a number that no float holds, which ended requests and watch calls.
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -163,6 +163,22 @@
     trio.run(main)
 
 
+# Guards against another writer's bytes that end a worker by a leave call.
+def test_a_leave_call_ends_a_worker_unless_it_can_not_be_read(tmp_path):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            await start_workers(platform, "i-1", service="app")
+            call, path = platform.call_control, "/api/Instances.Leave/i-1"
+            records = platform.vms["front"][0].follower.directory.records
+            assert (await call("POST", path, ["i-1"])).status == 400
+            await trio.sleep(0.3)
+            assert "i-1" in records
+            assert (await call("POST", path, {})).status == 200
+            await wait_until(lambda: "i-1" not in records)
+
+    trio.run(main)
+
+
 def test_a_weight_version_is_ordered_once_by_the_leader(tmp_path):
     async def main():
         async with running_platform(tmp_path) as platform:
