--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -47,12 +47,13 @@
     }
 
 
-def make_config(number, added, moving, isolates=False):
+def make_config(number, added, moving, isolates=False, filler=0):
     """Return a configuration.
 
     :param added: numbers of the versions whose own route is there.
     :param moving: service of the route that changes services.
     :param isolates: whether one of the workspaces is isolated.
+    :param filler: number of routes that nobody asks for.
     """
     routes = [
         make_route(path, kind, "llm" if kind in ("stream", "resumable") else "app-a")
@@ -60,6 +61,7 @@
     ]
     routes.append(make_route("/move/", "safe", moving))
     routes += [make_route(f"/v{n}/", "safe", "app-b") for n in added]
+    routes += [make_route(f"/filler-{n}/", "safe", "app-b") for n in range(filler)]
     services = [
         {"name": name, "health_path": "/healthz", "max_conns": 96}
         for name in MOVING_SERVICES
@@ -105,6 +107,7 @@
         self.number = 0
         self.added: list[int] = []
         self.isolates = False
+        self.filler = 0
         self._http = httpcore.AsyncConnectionPool(keepalive_expiry=2.0)
         self._places = trio.CapacityLimiter(MAX_ORDERS)
 
@@ -162,14 +165,23 @@
         """Return a new change, or another one of the last number."""
         if not is_twin:
             self.number += self.rng.randint(1, MAX_STEP)
-            self.added = [*self.added, self.number][-KEPT_ROUTES:]
+            again = self._choose_removed()
+            self.added = [*self.added, *again, self.number][-KEPT_ROUTES:]
         moving = self.rng.choice(MOVING_SERVICES)
-        document = make_config(self.number, self.added, moving, self.isolates)
+        document = make_config(
+            self.number, self.added, moving, self.isolates, self.filler
+        )
         document["note"] = self.rng.random()
         change = Change(json.dumps(document), self.history.now_s(), added=self.added)
         self.history.changes.append(change)
         return change
 
+    def _choose_removed(self):
+        """Return at times the number of a route that was removed, to be added again."""
+        numbers = {change.number for change in self.history.changes if change.is_valid}
+        removed = sorted(numbers - set(self.added))
+        return [self.rng.choice(removed)] if removed and self.rng.random() < 0.2 else []
+
     async def run(self, period_s):
         """Change the configuration until cancelled, from two sides at times."""
         await self.deliver(self.next_change())
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -1,7 +1,6 @@
 """A run of a fleet under random faults, with callers, targets and operators."""
 
 import random
-import sys
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -10,19 +9,19 @@
 
 from tests.soak.checks import calm_attempts, check
 from tests.soak.clients import Balancer, Client, call_forever, probe_forever
+from tests.soak.faults import FAULTS
 from tests.soak.fleet import BOUNDS, RESTART_DELAY_S, running_fleet
 from tests.soak.history import History
 from tests.soak.known import check_known
-from tests.soak.limits import check_limits, name_limits
+from tests.soak.limits import check_limits
 from tests.soak.operators import Operator
-from tests.soak.poison import check_convictions, check_poison, send_poison
+from tests.soak.poison import check_convictions, check_poison
 from tests.soak.proxy import running_proxy
-from tests.soak.rollouts import ROLLOUT_FAULTS
 from tests.soak.summary import summarise
-from tests.soak.targets import TargetPool, choose_target
+from tests.soak.targets import TargetPool
 from tests.soak.versions import END_S, check_weights
-from tests.soak.walls import check_walls, wall_off
-from tests.soak.words import check_words, leave_beside_kill, order_beside_freeze
+from tests.soak.walls import check_walls
+from tests.soak.words import check_words
 
 START_S = 6.0
 #: After the last fault the core is unstable for a time, then targets must get ready.
@@ -41,11 +40,6 @@
 #: Seconds between two losses of a disk.
 DISK_PERIOD_S = 10.0
 LAST_READ_S = 30.0
-BUSY_LOOP = """
-import sys, time
-end = time.monotonic() + float(sys.argv[1])
-while time.monotonic() < end: pass
-"""
 
 
 class Scenario:
@@ -193,160 +187,6 @@
         return True
 
 
-async def kill_entry(run):
-    await run.kill(run.some(run.fleet.entries, run.rng.randint(1, 3)))
-
-
-async def kill_control(run):
-    await run.kill(run.some(run.fleet.controls), run.rng.choice((0.5, 3.0, 10.0)))
-
-
-async def kill_all_control(run):
-    await run.kill([vm.name for vm in run.fleet.controls])
-
-
-async def kill_all(run):
-    await run.kill(list(run.fleet.vms))
-
-
-async def lose_disk(run):
-    if run.may_lose_disk():
-        await run.kill(run.some(run.fleet.controls), loses_disk=True)
-
-
-async def freeze_any(run):
-    vms = run.rng.choice((run.fleet.entries, run.fleet.controls))
-    await run.freeze(run.some(vms), run.rng.choice((0.3, 1.0, 2.5, 5.0)))
-
-
-async def stop_any(run):
-    vms = run.rng.choice((run.fleet.entries, run.fleet.controls))
-    await run.stop(run.some(vms)[0])
-
-
-async def exchange_seeds(run):
-    run.fleet.exchange_seeds(by_signal=run.rng.random() < 0.5)
-
-
-async def hang_up(run):
-    for name in run.fleet.vms:
-        run.fleet.signal(name, 1)
-
-
-async def isolate_control(run):
-    (name,) = run.some(run.fleet.controls)
-    vms = run.rng.choice((run.fleet.controls, list(run.fleet.vms.values())))
-    others = [vm.name for vm in vms if vm.name != name]
-    length_s = run.rng.choice((1.0, 4.0, 12.0))
-    await run.cut([name], others, length_s, both=run.rng.random() < 0.6)
-
-
-async def cut_control_pair(run):
-    names = run.some(run.fleet.controls, 2)
-    length_s = run.rng.choice((1.0, 4.0, 9.0))
-    await run.cut(names[:1], names[1:], length_s, both=run.rng.random() < 0.5)
-
-
-async def cut_entry(run):
-    entries = run.some(run.fleet.entries, run.rng.randint(1, 2))
-    controls = run.some(run.fleet.controls, run.rng.randint(1, 4))
-    length_s = run.rng.choice((0.5, 3.0, 8.0))
-    await run.cut(entries, controls, length_s, both=run.rng.random() < 0.6)
-
-
-async def cut_zone(run):
-    zone = run.rng.choice(sorted(run.fleet.shape.entries))
-    targets = run.targets.targets
-    inside = [vm.name for vm in run.fleet.vms.values() if vm.data_centre == zone]
-    outside = [name for name in run.fleet.vms if name not in inside]
-    far = [name for name, t in targets.items() if t.data_centre != zone]
-    await run.cut(inside, [*outside, *far], run.rng.choice((2.0, 6.0)))
-
-
-async def split(run):
-    names = list(run.fleet.vms)
-    run.rng.shuffle(names)
-    middle = len(names) // 2
-    await run.cut(names[:middle], names[middle:], run.rng.choice((2.0, 6.0)))
-
-
-async def slow_links(run):
-    names = run.some(list(run.fleet.vms.values()), run.rng.randint(1, 4))
-    delay_s = run.rng.choice((0.05, 0.2, 0.6))
-    await run.slow(names, list(run.fleet.vms), run.rng.choice((2.0, 6.0)), delay_s)
-
-
-async def silence(run):
-    run.break_connections(silently=True)
-
-
-async def reset_all(run):
-    run.break_connections(silently=False)
-
-
-async def harm_target(run):
-    name = choose_target(run.targets, run.rng)
-    chance = run.rng.random()
-    if chance < 0.3:
-        with run.history.outage("target", [name]):
-            await run.targets.crash(name)
-    elif chance < 0.6:
-        await run.targets.replace(name)
-    else:
-        target = run.targets.targets[name]
-        with run.history.outage("target", [name]):
-            target.mode = run.rng.choice(("slow", "full", "failing"))
-            await trio.sleep(3.0)
-            target.mode = "fine"
-
-
-async def busy(run):
-    length_s = run.rng.choice((2.0, 5.0))
-    command = [sys.executable, "-c", BUSY_LOOP, str(length_s)]
-    with run.history.outage("busy", ["machine"]):
-        async with trio.open_nursery() as nursery:
-            for _ in range(run.rng.randint(2, 4)):
-                nursery.start_soon(trio.run_process, command)
-
-
-FAULTS = (
-    kill_entry,
-    kill_control,
-    kill_all_control,
-    kill_all,
-    lose_disk,
-    freeze_any,
-    freeze_any,
-    stop_any,
-    stop_any,
-    exchange_seeds,
-    hang_up,
-    isolate_control,
-    isolate_control,
-    cut_control_pair,
-    cut_entry,
-    cut_entry,
-    cut_zone,
-    split,
-    slow_links,
-    silence,
-    silence,
-    reset_all,
-    harm_target,
-    harm_target,
-    busy,
-    send_poison,
-    name_limits,
-    name_limits,
-    order_beside_freeze,
-    order_beside_freeze,
-    leave_beside_kill,
-    leave_beside_kill,
-    wall_off,
-    *ROLLOUT_FAULTS,
-)
-
-
 async def play(
     folder, shape, seed, length_s, kinds=None, settle_s=SETTLE_S, naming_s=None
 ):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,20 +6,20 @@
 import pytest
 import trio
 
-from tests.soak.fleet import ICUPA, PHOTO, SMALL
-from tests.soak.limits import name_limits
-from tests.soak.poison import send_poison
-from tests.soak.rollouts import disobey, kill_core_in_rollout, rest
-from tests.soak.scenario import (
+from tests.soak.faults import (
     cut_entry,
     freeze_any,
     isolate_control,
     kill_all_control,
     kill_control,
-    play,
     silence,
     stop_any,
 )
+from tests.soak.fleet import ICUPA, PHOTO, SMALL
+from tests.soak.limits import name_limits
+from tests.soak.poison import send_poison
+from tests.soak.rollouts import disobey, kill_core_in_rollout, rest
+from tests.soak.scenario import play
 from tests.soak.walls import wall_off
 from tests.soak.words import leave_beside_kill, order_beside_freeze
 
