An odd answer of a store or worker is no answer, not the end of a task

Here: a report or a list that is nested deep raised RecursionError in the task that reads it (for a report: the rollout to all workers); a number above 64 bits in a store's list was kept, and every watch call to an entry VM then failed as no message holds it.

Cause: answers of workers and stores were decoded apart from all other bytes, with one kind of failure caught and numbers of any size. Class: a reader that trusts the shape of another writer's numbers; heartbeats and configurations had their checks already.

Change: answers are decoded as all else (wire.decode), numbers from 0 to 63 bits.

--- a/src/vanillabeam/platform/client.py
+++ b/src/vanillabeam/platform/client.py
@@ -1,15 +1,17 @@
 """HTTP client for calls to workers and KV cache stores."""
 
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import httpcore
-import msgspec
 import trio
+from msgspec import Meta
 
+from vanillabeam import wire
 from vanillabeam.addresses import is_address, split_address
+from vanillabeam.fleet.deployments import MAX_NUMBER
 from vanillabeam.httpread import request_bounded
 
-__all__ = ["PlatformClient", "decode_response"]
+__all__ = ["Count", "PlatformClient", "decode_response"]
 
 TIMEOUT_S = 1.0
 IDLE_EXPIRY_S = 1.0
@@ -17,6 +19,9 @@
 #: Longest answer of a worker to a call.
 MAX_ANSWER_BYTES = 1024 * 1024
 
+#: A number in an answer. What VMs tell each other holds no larger ones.
+Count = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+
 Document = TypeVar("Document")
 
 Headers = list[tuple[bytes, bytes]]
@@ -95,7 +100,4 @@
     """
     if response is None or response.status != 200:
         return None
-    try:
-        return msgspec.json.decode(response.content, type=kind)
-    except msgspec.MsgspecError:
-        return None
+    return wire.decode(kind, response.content).value_or(None)
--- a/src/vanillabeam/platform/orders.py
+++ b/src/vanillabeam/platform/orders.py
@@ -9,9 +9,9 @@
 from vanillabeam.fleet import Target
 from vanillabeam.fleet.orderrun import OrderReply, WeightsReport
 from vanillabeam.fleet.rollout import OnLimit, WeightsOrder
-from vanillabeam.platform.client import PlatformClient, decode_response
+from vanillabeam.platform.client import Count, PlatformClient, decode_response
 from vanillabeam.platform.headers import MISDIRECTED_REQUEST, read_notice
-from vanillabeam.platform.heartbeats import Model, read_versions
+from vanillabeam.platform.heartbeats import read_versions
 
 __all__ = ["WorkerOrders"]
 
@@ -23,12 +23,17 @@
 }
 
 
+class _Model(TypedDict):
+    name: str
+    version: Count
+
+
 class _Report(TypedDict):
-    models: list[Model]
+    models: list[_Model]
     busy: bool
     #: Number of orders that the worker has accepted since its start.
-    seq: NotRequired[int]
-    running: NotRequired[int]
+    seq: NotRequired[Count]
+    running: NotRequired[Count]
 
 
 class WorkerOrders:
--- a/src/vanillabeam/platform/stores.py
+++ b/src/vanillabeam/platform/stores.py
@@ -6,7 +6,7 @@
 from vanillabeam.fleet import Store
 from vanillabeam.fleet.parts import StoreEvent
 from vanillabeam.fleet.stores import StoreEvents, StoreList
-from vanillabeam.platform.client import PlatformClient, decode_response
+from vanillabeam.platform.client import Count, PlatformClient, decode_response
 
 __all__ = ["PlatformStores"]
 
@@ -17,19 +17,19 @@
 
 
 class _Events(TypedDict):
-    epoch: int
-    next: int
+    epoch: Count
+    next: Count
     lost: bool
     #: Number, sign, salt, part, tokens stored after the event, model.
-    events: list[tuple[int, str, str, str, int, str]]
+    events: list[tuple[Count, str, str, str, Count, str]]
     clock_ms: NotRequired[float]
 
 
 class _List(TypedDict):
-    epoch: int
-    next: int
+    epoch: Count
+    next: Count
     #: Salt, part, tokens, model.
-    held: list[tuple[str, str, int, str]]
+    held: list[tuple[str, str, Count, str]]
 
 
 class PlatformStores:
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -102,3 +102,15 @@
         "query_string": query,
         "headers": [(b"host", b"shop.example"), *headers],
     }
+
+
+#: Values in place of a number: nested too deep, too large, no number, below 0.
+ODD_VALUES = (
+    100_000 * b"[" + 100_000 * b"]",
+    b"9" * 400,
+    b"9" * 5_000,
+    b"18446744073709551616",
+    b"1e400",
+    b"NaN",
+    b"-1",
+)
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -7,6 +7,7 @@
 import trio
 
 from tests.fleet.builders import make_target
+from tests.platform.builders import ODD_VALUES
 from vanillabeam.fleet.orderrun import OrderReply, WeightsReport
 from vanillabeam.fleet.rollout import WeightsOrder
 from vanillabeam.fleet.runwaits import Strategy
@@ -57,3 +58,17 @@
 def test_a_report_says_how_many_runs_there_are(more, expected):
     client = Client(200, json.dumps(REPORT | more).encode())
     assert trio.run(WorkerOrders(client).report, TARGET, "m") == expected
+
+
+# Guards against one odd report of a worker that ends the rollout to all workers.
+@pytest.mark.parametrize("odd", ODD_VALUES, ids=lambda odd: odd[:12].decode())
+@pytest.mark.parametrize(
+    "report",
+    [
+        b'{"models":[{"name":"m","version":1}],"busy":false,"seq":%s}',
+        b'{"models":[{"name":"m","version":%s}],"busy":false}',
+    ],
+)
+def test_an_odd_report_of_a_worker_is_no_report(report, odd):
+    client = Client(200, report % odd)
+    assert trio.run(WorkerOrders(client).report, TARGET, "m") is None
--- a/tests/platform/test_stores.py
+++ b/tests/platform/test_stores.py
@@ -3,8 +3,10 @@
 import json
 
 import httpcore
+import pytest
 import trio
 
+from tests.platform.builders import ODD_VALUES
 from vanillabeam.fleet import Store
 from vanillabeam.fleet.parts import StoreEvent
 from vanillabeam.fleet.stores import StoreEvents, StoreList
@@ -15,15 +17,19 @@
 
 
 class RecordingClient:
-    """Test double of the client that answers each call with one document."""
+    """Test double of the client that answers each call with one document.
+
+    :param document: the document, or its bytes.
+    """
 
     def __init__(self, document):
-        self.document = document
+        is_raw = isinstance(document, bytes)
+        self.content = document if is_raw else json.dumps(document).encode()
         self.calls = []
 
     async def call(self, method, address, path, body=b"", **options):
         self.calls.append((method, address, path, body))
-        response = httpcore.Response(200, content=json.dumps(self.document).encode())
+        response = httpcore.Response(200, content=self.content)
         await response.aread()
         return response
 
@@ -74,3 +80,21 @@
     for address in ("none", "172.20.0.2", "", "a:b", "[::1", "10.0.0.1:99999"):
         store = STORE._replace(address=address)
         assert trio.run(PlatformStores(PlatformClient()).list_parts, store) is None
+
+
+# Guards against one odd answer of a store that ends the task which follows it, or the
+# watch calls of all entry VMs: a number that no message holds was passed on to them.
+@pytest.mark.parametrize("odd", ODD_VALUES, ids=lambda odd: odd[:12].decode())
+def test_an_odd_answer_of_a_store_is_no_answer(odd):
+    store = PlatformStores(RecordingClient(b'{"epoch":1,"next":2,"held":' + odd + b"}"))
+    assert trio.run(store.list_parts, STORE) is None
+    for field in (b"epoch", b"next", b"tokens"):
+        numbers = {b"epoch": b"1", b"next": b"2", b"tokens": b"3"} | {field: odd}
+        held = b'[["s","p",%s,"m"]]' % numbers[b"tokens"]
+        head = b'{"epoch":%s,"next":%s,' % (numbers[b"epoch"], numbers[b"next"])
+        listed = PlatformStores(RecordingClient(head + b'"held":' + held + b"}"))
+        assert trio.run(listed.list_parts, STORE) is None
+        event = b'[[1,"+","s","p",%s,"m"]]' % numbers[b"tokens"]
+        body = head + b'"lost":false,"events":' + event + b"}"
+        events = PlatformStores(RecordingClient(body))
+        assert trio.run(events.read_events, STORE, 0, 0.0) is None
