Requests late in the grace of a planned stop get a final answer (LOST)

Callers saw, as other operators reported: in a planned stop, in calm, requests that were taken and passed on lose their connection without an answer at the end of the grace, unrepeatable ones too.

Cause: a request had its own time limit only; the process ended first.

Change: 0.4 s before the stop ends each request without an answer gets its final one, 504 if it may have run, else 503. One that comes after the signal has no longer limit than that, so its target is told so and what can't be served in time is refused at once.

A test of the app got a real lifecycle in place of None, which it now reads; its checks are the same.

Why it works: the exchange's own scope ends, so the answer is made as at the time limit, by what is known of its attempts.

--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -226,7 +226,7 @@
             scope["headers"],
             b"",
             began_s,
-            began_s + wait_s,
+            min(began_s + wait_s, self._lifecycle.answers_until_s),
         )
         log_record(
             RequestAdmitted(
@@ -254,12 +254,25 @@
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
             ends_s = max(request.ends_s, trio.current_time())
             nursery.start_soon(_abort_at, ends_s + ABORT_DELAY_S, writer, abort)
+            nursery.start_soon(self._conclude_before_stop, exchange, writer)
             failure = await exchange.run()
             if failure is not None and not writer.started:
                 await self._refuse(writer, request.metadata.request_id, failure)
             nursery.cancel_scope.cancel()
         self._record_outcome(request, exchange, writer, failure)
 
+    async def _conclude_before_stop(
+        self, exchange: Exchange, writer: ResponseWriter
+    ) -> None:
+        """Have a request get its final answer before a planned stop ends.
+
+        An answer that has begun goes on, as nothing can make it whole any sooner.
+        """
+        await self._lifecycle.draining.wait()
+        await trio.sleep_until(self._lifecycle.answers_until_s)
+        if not writer.started:
+            exchange.conclude()
+
     def _record_outcome(
         self,
         request: AdmittedRequest,
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/exchange.py
@@ -56,6 +56,7 @@
         self._selection = Selection(request, resources, self._service, self._passage)
         #: Answer of a target that ran the request and failed.
         self._error: Whole | None = None
+        self._scope = trio.CancelScope(deadline=request.ends_s)
 
     @property
     def may_have_run(self) -> bool:
@@ -79,16 +80,21 @@
             sent.
         """
         self._resources.chooser.record_request(self._service, trio.current_time())
-        with trio.move_on_at(self._request.ends_s):
+        with self._scope:
             await self._passage.enter()
             if self._passage.was_barred:
                 return self._passage.failure()
             with self._passage.sending():
                 return await self._run_attempts()
         if self.may_have_run:
-            return AnswerLate(f"after {self._request.route.timeout_s:g} s")
+            waited_s = trio.current_time() - self._request.began_s
+            return AnswerLate(f"after {waited_s:.1f} s")
         return NoTarget("no target in time")
 
+    def conclude(self) -> None:
+        """Have :meth:`run` return at once, with what is known of the request."""
+        self._scope.deadline = trio.current_time()
+
     async def _run_attempts(self) -> VanillabeamError | None:
         previous: Outcome | None = None
         selection = self._selection
--- a/src/vanillabeam/lifecycle.py
+++ b/src/vanillabeam/lifecycle.py
@@ -1,6 +1,7 @@
 """Shell around the core in :mod:`vanillabeam.readiness`: timer and effects."""
 
 from collections.abc import Callable
+from math import inf
 
 import trio
 from loguru import logger
@@ -24,6 +25,8 @@
 
 #: Seconds between two time events to the core.
 TICK_S = 0.1
+#: Seconds before the end of a planned stop in which final answers are sent.
+ANSWER_S = 0.4
 
 
 class Lifecycle:
@@ -65,6 +68,13 @@
         """The number of callers' requests that are not completely answered."""
         return len(self._state.open_requests)
 
+    @property
+    def answers_until_s(self) -> float:
+        """Monotonic time by which a planned stop needs each final answer, else inf."""
+        if not self.draining.is_set():
+            return inf
+        return self._state.drain_began_s + self._state.deadline_s - ANSWER_S
+
     def config_ready(self, index: int) -> None:
         """Report a configuration that is fresh enough to serve requests.
 
--- a/tests/forwarding/test_app.py
+++ b/tests/forwarding/test_app.py
@@ -16,6 +16,8 @@
 )
 from vanillabeam.forwarding.downstream import ResponseWriter
 from vanillabeam.forwarding.exceptions import NoTarget, StateUnknown
+from vanillabeam.lifecycle import Lifecycle
+from vanillabeam.readiness import Readiness
 
 
 def wait_for_state(known_after_s, arrived_s=0.0):
@@ -77,7 +79,8 @@
             directory=Directory(),
         )
         chooser = SimpleNamespace(load=None)
-        app = ForwardingApp(None, follower, chooser, None, None, None)
+        lifecycle = Lifecycle(Readiness(1.0, 1.0), lambda: None)
+        app = ForwardingApp(None, follower, chooser, lifecycle, None, None)
         metadata = make_metadata()._replace(host="shop.example", path="/orders/1")
         refused = app._admit(metadata, {"headers": []}, 0.0)
         follower.is_current = True
