Test that many answers without end at once stay in an entry VM's memory

Other operators reported a machine that kept bytes without end from a faulty worker until its memory ended.

--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from contextlib import suppress
 
+import pytest
 import trio
 
 from tests.platform.entryprocess import (
@@ -101,6 +102,46 @@
     assert results == {len(BODY): CALLERS}
 
 
+PIECE = b"x" * 65_536
+ENDLESS_CALLERS = 40
+
+
+# Guards against bytes without end of many workers at once, which are kept until the
+# VM's memory ends, and with it the requests of others.
+@pytest.mark.parametrize(
+    "begin, piece",
+    [
+        (b"", PIECE),
+        (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 5_000),
+        (b"HTTP/1.1 200 OK\r\nX-A: ", PIECE),
+        (b"HTTP/1.1 200 OK\r\n\r\n", PIECE),
+        (b"HTTP/1.1 500 No\r\n\r\n", PIECE),
+    ],
+    ids=["none", "headers", "line", "body", "failure"],
+)
+def test_many_answers_without_end_stay_in_memory(tmp_path, begin, piece):
+    async def answer(headers, stream):
+        with suppress(trio.BrokenResourceError):
+            await stream.send_all(begin)
+            while True:
+                await stream.send_all(piece)
+
+    async def ask(stream):
+        head = make_head("/orders/1", 0, (b"Connection: close",), deadline=LONG_MS)
+        await stream.send_all(head)
+        # A caller that takes what it gets, and keeps none of it.
+        status = b""
+        with suppress(trio.BrokenResourceError):
+            while data := await stream.receive_some(65_536):
+                status = status or data.split(b" ", 2)[1]
+        return int(status or b"0")
+
+    results, peak_mb = measure(tmp_path, answer, ask, ENDLESS_CALLERS, 1_500)
+    assert peak_mb < LIMIT_MB
+    assert set(results) <= {0, 200, 500, 502, 503, 504}
+    assert results.total() == ENDLESS_CALLERS
+
+
 # Guards against a body in tiny pieces that is read long after the time limit.
 def test_a_body_that_is_not_there_in_time_is_refused_as_not_run(tmp_path):
     async def ask(stream):
