--- a/src/vanillabeam/log/entries.py
+++ b/src/vanillabeam/log/entries.py
@@ -82,6 +82,24 @@
         end = None if count is None else start + count
         return self._entries[start:end]
 
+    def bytes_between(self, after: int, until: int) -> int:
+        """Return the size of the entries after one index and up to another."""
+        entries = self.after(after, max(0, until - max(after, self.base_index)))
+        return sum(len(entry.body) for entry in entries)
+
+    def start_of(self, until: int, size_bytes: int) -> int:
+        """Return the index after which the entries up to ``until`` have some size.
+
+        :param size_bytes: the largest size in bytes.
+        """
+        index = until
+        while index > self.base_index:
+            size_bytes -= len(self.get(index).body)
+            if size_bytes < 0:
+                break
+            index -= 1
+        return index
+
     def append(self, entry: Entry) -> None:
         """Append the next entry.
 
--- a/src/vanillabeam/log/loop.py
+++ b/src/vanillabeam/log/loop.py
@@ -52,7 +52,7 @@
     StateMachine,
 )
 from vanillabeam.log.replica import Replica
-from vanillabeam.log.snapshots import is_sending_snapshot
+from vanillabeam.log.snapshots import is_snapshot_due
 from vanillabeam.log.storage import Storage
 from vanillabeam.log.waiters import Waiters
 
@@ -276,9 +276,8 @@
 
     async def _snapshot_when_due(self) -> None:
         state, storage = self.replica, self.storage
-        new_entries = state.applied - storage.snapshot.index
-        busy = is_sending_snapshot(state, trio.current_time())
-        if new_entries < state.settings.snapshot_entries or busy:
+        index, size_bytes = storage.snapshot.index, storage.snapshot_bytes
+        if not is_snapshot_due(state, index, size_bytes, trio.current_time()):
             return
         data = self._machine.snapshot()
         index = state.applied
--- a/src/vanillabeam/log/records.py
+++ b/src/vanillabeam/log/records.py
@@ -21,6 +21,8 @@
 
 CHUNK_BYTES = 64 * 1024
 SLOWEST_BYTES_S = 256 * 1024
+SNAPSHOT_BYTES = 4 * 1024 * 1024
+KEPT_BYTES = 1024 * 1024
 BATCH_BYTES = 256 * 1024
 BATCH_ENTRIES = 256
 
@@ -174,8 +176,11 @@
         random between one and two times this value.
     :param propose_timeout_s: timeout of one ``propose`` or ``read`` in seconds.
     :param snapshot_entries: number of entries applied between snapshots.
+    :param snapshot_bytes: size in bytes of the applied entries since the last snapshot
+        at which one is due, if they also outweigh it.
     :param kept_entries: number of entries kept before a snapshot's index, so
         that slow followers don't need the snapshot.
+    :param kept_bytes: largest size of these entries in bytes.
     :param batch_entries: maximum number of entries in one append request.
     :param batch_bytes: total size of entry bodies in bytes at which an append
         request takes no further entry.
@@ -193,7 +198,9 @@
     election_s: float = 1.6
     propose_timeout_s: float = 5.0
     snapshot_entries: int = 1000
+    snapshot_bytes: int = SNAPSHOT_BYTES
     kept_entries: int = 200
+    kept_bytes: int = KEPT_BYTES
     batch_entries: int = BATCH_ENTRIES
     batch_bytes: int = BATCH_BYTES
     chunk_bytes: int = CHUNK_BYTES
--- a/src/vanillabeam/log/snapshots.py
+++ b/src/vanillabeam/log/snapshots.py
@@ -13,20 +13,51 @@
     follow_leader,
 )
 
-__all__ = ["compact", "is_sending_snapshot", "on_chunk", "on_chunk_reply"]
+__all__ = [
+    "compact",
+    "is_sending_snapshot",
+    "is_snapshot_due",
+    "on_chunk",
+    "on_chunk_reply",
+]
+
+#: Multiple of the size at which a snapshot is due, from which on nothing delays it.
+OVERDUE_FACTOR = 4
 
 
 def compact(state: Replica, index: int) -> None:
-    """Remove entries that a snapshot on disk covers, except ``kept_entries``.
+    """Remove entries that a snapshot on disk covers, except the newest of them.
 
     :raises InvariantBroken: if the snapshot is ahead of the applied index.
     """
     if index > state.applied:
         raise InvariantBroken(f"snapshot {index} ahead of {state.applied}")
-    kept_from = index - state.settings.kept_entries
+    cfg = state.settings
+    kept_from = max(index - cfg.kept_entries, state.log.start_of(index, cfg.kept_bytes))
     state.log.compact(max(kept_from, state.log.base_index))
 
 
+def is_snapshot_due(
+    state: Replica, snapshot_index: int, snapshot_bytes: int, now_s: float
+) -> bool:
+    """Return whether the applied entries since the last snapshot call for another.
+
+    A member that is receiving the last one delays it, but not without bound: memory and
+    disk of a leader don't grow with slow followers.
+
+    :param snapshot_index: index of the last snapshot.
+    :param snapshot_bytes: size of its data in bytes.
+    """
+    cfg = state.settings
+    new_bytes = state.log.bytes_between(snapshot_index, state.applied)
+    due_bytes = max(cfg.snapshot_bytes, snapshot_bytes)
+    if new_bytes >= OVERDUE_FACTOR * due_bytes:
+        return True
+    is_due = state.applied - snapshot_index >= cfg.snapshot_entries
+    is_due = is_due or new_bytes >= due_bytes
+    return is_due and not is_sending_snapshot(state, now_s)
+
+
 def is_sending_snapshot(state: Replica, now_s: float) -> bool:
     """Return whether an active member is receiving a snapshot."""
     return state.role is Role.LEADER and any(
--- a/tests/log/builders.py
+++ b/tests/log/builders.py
@@ -148,8 +148,33 @@
     return [Address(f"vm-{n}", f"vm-{n}:1") for n in range(1, count + 1)]
 
 
+class Register:
+    """State machine that keeps the newest command only."""
+
+    def __init__(self):
+        self.command = ""
+
+    def apply(self, index, command):
+        self.command = command
+        return ""
+
+    def snapshot(self):
+        return self.command.encode()
+
+    def restore(self, snapshot):
+        self.command = snapshot.decode()
+
+
 def make_node(
-    vm, count, network, folder=None, seed=1, bootstrap=True, seeds=None, **settings
+    vm,
+    count,
+    network,
+    folder=None,
+    seed=1,
+    bootstrap=True,
+    seeds=None,
+    make_machine=ListMachine,
+    **settings,
 ):
     """Return a node.
 
@@ -162,7 +187,7 @@
         vm,
         address,
         Path("unused"),
-        ListMachine(),
+        make_machine(),
         initial or make_addresses(count),
         network.call_from(address),
         random.Random(f"{vm}/{seed}"),
--- a/tests/log/test_node.py
+++ b/tests/log/test_node.py
@@ -11,6 +11,7 @@
 from tests.log.builders import (
     MemoryFolder,
     Network,
+    Register,
     make_addresses,
     make_node,
     wait_until,
@@ -22,6 +23,7 @@
     StorageFailed,
     WouldLoseQuorum,
 )
+from vanillabeam.log.records import KEPT_BYTES, SNAPSHOT_BYTES
 
 
 def run_with_mock_clock(function):
@@ -425,3 +427,41 @@
             nursery.cancel_scope.cancel()
 
     run_with_mock_clock(main)
+
+
+# Guards against a log that keeps each large command in memory and on disk until there
+# are very many: processes passed their memory, and again at each restart.
+@pytest.mark.parametrize("body_bytes", [2_000, 100_000, 1_000_000])
+def test_a_log_is_bounded_by_bytes_whatever_the_number_of_commands(body_bytes):
+    sizes = []
+
+    def measure(group):
+        logs = [node._loop.replica.log for node in group.nodes.values()]
+        memory = max(log.bytes_between(0, log.last_index) for log in logs)
+        disk = max(
+            sum(map(len, each.files.values())) for each in group.folders.values()
+        )
+        sizes.append((memory, disk))
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            settings = {"snapshot_entries": 1_000, "kept_entries": 200}
+            group = Group(nursery, 3, make_machine=Register, **settings)
+            await group.start_all()
+            for number in range(60):
+                command = str(number).ljust(body_bytes, "x")
+                (await group.nodes["vm-1"].propose(command)).unwrap()
+                await trio.sleep(0.5)
+                measure(group)
+            group.stop("vm-2")
+            node = await group.start("vm-2")
+            (await node.read()).unwrap()
+            assert node._machine.command == command
+            measure(group)
+            nursery.cancel_scope.cancel()
+
+    run_with_mock_clock(main)
+    bound_bytes = SNAPSHOT_BYTES + KEPT_BYTES + 2 * body_bytes
+    assert max(memory for memory, _ in sizes) <= bound_bytes
+    # On disk there is the snapshot beside the entries.
+    assert max(disk for _, disk in sizes) <= 2 * bound_bytes
