--- a/src/vanillabeam/daemon.py
+++ b/src/vanillabeam/daemon.py
@@ -10,6 +10,7 @@
 from returns.result import Failure
 
 from vanillabeam import logs
+from vanillabeam.allocator import return_large_blocks
 from vanillabeam.settings import Settings, load
 from vanillabeam.vm import Vm
 
@@ -31,6 +32,7 @@
     SIGHUP reloads the certificates. A second SIGTERM stops at once. Exit codes:
     0 all requests answered, 2 settings invalid, 3 requests were cut off.
     """
+    return_large_blocks()
     result = load(settings)
     if isinstance(result, Failure):
         for fault in result.failure().faults or (result.failure().detail,):
--- a/src/vanillabeam/platform/program.py
+++ b/src/vanillabeam/platform/program.py
@@ -12,6 +12,7 @@
 import trio
 
 from vanillabeam import __version__, logs
+from vanillabeam.allocator import return_large_blocks
 from vanillabeam.decisions import SettingsUnreadable, Started, Stopped, log_record
 from vanillabeam.earlysignals import held_signals
 from vanillabeam.fleet.records import FleetSettings
@@ -76,6 +77,7 @@
 
 def run_program() -> int:
     """Run a VM until SIGTERM has drained it; return the exit code."""
+    return_large_blocks()
     path = Path(os.environ[PATH_VARIABLE])
     open_standard_streams()
     output = LineWriter(STANDARD_OUTPUT)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,9 +14,9 @@
 #: from those above it in this table.
 LAYERS = {
     "base": """
-        addresses blocks config counters decisions earlysignals exceptions hopheaders
-        memory metrics notices output pauses peercall problems refusals rendezvous
-        targetwire tasks wire
+        addresses allocator blocks config counters decisions earlysignals exceptions
+        hopheaders memory metrics notices output pauses peercall problems refusals
+        rendezvous targetwire tasks wire
     """,
     "settings": "logs reference settings settingschecks settingsrecords",
     "connections": """
