--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -24,13 +24,7 @@
 from vanillabeam.fleet.follower import Follower
 from vanillabeam.fleet.holders import WeightHolders
 from vanillabeam.fleet.leavingtask import LeavingTask
-from vanillabeam.fleet.loads import (
-    EntryLoad,
-    EntryLoads,
-    LoadScope,
-    add_loads,
-    make_load,
-)
+from vanillabeam.fleet.loadnews import LoadNews
 from vanillabeam.fleet.machine import (
     Command,
     FleetMachine,
@@ -146,13 +140,10 @@
         self.observed = ObservedVersions(self.follower.directory)
         self._version_times = VersionTimes()
         self._changed = trio.Event()
-        #: Loads of entry VMs that report to every control VM.
-        self._loads = EntryLoads()
-        #: Loads of entry VMs that report to this one only.
-        self._home_loads = EntryLoads()
+        self._load_news = LoadNews(self.epoch, self.follower.relayed)
         self._absent_voters = AbsentVoters(kept=len(cfg.seeds))
         self._quarantine = QuarantineTask(
-            self.node, self.machine, self.propose, self._loads.active_vms
+            self.node, self.machine, self.propose, self._load_news.loads.active_vms
         )
 
     def routes(self) -> PeerRoutes:
@@ -282,7 +273,7 @@
         request = decoded.unwrap()
         now_s = trio.current_time()
         if request["sends"]:
-            self._record_load(request, now_s)
+            self._load_news.record(request, now_s)
         if "evidence" in request:
             self._quarantine.update(request["vm"], request["evidence"], now_s)
         self.follower.limits.apply(request.get("limits", []), request["vm"], now_s)
@@ -293,25 +284,6 @@
                 await self._changed.wait()
         return Success(wire.encode(self._reply(request)))
 
-    def _record_load(self, request: WatchRequest, now_s: float) -> None:
-        vm, load = request["vm"], request["load"]
-        is_home = request.get("scope") == LoadScope.HOME
-        self._loads.update(vm, make_load() if is_home else load, now_s)
-        if is_home:
-            self._home_loads.update(vm, load, now_s)
-        else:
-            self._home_loads.forget(vm)
-
-    def _others(self, request: WatchRequest, now_s: float) -> EntryLoad:
-        """Return the load of all entry VMs but the requesting one."""
-        if not request["sends"] or request.get("scope") == LoadScope.NONE:
-            return make_load()
-        return add_loads(
-            self._loads.total_except(request["vm"], now_s),
-            self._home_loads.total_except(request["vm"], now_s),
-            self.follower.relayed.total_except(self.epoch, now_s),
-        )
-
     def _has_changes(self, request: WatchRequest) -> bool:
         if request["epoch"] != self.epoch:
             return True
@@ -326,8 +298,8 @@
             self.directory,
             self.machine.state,
             self.control_addresses(),
-            self._loads.active_vms(now_s),
-            self._others(request, now_s),
+            self._load_news.loads.active_vms(now_s),
+            self._load_news.others(request, now_s),
             now_s,
             self.machine.news_index,
         )
@@ -336,7 +308,7 @@
         if request["sends"]:
             add_merged_ages(reply, self.directory, self.follower.directory, now_s)
         else:
-            reply["reported"] = self._home_loads.total_except("", now_s)
+            reply["reported"] = self._load_news.home_loads.total_except("", now_s)
         if "state" in reply:
             reply["named"] = self._version_times.ages_s(now_s)
         if self.node.is_leader:
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -10,10 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from vanillabeam import wire
-from vanillabeam.exceptions import (
-    InvariantBroken,
-    VanillabeamError,
-)
+from vanillabeam.exceptions import InvariantBroken, VanillabeamError
 from vanillabeam.log.bootstrap import Bootstrapper, is_initial
 from vanillabeam.log.client import LogClient
 from vanillabeam.log.contents import Contents
@@ -208,9 +205,8 @@
     ) -> Result[Applied, LogError]:
         """Propose a command to the leader; wait until it is committed and applied.
 
-        :param after: index of the log that the command's author knew; the command is
-            refused as :class:`~vanillabeam.log.exceptions.Overtaken` if another one
-            about the same subject came after it.
+        :param after: index of the log that the command's author knew, as in
+            :class:`~vanillabeam.log.events.Propose`; ``None`` for any.
         :returns: its index, term and reply. If the ``run`` of a failure is
             ``NOT_RUN``, the command was not and will not be committed; after
             any other failure it may be.
