--- a/src/vanillabeam/fleet/parts.py
+++ b/src/vanillabeam/fleet/parts.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 from itertools import takewhile
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 __all__ = [
     "FETCH_LIMIT_S",
@@ -76,6 +76,8 @@
     :param held: salt, part, store and tokens of each added part.
     :param gone: salt and part of each removed part.
     :param clock_ms: present time of the stores' common clock.
+    :param resting: addresses of stores that no part is saved in for now, as other
+        copies of the index may list what they held; omitted for none.
     """
 
     epoch: str
@@ -85,6 +87,7 @@
     held: list[tuple[str, str, str, int]]
     gone: list[tuple[str, str]]
     clock_ms: float
+    resting: NotRequired[list[str]]
 
 
 class PartIndex:
@@ -234,6 +237,8 @@
     def __init__(self):
         self.epoch = ""
         self.version = 0
+        #: Addresses of stores that no part is saved in for now.
+        self.resting: frozenset[str] = frozenset()
         self._term = 0
         self._parts: dict[Key, StoredPart] = {}
         self._requested_s = float("-inf")
@@ -258,6 +263,7 @@
             self._parts[(salt, part)] = StoredPart(store, tokens)
         for salt, part in changes["gone"]:
             self._parts.pop((salt, part), None)
+        self.resting = frozenset(changes.get("resting", ()))
         self.epoch, self.version = changes["epoch"], changes["version"]
         self._requested_s = requested_s
         # The answer's transit time isn't added, so the clock never runs ahead.
--- a/src/vanillabeam/fleet/stores.py
+++ b/src/vanillabeam/fleet/stores.py
@@ -1,6 +1,7 @@
 """Tracking of the parts that each KV cache store holds, by the leader."""
 
 from collections.abc import Awaitable, Callable
+from math import inf
 from typing import NamedTuple, Protocol
 
 import trio
@@ -12,8 +13,15 @@
     StoreLost,
     log_record,
 )
-from vanillabeam.fleet.parts import PartChanges, PartIndex, PartRequest, StoreEvent
-from vanillabeam.fleet.reclaimer import PartReclaimer
+from vanillabeam.fleet.parts import (
+    FETCH_LIMIT_S,
+    VIEW_LEASE_S,
+    PartChanges,
+    PartIndex,
+    PartRequest,
+    StoreEvent,
+)
+from vanillabeam.fleet.reclaimer import MARGIN_S, PartReclaimer
 from vanillabeam.fleet.records import Store
 from vanillabeam.tasks import keep_running
 
@@ -29,6 +37,9 @@
 #: Seconds after which a store ignores a request to free parts. It is shorter than the
 #: time after which another leader may be elected, which lists these parts anew.
 FREE_TIMEOUT_S = 0.6
+#: Seconds after a store's restart in which a copy of the index from before, or a
+#: request that waits at a target, may still have parts fetched there.
+REST_S = VIEW_LEASE_S + FETCH_LIMIT_S + MARGIN_S
 #: Maximum number of parts in one request to free them.
 MAX_FREED = 200
 
@@ -96,6 +107,10 @@
         self._calls = calls
         self._scopes: dict[Store, trio.CancelScope] = {}
         self._epochs: dict[Store, int] = {}
+        #: Epoch of each store that was ever heard of, in which it was last.
+        self._last_epochs: dict[str, int] = {}
+        #: Monotonic time until which no part is saved in a store, by its address.
+        self._rests_until_s: dict[str, float] = {}
         self._clock_ms = 0.0
         self._clock_at_s = 0.0
 
@@ -108,7 +123,12 @@
         self, request: PartRequest, term: int, now_s: float
     ) -> PartChanges:
         """Return the changes that a reader has not received yet."""
-        return self.index.changes_since(request, term, self._clock(now_s))
+        changes = self.index.changes_since(request, term, self._clock(now_s))
+        rests = self._rests_until_s.items()
+        resting = sorted(address for address, until_s in rests if now_s < until_s)
+        if resting:
+            changes["resting"] = resting
+        return changes
 
     async def track(self, stores: tuple[Store, ...], nursery: trio.Nursery) -> None:
         """Track exactly these stores from now on."""
@@ -139,7 +159,12 @@
     def _begin_epoch(self, store: Store, listed: StoreList) -> None:
         if self._epochs.get(store) != listed.epoch:
             self.reclaimer.forget_store(store)
-        self._epochs[store] = listed.epoch
+        last_epoch = self._last_epochs.get(store.address, listed.epoch)
+        if last_epoch == listed.epoch:
+            self._rests_until_s.pop(store.address, None)
+        else:
+            self._rests_until_s[store.address] = trio.current_time() + REST_S
+        self._epochs[store] = self._last_epochs[store.address] = listed.epoch
         self._apply_list(store, listed)
         log_record(StoreHeard(store.name, listed.epoch, len(listed.parts)))
 
@@ -177,6 +202,8 @@
             self.index.mark_used((event.salt, event.part), now_s)
 
     def _forget(self, store: Store) -> None:
+        # It may have restarted: entry VMs that don't hear of it go on fetching.
+        self._rests_until_s[store.address] = inf
         self.index.reset(store.address, [])
         self.reclaimer.forget_store(store)
         self._epochs.pop(store, None)
--- a/src/vanillabeam/forwarding/prefixes.py
+++ b/src/vanillabeam/forwarding/prefixes.py
@@ -60,9 +60,10 @@
     shared, view = parts[:-1], sources.view
     if not shared or not sources.stores or not view.is_fresh(now_s):
         return PrefixPlan()
+    stores = tuple(s for s in sources.stores if s.address not in view.resting)
     stored_parts = [view.find(salt, part.part_id, now_s) for part in shared]
     saves = [
-        "" if stored else _store_for(salt, part.part_id, sources.stores)
+        "" if stored or not stores else _store_for(salt, part.part_id, stores)
         for stored, part in zip(stored_parts, shared, strict=True)
     ]
     fetches = _fetches(shared, stored_parts, sources)
--- a/tests/fleet/test_stores.py
+++ b/tests/fleet/test_stores.py
@@ -11,6 +11,7 @@
 from vanillabeam.fleet.stores import (
     FREE_TIMEOUT_S,
     LIST_PERIOD_S,
+    REST_S,
     StoreEvents,
     StoreList,
     StoreTracker,
@@ -143,6 +144,39 @@
     assert indexed_parts(stores) == {"q"}
 
 
+def resting(stores):
+    request = {"epoch": "", "version": 0}
+    changes = stores.changes_since(request, 1, trio.current_time())
+    return changes.get("resting", [])
+
+
+# Guards against a part that is fetched from a store which has restarted, by an older
+# copy of the index, while it is being saved there anew.
+@with_store
+async def test_nothing_is_saved_in_a_restarted_store_while_old_copies_count(vm, stores):
+    await trio.sleep(0.5)
+    assert resting(stores) == []
+    vm.restart()
+    for _ in range(int(REST_S)):
+        await trio.sleep(1.0)
+        assert resting(stores) == [STORE.address]
+    await trio.sleep(1.5)
+    assert resting(stores) == []
+
+
+@with_store
+async def test_nothing_is_saved_in_a_lost_store_until_it_is_known_to_be_the_same(
+    vm, stores
+):
+    await trio.sleep(0.5)
+    vm.up = False
+    await trio.sleep(2 * REST_S)
+    assert resting(stores) == [STORE.address]
+    vm.up = True
+    await trio.sleep(1.0)
+    assert resting(stores) == []
+
+
 @with_store
 async def test_the_clock_is_known_soon_without_any_event(vm, stores):
     await trio.sleep(0.3)
--- a/tests/forwarding/test_prefixes.py
+++ b/tests/forwarding/test_prefixes.py
@@ -77,3 +77,18 @@
     result = plan(make_view("session"), cached=["sys"])
     assert [stored is not None for stored in result.fetches] == [False, True, False]
     assert result.saves[0]
+
+
+# Guards against parts that are saved anew in a store that has restarted, while others
+# still have them fetched there.
+def test_parts_are_saved_in_the_stores_that_do_not_rest_only():
+    view = make_view("sys")
+    for resting in ([LARGE.address], [SMALL.address], [SMALL.address, LARGE.address]):
+        changes = PartIndex("e").changes_since(view.request(), 1, 1_000.0)
+        view.apply(changes | {"resting": resting, "whole": False}, 0.0, 0.0)
+        result = plan(view)
+        assert not {*result.saves} & {*resting}
+        assert bool(result.saves[1]) == (len(resting) == 1)
+        assert result.fetches[0] is not None
+    view.apply(PartIndex("e").changes_since(view.request(), 1, 1_000.0), 0.0, 0.0)
+    assert all(plan(view).saves[:2])
