A leave call without a start time ends the last start that was listed anywhere

Targets saw: such a call acknowledged, and requests from all entry VMs as before, where the control VM that took it had never heard the target, had dropped it as silent, or had heard the call already and not committed it.

Cause: the call ended the start on record at that VM only; without one it was acknowledged and had no effect.

Change: the start is the last one that this VM or any other has listed.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -217,11 +217,14 @@
         """Record that a target is leaving; return the start that has ended.
 
         :param born_ms: start time of the leaving incarnation in Unix
-            milliseconds; ``None`` stands for the one on record.
+            milliseconds; ``None`` stands for the last one that any control VM listed.
         """
-        record = self.directory.records.get(name)
-        if born_ms is None and record is not None:
-            born_ms = record.target.born_ms
+        if born_ms is None:
+            heard = (self.directory, self.follower.directory)
+            starts = [directory.last_start(name) for directory in heard]
+            born_ms = max(
+                (start for start in starts if start is not None), default=None
+            )
         if born_ms is None:
             return None
         self.directory.mark_ended((name, born_ms))
--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -196,6 +196,13 @@
             for target in targets
         ]
 
+    def last_start(self, name: str) -> int | None:
+        """Return the start time that was listed last under a name, if any was."""
+        record = self.records.get(name)
+        if record is not None:
+            return record.target.born_ms
+        return self._starts[name][0] if name in self._starts else None
+
     def is_only_start(self, incarnation: Incarnation) -> bool:
         """Return whether no other start of this name was ever listed."""
         name, born_ms = incarnation
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -251,6 +251,30 @@
     assert target == returned
 
 
+# Guards against a leave call without a start time that is acknowledged without effect,
+# as this VM has never heard the target, or as it comes again after a failure.
+@pytest.mark.parametrize("heard", ["here", "elsewhere", "before", "silent"])
+def test_a_leave_call_without_a_start_time_ends_the_last_one_that_was_listed(
+    tmp_path, heard
+):
+    control = make_control(tmp_path)
+
+    async def main():
+        elsewhere = heard == "elsewhere"
+        directory = control.follower.directory if elsewhere else control.directory
+        directory.update(make_target("t-1"), 0.0)
+        directory.update(make_target("t-1", born_ms=2_000), 0.0)
+        if heard == "before":
+            control.receive_leave("t-1", None)
+        if heard == "silent":
+            directory.forget("t-1")
+        return control.receive_leave("t-1", None), control.receive_leave("t-9", None)
+
+    left, unknown = trio.run(main, clock=trio.testing.MockClock())
+    assert (left, unknown) == (("t-1", 2_000), None)
+    assert control.directory.has_ended(("t-1", 2_000))
+
+
 # Guards against a VM that was paused while another one was elected, and still acts as
 # the leader because it hasn't noticed.
 @pytest.mark.parametrize(
