--- a/src/vanillabeam/fleet/orderguard.py
+++ b/src/vanillabeam/fleet/orderguard.py
@@ -30,7 +30,7 @@
 
 
 class Caller(NamedTuple):
-    """Whoever sent an order and may wait for its answer.
+    """The sender of an order, which may wait for its answer.
 
     :param connected_s: monotonic time at which its connection was accepted.
     :param wait_gone: returns once it has closed the connection.
