Split forwarding into rooms for choosing, sending and judging

Change: choosing holds the choice of a target and what it goes by, sending the exchange with callers and targets, judging the evidence of ended attempts. The module sending is now sending.upstream. Only names of modules changed.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -14,16 +14,20 @@
 )
 from vanillabeam import fleet
 from vanillabeam.fleet.loads import EntryLoads
-from vanillabeam.forwarding.choice import Chooser
-from vanillabeam.forwarding.costs import FetchCost, estimate_costs, fetch_cost_ratio
-from vanillabeam.forwarding.dialect import PromptPart, RequestMetadata
-from vanillabeam.forwarding.load import Load, UnreportedLoad
-from vanillabeam.forwarding.ordering import TargetOrder
-from vanillabeam.forwarding.selection import (
+from vanillabeam.forwarding.choosing.choice import Chooser
+from vanillabeam.forwarding.choosing.costs import (
+    FetchCost,
+    estimate_costs,
+    fetch_cost_ratio,
+)
+from vanillabeam.forwarding.choosing.load import Load, UnreportedLoad
+from vanillabeam.forwarding.choosing.ordering import TargetOrder
+from vanillabeam.forwarding.choosing.selection import (
     MAX_WAIT_OBJECTIVES,
     MEMORY_WAIT_OBJECTIVES,
     POLL_INTERVAL_S,
 )
+from vanillabeam.forwarding.dialect import PromptPart, RequestMetadata
 
 __all__ = ["POLICIES", "run", "simulate"]
 
--- a/bench/poison.py
+++ b/bench/poison.py
@@ -9,9 +9,14 @@
 from vanillabeam import fleet
 from vanillabeam.fleet.keeper import QuarantineKeeper
 from vanillabeam.fleet.quarantine import Quarantine, apply_change
-from vanillabeam.forwarding.endings import BrokenAnswer, TargetEnds
-from vanillabeam.forwarding.exchange import RETRY_DELAY_S
-from vanillabeam.forwarding.gate import TRIAL_WAIT_S, Pass, QuarantineGate, Verdict
+from vanillabeam.forwarding.judging.endings import BrokenAnswer, TargetEnds
+from vanillabeam.forwarding.judging.gate import (
+    TRIAL_WAIT_S,
+    Pass,
+    QuarantineGate,
+    Verdict,
+)
+from vanillabeam.forwarding.sending.exchange import RETRY_DELAY_S
 
 __all__ = ["run", "simulate"]
 
--- a/bench/pushback.py
+++ b/bench/pushback.py
@@ -10,9 +10,12 @@
 from vanillabeam.fleet.follower import MIN_INTERVAL_S
 from vanillabeam.fleet.loads import EntryLoads
 from vanillabeam.fleet.polling import MIN_WAIT_S
-from vanillabeam.forwarding.choice import Choice, Chooser
+from vanillabeam.forwarding.choosing.choice import Choice, Chooser
+from vanillabeam.forwarding.choosing.selection import (
+    BUSY_POLL_INTERVAL_S,
+    POLL_INTERVAL_S,
+)
 from vanillabeam.forwarding.dialect import RequestMetadata
-from vanillabeam.forwarding.selection import BUSY_POLL_INTERVAL_S, POLL_INTERVAL_S
 from vanillabeam.notices import Incarnation, Notice, TargetNotices
 
 __all__ = ["LARGE", "POLICIES", "SMALL", "Scenario", "Shape", "run", "simulate"]
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -13,7 +13,7 @@
 from vanillabeam.fleet.permitclient import PermitClient
 from vanillabeam.fleet.records import FleetSettings
 from vanillabeam.forwarding import Dialect, ForwardingApp
-from vanillabeam.forwarding.choice import Chooser
+from vanillabeam.forwarding.choosing.choice import Chooser
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.listeners import ListenerTask
 from vanillabeam.memory import MemoryBudget
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -20,23 +20,23 @@
 from vanillabeam.exceptions import MalformedBody, VanillabeamError
 from vanillabeam.fleet import Deployment, Follower
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.choice import Chooser
+from vanillabeam.forwarding.choosing.choice import Chooser
 from vanillabeam.forwarding.dialect import Dialect, RequestMetadata
-from vanillabeam.forwarding.downstream import (
+from vanillabeam.forwarding.exceptions import StateUnknown
+from vanillabeam.forwarding.judging.endings import TargetEnds
+from vanillabeam.forwarding.judging.endprobe import EndProbe
+from vanillabeam.forwarding.judging.gate import QuarantineGate
+from vanillabeam.forwarding.resources import Resources
+from vanillabeam.forwarding.routes import RouteTable
+from vanillabeam.forwarding.sending.downstream import (
     ResponseWriter,
     discard_body,
     read_body,
     spread_retry_after,
 )
-from vanillabeam.forwarding.endings import TargetEnds
-from vanillabeam.forwarding.endprobe import EndProbe
-from vanillabeam.forwarding.exceptions import StateUnknown
-from vanillabeam.forwarding.exchange import Exchange
-from vanillabeam.forwarding.gate import QuarantineGate
-from vanillabeam.forwarding.pools import Pools
-from vanillabeam.forwarding.resources import Resources
-from vanillabeam.forwarding.routes import RouteTable
-from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.forwarding.sending.exchange import Exchange
+from vanillabeam.forwarding.sending.pools import Pools
+from vanillabeam.forwarding.sending.sentparts import SentParts
 from vanillabeam.httpserver import abort_of
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.memory import Holding, MemoryBudget
--- /dev/null
+++ b/src/vanillabeam/forwarding/choosing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the target that a request is sent to."""
--- a/src/vanillabeam/forwarding/choice.py
+++ b/src/vanillabeam/forwarding/choosing/choice.py
@@ -14,19 +14,19 @@
     Target,
 )
 from vanillabeam.fleet.ratelimits import RateLimits
-from vanillabeam.forwarding.bounds import ColdTargetLimiter, ServiceRetryBudget
-from vanillabeam.forwarding.chosen import Choice
-from vanillabeam.forwarding.costs import PromptCosts
+from vanillabeam.forwarding.choosing.bounds import ColdTargetLimiter, ServiceRetryBudget
+from vanillabeam.forwarding.choosing.chosen import Choice
+from vanillabeam.forwarding.choosing.costs import PromptCosts
+from vanillabeam.forwarding.choosing.health import Health
+from vanillabeam.forwarding.choosing.leftout import LeftOutTargets
+from vanillabeam.forwarding.choosing.load import Load
+from vanillabeam.forwarding.choosing.memory import with_free_memory
+from vanillabeam.forwarding.choosing.ordering import TargetOrder
+from vanillabeam.forwarding.choosing.rategate import RateGate
+from vanillabeam.forwarding.choosing.ratelines import Claim
+from vanillabeam.forwarding.choosing.usable import Checks, usable_targets
 from vanillabeam.forwarding.dialect import RequestMetadata
-from vanillabeam.forwarding.downstream import spread_retry_after
-from vanillabeam.forwarding.health import Health
-from vanillabeam.forwarding.leftout import LeftOutTargets
-from vanillabeam.forwarding.load import Load
-from vanillabeam.forwarding.memory import with_free_memory
-from vanillabeam.forwarding.ordering import TargetOrder
-from vanillabeam.forwarding.rategate import RateGate
-from vanillabeam.forwarding.ratelines import Claim
-from vanillabeam.forwarding.usable import Checks, usable_targets
+from vanillabeam.forwarding.sending.downstream import spread_retry_after
 from vanillabeam.notices import LeftOut, Reason, TargetNotices
 
 __all__ = ["Choice", "Chooser"]
--- a/src/vanillabeam/forwarding/costs.py
+++ b/src/vanillabeam/forwarding/choosing/costs.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from vanillabeam.fleet import Target
+from vanillabeam.forwarding.choosing.memory import MemoryDemand
 from vanillabeam.forwarding.dialect import PromptPart, RequestMetadata
-from vanillabeam.forwarding.memory import MemoryDemand
 
 __all__ = ["FetchCost", "PromptCosts", "estimate_costs", "fetch_cost_ratio"]
 
--- a/src/vanillabeam/forwarding/health.py
+++ b/src/vanillabeam/forwarding/choosing/health.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from vanillabeam.fleet import Target
-from vanillabeam.forwarding.reachability import Reachability
+from vanillabeam.forwarding.choosing.reachability import Reachability
 
 __all__ = ["Health"]
 
--- a/src/vanillabeam/forwarding/leftout.py
+++ b/src/vanillabeam/forwarding/choosing/leftout.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 
 from vanillabeam.fleet import Target
-from vanillabeam.forwarding.load import Load
-from vanillabeam.forwarding.rategate import RateGate
+from vanillabeam.forwarding.choosing.load import Load
+from vanillabeam.forwarding.choosing.rategate import RateGate
 from vanillabeam.notices import LeftOut, Reason, TargetNotices
 
 __all__ = ["LeftOutTargets"]
--- a/src/vanillabeam/forwarding/load.py
+++ b/src/vanillabeam/forwarding/choosing/load.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from vanillabeam.fleet.loads import EntryLoad, WorkByRank, add_loads, make_load
-from vanillabeam.forwarding.observations import Observations
+from vanillabeam.forwarding.choosing.observations import Observations
 
 __all__ = ["Load", "OpenRequest", "UnreportedLoad"]
 
--- a/src/vanillabeam/forwarding/memory.py
+++ b/src/vanillabeam/forwarding/choosing/memory.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from vanillabeam.fleet import Engine, Target
-from vanillabeam.forwarding.load import Load
+from vanillabeam.forwarding.choosing.load import Load
 
 __all__ = ["MemoryDemand", "with_free_memory"]
 
--- a/src/vanillabeam/forwarding/ordering.py
+++ b/src/vanillabeam/forwarding/choosing/ordering.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterator
 
 from vanillabeam.fleet import Target
-from vanillabeam.forwarding.candidates import sample_candidates
-from vanillabeam.forwarding.costs import PromptCosts
-from vanillabeam.forwarding.load import Load
+from vanillabeam.forwarding.choosing.candidates import sample_candidates
+from vanillabeam.forwarding.choosing.costs import PromptCosts
+from vanillabeam.forwarding.choosing.load import Load
 from vanillabeam.rendezvous import rank
 
 __all__ = ["TargetOrder"]
--- a/src/vanillabeam/forwarding/rategate.py
+++ b/src/vanillabeam/forwarding/choosing/rategate.py
@@ -16,7 +16,12 @@
     RecentGrants,
 )
 from vanillabeam.fleet.ratelimits import RateLimits
-from vanillabeam.forwarding.ratelines import Claim, Permit, RateLine, count_before
+from vanillabeam.forwarding.choosing.ratelines import (
+    Claim,
+    Permit,
+    RateLine,
+    count_before,
+)
 from vanillabeam.notices import Incarnation, LeftOut, Reason
 
 __all__ = ["PermitCall", "RateGate"]
--- a/src/vanillabeam/forwarding/requestcosts.py
+++ b/src/vanillabeam/forwarding/choosing/requestcosts.py
@@ -2,14 +2,14 @@
 
 from vanillabeam.fleet import Follower, Store
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.context import FIRST_VERSION, cache_salt
-from vanillabeam.forwarding.costs import (
+from vanillabeam.forwarding.choosing.costs import (
     FetchCost,
     PromptCosts,
     estimate_costs,
     fetch_cost_ratio,
 )
-from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.forwarding.sending.context import FIRST_VERSION, cache_salt
+from vanillabeam.forwarding.sending.sentparts import SentParts
 
 __all__ = ["estimate_request_costs"]
 
--- a/src/vanillabeam/forwarding/selection.py
+++ b/src/vanillabeam/forwarding/choosing/selection.py
@@ -6,17 +6,17 @@
 
 from vanillabeam.decisions import TargetChosen, log_record
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.choice import Choice
-from vanillabeam.forwarding.costs import PromptCosts
+from vanillabeam.forwarding.choosing.choice import Choice
+from vanillabeam.forwarding.choosing.costs import PromptCosts
+from vanillabeam.forwarding.choosing.ratelines import Claim, Permit
+from vanillabeam.forwarding.choosing.requestcosts import estimate_request_costs
 from vanillabeam.forwarding.exceptions import (
     NoTarget,
     TargetsLimited,
     TargetsPaused,
     TooLate,
 )
-from vanillabeam.forwarding.passage import Passage
-from vanillabeam.forwarding.ratelines import Claim, Permit
-from vanillabeam.forwarding.requestcosts import estimate_request_costs
+from vanillabeam.forwarding.judging.passage import Passage
 from vanillabeam.forwarding.resources import Resources
 from vanillabeam.notices import Reason
 
--- /dev/null
+++ b/src/vanillabeam/forwarding/judging/__init__.py
@@ -0,0 +1,1 @@
+"""Conclusions from ended attempts: targets that ended, prompts that are barred."""
--- a/src/vanillabeam/forwarding/endprobe.py
+++ b/src/vanillabeam/forwarding/judging/endprobe.py
@@ -5,8 +5,8 @@
 from vanillabeam.addresses import split_address
 from vanillabeam.decisions import log_record
 from vanillabeam.fleet import Directory, Target
-from vanillabeam.forwarding.choice import Chooser
-from vanillabeam.forwarding.endings import TargetEnds
+from vanillabeam.forwarding.choosing.choice import Chooser
+from vanillabeam.forwarding.judging.endings import TargetEnds
 from vanillabeam.refusals import is_refusal
 
 __all__ = ["EndProbe"]
--- a/src/vanillabeam/forwarding/gate.py
+++ b/src/vanillabeam/forwarding/judging/gate.py
@@ -6,7 +6,7 @@
 
 from vanillabeam.fleet.evidence import Evidence
 from vanillabeam.fleet.quarantine import NO_TRIAL, Quarantine
-from vanillabeam.forwarding.endings import TargetEnds
+from vanillabeam.forwarding.judging.endings import TargetEnds
 
 __all__ = ["Pass", "QuarantineGate", "Verdict"]
 
--- a/src/vanillabeam/forwarding/noticing.py
+++ b/src/vanillabeam/forwarding/judging/noticing.py
@@ -12,7 +12,7 @@
 from vanillabeam.fleet.limitlog import log_limit
 from vanillabeam.fleet.ratelimits import read_rate
 from vanillabeam.forwarding.resources import Resources
-from vanillabeam.forwarding.sending import OpenResponse
+from vanillabeam.forwarding.sending.upstream import OpenResponse
 from vanillabeam.notices import AppliedNotice, Notice
 
 __all__ = ["apply_notice"]
--- a/src/vanillabeam/forwarding/passage.py
+++ b/src/vanillabeam/forwarding/judging/passage.py
@@ -7,7 +7,12 @@
 
 from vanillabeam.fleet import Follower
 from vanillabeam.forwarding.exceptions import PartQuarantined
-from vanillabeam.forwarding.gate import TRIAL_WAIT_S, Pass, QuarantineGate, Verdict
+from vanillabeam.forwarding.judging.gate import (
+    TRIAL_WAIT_S,
+    Pass,
+    QuarantineGate,
+    Verdict,
+)
 
 __all__ = ["Passage"]
 
--- a/src/vanillabeam/forwarding/recorder.py
+++ b/src/vanillabeam/forwarding/judging/recorder.py
@@ -3,9 +3,8 @@
 from typing import NamedTuple
 
 from vanillabeam.decisions import AttemptFailed, log_record
-from vanillabeam.forwarding.choice import Choice
+from vanillabeam.forwarding.choosing.choice import Choice
 from vanillabeam.forwarding.dialect import RequestMetadata
-from vanillabeam.forwarding.endings import BrokenAnswer
 from vanillabeam.forwarding.exceptions import (
     AnswerTooLong,
     MismatchedAnswer,
@@ -13,9 +12,10 @@
     RefusalUnproven,
     TargetWithdrawn,
 )
-from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome
+from vanillabeam.forwarding.judging.endings import BrokenAnswer
 from vanillabeam.forwarding.resources import Resources
-from vanillabeam.forwarding.sending import Broken
+from vanillabeam.forwarding.sending.outcomes import AnswerEnd, Delivered, Outcome
+from vanillabeam.forwarding.sending.upstream import Broken
 
 __all__ = ["AttemptEnd", "OutcomeRecorder"]
 
--- a/src/vanillabeam/forwarding/resources.py
+++ b/src/vanillabeam/forwarding/resources.py
@@ -4,13 +4,13 @@
 
 from vanillabeam.counters import Counters
 from vanillabeam.fleet import Follower
-from vanillabeam.forwarding.choice import Chooser
+from vanillabeam.forwarding.choosing.choice import Chooser
 from vanillabeam.forwarding.dialect import Dialect
-from vanillabeam.forwarding.endings import TargetEnds
-from vanillabeam.forwarding.endprobe import EndProbe
-from vanillabeam.forwarding.gate import QuarantineGate
-from vanillabeam.forwarding.pools import Pools
-from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.forwarding.judging.endings import TargetEnds
+from vanillabeam.forwarding.judging.endprobe import EndProbe
+from vanillabeam.forwarding.judging.gate import QuarantineGate
+from vanillabeam.forwarding.sending.pools import Pools
+from vanillabeam.forwarding.sending.sentparts import SentParts
 from vanillabeam.memory import MemoryBudget
 
 __all__ = ["Resources"]
--- a/src/vanillabeam/forwarding/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -8,11 +8,10 @@
 from vanillabeam.exceptions import Run
 from vanillabeam.fleet import RouteKind, Target
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.choice import Choice
-from vanillabeam.forwarding.context import make_context
+from vanillabeam.forwarding.choosing.choice import Choice
+from vanillabeam.forwarding.choosing.load import OpenRequest
+from vanillabeam.forwarding.choosing.ratelines import Permit
 from vanillabeam.forwarding.dialect import AnswerKind, Headers
-from vanillabeam.forwarding.downstream import ResponseWriter
-from vanillabeam.forwarding.events import EventCutter
 from vanillabeam.forwarding.exceptions import (
     AnswerBroken,
     AnswerTooLong,
@@ -20,16 +19,17 @@
     NoTarget,
     RefusalUnproven,
 )
-from vanillabeam.forwarding.load import OpenRequest
-from vanillabeam.forwarding.noticing import apply_notice
-from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome
-from vanillabeam.forwarding.passage import Passage
-from vanillabeam.forwarding.plain import Prefix, read_plain, read_refusal
-from vanillabeam.forwarding.ratelines import Permit
-from vanillabeam.forwarding.recorder import AttemptEnd, OutcomeRecorder
-from vanillabeam.forwarding.relay import StreamRelay
+from vanillabeam.forwarding.judging.noticing import apply_notice
+from vanillabeam.forwarding.judging.passage import Passage
+from vanillabeam.forwarding.judging.recorder import AttemptEnd, OutcomeRecorder
 from vanillabeam.forwarding.resources import Resources
-from vanillabeam.forwarding.sending import (
+from vanillabeam.forwarding.sending.context import make_context
+from vanillabeam.forwarding.sending.downstream import ResponseWriter
+from vanillabeam.forwarding.sending.events import EventCutter
+from vanillabeam.forwarding.sending.outcomes import AnswerEnd, Delivered, Outcome
+from vanillabeam.forwarding.sending.plain import Prefix, read_plain, read_refusal
+from vanillabeam.forwarding.sending.relay import StreamRelay
+from vanillabeam.forwarding.sending.upstream import (
     Broken,
     OpenResponse,
     close_response,
--- a/src/vanillabeam/forwarding/context.py
+++ b/src/vanillabeam/forwarding/sending/context.py
@@ -4,8 +4,8 @@
 from vanillabeam.fleet.cachescopes import CacheScopes
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.dialect import ForwardingContext
-from vanillabeam.forwarding.prefixes import PrefixPlan, Sources, plan_prefix
-from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.forwarding.sending.prefixes import PrefixPlan, Sources, plan_prefix
+from vanillabeam.forwarding.sending.sentparts import SentParts
 
 __all__ = ["FIRST_VERSION", "cache_salt", "make_context"]
 
--- a/src/vanillabeam/forwarding/exchange.py
+++ b/src/vanillabeam/forwarding/sending/exchange.py
@@ -4,19 +4,19 @@
 
 from vanillabeam.exceptions import Run, VanillabeamError
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.attempt import Attempt
-from vanillabeam.forwarding.downstream import ResponseWriter
-from vanillabeam.forwarding.events import EventCutter
+from vanillabeam.forwarding.choosing.selection import Selected, Selection
 from vanillabeam.forwarding.exceptions import (
     AnswerBroken,
     AnswerLate,
     NoTarget,
 )
-from vanillabeam.forwarding.outcomes import AnswerEnd, Delivered, Outcome, Whole
-from vanillabeam.forwarding.passage import Passage
+from vanillabeam.forwarding.judging.passage import Passage
 from vanillabeam.forwarding.resources import Resources
-from vanillabeam.forwarding.selection import Selected, Selection
-from vanillabeam.forwarding.sending import Broken
+from vanillabeam.forwarding.sending.attempt import Attempt
+from vanillabeam.forwarding.sending.downstream import ResponseWriter
+from vanillabeam.forwarding.sending.events import EventCutter
+from vanillabeam.forwarding.sending.outcomes import AnswerEnd, Delivered, Outcome, Whole
+from vanillabeam.forwarding.sending.upstream import Broken
 
 __all__ = ["Exchange"]
 
--- a/src/vanillabeam/forwarding/outcomes.py
+++ b/src/vanillabeam/forwarding/sending/outcomes.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from vanillabeam.forwarding.dialect import Headers
-from vanillabeam.forwarding.sending import Broken
+from vanillabeam.forwarding.sending.upstream import Broken
 
 __all__ = ["AnswerEnd", "Delivered", "Outcome", "Whole"]
 
--- a/src/vanillabeam/forwarding/plain.py
+++ b/src/vanillabeam/forwarding/sending/plain.py
@@ -5,8 +5,8 @@
 import trio
 
 from vanillabeam.fleet import Target
-from vanillabeam.forwarding.outcomes import Whole
-from vanillabeam.forwarding.sending import Broken, OpenResponse, iter_body
+from vanillabeam.forwarding.sending.outcomes import Whole
+from vanillabeam.forwarding.sending.upstream import Broken, OpenResponse, iter_body
 from vanillabeam.memory import Holding
 
 __all__ = ["Prefix", "read_plain", "read_refusal"]
--- a/src/vanillabeam/forwarding/relay.py
+++ b/src/vanillabeam/forwarding/sending/relay.py
@@ -3,10 +3,15 @@
 from collections.abc import Callable
 
 from vanillabeam.fleet import Target
-from vanillabeam.forwarding.downstream import ResponseWriter
-from vanillabeam.forwarding.events import EventCutter
 from vanillabeam.forwarding.exceptions import AnswerBroken
-from vanillabeam.forwarding.sending import Broken, Framing, OpenResponse, iter_body
+from vanillabeam.forwarding.sending.downstream import ResponseWriter
+from vanillabeam.forwarding.sending.events import EventCutter
+from vanillabeam.forwarding.sending.upstream import (
+    Broken,
+    Framing,
+    OpenResponse,
+    iter_body,
+)
 from vanillabeam.memory import Holding
 
 __all__ = ["StreamRelay"]
--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -23,7 +23,7 @@
 from vanillabeam.fleet.deployments import MAX_NUMBER
 from vanillabeam.fleet.orderguard import Caller
 from vanillabeam.fleetvm import MAX_BODY_BYTES
-from vanillabeam.forwarding.downstream import read_body
+from vanillabeam.forwarding.sending.downstream import read_body
 from vanillabeam.httpserver import connected_s
 from vanillabeam.log import Applied
 from vanillabeam.memory import MemoryBudget
--- a/tests/forwarding/builders.py
+++ b/tests/forwarding/builders.py
@@ -3,13 +3,13 @@
 from tests.fleet.builders import BOUNDS
 from vanillabeam.counters import Counters
 from vanillabeam.fleet import Directory
-from vanillabeam.forwarding.choice import Chooser
+from vanillabeam.forwarding.choosing.choice import Chooser
 from vanillabeam.forwarding.dialect import PromptPart, RequestMetadata
-from vanillabeam.forwarding.endings import TargetEnds
-from vanillabeam.forwarding.endprobe import EndProbe
-from vanillabeam.forwarding.gate import QuarantineGate
+from vanillabeam.forwarding.judging.endings import TargetEnds
+from vanillabeam.forwarding.judging.endprobe import EndProbe
+from vanillabeam.forwarding.judging.gate import QuarantineGate
 from vanillabeam.forwarding.resources import Resources
-from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.forwarding.sending.sentparts import SentParts
 from vanillabeam.memory import MemoryBudget
 
 
--- a/tests/forwarding/test_bounds.py
+++ b/tests/forwarding/choosing/test_bounds.py
@@ -1,7 +1,7 @@
 import pytest
 
 from tests.fleet.builders import BOUNDS
-from vanillabeam.forwarding.bounds import ColdTargetLimiter, ServiceRetryBudget
+from vanillabeam.forwarding.choosing.bounds import ColdTargetLimiter, ServiceRetryBudget
 
 
 @pytest.mark.parametrize("entries", [1, 9, 60])
--- a/tests/forwarding/test_candidates.py
+++ b/tests/forwarding/choosing/test_candidates.py
@@ -7,9 +7,9 @@
 from tests.forwarding.builders import make_prompt
 from vanillabeam.fleet import Directory
 from vanillabeam.fleet.loads import make_load
-from vanillabeam.forwarding.candidates import sample_candidates
-from vanillabeam.forwarding.choice import Chooser
-from vanillabeam.forwarding.costs import estimate_costs
+from vanillabeam.forwarding.choosing.candidates import sample_candidates
+from vanillabeam.forwarding.choosing.choice import Chooser
+from vanillabeam.forwarding.choosing.costs import estimate_costs
 
 DATA_CENTRES = "abcdef"
 TARGETS = {
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/choosing/test_choice.py
@@ -1,8 +1,8 @@
 from tests.fleet.builders import make_target, make_view
 from tests.forwarding.builders import make_chooser, make_metadata, make_prompt
 from vanillabeam.fleet.loads import make_load
-from vanillabeam.forwarding.costs import estimate_costs
-from vanillabeam.forwarding.ordering import (
+from vanillabeam.forwarding.choosing.costs import estimate_costs
+from vanillabeam.forwarding.choosing.ordering import (
     REMOTE_PENALTY_REQUESTS,
     REMOTE_PENALTY_TOKENS,
 )
--- a/tests/forwarding/test_costs.py
+++ b/tests/forwarding/choosing/test_costs.py
@@ -8,7 +8,7 @@
 
 from tests.fleet.builders import make_target
 from tests.forwarding.builders import make_metadata, make_prompt
-from vanillabeam.forwarding.costs import (
+from vanillabeam.forwarding.choosing.costs import (
     DEFAULT_FETCH_COST_RATIO,
     MAX_FETCH_COST_RATIO,
     PREFERRED_FETCH_FACTOR,
--- a/tests/forwarding/test_health.py
+++ b/tests/forwarding/choosing/test_health.py
@@ -1,5 +1,5 @@
 from tests.fleet.builders import make_target
-from vanillabeam.forwarding.health import BACKOFF_S, MAX_BACKOFF_S, Health
+from vanillabeam.forwarding.choosing.health import BACKOFF_S, MAX_BACKOFF_S, Health
 
 TARGET = make_target("t", data_centre="a")
 
--- a/tests/forwarding/test_load.py
+++ b/tests/forwarding/choosing/test_load.py
@@ -1,5 +1,5 @@
 from vanillabeam.fleet.loads import make_load
-from vanillabeam.forwarding.load import (
+from vanillabeam.forwarding.choosing.load import (
     MIN_SAMPLE_TOKENS,
     SPEED_TTL_S,
     STREAM_WORK_TOKENS,
--- a/tests/forwarding/test_observations.py
+++ b/tests/forwarding/choosing/test_observations.py
@@ -5,8 +5,8 @@
 from tests.fleet.builders import make_target, make_view
 from tests.forwarding.builders import make_chooser, make_metadata, make_prompt
 from vanillabeam.fleet.loads import EntryLoads, make_load
-from vanillabeam.forwarding.costs import FetchCost, estimate_costs
-from vanillabeam.forwarding.observations import WINDOW_S, Observations
+from vanillabeam.forwarding.choosing.costs import FetchCost, estimate_costs
+from vanillabeam.forwarding.choosing.observations import WINDOW_S, Observations
 
 TOKENS_S = 50_000.0
 TARGETS = [f"t-{number}" for number in range(6)]
--- a/tests/forwarding/test_reachability.py
+++ b/tests/forwarding/choosing/test_reachability.py
@@ -4,7 +4,7 @@
 """
 
 from tests.fleet.builders import make_target
-from vanillabeam.forwarding.reachability import (
+from vanillabeam.forwarding.choosing.reachability import (
     FAILURE_TTL_S,
     MIN_FAILED_TARGETS,
     Reachability,
--- a/tests/forwarding/test_requestcosts.py
+++ b/tests/forwarding/choosing/test_requestcosts.py
@@ -7,8 +7,8 @@
 from vanillabeam.fleet import Engine, Service, Store
 from vanillabeam.fleet.parts import VIEW_LEASE_S, PartIndex, PartView, StoreEvent
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.requestcosts import estimate_request_costs
-from vanillabeam.forwarding.sentparts import SentParts
+from vanillabeam.forwarding.choosing.requestcosts import estimate_request_costs
+from vanillabeam.forwarding.sending.sentparts import SentParts
 
 STORE = Store("keep", "10.0.0.5:80", "a", 1_000, link_bytes_s=1e9)
 TARGET = make_target()
--- a/tests/forwarding/exchanges.py
+++ b/tests/forwarding/exchanges.py
@@ -10,15 +10,15 @@
 from tests.fleet.builders import make_route, make_target, make_view
 from tests.forwarding.builders import make_chooser, make_metadata, make_resources
 from vanillabeam.fleet.parts import PartView
-from vanillabeam.forwarding import attempt as attempt_module
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.dialect import AnswerKind
-from vanillabeam.forwarding.downstream import ResponseWriter
-from vanillabeam.forwarding.endings import TargetEnds
 from vanillabeam.forwarding.exceptions import AnswerBroken, TargetWithdrawn
-from vanillabeam.forwarding.exchange import Exchange
-from vanillabeam.forwarding.gate import QuarantineGate
-from vanillabeam.forwarding.sending import Broken, OpenResponse
+from vanillabeam.forwarding.judging.endings import TargetEnds
+from vanillabeam.forwarding.judging.gate import QuarantineGate
+from vanillabeam.forwarding.sending import attempt as attempt_module
+from vanillabeam.forwarding.sending.downstream import ResponseWriter
+from vanillabeam.forwarding.sending.exchange import Exchange
+from vanillabeam.forwarding.sending.upstream import Broken, OpenResponse
 from vanillabeam.notices import Notice
 
 REFUSED = 503
--- a/tests/forwarding/test_endings.py
+++ b/tests/forwarding/judging/test_endings.py
@@ -2,7 +2,7 @@
 
 from tests.fleet.builders import make_target
 from vanillabeam.fleet import Directory
-from vanillabeam.forwarding.endings import (
+from vanillabeam.forwarding.judging.endings import (
     MAX_ANSWERED,
     MAX_BROKEN,
     PENDING_S,
--- a/tests/forwarding/test_endprobe.py
+++ b/tests/forwarding/judging/test_endprobe.py
@@ -7,8 +7,8 @@
 
 from tests.fleet.builders import make_target
 from tests.forwarding.builders import make_chooser
-from vanillabeam.forwarding.endings import BrokenAnswer, TargetEnds
-from vanillabeam.forwarding.endprobe import EndProbe
+from vanillabeam.forwarding.judging.endings import BrokenAnswer, TargetEnds
+from vanillabeam.forwarding.judging.endprobe import EndProbe
 
 
 def broken_after_check(address, accepts):
--- a/tests/forwarding/test_gate.py
+++ b/tests/forwarding/judging/test_gate.py
@@ -2,8 +2,8 @@
 
 from tests.fleet.evidence import make_record
 from vanillabeam.fleet.quarantine import NO_TRIAL
-from vanillabeam.forwarding.endings import TargetEnds
-from vanillabeam.forwarding.gate import Pass, QuarantineGate
+from vanillabeam.forwarding.judging.endings import TargetEnds
+from vanillabeam.forwarding.judging.gate import Pass, QuarantineGate
 
 PARTS = ("first", "bad")
 
--- a/tests/forwarding/test_downstream.py
+++ b/tests/forwarding/sending/test_downstream.py
@@ -4,8 +4,8 @@
 
 from vanillabeam.exceptions import BodyTooLarge, BodyTooSlow, MalformedBody
 from vanillabeam.fleet import Limits
-from vanillabeam.forwarding.downstream import ResponseWriter, read_body
 from vanillabeam.forwarding.exceptions import AnswerBroken, NoTarget
+from vanillabeam.forwarding.sending.downstream import ResponseWriter, read_body
 
 
 def run(function, *args):
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/sending/test_events.py
@@ -1,7 +1,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from vanillabeam.forwarding.events import EventCutter
+from vanillabeam.forwarding.sending.events import EventCutter
 
 STREAM = b"".join(b"id: %d\ndata: piece\n\n" % number for number in range(1, 6))
 
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/sending/test_exchange.py
@@ -17,12 +17,12 @@
 from vanillabeam.fleet.loads import make_load
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.forwarding.admitted import AdmittedRequest
+from vanillabeam.forwarding.choosing.load import MIN_SAMPLE_TOKENS, SPEED_TTL_S
+from vanillabeam.forwarding.choosing.selection import MEMORY_WAIT_OBJECTIVES
 from vanillabeam.forwarding.exceptions import AnswerBroken
-from vanillabeam.forwarding.exchange import Exchange
-from vanillabeam.forwarding.load import MIN_SAMPLE_TOKENS, SPEED_TTL_S
-from vanillabeam.forwarding.outcomes import Delivered
-from vanillabeam.forwarding.selection import MEMORY_WAIT_OBJECTIVES
-from vanillabeam.forwarding.sending import Broken
+from vanillabeam.forwarding.sending.exchange import Exchange
+from vanillabeam.forwarding.sending.outcomes import Delivered
+from vanillabeam.forwarding.sending.upstream import Broken
 
 GATHERS_UNTIL_S = 1.5
 OBJECTIVE_S = 1.0
--- a/tests/forwarding/test_pools.py
+++ b/tests/forwarding/sending/test_pools.py
@@ -7,8 +7,8 @@
 from tests.fleet.builders import make_target, make_view
 from tests.forwarding.builders import make_resources
 from vanillabeam.fleet import Deployment, Service
-from vanillabeam.forwarding.attempt import Attempt
-from vanillabeam.forwarding.pools import MIN_CONNECTIONS, Pools
+from vanillabeam.forwarding.sending.attempt import Attempt
+from vanillabeam.forwarding.sending.pools import MIN_CONNECTIONS, Pools
 
 TARGET = make_target("t-1")
 
--- a/tests/forwarding/test_prefixes.py
+++ b/tests/forwarding/sending/test_prefixes.py
@@ -1,7 +1,7 @@
 from vanillabeam.fleet import Store
 from vanillabeam.fleet.parts import PartIndex, PartView, StoreEvent
 from vanillabeam.forwarding.dialect import PromptPart
-from vanillabeam.forwarding.prefixes import Sources, plan_prefix
+from vanillabeam.forwarding.sending.prefixes import Sources, plan_prefix
 
 PARTS = (PromptPart("sys", 10), PromptPart("session", 90), PromptPart("own", 5))
 SMALL = Store("small", "10.0.0.1:80", "a", 100)
--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/sending/test_relay.py
@@ -3,10 +3,10 @@
 import trio
 
 from tests.fleet.builders import make_target
-from vanillabeam.forwarding.downstream import ResponseWriter
-from vanillabeam.forwarding.events import EventCutter
-from vanillabeam.forwarding.relay import MAX_EVENT_BYTES, StreamRelay
-from vanillabeam.forwarding.sending import OpenResponse
+from vanillabeam.forwarding.sending.downstream import ResponseWriter
+from vanillabeam.forwarding.sending.events import EventCutter
+from vanillabeam.forwarding.sending.relay import MAX_EVENT_BYTES, StreamRelay
+from vanillabeam.forwarding.sending.upstream import OpenResponse
 
 PART = b"x" * 65_536
 
--- a/tests/forwarding/test_sentparts.py
+++ b/tests/forwarding/sending/test_sentparts.py
@@ -1,4 +1,4 @@
-from vanillabeam.forwarding.sentparts import (
+from vanillabeam.forwarding.sending.sentparts import (
     CACHE_TTL_S,
     MAX_PARTS_PER_TARGET,
     SentParts,
--- a/tests/forwarding/test_app.py
+++ b/tests/forwarding/test_app.py
@@ -14,8 +14,8 @@
     ForwardingApp,
     _abort_at,
 )
-from vanillabeam.forwarding.downstream import ResponseWriter
 from vanillabeam.forwarding.exceptions import NoTarget, StateUnknown
+from vanillabeam.forwarding.sending.downstream import ResponseWriter
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.readiness import Readiness
 
--- a/tests/forwarding/test_pauses.py
+++ b/tests/forwarding/test_pauses.py
@@ -6,7 +6,7 @@
 from tests.forwarding.exchanges import REFUSED, EntryVm, Reply, paused, play
 from vanillabeam.exceptions import Run
 from vanillabeam.fleet import RouteKind
-from vanillabeam.forwarding.leftout import BUSY_SLOTS_SHARE
+from vanillabeam.forwarding.choosing.leftout import BUSY_SLOTS_SHARE
 from vanillabeam.notices import JITTER_SHARE, RETURN_ANSWERS
 
 PAUSE_S = 3.0
--- a/tests/forwarding/test_ratelimits.py
+++ b/tests/forwarding/test_ratelimits.py
@@ -10,7 +10,7 @@
 from vanillabeam.exceptions import Run
 from vanillabeam.fleet import RouteKind, Workspace
 from vanillabeam.fleet.permits import Granted, PermitGranter
-from vanillabeam.forwarding.ratelines import PERMIT_S
+from vanillabeam.forwarding.choosing.ratelines import PERMIT_S
 
 RATE_S = 2.0
 GRANTER = "10.0.0.1:7420"
--- a/tests/platform/test_longanswers.py
+++ b/tests/platform/test_longanswers.py
@@ -10,7 +10,7 @@
 from tests.platform.entryprocess import make_head, read_all
 from tests.platform.rawworker import RawWorker, raw_answer
 from tests.platform.standin import running_platform, wait_until
-from vanillabeam.forwarding.plain import HELD_BYTES
+from vanillabeam.forwarding.sending.plain import HELD_BYTES
 
 PIECE = b"x" * 65_536
 CHUNK = b"%x\r\n%b\r\n" % (len(PIECE), PIECE)
