--- /dev/null
+++ b/src/vanillabeam/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity of each target: how much load it handles well."""
--- /dev/null
+++ b/src/vanillabeam/waiting/__init__.py
@@ -0,0 +1,1 @@
+"""Waiting of requests for targets whose places are short."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -23,9 +23,9 @@
         accepting httpread httpserver limits listeners middleware peerhttp ports tls
     """,
     "parts": """
-        admission answers burn cache claims control fleet forwarding imports
-        lifecycle log members orders readiness remotemembers routing spread store
-        targets tickets
+        admission answers burn cache canary capacity claims control fleet forwarding
+        imports lifecycle log members orders overload readiness remotemembers routing
+        spread store targets tickets waiting
     """,
     "assembly": "components fleetvm",
     "faces": """
@@ -42,7 +42,8 @@
         routing spread store targetapp targets targetwire tickets vm
     """,
     "a fleet on the platform": """
-        counters earlysignals fleet fleetvm forwarding pauses platform ports refusals
+        canary capacity counters earlysignals fleet fleetvm forwarding overload pauses
+        platform ports refusals waiting
     """,
 }
 RANKS = {
