--- a/src/vanillabeam/canary/records.py
+++ b/src/vanillabeam/canary/records.py
@@ -1,4 +1,4 @@
-"""Records of version rollouts: replicated state, changes of it, reports of entry VMs."""
+"""Records of version rollouts: replicated state, changes, reports of entry VMs."""
 
 from enum import StrEnum
 from typing import NotRequired, TypedDict
@@ -85,8 +85,8 @@
     :param sent: requests sent.
     :param answers: requests that were answered or failed and may have run.
     :param failures: those of them without a valid answer.
-    :param slowness: answers by bucket of their slowness; buckets above the last one that
-        was used are omitted.
+    :param slowness: answers by bucket of their slowness; buckets above the last used
+        one are omitted.
     """
 
     sent: int
