Exchange open work between the entry VMs of a data centre

Cause: loads of others arrive 0.3 s late, longer than a prefill takes, so prompts of 60 entry VMs meet at some targets while others idle; streams there pause.

--- a/src/vanillabeam/decisions/control.py
+++ b/src/vanillabeam/decisions/control.py
@@ -8,6 +8,7 @@
     "DeploymentRefused",
     "DeploymentUnreadable",
     "HomeChosen",
+    "LoadsExchanged",
     "MemberRemoved",
     "OrderRead",
     "OrderSettled",
@@ -104,6 +105,19 @@
     previous: str
 
 
+class LoadsExchanged(NamedTuple):
+    """The group of entry VMs that this one exchanges loads with has changed.
+
+    :param group: data centre, number of halvings and part of it; empty for no group.
+    :param members: other VMs of the group.
+    :param heard: those whose load was received lately.
+    """
+
+    group: str
+    members: int
+    heard: int
+
+
 class MemberRemoved(NamedTuple):
     """An absent voter was removed from the log's group, or could not be.
 
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -71,6 +71,7 @@
     control.ControlHeard: Kind("INFO", _RARE_LINES_S),
     control.ControlForgotten: Kind("WARNING", _RARE_LINES_S),
     control.HomeChosen: Kind("INFO", _RARE_LINES_S),
+    control.LoadsExchanged: Kind("INFO", _RARE_LINES_S),
     control.MemberRemoved: Kind("WARNING", _RARE_LINES_S),
     process.TaskFailed: Kind("ERROR", _RARE_LINES_S),
     process.Started: Kind("INFO", _RARE_LINES_S),
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -308,10 +308,11 @@
         )
         reply["data_centre"] = self.cfg.data_centre
         self.follower.limits.add_to(reply, now_s)
+        self._load_news.add_peers(reply, request, now_s)
         if request["sends"]:
             add_merged_ages(reply, self.directory, self.follower.directory, now_s)
         else:
-            reply["reported"] = self._load_news.home_loads.total_except("", now_s)
+            self._load_news.add_reported(reply, now_s)
         if "state" in reply:
             reply["named"] = self._version_times.ages_s(now_s)
         if self.node.is_leader:
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -26,6 +26,7 @@
     make_load,
 )
 from vanillabeam.fleet.parts import PartView, RecentFetches
+from vanillabeam.fleet.peernews import PeerNews
 from vanillabeam.fleet.polling import (
     REPLY_MARGIN_S,
     ControlVm,
@@ -79,6 +80,7 @@
     :ivar accused: parts that the leader asks about, with the number of targets that
         ended under them one after the other.
     :ivar limits: requests a second that targets take from all VMs together.
+    :ivar peers: entry VMs that this one exchanges loads with.
     :ivar relayed: on a control VM, the load that entry VMs report to each other
         control VM only, by the process id of that one.
 
@@ -110,6 +112,7 @@
         self.control_vms: dict[str, ControlVm] = {}
         silence_s = cfg.bounds.silence_s
         self.targets = TargetNews(self.directory, self.control_vms, silence_s)
+        self.peers = PeerNews(cfg, self.control_vms)
         self._home = ""
         self._seeds = cfg.seed_addresses
         self._advertised: set[str] = set()
@@ -283,6 +286,7 @@
             scope=poll.scope,
             entries_digest=digest_names(self.entry_vms),
         )
+        self.peers.add_to(request)
         if self._may_lead(control_vm):
             evidence = self.evidence.evidence(self.accused, requested_s)
             if evidence is not None:
@@ -313,7 +317,8 @@
         control_vm.is_leader = "accused" in reply or "parts" in reply
         control_vm.data_centre = reply.get("data_centre", "")
         if "reported" in reply:
-            self.relayed.update(reply["epoch"], reply["reported"], now_s)
+            groups = reply.get("reported_groups")
+            self.relayed.update(reply["epoch"], reply["reported"], now_s, groups)
         if self._first_reply_s is None:
             self._first_reply_s = now_s
         if "state" in reply:
@@ -323,6 +328,7 @@
         control_vm.last_seen_s, control_vm.due_s = now_s, float("inf")
         self.targets.update_leaving()
         self._apply_entries(reply, control_vm, now_s)
+        self.peers.apply(reply, control_vm, now_s)
         self._apply_addresses(reply, now_s)
         # Only now: a reply that could not be applied is asked for again.
         control_vm.epoch, control_vm.version = reply["epoch"], reply["version"]
--- a/src/vanillabeam/fleet/loads.py
+++ b/src/vanillabeam/fleet/loads.py
@@ -9,11 +9,13 @@
     "EntryLoads",
     "LoadScope",
     "LoadView",
+    "LoadsByGroup",
     "NoLoad",
     "WorkByRank",
     "accumulate",
     "add_loads",
     "make_load",
+    "open_work",
 ]
 
 #: Seconds without a request after which an entry VM is no longer counted.
@@ -60,9 +62,14 @@
 COUNTS = ("room", "answers", "failures")
 
 
+#: Open work by the group of entry VMs that tell each other directly what is open.
+LoadsByGroup = dict[str, EntryLoad]
+
+
 class _Report(NamedTuple):
     load: EntryLoad
     at_s: float
+    groups: LoadsByGroup
 
 
 class EntryLoads:
@@ -83,13 +90,24 @@
         #: VMs whose report is part of the sum.
         self._summed: set[str] = set()
         self._total = make_load()
-
-    def update(self, vm: str, load: EntryLoad, now_s: float) -> None:
-        """Record an entry VM's own load."""
+        self._groups: LoadsByGroup = {}
+
+    def update(
+        self,
+        vm: str,
+        load: EntryLoad,
+        now_s: float,
+        groups: LoadsByGroup | None = None,
+    ) -> None:
+        """Record an entry VM's own load.
+
+        :param groups: the open work in it by group; none of VMs without a group.
+        """
         self.forget(vm)
-        self._reports[vm] = _Report(load, now_s)
+        report = _Report(load, now_s, groups or {})
+        self._reports[vm] = report
         self._summed.add(vm)
-        accumulate(self._total, load)
+        self._add(report, 1)
 
     def forget(self, vm: str) -> None:
         """Drop an entry VM's report."""
@@ -107,14 +125,28 @@
             del self._reports[vm]
         return sorted(self._reports)
 
-    def total_except(self, vm: str, now_s: float) -> EntryLoad:
-        """Return the summed load of all entry VMs but ``vm``."""
+    def total_except(self, vm: str, now_s: float, group: str = "") -> EntryLoad:
+        """Return the summed load of all entry VMs but ``vm``.
+
+        :param group: group whose open work ``vm`` knows; only the outcomes that its
+            VMs have observed are part of the sum.
+        """
         self._drop_expired(now_s)
         total = add_loads(self._total)
-        if vm in self._summed:
-            accumulate(total, self._reports[vm].load, -1)
+        own = self._reports[vm] if vm in self._summed else None
+        if own is not None:
+            accumulate(total, own.load, -1)
+        if group in self._groups:
+            accumulate(total, self._groups[group], -1)
+            if own is not None and group in own.groups:
+                accumulate(total, own.groups[group])
         return total
 
+    def group_totals(self, now_s: float) -> LoadsByGroup:
+        """Return the summed open work of each group."""
+        self._drop_expired(now_s)
+        return self._groups
+
     def _drop_expired(self, now_s: float) -> None:
         """Take reports out of the sum that are too old to be relied on."""
         limit_s = now_s - LOAD_SILENCE_S
@@ -126,7 +158,16 @@
     def _drop(self, vm: str) -> None:
         if vm in self._summed:
             self._summed.discard(vm)
-            accumulate(self._total, self._reports[vm].load, -1)
+            self._add(self._reports[vm], -1)
+
+    def _add(self, report: _Report, sign: int) -> None:
+        """Add a report to the sums, or subtract it where ``sign`` is -1."""
+        accumulate(self._total, report.load, sign)
+        for group, load in report.groups.items():
+            total = self._groups.setdefault(group, make_load())
+            accumulate(total, load, sign)
+            if not any(total.values()):
+                del self._groups[group]
 
 
 def make_load(
@@ -144,6 +185,11 @@
     return load
 
 
+def open_work(load: EntryLoad) -> EntryLoad:
+    """Return a load without the outcomes that were observed."""
+    return make_load(load["work"], load["room"])
+
+
 def add_loads(*loads: EntryLoad) -> EntryLoad:
     """Return the sum of loads."""
     total = make_load()
--- a/src/vanillabeam/fleet/polling.py
+++ b/src/vanillabeam/fleet/polling.py
@@ -68,6 +68,8 @@
     :ivar scope: cancels the request that is under way; ``None`` before the first.
     :ivar sent: targets that its process has sent.
     :ivar leaving: targets that have told it that they leave, by its last reply.
+    :ivar peers: addresses of the entry VMs of this VM's group, by its last reply.
+    :ivar nearby: entry VMs of this VM's data centre that exchange loads.
     :ivar unlisted_since_s: targets that its last reply names and that this VM doesn't
         list, with the monotonic time of the first such reply.
     """
@@ -86,6 +88,8 @@
         self.scope: trio.CancelScope | None = None
         self.sent = SentTargets()
         self.leaving: frozenset[Incarnation] = frozenset()
+        self.peers: dict[str, str] = {}
+        self.nearby = 0
         self.unlisted_since_s: dict[str, float] = {}
 
     def is_silent(self, now_s: float) -> bool:
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -6,7 +6,7 @@
 
 from vanillabeam.fleet.directory import Directory, TargetRecord
 from vanillabeam.fleet.evidence import Evidence
-from vanillabeam.fleet.loads import EntryLoad, LoadScope
+from vanillabeam.fleet.loads import EntryLoad, LoadsByGroup, LoadScope
 from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.parts import PartChanges, PartRequest
 from vanillabeam.fleet.ratelimits import RateReport
@@ -45,6 +45,11 @@
     :param entries_digest: digest of the names of entry VMs that it knows.
     :param evidence: what it has seen of targets that ended; omitted if nothing.
     :param limits: limits of targets that it knows of; omitted for none.
+    :param peer: address at which it receives the loads of other entry VMs; omitted if
+        it doesn't exchange loads with them.
+    :param data_centre: its data centre; only with ``peer``.
+    :param group: group that it exchanges loads with; only with ``peer``.
+    :param peers_digest: digest of the names of the VMs of that group that it knows.
     """
 
     vm: str
@@ -60,6 +65,10 @@
     entries_digest: NotRequired[str]
     evidence: NotRequired[Evidence]
     limits: NotRequired[list[RateReport]]
+    peer: NotRequired[str]
+    data_centre: NotRequired[str]
+    group: NotRequired[str]
+    peers_digest: NotRequired[str]
 
 
 class TargetReport(TypedDict):
@@ -100,6 +109,11 @@
     :param leaving: name and start time of all targets that have told this control VM
         that they leave; omitted for none.
     :param limits: limits of targets that this control VM knows of; omitted for none.
+    :param reported_groups: the open work in ``reported``, by group of entry VMs.
+    :param nearby: number of entry VMs of the requesting VM's data centre that exchange
+        loads; omitted if it doesn't.
+    :param peers: addresses of the other VMs of its group by name; omitted if the
+        requesting VM knows exactly these.
     """
 
     epoch: str
@@ -123,6 +137,9 @@
     accused: NotRequired[dict[str, int]]
     leaving: NotRequired[list[tuple[str, int]]]
     limits: NotRequired[list[RateReport]]
+    reported_groups: NotRequired[LoadsByGroup]
+    nearby: NotRequired[int]
+    peers: NotRequired[dict[str, str]]
 
 
 def make_reply(
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -19,6 +19,7 @@
 from vanillabeam.memory import MemoryBudget
 from vanillabeam.notices import Incarnation
 from vanillabeam.peerhttp import PeerClient, peer_routes
+from vanillabeam.peerloads.task import PeerLoadTask
 from vanillabeam.ports import wait_for_port
 from vanillabeam.readiness import SETTLE_S, Readiness
 from vanillabeam.tasks import TASK_FAILURES, keep_running
@@ -204,6 +205,7 @@
         nursery.start_soon(keep_running, "follower", self.follower.run)
         nursery.start_soon(keep_running, "forwarding", app.run)
         nursery.start_soon(keep_running, "ended targets", app.probe.run)
+        self._exchange_loads(nursery, chooser)
         readiness = self.adapter.readiness_app(self.lifecycle)
         async with trio.open_nursery() as ports:
             address = self.cfg.readiness_address
@@ -212,6 +214,24 @@
             nursery.start_soon(self._become_ready)
             nursery.start_soon(keep_running, "limits", self._sync_limits)
 
+    def _exchange_loads(self, nursery: trio.Nursery, chooser: Chooser) -> None:
+        cfg, load = self.cfg, chooser.load
+        task = PeerLoadTask(
+            cfg.vm,
+            cfg.data_centre,
+            cfg.host,
+            cfg.peer_port,
+            self.follower,
+            load.open_work,
+        )
+        load.peers = task
+        self.counters.add_gauge(
+            "load_peers",
+            "Entry VMs whose load was received lately.",
+            lambda: len(task.loads.vms()),
+        )
+        nursery.start_soon(keep_running, "load exchange", task.run)
+
     async def _listen(
         self,
         nursery: trio.Nursery,
--- a/src/vanillabeam/forwarding/choosing/load.py
+++ b/src/vanillabeam/forwarding/choosing/load.py
@@ -1,8 +1,9 @@
 """Open requests at each target, and the speed at which they are processed."""
 
 from collections import deque
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
+from vanillabeam.fleet import Target
 from vanillabeam.fleet.loads import EntryLoad, WorkByRank, add_loads, make_load
 from vanillabeam.forwarding.choosing.observations import Observations
 
@@ -16,6 +17,9 @@
 SPEED_TTL_S = 10.0
 #: Weight of one wait in the moving average of the speed.
 RATE_SMOOTHING = 0.05
+#: Fewest tokens of a request that other entry VMs are told of at once. Smaller ones
+#: take a target a few milliseconds.
+MIN_TOLD_TOKENS = 300
 #: Time until requests of an entry VM appear in the load reports to the others.
 REPORT_DELAY_S = 0.3
 #: Multiple of the expected wait after which a silent target is suspect.
@@ -45,6 +49,35 @@
     silence_limit_s: float
 
 
+class PeerWork(Protocol):
+    """Open work of the entry VMs that tell this one directly what they have open.
+
+    :ivar total: sum over these VMs.
+    """
+
+    total: EntryLoad
+
+    def is_near(self, target: str, data_centre: str) -> bool:
+        """Return whether the VMs that send most to a target are among them."""
+
+    def notify(self, has_grown: bool) -> None:
+        """Tell these VMs of a change of this VM's own work."""
+
+
+class NoPeers:
+    """No such entry VMs."""
+
+    def __init__(self):
+        self.total = make_load()
+
+    def is_near(self, target: str, data_centre: str) -> bool:
+        """Return ``False``."""
+        return False
+
+    def notify(self, has_grown: bool) -> None:
+        """Do nothing."""
+
+
 class UnreportedLoad(NamedTuple):
     """Load that other entry VMs may have added and not yet reported.
 
@@ -59,7 +92,8 @@
 class Load:
     """Open work of this entry VM and, as last reported, of the others.
 
-    :ivar others: load of all other entry VMs together.
+    :ivar others: load of all other entry VMs together, but for those of ``peers``.
+    :ivar peers: open work that other entry VMs tell this one directly.
     :ivar observed: recent outcomes of requests, of all entry VMs.
 
     >>> load = Load()
@@ -72,6 +106,7 @@
 
     def __init__(self):
         self.others = make_load()
+        self.peers: PeerWork = NoPeers()
         self._others_seen_s: float | None = None
         self.observed = Observations()
         self._own: dict[str, WorkByRank] = {}
@@ -85,7 +120,11 @@
 
     def own(self, now_s: float) -> EntryLoad:
         """Return the load of this VM's own requests, and what they have observed."""
-        load = make_load(
+        return add_loads(self.open_work(), self.observed.own(now_s))
+
+    def open_work(self) -> EntryLoad:
+        """Return the load of this VM's own requests."""
+        return make_load(
             {name: dict(work) for name, work in self._own.items() if work},
             {
                 name: self._own_memory_tokens(name)
@@ -93,7 +132,6 @@
                 if open_
             },
         )
-        return add_loads(load, self.observed.own(now_s))
 
     def update_others(self, load: EntryLoad, now_s: float) -> None:
         """Replace the reported load of all other entry VMs."""
@@ -107,7 +145,13 @@
 
     def used_memory_tokens(self, target: str) -> int:
         """Return the tokens of memory that the requests of all VMs take at a target."""
-        return self._own_memory_tokens(target) + self.others["room"].get(target, 0)
+        own_tokens = self._own_memory_tokens(target)
+        loads = (self.others, self.peers.total)
+        return own_tokens + sum(load["room"].get(target, 0) for load in loads)
+
+    def is_near(self, target: Target) -> bool:
+        """Return whether this VM is told at once what is sent to a target."""
+        return self.peers.is_near(target.name, target.data_centre)
 
     def unreported_load(
         self, target: str, entries: int, now_s: float
@@ -143,7 +187,11 @@
         """
         return sum(
             tokens
-            for work in (self._own.get(target), self.others["work"].get(target))
+            for work in (
+                self._own.get(target),
+                self.others["work"].get(target),
+                self.peers.total["work"].get(target),
+            )
             if work
             for other, tokens in work.items()
             if other <= rank
@@ -209,6 +257,8 @@
         self._unanswered.setdefault(target, {})[request.number] = request
         self._add(target, rank, tokens)
         self._sent.append(request)
+        if tokens >= MIN_TOLD_TOKENS:
+            self.peers.notify(has_grown=True)
         return request
 
     def record_response(self, request: OpenRequest, service: str, now_s: float) -> None:
@@ -219,6 +269,8 @@
         self._add(request.target, request.rank, -request.tokens)
         self._add(request.target, 0, min(STREAM_WORK_TOKENS, request.tokens))
         self._update_rate(service, request, now_s)
+        if request.tokens >= MIN_TOLD_TOKENS:
+            self.peers.notify(has_grown=False)
 
     def keep_only(self, targets: set[str]) -> None:
         """Forget when all other targets last sent data."""
@@ -240,6 +292,8 @@
             self._add(request.target, request.rank, -request.tokens)
         else:
             self._add(request.target, 0, -min(STREAM_WORK_TOKENS, request.tokens))
+        if request.tokens >= MIN_TOLD_TOKENS:
+            self.peers.notify(has_grown=False)
 
     def is_suspect(self, target: str, service: str, now_s: float) -> bool:
         """Return whether a target is silent for longer than its work explains."""
--- a/src/vanillabeam/forwarding/choosing/memory.py
+++ b/src/vanillabeam/forwarding/choosing/memory.py
@@ -44,8 +44,9 @@
     limit = _limit(engine, demand.rank)
     fitting = []
     for target in usable:
-        unreported = load.unreported_load(target.name, entries, now_s)
-        used = load.used_memory_tokens(target.name) + unreported.memory_tokens
+        used = load.used_memory_tokens(target.name)
+        if not load.is_near(target):
+            used += load.unreported_load(target.name, entries, now_s).memory_tokens
         if not used or used + demand.tokens <= limit:
             fitting.append(target)
     return fitting
--- a/src/vanillabeam/forwarding/choosing/ordering.py
+++ b/src/vanillabeam/forwarding/choosing/ordering.py
@@ -70,9 +70,12 @@
             yield from ((target, 0) for target in self._by_open_requests(load, usable))
             return
         by_name = {target.name: target for target in usable}
+        near = {target.name for target in usable if load.is_near(target)}
         preferred = rank(costs.affinity_key, by_name)
         if not preferred:
             return
+        # The first one is where prompts of this key meet: one that this VM knows well.
+        preferred.sort(key=lambda name: name not in near)
         failures = load.observed.failure_excess(by_name)
         failure_tokens = _failure_penalty_tokens(load, service, costs)
 
@@ -80,13 +83,15 @@
             return costs.work_at(by_name[name], is_preferred=name == preferred[0])
 
         def expected(name: str) -> float:
-            unreported = load.unreported_load(name, entries, now_s).tokens
+            unreported = 0
+            if name not in near:
+                unreported = load.unreported_load(name, entries, now_s).tokens
             penalty = REMOTE_PENALTY_TOKENS if self._is_remote(by_name[name]) else 0
             penalty += failure_tokens * failures.get(name, 0.0)
             queued = load.queued_tokens(name, costs.rank)
             return queued + unreported + work(name) + penalty
 
-        candidates = self.candidates(preferred, by_name, costs)
+        candidates = self.candidates(preferred, by_name, costs) | near
         compared = sorted((n for n in preferred if n in candidates), key=expected)
         if _is_late(load, service, expected(compared[0]), costs):
             compared = sorted(preferred, key=expected)
--- /dev/null
+++ b/src/vanillabeam/peerloads/__init__.py
@@ -0,0 +1,1 @@
+"""Open work that the entry VMs of a data centre tell each other directly."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -24,8 +24,8 @@
     """,
     "parts": """
         admission answers burn cache canary capacity claims control fleet forwarding
-        imports lifecycle log members orders overload readiness remotemembers routing
-        spread store targets tickets waiting
+        imports lifecycle log members orders overload peerloads readiness remotemembers
+        routing spread store targets tickets waiting
     """,
     "assembly": "components fleetvm",
     "faces": """
@@ -43,7 +43,7 @@
     """,
     "a fleet on the platform": """
         canary capacity counters earlysignals fleet fleetvm forwarding overload pauses
-        platform ports refusals waiting
+        peerloads platform ports refusals waiting
     """,
 }
 RANKS = {
