--- a/tests/fleet/test_loads.py
+++ b/tests/fleet/test_loads.py
@@ -89,3 +89,20 @@
     for each in dicts:
         total.update(each)
     return dict(total)
+
+
+def test_a_vm_gets_no_open_work_of_its_own_group_twice():
+    """It hears of that directly; outcomes only come from control VMs."""
+    loads = EntryLoads()
+    for vm, group in (("a-1", "a"), ("a-2", "a"), ("b-1", "b")):
+        load = make_load({"t": {1: 10}}, {"t": 100}, answers={"t": 1})
+        loads.update(vm, load, 0.0, {group: make_load({"t": {1: 10}}, {"t": 100})})
+    loads.update("c-1", make_load({"t": {1: 5}}), 0.0)
+    total = loads.total_except("a-1", 0.0, "a")
+    assert total["work"] == {"t": {1: 15}}
+    assert total["room"] == {"t": 100}
+    assert total["answers"] == {"t": 2}
+    assert loads.total_except("c-1", 0.0)["work"] == {"t": {1: 30}}
+    loads.forget("a-2")
+    assert loads.group_totals(0.0)["a"]["room"] == {"t": 100}
+    assert loads.total_except("b-1", 0.0, "b")["work"] == {"t": {1: 15}}
