Part choosing.load and report the open requests at each target

Entry VMs knew only their own open plain calls; with 60 VMs of 0 or 1 calls each that says little about a target. Reports gain the field calls, summed by control VMs like room.

--- a/src/vanillabeam/fleet/loads.py
+++ b/src/vanillabeam/fleet/loads.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "ENTRY_SILENCE_S",
+    "LOAD_SILENCE_S",
     "EntryLoad",
     "EntryLoads",
     "LoadScope",
@@ -48,16 +49,18 @@
     :param room: tokens of memory that open requests occupy, by target.
     :param answers: requests that were answered or failed, by target.
     :param failures: those of them without a valid answer, by target.
+    :param calls: requests that are open now, by target.
     """
 
     work: dict[str, WorkByRank]
     room: dict[str, int]
     answers: NotRequired[dict[str, int]]
     failures: NotRequired[dict[str, int]]
+    calls: NotRequired[dict[str, int]]
 
 
 #: Fields of a load that map a name to a number.
-COUNTS = ("room", "answers", "failures")
+COUNTS = ("room", "answers", "failures", "calls")
 
 
 class _Report(NamedTuple):
--- a/src/vanillabeam/forwarding/choosing/load.py
+++ b/src/vanillabeam/forwarding/choosing/load.py
@@ -1,65 +1,29 @@
-"""Open requests at each target, and the speed at which they are processed."""
+"""Load of each target, and the speed at which it is processed."""
 
-from collections import deque
-from typing import NamedTuple
-
-from vanillabeam.fleet.loads import EntryLoad, WorkByRank, add_loads, make_load
+from vanillabeam.fleet.loads import EntryLoad, add_loads
 from vanillabeam.forwarding.choosing.observations import Observations
+from vanillabeam.forwarding.choosing.openwork import (
+    OpenRequest,
+    OpenWork,
+    UnreportedLoad,
+)
+from vanillabeam.forwarding.choosing.silence import Silence
 
 __all__ = ["Load", "OpenRequest", "UnreportedLoad"]
 
-#: Work of a running stream after the prefill, in tokens to prefill.
-STREAM_WORK_TOKENS = 150
 #: Fewest queued tokens of a request whose wait updates the estimated speed.
 MIN_SAMPLE_TOKENS = 4_000
 #: Seconds without such a wait after which a prompt may test the estimated speed.
 SPEED_TTL_S = 10.0
 #: Weight of one wait in the moving average of the speed.
 RATE_SMOOTHING = 0.05
-#: Time until requests of an entry VM appear in the load reports to the others.
-REPORT_DELAY_S = 0.3
 #: Multiple of the expected wait after which a silent target is suspect.
 SUSPECT_WAIT_FACTOR = 3.0
 
 
-class OpenRequest(NamedTuple):
-    """A request that is open at a target.
-
-    :param number: unique in this process.
-    :param rank: urgency, 0 is the most urgent.
-    :param tokens: work of the request, in tokens to prefill.
-    :param memory_tokens: tokens of memory that it takes while it is open.
-    :param queued_tokens: work queued at the target before the first event of the
-        request, its own included.
-    :param began_s: monotonic time at which it was sent.
-    :param silence_limit_s: silence up to which the target is never suspect.
-    """
-
-    number: int
-    target: str
-    rank: int
-    tokens: int
-    memory_tokens: int
-    queued_tokens: int
-    began_s: float
-    silence_limit_s: float
-
-
-class UnreportedLoad(NamedTuple):
-    """Load that other entry VMs may have added and not yet reported.
-
-    :param tokens: work, in tokens to prefill.
-    :param memory_tokens: tokens of memory.
-    """
-
-    tokens: int
-    memory_tokens: int
-
-
 class Load:
-    """Open work of this entry VM and, as last reported, of the others.
+    """Load of targets by this entry VM and, as last reported, by the others.
 
-    :ivar others: load of all other entry VMs together.
     :ivar observed: recent outcomes of requests, of all entry VMs.
 
     >>> load = Load()
@@ -71,83 +35,40 @@
     """
 
     def __init__(self):
-        self.others = make_load()
-        self._others_seen_s: float | None = None
         self.observed = Observations()
-        self._own: dict[str, WorkByRank] = {}
-        self._open: dict[str, dict[int, OpenRequest]] = {}
-        self._unanswered: dict[str, dict[int, OpenRequest]] = {}
-        self._last_activity_s: dict[str, float] = {}
+        self._work = OpenWork()
+        self._silence = Silence()
         self._rates: dict[str, float] = {}
         self._rated_s: dict[str, float] = {}
-        self._sent: deque[OpenRequest] = deque()
-        self._next = 0
+        self.used_memory_tokens = self._work.used_memory_tokens
+        self.unreported_load = self._work.unreported_load
+        self.open_requests = self._work.open_requests
+        self.all_open_requests = self._work.all_open_requests
+        self.queued_tokens = self._work.queued_tokens
+        self.record_activity = self._silence.record_activity
+
+    @property
+    def others(self) -> EntryLoad:
+        """Load of all other entry VMs together."""
+        return self._work.others
+
+    @others.setter
+    def others(self, load: EntryLoad) -> None:
+        self._work.others = load
 
     def own(self, now_s: float) -> EntryLoad:
         """Return the load of this VM's own requests, and what they have observed."""
-        load = make_load(
-            {name: dict(work) for name, work in self._own.items() if work},
-            {
-                name: self._own_memory_tokens(name)
-                for name, open_ in self._open.items()
-                if open_
-            },
-        )
-        return add_loads(load, self.observed.own(now_s))
+        return add_loads(self._work.own(), self.observed.own(now_s))
 
     def update_others(self, load: EntryLoad, now_s: float) -> None:
         """Replace the reported load of all other entry VMs."""
-        self.others = load
-        self._others_seen_s = now_s
+        self._work.update_others(load, now_s)
         self.observed.update_others(load)
 
     def others_age_s(self, now_s: float) -> float | None:
         """Return the seconds since the others' load arrived, ``None`` before."""
-        return None if self._others_seen_s is None else now_s - self._others_seen_s
-
-    def used_memory_tokens(self, target: str) -> int:
-        """Return the tokens of memory that the requests of all VMs take at a target."""
-        return self._own_memory_tokens(target) + self.others["room"].get(target, 0)
-
-    def unreported_load(
-        self, target: str, entries: int, now_s: float
-    ) -> "UnreportedLoad":
-        """Return the load that other entry VMs may have sent and not yet reported.
-
-        When a target becomes free, all entry VMs see it at the same time. Each
-        assumes that every other one has just sent as much as it has itself.
-
-        :param entries: number of entry VMs, this one included.
-        """
-        while self._sent and self._sent[0].began_s <= now_s - REPORT_DELAY_S:
-            self._sent.popleft()
-        own = [request for request in self._sent if request.target == target]
-        return UnreportedLoad(
-            (entries - 1) * sum(request.tokens for request in own),
-            (entries - 1) * sum(request.memory_tokens for request in own),
-        )
-
-    def _own_memory_tokens(self, target: str) -> int:
-        return sum(
-            request.memory_tokens for request in self._open.get(target, {}).values()
-        )
-
-    def open_requests(self, target: str) -> int:
-        """Return the number of requests of this VM that are open at a target."""
-        return len(self._open.get(target, ()))
-
-    def queued_tokens(self, target: str, rank: int) -> int:
-        """Return the work that a target does before new requests of ``rank``.
-
-        :returns: tokens to prefill, of requests that are at least as urgent.
-        """
-        return sum(
-            tokens
-            for work in (self._own.get(target), self.others["work"].get(target))
-            if work
-            for other, tokens in work.items()
-            if other <= rank
-        )
+        seen_s = self._work.others_seen_s
+        return None if seen_s is None else now_s - seen_s
 
     def wait_s(self, service: str, tokens: int) -> float:
         """Return the seconds that a service's target takes for some work.
@@ -193,64 +114,52 @@
         :param silence_limit_s: silence up to which the target is never suspect.
         :param memory_tokens: tokens of memory that the request takes.
         """
-        self._next += 1
-        queued_tokens = self.queued_tokens(target, rank) + tokens
-        request = OpenRequest(
-            self._next,
-            target,
-            rank,
-            tokens,
-            memory_tokens,
-            queued_tokens,
-            now_s,
-            silence_limit_s,
+        request = self._work.record_start(
+            target, rank, tokens, now_s, silence_limit_s, memory_tokens
         )
-        self._open.setdefault(target, {})[request.number] = request
-        self._unanswered.setdefault(target, {})[request.number] = request
-        self._add(target, rank, tokens)
-        self._sent.append(request)
+        self._silence.record_start(request)
         return request
 
     def record_response(self, request: OpenRequest, service: str, now_s: float) -> None:
         """Record the head of an answer, which shows that the prefill is done."""
-        if self._unanswered.get(request.target, {}).pop(request.number, None) is None:
+        if not self._silence.pop(request):
             return
-        self._last_activity_s[request.target] = now_s
-        self._add(request.target, request.rank, -request.tokens)
-        self._add(request.target, 0, min(STREAM_WORK_TOKENS, request.tokens))
+        self._silence.record_activity(request.target, now_s)
+        self._work.record_response(request)
         self._update_rate(service, request, now_s)
 
+    def record_end(self, request: OpenRequest) -> None:
+        """Record the end of a request, answered or not."""
+        was_answered = not self._silence.pop(request)
+        self._work.record_end(request, was_answered)
+
     def keep_only(self, targets: set[str]) -> None:
         """Forget when all other targets last sent data."""
-        self._last_activity_s = {
-            name: at_s
-            for name, at_s in self._last_activity_s.items()
-            if name in targets
-        }
+        self._silence.keep_only(targets)
 
-    def record_activity(self, target: str, now_s: float) -> None:
-        """Record that data has arrived from a target."""
-        self._last_activity_s[target] = now_s
+    def call_s(self, target: str, service: str, open_calls: int, now_s: float) -> float:
+        """Return the seconds of a plain call at a target.
 
-    def record_end(self, request: OpenRequest) -> None:
-        """Record the end of a request, answered or not."""
-        self._open.get(request.target, {}).pop(request.number, None)
-        unanswered = self._unanswered.get(request.target, {}).pop(request.number, None)
-        if unanswered is not None:
-            self._add(request.target, request.rank, -request.tokens)
-        else:
-            self._add(request.target, 0, -min(STREAM_WORK_TOKENS, request.tokens))
+        :param open_calls: calls that are open there, this one included.
+        :returns: 0 while it is unknown.
+        """
+        return 0.0
+
+    def takes_well(self, target: str, service: str, now_s: float) -> int | None:
+        """Return the open requests that a target takes without slowing down.
+
+        :returns: ``None`` while it is unknown.
+        """
+        return None
 
     def is_suspect(self, target: str, service: str, now_s: float) -> bool:
         """Return whether a target is silent for longer than its work explains."""
-        unanswered = self._unanswered.get(target)
-        if not unanswered:
+        first = self._silence.first_unanswered(target)
+        if first is None:
             return False
-        first = next(iter(unanswered.values()))
         expected_s = SUSPECT_WAIT_FACTOR * self.wait_s(service, first.queued_tokens)
         limit_s = max(first.silence_limit_s, expected_s)
-        since_s = max(first.began_s, self._last_activity_s.get(target, 0.0))
-        return now_s - since_s > limit_s
+        return self._silence.silent_s(first, now_s) > limit_s
 
     def _update_rate(self, service: str, request: OpenRequest, now_s: float) -> None:
         waited_s = now_s - request.began_s
@@ -260,9 +169,3 @@
         previous_rate = self._rates.get(service, rate)
         self._rates[service] = previous_rate + RATE_SMOOTHING * (rate - previous_rate)
         self._rated_s[service] = now_s
-
-    def _add(self, target: str, rank: int, tokens: int) -> None:
-        work = self._own.setdefault(target, {})
-        work[rank] = work.get(rank, 0) + tokens
-        if work[rank] <= 0:
-            del work[rank]
--- a/tests/forwarding/choosing/test_load.py
+++ b/tests/forwarding/choosing/test_load.py
@@ -1,10 +1,6 @@
 from vanillabeam.fleet.loads import make_load
-from vanillabeam.forwarding.choosing.load import (
-    MIN_SAMPLE_TOKENS,
-    SPEED_TTL_S,
-    STREAM_WORK_TOKENS,
-    Load,
-)
+from vanillabeam.forwarding.choosing.load import MIN_SAMPLE_TOKENS, SPEED_TTL_S, Load
+from vanillabeam.forwarding.choosing.openwork import STREAM_WORK_TOKENS
 
 
 def test_work_is_queued_before_requests_of_the_same_or_a_less_urgent_rank():
--- a/tests/forwarding/choosing/test_memory.py
+++ b/tests/forwarding/choosing/test_memory.py
@@ -6,8 +6,9 @@
 
 from tests.fleet.builders import make_target
 from vanillabeam.fleet import Engine
-from vanillabeam.forwarding.choosing.load import REPORT_DELAY_S, Load
+from vanillabeam.forwarding.choosing.load import Load
 from vanillabeam.forwarding.choosing.memory import MemoryDemand, with_free_memory
+from vanillabeam.forwarding.choosing.openwork import REPORT_DELAY_S
 
 ENGINE = Engine(slots=64, kv_tokens=100_000)
 PROMPT = MemoryDemand(rank=1, tokens=12_000)
