Balance plain calls by the open calls of all entry VMs

Each VM takes targets in turn, in proportion to spare slots and speed, and skips one only if the next is better by a quarter.

--- a/src/vanillabeam/forwarding/choosing/ordering.py
+++ b/src/vanillabeam/forwarding/choosing/ordering.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from vanillabeam.fleet import Target
+from vanillabeam.forwarding.choosing.callorder import CallOrder
 from vanillabeam.forwarding.choosing.candidates import sample_candidates
 from vanillabeam.forwarding.choosing.costs import PromptCosts
 from vanillabeam.forwarding.choosing.load import Load
@@ -11,13 +12,10 @@
 
 __all__ = ["TargetOrder"]
 
-#: Penalty of targets in other data centres: tokens of work for a prompt, or open
-#: requests for a plain call.
+#: Penalty of targets in other data centres, in tokens of work.
 REMOTE_PENALTY_TOKENS = 400
-REMOTE_PENALTY_REQUESTS = 1
-#: Penalty of a target all of whose requests fail while those of others succeed: open
-#: requests for a plain call, objectives of waiting for a prompt.
-FAILURE_PENALTY_REQUESTS = 20
+#: Penalty of a target all of whose requests fail while those of others succeed, in
+#: objectives of waiting.
 FAILURE_PENALTY_OBJECTIVES = 4.0
 
 
@@ -31,23 +29,11 @@
     def __init__(self, data_centre: str, rng: random.Random):
         self._data_centre = data_centre
         self._rng = rng
+        self._calls = CallOrder(data_centre, rng)
 
     def _is_remote(self, target: Target) -> bool:
         return target.data_centre != self._data_centre
 
-    def _by_open_requests(self, load: Load, usable: list[Target]) -> list[Target]:
-        """Return targets for a plain call, the best first."""
-        failures = load.observed.failure_excess(target.name for target in usable)
-
-        def score(target: Target) -> float:
-            penalty = REMOTE_PENALTY_REQUESTS if self._is_remote(target) else 0
-            penalty += FAILURE_PENALTY_REQUESTS * failures.get(target.name, 0.0)
-            return load.open_requests(target.name) + penalty
-
-        usable = sorted(usable, key=lambda target: target.name)
-        self._rng.shuffle(usable)
-        return sorted(usable, key=score)
-
     def sort(
         self,
         load: Load,
@@ -67,7 +53,8 @@
         :param entries: number of entry VMs, this one included.
         """
         if costs is None:
-            yield from ((target, 0) for target in self._by_open_requests(load, usable))
+            calls = self._calls.sort(load, service, usable, entries, now_s)
+            yield from ((target, 0) for target in calls)
             return
         by_name = {target.name: target for target in usable}
         preferred = rank(costs.affinity_key, by_name)
--- a/tests/forwarding/choosing/test_choice.py
+++ b/tests/forwarding/choosing/test_choice.py
@@ -1,11 +1,9 @@
 from tests.fleet.builders import make_target, make_view
 from tests.forwarding.builders import make_chooser, make_metadata, make_prompt
 from vanillabeam.fleet.loads import make_load
+from vanillabeam.forwarding.choosing.callorder import REMOTE_PENALTY_REQUESTS
 from vanillabeam.forwarding.choosing.costs import estimate_costs
-from vanillabeam.forwarding.choosing.ordering import (
-    REMOTE_PENALTY_REQUESTS,
-    REMOTE_PENALTY_TOKENS,
-)
+from vanillabeam.forwarding.choosing.ordering import REMOTE_PENALTY_TOKENS
 
 ENTRIES = ("vm-1",)
 
@@ -254,7 +252,7 @@
     near, far = make_target("t-1", data_centre="a"), make_target("t-2", data_centre="b")
     chooser = make_chooser(near, far)
     assert {choose(chooser) for _ in range(20)} == {"t-1"}
-    for _ in range(REMOTE_PENALTY_REQUESTS + 1):
+    for _ in range(int(REMOTE_PENALTY_REQUESTS) + 1):
         chooser.load.record_start("t-1", 0, 0, 1.0)
     assert choose(chooser) == "t-2"
 
