--- a/src/vanillabeam/fleet/loads.py
+++ b/src/vanillabeam/fleet/loads.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "ENTRY_SILENCE_S",
+    "LOAD_SILENCE_S",
     "EntryLoad",
     "EntryLoads",
     "LoadScope",
@@ -50,16 +51,18 @@
     :param room: tokens of memory that open requests occupy, by target.
     :param answers: requests that were answered or failed, by target.
     :param failures: those of them without a valid answer, by target.
+    :param calls: requests that are open now, by target.
     """
 
     work: dict[str, WorkByRank]
     room: dict[str, int]
     answers: NotRequired[dict[str, int]]
     failures: NotRequired[dict[str, int]]
+    calls: NotRequired[dict[str, int]]
 
 
 #: Fields of a load that map a name to a number.
-COUNTS = ("room", "answers", "failures")
+COUNTS = ("room", "answers", "failures", "calls")
 
 
 #: Open work by the group of entry VMs that tell each other directly what is open.
@@ -187,7 +190,7 @@
 
 def open_work(load: EntryLoad) -> EntryLoad:
     """Return a load without the outcomes that were observed."""
-    return make_load(load["work"], load["room"])
+    return make_load(load["work"], load["room"], calls=load.get("calls", {}))
 
 
 def add_loads(*loads: EntryLoad) -> EntryLoad:
