--- a/src/vanillabeam/fleet/machine.py
+++ b/src/vanillabeam/fleet/machine.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from vanillabeam.canary.records import RolloutChange, Rollouts
+from vanillabeam.canary.state import apply_rollout
 from vanillabeam.exceptions import InvariantBroken
 from vanillabeam.fleet.cachescopes import Sharing, apply_sharing
 from vanillabeam.fleet.departures import Departures, apply_departures, make_departures
@@ -33,6 +35,7 @@
     "make_deploy",
     "make_fence_raise",
     "make_quarantine_change",
+    "make_rollout_command",
     "order_subject",
 ]
 
@@ -58,6 +61,8 @@
         which releases that know no quarantine apply without effect.
     :param fence_offset: least offset of fencing numbers from now on, sent likewise.
     :param departures: starts of targets that have ended or drain, sent likewise.
+    :param rollout: change of a service's rollout to another software version, sent
+        likewise.
     """
 
     kind: Literal["deploy", "evacuate", "restore", "weights"]
@@ -70,6 +75,7 @@
     quarantine: NotRequired[QuarantineChange]
     fence_offset: NotRequired[int]
     departures: NotRequired[Departures]
+    rollout: NotRequired[RolloutChange]
 
 
 class FleetState(TypedDict):
@@ -86,6 +92,8 @@
     :param departures: starts of targets that have ended or drain; absent for none.
     :param cache_scope: name of the scope that workspaces share cached prompts in.
     :param sharers: workspaces that may have put something into it.
+    :param rollouts: newest rollout of each service to another software version,
+        running or ended; absent for none.
     """
 
     index: int
@@ -98,6 +106,7 @@
     departures: NotRequired[Departures]
     cache_scope: NotRequired[str]
     sharers: NotRequired[list[str]]
+    rollouts: NotRequired[Rollouts]
 
 
 def make_deploy(number: int, document: str, sharing: Sharing | None = None) -> Command:
@@ -137,6 +146,11 @@
     return Command(kind="restore", data_centre="", departures=change)
 
 
+def make_rollout_command(change: RolloutChange) -> Command:
+    """Return the command that replaces a service's rollout record."""
+    return Command(kind="restore", data_centre="", rollout=change)
+
+
 class _Order(TypedDict):
     kind: str
     data_centre: NotRequired[str]
@@ -250,6 +264,9 @@
     if "departures" in command:
         change = apply_departures(departures(state), command["departures"])
         return {"departures": change}
+    if "rollout" in command:
+        known = state.get("rollouts", {})
+        return {"rollouts": apply_rollout(known, command["rollout"], index)}
     match command["kind"]:
         case "deploy" if not state["document"] or command["number"] > state["number"]:
             scope = apply_sharing(state, command.get("sharing"), index)
--- a/src/vanillabeam/fleet/records.py
+++ b/src/vanillabeam/fleet/records.py
@@ -166,6 +166,7 @@
     :param address: ``host:port``.
     :param cold_ms: milliseconds, from the announcement, for which it stays cold.
     :param versions: weight version of each model that it holds.
+    :param software: version of its software; empty if it names none.
     """
 
     name: str
@@ -178,6 +179,7 @@
     draining: bool = False
     cold_ms: float = 0.0
     versions: dict[str, int] = {}
+    software: str = ""
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -201,6 +203,10 @@
         excludes every other leader.
     :param version_s: seconds within which new weights must be in use.
     :param grace_s: seconds from SIGTERM to SIGKILL.
+    :param expose_share: maximum share of a service's requests that a bad software
+        version receives during its rollout; 0 if software versions are ignored.
+    :param expose_requests: requests that it may receive on top of that.
+    :param rollback_s: seconds after its 50th bad response from which it receives none.
     """
 
     heartbeat_s: float = 1.2
@@ -213,6 +219,9 @@
     lease_s: float = 3.0
     version_s: float = 10.0
     grace_s: float = 8.0
+    expose_share: float = 0.0
+    expose_requests: float = 0.0
+    rollback_s: float = 0.0
 
 
 class FleetSettings(NamedTuple):
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -4,6 +4,7 @@
 from hashlib import blake2b
 from typing import NotRequired, TypedDict
 
+from vanillabeam.canary.records import RolloutReport
 from vanillabeam.fleet.directory import Directory, TargetRecord
 from vanillabeam.fleet.evidence import Evidence
 from vanillabeam.fleet.loads import EntryLoad, LoadScope
@@ -45,6 +46,7 @@
     :param entries_digest: digest of the names of entry VMs that it knows.
     :param evidence: what it has seen of targets that ended; omitted if nothing.
     :param limits: limits of targets that it knows of; omitted for none.
+    :param rollouts: what it has seen of running rollouts; omitted if none is running.
     """
 
     vm: str
@@ -60,6 +62,7 @@
     entries_digest: NotRequired[str]
     evidence: NotRequired[Evidence]
     limits: NotRequired[list[RateReport]]
+    rollouts: NotRequired[list[RolloutReport]]
 
 
 class TargetReport(TypedDict):
