Keep requests of an entry VM from versions that a rollout doesn't allow

Cause: an operator's rollout moves a service to another software version, which may be bad; entry VMs have to bound what it receives, together and without talking to each other, and to report what they see of it.

Change: canary.exposure decides which targets a request may go to by the service's record, with a credit of the share per request; canary.sightings holds a version that appears before its order; canary.counts counts requests by version role, route and target. The chooser leaves out the other targets wherever it takes the known ones of a service, an attempt asks again just before its first byte, and the follower sends the reports to the leader. Without expose_share in the settings versions are ignored.

--- /dev/null
+++ b/src/vanillabeam/canary/sightings.py
@@ -0,0 +1,76 @@
+"""Versions of a service that one entry VM has heard of, and since when."""
+
+from collections.abc import Iterable, Sequence
+from typing import Protocol
+
+__all__ = ["HOLD_S", "Sightings", "VersionedTarget"]
+
+#: Seconds for which a version gets nothing after it appears beside another one that no
+#: rollout names: the order of its rollout may be in transit.
+HOLD_S = 3.0
+#: Seconds without a target after which a version is forgotten.
+FORGET_S = 30.0
+
+
+class VersionedTarget(Protocol):
+    """What is needed of a target."""
+
+    @property
+    def name(self) -> str:
+        """Id of the target."""
+
+    @property
+    def born_ms(self) -> int:
+        """Start of its process, in Unix milliseconds."""
+
+    @property
+    def draining(self) -> bool:
+        """Whether it gets no new requests."""
+
+    @property
+    def software(self) -> str:
+        """Version of its software."""
+
+
+class Sightings:
+    """When one entry VM heard first of each version of one service."""
+
+    def __init__(self):
+        self._first_s: dict[str, float] = {}
+        self._last_s: dict[str, float] = {}
+
+    def update(self, targets: Iterable[VersionedTarget], now_s: float) -> list[str]:
+        """Record the versions of the known targets; return those that are new.
+
+        A version that appears without another one is no news. Of several that are
+        heard of first together, as after a start of this VM, the one of most targets is
+        taken for the established one, or of the oldest target if that is equal.
+        """
+        by_version: dict[str, list[VersionedTarget]] = {}
+        for target in targets:
+            if not target.draining:
+                by_version.setdefault(target.software, []).append(target)
+        for version, last_s in list(self._last_s.items()):
+            if version not in by_version and now_s - last_s > FORGET_S:
+                del self._first_s[version], self._last_s[version]
+        new = [version for version in by_version if version not in self._first_s]
+        if new and not any(version in self._first_s for version in by_version):
+            established = max(new, key=lambda name: _seniority(by_version[name]))
+            self._first_s[established] = float("-inf")
+            new.remove(established)
+        for version in new:
+            self._first_s[version] = now_s
+        self._last_s.update(dict.fromkeys(by_version, now_s))
+        return new
+
+    def held(self, now_s: float) -> set[str]:
+        """Return the versions that were first heard of less than a hold ago."""
+        return {
+            version
+            for version, first_s in self._first_s.items()
+            if now_s - first_s < HOLD_S
+        }
+
+
+def _seniority(targets: Sequence[VersionedTarget]) -> tuple[int, int]:
+    return len(targets), -min(target.born_ms for target in targets)
--- a/src/vanillabeam/counters.py
+++ b/src/vanillabeam/counters.py
@@ -54,6 +54,12 @@
         self.limited_requests = self._counter(
             "limited_requests", "Requests sent to targets that name a limit.", "target"
         )
+        self.version_requests = self._counter(
+            "version_requests",
+            "Requests sent while a rollout of their service ran, by version role.",
+            "service",
+            "role",
+        )
         self.total_s = self._histogram(
             "request_seconds", "Time to the end of an answer.", "route"
         )
@@ -61,6 +67,13 @@
             "first_event_seconds", "Time to a target's head.", "service"
         )
 
+    def count_version(self, service: str, role: str) -> None:
+        """Count a request that is sent while a rollout of its service runs.
+
+        :param role: ``new`` or ``old``.
+        """
+        self.version_requests.labels(service, role).inc()
+
     def add_gauge(self, name: str, help_text: str, value: Callable[[], float]) -> None:
         """Add a gauge whose value is read at each request for the metrics.
 
--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -55,6 +55,11 @@
     RequestRefused,
     TargetChosen,
 )
+from vanillabeam.decisions.rollouts import (
+    RolloutInForce,
+    VersionHeld,
+    VersionsBarred,
+)
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
     FenceRaised,
@@ -114,6 +119,7 @@
     "RequestAdmitted",
     "RequestAnswered",
     "RequestRefused",
+    "RolloutInForce",
     "SeedsChanged",
     "SettingsUnreadable",
     "Started",
@@ -134,6 +140,8 @@
     "TargetUnlimited",
     "TargetUnlisted",
     "TaskFailed",
+    "VersionHeld",
+    "VersionsBarred",
     "WeightsHeld",
     "WeightsOrdered",
     "event_name",
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from vanillabeam import wire
+from vanillabeam.canary.reporting import NoReports, ReportSource
 from vanillabeam.decisions import (
     ControlForgotten,
     ControlHeard,
@@ -13,7 +14,6 @@
     StateInForce,
     log_record,
 )
-from vanillabeam.fleet.cachescopes import make_scopes
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.evidence import EvidenceSource, NoEvidence
 from vanillabeam.fleet.limitnews import LimitNews
@@ -38,7 +38,7 @@
 from vanillabeam.fleet.records import Deployment, FleetSettings
 from vanillabeam.fleet.sent import SentTargets
 from vanillabeam.fleet.targetnews import TargetNews
-from vanillabeam.fleet.view import FleetView, merge_version_times, read_or_keep
+from vanillabeam.fleet.view import FleetView, make_view
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, digest_names
 from vanillabeam.peercall import PeerCall
 from vanillabeam.tasks import keep_running
@@ -76,6 +76,7 @@
     :ivar control_vms: the polled control VMs by address.
     :ivar load: open work that requests report and replies update.
     :ivar evidence: what this VM has seen of targets that ended.
+    :ivar rollouts: what this VM has seen of rollouts that run.
     :ivar accused: parts that the leader asks about, with the number of targets that
         ended under them one after the other.
     :ivar limits: requests a second that targets take from all VMs together.
@@ -101,6 +102,7 @@
         self.entry_vms: tuple[str, ...] = (cfg.vm,)
         self.load: LoadView = NoLoad()
         self.evidence: EvidenceSource = NoEvidence()
+        self.rollouts: ReportSource = NoReports()
         self.accused: dict[str, int] = {}
         self.relayed = EntryLoads()
         self.limits = LimitNews()
@@ -115,6 +117,7 @@
         self._advertised: set[str] = set()
         self._started_s = 0.0
         self._first_reply_s: float | None = None
+        self._leader_s = float("-inf")
         self.is_current = False
         self._current = trio.Event()
 
@@ -154,6 +157,13 @@
         last_seen = [vm.last_seen_s for vm in self.control_vms.values()]
         return trio.current_time() - max(last_seen, default=self._started_s)
 
+    def leader_age_s(self) -> float:
+        """Return the seconds since the last reply of a leader of the fleet log.
+
+        Control VMs that are cut off from it reply too, but with an old state.
+        """
+        return trio.current_time() - self._leader_s
+
     async def wait_for_deployment(self) -> None:
         """Wait until a deployment is in force that is likely to be the newest."""
         await self._current.wait()
@@ -269,7 +279,7 @@
     async def _ask(
         self, control_vm: ControlVm, poll: Poll, requested_s: float
     ) -> WatchReply | None:
-        reports = poll.scope is not LoadScope.NONE
+        tells_load = poll.scope is not LoadScope.NONE
         request = WatchRequest(
             vm=self._cfg.vm,
             sends=bool(self._cfg.entry_address),
@@ -278,7 +288,7 @@
             index=self.view.index,
             wait_s=poll.wait_s,
             parts=self.parts.request(),
-            load=self.load.own(requested_s) if reports else make_load(),
+            load=self.load.own(requested_s) if tells_load else make_load(),
             fetched=self.fetches.ages_s(requested_s),
             scope=poll.scope,
             entries_digest=digest_names(self.entry_vms),
@@ -287,6 +297,9 @@
             evidence = self.evidence.evidence(self.accused, requested_s)
             if evidence is not None:
                 request["evidence"] = evidence
+            reports = self.rollouts.reports()
+            if reports:
+                request["rollouts"] = reports
         self.limits.add_to(request, requested_s)
         control_vm.asked_entries = frozenset(self.entry_vms)
         due_s = requested_s + poll.wait_s + REPLY_MARGIN_S
@@ -316,6 +329,8 @@
             self.relayed.update(reply["epoch"], reply["reported"], now_s)
         if self._first_reply_s is None:
             self._first_reply_s = now_s
+        if control_vm.is_leader:
+            self._leader_s = now_s
         if "state" in reply:
             self._apply_state(reply)
         self.targets.apply(reply, control_vm, now_s)
@@ -338,28 +353,15 @@
             self._current.set()
 
     def _apply_state(self, reply: WatchReply) -> None:
-        view, state = self.view, reply["state"]
-        if state["index"] <= view.index:
+        state = reply["state"]
+        if state["index"] <= self.view.index:
             return
-        deployment = view.deployment
-        if view.is_older_than(state):
-            deployment = read_or_keep(self._read, state, deployment)
-        is_kept = deployment is view.deployment
-        self.view = FleetView(
-            state["index"],
-            deployment,
-            frozenset(state["evacuated"]),
-            state["weights"],
-            merge_version_times(
-                view.version_times, reply.get("named", {}), trio.current_time()
-            ),
-            state.get("quarantine", {}),
-            view.scopes if is_kept else make_scopes(state, deployment),
-        )
+        named, now_s = reply.get("named", {}), trio.current_time()
+        self.view = make_view(self.view, state, self._read, named, now_s)
         log_record(
             StateInForce(
                 state["index"],
-                deployment.number,
+                self.view.deployment.number,
                 state["evacuated"],
                 state["weights"],
                 sorted(self.view.quarantine)[:MAX_LOGGED_PARTS],
--- a/src/vanillabeam/fleet/view.py
+++ b/src/vanillabeam/fleet/view.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from vanillabeam.canary.records import Rollouts
 from vanillabeam.decisions import DeploymentUnreadable, log_record
-from vanillabeam.fleet.cachescopes import CacheScopes
+from vanillabeam.fleet.cachescopes import CacheScopes, make_scopes
 from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.quarantine import Quarantine
 from vanillabeam.fleet.records import Deployment
@@ -13,6 +14,7 @@
     "MAX_VERSIONS_KEPT",
     "NO_DEPLOYMENT",
     "FleetView",
+    "make_view",
     "merge_version_times",
     "read_or_keep",
 ]
@@ -37,6 +39,7 @@
         each was named, the newest last.
     :param quarantine: parts of prompts that are kept from targets.
     :param scopes: scopes of cached prompts of the deployment's workspaces.
+    :param rollouts: newest rollout of each service to another software version.
     """
 
     index: int = 0
@@ -46,6 +49,7 @@
     version_times: VersionTimes = {}
     quarantine: Quarantine = {}
     scopes: CacheScopes = CacheScopes()
+    rollouts: Rollouts = {}
 
     @property
     def is_known(self) -> bool:
@@ -63,6 +67,35 @@
         return max((version for version, at in versions if at <= before_s), default=0)
 
 
+def make_view(
+    view: FleetView,
+    state: FleetState,
+    read: Callable[[str], Deployment],
+    named: dict[str, list[tuple[int, float]]],
+    now_s: float,
+) -> FleetView:
+    """Return the view of a newer fleet state.
+
+    :param view: the view until now.
+    :param read: parses an operator's document into a deployment.
+    :param named: age in seconds of each weight version, by model.
+    """
+    deployment = view.deployment
+    if view.is_older_than(state):
+        deployment = read_or_keep(read, state, deployment)
+    is_kept = deployment is view.deployment
+    return FleetView(
+        state["index"],
+        deployment,
+        frozenset(state["evacuated"]),
+        state["weights"],
+        merge_version_times(view.version_times, named, now_s),
+        state.get("quarantine", {}),
+        view.scopes if is_kept else make_scopes(state, deployment),
+        state.get("rollouts", {}),
+    )
+
+
 def merge_version_times(
     known: VersionTimes, named: dict[str, list[tuple[int, float]]], now_s: float
 ) -> VersionTimes:
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -185,6 +185,10 @@
         follower = self.follower
         chooser.rates.ask = PermitClient(call, follower.control_vms)
         chooser.rates.entry_count = lambda: len(follower.entry_vms)
+        chooser.versions.rollouts = lambda: follower.view.rollouts
+        chooser.versions.news_age_s = follower.leader_age_s
+        chooser.versions.count_sent = self.counters.count_version
+        follower.rollouts = chooser.versions
         memory = MemoryBudget.of_memory(self.cfg.memory_bytes)
         app = ForwardingApp(
             dialect,
--- a/src/vanillabeam/forwarding/choosing/choice.py
+++ b/src/vanillabeam/forwarding/choosing/choice.py
@@ -25,6 +25,7 @@
 from vanillabeam.forwarding.choosing.rategate import RateGate
 from vanillabeam.forwarding.choosing.ratelines import Claim
 from vanillabeam.forwarding.choosing.usable import Checks, usable_targets
+from vanillabeam.forwarding.choosing.versions import TargetVersions
 from vanillabeam.forwarding.dialect import RequestMetadata
 from vanillabeam.forwarding.sending.downstream import spread_retry_after
 from vanillabeam.notices import LeftOut, Reason, TargetNotices
@@ -49,6 +50,7 @@
     :ivar order: sorts the targets that may take a request.
     :ivar notices: what targets have asked of this VM.
     :ivar rates: permits for targets that name a limit.
+    :ivar versions: software versions that requests may go to.
     :ivar is_paused: returns whether a target is paused to load weights, given its
         name and the monotonic time.
     """
@@ -69,6 +71,7 @@
         self.load = Load()
         self.notices = TargetNotices(rng)
         self.rates = RateGate(vm, limits or RateLimits(), rng)
+        self.versions = TargetVersions(bounds.expose_share > 0, directory, rng)
         self.is_paused: Callable[[str, float], bool] = _never
         self.order = TargetOrder(data_centre, rng)
         self._health = Health()
@@ -115,6 +118,10 @@
         :param costs: costs of a prompt; ``None`` for a plain call.
         """
         usable = self._usable_targets(service, metadata, view, tried, now_s)
+        meant = self.versions.preferred(service, usable)
+        choice = self._choose_among(service, meant, view, entries, now_s, costs)
+        if choice is not None and not _is_late_choice(choice, costs):
+            return choice
         choice = self._choose_among(service, usable, view, entries, now_s, costs)
         is_late = choice is not None and _is_late_choice(choice, costs)
         if costs is None or (choice is not None and not is_late):
@@ -204,6 +211,7 @@
         self._health.keep_only(incarnations)
         self.notices.keep_only(incarnations, now_s)
         self.rates.keep_only(incarnations, now_s)
+        self.versions.keep_only(incarnations)
         self._cold_limiter.keep_only(names)
         self.load.keep_only(names)
 
@@ -219,6 +227,7 @@
         """Return why no target may take a request: the count left after each filter."""
         known = self.targets_of(service)
         usable = self._usable_targets(service, metadata, view, set(), now_s)
+        self.versions.log_barred(metadata.request_id, service, now_s)
         fitting = self._with_free_memory(
             usable, service, view.deployment, costs, entries, now_s
         )
@@ -237,6 +246,10 @@
         targets = self._directory.targets()
         return [target for target in targets if target.service == service]
 
+    def allowed_targets(self, service: str, now_s: float) -> list[Target]:
+        """Return the known targets of a service that may be used by their version."""
+        return self.versions.allowed(service, self.targets_of(service), now_s)
+
     def _usable_targets(
         self,
         service: str,
@@ -247,7 +260,7 @@
         newest_only: bool = True,
     ) -> list[Target]:
         return usable_targets(
-            self.targets_of(service),
+            self.allowed_targets(service, now_s),
             metadata,
             view,
             tried,
@@ -268,7 +281,7 @@
 
     def left_out(self, service: str, now_s: float) -> dict[str, LeftOut]:
         """Return the targets of a service that are left out for that, by name."""
-        return self._left_out.among(self.targets_of(service), now_s)
+        return self._left_out.among(self.allowed_targets(service, now_s), now_s)
 
     def spread_retry_after(self, wait_s: float) -> float:
         """Return the seconds after which one of several callers should return."""
@@ -294,7 +307,7 @@
             return None
         paused = [
             target
-            for target in self.targets_of(service)
+            for target in self.allowed_targets(service, now_s)
             if target.name in left_out
             and left_out[target.name].reason is not Reason.LEAVING
         ]
--- a/src/vanillabeam/forwarding/choosing/selection.py
+++ b/src/vanillabeam/forwarding/choosing/selection.py
@@ -67,6 +67,7 @@
         workspace = request.workspace.name if request.workspace else ""
         self._claim = Claim(request.rank, workspace, request.began_s)
         self._costs: PromptCosts | None = None
+        self._has_chosen = False
         self._refused_wait_s: float | None = None
         self._pause_left_s: float | None = None
 
@@ -106,7 +107,7 @@
         left_out = chooser.left_out(self._service, now_s)
         limited = [
             target
-            for target in chooser.targets_of(self._service)
+            for target in chooser.allowed_targets(self._service, now_s)
             if target.name in left_out
             and left_out[target.name].reason is Reason.LIMITED
             and target.name not in self.tried
@@ -203,6 +204,8 @@
         )
         if choice is None or self._is_wait_too_long(choice, has_started):
             return None
+        resources.chooser.versions.record_choice(choice.target, not self._has_chosen)
+        self._has_chosen = True
         return choice
 
     def _log(self, choice: Choice, sent: int) -> None:
--- a/src/vanillabeam/forwarding/sending/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from vanillabeam.canary.counts import CountedRequest
 from vanillabeam.exceptions import Run
 from vanillabeam.fleet import RouteKind, Target
 from vanillabeam.forwarding.admitted import AdmittedRequest
@@ -92,6 +93,7 @@
         self._was_refused = False
         self._is_return = False
         self._open_request: OpenRequest | None = None
+        self._counted: CountedRequest | None = None
 
     async def run(self) -> Outcome:
         """Send the request and record the target's load, health and outcome."""
@@ -110,6 +112,10 @@
             self._choice.memory_tokens,
         )
         self._is_return = chooser.notices.record_sent(target.incarnation)
+        is_prompt = bool(self._request.metadata.parts)
+        self._counted = chooser.versions.begin(
+            self._choice, self._request.route.name, is_prompt, now_s
+        )
         outcome: Outcome | None = None
         try:
             outcome = await self._send_and_receive()
@@ -117,9 +123,24 @@
         finally:
             self._end_return(is_answered=False)
             chooser.load.record_end(self._open_request)
+            self._count_end(outcome)
             if outcome is not None:
                 self._record_outcome(outcome)
 
+    def _count_end(self, outcome: Outcome | None) -> None:
+        """Count the end of the attempt for a rollout of its service.
+
+        An answer that isn't whole at the caller's time limit counts as a failure; that
+        a caller leaves before tells nothing.
+        """
+        counted = self._counted
+        is_late = outcome is None and trio.current_time() >= self._request.ends_s
+        if isinstance(outcome, Delivered):
+            counted.record_answer()
+        elif self.may_have_run and not self._was_refused and (outcome or is_late):
+            counted.record_failure()
+        self._resources.chooser.versions.end(counted)
+
     async def _send_and_receive(self) -> Outcome:
         target = self._choice.target
         pool = self._resources.pools.pool(target, self._max_connections())
@@ -142,6 +163,8 @@
         """Record the time from sending the request to the head of its answer."""
         load = self._resources.chooser.load
         load.record_response(self._open_request, self._service, now_s)
+        if not self._counted.is_prompt:
+            self._counted.record_first(now_s)
         first_s = now_s - self._open_request.began_s
         self._resources.counters.first_event_s.labels(self._service).observe(first_s)
 
@@ -204,8 +227,11 @@
         target = self._choice.target
         if not chooser.notices.may_send(target.incarnation, now_s):
             return False
+        if not chooser.versions.may_send(target, now_s):
+            return False
         if not chooser.rates.may_send(self._permit, now_s):
             return False
+        chooser.versions.record_sent(self._counted)
         if chooser.rates.is_limited(target, now_s):
             self._resources.counters.limited_requests.labels(target.name).inc()
         return True
@@ -317,7 +343,7 @@
                 self._resources.pools.apply_keep_alive(self._choice.target, value)
 
     async def _stream(self, response: OpenResponse) -> Outcome:
-        target, load = self._choice.target, self._resources.chooser.load
+        target = self._choice.target
         with self._resources.memory.open() as holding:
             relay = StreamRelay(
                 response,
@@ -325,13 +351,20 @@
                 self._cutter,
                 self._writer,
                 self._request.route.resumable,
-                lambda: load.record_activity(target.name, trio.current_time()),
+                self._record_activity,
                 holding,
             )
             broken = await relay.run()
         self.answer_end = self.answer_end._replace(partial_bytes=relay.partial_bytes)
         return broken or Delivered(response.status)
 
+    def _record_activity(self) -> None:
+        """Record that a part of a stream has arrived."""
+        now_s = trio.current_time()
+        self._resources.chooser.load.record_activity(self._choice.target.name, now_s)
+        self._counted.record_first(now_s)
+        self._counted.record_answer()
+
     def _record_outcome(self, outcome: Outcome) -> None:
         recorder = OutcomeRecorder(
             self._resources, self._request.metadata, self._service, self._choice
--- a/src/vanillabeam/platform/heartbeats.py
+++ b/src/vanillabeam/platform/heartbeats.py
@@ -72,6 +72,7 @@
             draining=heartbeat["state"] == "draining",
             cold_ms=heartbeat["cold_left_ms"],
             versions=read_versions(models),
+            software=heartbeat["version"],
         )
     )
 
--- a/src/vanillabeam/platform/settings.py
+++ b/src/vanillabeam/platform/settings.py
@@ -80,6 +80,9 @@
         lease_s=number("lease_ms", defaults.lease_s * 1000) / 1000,
         version_s=number("version_ms", defaults.version_s * 1000) / 1000,
         grace_s=number("grace_s", defaults.grace_s),
+        expose_share=number("expose_share", defaults.expose_share),
+        expose_requests=number("expose_slack", defaults.expose_requests),
+        rollback_s=number("rollback_ms", defaults.rollback_s * 1000) / 1000,
     )
 
 
