--- a/src/vanillabeam/canary/exposure.py
+++ b/src/vanillabeam/canary/exposure.py
@@ -79,6 +79,12 @@
             rollout.alone_s = now_s
         return [version for version in new if version != to]
 
+    def is_open(self, service: str, now_s: float) -> bool:
+        """Return whether all targets of a service are allowed, without a look."""
+        sightings = self._sightings.get(service)
+        is_held = sightings is not None and bool(sightings.held(now_s))
+        return service not in self._rollouts and not is_held
+
     def allowed(
         self, service: str, targets: list[T], news_age_s: float, now_s: float
     ) -> list[T]:
@@ -89,12 +95,12 @@
         :param now_s: monotonic time in seconds.
         """
         rollout = self._rollouts.get(service)
-        unheld = self._without_held(service, targets, now_s)
         if rollout is None:
-            return unheld
+            return self._without_held(service, targets, now_s)
         record = rollout.record
         new = [target for target in targets if target.software == record["to"]]
-        old = [target for target in unheld if target.software != record["to"]]
+        old = [target for target in targets if target.software != record["to"]]
+        old = self._without_held(service, old, now_s)
         if record["step"] is Step.ROLLED_BACK:
             return old
         if record["step"] is Step.COMPLETE:
@@ -170,9 +176,6 @@
         """Return the targets without those of held versions, unless all are held."""
         sightings = self._sightings.get(service)
         held = sightings.held(now_s) if sightings is not None else set()
-        rollout = self._rollouts.get(service)
-        if rollout is not None:
-            held.discard(rollout.record["to"])
         if not held:
             return targets
         others = [target for target in targets if target.software not in held]
--- a/src/vanillabeam/canary/sightings.py
+++ b/src/vanillabeam/canary/sightings.py
@@ -37,7 +37,8 @@
 
     def __init__(self):
         self._first_s: dict[str, float] = {}
-        self._last_s: dict[str, float] = {}
+        #: Time at which it was noticed that a version has no target any more.
+        self._gone_s: dict[str, float] = {}
 
     def update(self, targets: Iterable[VersionedTarget], now_s: float) -> list[str]:
         """Record the versions of the known targets; return those that are new.
@@ -50,9 +51,11 @@
         for target in targets:
             if not target.draining:
                 by_version.setdefault(target.software, []).append(target)
-        for version, last_s in list(self._last_s.items()):
-            if version not in by_version and now_s - last_s > FORGET_S:
-                del self._first_s[version], self._last_s[version]
+        for version in self._first_s.keys() - by_version.keys():
+            if now_s - self._gone_s.setdefault(version, now_s) > FORGET_S:
+                del self._first_s[version], self._gone_s[version]
+        for version in by_version:
+            self._gone_s.pop(version, None)
         new = [version for version in by_version if version not in self._first_s]
         if new and not any(version in self._first_s for version in by_version):
             established = max(new, key=lambda name: _seniority(by_version[name]))
@@ -60,7 +63,6 @@
             new.remove(established)
         for version in new:
             self._first_s[version] = now_s
-        self._last_s.update(dict.fromkeys(by_version, now_s))
         return new
 
     def held(self, now_s: float) -> set[str]:
--- a/src/vanillabeam/forwarding/choosing/versions.py
+++ b/src/vanillabeam/forwarding/choosing/versions.py
@@ -44,6 +44,8 @@
         self._directory = directory
         self._exposure = Exposure(rng)
         self._counts = VersionCounts(secrets.token_hex(BOOT_BYTES))
+        #: Version of the directory at the last look at a service's targets.
+        self._seen: dict[str, int] = {}
         #: Monotonic time from which the slowness of a target counts, by incarnation.
         self._warm_from_s: dict[tuple[str, int], float] = {}
         #: Records that were applied last.
@@ -59,9 +61,9 @@
         if not self.is_enabled:
             return targets
         self._update()
-        for version in self._exposure.see(service, targets, now_s):
-            count = sum(target.software == version for target in targets)
-            log_record(VersionHeld(service, version, count, HOLD_S))
+        self._see(service, targets, now_s)
+        if self._exposure.is_open(service, now_s):
+            return targets
         return self._exposure.allowed(service, targets, self.news_age_s(), now_s)
 
     def preferred(self, service: str, usable: list[Target]) -> list[Target]:
@@ -99,6 +101,8 @@
         if not self.is_enabled:
             return True
         self._update()
+        if self._exposure.is_open(target.service, now_s):
+            return True
         targets = self._directory.targets()
         known = [other for other in targets if other.service == target.service]
         news_age_s = self.news_age_s()
@@ -154,6 +158,7 @@
         if rollouts is self._applied or not self.is_enabled:
             return
         self._applied = rollouts
+        self._seen.clear()
         self._counts.update(rollouts)
         for record in self._exposure.update(rollouts):
             log_record(
@@ -168,6 +173,15 @@
                 )
             )
 
+    def _see(self, service: str, targets: list[Target], now_s: float) -> None:
+        """Record the versions of a service's targets, if the targets have changed."""
+        if self._seen.get(service) == self._directory.version:
+            return
+        self._seen[service] = self._directory.version
+        for version in self._exposure.see(service, targets, now_s):
+            count = sum(target.software == version for target in targets)
+            log_record(VersionHeld(service, version, count, HOLD_S))
+
     def _is_cold(self, target: Target, now_s: float) -> bool:
         """Return whether a target is cold, or was lately."""
         record = self._directory.records.get(target.name)
