Test the reports on rollouts to the leader, and the bounds in the settings

Cause: reports and the age of the leader decide what is judged and exposed.

Change: tests that reports go to the leader only and while a rollout runs, that the age of the leader grows while control VMs without it reply, and that the settings without the bounds leave versions ignored.

--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -6,8 +6,10 @@
 import trio.testing
 from returns.result import Failure, Success
 
+from tests.canary.builders import make_record
 from tests.fleet.builders import BOUNDS, make_deployment, make_target
 from vanillabeam import wire
+from vanillabeam.canary.records import RolloutReport, Step, is_running
 from vanillabeam.exceptions import PeerSilent
 from vanillabeam.fleet import Directory, FleetSettings, Follower
 from vanillabeam.fleet.ages import merge_ages
@@ -39,6 +41,8 @@
         self.accused = None
         #: Evidence that it was told, with the time.
         self.told = []
+        #: Reports on rollouts that it was sent.
+        self.reports = []
 
     async def answer(self, body):
         self.request_count += 1
@@ -48,6 +52,7 @@
         request = wire.decode(WatchRequest, body).unwrap()
         if "evidence" in request:
             self.told.append((trio.current_time(), request["evidence"]))
+        self.reports += request.get("rollouts", [])
         if self._is_up_to_date(request):
             await trio.sleep(request["wait_s"])
         now_s = trio.current_time()
@@ -539,3 +544,72 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class Reporter:
+    """Reports of an entry VM on the rollouts that it knows to run.
+
+    :param follower: its view names the rollouts.
+    """
+
+    def __init__(self, follower):
+        self._follower = follower
+
+    def reports(self):
+        rollouts = self._follower.view.rollouts.values()
+        return [
+            RolloutReport(
+                service=record["service"],
+                order=record["order"],
+                boot="b",
+                new={},
+                old={},
+                open_old=0,
+            )
+            for record in rollouts
+            if is_running(record)
+        ]
+
+
+# Guards against reports that burden all control VMs, or all the time.
+@with_harness
+async def test_reports_on_rollouts_go_to_the_leader_while_one_runs(harness):
+    harness.follower.rollouts = Reporter(harness.follower)
+    harness[0].accused = {}
+    for number in range(3):
+        harness[number].commit(5, 7, document="7")
+    await trio.sleep(1.0)
+    assert [harness[number].reports for number in range(3)] == [[], [], []]
+    record = make_record(Step.TRIAL, 0.06)
+    for number in range(3):
+        harness[number].commit(6, 7, document="7", rollouts={"app": record})
+    await trio.sleep(1.0)
+    assert harness.follower.view.rollouts == {"app": record}
+    assert harness[0].reports[-1]["order"] == record["order"]
+    assert harness[1].reports == harness[2].reports == []
+    ended = make_record(Step.COMPLETE, 1.0)
+    for number in range(3):
+        harness[number].commit(7, 7, document="7", rollouts={"app": ended})
+    await trio.sleep(1.0)
+    harness[0].reports.clear()
+    await trio.sleep(1.0)
+    assert harness[0].reports == []
+
+
+# Guards against exposure by a VM that hears only control VMs that are cut off from the
+# leader, and have the old state.
+@with_harness
+async def test_the_age_of_the_leader_grows_while_other_control_vms_reply(harness):
+    assert harness.follower.leader_age_s() == float("inf")
+    harness[0].accused = {}
+    for number in range(3):
+        harness[number].commit(5, 7, document="7")
+    await trio.sleep(3.0)
+    assert harness.follower.leader_age_s() < 1.0
+    harness[0].silent = True
+    await trio.sleep(3.0)
+    assert harness.follower.leader_age_s() > 2.0
+    assert harness.follower.age_s() < 1.0
+    harness[1].accused = {}
+    await trio.sleep(1.0)
+    assert harness.follower.leader_age_s() < 1.0
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -19,6 +19,7 @@
     assert target.draining
     assert target.cold_ms == 1500.5
     assert target.versions == {"m": 1}
+    assert target.software == "v1"
     assert target.data_centre == "a"
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -75,3 +75,12 @@
 )
 def test_the_memory_of_the_process_may_be_unknown(tmp_path, limits, memory_bytes):
     assert read(tmp_path, limits=limits).memory_bytes == memory_bytes
+
+
+def test_the_bounds_of_rollouts_are_off_unless_the_settings_have_them(tmp_path):
+    bounds = read(tmp_path).bounds
+    assert (bounds.expose_share, bounds.expose_requests, bounds.rollback_s) == (0, 0, 0)
+    fields = {"expose_share": 0.1, "expose_slack": 50, "rollback_ms": 5000}
+    bounds = read(tmp_path, bounds=fields).bounds
+    assert (bounds.expose_share, bounds.expose_requests) == (0.1, 50)
+    assert bounds.rollback_s == 5.0
