Hold a version until there is news of the leader of after its hold

Cause: a VM that is cut off from the leader while an order is committed would use the new version as soon as the hold has passed, without any bound.

Lines say when a VM begins and ceases to send requests to a new version, and target-changed has the target's version. The platform's calls Rollouts.Start and Rollouts.Get are translated.

Measured: tests/canary, tests/forwarding, tests/fleet, tests/test_layers.py and the tests of log lines and pages pass.

--- a/src/vanillabeam/canary/exposure.py
+++ b/src/vanillabeam/canary/exposure.py
@@ -79,10 +79,13 @@
             rollout.alone_s = now_s
         return [version for version in new if version != to]
 
-    def is_open(self, service: str, now_s: float) -> bool:
-        """Return whether all targets of a service are allowed, without a look."""
+    def is_open(self, service: str, news_s: float) -> bool:
+        """Return whether all targets of a service are allowed, without a look.
+
+        :param news_s: monotonic time of the last news of the leader.
+        """
         sightings = self._sightings.get(service)
-        is_held = sightings is not None and bool(sightings.held(now_s))
+        is_held = sightings is not None and bool(sightings.held(news_s))
         return service not in self._rollouts and not is_held
 
     def allowed(
@@ -96,11 +99,11 @@
         """
         rollout = self._rollouts.get(service)
         if rollout is None:
-            return self._without_held(service, targets, now_s)
+            return self._without_held(service, targets, now_s - news_age_s)
         record = rollout.record
         new = [target for target in targets if target.software == record["to"]]
         old = [target for target in targets if target.software != record["to"]]
-        old = self._without_held(service, old, now_s)
+        old = self._without_held(service, old, now_s - news_age_s)
         if record["step"] is Step.ROLLED_BACK:
             return old
         if record["step"] is Step.COMPLETE:
@@ -151,6 +154,13 @@
             # Not more: credit that can't be used would be used up at once later.
             rollout.credit = min(rollout.credit + share, 1.0 + share)
 
+    def exposes(self, service: str, news_age_s: float) -> bool:
+        """Return whether some requests go to the new version of a running rollout."""
+        rollout = self._rollouts.get(service)
+        if rollout is None or not is_running(rollout.record):
+            return False
+        return _exposes(rollout.record, news_age_s)
+
     def role(self, service: str, software: str) -> str:
         """Return ``new`` or ``old`` while a rollout runs; empty otherwise."""
         rollout = self._rollouts.get(service)
@@ -172,10 +182,10 @@
         """
         return rollout.alone_s is not None and now_s - rollout.alone_s >= HOLD_S
 
-    def _without_held(self, service: str, targets: list[T], now_s: float) -> list[T]:
+    def _without_held(self, service: str, targets: list[T], news_s: float) -> list[T]:
         """Return the targets without those of held versions, unless all are held."""
         sightings = self._sightings.get(service)
-        held = sightings.held(now_s) if sightings is not None else set()
+        held = sightings.held(news_s) if sightings is not None else set()
         if not held:
             return targets
         others = [target for target in targets if target.software not in held]
--- a/src/vanillabeam/canary/sightings.py
+++ b/src/vanillabeam/canary/sightings.py
@@ -65,12 +65,16 @@
             self._first_s[version] = now_s
         return new
 
-    def held(self, now_s: float) -> set[str]:
-        """Return the versions that were first heard of less than a hold ago."""
+    def held(self, news_s: float) -> set[str]:
+        """Return the versions of which an order may still be in transit.
+
+        :param news_s: monotonic time of the last news of the leader. Without news after
+            the hold a version stays held, as its order may have been missed.
+        """
         return {
             version
             for version, first_s in self._first_s.items()
-            if now_s - first_s < HOLD_S
+            if news_s - first_s < HOLD_S
         }
 
 
--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -56,6 +56,7 @@
     TargetChosen,
 )
 from vanillabeam.decisions.rollouts import (
+    ExposureChanged,
     RolloutInForce,
     VersionHeld,
     VersionsBarred,
@@ -97,6 +98,7 @@
     "ControlHeard",
     "DeploymentRefused",
     "DeploymentUnreadable",
+    "ExposureChanged",
     "FenceRaised",
     "HomeChosen",
     "LeavingReported",
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -61,6 +61,7 @@
     quarantine.RequestAccused: Kind("WARNING", _RARE_LINES_S),
     quarantine.PartConvicted: Kind("ERROR", _RARE_LINES_S),
     quarantine.QuarantineChanged: Kind("WARNING", _RARE_LINES_S),
+    rollouts.ExposureChanged: Kind("INFO", _RARE_LINES_S),
     rollouts.RolloutInForce: Kind("WARNING", _RARE_LINES_S),
     rollouts.VersionHeld: Kind("WARNING", _RARE_LINES_S),
     rollouts.VersionsBarred: Kind("WARNING", _FREQUENT_LINES_S),
--- a/src/vanillabeam/decisions/rollouts.py
+++ b/src/vanillabeam/decisions/rollouts.py
@@ -2,7 +2,23 @@
 
 from typing import NamedTuple
 
-__all__ = ["RolloutInForce", "VersionHeld", "VersionsBarred"]
+__all__ = ["ExposureChanged", "RolloutInForce", "VersionHeld", "VersionsBarred"]
+
+
+class ExposureChanged(NamedTuple):
+    """Some requests of a service go to a new version from now on, or none do any more.
+
+    :param to: the new version.
+    :param order: log index of the order, which identifies the rollout.
+    :param exposes: whether some do now; not without news of the leader, for instance.
+    :param news_age_s: seconds since the last news of the leader.
+    """
+
+    service: str
+    to: str
+    order: int
+    exposes: bool
+    news_age_s: float
 
 
 class RolloutInForce(NamedTuple):
--- a/src/vanillabeam/decisions/targets.py
+++ b/src/vanillabeam/decisions/targets.py
@@ -31,6 +31,7 @@
 
     :param sequence: number of the announcement, counted from the target's start.
     :param age_s: age of the announcement in seconds.
+    :param software: version of its software.
     """
 
     target: str
@@ -41,6 +42,7 @@
     draining: bool
     cold_ms: float
     age_s: float
+    software: str
 
 
 class TargetLeft(NamedTuple):
--- a/src/vanillabeam/fleet/targetlog.py
+++ b/src/vanillabeam/fleet/targetlog.py
@@ -21,5 +21,6 @@
             target.draining,
             target.cold_ms,
             age_s,
+            target.software,
         )
     )
--- a/src/vanillabeam/forwarding/choosing/versions.py
+++ b/src/vanillabeam/forwarding/choosing/versions.py
@@ -9,6 +9,7 @@
 from vanillabeam.canary.records import RolloutReport, Rollouts
 from vanillabeam.canary.sightings import HOLD_S
 from vanillabeam.decisions import (
+    ExposureChanged,
     RolloutInForce,
     VersionHeld,
     VersionsBarred,
@@ -44,6 +45,8 @@
         self._directory = directory
         self._exposure = Exposure(rng)
         self._counts = VersionCounts(secrets.token_hex(BOOT_BYTES))
+        #: Services of which some requests go to a new version.
+        self._exposed: set[str] = set()
         #: Version of the directory at the last look at a service's targets.
         self._seen: dict[str, int] = {}
         #: Monotonic time from which the slowness of a target counts, by incarnation.
@@ -62,9 +65,11 @@
             return targets
         self._update()
         self._see(service, targets, now_s)
-        if self._exposure.is_open(service, now_s):
+        news_age_s = self.news_age_s()
+        if self._exposure.is_open(service, now_s - news_age_s):
             return targets
-        return self._exposure.allowed(service, targets, self.news_age_s(), now_s)
+        self._log_exposure(service, news_age_s)
+        return self._exposure.allowed(service, targets, news_age_s, now_s)
 
     def preferred(self, service: str, usable: list[Target]) -> list[Target]:
         """Return the usable targets that the next request is meant for, if any."""
@@ -101,11 +106,11 @@
         if not self.is_enabled:
             return True
         self._update()
-        if self._exposure.is_open(target.service, now_s):
+        news_age_s = self.news_age_s()
+        if self._exposure.is_open(target.service, now_s - news_age_s):
             return True
         targets = self._directory.targets()
         known = [other for other in targets if other.service == target.service]
-        news_age_s = self.news_age_s()
         return self._exposure.may_send(target.service, target, known, news_age_s, now_s)
 
     def record_sent(self, request: CountedRequest) -> None:
@@ -182,6 +187,17 @@
             count = sum(target.software == version for target in targets)
             log_record(VersionHeld(service, version, count, HOLD_S))
 
+    def _log_exposure(self, service: str, news_age_s: float) -> None:
+        """Log when requests begin to go to a new version, and when they cease to."""
+        exposes = self._exposure.exposes(service, news_age_s)
+        if exposes == (service in self._exposed):
+            return
+        self._exposed ^= {service}
+        record = self._applied.get(service)
+        to, order = (record["to"], record["order"]) if record else ("", 0)
+        age_s = round(news_age_s, 2)
+        log_record(ExposureChanged(service, to, order, exposes, age_s))
+
     def _is_cold(self, target: Target, now_s: float) -> bool:
         """Return whether a target is cold, or was lately."""
         record = self._directory.records.get(target.name)
--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -29,6 +29,7 @@
 from vanillabeam.memory import MemoryBudget
 from vanillabeam.platform.documents import check_document
 from vanillabeam.platform.heartbeats import read_heartbeat, read_leave
+from vanillabeam.platform.rollouts import encode_rollout, read_rollout_order
 
 __all__ = ["ControlApp"]
 
@@ -76,6 +77,8 @@
             ("POST", "/api/Evacuate.Start"): self._evacuate,
             ("POST", "/api/Evacuate.End"): self._restore,
             ("POST", "/api/version-put"): self._put_version,
+            ("POST", "/api/Rollouts.Start"): self._start_rollout,
+            ("GET", "/api/Rollouts.Get"): self._get_rollout,
         }
 
     async def __call__(self, scope, receive, send) -> None:
@@ -161,6 +164,21 @@
             return _error_answer(BAD_REQUEST, MalformedBody("version out of range"))
         return await self._propose(Command(kind="weights", model=model, number=version))
 
+    async def _start_rollout(self, call: _Call) -> Answer:
+        order = read_rollout_order(call.body)
+        if isinstance(order, Failure):
+            return _error_answer(BAD_REQUEST, order.failure())
+        started = await self._control.rollouts.start(**order.unwrap())
+        if isinstance(started, Failure):
+            return _error_answer(int(started.failure().status), started.failure())
+        return Answer(OK)
+
+    async def _get_rollout(self, call: _Call) -> Answer:
+        record = await self._control.rollouts.state(call.argument)
+        if isinstance(record, Failure):
+            return _error_answer(int(record.failure().status), record.failure())
+        return Answer(OK, encode_rollout(record.unwrap()))
+
     async def _propose(self, command: Command) -> Answer:
         return _order_answer(command, await self._control.propose(command))
 
--- a/tests/canary/test_exposure.py
+++ b/tests/canary/test_exposure.py
@@ -257,6 +257,18 @@
     assert vm.versions(now_s=20.0 + HOLD_S) == {"v1", "v2"}
 
 
+# Guards against a VM that is cut off from the leader while the order is committed, and
+# uses the new version as if there were none.
+def test_a_version_stays_held_until_there_is_news_of_after_the_hold():
+    vm = Vm(targets=make_targets(new=0))
+    vm.targets = make_targets()
+    assert vm.versions(now_s=20.0) == {"v1"}
+    vm.news_age_s = 10.0
+    assert vm.versions(now_s=29.0) == {"v1"}
+    vm.news_age_s = 0.0
+    assert vm.versions(now_s=29.0) == {"v1", "v2"}
+
+
 def test_a_version_of_an_order_is_not_held():
     vm = Vm(targets=make_targets(new=0), record=make_record(Step.SHIFT, 1.0))
     vm.targets = make_targets()
--- a/tests/forwarding/choosing/test_versions.py
+++ b/tests/forwarding/choosing/test_versions.py
@@ -164,10 +164,16 @@
 
 
 # Guards against exposure by a VM that a freeze or a partition kept from the news.
-def test_a_vm_without_news_of_the_leader_exposes_nothing():
+def test_a_vm_without_news_of_the_leader_exposes_nothing(lines):
     chooser = make_chooser(record=record_of(Step.SHIFT, 0.25))
+    assert "v2" in versions(chooser)
     chooser.versions.news_age_s = lambda: 2.1
     assert set(versions(chooser)) == {"v1"}
+    changes = [each for each in lines if each["event"] == "exposure-changed"]
+    assert [(each["exposes"], each["news_age_s"]) for each in changes] == [
+        (True, 0.0),
+        (False, 2.1),
+    ]
 
 
 def test_a_version_before_its_order_is_held_and_reported(lines):
