Decide on rollouts on the fleet log's leader

Cause: an ordered rollout needs steps, an outcome and answers to operators. Change: canary.plan chooses step, share and outcome; canary.task takes orders, adds up reports and proposes changes while its VM leads; fleet.versionrollouts connects it to the log, the targets and the entry VMs; log lines, gauges and the peer path. Orders of one service are one subject of the log, so that a late copy of one is refused by the leader. drop_silent moves to fleet.absence.

--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -55,6 +55,11 @@
     RequestRefused,
     TargetChosen,
 )
+from vanillabeam.decisions.rollouts import (
+    RolloutOrdered,
+    RolloutStepped,
+    RolloutSuspected,
+)
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
     FenceRaised,
@@ -114,6 +119,9 @@
     "RequestAdmitted",
     "RequestAnswered",
     "RequestRefused",
+    "RolloutOrdered",
+    "RolloutStepped",
+    "RolloutSuspected",
     "SeedsChanged",
     "SettingsUnreadable",
     "Started",
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -7,7 +7,14 @@
 
 from loguru import logger
 
-from vanillabeam.decisions import control, process, quarantine, requests, targets
+from vanillabeam.decisions import (
+    control,
+    process,
+    quarantine,
+    requests,
+    rollouts,
+    targets,
+)
 
 __all__ = ["KINDS", "LINE_BUDGETS", "LineBudgets", "event_name", "log_record"]
 
@@ -54,6 +61,9 @@
     quarantine.RequestAccused: Kind("WARNING", _RARE_LINES_S),
     quarantine.PartConvicted: Kind("ERROR", _RARE_LINES_S),
     quarantine.QuarantineChanged: Kind("WARNING", _RARE_LINES_S),
+    rollouts.RolloutOrdered: Kind("WARNING", _RARE_LINES_S),
+    rollouts.RolloutStepped: Kind("WARNING", _RARE_LINES_S),
+    rollouts.RolloutSuspected: Kind("WARNING", _RARE_LINES_S),
     targets.AnnouncementUnreadable: Kind("WARNING", _FREQUENT_LINES_S),
     control.StateInForce: Kind("INFO", _RARE_LINES_S),
     control.OrderRead: Kind("INFO", _RARE_LINES_S),
--- a/src/vanillabeam/fleet/absence.py
+++ b/src/vanillabeam/fleet/absence.py
@@ -1,10 +1,15 @@
-"""Voters of the fleet log that have been absent for too long."""
+"""Voters of the fleet log and targets that have been absent for too long."""
 
 from collections.abc import Iterable
 
+import trio
+
+from vanillabeam.decisions import TargetSilent, log_record
+from vanillabeam.fleet.directory import Directory
+from vanillabeam.fleet.observed import ObservedVersions
 from vanillabeam.log.requests import MemberStatus
 
-__all__ = ["VOTER_ABSENCE_S", "AbsentVoters"]
+__all__ = ["VOTER_ABSENCE_S", "AbsentVoters", "drop_silent"]
 
 #: Seconds of silence after which a voter is removed, if enough voters remain.
 VOTER_ABSENCE_S = 8.0
@@ -35,3 +40,16 @@
             if now_s - since_s >= VOTER_ABSENCE_S:
                 return vm
         return None
+
+
+async def drop_silent(
+    directory: Directory, observed: ObservedVersions, silence_s: float
+) -> None:
+    """Drop targets that have not announced themselves for a time, until cancelled."""
+    while True:
+        await trio.sleep(silence_s / 4)
+        limit_s = trio.current_time() - silence_s
+        for incarnation in directory.silent_since(limit_s):
+            log_record(TargetSilent(*incarnation))
+            directory.forget(incarnation[0])
+        observed.forget_outdated()
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -9,14 +9,14 @@
 from returns.result import Failure, Result, Success
 
 from vanillabeam import wire
+from vanillabeam.canary.messages import ROLLOUT_PATH
 from vanillabeam.decisions import (
     MemberRemoved,
     TargetLeft,
-    TargetSilent,
     log_record,
 )
 from vanillabeam.exceptions import VanillabeamError
-from vanillabeam.fleet.absence import AbsentVoters
+from vanillabeam.fleet.absence import AbsentVoters, drop_silent
 from vanillabeam.fleet.ages import add_merged_ages
 from vanillabeam.fleet.cachescopes import is_ended_scope, make_scopes
 from vanillabeam.fleet.departing import DepartingTask
@@ -43,6 +43,7 @@
 from vanillabeam.fleet.records import Deployment, FleetSettings, Target
 from vanillabeam.fleet.stores import StoreCalls, StoreTracker
 from vanillabeam.fleet.targetlog import log_target
+from vanillabeam.fleet.versionrollouts import make_rollouts
 from vanillabeam.fleet.versiontimes import VersionTimes
 from vanillabeam.fleet.view import read_or_keep
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, make_reply
@@ -76,6 +77,7 @@
     :param rng: seeded source of the random election timeouts.
     :param read: parses an operator's document into a deployment.
     :param store_calls: client of the KV cache stores.
+    :ivar read: parses an operator's document into a deployment.
     :ivar directory: targets that announced themselves to this VM.
     :ivar follower: merged view over the directories of all control VMs.
     :ivar observed: weight versions that were read from targets.
@@ -84,6 +86,7 @@
     :ivar pauses: pauses of this process.
     :ivar orders: puts orders into the log that undo each other.
     :ivar permits: grants permits of targets that name a limit.
+    :ivar rollouts: takes orders of rollouts to other software versions.
     :ivar epoch: random id of this process, sent in each watch reply.
 
     >>> control = FleetControl(cfg, call, random.Random(), read, store_calls)
@@ -100,7 +103,7 @@
         store_calls: StoreCalls,
     ):
         self.cfg = cfg
-        self._read = read
+        self.read = read
         self.directory = Directory()
         self.machine = FleetMachine(self._state_changed)
         self._is_running = False
@@ -145,6 +148,7 @@
         self._quarantine = QuarantineTask(
             self.node, self.machine, self.propose, self._load_news.loads.active_vms
         )
+        self.rollouts = make_rollouts(self, self._load_news.loads.active_vms)
 
     def routes(self) -> PeerRoutes:
         """Return the handlers of requests from other VMs."""
@@ -153,6 +157,7 @@
             WATCH_PATH: self._handle_watch,
             QUARANTINE_PATH: self._quarantine.handle,
             PERMIT_PATH: self.permits.handle,
+            ROLLOUT_PATH: self.rollouts.handle,
         }
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -161,7 +166,8 @@
             await nursery.start(self.node.run)
             for task, *args in (
                 (self._remove_absent_voters,),
-                (self._drop_silent_targets,),
+                (drop_silent, self.directory, self.observed, self.cfg.bounds.silence_s),
+                (self.rollouts.run,),
                 (self.leaving.run,),
                 (self.permits.run,),
                 (self._track_stores, nursery),
@@ -250,6 +256,7 @@
         at_s = trio.current_time() if self._is_running else float("-inf")
         self._version_times.record(self.machine.state["weights"], at_s)
         self.directory.apply_departures(departures(self.machine.state))
+        self.rollouts.observe()
         self._notify()
 
     @property
@@ -280,6 +287,8 @@
         if "evidence" in request:
             self._quarantine.update(request["vm"], request["evidence"], now_s)
         self.follower.limits.apply(request.get("limits", []), request["vm"], now_s)
+        for report in request.get("rollouts", ()):
+            self.rollouts.update(request["vm"], report, now_s, request["index"])
         for salt, part, age_s in request["fetched"]:
             self.stores.index.mark_used((salt, part), now_s - age_s)
         with trio.move_on_after(min(request["wait_s"], MAX_WAIT_S)):
@@ -343,7 +352,7 @@
             state = self.machine.state
             if state["document"] != self._document:
                 self._document = state["document"]
-                self._deployment = read_or_keep(self._read, state, self._deployment)
+                self._deployment = read_or_keep(self.read, state, self._deployment)
             leads = self.node.is_leader
             await self.stores.track(self._deployment.stores if leads else (), nursery)
             # Until then targets may be missing that use older weights.
@@ -373,15 +382,6 @@
 
         return is_unused
 
-    async def _drop_silent_targets(self) -> None:
-        while True:
-            await trio.sleep(self.cfg.bounds.silence_s / 4)
-            limit_s = trio.current_time() - self.cfg.bounds.silence_s
-            for incarnation in self.directory.silent_since(limit_s):
-                log_record(TargetSilent(*incarnation))
-                self.directory.forget(incarnation[0])
-            self.observed.forget_outdated()
-
     async def _remove_absent_voters(self) -> None:
         """Remove voters that stay silent, down to the number of seeds."""
         while True:
--- a/src/vanillabeam/fleet/machine.py
+++ b/src/vanillabeam/fleet/machine.py
@@ -151,20 +151,32 @@
     return Command(kind="restore", data_centre="", rollout=change)
 
 
+class _RolloutRecord(TypedDict):
+    service: str
+
+
+class _RolloutOrder(TypedDict):
+    record: _RolloutRecord
+
+
 class _Order(TypedDict):
     kind: str
     data_centre: NotRequired[str]
+    rollout: NotRequired[_RolloutOrder]
 
 
 def order_subject(command: str) -> str:
     """Return the data centre that an order is about, empty for other commands.
 
-    Orders about one data centre undo each other, so their order matters.
+    Orders about one data centre undo each other, so their order matters. So do orders
+    of rollouts of one service, whose changes are about that service.
     """
     try:
         order = msgspec.json.decode(command, type=_Order)
     except msgspec.MsgspecError:
         return ""
+    if "rollout" in order:
+        return f"rollout {order['rollout']['record']['service']}"
     is_order = order["kind"] in ("evacuate", "restore")
     return order.get("data_centre", "") if is_order else ""
 
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -291,6 +291,8 @@
         )
 
     def _add_control_metrics(self, control: "FleetControl") -> None:
+        from vanillabeam.canary.gauges import add_rollout_gauges
+
         add_gauge = self.counters.add_gauge
         add_gauge("log_term", "Term of the fleet log.", lambda: control.node.term)
         add_gauge("log_applied", "Index applied.", lambda: control.node.applied)
@@ -305,6 +307,8 @@
         if not self.cfg.entry_address:
             self._add_target_metrics(control.follower)
         self._add_weights_metrics(control)
+        if control.rollouts.is_enabled:
+            add_rollout_gauges(self.counters.add_gauges, control.rollouts)
 
     def _add_weights_metrics(self, control: "FleetControl") -> None:
         from vanillabeam.fleet.heldweights import count_behind, count_versions
