--- a/src/vanillabeam/cli/__init__.py
+++ b/src/vanillabeam/cli/__init__.py
@@ -8,6 +8,7 @@
     keys,
     parts,
     reports,
+    rollouts,
     settings,
     status,
     tickets,
@@ -27,6 +28,7 @@
 app.add_typer(data.app, name="data")
 app.add_typer(keys.app, name="workspace")
 app.add_typer(parts.app, name="part")
+app.add_typer(rollouts.app, name="rollout")
 app.command("status")(status.status)
 app.command("trace")(traces.trace)
 app.command("explain")(explain.explain)
--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -18,6 +18,12 @@
     OrderUnsettled,
     StateInForce,
 )
+from vanillabeam.decisions.exposure import (
+    ExposureChanged,
+    RolloutInForce,
+    VersionHeld,
+    VersionsBarred,
+)
 from vanillabeam.decisions.lines import (
     KINDS,
     LINE_BUDGETS,
@@ -56,10 +62,9 @@
     TargetChosen,
 )
 from vanillabeam.decisions.rollouts import (
-    ExposureChanged,
-    RolloutInForce,
-    VersionHeld,
-    VersionsBarred,
+    RolloutOrdered,
+    RolloutStepped,
+    RolloutSuspected,
 )
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
@@ -122,6 +127,9 @@
     "RequestAnswered",
     "RequestRefused",
     "RolloutInForce",
+    "RolloutOrdered",
+    "RolloutStepped",
+    "RolloutSuspected",
     "SeedsChanged",
     "SettingsUnreadable",
     "Started",
--- a/src/vanillabeam/decisions/rollouts.py
+++ b/src/vanillabeam/decisions/rollouts.py
@@ -1,76 +1,66 @@
-"""Records of the log lines of entry VMs about software versions and their rollouts."""
+"""Records of the log lines about rollouts of software versions."""
 
 from typing import NamedTuple
 
-__all__ = ["ExposureChanged", "RolloutInForce", "VersionHeld", "VersionsBarred"]
+__all__ = ["RolloutOrdered", "RolloutStepped", "RolloutSuspected"]
 
 
-class ExposureChanged(NamedTuple):
-    """Some requests of a service go to a new version from now on, or none do any more.
+class RolloutOrdered(NamedTuple):
+    """An operator's order of a rollout was answered.
 
-    :param to: the new version.
-    :param order: log index of the order, which identifies the rollout.
-    :param exposes: whether some do now; not without news of the leader, for instance.
-    :param news_age_s: seconds since the last news of the leader.
+    :param to: software version that the traffic moves to.
+    :param duration_s: seconds within which the rollout has to end.
+    :param order: log index of the rollout that the order began, or that it repeats; 0
+        if it was not accepted.
+    :param failure: type of the failure if it was not accepted; else empty.
     """
 
     service: str
     to: str
+    duration_s: float
     order: int
-    exposes: bool
-    news_age_s: float
-
-
-class RolloutInForce(NamedTuple):
-    """A rollout of a service to another software version has begun, or has changed.
-
-    :param to: the new version.
-    :param order: log index of the order, which identifies the rollout.
-    :param step: ``waiting``, ``trial``, ``shift``, ``complete`` or ``rolled-back``.
-    :param share: share of the service's requests that go to the new version.
-    :param reason: why it was rolled back; empty otherwise.
-    :param evidence: what the last change was decided by.
+    failure: str
+
+
+class RolloutStepped(NamedTuple):
+    """The leader has proposed the next step of a rollout, or a higher share.
+
+    :param to: software version that the traffic moves to.
+    :param order: log index of the order; it identifies the rollout.
+    :param age_s: seconds since the order.
+    :param step: ``trial``, ``shift``, ``complete`` or ``rolled-back``.
+    :param share: share of the service's requests for the new version.
+    :param reason: cause of a rollback: ``bad``, ``slow``, ``no-targets``, ``capacity``
+        or ``time``; else empty.
+    :param evidence: what the step is based on.
+    :param sent: requests that were sent to the new version by then.
+    :param failure: type of the failure if the change was not committed; else empty.
     """
 
     service: str
     to: str
     order: int
+    age_s: float
     step: str
     share: float
     reason: str
     evidence: str
+    sent: int
+    failure: str
 
 
-class VersionHeld(NamedTuple):
-    """A software version appeared beside another one, and no rollout names it.
-
-    Its targets get no requests for some time, as an order may be in transit.
+class RolloutSuspected(NamedTuple):
+    """A new version has begun, or ceased, to look worse than the old one.
 
-    :param version: the version that appeared.
-    :param targets: number of its targets.
-    :param hold_s: seconds for which it gets nothing, unless an order arrives.
+    :param to: software version under trial.
+    :param order: log index of the order; it identifies the rollout.
+    :param odds: logarithm of the odds against the new version; from 9.2 on it is rolled
+        back.
+    :param evidence: the test with these odds.
     """
 
     service: str
-    version: str
-    targets: int
-    hold_s: float
-
-
-class VersionsBarred(NamedTuple):
-    """A request found no target, and some were left out because of their version.
-
-    :param known: number of known targets of the service.
-    :param barred: number of those that the request may not go to.
-    :param to: new version of the newest rollout; empty without one.
-    :param step: its step.
-    :param news_age_s: seconds since the last news of the leader.
-    """
-
-    request_id: str
-    service: str
-    known: int
-    barred: int
     to: str
-    step: str
-    news_age_s: float
+    order: int
+    odds: float
+    evidence: str
