--- a/src/vanillabeam/canary/exposure.py
+++ b/src/vanillabeam/canary/exposure.py
@@ -197,7 +197,7 @@
 
     Once all requests go there, a VM without news goes on: the old targets may be gone.
     """
-    if record["share"] >= 1.0:
+    if record["step"] is Step.SHIFT and record["share"] >= 1.0:
         return True
     is_exposed = record["step"] in (Step.TRIAL, Step.SHIFT) and record["share"] > 0.0
     return is_exposed and news_age_s <= STALE_S
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -139,10 +139,14 @@
 
 
 class Platform:
-    """Control VMs, an entry VM and workers that announce themselves to them."""
+    """Control VMs, an entry VM and workers that announce themselves to them.
 
-    def __init__(self, folder, nursery):
+    :param bounds: bounds in the settings beside the usual ones.
+    """
+
+    def __init__(self, folder, nursery, bounds=None):
         self.folder = folder
+        self.bounds = make_settings()["platform"]["bounds"] | (bounds or {})
         self.nursery = nursery
         self.sockets = [hold_port() for _ in range(4)]
         self.control_port, self.peer_port, self.entry_port, self.readiness_port = map(
@@ -162,6 +166,7 @@
             listen=listen,
             port_range=[self.peer_port, self.peer_port],
             seeds=[f"{host}:{self.control_port}" for host in self.hosts],
+            bounds=self.bounds,
             **changes,
         )
         path.write_text(json.dumps(fields))
@@ -295,9 +300,9 @@
 
 
 @asynccontextmanager
-async def running_platform(folder, control_count=3):
+async def running_platform(folder, control_count=3, bounds=None):
     async with trio.open_nursery() as nursery:
-        platform = Platform(folder, nursery)
+        platform = Platform(folder, nursery, bounds)
         try:
             for host in platform.hosts[:control_count]:
                 await platform.start_control(host)
