Judge the age of the leader's news by the request, and look less

Cause: a process that was paused reads a reply that was made long before; and the completed record of a rollout stays, so each later request paid for two walks over all targets.

Change: a reply counts as made at its request plus the wait and 0.3 s at most. An attempt walks the targets only for another version after a completion. Ages without any news are logged as null, as JSON has no infinity.

--- a/src/vanillabeam/canary/exposure.py
+++ b/src/vanillabeam/canary/exposure.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from typing import TypeVar
 
 from vanillabeam.canary.records import Rollouts, Step, VersionRollout, is_running
@@ -84,9 +85,7 @@
 
         :param news_s: monotonic time of the last news of the leader.
         """
-        sightings = self._sightings.get(service)
-        is_held = sightings is not None and bool(sightings.held(news_s))
-        return service not in self._rollouts and not is_held
+        return service not in self._rollouts and not self._held(service, news_s)
 
     def allowed(
         self, service: str, targets: list[T], news_age_s: float, now_s: float
@@ -102,12 +101,13 @@
             return self._without_held(service, targets, now_s - news_age_s)
         record = rollout.record
         new = [target for target in targets if target.software == record["to"]]
+        is_complete = record["step"] is Step.COMPLETE
+        if is_complete and any(not target.draining for target in new):
+            return new
         old = [target for target in targets if target.software != record["to"]]
         old = self._without_held(service, old, now_s - news_age_s)
-        if record["step"] is Step.ROLLED_BACK:
+        if not is_running(record):
             return old
-        if record["step"] is Step.COMPLETE:
-            return new if any(not target.draining for target in new) else old
         if self._is_alone(rollout, now_s):
             return new + old
         if not self._admits(rollout, news_age_s):
@@ -126,17 +126,29 @@
         return [t for t in usable if t.software == rollout.record["to"]]
 
     def may_send(
-        self, service: str, target: T, targets: list[T], news_age_s: float, now_s: float
+        self,
+        service: str,
+        target: T,
+        known: Callable[[], list[T]],
+        news_age_s: float,
+        now_s: float,
     ) -> bool:
-        """Return whether a request may still be sent to the target chosen for it."""
+        """Return whether a request may still be sent to the target chosen for it.
+
+        :param known: returns all known targets of the service.
+        """
         rollout = self._rollouts.get(service)
-        if rollout is None or target.software != rollout.record["to"]:
-            allowed = self.allowed(service, targets, news_age_s, now_s)
-            return any(other.software == target.software for other in allowed)
-        record = rollout.record
-        if not is_running(record):
-            return record["step"] is Step.COMPLETE
-        return _exposes(record, news_age_s) or self._is_alone(rollout, now_s)
+        step = rollout.record["step"] if rollout is not None else None
+        if rollout is not None and target.software == rollout.record["to"]:
+            if not is_running(rollout.record):
+                return step is Step.COMPLETE
+            is_alone = self._is_alone(rollout, now_s)
+            return is_alone or _exposes(rollout.record, news_age_s)
+        held = self._held(service, now_s - news_age_s)
+        if step is not Step.COMPLETE and target.software not in held:
+            return True
+        allowed = self.allowed(service, known(), news_age_s, now_s)
+        return any(other.software == target.software for other in allowed)
 
     def record_choice(self, service: str, software: str, is_first: bool) -> None:
         """Record the choice of a target for a request.
@@ -182,10 +194,13 @@
         """
         return rollout.alone_s is not None and now_s - rollout.alone_s >= HOLD_S
 
+    def _held(self, service: str, news_s: float) -> set[str]:
+        sightings = self._sightings.get(service)
+        return sightings.held(news_s) if sightings is not None else set()
+
     def _without_held(self, service: str, targets: list[T], news_s: float) -> list[T]:
         """Return the targets without those of held versions, unless all are held."""
-        sightings = self._sightings.get(service)
-        held = sightings.held(news_s) if sightings is not None else set()
+        held = self._held(service, news_s)
         if not held:
             return targets
         others = [target for target in targets if target.software not in held]
--- a/src/vanillabeam/decisions/exposure.py
+++ b/src/vanillabeam/decisions/exposure.py
@@ -11,14 +11,14 @@
     :param to: the new version.
     :param order: log index of the order, which identifies the rollout.
     :param exposes: whether some do now; not without news of the leader, for instance.
-    :param news_age_s: seconds since the last news of the leader.
+    :param news_age_s: seconds since the last news of the leader; ``None`` without any.
     """
 
     service: str
     to: str
     order: int
     exposes: bool
-    news_age_s: float
+    news_age_s: float | None
 
 
 class RolloutInForce(NamedTuple):
@@ -64,7 +64,7 @@
     :param barred: number of those that the request may not go to.
     :param to: new version of the newest rollout; empty without one.
     :param step: its step.
-    :param news_age_s: seconds since the last news of the leader.
+    :param news_age_s: seconds since the last news of the leader; ``None`` without any.
     """
 
     request_id: str
@@ -73,4 +73,4 @@
     barred: int
     to: str
     step: str
-    news_age_s: float
+    news_age_s: float | None
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -56,6 +56,9 @@
 MAX_WATCHED = 8
 #: Heartbeat periods within which every live target has announced itself.
 DISCOVERY_HEARTBEATS = 1.3
+#: Seconds after the wait within which a leader's reply arrives, as far as its age
+#: matters.
+LEADER_MARGIN_S = 0.3
 #: Quarantined parts in a log line.
 MAX_LOGGED_PARTS = 8
 
@@ -158,10 +161,7 @@
         return trio.current_time() - max(last_seen, default=self._started_s)
 
     def leader_age_s(self) -> float:
-        """Return the seconds since the last reply of a leader of the fleet log.
-
-        Control VMs that are cut off from it reply too, but with an old state.
-        """
+        """Return the age of the leader's last reply; other VMs may be behind."""
         return trio.current_time() - self._leader_s
 
     async def wait_for_deployment(self) -> None:
@@ -241,6 +241,10 @@
         if reply is None:
             return RETRY_S
         self._apply(reply, control_vm)
+        if control_vm.is_leader:
+            # A process that was paused reads a reply long after it was made.
+            made_s = requested_s + poll.wait_s + LEADER_MARGIN_S
+            self._leader_s = min(trio.current_time(), made_s)
         if poll.scope is not LoadScope.NONE:
             self.load.update_others(reply["others"], trio.current_time())
         if "parts" in reply:
@@ -329,8 +333,6 @@
             self.relayed.update(reply["epoch"], reply["reported"], now_s)
         if self._first_reply_s is None:
             self._first_reply_s = now_s
-        if control_vm.is_leader:
-            self._leader_s = now_s
         if "state" in reply:
             self._apply_state(reply)
         self.targets.apply(reply, control_vm, now_s)
--- a/src/vanillabeam/forwarding/choosing/versions.py
+++ b/src/vanillabeam/forwarding/choosing/versions.py
@@ -1,5 +1,6 @@
 """Software versions of targets: which a request may go to, and what is seen of them."""
 
+import math
 import random
 import secrets
 from collections.abc import Callable
@@ -109,9 +110,13 @@
         news_age_s = self.news_age_s()
         if self._exposure.is_open(target.service, now_s - news_age_s):
             return True
-        targets = self._directory.targets()
-        known = [other for other in targets if other.service == target.service]
-        return self._exposure.may_send(target.service, target, known, news_age_s, now_s)
+        return self._exposure.may_send(
+            target.service,
+            target,
+            lambda: self._known(target.service),
+            news_age_s,
+            now_s,
+        )
 
     def record_sent(self, request: CountedRequest) -> None:
         """Record that a request is sent."""
@@ -139,8 +144,7 @@
 
     def log_barred(self, request_id: str, service: str, now_s: float) -> None:
         """Log that a request found no target, if versions are a part of the reason."""
-        targets = self._directory.targets()
-        known = [target for target in targets if target.service == service]
+        known = self._known(service)
         barred = len(known) - len(self.allowed(service, known, now_s))
         if not barred:
             return
@@ -153,10 +157,14 @@
                 barred,
                 record["to"] if record else "",
                 str(record["step"]) if record else "",
-                round(self.news_age_s(), 2),
+                _loggable(self.news_age_s()),
             )
         )
 
+    def _known(self, service: str) -> list[Target]:
+        targets = self._directory.targets()
+        return [target for target in targets if target.service == service]
+
     def _update(self) -> None:
         """Apply the newest records, if they have changed."""
         rollouts = self.rollouts()
@@ -195,7 +203,7 @@
         self._exposed ^= {service}
         record = self._applied.get(service)
         to, order = (record["to"], record["order"]) if record else ("", 0)
-        age_s = round(news_age_s, 2)
+        age_s = _loggable(news_age_s)
         log_record(ExposureChanged(service, to, order, exposes, age_s))
 
     def _is_cold(self, target: Target, now_s: float) -> bool:
@@ -207,5 +215,9 @@
         return self._warm_from_s.get(target.incarnation, now_s) > now_s
 
 
+def _loggable(age_s: float) -> float | None:
+    return round(age_s, 2) if math.isfinite(age_s) else None
+
+
 def _ignore(service: str, role: str) -> None:
     """Count nothing."""
--- a/tests/canary/test_exposure.py
+++ b/tests/canary/test_exposure.py
@@ -49,7 +49,7 @@
 
     def may_send(self, target, now_s=10.0):
         return self.exposure.may_send(
-            "app", target, self.targets, self.news_age_s, now_s
+            "app", target, lambda: self.targets, self.news_age_s, now_s
         )
 
 
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -613,3 +613,28 @@
     harness[1].accused = {}
     await trio.sleep(1.0)
     assert harness.follower.leader_age_s() < 1.0
+
+
+# Guards against exposure by a process that was paused, and reads a reply of before as if
+# it were new.
+@with_harness
+async def test_a_late_reply_of_the_leader_is_as_old_as_its_request(harness):
+    harness[0].accused = {}
+    for number in range(3):
+        harness[number].commit(5, 7, document="7")
+    await trio.sleep(1.0)
+    answer = harness[0].answer
+
+    async def answer_late(body):
+        reply = await answer(body)
+        await trio.sleep(2.0)
+        return reply
+
+    harness[0].answer = answer_late
+    await trio.sleep(4.0)
+    ages_s = []
+    for _ in range(50):
+        await trio.sleep(0.1)
+        ages_s.append(harness.follower.leader_age_s())
+    # A reply is late by 2 s, of which 0.5 s may be its wait and its way.
+    assert min(ages_s) >= 1.5
