--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -615,7 +615,7 @@
     assert harness.follower.leader_age_s() < 1.0
 
 
-# Guards against exposure by a process that was paused, and reads a reply of before as if
+# Guards against exposure by a process that was paused, and reads an old reply as if
 # it were new.
 @with_harness
 async def test_a_late_reply_of_the_leader_is_as_old_as_its_request(harness):
