Send to old targets first where a version fails and no news arrives

Cause: once all requests go to the new version, an entry VM without news goes on with it, as the old targets may be gone; a version that fails then got requests of that VM without end.

Change: with 3 failures and a share of 0.02 beyond 3 times that of the old version, by its own counts, such a VM chooses old targets first.

Measured: tests/canary and tests/forwarding pass.

--- a/src/vanillabeam/canary/counts.py
+++ b/src/vanillabeam/canary/counts.py
@@ -18,6 +18,10 @@
 #: Upper limit of the first bucket of a slowness histogram: seconds of a plain call, or
 #: multiple of the time expected of a prompt. The last bucket is open above.
 FIRST_LIMIT = 0.01
+#: Failures at the new version, and their share of its answers beyond a multiple of the
+#: old version's share, from which on it looks bad to one VM.
+BAD_FAILURES = 3
+BAD_SHARE, BAD_FACTOR = 0.02, 3.0
 #: Least expected time to the first event of a prompt: below, noise decides.
 MIN_EXPECTED_S = 0.05
 
@@ -198,6 +202,17 @@
         if not self._open[request.version]:
             del self._open[request.version]
 
+    def looks_bad(self, service: str) -> bool:
+        """Return whether the new version fails often, by what this VM alone has seen.
+
+        This is no judgement: it serves a VM that can't hear the leader's.
+        """
+        counts = self._counts.get(service)
+        if counts is None:
+            return False
+        (failures, share), (_, usual) = map(_failed, (counts.new, counts.old))
+        return failures >= BAD_FAILURES and share > BAD_SHARE + BAD_FACTOR * usual
+
     def reports(self) -> list[RolloutReport]:
         """Return the counts of each running rollout."""
         return [
@@ -221,6 +236,13 @@
         )
 
 
+def _failed(by_route: dict[str, RouteCounts]) -> tuple[int, float]:
+    """Return the failures on all routes, and their share of the answers."""
+    failures = sum(counts["failures"] for counts in by_route.values())
+    answers = sum(counts["answers"] for counts in by_route.values())
+    return failures, failures / max(1, answers)
+
+
 def _increment(histogram: list[int], place: int) -> None:
     histogram.extend([0] * (place + 1 - len(histogram)))
     histogram[place] += 1
--- a/src/vanillabeam/canary/exposure.py
+++ b/src/vanillabeam/canary/exposure.py
@@ -114,16 +114,20 @@
             return old
         return old + (_subset(record, new) if record["step"] is Step.TRIAL else new)
 
-    def preferred(self, service: str, usable: list[T]) -> list[T]:
+    def preferred(
+        self, service: str, usable: list[T], avoids_new: bool = False
+    ) -> list[T]:
         """Return those of the allowed targets that the next request is meant for.
 
         :param usable: allowed targets that may take the request otherwise.
+        :param avoids_new: whether the new version comes last.
         :returns: targets of the new version, if the request may go there; else none.
         """
         rollout = self._rollouts.get(service)
         if rollout is None or not is_running(rollout.record):
             return []
-        return [t for t in usable if t.software == rollout.record["to"]]
+        to = rollout.record["to"]
+        return [target for target in usable if (target.software == to) != avoids_new]
 
     def may_send(
         self,
--- a/src/vanillabeam/forwarding/choosing/versions.py
+++ b/src/vanillabeam/forwarding/choosing/versions.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from vanillabeam.canary.counts import CountedRequest, VersionCounts
-from vanillabeam.canary.exposure import Exposure
+from vanillabeam.canary.exposure import STALE_S, Exposure
 from vanillabeam.canary.records import RolloutReport, Rollouts
 from vanillabeam.canary.sightings import HOLD_S
 from vanillabeam.decisions import (
@@ -74,7 +74,12 @@
 
     def preferred(self, service: str, usable: list[Target]) -> list[Target]:
         """Return the usable targets that the next request is meant for, if any."""
-        return self._exposure.preferred(service, usable) if self.is_enabled else []
+        if not self.is_enabled:
+            return []
+        # Without the leader's judgement this VM's own has to do.
+        is_stale = self.news_age_s() > STALE_S
+        avoids_new = is_stale and self._counts.looks_bad(service)
+        return self._exposure.preferred(service, usable, avoids_new)
 
     def record_choice(self, target: Target, is_first: bool) -> None:
         """Record the choice of a target for a request.
--- a/tests/forwarding/test_versions.py
+++ b/tests/forwarding/test_versions.py
@@ -171,6 +171,26 @@
     play(main)
 
 
+# Guards against a VM that is cut off once all requests go to the new version, and sends
+# to it without end though it fails: the leader's rollback doesn't reach this VM.
+def test_without_news_old_targets_come_first_once_the_new_version_fails(monkeypatch):
+    async def main():
+        vm = RollingVm(monkeypatch)
+        vm.chooser.versions.news_age_s = lambda: 60.0
+        vm.replies[NEW] = [Reply(500)]
+        for _ in range(6):
+            await vm.request()
+            await trio.sleep(1.0)
+            vm.announce()
+        assert vm.targets_sent_to() == [NEW, NEW, NEW, OLD, OLD, OLD]
+        vm.replies[OLD] = [RESET]
+        vm.sent.clear()
+        await vm.request(kind=RouteKind.SAFE, attempts=2)
+        assert vm.targets_sent_to() == [OLD, NEW]
+
+    play(main)
+
+
 # Guards against a stream that goes on at a version that was rolled back.
 def test_a_stream_resumes_at_an_allowed_version_only(monkeypatch):
     broken = Reply(
