Roll out versions beside kills and freezes in the soak

Cause: rollouts have to end rightly, and a bad version has to stay within its bounds, while VMs are killed and frozen.

Change: the soak's settings have the bounds of rollouts; a fault kind rolls a service out to a good or a bad version, stops the old targets at completion and drains the new ones after a rollback. Checked: outcome and time in calm, an end at all, requests to a bad version.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -88,6 +88,9 @@
     "thaw_ms": 300,
     "version_ms": 10000,
     "version_all_ms": 14000,
+    "expose_share": 0.1,
+    "expose_slack": 50,
+    "rollback_ms": 5000,
 }
 
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from tests.soak.canaries import VersionOrder
     from tests.soak.limits import Arrival, NamedLimit
     from tests.soak.weights import Life, Order
     from tests.soak.words import Word
@@ -154,6 +155,7 @@
         self.outages: list[Outage] = []
         self.drained: dict[str, float] = {}
         self.words: list[Word] = []
+        self.version_orders: list[VersionOrder] = []
         #: Data centre of each target that ever was, and the names of those that run.
         self.zones: dict[str, str] = {}
         self.running: set[str] = set()
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -7,6 +7,7 @@
 import httpcore
 import trio
 
+from tests.soak.canaries import check_rollouts
 from tests.soak.checks import calm_attempts, check
 from tests.soak.clients import Balancer, Client, call_forever, probe_forever
 from tests.soak.faults import FAULTS
@@ -216,6 +217,7 @@
             check_convictions(run.history, fleet)
             check_weights(run.history)
             check_limits(run.history)
+            check_rollouts(run.history)
             check_words(run.history)
             check_walls(run.history)
             findings = check(run.history, fleet.ends)
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -43,6 +43,8 @@
     :ivar mode: ``fine``, ``slow``, ``full`` (refuses) or ``failing``.
     :ivar limit: value with which its answers name a limit; empty for none.
     :ivar event_period_s: seconds between two events of its streams.
+    :ivar software: version of its software.
+    :ivar version_order: rollout that it was started for; ``None`` for none.
     :ivar state: what its heartbeats say.
     :ivar started_s: its start, since that of the fleet.
     :ivar host: control VM that answered its last heartbeat.
@@ -68,6 +70,8 @@
         self.history = history
         self.mode = "fine"
         self.limit = ""
+        self.software = "v1"
+        self.version_order = None
         self.event_period_s = EVENT_PERIOD_S
         self.state = "ready"
         self.born_ms = int(time.time() * 1000)
@@ -131,6 +135,10 @@
         at_s = self.history.now_s()
         run = Run(request_id, self.name, at_s, version, salt, tenant)
         self.history.runs.append(run)
+        if self.version_order is not None and self.version_order.is_bad:
+            self.version_order.bad_s.append(at_s)
+            await send_answer(send, 500, b"failed", headers)
+            return
         if self.mode == "failing":
             await send_answer(send, 500, b"failed", headers, self._limit_headers())
             return
@@ -187,16 +195,35 @@
         self.targets: dict[str, SoakTarget] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._made = 0
+        #: Software version of a service's targets that start; the first one if omitted.
+        self.software: dict[str, str] = {}
+        self.is_rolling = False
         self._http = httpcore.AsyncConnectionPool(keepalive_expiry=2.0)
 
-    async def add(self, service, data_centre):
-        """Start a target under a new name, with the newest weights."""
+    async def add(self, service, data_centre, software="", version_order=None):
+        """Start a target under a new name, with the newest weights.
+
+        :param software: version of its software; that of its service if empty.
+        :param version_order: rollout that it is started for.
+        """
         self._made += 1
         name = f"i-{service}-{self._made}"
         newest = self.history.newest_named()
-        return await self._start(name, service, data_centre, newest)
+        software = software or self.software.get(service, "v1")
+        if version_order is not None:
+            version_order.names.append(name)
+        origin = (software, version_order)
+        return await self._start(name, service, data_centre, newest, origin)
+
+    async def _add_like(self, target):
+        """Start a target in place of another one, with the same software."""
+        is_current = target.version_order is None
+        software = "" if is_current else target.software
+        await self.add(
+            target.service, target.data_centre, software, target.version_order
+        )
 
-    async def _start(self, name, service, data_centre, version):
+    async def _start(self, name, service, data_centre, version, origin):
         rng = random.Random(self.rng.random())
         target = SoakTarget(
             name,
@@ -208,6 +235,7 @@
             self._end,
             self._end_in_load,
         )
+        target.software, target.version_order = origin
         target.host = self.rng.choice(self.hosts)
         self._scopes[name] = await self.nursery.start(self._run, target)
         self.targets[name] = target
@@ -237,6 +265,7 @@
             slots=64,
             state=target.state,
             models=target.models,
+            version=target.software,
             seq=sequence,
             born=target.born_ms,
         )
@@ -262,18 +291,19 @@
     def _end(self, name):
         """End a target at once; another one of its service starts some time later."""
         if name in self.targets:
-            self.nursery.start_soon(self._replace_later, self._stop(name))
+            self.nursery.start_soon(self._replace_later, self.stop(name))
 
     async def _replace_later(self, target):
         await trio.sleep(DOWN_S)
-        await self.add(target.service, target.data_centre)
+        await self._add_like(target)
 
     async def crash(self, name):
         """End a target at once and start another one of its service."""
-        target = self._stop(name)
-        await self.add(target.service, target.data_centre)
+        target = self.stop(name)
+        await self._add_like(target)
 
-    def _stop(self, name):
+    def stop(self, name):
+        """End a target at once, and return it."""
         target = self.targets.pop(name)
         self.history.running.discard(name)
         self._scopes.pop(name).cancel()
@@ -284,17 +314,24 @@
     def _end_in_load(self, name):
         """End a target at once; it starts again with the version that it had."""
         if name in self.targets:
-            self.nursery.start_soon(self._restart_later, self._stop(name))
+            self.nursery.start_soon(self._restart_later, self.stop(name))
 
     async def _restart_later(self, target):
         await trio.sleep(DOWN_S)
         version = target.weights.version
-        await self._start(target.name, target.service, target.data_centre, version)
+        origin = (target.software, target.version_order)
+        await self._start(
+            target.name, target.service, target.data_centre, version, origin
+        )
 
     async def replace(self, name):
         """Have a target leave as planned, after another one has started."""
+        await self._add_like(self.targets[name])
+        await self.retire(name)
+
+    async def retire(self, name):
+        """Have a target leave as planned."""
         target = self.targets[name]
-        await self.add(target.service, target.data_centre)
         target.state = "draining"
         if target.weights:
             target.weights.life.leaving_s = self.history.now_s()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from tests.soak.canaries import roll_out
 from tests.soak.faults import (
     cut_entry,
     freeze_any,
@@ -83,6 +84,14 @@
     assert findings == [], f"logs in {tmp_path}"
 
 
+# Guards against rollouts that end wrongly, late or never, and against a bad version
+# that gets more than it may, beside VMs that are killed and frozen.
+@pytest.mark.parametrize("kinds", [(roll_out,), (roll_out, kill_control, freeze_any)])
+def test_rollouts_of_versions_break_no_rule(kinds, tmp_path):
+    findings = trio.run(play, tmp_path, SMALL, 7, 24.0, kinds, 8.0)
+    assert findings == [], f"logs in {tmp_path}"
+
+
 # Guards against orders whose late copies undo later ones, beside a frozen control VM.
 def test_orders_with_late_copies_break_no_rule(tmp_path):
     findings = trio.run(play, tmp_path, SMALL, 4, 8.0, (order_beside_freeze,), 8.0)
