Judge versions in the soak at a rate at which they can be judged

Cause: with the callers of the other runs a rollout saw six requests, which prove nothing.

Change: 12 more requests a second to the service while a rollout runs; good and bad versions in turn.

--- a/tests/soak/canaries.py
+++ b/tests/soak/canaries.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from tests.soak.clients import PLAIN_LIMIT_S, Client
 from tests.soak.fleet import BOUNDS
 from tests.soak.operators import REFUSALS
 from tests.soak.touch import CONTACT_S, is_calm
@@ -19,6 +20,11 @@
 ROLLBACK_S = BOUNDS["rollback_ms"] / 1000
 COUNTED_BAD = 50
 ORDER_S = 5.0
+#: Requests a second beside those of the other callers, and seconds after the end of a
+#: rollout for which they go on.
+CALLS_S = 12.0
+AFTER_S = 2.0
+GROUP = "rollout"
 POLL_S = 0.1
 DRAIN_LAG_S = 2.0
 GOOD, BAD = "complete", "rolled_back"
@@ -44,11 +50,12 @@
 
 async def roll_out(run):
     """Roll a service out to another version, good or bad; one at a time."""
-    is_configured = any(change.confirmed_s for change in run.history.changes)
-    if run.targets.is_rolling or not is_configured:
+    if run.targets.is_rolling:
         return
     run.targets.is_rolling = True
     try:
+        while not any(change.confirmed_s for change in run.history.changes):
+            await trio.sleep(POLL_S)
         await _roll_out(run)
     finally:
         run.targets.is_rolling = False
@@ -57,21 +64,42 @@
 async def _roll_out(run):
     history, pool = run.history, run.targets
     to = f"v{len(history.version_orders) + 2}"
-    order = VersionOrder(to, run.rng.random() < 0.5, history.now_s())
+    # Good and bad ones in turn.
+    before = history.version_orders[-1:]
+    is_bad = not before[0].is_bad if before else run.rng.random() < 0.5
+    order = VersionOrder(to, is_bad, history.now_s())
     history.version_orders.append(order)
     if not await _send(run, order):
         return
     zones = [t.data_centre for t in pool.targets.values() if t.service == SERVICE]
     added = [await pool.add(SERVICE, zone, to, order) for zone in zones]
     names = [target.name for target in added]
-    if order.is_bad:
-        # Callers see the failures of the few requests that try the version.
-        with history.outage("target", names):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_call_often, run, nursery)
+        if order.is_bad:
+            # Callers see the failures of the few requests that try the version.
+            with history.outage("target", names):
+                await _watch(run, order)
+                await trio.sleep(CONTACT_S)
+        else:
             await _watch(run, order)
-            await trio.sleep(CONTACT_S)
-    else:
-        await _watch(run, order)
-    _finish(run, order)
+        _finish(run, order)
+        await trio.sleep(AFTER_S)
+        nursery.cancel_scope.cancel()
+
+
+async def _call_often(run, nursery):
+    """Call the service at a rate at which a version can be judged in time."""
+    while True:
+        nursery.start_soon(_call, run)
+        await trio.sleep(run.rng.expovariate(CALLS_S))
+
+
+async def _call(run):
+    client = Client(run.history, GROUP)
+    await client.move(run.rng.choice(run.fleet.entries))
+    path, kind = run.rng.choice((("/look/", "safe"), ("/pay/", "unsafe")))
+    await client.send(path, kind, PLAIN_LIMIT_S, GROUP)
 
 
 async def _send(run, order):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -86,7 +86,9 @@
 
 # Guards against rollouts that end wrongly, late or never, and against a bad version
 # that gets more than it may, beside VMs that are killed and frozen.
-@pytest.mark.parametrize("kinds", [(roll_out,), (roll_out, kill_control, freeze_any)])
+@pytest.mark.parametrize(
+    "kinds", [(roll_out,), (roll_out, roll_out, kill_control, freeze_any)]
+)
 def test_rollouts_of_versions_break_no_rule(kinds, tmp_path):
     findings = trio.run(play, tmp_path, SMALL, 7, 24.0, kinds, 8.0)
     assert findings == [], f"logs in {tmp_path}"
