Leave out the worst target also while others have few responses

Change: targets of the trial count as tried, and others with few responses in a period count by the baseline. A drained rollout completes early only with enough responses on each route.

--- a/src/vanillabeam/canary/odds.py
+++ b/src/vanillabeam/canary/odds.py
@@ -23,7 +23,7 @@
 PRIOR_RESPONSES = 10.0
 PRIOR_BAD = 1.0
 #: Number of bad responses below which a version is never called bad.
-MIN_BAD = 6.0
+MIN_BAD = 5.0
 #: Shares in the mixture, and the highest one.
 SHARES = 16
 MAX_SHARE = 0.98
--- a/src/vanillabeam/canary/plan.py
+++ b/src/vanillabeam/canary/plan.py
@@ -54,8 +54,9 @@
 FEW_REQUESTS = 10
 #: Responses under the full share before a rollout completes ahead of its time limit.
 FULL_RESPONSES = 40
-#: Part of the bound at which a rollout that has drained completes all the same.
-SPENT = 0.9
+#: The same on each route, and the part of all requests from which a route counts.
+ROUTE_RESPONSES = 15
+FEW_ROUTE_SHARE = 0.02
 #: Odds against the new version at which a step waits, and at which a rollout that can't
 #: wait any longer is rolled back.
 SUSPICIOUS = log(10)
@@ -105,7 +106,7 @@
             record, Step.COMPLETE, 1.0, "", "no target has another version"
         )
     if record["step"] is Step.SHIFT:
-        return _shift(now, bound)
+        return _shift(now)
     if record["step"] is Step.TRIAL:
         return _try(now, bound)
     return _wait(now, bound)
@@ -171,7 +172,7 @@
     return _roll_back(now, "time", missing or "no shift was possible in time")
 
 
-def _shift(now: Situation, bound: Exposure) -> RolloutChange | None:
+def _shift(now: Situation) -> RolloutChange | None:
     if not now.capacity.new:
         return _roll_back(now, "no-targets", "all new targets have gone")
     if now.capacity.is_lost:
@@ -179,9 +180,9 @@
     is_over = now.age_s >= _limit_s(now)
     if now.record["share"] < 1.0:
         return _end_ramp(now, is_over)
-    if is_over or (now.is_drained and _is_seen_enough(now, bound)):
-        if now.verdict.odds >= SUSPECT:
-            return _roll_back(now, "bad", now.verdict.evidence) if is_over else None
+    if is_over and now.verdict.odds >= SUSPECT:
+        return _roll_back(now, "bad", now.verdict.evidence)
+    if is_over or (now.is_drained and _is_seen_enough(now)):
         evidence = f"{_describe(now)}; {now.sums.open_old} open at old targets"
         return make_step(now.record, Step.COMPLETE, 1.0, "", evidence)
     return None
@@ -202,13 +203,21 @@
     return make_step(now.record, Step.SHIFT, 1.0, "", _describe(now))
 
 
-def _is_seen_enough(now: Situation, bound: Exposure) -> bool:
-    """Return whether a drained rollout needs no more responses under the full share."""
-    new = now.sums.all_new
-    if new.answers - now.answers_before >= FULL_RESPONSES:
-        return True
-    total = new.sent + now.sums.all_old.sent
-    return new.sent >= SPENT * (bound.share * total + bound.requests)
+def _is_seen_enough(now: Situation) -> bool:
+    """Return whether a drained rollout needs no more responses before its time limit.
+
+    A version that is bad would complete by that, so each route counts that has requests
+    at all, and nothing may speak against the version.
+    """
+    new, old = now.sums.new, now.sums.old
+    if now.sums.all_new.answers - now.answers_before < FULL_RESPONSES:
+        return False
+    few = FEW_ROUTE_SHARE * now.sums.all_old.sent
+    routes = [route for route, counts in old.items() if counts.sent >= few]
+    is_seen = all(
+        route in new and new[route].answers >= ROUTE_RESPONSES for route in routes
+    )
+    return is_seen and now.verdict.odds < 0
 
 
 def _trial_share(now: Situation, bound: Exposure) -> float:
--- a/src/vanillabeam/canary/state.py
+++ b/src/vanillabeam/canary/state.py
@@ -1,5 +1,7 @@
 """Replicated records of version rollouts and the changes that replace them."""
 
+from math import ceil
+
 from vanillabeam.canary.records import (
     RolloutChange,
     Rollouts,
@@ -17,6 +19,7 @@
     "is_duplicate",
     "make_order",
     "make_step",
+    "trial_targets",
 ]
 
 #: An order to the same version, read within this time of the record's order, is a copy
@@ -68,6 +71,14 @@
     return (record["order"], step_rank(record["step"]))
 
 
+def trial_targets(record: VersionRollout, targets: int) -> int:
+    """Return how many targets of the new version requests go to.
+
+    :param targets: number of targets of the new version.
+    """
+    return ceil(record["share"] * targets)
+
+
 def is_duplicate(record: VersionRollout | None, to: str, started_ms: int) -> bool:
     """Return whether an order to ``to`` is a copy of the one of ``record``."""
     if record is None or record["to"] != to:
--- a/src/vanillabeam/canary/task.py
+++ b/src/vanillabeam/canary/task.py
@@ -29,7 +29,7 @@
     VersionRollout,
     is_running,
 )
-from vanillabeam.canary.state import is_duplicate, make_order
+from vanillabeam.canary.state import is_duplicate, make_order, trial_targets
 from vanillabeam.canary.tally import Sums, Tally
 from vanillabeam.decisions import (
     RolloutOrdered,
@@ -244,8 +244,8 @@
         targets = self._targets.listed(service, now_s)
         if run is None or record is None or targets is None:
             return
-        self._judge(run, record, now_s)
         capacity = count_capacity(targets, record["to"])
+        self._judge(run, record, trial_targets(record, capacity.new), now_s)
         if capacity.old:
             run.alone_since_s = None
         elif run.alone_since_s is None:
@@ -268,8 +268,10 @@
         if change is not None:
             await self._commit(change, situation)
 
-    def _judge(self, run: _Run, record: VersionRollout, now_s: float) -> None:
-        run.verdict = run.judge.update(run.tally.sums(), now_s)
+    def _judge(
+        self, run: _Run, record: VersionRollout, targets: int, now_s: float
+    ) -> None:
+        run.verdict = run.judge.update(run.tally.sums(), now_s, targets)
         is_suspected = run.verdict.odds >= SUSPICIOUS
         if is_suspected != run.is_suspected:
             run.is_suspected = is_suspected
