--- a/src/vanillabeam/canary/odds.py
+++ b/src/vanillabeam/canary/odds.py
@@ -10,7 +10,7 @@
 
 from math import exp, inf, log, sqrt
 
-__all__ = ["MIN_BAD", "base_share", "log_odds"]
+__all__ = ["MIN_BAD", "PRIOR_SHARE", "base_share", "log_odds"]
 
 #: Smallest baseline: a few failures of a service that never failed convict nothing.
 MIN_SHARE = 0.02
@@ -19,9 +19,10 @@
 MARGIN_FACTOR = 0.35
 #: Standard errors by which the baseline is estimated higher.
 ERRORS = 1.0
-#: Responses of a prior in the baseline, and the bad ones among them.
+#: Responses that a prior estimate of the baseline counts for, and the estimate while
+#: nothing is known.
 PRIOR_RESPONSES = 10.0
-PRIOR_BAD = 1.0
+PRIOR_SHARE = 0.1
 #: Number of bad responses below which a version is never called bad.
 MIN_BAD = 5.0
 #: Shares in the mixture, and the highest one.
@@ -29,10 +30,13 @@
 MAX_SHARE = 0.98
 
 
-def base_share(bad: float, responses: float) -> float:
-    """Return a cautious estimate of the share of bad responses of the baseline."""
+def base_share(bad: float, responses: float, prior: float = PRIOR_SHARE) -> float:
+    """Return a cautious estimate of the share of bad responses of the baseline.
+
+    :param prior: estimate without these responses.
+    """
     count = responses + PRIOR_RESPONSES
-    share = min(1.0, (bad + PRIOR_BAD) / count)
+    share = min(1.0, (bad + PRIOR_RESPONSES * prior) / count)
     error = sqrt(share * (1 - share) / count)
     return max(MIN_SHARE, share + ERRORS * error)
 
--- a/src/vanillabeam/canary/plan.py
+++ b/src/vanillabeam/canary/plan.py
@@ -13,7 +13,7 @@
 from vanillabeam.canary.judge import Verdict
 from vanillabeam.canary.records import RolloutChange, Step, VersionRollout, is_running
 from vanillabeam.canary.state import make_step
-from vanillabeam.canary.tally import Sums
+from vanillabeam.canary.tally import Counts, Sums
 
 __all__ = ["Exposure", "Situation", "next_change", "shift_age_s"]
 
@@ -29,6 +29,10 @@
 #: Share of the ramp and its seconds: all entry VMs know of it and have reported after.
 RAMP_SHARE = 0.25
 RAMP_S = 1.0
+#: Seconds by which it begins earlier, to last longer, where a route has fewer responses
+#: than show that it is bad.
+LONG_RAMP_S = 1.5
+TRIED_RESPONSES = 8
 #: Seconds until all entry VMs know of a step and the leader has their reports.
 LATENCY_S = 1.0
 #: Mean times of requests at the old version until nearly all have ended.
@@ -45,7 +49,7 @@
 #: Good responses that a shift needs. Where few requests come, the part of those sent to
 #: the new version, and of those that a trial from the order on would have had.
 MIN_GOOD = 30
-MIN_GOOD_PART = 0.5
+MIN_GOOD_PART = 0.3
 MIN_TRIAL_PART = 0.25
 #: Answered share of the new version's requests, against the old one's, below which it
 #: hangs.
@@ -64,6 +68,8 @@
 #: Seconds without any target of another version after which the new one is alone.
 ALONE_S = 0.5
 
+_NOTHING = Counts()
+
 
 class Exposure(NamedTuple):
     """Bound on what a bad version receives: a share of all requests, and a number."""
@@ -119,12 +125,10 @@
     more than half of what the bound allows where that is longer.
     """
     duration_s = now.record["duration_s"]
-    old = now.sums.all_old
     rate = _rate(now)
-    needed_s = RAMP_S + LATENCY_S
-    if old.sent and now.age_s > 0:
-        mean_s = now.sums.open_old * now.age_s / old.sent
-        needed_s += DRAIN_TIMES * mean_s
+    needed_s = RAMP_S + LATENCY_S + _drain_s(now)
+    if _has_untried_route(now):
+        needed_s += LONG_RAMP_S
     allowed_s = bound.share * (1 - TRIAL_SHARE) * duration_s
     if rate > 0:
         allowed_s += bound.requests * (1 - TRIAL_REQUESTS) / rate
@@ -200,22 +204,45 @@
         return _roll_back(now, "bad", now.verdict.evidence) if is_bad else None
     if now.step_s < min(RAMP_S, left_s / 2) and not is_last:
         return None
+    if _has_untried_route(now) and left_s > LATENCY_S + _drain_s(now):
+        return None
     return make_step(now.record, Step.SHIFT, 1.0, "", _describe(now))
 
 
+def _drain_s(now: Situation) -> float:
+    """Return the seconds after which the requests at old targets have ended.
+
+    Their mean time is the number that is open by the number that is sent a second.
+    """
+    sent = now.sums.all_old.sent
+    mean_s = now.sums.open_old * now.age_s / sent if sent else 0.0
+    return DRAIN_TIMES * mean_s
+
+
+def _has_untried_route(now: Situation) -> bool:
+    """Return whether a route has too few responses to show that it is bad."""
+    return any(
+        now.sums.new.get(route, _NOTHING).answers < TRIED_RESPONSES
+        for route in _used_routes(now.sums)
+    )
+
+
+def _used_routes(sums: Sums) -> list[str]:
+    few = FEW_ROUTE_SHARE * sums.all_old.sent
+    return [route for route, of in sums.old.items() if of.sent >= max(few, 1)]
+
+
 def _is_seen_enough(now: Situation) -> bool:
     """Return whether a drained rollout needs no more responses before its time limit.
 
     A version that is bad would complete by that, so each route counts that has requests
     at all, and nothing may speak against the version.
     """
-    new, old = now.sums.new, now.sums.old
     if now.sums.all_new.answers - now.answers_before < FULL_RESPONSES:
         return False
-    few = FEW_ROUTE_SHARE * now.sums.all_old.sent
-    routes = [route for route, counts in old.items() if counts.sent >= few]
     is_seen = all(
-        route in new and new[route].answers >= ROUTE_RESPONSES for route in routes
+        now.sums.new.get(route, _NOTHING).answers >= ROUTE_RESPONSES
+        for route in _used_routes(now.sums)
     )
     return is_seen and now.verdict.odds < 0
 
