Drop requests of callers that left before a target gets them

Cause: the end of a caller's connection was only seen once the event loop had read it. A process that was held up, or short of processor time, sent requests whose callers had left seconds before.

Change: the ASGI scope has the state of the connection (requestscope). Just before the first byte of a request is sent, and once its body is read, the kernel is asked whether the caller has ended or reset its connection (socketstate: POLLRDHUP, POLLHUP, POLLERR); then the request is given up. A caller that has sent further requests and ends only its own side is not taken for gone until these have been read.

Result: tests/platform/test_gonecallers.py holds the process up for 3 s as a request is about to be sent, while 40 callers leave. With the check disabled one request reached the target in both variants (end, reset), with it none.

--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -37,9 +37,9 @@
 from vanillabeam.forwarding.sending.exchange import Exchange
 from vanillabeam.forwarding.sending.pools import Pools
 from vanillabeam.forwarding.sending.sentparts import SentParts
-from vanillabeam.httpserver import abort_of
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.memory import Holding, MemoryBudget
+from vanillabeam.requestscope import connection_of
 
 __all__ = ["ForwardingApp"]
 
@@ -128,6 +128,7 @@
             send,
             closes=self._lifecycle.draining.is_set,
             collects=scope["http_version"] == "1.0",
+            has_left=connection_of(scope).has_left,
         )
         self._lifecycle.request_started(number)
         try:
@@ -156,7 +157,11 @@
                 await self._refuse_body(request, body.failure(), receive, writer)
                 return
             request = request._replace(body=body.unwrap())
-            await self._exchange(request, receive, writer, abort_of(scope))
+            if writer.has_caller_left():
+                self._record_left(request)
+                return
+            abort = connection_of(scope).abort
+            await self._exchange(request, receive, writer, abort)
 
     async def _refuse_body(
         self,
@@ -251,6 +256,7 @@
         exchange = Exchange(request, self._resources, writer)
         failure = None
         async with trio.open_nursery() as nursery:
+            writer.on_left = nursery.cancel_scope.cancel
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
             ends_s = max(request.ends_s, trio.current_time())
             nursery.start_soon(_abort_at, ends_s + ABORT_DELAY_S, writer, abort)
@@ -302,8 +308,12 @@
             counters.requests.labels(route, "answered", str(writer.status)).inc()
             counters.total_s.labels(route).observe(total_s)
         else:
-            log_record(CallerGone(request_id, total_s))
-            counters.requests.labels(route, "caller-gone", "").inc()
+            self._record_left(request)
+
+    def _record_left(self, request: AdmittedRequest) -> None:
+        total_s = round(trio.current_time() - request.began_s, 4)
+        log_record(CallerGone(request.metadata.request_id, total_s))
+        self._counters.requests.labels(request.route.name, "caller-gone", "").inc()
 
     async def _refuse(
         self,
--- a/src/vanillabeam/forwarding/sending/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -129,6 +129,9 @@
         if isinstance(response, Broken):
             self.may_have_run = response.exc.run is not Run.NOT_RUN
             self.was_sent = self.may_have_run
+            if self._writer.is_abandoned:
+                # The request was cancelled with this finding.
+                await trio.lowlevel.checkpoint_if_cancelled()
             return response
         self.was_sent = True
         self.answer_end = AnswerEnd(str(response.framing))
@@ -195,10 +198,10 @@
     def _may_send(self) -> bool:
         """Return whether the request may still be sent, after a wait for a connection.
 
-        The target may have asked to be left out or have named a limit, or a part may
-        have been quarantined.
+        The target may have asked to be left out or have named a limit, a part may have
+        been quarantined, or the caller may have left.
         """
-        if self._passage.is_barred():
+        if self._writer.has_caller_left() or self._passage.is_barred():
             return False
         chooser, now_s = self._resources.chooser, trio.current_time()
         target = self._choice.target
--- a/src/vanillabeam/forwarding/sending/downstream.py
+++ b/src/vanillabeam/forwarding/sending/downstream.py
@@ -43,6 +43,9 @@
     :param collects: whether a stream is held until it is whole and sent with its
         length, because the caller's HTTP version has no chunks: only the end of the
         connection would mark the end of the stream, broken off or not.
+    :param has_left: asked whether the caller has ended its connection.
+    :ivar on_left: called when the caller is found to have left.
+    :ivar is_abandoned: whether the caller was found to have left.
     :ivar started: whether the head of the answer has been sent.
     :ivar is_whole: whether all of the answer is here, though the caller may not yet
         have taken it.
@@ -55,7 +58,11 @@
         send,
         closes: Callable[[], bool] = lambda: False,
         collects: bool = False,
+        has_left: Callable[[], bool] = lambda: False,
     ):
+        self._has_left = has_left
+        self.on_left: Callable[[], None] = lambda: None
+        self.is_abandoned = False
         self._send = send
         self._closes = closes
         self._collects = collects
@@ -66,6 +73,13 @@
         self.finished = False
         self.status = 0
 
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has left; if so, its request is given up."""
+        if not self.is_abandoned and self._has_left():
+            self.is_abandoned = True
+            self.on_left()
+        return self.is_abandoned
+
     async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer of a target."""
         self.is_whole = True
--- a/src/vanillabeam/httpserver.py
+++ b/src/vanillabeam/httpserver.py
@@ -23,16 +23,14 @@
 
 from vanillabeam.accepting import accept_rest, hold_socket, open_listeners
 from vanillabeam.decisions import ConnectionFailed, ConnectionStalled, log_record
+from vanillabeam.requestscope import CONNECTION, ConnectionState
+from vanillabeam.socketstate import has_ended, received_age_s
 
 if TYPE_CHECKING:
     from hypercorn.config import Config
 
-__all__ = ["ABORT", "abort_of", "connected_s", "serve"]
+__all__ = ["serve"]
 
-#: Extension of the ASGI scope: closes the connection of the request at once.
-ABORT = "vanillabeam.abort"
-#: Extension of the ASGI scope: monotonic time at which the connection was accepted.
-ACCEPTED_S = "vanillabeam.accepted_s"
 MAJOR_VERSION = b"1."
 DISCONNECT = "http.disconnect"
 HTTP_VERSION_NOT_SUPPORTED = 505
@@ -48,23 +46,6 @@
 MAX_CONNECTIONS = 2_000
 
 
-def abort_of(scope) -> Callable[[], None]:
-    """Return the function that closes the connection of a request at once.
-
-    It ends a send to a caller that doesn't read, which cancellation can't end.
-    """
-    return scope.get("extensions", {}).get(ABORT, _ignore)
-
-
-def connected_s(scope) -> float:
-    """Return the monotonic time at which a request's connection was accepted."""
-    return scope.get("extensions", {}).get(ACCEPTED_S, -inf)
-
-
-def _ignore() -> None:
-    """Do nothing: the request came over no connection."""
-
-
 async def serve(
     app: Any,
     config: "Config",
@@ -247,6 +228,8 @@
         self._connections = connections
         self._accepted_s = trio.current_time()
         self._is_idle = True
+        #: Time from which on bytes that arrive are those of the next request.
+        self._ended_s = -inf
         self._reading = trio.CancelScope()
         self._is_tls = isinstance(stream, trio.SSLStream)
         transport = stream.transport_stream if self._is_tls else stream
@@ -310,6 +293,8 @@
         if isinstance(event, Updated):
             self._is_idle = event.idle
             self._connections.set_idle(self, event.idle)
+            if event.idle:
+                self._ended_s = trio.current_time()
         await super().protocol_send(event)
         if isinstance(event, Closed):
             # The reader may wait for an application that has ended.
@@ -337,6 +322,23 @@
         age_s = trio.current_time() - self._accepted_s
         return not self.protocol.keep_alive_requests and age_s < ARRIVAL_S
 
+    def _arrived_s(self) -> float:
+        """Return when the request that begins now has arrived, as the kernel knows.
+
+        One that was sent behind another arrives with the end of that one.
+        """
+        arrived_s = trio.current_time() - received_age_s(self._socket)
+        return max(arrived_s, self._ended_s)
+
+    def _has_left(self) -> bool:
+        """Return whether the caller has ended the connection.
+
+        A caller that has sent further requests may end only its own side and still
+        read; its end counts once these requests have been read.
+        """
+        unread, _ = self.protocol.connection.trailing_data
+        return not unread and has_ended(self._socket)
+
     async def _send(self, data: bytes) -> None:
         """Send bytes; close the connection if the caller takes none of them."""
         async with self.send_lock:
@@ -364,9 +366,10 @@
         sync_spawn: Any,
         call_soon: Any,
     ) -> None:
-        """Call the application as hypercorn does, with :data:`ABORT` in its scope."""
-        scope["extensions"][ABORT] = self.abort
-        scope["extensions"][ACCEPTED_S] = self._accepted_s
+        """Call the application as hypercorn does, with the connection in its scope."""
+        scope["extensions"][CONNECTION] = ConnectionState(
+            self.abort, self._accepted_s, self._arrived_s(), self._has_left
+        )
         try:
             await self._asgi_app(scope, receive, send)
         except* Exception as group:
--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -24,11 +24,11 @@
 from vanillabeam.fleet.orderguard import Caller
 from vanillabeam.fleetvm import MAX_BODY_BYTES
 from vanillabeam.forwarding.sending.downstream import read_body
-from vanillabeam.httpserver import connected_s
 from vanillabeam.log import Applied
 from vanillabeam.memory import MemoryBudget
 from vanillabeam.platform.documents import check_document
 from vanillabeam.platform.heartbeats import read_heartbeat, read_leave
+from vanillabeam.requestscope import connection_of
 
 __all__ = ["ControlApp"]
 
@@ -94,7 +94,9 @@
             if isinstance(body, Failure):
                 exc = body.failure()
                 return _error_answer(int(exc.status), exc)
-            caller = Caller(connected_s(scope), partial(_wait_gone, receive))
+            caller = Caller(
+                connection_of(scope).accepted_s, partial(_wait_gone, receive)
+            )
             return await handler(_Call(unquote(argument), body.unwrap(), caller))
 
     async def _heartbeat(self, call: _Call) -> Answer:
