Refuse what an entry VM short of processor time would send too late

Cause: an entry VM with 0.12 of a core kept every request and sent it seconds later, when its objective had passed or its caller had left.

Change: overload.backlog measures the wait from a request's arrival (TCP_INFO) to our first step, and the lateness of a timer. With a standing backlog it refuses what it would send after the objective or time limit (vm-overloaded), with a Retry-After that spreads returns; one new request begins in each turn of the event loop, so that answers under way go first. A VM that is overloaded for 3 s reports itself not ready while others have room (overload.withdrawal); the VMs tell each other by EntryLoad["overloaded"], NotRequired. The age of a request counts from its arrival.

--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -28,6 +28,7 @@
 from vanillabeam.decisions.process import (
     LibraryWarned,
     LinesDropped,
+    OverloadChanged,
     PortFree,
     PortTaken,
     Ready,
@@ -102,6 +103,7 @@
     "OrderRead",
     "OrderSettled",
     "OrderUnsettled",
+    "OverloadChanged",
     "PartConvicted",
     "PartsFreed",
     "PartsRetired",
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -73,6 +73,7 @@
     control.HomeChosen: Kind("INFO", _RARE_LINES_S),
     control.MemberRemoved: Kind("WARNING", _RARE_LINES_S),
     process.TaskFailed: Kind("ERROR", _RARE_LINES_S),
+    process.OverloadChanged: Kind("WARNING", _RARE_LINES_S),
     process.Started: Kind("INFO", _RARE_LINES_S),
     process.PortTaken: Kind("ERROR", _RARE_LINES_S),
     process.PortFree: Kind("WARNING", _RARE_LINES_S),
--- a/src/vanillabeam/decisions/process.py
+++ b/src/vanillabeam/decisions/process.py
@@ -5,6 +5,7 @@
 __all__ = [
     "LibraryWarned",
     "LinesDropped",
+    "OverloadChanged",
     "PortFree",
     "PortTaken",
     "Ready",
@@ -27,6 +28,30 @@
     detail: str
 
 
+class OverloadChanged(NamedTuple):
+    """This entry VM has become short of processor time, or no longer is.
+
+    It refuses requests that it would send to a target too late.
+
+    :param overloaded: whether it is short of processor time now.
+    :param ready: whether it reports itself ready. It doesn't while others can take
+        over.
+    :param delay_s: seconds until a request that is read now would be sent.
+    :param waited_s: seconds that each recent request waited for its first step.
+    :param lag_s: median lateness of timers in seconds.
+    :param others: other entry VMs that are overloaded; ``None`` if not known.
+    :param refused: requests refused for this since the start of the process.
+    """
+
+    overloaded: bool
+    ready: bool
+    delay_s: float
+    waited_s: float
+    lag_s: float
+    others: int | None
+    refused: int
+
+
 class Started(NamedTuple):
     """The process has started.
 
--- a/src/vanillabeam/fleet/loads.py
+++ b/src/vanillabeam/fleet/loads.py
@@ -48,16 +48,19 @@
     :param room: tokens of memory that open requests occupy, by target.
     :param answers: requests that were answered or failed, by target.
     :param failures: those of them without a valid answer, by target.
+    :param overloaded: 1 for each entry VM that is short of processor time, 2 if it also
+        reports itself not ready, by its name.
     """
 
     work: dict[str, WorkByRank]
     room: dict[str, int]
     answers: NotRequired[dict[str, int]]
     failures: NotRequired[dict[str, int]]
+    overloaded: NotRequired[dict[str, int]]
 
 
 #: Fields of a load that map a name to a number.
-COUNTS = ("room", "answers", "failures")
+COUNTS = ("room", "answers", "failures", "overloaded")
 
 
 class _Report(NamedTuple):
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -18,6 +18,7 @@
 from vanillabeam.listeners import ListenerTask
 from vanillabeam.memory import MemoryBudget
 from vanillabeam.notices import Incarnation
+from vanillabeam.overload.task import Overload
 from vanillabeam.peerhttp import PeerClient, peer_routes
 from vanillabeam.ports import wait_for_port
 from vanillabeam.readiness import SETTLE_S, Readiness
@@ -186,6 +187,9 @@
         chooser.rates.ask = PermitClient(call, follower.control_vms)
         chooser.rates.entry_count = lambda: len(follower.entry_vms)
         memory = MemoryBudget.of_memory(self.cfg.memory_bytes)
+        overload = Overload(
+            self.cfg.vm, self.lifecycle, lambda: len(follower.entry_vms)
+        )
         app = ForwardingApp(
             dialect,
             self.follower,
@@ -195,6 +199,7 @@
             self.rng,
             memory,
             self.cfg.vm,
+            overload,
         )
         self.counters.add_gauge(
             "held_bytes", "Bytes of bodies held.", lambda: memory.used_bytes
@@ -203,6 +208,12 @@
         self._add_notice_metrics(self.follower, chooser)
         nursery.start_soon(keep_running, "follower", self.follower.run)
         nursery.start_soon(keep_running, "forwarding", app.run)
+        nursery.start_soon(keep_running, "overload", overload.run)
+        self.counters.add_gauge(
+            "overload_delay_seconds",
+            "Seconds until a request that is read now is sent; 0 with time to spare.",
+            lambda: overload.backlog.delay_s(trio.current_time()),
+        )
         nursery.start_soon(keep_running, "ended targets", app.probe.run)
         readiness = self.adapter.readiness_app(self.lifecycle)
         async with trio.open_nursery() as ports:
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -22,10 +22,11 @@
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.choosing.choice import Chooser
 from vanillabeam.forwarding.dialect import Dialect, RequestMetadata
-from vanillabeam.forwarding.exceptions import StateUnknown
+from vanillabeam.forwarding.exceptions import StateUnknown, VmOverloaded
 from vanillabeam.forwarding.judging.endings import TargetEnds
 from vanillabeam.forwarding.judging.endprobe import EndProbe
 from vanillabeam.forwarding.judging.gate import QuarantineGate
+from vanillabeam.forwarding.overloadgate import OverloadGate, ReportedOverload
 from vanillabeam.forwarding.resources import Resources
 from vanillabeam.forwarding.routes import RouteTable
 from vanillabeam.forwarding.sending.downstream import (
@@ -39,6 +40,7 @@
 from vanillabeam.forwarding.sending.sentparts import SentParts
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.memory import Holding, MemoryBudget
+from vanillabeam.overload.task import Overload
 from vanillabeam.requestscope import connection_of
 
 __all__ = ["ForwardingApp"]
@@ -65,6 +67,7 @@
     :param rng: seeded; adds jitter to the Retry-After of refused callers.
     :param memory: bytes of bodies that all requests may hold.
     :param vm: name of this VM.
+    :param overload: overload of this VM; ``None`` where it is not measured.
     :ivar probe: task that checks whether targets have ended.
     """
 
@@ -78,6 +81,7 @@
         rng: random.Random,
         memory: MemoryBudget | None = None,
         vm: str = "",
+        overload: Overload | None = None,
     ):
         memory = memory or MemoryBudget()
         ends = TargetEnds()
@@ -99,6 +103,9 @@
         self._counters = counters
         chooser.is_paused = follower.targets.is_paused
         follower.load = chooser.load
+        if overload is not None:
+            follower.load = ReportedOverload(chooser.load, overload)
+        self._overload = OverloadGate(overload)
         self._lifecycle = lifecycle
         self._began_s = trio.current_time()
         self._rng = rng
@@ -122,7 +129,9 @@
 
     async def __call__(self, scope, receive, send) -> None:
         """Serve one request."""
-        began_s = trio.current_time()
+        now_s = trio.current_time()
+        began_s = min(now_s, connection_of(scope).arrived_s)
+        self._overload.record_start(began_s, now_s)
         number = str(next(self._numbers))
         writer = ResponseWriter(
             send,
@@ -145,6 +154,7 @@
             return
         await self._wait_for_state(began_s)
         admitted = self._admit(metadata.unwrap(), scope, began_s)
+        admitted = admitted.bind(self._overload.check)
         if isinstance(admitted, Failure):
             kind = admitted.failure().type
             self._counters.requests.labels("", "refused", kind).inc()
@@ -157,9 +167,14 @@
                 await self._refuse_body(request, body.failure(), receive, writer)
                 return
             request = request._replace(body=body.unwrap())
+            await self._overload.take_turn()
             if writer.has_caller_left():
                 self._record_left(request)
                 return
+            checked = self._overload.check(request)
+            if isinstance(checked, Failure):
+                await self._refuse_admitted(request, checked.failure(), writer)
+                return
             abort = connection_of(scope).abort
             await self._exchange(request, receive, writer, abort)
 
@@ -170,12 +185,20 @@
         receive,
         writer: ResponseWriter,
     ) -> None:
-        labels = (request.route.name, "refused", exc.type)
-        self._counters.requests.labels(*labels).inc()
-        request_id = request.metadata.request_id
         is_gone = isinstance(exc, MalformedBody)
         before_end = None if is_gone else partial(discard_body, receive)
-        await self._refuse(writer, request_id, exc, before_end)
+        await self._refuse_admitted(request, exc, writer, before_end)
+
+    async def _refuse_admitted(
+        self,
+        request: AdmittedRequest,
+        exc: VanillabeamError,
+        writer: ResponseWriter,
+        before_end: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
+        labels = (request.route.name, "refused", exc.type)
+        self._counters.requests.labels(*labels).inc()
+        await self._refuse(writer, request.metadata.request_id, exc, before_end)
 
     async def _read_body(
         self, request: AdmittedRequest, receive, holding: Holding
@@ -207,7 +230,7 @@
     ) -> Result[AdmittedRequest, VanillabeamError]:
         """Return the request with its route and workspace.
 
-        :param began_s: monotonic time at which the head of the request was read.
+        :param began_s: monotonic time at which the request arrived.
         """
         view = self._resources.follower.view
         if not self._resources.follower.is_current:
@@ -323,7 +346,8 @@
         before_end: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         retry_after_s = exc.retry_after_s
-        if retry_after_s is not None:
+        # An overloaded VM has spread the returns of its callers already.
+        if retry_after_s is not None and not isinstance(exc, VmOverloaded):
             retry_after_s = spread_retry_after(retry_after_s, self._rng)
         log_record(
             RequestRefused(
--- a/src/vanillabeam/forwarding/exceptions.py
+++ b/src/vanillabeam/forwarding/exceptions.py
@@ -22,6 +22,7 @@
     "TargetsLimited",
     "TargetsPaused",
     "TooLate",
+    "VmOverloaded",
 ]
 
 #: Limits of the Retry-After of a refused caller.
@@ -136,6 +137,19 @@
         self.retry_after_s = min(max(MIN_RETRY_AFTER_S, wait_s), MAX_RETRY_AFTER_S)
 
 
+class VmOverloaded(NoTarget):
+    """This VM is short of processor time and would send the request too late.
+
+    :param wait_s: seconds after which this VM can take the request.
+    """
+
+    type = "vm-overloaded"
+
+    def __init__(self, detail: str = "", wait_s: float = MIN_RETRY_AFTER_S):
+        super().__init__(detail)
+        self.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
+
+
 class AnswerLate(ForwardingError):
     """The route's time has passed without a whole answer."""
 
--- a/src/vanillabeam/lifecycle.py
+++ b/src/vanillabeam/lifecycle.py
@@ -35,6 +35,7 @@
     :param state: state of the core.
     :param close_listeners: called once during a drain, to stop new connections.
     :ivar draining: set when a planned stop begins.
+    :ivar is_withdrawn: whether other VMs are to take the requests for a time.
     :ivar exit_code: exit code; ``None`` until :meth:`run` has returned.
     :ivar cut_requests: number of requests that the stop cut off.
     :ivar drained_s: duration of the drain in seconds.
@@ -49,6 +50,7 @@
         self._close_listeners = close_listeners
         self._stopped = trio.Event()
         self.draining = trio.Event()
+        self.is_withdrawn = False
         self.exit_code: int | None = None
         self.cut_requests = 0
         self.drained_s = 0.0
@@ -61,7 +63,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send requests to this VM."""
-        return self._state.phase is Phase.READY
+        return self._state.phase is Phase.READY and not self.is_withdrawn
 
     @property
     def open_requests(self) -> int:
