--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -34,6 +34,7 @@
 from vanillabeam.decisions.process import (
     LibraryWarned,
     LinesDropped,
+    OverloadChanged,
     PortFree,
     PortTaken,
     Ready,
@@ -114,6 +115,7 @@
     "OrderRead",
     "OrderSettled",
     "OrderUnsettled",
+    "OverloadChanged",
     "PartConvicted",
     "PartsFreed",
     "PartsRetired",
