--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -19,6 +19,12 @@
     OrderUnsettled,
     StateInForce,
 )
+from vanillabeam.decisions.exposure import (
+    ExposureChanged,
+    RolloutInForce,
+    VersionHeld,
+    VersionsBarred,
+)
 from vanillabeam.decisions.lines import (
     KINDS,
     LINE_BUDGETS,
@@ -29,6 +35,7 @@
 from vanillabeam.decisions.process import (
     LibraryWarned,
     LinesDropped,
+    OverloadChanged,
     PortFree,
     PortTaken,
     Ready,
@@ -56,6 +63,11 @@
     RequestRefused,
     TargetChosen,
 )
+from vanillabeam.decisions.rollouts import (
+    RolloutOrdered,
+    RolloutStepped,
+    RolloutSuspected,
+)
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
     FenceRaised,
@@ -93,6 +105,7 @@
     "ControlHeard",
     "DeploymentRefused",
     "DeploymentUnreadable",
+    "ExposureChanged",
     "FenceRaised",
     "HomeChosen",
     "LoadsExchanged",
@@ -104,6 +117,7 @@
     "OrderRead",
     "OrderSettled",
     "OrderUnsettled",
+    "OverloadChanged",
     "PartConvicted",
     "PartsFreed",
     "PartsRetired",
@@ -116,6 +130,10 @@
     "RequestAdmitted",
     "RequestAnswered",
     "RequestRefused",
+    "RolloutInForce",
+    "RolloutOrdered",
+    "RolloutStepped",
+    "RolloutSuspected",
     "SeedsChanged",
     "SettingsUnreadable",
     "Started",
@@ -136,6 +154,8 @@
     "TargetUnlimited",
     "TargetUnlisted",
     "TaskFailed",
+    "VersionHeld",
+    "VersionsBarred",
     "WeightsHeld",
     "WeightsOrdered",
     "event_name",
--- a/src/vanillabeam/fleet/loads.py
+++ b/src/vanillabeam/fleet/loads.py
@@ -52,6 +52,8 @@
     :param answers: requests that were answered or failed, by target.
     :param failures: those of them without a valid answer, by target.
     :param calls: requests that are open now, by target.
+    :param overloaded: 1 for each entry VM that is short of processor time, 2 if it also
+        reports itself not ready, by its name.
     """
 
     work: dict[str, WorkByRank]
@@ -60,10 +62,11 @@
     failures: NotRequired[dict[str, int]]
     calls: NotRequired[dict[str, int]]
 
+    overloaded: NotRequired[dict[str, int]]
 
-#: Fields of a load that map a name to a number.
-COUNTS = ("room", "answers", "failures", "calls")
 
+#: Fields of a load that map a name to a number.
+COUNTS = ("room", "answers", "failures", "calls", "overloaded")
 
 #: Open work by the group of entry VMs that tell each other directly what is open.
 LoadsByGroup = dict[str, EntryLoad]
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -4,6 +4,7 @@
 from hashlib import blake2b
 from typing import NotRequired, TypedDict
 
+from vanillabeam.canary.records import RolloutReport
 from vanillabeam.fleet.directory import Directory, TargetRecord
 from vanillabeam.fleet.evidence import Evidence
 from vanillabeam.fleet.loads import EntryLoad, LoadsByGroup, LoadScope
@@ -50,6 +51,7 @@
     :param data_centre: its data centre; only with ``peer``.
     :param group: group that it exchanges loads with; only with ``peer``.
     :param peers_digest: digest of the names of the VMs of that group that it knows.
+    :param rollouts: what it has seen of running rollouts; omitted if none is running.
     """
 
     vm: str
@@ -69,6 +71,7 @@
     data_centre: NotRequired[str]
     group: NotRequired[str]
     peers_digest: NotRequired[str]
+    rollouts: NotRequired[list[RolloutReport]]
 
 
 class TargetReport(TypedDict):
