Learn the speed of each target and balance by it

One speed per service sent as much to a slow target as to a fast one and refused prompts by the mean of both. vanillabeam.capacity keeps for each target the median of its time per unit over the last seven half-second samples of all VMs' sums, and the growth with open requests. Waits, suspicion, refusals and the order of prompts use it; plain calls are weighted by it. A target believed slow gets one call a second over all VMs, else it would never be used again.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -280,7 +280,9 @@
             parts=prompt_parts,
             output_tokens=kind.output_tokens,
         )
-        cost_ratio = fetch_cost_ratio(KV_BYTES, STORE_BYTES_S, load.tokens_s("llm"))
+        cost_ratio = fetch_cost_ratio(
+            KV_BYTES, STORE_BYTES_S, load.tokens_s("llm", simulation.clock.now_s)
+        )
 
         def find_cost(part_id: str) -> FetchCost | None:
             store = simulation.find_store(part_id)
--- a/src/vanillabeam/fleet/loads.py
+++ b/src/vanillabeam/fleet/loads.py
@@ -1,6 +1,7 @@
 """Open work of the entry VMs at targets, as each VM last reported it."""
 
 from enum import StrEnum
+from itertools import zip_longest
 from typing import NamedTuple, NotRequired, Protocol, TypedDict
 
 __all__ = [
@@ -50,6 +51,9 @@
     :param answers: requests that were answered or failed, by target.
     :param failures: those of them without a valid answer, by target.
     :param calls: requests that are open now, by target.
+    :param prefills: sums over prompts answered in the last second, by target; see
+        :class:`vanillabeam.capacity.counts.Sums`.
+    :param ended: the same of plain calls.
     """
 
     work: dict[str, WorkByRank]
@@ -57,10 +61,14 @@
     answers: NotRequired[dict[str, int]]
     failures: NotRequired[dict[str, int]]
     calls: NotRequired[dict[str, int]]
+    prefills: NotRequired[dict[str, list[int]]]
+    ended: NotRequired[dict[str, list[int]]]
 
 
 #: Fields of a load that map a name to a number.
 COUNTS = ("room", "answers", "failures", "calls")
+#: Fields of a load that map a name to several numbers.
+SUMS = ("prefills", "ended")
 
 
 class _Report(NamedTuple):
@@ -135,14 +143,14 @@
 def make_load(
     work: dict[str, WorkByRank] | None = None,
     room: dict[str, int] | None = None,
-    **counts: dict[str, int],
+    **counts: dict,
 ) -> EntryLoad:
     """Return a load; an omitted part is empty.
 
     :param counts: the other fields of a load.
     """
     load = EntryLoad(work=work or {}, room=room or {})
-    for name in COUNTS[1:]:
+    for name in (*COUNTS[1:], *SUMS):
         load[name] = counts.get(name, {})
     return load
 
@@ -164,6 +172,19 @@
             del total["work"][target]
     for name in COUNTS:
         _add(total[name], load.get(name, {}), sign)
+    for name in SUMS:
+        _add_lists(total[name], load.get(name, {}), sign)
+
+
+def _add_lists(sums: dict, counts: dict, sign: int) -> None:
+    """Add lists of numbers to ``sums``, or subtract them; those of 0 are dropped."""
+    for key, numbers in counts.items():
+        pairs = zip_longest(sums.get(key, ()), numbers, fillvalue=0)
+        totals = [total + sign * number for total, number in pairs]
+        if any(totals):
+            sums[key] = totals
+        else:
+            sums.pop(key, None)
 
 
 def _add(sums: dict, tokens: dict, sign: int) -> None:
--- a/src/vanillabeam/forwarding/choosing/callorder.py
+++ b/src/vanillabeam/forwarding/choosing/callorder.py
@@ -28,7 +28,7 @@
 MIN_CANDIDATES = 2
 #: Share of an open request by which the spare slots of a target shrink. With a whole
 #: one, the shares of nearly full targets swing, as the reports are late.
-OPEN_WEIGHT = 0.5
+OPEN_WEIGHT = 0.25
 MIN_SPARE_SLOTS = 0.1
 #: Share of a call by which a target counts as slower when data centres are compared,
 #: at the last slot; it grows as the square of the slots in use. Reports are late, so a
@@ -42,6 +42,10 @@
 SPILL_S = 0.5
 RETURN_S = 6.0
 MIN_REMOTE_SHARE = 0.02
+#: Time without an answer after which a target that seems slow gets a call, and the time
+#: between two such calls, over all entry VMs.
+PROBE_AGE_S = 1.5
+PROBE_S = 1.0
 #: Seconds of a call while they are unknown.
 DEFAULT_CALL_S = 0.1
 
@@ -79,6 +83,7 @@
         self._turns: dict[str, dict[str, float]] = {}
         #: Smoothed weight of other data centres, by service, and when it was updated.
         self._shares: dict[str, tuple[float, float]] = {}
+        self._sorted_s: dict[str, float] = {}
 
     def sort(
         self,
@@ -98,8 +103,19 @@
         is_timed = all(call_s)
         penalty = REMOTE_PENALTY_S if is_timed else REMOTE_PENALTY_REQUESTS
         failures = load.observed.failure_excess(target.name for target in usable)
+        unproven = load.unproven(target.name for target in usable)
+        usual_share = _usual_share(load, usable, now_s) if unproven else 0.0
         places = [
-            self._place(load, service, target, seconds, failures, is_timed, now_s)
+            self._place(
+                load,
+                service,
+                target,
+                seconds,
+                failures,
+                is_timed,
+                usual_share if target.name in unproven else 0.0,
+                now_s,
+            )
             for target, seconds in zip(usable, call_s, strict=True)
         ]
 
@@ -113,7 +129,7 @@
         pool = [place for place in places if remote_share or not place.is_remote]
         pool.sort(key=lambda place: -turns[place.target.name])
         count = max(MIN_CANDIDATES, math.ceil(len(pool) / max(1, entries)))
-        best = _best(pool[:count])
+        best = self._probe(load, service, pool, entries, now_s) or _best(pool[:count])
         turns[best.target.name] -= 1.0
         others = sorted((place for place in places if place is not best), key=far_cost)
         return [place.target for place in [best, *others]]
@@ -126,12 +142,14 @@
         call_s: float,
         failures: dict[str, float],
         is_timed: bool,
+        least_share: float,
         now_s: float,
     ) -> _Place:
         held_s = call_s or DEFAULT_CALL_S
         open_ = load.all_open_requests(target.name, now_s, held_s)
         well = load.takes_well(target.name, service, now_s) or target.slots
         slots = max(1, min(target.slots, well))
+        open_ = max(open_, least_share * slots)
         failing = FAILURE_PENALTY_REQUESTS * failures.get(target.name, 0.0)
         is_remote = target.data_centre != self._data_centre
         own = load.open_requests(target.name) / slots
@@ -144,6 +162,34 @@
             target, is_remote, rounds * call_s, hedged * call_s, spare / call_s, own
         )
 
+    def _probe(
+        self,
+        load: Load,
+        service: str,
+        places: list[_Place],
+        entries: int,
+        now_s: float,
+    ) -> _Place | None:
+        """Return a target that is believed to be slow and unused, if its turn has come.
+
+        Without calls it would be believed to be slow for ever. Over all entry VMs, each
+        such target gets one call in :data:`PROBE_S`.
+        """
+        passed_s = min(PROBE_S, now_s - self._sorted_s.get(service, now_s))
+        self._sorted_s[service] = now_s
+        chance = passed_s / (PROBE_S * max(1, entries))
+        least = min(place.cost for place in places)
+        for place in places:
+            name = place.target.name
+            if (
+                place.cost > BETTER_FACTOR * least
+                and not place.own
+                and load.capacity.call_age_s(name, now_s) > PROBE_AGE_S
+                and self._rng.random() < chance
+            ):
+                return place
+        return None
+
     def _smooth(self, service: str, share: float, entries: int, now_s: float) -> float:
         """Return the smoothed weight of targets in other data centres.
 
@@ -183,6 +229,16 @@
     return min((each for each in places if each.cost <= limit), key=_own_requests)
 
 
+def _usual_share(load: Load, usable: Sequence[Target], now_s: float) -> float:
+    """Return the share of slots in use, over all targets.
+
+    A target that has answered nobody yet counts as used that much, so that it gets no
+    more than its share although it is idle.
+    """
+    open_ = sum(load.all_open_requests(target.name, now_s) for target in usable)
+    return open_ / max(1, sum(target.slots for target in usable))
+
+
 def _own_requests(place: _Place) -> float:
     return place.own
 
--- a/src/vanillabeam/forwarding/choosing/choice.py
+++ b/src/vanillabeam/forwarding/choosing/choice.py
@@ -205,7 +205,7 @@
         self.notices.keep_only(incarnations, now_s)
         self.rates.keep_only(incarnations, now_s)
         self._cold_limiter.keep_only(names)
-        self.load.keep_only(names)
+        self.load.keep_only(incarnations, now_s)
 
     def explain_refusal(
         self,
@@ -352,7 +352,7 @@
         age_s = now_s - self._directory.records[target.name].last_seen_s
         rank, memory_tokens = (costs.rank, costs.memory_tokens) if costs else (0, 0)
         queued_tokens = self.load.queued_tokens(target.name, rank) + work
-        wait_s = self.load.wait_s(service, queued_tokens)
+        wait_s = self.load.wait_s(target.name, service, queued_tokens, now_s)
         loads_age_s = self.load.others_age_s(now_s)
         names = [other.name for other in self.targets_of(service)]
         failures = self.load.observed.failure_excess(names)
--- a/src/vanillabeam/forwarding/choosing/load.py
+++ b/src/vanillabeam/forwarding/choosing/load.py
@@ -1,6 +1,9 @@
 """Load of each target, and the speed at which it is processed."""
 
-from vanillabeam.fleet.loads import EntryLoad, add_loads
+from collections.abc import Iterable
+
+from vanillabeam.capacity.core import TargetCapacity
+from vanillabeam.fleet.loads import EntryLoad, add_loads, make_load
 from vanillabeam.forwarding.choosing.observations import Observations
 from vanillabeam.forwarding.choosing.openwork import (
     OpenRequest,
@@ -11,12 +14,8 @@
 
 __all__ = ["Load", "OpenRequest", "UnreportedLoad"]
 
-#: Fewest queued tokens of a request whose wait updates the estimated speed.
-MIN_SAMPLE_TOKENS = 4_000
-#: Seconds without such a wait after which a prompt may test the estimated speed.
+#: Seconds without a wait that shows the speed after which a prompt may test it.
 SPEED_TTL_S = 10.0
-#: Weight of one wait in the moving average of the speed.
-RATE_SMOOTHING = 0.05
 #: Multiple of the expected wait after which a silent target is suspect.
 SUSPECT_WAIT_FACTOR = 3.0
 
@@ -25,6 +24,7 @@
     """Load of targets by this entry VM and, as last reported, by the others.
 
     :ivar observed: recent outcomes of requests, of all entry VMs.
+    :ivar capacity: speed of each target, and the open requests from which it slows.
 
     >>> load = Load()
     >>> opened = load.record_start("t-1", rank=2, tokens=900, now_s=1.0)
@@ -38,14 +38,17 @@
         self.observed = Observations()
         self._work = OpenWork()
         self._silence = Silence()
-        self._rates: dict[str, float] = {}
-        self._rated_s: dict[str, float] = {}
+        self.capacity = TargetCapacity()
+        #: Seconds until the head of the answer of open plain calls, by number.
+        self._call_s: dict[int, float] = {}
         self.used_memory_tokens = self._work.used_memory_tokens
         self.unreported_load = self._work.unreported_load
         self.open_requests = self._work.open_requests
         self.all_open_requests = self._work.all_open_requests
         self.queued_tokens = self._work.queued_tokens
         self.record_activity = self._silence.record_activity
+        self.call_s = self.capacity.call_s
+        self.takes_well = self.capacity.takes_well
 
     @property
     def others(self) -> EntryLoad:
@@ -58,33 +61,44 @@
 
     def own(self, now_s: float) -> EntryLoad:
         """Return the load of this VM's own requests, and what they have observed."""
-        return add_loads(self._work.own(), self.observed.own(now_s))
+        learned = make_load(**self.capacity.own(now_s))
+        return add_loads(self._work.own(), self.observed.own(now_s), learned)
 
     def update_others(self, load: EntryLoad, now_s: float) -> None:
         """Replace the reported load of all other entry VMs."""
         self._work.update_others(load, now_s)
         self.observed.update_others(load)
+        self.capacity.update_others(load, now_s)
 
     def others_age_s(self, now_s: float) -> float | None:
         """Return the seconds since the others' load arrived, ``None`` before."""
         seen_s = self._work.others_seen_s
         return None if seen_s is None else now_s - seen_s
 
-    def wait_s(self, service: str, tokens: int) -> float:
-        """Return the seconds that a service's target takes for some work.
+    def wait_s(self, target: str, service: str, tokens: float, now_s: float) -> float:
+        """Return the seconds that a target takes for some work.
 
         :param tokens: work, in tokens to prefill.
         :returns: 0 while the speed is unknown.
         """
-        rate = self._rates.get(service)
-        return tokens / rate if rate else 0.0
+        open_requests = self.all_open_requests(target, now_s)
+        return self.capacity.wait_s(target, service, tokens, now_s, open_requests)
 
-    def tokens_s(self, service: str) -> float:
-        """Return the tokens per second that a service's targets process.
+    def tokens_s(self, service: str, now_s: float) -> float:
+        """Return the tokens per second that a service's targets process; the median.
 
         :returns: 0 while the speed is unknown.
         """
-        return self._rates.get(service, 0.0)
+        return self.capacity.service_tokens_s(service, now_s)
+
+    def unproven(self, targets: Iterable[str]) -> set[str]:
+        """Return the targets that have answered no entry VM while most others have.
+
+        :param targets: names of a service's targets.
+        """
+        names = set(targets)
+        unproven = {name for name in names if not self.capacity.is_proven(name)}
+        return unproven if 2 * len(unproven) < len(names) else set()
 
     def tries_speed(self, target: str, service: str, rank: int, now_s: float) -> bool:
         """Return whether a prompt is to be sent although it seems to be too late.
@@ -94,8 +108,8 @@
 
         :param rank: urgency of the prompt, 0 is the most urgent.
         """
-        rated_s = self._rated_s.get(service)
-        is_old = rated_s is not None and now_s - rated_s > SPEED_TTL_S
+        age_s = self.capacity.evidence_age_s(target, service, now_s)
+        is_old = age_s is not None and age_s > SPEED_TTL_S
         return is_old and not self.queued_tokens(target, rank)
 
     def record_start(
@@ -126,46 +140,48 @@
             return
         self._silence.record_activity(request.target, now_s)
         self._work.record_response(request)
-        self._update_rate(service, request, now_s)
+        waited_s = now_s - request.began_s
+        if request.is_call:
+            self._call_s[request.number] = waited_s
+        else:
+            self.capacity.record_prompt(
+                request.target,
+                service,
+                request.queued_tokens,
+                request.open_requests,
+                waited_s,
+                now_s,
+            )
+
+    def record_call(
+        self, request: OpenRequest, service: str, failed: bool, now_s: float
+    ) -> None:
+        """Record the outcome of a plain call before its end.
+
+        :param failed: whether its answer was a failure or a refusal.
+        """
+        took_s = self._call_s.pop(request.number, None)
+        if took_s is not None:
+            self.capacity.record_call(
+                request.target, service, request.open_requests, took_s, failed, now_s
+            )
 
     def record_end(self, request: OpenRequest) -> None:
         """Record the end of a request, answered or not."""
+        self._call_s.pop(request.number, None)
         was_answered = not self._silence.pop(request)
         self._work.record_end(request, was_answered)
 
-    def keep_only(self, targets: set[str]) -> None:
-        """Forget when all other targets last sent data."""
-        self._silence.keep_only(targets)
-
-    def call_s(self, target: str, service: str, open_calls: int, now_s: float) -> float:
-        """Return the seconds of a plain call at a target.
-
-        :param open_calls: calls that are open there, this one included.
-        :returns: 0 while it is unknown.
-        """
-        return 0.0
-
-    def takes_well(self, target: str, service: str, now_s: float) -> int | None:
-        """Return the open requests that a target takes without slowing down.
-
-        :returns: ``None`` while it is unknown.
-        """
-        return None
+    def keep_only(self, incarnations: set[tuple[str, int]], now_s: float) -> None:
+        """Forget what is known of all other incarnations of targets."""
+        self._silence.keep_only({name for name, _ in incarnations})
+        self.capacity.keep_only(incarnations, now_s)
 
     def is_suspect(self, target: str, service: str, now_s: float) -> bool:
         """Return whether a target is silent for longer than its work explains."""
         first = self._silence.first_unanswered(target)
         if first is None:
             return False
-        expected_s = SUSPECT_WAIT_FACTOR * self.wait_s(service, first.queued_tokens)
-        limit_s = max(first.silence_limit_s, expected_s)
+        expected_s = self.wait_s(target, service, first.queued_tokens, now_s)
+        limit_s = max(first.silence_limit_s, SUSPECT_WAIT_FACTOR * expected_s)
         return self._silence.silent_s(first, now_s) > limit_s
-
-    def _update_rate(self, service: str, request: OpenRequest, now_s: float) -> None:
-        waited_s = now_s - request.began_s
-        if request.queued_tokens < MIN_SAMPLE_TOKENS or waited_s <= 0:
-            return
-        rate = request.queued_tokens / waited_s
-        previous_rate = self._rates.get(service, rate)
-        self._rates[service] = previous_rate + RATE_SMOOTHING * (rate - previous_rate)
-        self._rated_s[service] = now_s
--- a/src/vanillabeam/forwarding/choosing/ordering.py
+++ b/src/vanillabeam/forwarding/choosing/ordering.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterator
+from statistics import fmean
 
 from vanillabeam.fleet import Target
 from vanillabeam.forwarding.choosing.callorder import CallOrder
@@ -61,21 +62,29 @@
         if not preferred:
             return
         failures = load.observed.failure_excess(by_name)
-        failure_tokens = _failure_penalty_tokens(load, service, costs)
+        speed = load.tokens_s(service, now_s)
+        unproven = load.unproven(by_name)
+        usual = _usual_queue(load, usable, costs.rank) if unproven else 0.0
 
         def work(name: str) -> int:
             return costs.work_at(by_name[name], is_preferred=name == preferred[0])
 
         def expected(name: str) -> float:
-            unreported = load.unreported_load(name, entries, now_s).tokens
+            tokens = load.queued_tokens(name, costs.rank)
+            if name in unproven:
+                tokens = max(tokens, usual)
+            tokens += load.unreported_load(name, entries, now_s).tokens + work(name)
             penalty = REMOTE_PENALTY_TOKENS if self._is_remote(by_name[name]) else 0
-            penalty += failure_tokens * failures.get(name, 0.0)
-            queued = load.queued_tokens(name, costs.rank)
-            return queued + unreported + work(name) + penalty
+            if not speed:
+                return tokens + penalty
+            lost_s = FAILURE_PENALTY_OBJECTIVES * costs.objective_s
+            lost_s = penalty / speed + lost_s * failures.get(name, 0.0)
+            wait_s = load.wait_s(name, service, tokens, now_s)
+            return wait_s * _crowding(load, service, by_name[name], now_s) + lost_s
 
         candidates = self.candidates(preferred, by_name, costs)
         compared = sorted((n for n in preferred if n in candidates), key=expected)
-        if _is_late(load, service, expected(compared[0]), costs):
+        if speed and 0 < costs.objective_s < expected(compared[0]):
             compared = sorted(preferred, key=expected)
         yield from ((by_name[name], work(name)) for name in compared)
         others = [name for name in preferred if name not in compared]
@@ -91,13 +100,18 @@
         )
 
 
-def _failure_penalty_tokens(load: Load, service: str, costs: PromptCosts) -> float:
-    """Return the work that a target counts as having if all its requests fail."""
-    lost_s = FAILURE_PENALTY_OBJECTIVES * costs.objective_s
-    return lost_s * load.tokens_s(service)
+def _usual_queue(load: Load, usable: list[Target], rank: int) -> float:
+    """Return the mean of the tokens queued at targets.
+
+    A target that has answered nobody yet counts as having as many, so that it gets no
+    more than its share although nothing is queued there.
+    """
+    return fmean(load.queued_tokens(target.name, rank) for target in usable)
 
 
-def _is_late(load: Load, service: str, tokens: float, costs: PromptCosts) -> bool:
-    """Return whether a prompt would miss its objective behind that much work."""
-    expected_s = load.wait_s(service, tokens)
-    return 0 < costs.objective_s < expected_s
+def _crowding(load: Load, service: str, target: Target, now_s: float) -> float:
+    """Return by how much more requests are open at a target than it takes well."""
+    well = load.takes_well(target.name, service, now_s)
+    if well is None:
+        return 1.0
+    return max(1.0, (load.all_open_requests(target.name, now_s) + 1) / well)
--- a/src/vanillabeam/forwarding/choosing/selection.py
+++ b/src/vanillabeam/forwarding/choosing/selection.py
@@ -251,14 +251,14 @@
         return is_too_long
 
     def _estimate_costs(self) -> PromptCosts | None:
-        resources = self._resources
+        resources, now_s = self._resources, trio.current_time()
         return estimate_request_costs(
             self._request,
             self._service,
             resources.follower,
             resources.sent_parts,
-            resources.chooser.load.tokens_s(self._service),
-            trio.current_time(),
+            resources.chooser.load.tokens_s(self._service, now_s),
+            now_s,
         )
 
     def failure(self) -> NoTarget:
--- a/src/vanillabeam/forwarding/sending/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -40,6 +40,7 @@
 
 __all__ = ["Attempt"]
 
+CLIENT_ERROR = 400
 SERVER_ERROR = 500
 #: Silence after which a target is suspect: a multiple of the route's latency
 #: objective, or a fixed time where the route has no objective.
@@ -116,6 +117,7 @@
             return outcome
         finally:
             self._end_return(is_answered=False)
+            self._record_call(outcome)
             chooser.load.record_end(self._open_request)
             if outcome is not None:
                 self._record_outcome(outcome)
@@ -332,6 +334,13 @@
         self.answer_end = self.answer_end._replace(partial_bytes=relay.partial_bytes)
         return broken or Delivered(response.status)
 
+    def _record_call(self, outcome: Outcome | None) -> None:
+        """Record the time of a plain call, unless its answer is a failure."""
+        is_good = isinstance(outcome, Delivered) and outcome.status < CLIENT_ERROR
+        self._resources.chooser.load.record_call(
+            self._open_request, self._service, not is_good, trio.current_time()
+        )
+
     def _record_outcome(self, outcome: Outcome) -> None:
         recorder = OutcomeRecorder(
             self._resources, self._request.metadata, self._service, self._choice
--- a/tests/capacity/builders.py
+++ b/tests/capacity/builders.py
@@ -202,6 +202,7 @@
     def _answered(self, place, vm, arrived_s, request, size):
         load = self.loads[vm]
         load.record_response(request, SERVICE, self.now_s)
+        load.record_call(request, SERVICE, place.fails, self.now_s)
         load.record_end(request)
         load.observed.record_answer(place.name, place.fails, self.now_s)
         if place.fails:
--- a/tests/forwarding/builders.py
+++ b/tests/forwarding/builders.py
@@ -52,3 +52,12 @@
         "gate": QuarantineGate("vm-1", ends),
     }
     return Resources(**(fields | changes))
+
+
+def teach_speed(load, tokens_s, *targets, now_s=0.0):
+    """Let other entry VMs have seen how fast targets are."""
+    took_ms = round(10_000 / tokens_s * 1_000)
+    sums = {name: [2, 1, 1, took_ms, 10_000] for name in targets or ("t-known",)}
+    load.capacity.update_others({"prefills": sums}, now_s)
+    for name in sums:
+        load.capacity.tokens_s(name, "llm", now_s)
--- a/tests/forwarding/choosing/test_candidates.py
+++ b/tests/forwarding/choosing/test_candidates.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from tests.fleet.builders import BOUNDS, make_target, make_view
-from tests.forwarding.builders import make_prompt
+from tests.forwarding.builders import make_prompt, teach_speed
 from vanillabeam.fleet import Directory
 from vanillabeam.fleet.loads import make_load
 from vanillabeam.forwarding.choosing.candidates import sample_candidates
@@ -54,8 +54,8 @@
 
 def test_all_targets_are_compared_if_a_prompt_would_be_late_at_the_candidates():
     for number, chooser in enumerate(make_choosers()):
+        teach_speed(chooser.load, RATE_S, *TARGETS)
         chooser.load.update_others(BUSY, 0.0)
-        chooser.load._rates["llm"] = RATE_S
         objective_s = 5_000 / RATE_S
         assert choose(chooser, f"s-{number}", objective_s).target.name == "t-7"
 
--- a/tests/forwarding/choosing/test_choice.py
+++ b/tests/forwarding/choosing/test_choice.py
@@ -1,5 +1,10 @@
 from tests.fleet.builders import make_target, make_view
-from tests.forwarding.builders import make_chooser, make_metadata, make_prompt
+from tests.forwarding.builders import (
+    make_chooser,
+    make_metadata,
+    make_prompt,
+    teach_speed,
+)
 from vanillabeam.fleet.loads import make_load
 from vanillabeam.forwarding.choosing.callorder import REMOTE_PENALTY_REQUESTS
 from vanillabeam.forwarding.choosing.costs import estimate_costs
@@ -166,7 +171,7 @@
 
     def test_they_go_to_older_weights_if_they_would_be_late_at_the_new_ones(self):
         chooser = self.make_chooser()
-        chooser.load._rates["llm"] = 100.0
+        teach_speed(chooser.load, 100.0)
         chooser.load.update_others(make_load({"t-new": {1: 500}}), 0.0)
         assert self.choose(chooser, 2.0, objective_s=10.0) == "t-new"
         assert self.choose(chooser, 2.0, objective_s=2.0) in {"t-0", "t-1", "t-2"}
--- a/tests/forwarding/choosing/test_load.py
+++ b/tests/forwarding/choosing/test_load.py
@@ -1,5 +1,6 @@
+from vanillabeam.capacity.core import MIN_SAMPLE_TOKENS
 from vanillabeam.fleet.loads import make_load
-from vanillabeam.forwarding.choosing.load import MIN_SAMPLE_TOKENS, SPEED_TTL_S, Load
+from vanillabeam.forwarding.choosing.load import SPEED_TTL_S, Load
 from vanillabeam.forwarding.choosing.openwork import STREAM_WORK_TOKENS
 
 
@@ -28,18 +29,18 @@
 
 def test_the_speed_is_estimated_from_waits():
     load = Load()
-    assert load.wait_s("llm", 1_000) == 0.0
+    assert load.wait_s("t", "llm", 1_000, 6.0) == 0.0
     for start in range(100):
         opened = load.record_start("t", 0, 2 * MIN_SAMPLE_TOKENS, float(start))
         load.record_response(opened, "llm", start + 0.2)
         load.record_end(opened)
-    assert abs(load.wait_s("llm", 2 * MIN_SAMPLE_TOKENS) - 0.2) < 0.01
+    assert abs(load.wait_s("t", "llm", 2 * MIN_SAMPLE_TOKENS, 99.5) - 0.2) < 0.01
 
 
 def test_waits_for_little_work_do_not_change_the_estimated_speed():
     load = Load()
     load.record_response(load.record_start("t", 0, 10, 0.0), "llm", 5.0)
-    assert load.wait_s("llm", 1_000) == 0.0
+    assert load.wait_s("t", "llm", 1_000, 6.0) == 0.0
 
 
 def test_a_silent_target_is_suspect():
--- a/tests/forwarding/choosing/test_observations.py
+++ b/tests/forwarding/choosing/test_observations.py
@@ -3,7 +3,12 @@
 from collections import Counter
 
 from tests.fleet.builders import make_target, make_view
-from tests.forwarding.builders import make_chooser, make_metadata, make_prompt
+from tests.forwarding.builders import (
+    make_chooser,
+    make_metadata,
+    make_prompt,
+    teach_speed,
+)
 from vanillabeam.fleet.loads import EntryLoads, make_load
 from vanillabeam.forwarding.choosing.costs import FetchCost, estimate_costs
 from vanillabeam.forwarding.choosing.observations import WINDOW_S, Observations
@@ -101,7 +106,7 @@
 
 def test_prompts_avoid_a_target_that_fails_more_often():
     chooser = make_failing_chooser(versions={"m": 1})
-    chooser.load._rates["llm"] = TOKENS_S
+    teach_speed(chooser.load, TOKENS_S)
     chosen = Counter()
     for number in range(200):
         prompt = make_prompt(f"s-{number}")
--- a/tests/forwarding/sending/test_exchange.py
+++ b/tests/forwarding/sending/test_exchange.py
@@ -13,11 +13,12 @@
     make_prompt,
     make_resources,
 )
+from vanillabeam.capacity.core import MIN_SAMPLE_TOKENS
 from vanillabeam.fleet import RouteKind
 from vanillabeam.fleet.loads import make_load
 from vanillabeam.fleet.parts import PartView
 from vanillabeam.forwarding.admitted import AdmittedRequest
-from vanillabeam.forwarding.choosing.load import MIN_SAMPLE_TOKENS, SPEED_TTL_S
+from vanillabeam.forwarding.choosing.load import SPEED_TTL_S
 from vanillabeam.forwarding.choosing.selection import MEMORY_WAIT_OBJECTIVES
 from vanillabeam.forwarding.exceptions import AnswerBroken
 from vanillabeam.forwarding.sending.exchange import Exchange
