--- a/src/vanillabeam/forwarding/sending/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -41,6 +41,7 @@
 
 __all__ = ["Attempt"]
 
+CLIENT_ERROR = 400
 SERVER_ERROR = 500
 #: Silence after which a target is suspect: a multiple of the route's latency
 #: objective, or a fixed time where the route has no objective.
@@ -122,6 +123,7 @@
             return outcome
         finally:
             self._end_return(is_answered=False)
+            self._record_call(outcome)
             chooser.load.record_end(self._open_request)
             self._count_end(outcome)
             if outcome is not None:
@@ -368,6 +370,13 @@
         self._counted.record_first(now_s)
         self._counted.record_answer()
 
+    def _record_call(self, outcome: Outcome | None) -> None:
+        """Record the time of a plain call, unless its answer is a failure."""
+        is_good = isinstance(outcome, Delivered) and outcome.status < CLIENT_ERROR
+        self._resources.chooser.load.record_call(
+            self._open_request, self._service, not is_good, trio.current_time()
+        )
+
     def _record_outcome(self, outcome: Outcome) -> None:
         recorder = OutcomeRecorder(
             self._resources, self._request.metadata, self._service, self._choice
