Send a target's software version beside it, for older releases

Cause: lists of named fields may not become longer: an entry VM of the release before couldn't read any reply of a control VM with Target.software, and knew no targets while the release was rolled out.

Change: a report has the target's fields of before, and the version beside them, omitted if there is none.

--- a/src/vanillabeam/fleet/sent.py
+++ b/src/vanillabeam/fleet/sent.py
@@ -76,6 +76,7 @@
 
     def _record(self, report: TargetReport, now_s: float) -> tuple[Target, float]:
         target, age_s = report["target"], report["age_s"]
+        target = Target(*target)._replace(software=report.get("software", ""))
         cold_until_s = now_s + target.cold_ms / 1000 if target.cold_ms else 0.0
         sent = _Sent(target, cold_until_s)
         self._records[target.name] = sent
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -1,5 +1,6 @@
 """Messages with which entry VMs poll control VMs for changes."""
 
+from collections import namedtuple
 from collections.abc import Iterable, Sequence
 from hashlib import blake2b
 from typing import NotRequired, TypedDict
@@ -65,11 +66,22 @@
     rollouts: NotRequired[list[RolloutReport]]
 
 
+#: A target as it is reported: releases of before the software version read targets of
+#: exactly these fields, so the version stands beside them.
+SentTarget = namedtuple(
+    "SentTarget", [name for name in Target._fields if name != "software"]
+)
+
+
 class TargetReport(TypedDict):
-    """A target and the age of its newest announcement in seconds."""
+    """A target and the age of its newest announcement in seconds.
+
+    :param software: version of its software; omitted for none.
+    """
 
     target: Target
     age_s: float
+    software: NotRequired[str]
 
 
 class WatchReply(TypedDict):
@@ -193,4 +205,11 @@
 def _target_report(record: TargetRecord, now_s: float) -> TargetReport:
     cold_s = max(0.0, record.cold_until_s - now_s)
     target = record.target._replace(cold_ms=round(1000 * cold_s, 1))
-    return TargetReport(target=target, age_s=round(now_s - record.last_seen_s, 3))
+    fields = target._asdict()
+    software = fields.pop("software")
+    report = TargetReport(
+        target=SentTarget(**fields), age_s=round(now_s - record.last_seen_s, 3)
+    )
+    if software:
+        report["software"] = software
+    return report
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -1,7 +1,10 @@
 """A follower polls several control VMs on virtual time."""
 
+import json
 from types import SimpleNamespace
+from typing import NamedTuple
 
+import msgspec
 import trio
 import trio.testing
 from returns.result import Failure, Success
@@ -638,3 +641,45 @@
         ages_s.append(harness.follower.leader_age_s())
     # A reply is late by 2 s, of which 0.5 s may be its wait and its way.
     assert min(ages_s) >= 1.5
+
+
+class OldTarget(NamedTuple):
+    """A target as releases of before the software version read it."""
+
+    name: str
+    born_ms: int
+    sequence: int
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool = False
+    cold_ms: float = 0.0
+    versions: dict[str, int] = {}
+
+
+# Guards against entry VMs of an older release that can't read any reply of a newer
+# control VM, and know no targets: lists of named fields may not become longer.
+@with_harness
+async def test_an_older_release_reads_targets_with_a_software_version(harness):
+    target = make_target("t-1", software="v2")
+    harness[0].directory.update(target, trio.current_time())
+    harness[0].commit(5, 7, document="7")
+    await trio.sleep(1.0)
+    assert harness.follower.directory.records["t-1"].target == target
+    request = WatchRequest(
+        vm="vm-9",
+        sends=True,
+        epoch="",
+        version=0,
+        index=0,
+        wait_s=0.0,
+        parts=harness.follower.parts.request(),
+        load=make_load(),
+        fetched=[],
+    )
+    reply = (await harness[0].answer(wire.encode(request))).unwrap()
+    documents = json.loads(reply)["targets"]
+    old = [msgspec.convert(document["target"], OldTarget) for document in documents]
+    assert [each.name for each in old] == ["t-1"]
+    assert documents[0]["software"] == "v2"
