--- a/src/vanillabeam/canary/plan.py
+++ b/src/vanillabeam/canary/plan.py
@@ -32,7 +32,7 @@
 #: Seconds by which it begins earlier, to last longer, where a route has fewer responses
 #: than show that it is bad.
 LONG_RAMP_S = 1.5
-TRIED_RESPONSES = 8
+TRIED_RESPONSES = 5
 #: Seconds until all entry VMs know of a step and the leader has their reports.
 LATENCY_S = 1.0
 #: Mean times of requests at the old version until nearly all have ended.
@@ -56,7 +56,9 @@
 MIN_ANSWERED = 0.5
 #: Requests sent below which nothing is concluded from missing answers.
 FEW_REQUESTS = 10
-#: Responses under the full share before a rollout completes ahead of its time limit.
+#: Seconds and responses under the full share before a rollout completes ahead of its
+#: time limit: a version that turns bad then is still rolled back.
+FULL_S = 1.5
 FULL_RESPONSES = 40
 #: The same on each route, and the part of all requests from which a route counts.
 ROUTE_RESPONSES = 15
@@ -186,7 +188,8 @@
         return _end_ramp(now, is_over)
     if is_over and now.verdict.odds >= SUSPECT:
         return _roll_back(now, "bad", now.verdict.evidence)
-    if is_over or (now.is_drained and _is_seen_enough(now)):
+    is_seen = now.step_s >= FULL_S and _is_seen_enough(now)
+    if is_over or (now.is_drained and is_seen):
         evidence = f"{_describe(now)}; {now.sums.open_old} open at old targets"
         return make_step(now.record, Step.COMPLETE, 1.0, "", evidence)
     return None
@@ -282,6 +285,9 @@
     if is_last:
         fair = MIN_TRIAL_PART * TRIAL_SHARE * bound.share * (new.sent + old.sent)
         needed = min(needed, max(1.0, fair, MIN_GOOD_PART * new.sent))
+    if old.answers:
+        # Where the old version fails as well, fewer good responses are to be had.
+        needed *= 1 - old.failures / old.answers
     if good < needed:
         return f"{good} good responses of {needed:.0f}"
     if new.sent >= FEW_REQUESTS and old.sent >= FEW_REQUESTS:
