--- a/tests/canary/test_task.py
+++ b/tests/canary/test_task.py
@@ -123,8 +123,8 @@
     assert failure(start(setup=Setup(share=0.0))) == ("rollouts-disabled", 404)
 
 
-# Guards against an accepted order whose answer was lost and whose repetition is refused:
-# its operator would take it as not accepted.
+# Guards against an accepted order whose answer was lost and that is refused the
+# second time: its operator would take it as not accepted.
 @pytest.mark.parametrize("is_ended", [False, True])
 def test_a_repeated_order_is_acknowledged_again(is_ended):
     setup = Setup()
