Send parts of answers that the kernel takes at once without a wait

Cause: each part of an answer took a lock, a cancel scope with a deadline and two task switches, although the kernel nearly always takes a small part.

Change: _Connection tries a direct write first; the rest goes the old way.

--- a/src/vanillabeam/httpserver.py
+++ b/src/vanillabeam/httpserver.py
@@ -5,6 +5,7 @@
 HTTP/1.0 and HTTP/1.1, and its failure ends nothing else.
 """
 
+import os
 import select
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -341,6 +342,9 @@
 
     async def _send(self, data: bytes) -> None:
         """Send bytes; close the connection if the caller takes none of them."""
+        data = self._send_at_once(data)
+        if not data:
+            return
         async with self.send_lock:
             try:
                 for start in range(0, len(data), SEND_BYTES):
@@ -358,6 +362,21 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 await self.protocol.handle(Closed())
 
+    def _send_at_once(self, data: bytes) -> bytes:
+        """Send what the kernel takes at once, and return the rest.
+
+        Most parts of an answer are small and the caller reads: the tasks' switch and
+        the time limit of a send that may wait cost more than the send itself.
+        """
+        if self._is_tls or self.send_lock.locked() or self._socket.fileno() < 0:
+            return data
+        try:
+            sent = os.write(self._socket.fileno(), data)
+        except OSError:
+            # The send that may wait tells why.
+            return data
+        return data[sent:]
+
     async def _call(
         self,
         scope: Any,
