Write the log lines of decisions without the logger's per-line work

Cause: for each line loguru inspects the caller's frame, thread and process and formats twice; three lines a request.

--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -3,13 +3,24 @@
 import re
 import time
 from collections import Counter
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 from loguru import logger
 
 from vanillabeam.decisions import control, process, quarantine, requests, targets
 
-__all__ = ["KINDS", "LINE_BUDGETS", "LineBudgets", "event_name", "log_record"]
+__all__ = [
+    "KINDS",
+    "LINE_BUDGETS",
+    "LineBudgets",
+    "event_name",
+    "log_record",
+    "write_to",
+]
+
+#: Writes a line of a level, an event and fields.
+WriteLine = Callable[[str, str, dict[str, Any]], None]
 
 
 class Kind(NamedTuple):
@@ -153,6 +164,25 @@
     _write(record)
 
 
+def write_to(write: WriteLine | None) -> None:
+    """Have all records written by a function; ``None`` restores the logger.
+
+    The logger inspects the caller's frame, thread and process for each line, which
+    costs more than the line.
+
+    :param write: takes the level, the event and the fields of a line.
+    """
+    global _write_line
+    _write_line = write or _log
+
+
+def _log(level: str, event: str, fields: dict[str, Any]) -> None:
+    logger.bind(**fields).log(level, event)
+
+
+_write_line: WriteLine = _log
+
+
 def _write(record: NamedTuple) -> None:
     kind = type(record)
-    logger.bind(**record._asdict()).log(KINDS[kind].level, _EVENTS[kind])
+    _write_line(KINDS[kind].level, _EVENTS[kind], record._asdict())
--- a/src/vanillabeam/logs.py
+++ b/src/vanillabeam/logs.py
@@ -2,13 +2,17 @@
 
 import logging
 import sys
-from datetime import UTC
-from typing import TYPE_CHECKING
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
 from vanillabeam import wire
 from vanillabeam.decisions import KINDS, LibraryWarned, log_record
+from vanillabeam.decisions.lines import write_to
 from vanillabeam.output import LineWriter
 
 if TYPE_CHECKING:
@@ -55,6 +59,9 @@
 FIELDS = tuple(dict.fromkeys((*_FIELDS, *(f for kind in KINDS for f in kind._fields))))
 
 
+_ORDER = {name: number for number, name in enumerate(FIELDS)}
+
+
 def configure(
     cfg: "Logs", vm: str, data_centre: str, output: LineWriter | None = None
 ) -> None:
@@ -71,6 +78,49 @@
     render = _as_json if cfg["format"] == "json" else _as_text
     logger.configure(extra={"vm": vm, "data_centre": data_centre})
     logger.add(sink, level=cfg["level"], format=render, catch=True)
+    is_direct = cfg["format"] == "json" and callable(sink)
+    write_to(_JsonLines(sink, cfg["level"], vm, data_centre) if is_direct else None)
+
+
+class _JsonLines:
+    """Writes the records of decisions as the logger writes them, without it.
+
+    :param sink: takes a line.
+    :param level: lowest level of the lines that are written.
+    """
+
+    def __init__(
+        self, sink: Callable[[str], None], level: str, vm: str, data_centre: str
+    ):
+        self._sink = sink
+        self._lowest = logger.level(level).no
+        self._levels: dict[str, int] = {}
+        self._vm = {"vm": vm, "data_centre": data_centre}
+        self._second, self._second_text = 0, ""
+
+    def __call__(self, level: str, event: str, fields: dict[str, Any]) -> None:
+        """Write a line; a sink that fails loses it and nothing else."""
+        if level not in self._levels:
+            self._levels[level] = logger.level(level).no
+        if self._levels[level] < self._lowest:
+            return
+        line = {"time": self._time(), "level": level, "event": event, **self._vm}
+        line.update(sorted(fields.items(), key=_field_order))
+        with suppress(OSError, ValueError):
+            self._sink(wire.encode(line).decode() + "\n")
+
+    def _time(self) -> str:
+        now_s = time.time()
+        second = int(now_s)
+        if second != self._second:
+            self._second = second
+            at = datetime.fromtimestamp(second, UTC)
+            self._second_text = at.strftime("%Y-%m-%dT%H:%M:%S")
+        return f"{self._second_text}.{int((now_s - second) * 1000):03}+00:00"
+
+
+def _field_order(item: tuple[str, Any]) -> int:
+    return _ORDER[item[0]]
 
 
 def capture_libraries() -> None:
