List the targets of a service anew after a change only

Cause: each request lists the targets of its service some eight times, each time by a scan of the whole directory.

Change: Directory.targets_of keeps the lists until its version changes or a target is replaced; a property test compares them with targets() after random steps.

--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -4,6 +4,7 @@
 of control VMs; both apply the same rules.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from vanillabeam.fleet.departures import Departures
@@ -77,6 +78,9 @@
         self._draining: dict[Incarnation, None] = {}
         #: Start time that was listed last, by name, and whether another one was before.
         self._starts: dict[str, tuple[int, bool]] = {}
+        #: Targets by service at :attr:`_listed_version`.
+        self._by_service: dict[str, list[Target]] = {}
+        self._listed_version = -1
 
     def update(self, target: Target, now_s: float) -> bool:
         """Apply a target's announcement; return whether anything has changed.
@@ -104,6 +108,7 @@
         version = self.version if changed else record.version
         cold_until_s = now_s + target.cold_ms / 1000
         self.records[target.name] = TargetRecord(target, now_s, version, cold_until_s)
+        self._listed_version = -1
         self._record_start(target)
         self._drop_predecessors(target)
         return changed
@@ -196,6 +201,18 @@
             for target in targets
         ]
 
+    def targets_of(self, service: str) -> Sequence[Target]:
+        """Return the targets of a service, as :meth:`targets` does.
+
+        They are listed anew after a change only: each request asks several times.
+        """
+        if self._listed_version != self.version:
+            by_service: dict[str, list[Target]] = {}
+            for target in self.targets():
+                by_service.setdefault(target.service, []).append(target)
+            self._by_service, self._listed_version = by_service, self.version
+        return self._by_service.get(service, ())
+
     def last_start(self, name: str) -> int | None:
         """Return the start time that was listed last under a name, if any was."""
         record = self.records.get(name)
--- a/src/vanillabeam/forwarding/choosing/choice.py
+++ b/src/vanillabeam/forwarding/choosing/choice.py
@@ -234,8 +234,7 @@
 
     def targets_of(self, service: str) -> list[Target]:
         """Return the known targets of a service."""
-        targets = self._directory.targets()
-        return [target for target in targets if target.service == service]
+        return list(self._directory.targets_of(service))
 
     def _usable_targets(
         self,
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -1,3 +1,5 @@
+from hypothesis import given, strategies as st
+
 from tests.fleet.builders import make_target
 from vanillabeam.fleet import Directory
 from vanillabeam.fleet.directory import READ_MARGIN_S
@@ -160,3 +162,49 @@
     directory.forget("earlier")
     assert directory.update(live._replace(sequence=3), 3.4)
     assert names(directory) == ["live"]
+
+
+def listed(directory):
+    """Return the targets of both services, by the list that requests use."""
+    return [t for s in ("llm", "app") for t in directory.targets_of(s)]
+
+
+# Guards against requests that choose from an outdated list of targets.
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["update", "drain", "end", "forget", "leave", "weights"]),
+            st.sampled_from(["t-1", "t-2", "t-3"]),
+            st.integers(1, 4),
+            st.sampled_from(["llm", "app"]),
+        ),
+        max_size=30,
+    )
+)
+def test_the_targets_of_each_service_are_always_those_of_the_directory(steps):
+    directory = Directory()
+    for number, (step, name, born_ms, service) in enumerate(steps):
+        incarnation = (name, born_ms)
+        match step:
+            case "update":
+                target = make_target(
+                    name,
+                    born_ms=born_ms,
+                    sequence=number,
+                    service=service,
+                    versions={"m": 1},
+                )
+                directory.update(target, float(number))
+            case "drain":
+                directory.mark_draining(incarnation)
+            case "end":
+                directory.mark_ended(incarnation)
+            case "forget":
+                directory.forget(name)
+            case "leave":
+                directory.set_leaving(frozenset({incarnation}))
+            case "weights":
+                directory.update_weight_version(incarnation, "m", number)
+        directory.refresh(name, float(number) + 5.0)
+        by_name = sorted(directory.targets(), key=lambda target: target.name)
+        assert sorted(listed(directory), key=lambda target: target.name) == by_name
