--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -18,6 +18,12 @@
     OrderUnsettled,
     StateInForce,
 )
+from vanillabeam.decisions.exposure import (
+    ExposureChanged,
+    RolloutInForce,
+    VersionHeld,
+    VersionsBarred,
+)
 from vanillabeam.decisions.lines import (
     KINDS,
     LINE_BUDGETS,
@@ -56,6 +62,11 @@
     RequestRefused,
     TargetChosen,
 )
+from vanillabeam.decisions.rollouts import (
+    RolloutOrdered,
+    RolloutStepped,
+    RolloutSuspected,
+)
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
     FenceRaised,
@@ -93,6 +104,7 @@
     "ControlHeard",
     "DeploymentRefused",
     "DeploymentUnreadable",
+    "ExposureChanged",
     "FenceRaised",
     "HomeChosen",
     "LeavingReported",
@@ -116,6 +128,10 @@
     "RequestAdmitted",
     "RequestAnswered",
     "RequestRefused",
+    "RolloutInForce",
+    "RolloutOrdered",
+    "RolloutStepped",
+    "RolloutSuspected",
     "SeedsChanged",
     "SettingsUnreadable",
     "Started",
@@ -136,6 +152,8 @@
     "TargetUnlimited",
     "TargetUnlisted",
     "TaskFailed",
+    "VersionHeld",
+    "VersionsBarred",
     "WeightsHeld",
     "WeightsOrdered",
     "event_name",
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -8,7 +8,15 @@
 
 from loguru import logger
 
-from vanillabeam.decisions import control, process, quarantine, requests, targets
+from vanillabeam.decisions import (
+    control,
+    exposure,
+    process,
+    quarantine,
+    requests,
+    rollouts,
+    targets,
+)
 
 __all__ = [
     "KINDS",
@@ -65,6 +73,13 @@
     quarantine.RequestAccused: Kind("WARNING", _RARE_LINES_S),
     quarantine.PartConvicted: Kind("ERROR", _RARE_LINES_S),
     quarantine.QuarantineChanged: Kind("WARNING", _RARE_LINES_S),
+    exposure.ExposureChanged: Kind("INFO", _RARE_LINES_S),
+    exposure.RolloutInForce: Kind("WARNING", _RARE_LINES_S),
+    exposure.VersionHeld: Kind("WARNING", _RARE_LINES_S),
+    exposure.VersionsBarred: Kind("WARNING", _FREQUENT_LINES_S),
+    rollouts.RolloutOrdered: Kind("WARNING", _RARE_LINES_S),
+    rollouts.RolloutStepped: Kind("WARNING", _RARE_LINES_S),
+    rollouts.RolloutSuspected: Kind("WARNING", _RARE_LINES_S),
     targets.AnnouncementUnreadable: Kind("WARNING", _FREQUENT_LINES_S),
     control.StateInForce: Kind("INFO", _RARE_LINES_S),
     control.OrderRead: Kind("INFO", _RARE_LINES_S),
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -186,10 +186,12 @@
         follower = self.follower
         chooser.rates.ask = PermitClient(call, follower.control_vms)
         chooser.rates.entry_count = lambda: len(follower.entry_vms)
+        chooser.versions.rollouts = lambda: follower.view.rollouts
+        chooser.versions.news_age_s = follower.leader_age_s
+        chooser.versions.count_sent = self.counters.count_version
+        follower.rollouts = chooser.versions
         memory = MemoryBudget.of_memory(self.cfg.memory_bytes)
-        overload = Overload(
-            self.cfg.vm, self.lifecycle, lambda: len(follower.entry_vms)
-        )
+        overload = Overload(self.cfg.vm, self.lifecycle, chooser.rates.entry_count)
         app = ForwardingApp(
             dialect,
             self.follower,
@@ -212,7 +214,7 @@
         self.counters.add_gauge(
             "overload_delay_seconds",
             "Seconds until a request that is read now is sent; 0 with time to spare.",
-            lambda: overload.backlog.delay_s(trio.current_time()),
+            overload.delay_s,
         )
         nursery.start_soon(keep_running, "ended targets", app.probe.run)
         readiness = self.adapter.readiness_app(self.lifecycle)
@@ -262,7 +264,9 @@
         )
         add_gauge("news_age_seconds", "Age of the newest control news.", follower.age_s)
         add_gauge(
-            "open_requests", "Requests without a whole answer.", self._open_requests
+            "open_requests",
+            "Requests without a whole answer.",
+            lambda: self.lifecycle.open_requests,
         )
 
     def _add_target_metrics(self, follower: Follower) -> None:
@@ -302,6 +306,8 @@
         )
 
     def _add_control_metrics(self, control: "FleetControl") -> None:
+        from vanillabeam.canary.gauges import add_rollout_gauges
+
         add_gauge = self.counters.add_gauge
         add_gauge("log_term", "Term of the fleet log.", lambda: control.node.term)
         add_gauge("log_applied", "Index applied.", lambda: control.node.applied)
@@ -316,6 +322,8 @@
         if not self.cfg.entry_address:
             self._add_target_metrics(control.follower)
         self._add_weights_metrics(control)
+        if control.rollouts.is_enabled:
+            add_rollout_gauges(self.counters.add_gauges, control.rollouts)
 
     def _add_weights_metrics(self, control: "FleetControl") -> None:
         from vanillabeam.fleet.heldweights import count_behind, count_versions
@@ -347,9 +355,6 @@
             lambda: count_versions(versions()),
         )
 
-    def _open_requests(self) -> int:
-        return self.lifecycle.open_requests
-
     async def _become_ready(self) -> None:
         await self.follower.wait_ready()
         self.lifecycle.config_ready(self.follower.view.index)
