--- a/src/vanillabeam/fleet/loadnews.py
+++ b/src/vanillabeam/fleet/loadnews.py
@@ -7,7 +7,6 @@
     EntryLoads,
     LoadsByGroup,
     LoadScope,
-    add_loads,
     make_load,
     open_work,
 )
@@ -57,11 +56,11 @@
         if not request["sends"] or request.get("scope") == LoadScope.NONE:
             return make_load()
         group = request.get("group", "")
-        return add_loads(
-            self.loads.total_except(request["vm"], now_s, group),
-            self.home_loads.total_except(request["vm"], now_s, group),
-            self._relayed.total_except(self._epoch, now_s, group),
-        )
+        # The largest sum is copied, the others are added to it.
+        total = self._relayed.total_except(self._epoch, now_s, group)
+        self.home_loads.add_to(total, request["vm"], now_s, group)
+        self.loads.add_to(total, request["vm"], now_s, group)
+        return total
 
     def add_reported(self, reply: WatchReply, now_s: float) -> None:
         """Tell another control VM what entry VMs report to this one only."""
--- a/src/vanillabeam/fleet/loads.py
+++ b/src/vanillabeam/fleet/loads.py
@@ -145,7 +145,20 @@
             VMs have observed are part of the sum.
         """
         self._drop_expired(now_s)
-        total = add_loads(self._total)
+        total = _copy(self._total)
+        self._subtract(total, vm, group)
+        return total
+
+    def add_to(self, total: EntryLoad, vm: str, now_s: float, group: str = "") -> None:
+        """Add the summed load of all entry VMs but ``vm`` to ``total``.
+
+        :param group: as in :meth:`total_except`.
+        """
+        self._drop_expired(now_s)
+        accumulate(total, self._total)
+        self._subtract(total, vm, group)
+
+    def _subtract(self, total: EntryLoad, vm: str, group: str) -> None:
         own = self._reports[vm] if vm in self._summed else None
         if own is not None:
             accumulate(total, own.load, -1)
@@ -153,7 +166,6 @@
             accumulate(total, self._groups[group], -1)
             if own is not None and group in own.groups:
                 accumulate(total, own.groups[group])
-        return total
 
     def group_totals(self, now_s: float) -> LoadsByGroup:
         """Return the summed open work of each group."""
@@ -211,6 +223,17 @@
     return total
 
 
+def _copy(load: EntryLoad) -> EntryLoad:
+    """Return a copy of a sum, which has every field and no count of 0."""
+    copy = EntryLoad(
+        work={target: by_rank.copy() for target, by_rank in load["work"].items()},
+        room=load["room"].copy(),
+    )
+    for name in (*COUNTS[1:], *SUMS):
+        copy[name] = load[name].copy()
+    return copy
+
+
 def accumulate(total: EntryLoad, load: EntryLoad, sign: int = 1) -> None:
     """Add a load to ``total`` in place, or subtract it where ``sign`` is -1."""
     for target, by_rank in load["work"].items():
@@ -219,9 +242,13 @@
         if not sums:
             del total["work"][target]
     for name in COUNTS:
-        _add(total[name], load.get(name, {}), sign)
+        counts = load.get(name)
+        if counts:
+            _add(total[name], counts, sign)
     for name in SUMS:
-        _add_lists(total[name], load.get(name, {}), sign)
+        lists = load.get(name)
+        if lists:
+            _add_lists(total[name], lists, sign)
 
 
 def _add_lists(sums: dict, counts: dict, sign: int) -> None:
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -192,9 +192,7 @@
         chooser.versions.count_sent = self.counters.count_version
         follower.rollouts = chooser.versions
         memory = MemoryBudget.of_memory(self.cfg.memory_bytes)
-        overload = Overload(
-            self.cfg.vm, self.lifecycle, lambda: len(follower.entry_vms)
-        )
+        overload = Overload(self.cfg.vm, self.lifecycle, chooser.rates.entry_count)
         app = ForwardingApp(
             dialect,
             self.follower,
@@ -217,7 +215,7 @@
         self.counters.add_gauge(
             "overload_delay_seconds",
             "Seconds until a request that is read now is sent; 0 with time to spare.",
-            lambda: overload.backlog.delay_s(trio.current_time()),
+            overload.delay_s,
         )
         nursery.start_soon(keep_running, "ended targets", app.probe.run)
         self._exchange_loads(nursery, chooser)
@@ -286,7 +284,9 @@
         )
         add_gauge("news_age_seconds", "Age of the newest control news.", follower.age_s)
         add_gauge(
-            "open_requests", "Requests without a whole answer.", self._open_requests
+            "open_requests",
+            "Requests without a whole answer.",
+            lambda: self.lifecycle.open_requests,
         )
 
     def _add_target_metrics(self, follower: Follower) -> None:
@@ -375,9 +375,6 @@
             lambda: count_versions(versions()),
         )
 
-    def _open_requests(self) -> int:
-        return self.lifecycle.open_requests
-
     async def _become_ready(self) -> None:
         await self.follower.wait_ready()
         self.lifecycle.config_ready(self.follower.view.index)
--- a/src/vanillabeam/overload/task.py
+++ b/src/vanillabeam/overload/task.py
@@ -87,6 +87,10 @@
         if changed:
             self._log(others, now_s)
 
+    def delay_s(self) -> float:
+        """Return the seconds until a request that is read now is sent."""
+        return self.backlog.delay_s(trio.current_time())
+
     def own(self) -> dict[str, int]:
         """Return what other VMs hear of this one: its name and state, if not well."""
         if self._withdrawal.is_withdrawn:
@@ -107,7 +111,7 @@
         return None if seen_s is None or now_s - seen_s > NEWS_AGE_S else self._others
 
     def _has_backlog(self) -> bool:
-        return self.backlog.delay_s(trio.current_time()) > 0.0
+        return self.delay_s() > 0.0
 
     def _log(self, others: dict[str, bool] | None, now_s: float) -> None:
         backlog = self.backlog
