--- a/bench/shares.py
+++ b/bench/shares.py
@@ -13,8 +13,8 @@
     ReservedShares,
     WeightedShares,
 )
-from vanillabeam.admission.shares import Share
 from vanillabeam.config import Priority
+from vanillabeam.shares import Share
 
 __all__ = ["run"]
 
--- a/src/vanillabeam/admission/__init__.py
+++ b/src/vanillabeam/admission/__init__.py
@@ -2,7 +2,7 @@
 
 from vanillabeam.admission.budget import RetryBudget
 from vanillabeam.admission.queue import FairQueue, QueuedRequest
-from vanillabeam.admission.shares import ReservedShares, Shares, WeightedShares
+from vanillabeam.shares import ReservedShares, Shares, WeightedShares
 
 __all__ = [
     "FairQueue",
--- a/src/vanillabeam/admission/queue.py
+++ b/src/vanillabeam/admission/queue.py
@@ -3,8 +3,8 @@
 from collections import deque
 from typing import NamedTuple
 
-from vanillabeam.admission.shares import Shares
 from vanillabeam.config import Priority
+from vanillabeam.shares import Shares
 
 __all__ = ["FairQueue", "QueuedRequest"]
 
@@ -32,7 +32,7 @@
     :param limit: maximum number of queued requests.
     :param shares: scheduler that picks the next workspace within a class.
 
-    >>> from vanillabeam.admission.shares import Share, WeightedShares
+    >>> from vanillabeam.shares import Share, WeightedShares
     >>> queue = FairQueue(8, WeightedShares(lambda name: Share()))
     >>> queue.push(QueuedRequest("r1", "icupa", Priority.BATCH, 10.0, 5.0))
     []
--- a/src/vanillabeam/admission/shares.py
+++ b/src/vanillabeam/shares.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
-__all__ = ["ReservedShares", "Share", "Shares", "WeightedShares"]
+__all__ = ["MIN_WEIGHT", "ReservedShares", "Share", "Shares", "WeightedShares"]
 
 MAX_IDLE_WORKSPACES = 1000
 MIN_WEIGHT = 0.01
@@ -48,17 +48,18 @@
 
     def pick(self, heads: Iterable[tuple[str, float]], now_s: float) -> str:
         """Return the workspace that is furthest behind its fair share."""
-        return min((self._start(name), name) for name, _ in heads)[1]
+        return min((self.start(name), name) for name, _ in heads)[1]
 
     def charge(self, workspace: str, cost: float, now_s: float) -> None:
         """Advance the workspace's virtual finish time by cost over weight."""
-        start = self._start(workspace)
+        start = self.start(workspace)
         weight = max(MIN_WEIGHT, self._share_of(workspace).weight)
         self._finish_times[workspace] = start + cost / weight
         self._virtual_time = start
         self._drop_idle()
 
-    def _start(self, workspace: str) -> float:
+    def start(self, workspace: str) -> float:
+        """Return the virtual time at which the next request of a workspace starts."""
         return max(self._virtual_time, self._finish_times.get(workspace, 0.0))
 
     def _drop_idle(self) -> None:
--- a/src/vanillabeam/targets/ownerstate.py
+++ b/src/vanillabeam/targets/ownerstate.py
@@ -3,9 +3,9 @@
 import random
 
 from vanillabeam.admission import ReservedShares, Shares
-from vanillabeam.admission.shares import Share
 from vanillabeam.config import Config
 from vanillabeam.routing.records import TargetView
+from vanillabeam.shares import Share
 from vanillabeam.targets.eligibility import refusal_of_target
 from vanillabeam.targets.events import Handover
 from vanillabeam.targets.grants import OwnedTarget
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -9,8 +9,8 @@
     RetryBudget,
     WeightedShares,
 )
-from vanillabeam.admission.shares import Share
 from vanillabeam.config import Priority
+from vanillabeam.shares import Share
 
 INTERACTIVE = Priority.INTERACTIVE
 BATCH = Priority.BATCH
--- a/tests/targets/test_owner.py
+++ b/tests/targets/test_owner.py
@@ -14,9 +14,9 @@
     report,
     request_permit,
 )
-from vanillabeam.admission.shares import Share
 from vanillabeam.config import Config, Priority, Workspace
 from vanillabeam.exceptions import InvariantBroken
+from vanillabeam.shares import Share
 from vanillabeam.targets import Outcome, OutcomeKind, TargetsSettings
 from vanillabeam.targets.events import (
     Announced,
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,7 +16,7 @@
     "base": """
         addresses allocator blocks config counters decisions earlysignals exceptions
         hopheaders memory metrics notices output pauses peercall problems refusals
-        rendezvous targetwire tasks wire
+        rendezvous shares targetwire tasks wire
     """,
     "settings": "logs reference settings settingschecks settingsrecords",
     "connections": """
