Let requests wait in line for places at targets

Cause: a prompt without room polled every 0.1 s in no order for 0.6 objectives, one whose expected wait exceeded 1.5 objectives was refused, plain calls were always sent. Change: selection waits in vanillabeam.waiting; answers, ends of requests and load reports wake the first one. What can't be served in its time limit is refused with a Retry-After of its own; what is late but likely to be served waits. A long prompt is sent to a target with a short queue although its own prefill exceeds the objective. Tenants may have a weight.

--- a/src/vanillabeam/counters.py
+++ b/src/vanillabeam/counters.py
@@ -54,6 +54,9 @@
         self.limited_requests = self._counter(
             "limited_requests", "Requests sent to targets that name a limit.", "target"
         )
+        self.waits = self._counter(
+            "waits", "Requests that waited for a place.", "service", "outcome"
+        )
         self.total_s = self._histogram(
             "request_seconds", "Time to the end of an answer.", "route"
         )
--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -53,7 +53,10 @@
     RequestAdmitted,
     RequestAnswered,
     RequestRefused,
+    RequestWaits,
     TargetChosen,
+    WaitEnded,
+    WaitRefused,
 )
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
@@ -114,6 +117,7 @@
     "RequestAdmitted",
     "RequestAnswered",
     "RequestRefused",
+    "RequestWaits",
     "SeedsChanged",
     "SettingsUnreadable",
     "Started",
@@ -134,6 +138,8 @@
     "TargetUnlimited",
     "TargetUnlisted",
     "TaskFailed",
+    "WaitEnded",
+    "WaitRefused",
     "WeightsHeld",
     "WeightsOrdered",
     "event_name",
--- a/src/vanillabeam/decisions/requests.py
+++ b/src/vanillabeam/decisions/requests.py
@@ -12,7 +12,10 @@
     "RequestAdmitted",
     "RequestAnswered",
     "RequestRefused",
+    "RequestWaits",
     "TargetChosen",
+    "WaitEnded",
+    "WaitRefused",
 ]
 
 
@@ -176,3 +179,62 @@
     queued: bool
     rivals: int
     granter: str
+
+
+class RequestWaits(NamedTuple):
+    """A request waits in line for a place at the targets of its service.
+
+    :param place: requests before it.
+    :param length: requests in the line, this one included.
+    :param expected_s: expected seconds until it gets a place.
+    :param left_s: seconds until a place is of no use to it.
+    :param returning: whether its caller seems to have been refused before.
+    """
+
+    request_id: str
+    service: str
+    workspace: str
+    rank: int
+    place: int
+    length: int
+    expected_s: float
+    left_s: float
+    returning: bool
+
+
+class WaitEnded(NamedTuple):
+    """A request left the line of its service.
+
+    :param outcome: ``sent`` to a target, or ``left`` as its caller has gone or its time
+        has passed.
+    :param waited_s: seconds in the line.
+    :param length: requests that still wait.
+    """
+
+    request_id: str
+    service: str
+    outcome: str
+    waited_s: float
+    length: int
+
+
+class WaitRefused(NamedTuple):
+    """A request was refused, as it can't get a place in time.
+
+    :param place: requests before it when it last looked.
+    :param length: requests in the line then, this one included.
+    :param expected_s: expected seconds until it would have got a place.
+    :param left_s: seconds until a place would have been of no use to it.
+    :param waited_s: seconds in the line.
+    """
+
+    request_id: str
+    service: str
+    workspace: str
+    rank: int
+    place: int
+    length: int
+    expected_s: float
+    left_s: float
+    waited_s: float
+    retry_after_s: float
--- a/src/vanillabeam/fleet/records.py
+++ b/src/vanillabeam/fleet/records.py
@@ -116,12 +116,15 @@
     :param priority: overrides the priority of routes; ``None`` keeps it.
     :param isolated: whether its cached prompts are shared with no other
         workspace.
+    :param weight: share of the places that it has, relative to other workspaces,
+        while requests wait for some.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
     isolated: bool = False
+    weight: float = 1.0
 
 
 class Limits(NamedTuple):
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -201,6 +201,7 @@
         )
         self._add_entry_metrics(self.follower)
         self._add_notice_metrics(self.follower, chooser)
+        chooser.lines.add_metrics(self.counters)
         nursery.start_soon(keep_running, "follower", self.follower.run)
         nursery.start_soon(keep_running, "forwarding", app.run)
         nursery.start_soon(keep_running, "ended targets", app.probe.run)
--- a/src/vanillabeam/forwarding/admitted.py
+++ b/src/vanillabeam/forwarding/admitted.py
@@ -5,7 +5,7 @@
 from vanillabeam.fleet import Route, Workspace
 from vanillabeam.forwarding.dialect import Headers, RequestMetadata
 
-__all__ = ["AdmittedRequest"]
+__all__ = ["AdmittedRequest", "rank_of"]
 
 #: Number of route priorities within one workspace priority.
 RANKS_PER_WORKSPACE = 3
@@ -30,11 +30,15 @@
 
     @property
     def rank(self) -> int:
-        """Urgency of the request, 0 is the most urgent.
-
-        The workspace's priority weighs more than the route's.
-        """
-        workspace, rank = self.workspace, self.route.priority
-        if workspace is None or workspace.priority is None:
-            return rank
-        return RANKS_PER_WORKSPACE * workspace.priority + rank
+        """Urgency of the request, 0 is the most urgent."""
+        return rank_of(self.route, self.workspace)
+
+
+def rank_of(route: Route, workspace: Workspace | None) -> int:
+    """Return the urgency of a workspace's requests to a route, 0 is the most urgent.
+
+    The workspace's priority weighs more than the route's.
+    """
+    if workspace is None or workspace.priority is None:
+        return route.priority
+    return RANKS_PER_WORKSPACE * workspace.priority + route.priority
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -313,7 +313,7 @@
         before_end: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         retry_after_s = exc.retry_after_s
-        if retry_after_s is not None:
+        if retry_after_s is not None and not getattr(exc, "is_scheduled", False):
             retry_after_s = spread_retry_after(retry_after_s, self._rng)
         log_record(
             RequestRefused(
--- a/src/vanillabeam/forwarding/choosing/choice.py
+++ b/src/vanillabeam/forwarding/choosing/choice.py
@@ -19,6 +19,7 @@
 from vanillabeam.forwarding.choosing.costs import PromptCosts
 from vanillabeam.forwarding.choosing.health import Health
 from vanillabeam.forwarding.choosing.leftout import LeftOutTargets
+from vanillabeam.forwarding.choosing.lines import ServiceLines
 from vanillabeam.forwarding.choosing.load import Load
 from vanillabeam.forwarding.choosing.memory import with_free_memory
 from vanillabeam.forwarding.choosing.ordering import TargetOrder
@@ -49,6 +50,7 @@
     :ivar order: sorts the targets that may take a request.
     :ivar notices: what targets have asked of this VM.
     :ivar rates: permits for targets that name a limit.
+    :ivar lines: requests that wait for places.
     :ivar is_paused: returns whether a target is paused to load weights, given its
         name and the monotonic time.
     """
@@ -67,6 +69,8 @@
         self._bounds = bounds
         self._rng = rng
         self.load = Load()
+        self.lines = ServiceLines()
+        self.load.on_report = self.lines.record_report
         self.notices = TargetNotices(rng)
         self.rates = RateGate(vm, limits or RateLimits(), rng)
         self.is_paused: Callable[[str, float], bool] = _never
@@ -237,6 +241,10 @@
         targets = self._directory.targets()
         return [target for target in targets if target.service == service]
 
+    def usable_targets(self, *args) -> list[Target]:
+        """Return the targets that may take a request but for their places."""
+        return self._usable_targets(*args)
+
     def _usable_targets(
         self,
         service: str,
--- a/src/vanillabeam/forwarding/choosing/load.py
+++ b/src/vanillabeam/forwarding/choosing/load.py
@@ -1,6 +1,7 @@
 """Open requests at each target, and the speed at which they are processed."""
 
 from collections import deque
+from collections.abc import Callable
 from typing import NamedTuple
 
 from vanillabeam.fleet.loads import EntryLoad, WorkByRank, add_loads, make_load
@@ -61,6 +62,7 @@
 
     :ivar others: load of all other entry VMs together.
     :ivar observed: recent outcomes of requests, of all entry VMs.
+    :ivar on_report: called with the monotonic time when the load of others arrives.
 
     >>> load = Load()
     >>> opened = load.record_start("t-1", rank=2, tokens=900, now_s=1.0)
@@ -74,6 +76,7 @@
         self.others = make_load()
         self._others_seen_s: float | None = None
         self.observed = Observations()
+        self.on_report: Callable[[float], None] = lambda now_s: None
         self._own: dict[str, WorkByRank] = {}
         self._open: dict[str, dict[int, OpenRequest]] = {}
         self._unanswered: dict[str, dict[int, OpenRequest]] = {}
@@ -100,6 +103,7 @@
         self.others = load
         self._others_seen_s = now_s
         self.observed.update_others(load)
+        self.on_report(now_s)
 
     def others_age_s(self, now_s: float) -> float | None:
         """Return the seconds since the others' load arrived, ``None`` before."""
--- a/src/vanillabeam/forwarding/choosing/selection.py
+++ b/src/vanillabeam/forwarding/choosing/selection.py
@@ -8,13 +8,14 @@
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.choosing.choice import Choice
 from vanillabeam.forwarding.choosing.costs import PromptCosts
+from vanillabeam.forwarding.choosing.places import are_all_full
+from vanillabeam.forwarding.choosing.placewait import PlaceWait
 from vanillabeam.forwarding.choosing.ratelines import Claim, Permit
 from vanillabeam.forwarding.choosing.requestcosts import estimate_request_costs
 from vanillabeam.forwarding.exceptions import (
     NoTarget,
     TargetsLimited,
     TargetsPaused,
-    TooLate,
 )
 from vanillabeam.forwarding.judging.passage import Passage
 from vanillabeam.forwarding.resources import Resources
@@ -22,17 +23,20 @@
 
 __all__ = ["Selected", "Selection"]
 
-#: Longest time that a prompt waits for a target with enough free memory, as a
-#: multiple of the route's latency objective.
-MEMORY_WAIT_OBJECTIVES = 0.6
+#: Longest time that a prompt waits for a target that may take it at all, as a multiple
+#: of the route's latency objective.
+USABLE_WAIT_OBJECTIVES = 0.6
 #: Interval of the checks for a usable target.
 POLL_INTERVAL_S = 0.1
 #: The same if a target takes the request once one of those before it has ended.
 BUSY_POLL_INTERVAL_S = 0.03
 #: Longest expected wait for the first event at which a prompt is still sent, as
-#: a multiple of the route's latency objective. An answer that comes later is of
-#: little use and would also delay the prompts behind it.
+#: a multiple of the route's latency objective. It waits at this VM instead, where a
+#: more urgent prompt can still go before it.
 MAX_WAIT_OBJECTIVES = 1.5
+#: Longest queue at the target of a prompt that takes longer by itself. It would wait
+#: for ever otherwise, as its own work doesn't become less.
+MAX_QUEUE_OBJECTIVES = 0.5
 #: Targets that were left out in one log line.
 MAX_LOGGED_TARGETS = 4
 
@@ -67,7 +71,8 @@
         workspace = request.workspace.name if request.workspace else ""
         self._claim = Claim(request.rank, workspace, request.began_s)
         self._costs: PromptCosts | None = None
-        self._refused_wait_s: float | None = None
+        self._place = PlaceWait(request, resources, service)
+        self._short_until_s: float | None = None
         self._pause_left_s: float | None = None
 
     async def wait(self, sent: int, has_started: bool) -> Selected | None:
@@ -79,26 +84,46 @@
         try:
             return await self._wait(sent, has_started)
         finally:
+            self._place.leave()
             self._resources.chooser.rates.leave(self._service, self._claim)
 
     async def _wait(self, sent: int, has_started: bool) -> Selected | None:
-        while True:
-            if self._passage.is_barred():
-                return None
-            choice = self._choose(sent, has_started)
+        while not self._passage.is_barred():
+            self._short_until_s = None
+            is_behind = not self._place.may_try(trio.current_time())
+            choice = None if is_behind else self._choose(has_started)
             if choice is not None:
                 permit = await self._take_permit(choice)
                 if permit is not None:
+                    self._place.record_served(trio.current_time())
                     self._log(choice, sent)
                     return Selected(choice, permit)
-                continue
-            if self._urges():
-                continue
-            if not self._may_wait(sent, has_started, trio.current_time()):
+            elif is_behind or self._short_until_s is not None:
+                if not await self._wait_for_place(has_started):
+                    return None
+            elif not await self._wait_for_target(sent, has_started):
                 return None
-            if self._is_limited():
-                self._enter()
-            await trio.sleep(self._poll_interval_s())
+        return None
+
+    async def _wait_for_place(self, has_started: bool) -> bool:
+        """Wait until this request may look for a place; return whether it may in time.
+
+        Before it has looked for one itself, it is not known when there will be one.
+        """
+        costs = self._costs or self._estimate_costs()
+        return await self._place.wait(costs, has_started, self._short_until_s)
+
+    async def _wait_for_target(self, sent: int, has_started: bool) -> bool:
+        """Wait a short time for a target; return whether one may take the request."""
+        self._place.leave()
+        if self._urges():
+            return True
+        if not self._may_wait(sent, has_started, trio.current_time()):
+            return False
+        if self._is_limited():
+            self._enter()
+        await trio.sleep(self._poll_interval_s())
+        return True
 
     def _urges(self) -> bool:
         """Return whether a target may be asked before a less urgent request's turn."""
@@ -149,7 +174,7 @@
     def _may_wait(self, sent: int, has_started: bool, now_s: float) -> bool:
         """Return whether a target may yet take the request in its time.
 
-        It may announce itself, free enough memory, or end the pause that it asked for.
+        It may announce itself, or end the pause that it asked for.
         """
         resources, request = self._resources, self._request
         self._pause_left_s = self.pause_left_s(self.tried)
@@ -162,10 +187,10 @@
         is_discovering = resources.follower.is_discovering(now_s)
         if is_discovering and not resources.chooser.has_targets(self._service):
             return True
-        if not request.metadata.parts or self._refused_wait_s is not None:
+        if not request.metadata.parts:
             return False
         return (
-            now_s < request.began_s + MEMORY_WAIT_OBJECTIVES * request.route.objective_s
+            now_s < request.began_s + USABLE_WAIT_OBJECTIVES * request.route.objective_s
         )
 
     def pause_left_s(self, tried: set[str]) -> float | None:
@@ -189,7 +214,7 @@
         left_out = chooser.left_out(self._service, trio.current_time())
         return any(why.reason is Reason.LIMITED for why in left_out.values())
 
-    def _choose(self, sent: int, has_started: bool) -> Choice | None:
+    def _choose(self, has_started: bool) -> Choice | None:
         request, resources = self._request, self._resources
         self._costs = self._estimate_costs()
         choice = resources.chooser.choose(
@@ -201,9 +226,37 @@
             trio.current_time(),
             self._costs,
         )
-        if choice is None or self._is_wait_too_long(choice, has_started):
+        self._short_until_s = self._find_shortage(choice, has_started)
+        return choice if self._short_until_s is None else None
+
+    def _find_shortage(self, choice: Choice | None, has_started: bool) -> float | None:
+        """Return the time before which no target has a place; ``None`` if one has.
+
+        It is also ``None`` where no target may take the request for other reasons.
+        """
+        now_s = trio.current_time()
+        if choice is not None and self._costs is not None:
+            late_s = self._late_s(choice, has_started)
+            return now_s + late_s if late_s > 0.0 else None
+        resources = self._resources
+        load, entries = resources.chooser.load, len(resources.follower.entry_vms)
+        if choice is not None and not are_all_full(
+            load, [choice.target], entries, now_s
+        ):
+            return None
+        if choice is None and self._costs is None:
             return None
-        return choice
+        usable = resources.chooser.usable_targets(
+            self._service,
+            self._request.metadata,
+            resources.follower.view,
+            self.tried,
+            now_s,
+            False,
+        )
+        if self._costs is not None:
+            return now_s if usable else None
+        return now_s if are_all_full(load, usable, entries, now_s) else None
 
     def _log(self, choice: Choice, sent: int) -> None:
         request, costs = self._request, self._costs
@@ -235,8 +288,8 @@
             for name, why in list(found.items())[:MAX_LOGGED_TARGETS]
         ]
 
-    def _is_wait_too_long(self, choice: Choice, has_started: bool) -> bool:
-        """Return whether the expected wait is too long for the route's objective."""
+    def _late_s(self, choice: Choice, has_started: bool) -> float:
+        """Return the seconds until the target's queue is short enough for a prompt."""
         objective_s = self._request.route.objective_s
         if (
             not objective_s
@@ -244,11 +297,15 @@
             or has_started
             or choice.tries_speed
         ):
-            return False
-        is_too_long = choice.wait_s > MAX_WAIT_OBJECTIVES * objective_s
-        if is_too_long:
-            self._refused_wait_s = choice.wait_s - objective_s
-        return is_too_long
+            return 0.0
+        load = self._resources.chooser.load
+        own_s = load.wait_s(self._service, choice.work)
+        if own_s > self._request.ends_s - trio.current_time():
+            return own_s
+        return min(
+            choice.wait_s - MAX_WAIT_OBJECTIVES * objective_s,
+            choice.wait_s - own_s - MAX_QUEUE_OBJECTIVES * objective_s,
+        )
 
     def _estimate_costs(self) -> PromptCosts | None:
         resources = self._resources
@@ -266,9 +323,8 @@
         if self._pause_left_s is not None:
             kind = TargetsLimited if self._is_limited() else TargetsPaused
             return kind(self._explain(), self._pause_left_s)
-        if self._refused_wait_s is not None:
-            wait_s = self._refused_wait_s
-            return TooLate(f"{wait_s:.2f} s beyond the objective", wait_s)
+        if self._place.failure is not None:
+            return self._place.failure
         return NoTarget(self._explain())
 
     def _explain(self) -> str:
--- a/src/vanillabeam/forwarding/exceptions.py
+++ b/src/vanillabeam/forwarding/exceptions.py
@@ -6,6 +6,7 @@
 from vanillabeam.exceptions import Run, VanillabeamError
 
 __all__ = [
+    "MIN_RETRY_AFTER_S",
     "AnswerBroken",
     "AnswerLate",
     "AnswerTooLong",
@@ -24,9 +25,8 @@
     "TooLate",
 ]
 
-#: Limits of the Retry-After of a refused caller.
+#: Shortest Retry-After of a refused caller.
 MIN_RETRY_AFTER_S = 0.2
-MAX_RETRY_AFTER_S = 2.0
 #: The same where a part of the prompt is quarantined.
 MIN_TRIAL_WAIT_S = 1.0
 MAX_TRIAL_WAIT_S = 600.0
@@ -59,8 +59,13 @@
 
 
 class NoTarget(ForwardingError):
-    """No target can take the request now."""
+    """No target can take the request now.
 
+    :cvar is_scheduled: whether ``retry_after_s`` is this caller's own, so that callers
+        are spread without a random part.
+    """
+
+    is_scheduled: ClassVar[bool] = False
     type = "no-target"
     status = HTTPStatus.SERVICE_UNAVAILABLE
     run = Run.NOT_RUN
@@ -123,17 +128,17 @@
 
 
 class TooLate(NoTarget):
-    """The request would wait far longer than its objective.
+    """The request would not be served within its time limit.
 
-    :param wait_s: seconds by which the expected wait exceeds the objective; the
-        caller is asked to retry after that time.
+    :param wait_s: seconds after which its caller should return.
     """
 
     type = "too-late"
+    is_scheduled = True
 
     def __init__(self, detail: str = "", wait_s: float = MIN_RETRY_AFTER_S):
         super().__init__(detail)
-        self.retry_after_s = min(max(MIN_RETRY_AFTER_S, wait_s), MAX_RETRY_AFTER_S)
+        self.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
 
 
 class AnswerLate(ForwardingError):
--- a/src/vanillabeam/forwarding/sending/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -117,9 +117,18 @@
         finally:
             self._end_return(is_answered=False)
             chooser.load.record_end(self._open_request)
+            self._record_place(outcome)
             if outcome is not None:
                 self._record_outcome(outcome)
 
+    def _record_place(self, outcome: Outcome | None) -> None:
+        """Record that a place at the target has become free."""
+        lines, now_s = self._resources.chooser.lines, trio.current_time()
+        if isinstance(outcome, Delivered) and outcome.status < 300:
+            took_s = now_s - self._open_request.began_s
+            lines.line(self._service).record_took(self._request.route.name, took_s)
+        lines.record_change(self._service, now_s)
+
     async def _send_and_receive(self) -> Outcome:
         target = self._choice.target
         pool = self._resources.pools.pool(target, self._max_connections())
@@ -142,6 +151,7 @@
         """Record the time from sending the request to the head of its answer."""
         load = self._resources.chooser.load
         load.record_response(self._open_request, self._service, now_s)
+        self._resources.chooser.lines.record_change(self._service, now_s)
         first_s = now_s - self._open_request.began_s
         self._resources.counters.first_event_s.labels(self._service).observe(first_s)
 
--- a/src/vanillabeam/platform/documents.py
+++ b/src/vanillabeam/platform/documents.py
@@ -69,6 +69,7 @@
     api_keys: NotRequired[list[str]]
     priority: NotRequired[int]
     isolated: NotRequired[bool]
+    weight: NotRequired[float]
 
 
 class _Limits(TypedDict):
@@ -199,6 +200,7 @@
         keys=tuple(tenant.get("api_keys", [])),
         priority=tenant.get("priority"),
         isolated=tenant.get("isolated", False),
+        weight=tenant.get("weight", 1.0),
     )
 
 
--- a/src/vanillabeam/waiting/claim.py
+++ b/src/vanillabeam/waiting/claim.py
@@ -4,6 +4,10 @@
 
 __all__ = ["Claim"]
 
+#: Longest time kept for the answer itself, as a share of the time limit, so that a
+#: request is tried while it is not known well how long its answer takes.
+MAX_NEEDED_SHARE = 0.5
+
 _numbers = itertools.count(1)
 
 
@@ -13,13 +17,14 @@
     :param rank: urgency, 0 is the most urgent.
     :param workspace: workspace that the place is charged to.
     :param arrival_s: monotonic time at which the request arrived.
-    :param deadline_s: latest monotonic time at which a place is of use.
+    :param deadline_s: monotonic time by which its answer is due.
     :param size: cost of the request; 1 for a plain call, tokens for a prompt.
     :param weight: share of the workspace, relative to the others.
     :param is_returning: whether the caller has been refused before.
     :param hold_s: seconds for which claims behind it are held back once it was offered
         a place and fitted nowhere.
     :param route: name of the route, from which the rank follows.
+    :ivar needed_s: seconds that its answer takes once it has a place.
     :ivar earliest_s: monotonic time before which no target is expected to have a place.
     :ivar is_likely: whether it was found likely to get a place in time.
     """
@@ -45,12 +50,19 @@
         self.is_returning = is_returning
         self.hold_s = hold_s
         self.route = route
+        self.needed_s = 0.0
         self.earliest_s = float("-inf")
         self.is_likely = False
         self.number = next(_numbers)
         self._tried_at: int | None = None
         self._held_from_s: float | None = None
 
+    @property
+    def latest_s(self) -> float:
+        """Latest monotonic time at which a place is of use."""
+        limit_s = self.deadline_s - self.arrival_s
+        return self.deadline_s - min(self.needed_s, MAX_NEEDED_SHARE * limit_s)
+
     @property
     def key(self) -> tuple[bool, float, float, int]:
         """Place among the claims of the same rank and workspace; smallest first.
--- a/src/vanillabeam/waiting/queue.py
+++ b/src/vanillabeam/waiting/queue.py
@@ -77,12 +77,15 @@
         if not any(claim.workspace in names for names in self._ranks.values()):
             self._weights.pop(claim.workspace, None)
 
-    def record_served(self, claim: Claim, now_s: float) -> None:
-        """Record that a request has got a place, waiting or not; remove it."""
+    def record_served(self, claim: Claim | None, now_s: float) -> None:
+        """Record that a request has got a place; remove it.
+
+        :param claim: ``None`` if it didn't wait.
+        """
         if self._claims:
             self._rate.record_waiting(now_s)
         self._rate.record_taken(now_s)
-        if claim not in self._claims:
+        if claim is None or claim not in self._claims:
             return
         is_turn = self._starved() is claim.rank
         self._turns = 0 if is_turn else self._turns + 1
@@ -144,7 +147,7 @@
         if not self._is_hopeless(claim, expected_s, now_s):
             return None
         rate = self._rate.per_s(now_s)
-        patience_s = max(MIN_RETURN_S, claim.deadline_s - claim.arrival_s)
+        patience_s = max(MIN_RETURN_S, claim.latest_s - claim.arrival_s)
         first_s = now_s + max(MIN_RETURN_S, expected_s - patience_s)
         spacing_s = 1 / rate if rate else MIN_RETURN_S
         span_s = RETURN_SPAN * patience_s
@@ -165,6 +168,11 @@
         """Return the age of the oldest claim, 0 without one."""
         return max((now_s - claim.arrival_s for claim in self._claims), default=0.0)
 
+    def set_needed(self, needed_s: Callable[[Claim], float]) -> None:
+        """Set the seconds that the answers of the waiting requests take."""
+        for claim in self._claims:
+            claim.needed_s = needed_s(claim)
+
     def reorder(
         self, rank_of: Callable[[Claim], int], weight_of: Callable[[str], float]
     ) -> None:
@@ -227,7 +235,7 @@
         return max(0.0, claim.earliest_s - now_s, in_line_s)
 
     def _is_hopeless(self, claim: Claim, expected_s: float, now_s: float) -> bool:
-        left_s = claim.deadline_s - now_s
+        left_s = claim.latest_s - now_s
         if left_s <= 0 or expected_s > left_s:
             return True
         if not claim.is_likely and expected_s > ENTRY_SHARE * left_s:
