Read a target's answer on while its caller is slow

Cause: an answer was passed on part by part, so a target saw the pace of its caller; targets abort what remains unread for some seconds. An answer that was whole was cut at the time limit while its caller read it, and held its place at the target meanwhile. Connection and place are given back at the end of the body.

--- a/src/vanillabeam/forwarding/sending/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -28,6 +28,7 @@
 from vanillabeam.forwarding.sending.events import EventCutter
 from vanillabeam.forwarding.sending.outcomes import AnswerEnd, Delivered, Outcome
 from vanillabeam.forwarding.sending.plain import Prefix, read_plain, read_refusal
+from vanillabeam.forwarding.sending.readahead import read_ahead
 from vanillabeam.forwarding.sending.relay import StreamRelay
 from vanillabeam.forwarding.sending.upstream import (
     Broken,
@@ -91,6 +92,8 @@
         self._permit = permit
         self._was_refused = False
         self._is_return = False
+        self._is_released = False
+        self._is_closed = False
         self._open_request: OpenRequest | None = None
 
     async def run(self) -> Outcome:
@@ -116,18 +119,31 @@
             return outcome
         finally:
             self._end_return(is_answered=False)
-            chooser.load.record_end(self._open_request)
-            self._record_place(outcome)
+            self._release()
             if outcome is not None:
                 self._record_outcome(outcome)
 
-    def _record_place(self, outcome: Outcome | None) -> None:
-        """Record that a place at the target has become free."""
-        lines, now_s = self._resources.chooser.lines, trio.current_time()
-        if isinstance(outcome, Delivered) and outcome.status < 300:
-            took_s = now_s - self._open_request.began_s
-            lines.line(self._service).record_took(self._request.route.name, took_s)
-        lines.record_change(self._service, now_s)
+    def _release(self) -> None:
+        """Record that the target has a place again, once."""
+        if self._is_released:
+            return
+        self._is_released = True
+        chooser = self._resources.chooser
+        chooser.load.record_end(self._open_request)
+        chooser.lines.record_change(self._service, trio.current_time())
+
+    async def _record_whole(self, response: OpenResponse) -> None:
+        """Record that the target has sent its whole answer.
+
+        Its connection and its place don't wait for a caller that reads slowly.
+        """
+        if not self._is_released and response.status < 300:
+            took_s = trio.current_time() - self._open_request.began_s
+            line = self._resources.chooser.lines.line(self._service)
+            line.record_took(self._request.route.name, took_s)
+        self._release()
+        self._writer.record_whole()
+        await self._close(response)
 
     async def _send_and_receive(self) -> Outcome:
         target = self._choice.target
@@ -145,6 +161,12 @@
         try:
             return await self._handle_response(response)
         finally:
+            await self._close(response)
+
+    async def _close(self, response: OpenResponse) -> None:
+        """Close the answer once: its connection may serve another request by now."""
+        if not self._is_closed:
+            self._is_closed = True
             await close_response(response)
 
     def _record_response(self, now_s: float) -> None:
@@ -291,6 +313,7 @@
                 return await self._pass_on(response, read, parts)
             if response.status >= SERVER_ERROR:
                 return read
+            await self._record_whole(response)
             await self._writer.send_response(read.status, read.headers, read.body)
         return Delivered(read.status)
 
@@ -307,11 +330,13 @@
         if not await writer.start_long(status, response.headers, response.length):
             return Broken(AnswerTooLong(f"{name}: the caller speaks HTTP/1.0"))
         self.has_passed_on = True
-        await writer.send(prefix.take())
-        async for part in parts:
-            if isinstance(part, Broken):
-                return part
-            await writer.send(part)
+        whole = partial(self._record_whole, response)
+        async with read_ahead(parts, self._resources.memory, whole) as ahead:
+            await writer.send(prefix.take())
+            async for part in ahead:
+                if isinstance(part, Broken):
+                    return part
+                await writer.send(part)
         await writer.finish()
         return Delivered(status)
 
@@ -337,6 +362,8 @@
                 self._request.route.resumable,
                 lambda: load.record_activity(target.name, trio.current_time()),
                 holding,
+                self._resources.memory,
+                partial(self._record_whole, response),
             )
             broken = await relay.run()
         self.answer_end = self.answer_end._replace(partial_bytes=relay.partial_bytes)
--- a/src/vanillabeam/forwarding/sending/downstream.py
+++ b/src/vanillabeam/forwarding/sending/downstream.py
@@ -43,6 +43,7 @@
     :param collects: whether a stream is held until it is whole and sent with its
         length, because the caller's HTTP version has no chunks: only the end of the
         connection would mark the end of the stream, broken off or not.
+    :ivar on_whole: called when all of the answer is here, or is not after all.
     :ivar started: whether the head of the answer has been sent.
     :ivar is_whole: whether all of the answer is here, though the caller may not yet
         have taken it.
@@ -61,11 +62,20 @@
         self._collects = collects
         self._collected_head: tuple[int, Headers] | None = None
         self._collected = bytearray()
+        self.on_whole: Callable[[bool], None] = _ignore
         self.started = False
         self.is_whole = False
         self.finished = False
         self.status = 0
 
+    def record_whole(self, is_whole: bool = True) -> None:
+        """Record that all of the answer is here; a slow caller may take it late.
+
+        :param is_whole: ``False`` if another attempt follows.
+        """
+        self.is_whole = is_whole
+        self.on_whole(is_whole)
+
     async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer of a target."""
         self.is_whole = True
@@ -177,6 +187,10 @@
             await self._send(message)
 
 
+def _ignore(is_whole: bool) -> None:
+    return None
+
+
 async def read_body(
     receive, limits: Limits, holding: Holding | None = None, until_s: float = inf
 ) -> Result[bytes, VanillabeamError]:
--- a/src/vanillabeam/forwarding/sending/exchange.py
+++ b/src/vanillabeam/forwarding/sending/exchange.py
@@ -1,5 +1,7 @@
 """The exchange of one caller's request: attempts, retries and the final answer."""
 
+from math import inf
+
 import trio
 
 from vanillabeam.exceptions import Run, VanillabeamError
@@ -57,6 +59,7 @@
         #: Answer of a target that ran the request and failed.
         self._error: Whole | None = None
         self._scope = trio.CancelScope(deadline=request.ends_s)
+        writer.on_whole = self._extend
 
     @property
     def may_have_run(self) -> bool:
@@ -95,6 +98,10 @@
         """Have :meth:`run` return at once, with what is known of the request."""
         self._scope.deadline = trio.current_time()
 
+    def _extend(self, is_whole: bool) -> None:
+        """Let a slow caller take an answer that is whole after the time limit."""
+        self._scope.deadline = inf if is_whole else self._request.ends_s
+
     async def _run_attempts(self) -> VanillabeamError | None:
         previous: Outcome | None = None
         selection = self._selection
@@ -105,6 +112,8 @@
             previous = await self._attempt(selected)
             if isinstance(previous, Delivered):
                 return None
+            if self._scope.deadline > self._request.ends_s:
+                self._writer.record_whole(False)
             if not self._may_retry(previous):
                 return await self._conclude(previous)
             if isinstance(previous, Broken):
--- a/src/vanillabeam/forwarding/sending/relay.py
+++ b/src/vanillabeam/forwarding/sending/relay.py
@@ -1,18 +1,21 @@
 """Relay of a target's event stream to the caller."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import trio
 
 from vanillabeam.fleet import Target
 from vanillabeam.forwarding.exceptions import AnswerBroken
 from vanillabeam.forwarding.sending.downstream import ResponseWriter
 from vanillabeam.forwarding.sending.events import EventCutter
+from vanillabeam.forwarding.sending.readahead import read_ahead
 from vanillabeam.forwarding.sending.upstream import (
     Broken,
     Framing,
     OpenResponse,
     iter_body,
 )
-from vanillabeam.memory import Holding
+from vanillabeam.memory import Holding, MemoryBudget
 
 __all__ = ["StreamRelay"]
 
@@ -32,6 +35,8 @@
     :param cutter: cuts a stream into whole events, over all attempts.
     :param record_activity: called whenever data arrives.
     :param holding: counts the bytes that are held; ``None`` counts them nowhere.
+    :param memory: bytes that may be held for slow callers; ``None`` holds none.
+    :param on_whole: awaited once the target has sent all of the body.
     :ivar partial_bytes: bytes after the last complete event when the stream ended.
     """
 
@@ -44,6 +49,8 @@
         resumable: bool,
         record_activity: Callable[[], None],
         holding: Holding | None = None,
+        memory: MemoryBudget | None = None,
+        on_whole: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint,
     ):
         self.partial_bytes = 0
         self._response = response
@@ -53,6 +60,8 @@
         self._resumable = resumable
         self._record_activity = record_activity
         self._holding = holding
+        self._memory = memory
+        self._on_whole = on_whole
 
     async def run(self) -> Broken | None:
         """Pass the stream on; return its failure if it broke off."""
@@ -69,8 +78,13 @@
         return None
 
     async def _pass_on(self) -> Broken | None:
+        parts = iter_body(self._response, self._target)
+        async with read_ahead(parts, self._memory, self._on_whole) as ahead:
+            return await self._pass_on_parts(ahead)
+
+    async def _pass_on_parts(self, parts: AsyncIterator) -> Broken | None:
         is_empty = True
-        async for part in iter_body(self._response, self._target):
+        async for part in parts:
             if isinstance(part, Broken):
                 return part
             is_empty = False
--- a/tests/forwarding/exchanges.py
+++ b/tests/forwarding/exchanges.py
@@ -100,6 +100,7 @@
     :ivar quarantine: quarantined parts, as this VM knows them.
     :ivar accused: parts that the leader asks about.
     :ivar checked: targets that may have ended.
+    :ivar take_s: seconds that a caller takes for each message.
     :ivar connect_s: seconds from the choice of a target until the request is sent.
     """
 
@@ -110,7 +111,7 @@
         ]
         self.replies = {name: [Reply()] for name in names}
         self.sent = []
-        self.connect_s = 0.0
+        self.connect_s = self.take_s = 0.0
         self.route = make_route(**({"timeout_s": 4.0} | route))
         self.chooser = make_chooser(*self.targets)
         self.directory = self.chooser._directory
@@ -139,6 +140,7 @@
         sent, now_s = [], trio.current_time()
 
         async def send(message):
+            await trio.sleep(self.take_s)
             sent.append(message)
 
         request = AdmittedRequest(
