--- a/src/vanillabeam/cli/__init__.py
+++ b/src/vanillabeam/cli/__init__.py
@@ -6,6 +6,7 @@
     data,
     explain,
     keys,
+    late,
     parts,
     reports,
     rollouts,
@@ -32,6 +33,7 @@
 app.command("status")(status.status)
 app.command("trace")(traces.trace)
 app.command("explain")(explain.explain)
+app.command("late")(late.late)
 
 
 def main() -> None:
--- a/src/vanillabeam/counters.py
+++ b/src/vanillabeam/counters.py
@@ -60,6 +60,9 @@
             "service",
             "role",
         )
+        self.waits = self._counter(
+            "waits", "Requests that waited for a place.", "service", "outcome"
+        )
         self.total_s = self._histogram(
             "request_seconds", "Time to the end of an answer.", "route"
         )
--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -61,7 +61,10 @@
     RequestAdmitted,
     RequestAnswered,
     RequestRefused,
+    RequestWaits,
     TargetChosen,
+    WaitEnded,
+    WaitRefused,
 )
 from vanillabeam.decisions.rollouts import (
     RolloutOrdered,
@@ -134,6 +137,7 @@
     "RolloutOrdered",
     "RolloutStepped",
     "RolloutSuspected",
+    "RequestWaits",
     "SeedsChanged",
     "SettingsUnreadable",
     "Started",
@@ -156,6 +160,8 @@
     "TaskFailed",
     "VersionHeld",
     "VersionsBarred",
+    "WaitEnded",
+    "WaitRefused",
     "WeightsHeld",
     "WeightsOrdered",
     "event_name",
--- a/src/vanillabeam/decisions/requests.py
+++ b/src/vanillabeam/decisions/requests.py
@@ -12,7 +12,10 @@
     "RequestAdmitted",
     "RequestAnswered",
     "RequestRefused",
+    "RequestWaits",
     "TargetChosen",
+    "WaitEnded",
+    "WaitRefused",
 ]
 
 
@@ -22,6 +25,8 @@
     :param index: index of the fleet state used for the request.
     :param number: number of the deployment used for the request.
     :param budget_s: seconds within which the final answer is due.
+    :param objective_s: seconds within which the route's first event is due; 0 without
+        an objective.
     """
 
     request_id: str
@@ -31,6 +36,7 @@
     index: int
     number: int
     budget_s: float
+    objective_s: float
 
 
 class TargetChosen(NamedTuple):
@@ -43,6 +49,8 @@
     :param failing: by how much more often the target fails than its service does.
     :param work: tokens of work that the request brings to the target.
     :param unread: tokens of shared prompt parts that no store keeps.
+    :param fetched: tokens of the work that stand for fetches of stored parts.
+    :param queued: tokens of work at the target before the request's own.
     :param wait_s: expected seconds to the first event of the answer.
     :param left_out: targets that asked to be left out, with the reason and the seconds
         since they said so; some of them if there are many.
@@ -57,6 +65,8 @@
     failing: float
     work: int
     unread: int
+    fetched: int
+    queued: int
     wait_s: float
     cold: bool
     attempts: int
@@ -94,6 +104,9 @@
     :param framing: how the target marked the end of its answer: ``length``,
         ``chunks``, or ``close`` for the end of the connection.
     :param partial_bytes: bytes of a stream after its last complete event.
+    :param first_s: seconds from the request's head to the first part of the target's
+        answer, or to all of a short one that is no stream.
+    :param gap_s: longest time between two parts of a stream.
     """
 
     request_id: str
@@ -102,6 +115,8 @@
     total_s: float
     framing: str
     partial_bytes: int
+    first_s: float | None
+    gap_s: float
 
 
 class RequestRefused(NamedTuple):
@@ -176,3 +191,62 @@
     queued: bool
     rivals: int
     granter: str
+
+
+class RequestWaits(NamedTuple):
+    """A request waits in line for a place at the targets of its service.
+
+    :param place: requests before it.
+    :param length: requests in the line, this one included.
+    :param expected_s: expected seconds until it gets a place.
+    :param left_s: seconds until a place is of no use to it.
+    :param returning: whether its caller seems to have been refused before.
+    """
+
+    request_id: str
+    service: str
+    workspace: str
+    rank: int
+    place: int
+    length: int
+    expected_s: float
+    left_s: float
+    returning: bool
+
+
+class WaitEnded(NamedTuple):
+    """A request left the line of its service.
+
+    :param outcome: ``sent`` to a target, or ``left`` as its caller has gone or its time
+        has passed.
+    :param waited_s: seconds in the line.
+    :param length: requests that still wait.
+    """
+
+    request_id: str
+    service: str
+    outcome: str
+    waited_s: float
+    length: int
+
+
+class WaitRefused(NamedTuple):
+    """A request was refused, as it can't get a place in time.
+
+    :param place: requests before it when it last looked.
+    :param length: requests in the line then, this one included.
+    :param expected_s: expected seconds until it would have got a place.
+    :param left_s: seconds until a place would have been of no use to it.
+    :param waited_s: seconds in the line.
+    """
+
+    request_id: str
+    service: str
+    workspace: str
+    rank: int
+    place: int
+    length: int
+    expected_s: float
+    left_s: float
+    waited_s: float
+    retry_after_s: float
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -22,7 +22,7 @@
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.choosing.choice import Chooser
 from vanillabeam.forwarding.dialect import Dialect, RequestMetadata
-from vanillabeam.forwarding.exceptions import StateUnknown, VmOverloaded
+from vanillabeam.forwarding.exceptions import StateUnknown
 from vanillabeam.forwarding.judging.endings import TargetEnds
 from vanillabeam.forwarding.judging.endprobe import EndProbe
 from vanillabeam.forwarding.judging.gate import QuarantineGate
@@ -265,6 +265,7 @@
                 view.index,
                 view.deployment.number,
                 round(wait_s, 3),
+                request.route.objective_s,
             )
         )
         return Success(request)
@@ -326,6 +327,8 @@
                     exchange.attempts,
                     total_s,
                     *exchange.answer_end,
+                    writer.pace.first_s(request.began_s),
+                    writer.pace.gap_s,
                 )
             )
             counters.requests.labels(route, "answered", str(writer.status)).inc()
@@ -346,8 +349,8 @@
         before_end: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         retry_after_s = exc.retry_after_s
-        # An overloaded VM has spread the returns of its callers already.
-        if retry_after_s is not None and not isinstance(exc, VmOverloaded):
+        # Some failures have spread the returns of their callers already.
+        if retry_after_s is not None and not getattr(exc, "is_scheduled", False):
             retry_after_s = spread_retry_after(retry_after_s, self._rng)
         log_record(
             RequestRefused(
--- a/src/vanillabeam/forwarding/choosing/choice.py
+++ b/src/vanillabeam/forwarding/choosing/choice.py
@@ -19,6 +19,7 @@
 from vanillabeam.forwarding.choosing.costs import PromptCosts
 from vanillabeam.forwarding.choosing.health import Health
 from vanillabeam.forwarding.choosing.leftout import LeftOutTargets
+from vanillabeam.forwarding.choosing.lines import ServiceLines
 from vanillabeam.forwarding.choosing.load import Load
 from vanillabeam.forwarding.choosing.memory import with_free_memory
 from vanillabeam.forwarding.choosing.ordering import TargetOrder
@@ -51,6 +52,7 @@
     :ivar notices: what targets have asked of this VM.
     :ivar rates: permits for targets that name a limit.
     :ivar versions: software versions that requests may go to.
+    :ivar lines: requests that wait for places.
     :ivar is_paused: returns whether a target is paused to load weights, given its
         name and the monotonic time.
     """
@@ -69,6 +71,8 @@
         self._bounds = bounds
         self._rng = rng
         self.load = Load()
+        self.lines = ServiceLines()
+        self.load.on_report = self.lines.record_report
         self.notices = TargetNotices(rng)
         self.rates = RateGate(vm, limits or RateLimits(), rng)
         self.versions = TargetVersions(bounds.expose_share > 0, directory, rng)
@@ -249,6 +253,10 @@
         """Return the known targets of a service that may be used by their version."""
         return self.versions.allowed(service, self.targets_of(service), now_s)
 
+    def usable_targets(self, *args) -> list[Target]:
+        """Return the targets that may take a request but for their places."""
+        return self._usable_targets(*args)
+
     def _usable_targets(
         self,
         service: str,
--- a/src/vanillabeam/forwarding/choosing/load.py
+++ b/src/vanillabeam/forwarding/choosing/load.py
@@ -1,6 +1,6 @@
 """Load of each target, and the speed at which it is processed."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from vanillabeam.capacity.core import TargetCapacity
 from vanillabeam.fleet import Target
@@ -27,6 +27,7 @@
 
     :ivar observed: recent outcomes of requests, of all entry VMs.
     :ivar capacity: speed of each target, and the open requests from which it slows.
+    :ivar on_report: called with the monotonic time when the load of others arrives.
 
     >>> load = Load()
     >>> opened = load.record_start("t-1", rank=2, tokens=900, now_s=1.0)
@@ -38,6 +39,7 @@
 
     def __init__(self):
         self.observed = Observations()
+        self.on_report: Callable[[float], None] = lambda now_s: None
         self._work = OpenWork()
         self._silence = Silence()
         self.capacity = TargetCapacity()
@@ -85,6 +87,7 @@
         self._work.update_others(load, now_s)
         self.observed.update_others(load)
         self.capacity.update_others(load, now_s)
+        self.on_report(now_s)
 
     def others_age_s(self, now_s: float) -> float | None:
         """Return the seconds since the others' load arrived, ``None`` before."""
--- a/src/vanillabeam/forwarding/sending/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -29,6 +29,7 @@
 from vanillabeam.forwarding.sending.events import EventCutter
 from vanillabeam.forwarding.sending.outcomes import AnswerEnd, Delivered, Outcome
 from vanillabeam.forwarding.sending.plain import Prefix, read_plain, read_refusal
+from vanillabeam.forwarding.sending.readahead import read_ahead
 from vanillabeam.forwarding.sending.relay import StreamRelay
 from vanillabeam.forwarding.sending.upstream import (
     Broken,
@@ -93,6 +94,8 @@
         self._permit = permit
         self._was_refused = False
         self._is_return = False
+        self._is_released = False
+        self._is_closed = False
         self._open_request: OpenRequest | None = None
         self._counted: CountedRequest | None = None
 
@@ -124,7 +127,7 @@
         finally:
             self._end_return(is_answered=False)
             self._record_call(outcome)
-            chooser.load.record_end(self._open_request)
+            self._release()
             self._count_end(outcome)
             if outcome is not None:
                 self._record_outcome(outcome)
@@ -143,6 +146,30 @@
             counted.record_failure()
         self._resources.chooser.versions.end(counted)
 
+    def _release(self) -> None:
+        """Record that the target has a place again, once."""
+        if self._is_released:
+            return
+        self._is_released = True
+        chooser = self._resources.chooser
+        chooser.load.record_end(self._open_request)
+        chooser.lines.record_change(self._service, trio.current_time())
+
+    async def _record_whole(self, response: OpenResponse) -> None:
+        """Record that the target has sent its whole answer.
+
+        Its connection and its place don't wait for a caller that reads slowly.
+        """
+        if not self._is_released and response.status < 300:
+            took_s = trio.current_time() - self._open_request.began_s
+            line = self._resources.chooser.lines.line(self._service)
+            line.record_took(self._request.route.name, took_s)
+        if not self._is_released:
+            self._end_call(response.status >= CLIENT_ERROR)
+        self._release()
+        self._writer.record_whole()
+        await self._close(response)
+
     async def _send_and_receive(self) -> Outcome:
         target = self._choice.target
         pool = self._resources.pools.pool(target, self._max_connections())
@@ -162,6 +189,12 @@
         try:
             return await self._handle_response(response)
         finally:
+            await self._close(response)
+
+    async def _close(self, response: OpenResponse) -> None:
+        """Close the answer once: its connection may serve another request by now."""
+        if not self._is_closed:
+            self._is_closed = True
             await close_response(response)
 
     def _record_response(self, now_s: float) -> None:
@@ -170,6 +203,7 @@
         load.record_response(self._open_request, self._service, now_s)
         if not self._counted.is_prompt:
             self._counted.record_first(now_s)
+        self._resources.chooser.lines.record_change(self._service, now_s)
         first_s = now_s - self._open_request.began_s
         self._resources.counters.first_event_s.labels(self._service).observe(first_s)
 
@@ -312,6 +346,8 @@
                 return await self._pass_on(response, read, parts)
             if response.status >= SERVER_ERROR:
                 return read
+            self._record_activity()
+            await self._record_whole(response)
             await self._writer.send_response(read.status, read.headers, read.body)
         return Delivered(read.status)
 
@@ -328,11 +364,14 @@
         if not await writer.start_long(status, response.headers, response.length):
             return Broken(AnswerTooLong(f"{name}: the caller speaks HTTP/1.0"))
         self.has_passed_on = True
-        await writer.send(prefix.take())
-        async for part in parts:
-            if isinstance(part, Broken):
-                return part
-            await writer.send(part)
+        whole = partial(self._record_whole, response)
+        self._record_activity()
+        async with read_ahead(parts, self._resources.memory, whole) as ahead:
+            await writer.send(prefix.take())
+            async for part in ahead:
+                if isinstance(part, Broken):
+                    return part
+                await writer.send(part)
         await writer.finish()
         return Delivered(status)
 
@@ -358,23 +397,30 @@
                 self._request.route.resumable,
                 self._record_activity,
                 holding,
+                self._resources.memory,
+                partial(self._record_whole, response),
             )
             broken = await relay.run()
         self.answer_end = self.answer_end._replace(partial_bytes=relay.partial_bytes)
         return broken or Delivered(response.status)
 
     def _record_activity(self) -> None:
-        """Record that a part of a stream has arrived."""
+        """Record that a part of the answer has arrived."""
         now_s = trio.current_time()
-        self._resources.chooser.load.record_activity(self._choice.target.name, now_s)
+        load = self._resources.chooser.load
+        load.record_activity(self._choice.target.name, now_s)
+        self._writer.pace.record(now_s)
         self._counted.record_first(now_s)
         self._counted.record_answer()
 
     def _record_call(self, outcome: Outcome | None) -> None:
         """Record the time of a plain call, unless its answer is a failure."""
         is_good = isinstance(outcome, Delivered) and outcome.status < CLIENT_ERROR
+        self._end_call(not is_good)
+
+    def _end_call(self, failed: bool) -> None:
         self._resources.chooser.load.record_call(
-            self._open_request, self._service, not is_good, trio.current_time()
+            self._open_request, self._service, failed, trio.current_time()
         )
 
     def _record_outcome(self, outcome: Outcome) -> None:
--- a/src/vanillabeam/forwarding/sending/downstream.py
+++ b/src/vanillabeam/forwarding/sending/downstream.py
@@ -11,6 +11,7 @@
 from vanillabeam.exceptions import BodyTooSlow, Run, VanillabeamError
 from vanillabeam.fleet import Limits
 from vanillabeam.forwarding.dialect import Headers
+from vanillabeam.forwarding.sending.pace import Pace
 from vanillabeam.hopheaders import strip_hop_by_hop
 from vanillabeam.limits import collect_body
 from vanillabeam.memory import Holding
@@ -46,6 +47,8 @@
     :param has_left: asked whether the caller has ended its connection.
     :ivar on_left: called when the caller is found to have left.
     :ivar is_abandoned: whether the caller was found to have left.
+    :ivar pace: when the parts of the answer arrived.
+    :ivar on_whole: called when all of the answer is here, or is not after all.
     :ivar started: whether the head of the answer has been sent.
     :ivar is_whole: whether all of the answer is here, though the caller may not yet
         have taken it.
@@ -68,6 +71,8 @@
         self._collects = collects
         self._collected_head: tuple[int, Headers] | None = None
         self._collected = bytearray()
+        self.pace = Pace()
+        self.on_whole: Callable[[bool], None] = _ignore
         self.started = False
         self.is_whole = False
         self.finished = False
@@ -80,6 +85,14 @@
             self.on_left()
         return self.is_abandoned
 
+    def record_whole(self, is_whole: bool = True) -> None:
+        """Record that all of the answer is here; a slow caller may take it late.
+
+        :param is_whole: ``False`` if another attempt follows.
+        """
+        self.is_whole = is_whole
+        self.on_whole(is_whole)
+
     async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer of a target."""
         self.is_whole = True
@@ -191,6 +204,10 @@
             await self._send(message)
 
 
+def _ignore(is_whole: bool) -> None:
+    return None
+
+
 async def read_body(
     receive, limits: Limits, holding: Holding | None = None, until_s: float = inf
 ) -> Result[bytes, VanillabeamError]:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -46,7 +46,9 @@
 
 RECORDS = [
     RequestRefused("r-1", "no-target", 'a "quote"\n{x}', 503, "not-run", 0.25, 7),
-    TargetChosen("r-1", "llm", "t", 3, 0.2, None, 0.0, 9, 0, 0.1, False, 1, 7, ["é"]),
+    TargetChosen(
+        "r-1", "llm", "t", 3, 0.2, None, 0.0, 9, 0, 0, 0, 0.1, False, 1, 7, ["é"]
+    ),
     TaskFailed("follower", "ValueError", "at x.py:3"),
 ]
 
