Hold calls back after targets refuse some

The line also stood still for up to a second when a claim became the first one as another entered, since nobody woke it. Change: a refusal cuts the open calls of a VM, answers let them grow; three quarters of an equal part are always a VM's. The first claim is woken whenever it changes.

--- a/src/vanillabeam/forwarding/choosing/lines.py
+++ b/src/vanillabeam/forwarding/choosing/lines.py
@@ -7,7 +7,7 @@
 from vanillabeam.counters import Counters
 from vanillabeam.fleet import Deployment
 from vanillabeam.forwarding.admitted import rank_of
-from vanillabeam.waiting import Claim, WaitingLine
+from vanillabeam.waiting import CallWindow, Claim, WaitingLine
 
 __all__ = ["POLL_INTERVAL_S", "ServiceLine", "ServiceLines"]
 
@@ -30,12 +30,16 @@
     """The line of one service, with the tasks that wait in it.
 
     :ivar line: decides whose turn it is.
+    :ivar window: limits the open plain calls while targets refuse some.
     """
 
     def __init__(self):
         self.line = WaitingLine()
+        self.window = CallWindow()
         self._events: dict[Claim, trio.Event] = {}
         self._refusals: dict[Claim, float] = {}
+        #: The request that is tried without news; the first one when it last looked.
+        self._poller: Claim | None = None
         self._changed_s = float("-inf")
         self._swept_s = float("-inf")
         #: Seconds from sending a request to its whole answer, by route: their mean and
@@ -69,8 +73,11 @@
             self.wake_next(now_s)
 
     def wake_next(self, now_s: float) -> None:
-        """Wake the request whose turn it is."""
+        """Wake the request whose turn it is, and the first one unless it polls."""
         self._wake(self.line.next(now_s))
+        first = self.line.first()
+        if first is not self._poller:
+            self._wake(first)
 
     async def sleep(self, claim: Claim, now_s: float) -> float | None:
         """Wait until it is a claim's turn.
@@ -84,7 +91,14 @@
                 return self._refusals.pop(claim)
             if self.line.next(now_s) is claim:
                 return None
-            is_first = next(self.line.in_order()) is claim
+            is_first = self.line.first() is claim
+            if is_first:
+                self._poller = claim
+            else:
+                # The order also changes by claims that enter: another one may be first.
+                if self._poller is claim:
+                    self._poller = None
+                self.wake_next(now_s)
             interval_s = POLL_INTERVAL_S if is_first else MAX_SLEEP_S
             event = self._events[claim] = trio.Event()
             try:
--- a/src/vanillabeam/forwarding/choosing/selection.py
+++ b/src/vanillabeam/forwarding/choosing/selection.py
@@ -8,7 +8,7 @@
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.choosing.choice import Choice
 from vanillabeam.forwarding.choosing.costs import PromptCosts
-from vanillabeam.forwarding.choosing.places import are_all_full
+from vanillabeam.forwarding.choosing.places import are_all_full, uses_part
 from vanillabeam.forwarding.choosing.placewait import PlaceWait
 from vanillabeam.forwarding.choosing.ratelines import Claim, Permit
 from vanillabeam.forwarding.choosing.requestcosts import estimate_request_costs
@@ -240,12 +240,13 @@
             return now_s + late_s if late_s > 0.0 else None
         resources = self._resources
         load, entries = resources.chooser.load, len(resources.follower.entry_vms)
-        if choice is not None and not are_all_full(
-            load, [choice.target], entries, now_s
-        ):
-            return None
         if choice is None and self._costs is None:
             return None
+        is_cut = resources.chooser.lines.line(self._service).window.is_full()
+        if choice is not None and not (
+            is_cut or are_all_full(load, [choice.target], entries, now_s)
+        ):
+            return None
         usable = resources.chooser.usable_targets(
             self._service,
             self._request.metadata,
@@ -256,6 +257,8 @@
         )
         if self._costs is not None:
             return now_s if usable else None
+        if is_cut and uses_part(load, usable, entries):
+            return now_s
         return now_s if are_all_full(load, usable, entries, now_s) else None
 
     def _log(self, choice: Choice, sent: int) -> None:
--- a/src/vanillabeam/forwarding/sending/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -112,6 +112,7 @@
             or DEFAULT_SILENCE_LIMIT_S,
             self._choice.memory_tokens,
         )
+        chooser.lines.line(self._service).window.record_sent()
         self._is_return = chooser.notices.record_sent(target.incarnation)
         outcome: Outcome | None = None
         try:
@@ -128,9 +129,11 @@
         if self._is_released:
             return
         self._is_released = True
-        chooser = self._resources.chooser
+        chooser, now_s = self._resources.chooser, trio.current_time()
         chooser.load.record_end(self._open_request)
-        chooser.lines.record_change(self._service, trio.current_time())
+        window = chooser.lines.line(self._service).window
+        (window.record_refused if self._was_refused else window.record_ended)(now_s)
+        chooser.lines.record_change(self._service, now_s)
 
     async def _record_whole(self, response: OpenResponse) -> None:
         """Record that the target has sent its whole answer.
--- a/src/vanillabeam/waiting/__init__.py
+++ b/src/vanillabeam/waiting/__init__.py
@@ -2,5 +2,6 @@
 
 from vanillabeam.waiting.claim import Claim
 from vanillabeam.waiting.queue import WaitingLine
+from vanillabeam.waiting.window import CallWindow
 
-__all__ = ["Claim", "WaitingLine"]
+__all__ = ["CallWindow", "Claim", "WaitingLine"]
--- a/src/vanillabeam/waiting/queue.py
+++ b/src/vanillabeam/waiting/queue.py
@@ -117,6 +117,10 @@
                 held_rank = claim.rank
         return None
 
+    def first(self) -> Claim | None:
+        """Return the claim that gets the next place; ``None`` without claims."""
+        return next(self.in_order(), None)
+
     def in_order(self) -> Iterator[Claim]:
         """Yield the claims in the order in which they get places."""
         starved = self._starved()
--- a/tests/waiting/test_lines.py
+++ b/tests/waiting/test_lines.py
@@ -188,3 +188,36 @@
     lines.line("llm").line.enter(claim, 0.0)
     lines.apply(make_deployment(routes=()))
     assert (claim.rank, claim in lines.line("llm").line) == (2, True)
+
+
+# Guards against a line that stands still for a second while there are places: a claim
+# became the first one as another entered, and nobody woke it.
+def test_a_claim_that_becomes_the_first_one_is_woken():
+    line = ServiceLines().line("llm")
+    turns = {}
+
+    async def wait(claim):
+        await line.sleep(claim, trio.current_time())
+        turns[claim] = trio.current_time()
+        line.line.record_served(claim, trio.current_time())
+        line.wake_next(trio.current_time())
+
+    async def main():
+        began_s = trio.current_time()
+        blocked, waiting = (Claim(0, "a", began_s, began_s + 9.0) for _ in "ab")
+        async with trio.open_nursery() as nursery:
+            for claim in (blocked, waiting):
+                line.line.enter(claim, began_s)
+                line.line.record_no_fit(claim, began_s)
+            blocked.hold_s = waiting.hold_s = 9.0
+            nursery.start_soon(wait, waiting)
+            await trio.sleep(0.01)
+            # The claim in front goes without a change of places.
+            line.line.leave(blocked)
+            urgent = Claim(0, "b", began_s, began_s + 9.5)
+            line.line.enter(urgent, trio.current_time())
+            line.line.record_no_fit(urgent, trio.current_time())
+            nursery.start_soon(wait, urgent)
+        return max(turns.values()) - began_s
+
+    assert play(main) <= 0.3
