Keep a connection pool for each VM that is called

Cause: for each request httpcore's pool looks at all of its connections several times, among them a poll of each idle one's socket; one pool held those to all VMs.

Change: PeerClient has a pool for each address; as another one is added, those not used for 4 s without an open request are closed. The test of the connect timeout puts its pool in at the address, and checks the same.

--- a/src/vanillabeam/peerhttp.py
+++ b/src/vanillabeam/peerhttp.py
@@ -28,6 +28,7 @@
 IO_TIMEOUT_S = 5.0
 #: Time after which an idle connection is closed.
 IDLE_EXPIRY_S = 4.0
+#: Connections to one VM.
 MAX_CONNECTIONS = 64
 #: Longest answer of another VM, which may be a block of KV cache.
 MAX_ANSWER_BYTES = 2**31
@@ -68,11 +69,11 @@
         self.headers = [(b"Content-Type", JSON_TYPE)]
         if key is not None:
             self.headers.append((b"Authorization", b"Bearer " + key.encode()))
-        self.pool = httpcore.AsyncConnectionPool(
-            ssl_context=tls,
-            max_connections=MAX_CONNECTIONS,
-            keepalive_expiry=IDLE_EXPIRY_S,
-        )
+        self._tls = tls
+        #: Pool of each VM's address. A pool looks at all of its connections for each
+        #: request, so one pool for all VMs costs more the more VMs are called.
+        self.pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._used_s: dict[str, float] = {}
 
     async def __call__(
         self, address: str, path: str, body: bytes
@@ -102,7 +103,7 @@
         try:
             with trio.fail_after(2 * self.io_timeout_s):
                 res = await request_bounded(
-                    self.pool,
+                    await self._pool(address),
                     method,
                     url,
                     self.answer_bytes,
@@ -123,9 +124,33 @@
             return Failure(from_problem(res.status, res.content))
         return Success(res.content)
 
+    async def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        """Return the pool of an address; close those that have not been used lately."""
+        self._used_s[address] = now_s = trio.current_time()
+        if address not in self.pools:
+            self.pools[address] = httpcore.AsyncConnectionPool(
+                ssl_context=self._tls,
+                max_connections=MAX_CONNECTIONS,
+                keepalive_expiry=IDLE_EXPIRY_S,
+            )
+            await self._close_unused(now_s - IDLE_EXPIRY_S)
+        return self.pools[address]
+
+    async def _close_unused(self, since_s: float) -> None:
+        unused = [
+            address
+            for address, pool in self.pools.items()
+            if self._used_s[address] < since_s
+            and all(connection.is_idle() for connection in pool.connections)
+        ]
+        for pool in [self.pools.pop(address) for address in unused]:
+            await pool.aclose()
+
     async def aclose(self) -> None:
         """Close all connections."""
-        await self.pool.aclose()
+        while self.pools:
+            _, pool = self.pools.popitem()
+            await pool.aclose()
 
 
 def peer_routes(routes: PeerRoutes, on_broken=None) -> list[Route]:
--- a/tests/test_peerhttp.py
+++ b/tests/test_peerhttp.py
@@ -1,14 +1,16 @@
 from functools import partial
+from types import SimpleNamespace
 
 import httpcore
 import trio
+import trio.testing
 from returns.result import Failure, Success
 from starlette.applications import Starlette
 
 from tests.builders import make_listener
 from vanillabeam.exceptions import InvariantBroken, Overloaded, Run
 from vanillabeam.listeners import ListenerTask
-from vanillabeam.peerhttp import IO_TIMEOUT_S, PeerClient, peer_routes
+from vanillabeam.peerhttp import IDLE_EXPIRY_S, IO_TIMEOUT_S, PeerClient, peer_routes
 
 #: Read timeout of the one test that waits for it. All others keep the client's own
 #: timeout, so a busy machine can't turn their answers into timeouts.
@@ -103,7 +105,37 @@
 
 def test_the_connect_timeout_is_passed_to_the_pool_and_means_not_run():
     client = PeerClient(None, None, connect_timeout_s=0.25)
-    client.pool = UnconnectablePool()
+    client.pools["10.0.0.1:7"] = pool = UnconnectablePool()
     exc = trio.run(client, "10.0.0.1:7", "/", b"").failure()
     assert exc.run is Run.NOT_RUN
-    assert client.pool.connect_timeout_used_s == 0.25
+    assert pool.connect_timeout_used_s == 0.25
+
+
+class UsedPool:
+    """A pool of one connection; records its end."""
+
+    def __init__(self, is_idle):
+        self.connections = [SimpleNamespace(is_idle=lambda: is_idle)]
+        self.is_closed = False
+
+    async def aclose(self):
+        self.is_closed = True
+
+
+# Guards against connections to VMs that have gone that stay open for ever, and against
+# requests that are cut off as another VM is called.
+def test_the_pools_of_addresses_that_are_no_longer_called_are_closed():
+    async def main():
+        client = PeerClient(None, None)
+        idle, busy, recent = UsedPool(True), UsedPool(False), UsedPool(True)
+        for address, pool in (("10.0.0.1:7", idle), ("10.0.0.2:7", busy)):
+            client.pools[address] = pool
+            await client._pool(address)
+        await trio.sleep(IDLE_EXPIRY_S + 0.1)
+        client.pools["10.0.0.3:7"] = recent
+        await client._pool("10.0.0.3:7")
+        await client._pool("10.0.0.4:7")
+        return [pool.is_closed for pool in (idle, busy, recent)], len(client.pools)
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    assert trio.run(main, clock=clock) == ([True, False, False], 3)
