Make no system call for the end of an answer with a length

Cause: such an end is an empty write, which took a system call.

Change: empty data are not written.

--- a/src/vanillabeam/httpserver.py
+++ b/src/vanillabeam/httpserver.py
@@ -342,7 +342,8 @@
 
     async def _send(self, data: bytes) -> None:
         """Send bytes; close the connection if the caller takes none of them."""
-        data = self._send_at_once(data)
+        # The end of an answer with a length has no bytes.
+        data = data and self._send_at_once(data)
         if not data:
             return
         async with self.send_lock:
