--- a/src/vanillabeam/forwarding/choosing/ordering.py
+++ b/src/vanillabeam/forwarding/choosing/ordering.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from vanillabeam.fleet import Target
+from vanillabeam.forwarding.choosing.callorder import CallOrder
 from vanillabeam.forwarding.choosing.candidates import sample_candidates
 from vanillabeam.forwarding.choosing.costs import PromptCosts
 from vanillabeam.forwarding.choosing.load import Load
@@ -11,13 +12,15 @@
 
 __all__ = ["TargetOrder"]
 
-#: Penalty of targets in other data centres: tokens of work for a prompt, or open
-#: requests for a plain call.
+#: Penalty of targets in other data centres, in tokens of work.
 REMOTE_PENALTY_TOKENS = 400
-REMOTE_PENALTY_REQUESTS = 1
-#: Penalty of a target all of whose requests fail while those of others succeed: open
-#: requests for a plain call, objectives of waiting for a prompt.
-FAILURE_PENALTY_REQUESTS = 20
+#: Rank of which no request is less urgent.
+LEAST_URGENT = 1_000_000
+#: Work that each open request stands for beside its prefill: others take longer beside
+#: it, and it holds one of the target's slots.
+OPEN_TOKENS = 1_000
+#: Penalty of a target all of whose requests fail while those of others succeed, in
+#: objectives of waiting.
 FAILURE_PENALTY_OBJECTIVES = 4.0
 
 
@@ -31,23 +34,11 @@
     def __init__(self, data_centre: str, rng: random.Random):
         self._data_centre = data_centre
         self._rng = rng
+        self._calls = CallOrder(data_centre, rng)
 
     def _is_remote(self, target: Target) -> bool:
         return target.data_centre != self._data_centre
 
-    def _by_open_requests(self, load: Load, usable: list[Target]) -> list[Target]:
-        """Return targets for a plain call, the best first."""
-        failures = load.observed.failure_excess(target.name for target in usable)
-
-        def score(target: Target) -> float:
-            penalty = REMOTE_PENALTY_REQUESTS if self._is_remote(target) else 0
-            penalty += FAILURE_PENALTY_REQUESTS * failures.get(target.name, 0.0)
-            return load.open_requests(target.name) + penalty
-
-        usable = sorted(usable, key=lambda target: target.name)
-        self._rng.shuffle(usable)
-        return sorted(usable, key=score)
-
     def sort(
         self,
         load: Load,
@@ -67,12 +58,16 @@
         :param entries: number of entry VMs, this one included.
         """
         if costs is None:
-            yield from ((target, 0) for target in self._by_open_requests(load, usable))
+            calls = self._calls.sort(load, service, usable, entries, now_s)
+            yield from ((target, 0) for target in calls)
             return
         by_name = {target.name: target for target in usable}
+        near = {target.name for target in usable if load.is_near(target)}
         preferred = rank(costs.affinity_key, by_name)
         if not preferred:
             return
+        # The first one is where prompts of this key meet: one that this VM knows well.
+        preferred.sort(key=lambda name: name not in near)
         failures = load.observed.failure_excess(by_name)
         failure_tokens = _failure_penalty_tokens(load, service, costs)
 
@@ -80,13 +75,16 @@
             return costs.work_at(by_name[name], is_preferred=name == preferred[0])
 
         def expected(name: str) -> float:
-            unreported = load.unreported_load(name, entries, now_s).tokens
+            if name in near:
+                queued = _known_tokens(load, name, now_s)
+            else:
+                queued = load.queued_tokens(name, costs.rank)
+                queued += load.unreported_load(name, entries, now_s).tokens
             penalty = REMOTE_PENALTY_TOKENS if self._is_remote(by_name[name]) else 0
             penalty += failure_tokens * failures.get(name, 0.0)
-            queued = load.queued_tokens(name, costs.rank)
-            return queued + unreported + work(name) + penalty
+            return queued + work(name) + penalty
 
-        candidates = self.candidates(preferred, by_name, costs)
+        candidates = self.candidates(preferred, by_name, costs) | near
         compared = sorted((n for n in preferred if n in candidates), key=expected)
         if _is_late(load, service, expected(compared[0]), costs):
             compared = sorted(preferred, key=expected)
@@ -104,6 +102,16 @@
         )
 
 
+def _known_tokens(load: Load, target: str, now_s: float) -> float:
+    """Return the work before and beside a new prompt at a target that is known well.
+
+    A prompt waits for less urgent ones too once they run, and each running stream makes
+    all tokens slower.
+    """
+    open_requests = load.all_open_requests(target, now_s)
+    return load.queued_tokens(target, LEAST_URGENT) + open_requests * OPEN_TOKENS
+
+
 def _failure_penalty_tokens(load: Load, service: str, costs: PromptCosts) -> float:
     """Return the work that a target counts as having if all its requests fail."""
     lost_s = FAILURE_PENALTY_OBJECTIVES * costs.objective_s
