--- a/src/vanillabeam/capacity/core.py
+++ b/src/vanillabeam/capacity/core.py
@@ -38,6 +38,10 @@
 #: Multiple of the known time up to which one answer counts, so that a single one, as of
 #: a lost packet, doesn't outweigh all others.
 MAX_FACTOR = 4.0
+#: Targets whose changes are told at a time, and the change of the requests that one
+#: takes well from which it is told.
+MAX_CHANGES = 10
+TOLD_DIFFERENCE = 0.25
 #: Time for which a service's median is kept.
 MEDIAN_TTL_S = 1.0
 
@@ -78,6 +82,7 @@
         self._figures: dict[Kind, dict[str, Figure]] = {kind: {} for kind in Kind}
         self._services: dict[str, str] = {}
         self._medians: dict[tuple[Kind, str], tuple[float, float]] = {}
+        self._told: dict[str, tuple[bool, int]] = {}
         self._born: dict[str, int] = {}
         self._restarted_s: dict[str, float] = {}
 
@@ -237,6 +242,23 @@
             if self.is_proven(target)
         ]
 
+    def changes(self, now_s: float) -> list[CapacityRow]:
+        """Return the targets whose figures now lead to other decisions, at most a few.
+
+        A target changes if it becomes slow or no longer is, or if the open requests
+        that it takes well change by more than a quarter.
+        """
+        changed = []
+        for target, service in sorted(self._services.items()):
+            is_slow = self._is_slow(target, service, now_s)
+            well = self.takes_well(target, service, now_s) or 0
+            if _differs(is_slow, well, self._told.get(target, (False, 0))):
+                self._told[target] = (is_slow, well)
+                changed.append(self._row(service, target, now_s))
+            if len(changed) == MAX_CHANGES:
+                break
+        return changed
+
     def keep_only(self, incarnations: set[tuple[str, int]], now_s: float) -> None:
         """Forget all other incarnations of targets."""
         born: dict[str, int] = {}
@@ -250,6 +272,7 @@
         gone = self._services.keys() - born.keys()
         for name in gone | restarted:
             self._services.pop(name, None)
+            self._told.pop(name, None)
             for figures in self._figures.values():
                 figures.pop(name, None)
         if gone | restarted:
@@ -262,20 +285,22 @@
         } | dict.fromkeys(restarted, now_s)
 
     def _row(self, service: str, target: str, now_s: float) -> CapacityRow:
-        pace_s, median_s = 0.0, 0.0
-        for kind in Kind:
-            if target in self._figures[kind]:
-                pace_s = self._pace_s(kind, target, service, None, now_s)
-                median_s = self._median_s(kind, service, now_s)
         return CapacityRow(
             service,
             target,
             round(self.tokens_s(target, service, now_s), 1),
             self.takes_well(target, service, now_s) or 0,
             round(self.call_s(target, service, 1, now_s), 4),
-            pace_s > SLOW_FACTOR * median_s > 0,
+            self._is_slow(target, service, now_s),
         )
 
+    def _is_slow(self, target: str, service: str, now_s: float) -> bool:
+        for kind in Kind:
+            if target in self._figures[kind]:
+                pace_s = self._pace_s(kind, target, service, None, now_s)
+                return pace_s > SLOW_FACTOR * self._median_s(kind, service, now_s)
+        return False
+
     def _pace_s(
         self,
         kind: Kind,
@@ -355,3 +380,9 @@
                 known = figures[target] = Figure()
                 self._medians.clear()
             known.record(sums.answers, sums.pace_s, sums.mean_open, now_s)
+
+
+def _differs(is_slow: bool, well: int, told: tuple[bool, int]) -> bool:
+    was_slow, took_well = told
+    difference = abs(well - took_well)
+    return is_slow != was_slow or difference > TOLD_DIFFERENCE * max(well, took_well)
--- a/src/vanillabeam/capacity/figures.py
+++ b/src/vanillabeam/capacity/figures.py
@@ -21,7 +21,7 @@
 #: Samples at a number of open requests from which its growth is relied on.
 MIN_VISITS = 6
 #: Growth of the time per unit from which a target doesn't take more requests well.
-KNEE_GROWTH = 1.25
+KNEE_GROWTH = 1.4
 MAX_GROWTH = 20.0
 #: Numbers of open requests below which each is distinguished; above, each eighth of an
 #: octave.
@@ -67,6 +67,9 @@
         self._samples: deque[_Sample] = deque(maxlen=SAMPLES)
         self._growth: dict[int, _Growth] = {}
         self._scale: float | None = None
+        self._pruned_s = 0.0
+        self._knee: int | None = None
+        self._knee_is_known = False
 
     def record(
         self, answers: int, pace_s: float, mean_open: float, now_s: float
@@ -76,28 +79,30 @@
         :param mean_open: requests that were open at the target.
         """
         bucket = _bucket(mean_open)
-        self._growth = {
-            known: growth
-            for known, growth in self._growth.items()
-            if now_s - growth.seen_s <= GROWTH_TTL_S
-        }
+        self._forget_growth(now_s)
         while self._samples and now_s - self._samples[0].at_s > SAMPLE_TTL_S:
             self._samples.popleft()
         self._samples.append(_Sample(now_s, answers, pace_s, bucket))
-        self._update_scale()
+        paces = [each.pace_s / self._factor(each.bucket) for each in self._samples]
+        self._scale = median(paces)
         if len(self._samples) == SAMPLES:
             # The median around a sample doesn't lag behind a change of the speed, which
             # would otherwise be taken for growth.
             middle = self._samples[SAMPLES // 2]
             growth = self._growth.setdefault(middle.bucket, _Growth(now_s))
             growth.update(middle.pace_s / self._scale, now_s)
-            self._update_scale()
+            self._knee_is_known = False
         self.seen_s = now_s
 
-    def _update_scale(self) -> None:
-        self._scale = median(
-            sample.pace_s / self._factor(sample.bucket) for sample in self._samples
-        )
+    def _forget_growth(self, now_s: float) -> None:
+        if now_s - self._pruned_s < GROWTH_TTL_S / 4:
+            return
+        self._pruned_s, self._knee_is_known = now_s, False
+        self._growth = {
+            known: growth
+            for known, growth in self._growth.items()
+            if now_s - growth.seen_s <= GROWTH_TTL_S
+        }
 
     @property
     def answers(self) -> int:
@@ -124,14 +129,16 @@
     @property
     def takes_well(self) -> int | None:
         """Open requests from which the time per unit grows; ``None`` if unknown."""
-        relied = self._relied()
-        if not relied:
-            return None
-        least, below = min(each.factor for each in relied.values()), 0
-        for bucket in sorted(relied):
-            if relied[bucket].factor >= KNEE_GROWTH * least:
-                return max(1, _open_requests(below)) if below else 1
-            below = bucket
+        if not self._knee_is_known:
+            self._knee, self._knee_is_known = self._find_knee(), True
+        return self._knee
+
+    def _find_knee(self) -> int | None:
+        relied = sorted(self._relied().items())
+        for place in range(1, len(relied)):
+            limit = KNEE_GROWTH * min(growth.factor for _, growth in relied[:place])
+            if all(growth.factor >= limit for _, growth in relied[place:]):
+                return _open_requests(relied[place - 1][0])
         return None
 
     def _relied(self) -> dict[int, _Growth]:
@@ -146,10 +153,12 @@
         growth = self._growth.get(bucket)
         if growth is not None:
             return growth.factor
+        if not self._growth:
+            return 1.0
         below = max((known for known in self._growth if known < bucket), default=None)
         if below is not None:
             return self._growth[below].factor
-        return self._growth[min(self._growth)].factor if self._growth else 1.0
+        return self._growth[min(self._growth)].factor
 
 
 def _bucket(open_requests: float) -> int:
--- a/src/vanillabeam/cli/__init__.py
+++ b/src/vanillabeam/cli/__init__.py
@@ -3,6 +3,7 @@
 import typer
 
 from vanillabeam.cli import (
+    capacity,
     data,
     explain,
     keys,
@@ -30,6 +31,7 @@
 app.command("status")(status.status)
 app.command("trace")(traces.trace)
 app.command("explain")(explain.explain)
+app.command("capacity")(capacity.capacity)
 
 
 def main() -> None:
--- a/src/vanillabeam/decisions/targets.py
+++ b/src/vanillabeam/decisions/targets.py
@@ -11,6 +11,7 @@
     "PartsRetired",
     "StoreHeard",
     "StoreLost",
+    "TargetCapacityChanged",
     "TargetChanged",
     "TargetLeaving",
     "TargetLeft",
@@ -43,6 +44,24 @@
     age_s: float
 
 
+class TargetCapacityChanged(NamedTuple):
+    """A target became slow or is no longer, or takes another number of requests well.
+
+    :param tokens_s: tokens that it prefills a second; 0 while unknown.
+    :param takes_well: open requests from which it slows; 0 while unknown.
+    :param call_s: seconds of a plain call; 0 while unknown.
+    :param is_slow: whether it is much slower than the median of its service, so that it
+        gets less.
+    """
+
+    service: str
+    target: str
+    tokens_s: float
+    takes_well: int
+    call_s: float
+    is_slow: bool
+
+
 class TargetLeft(NamedTuple):
     """An incarnation of a target has ended."""
 
--- a/src/vanillabeam/fleet/loads.py
+++ b/src/vanillabeam/fleet/loads.py
@@ -177,7 +177,13 @@
 
 
 def _add_lists(sums: dict, counts: dict, sign: int) -> None:
-    """Add lists of numbers to ``sums``, or subtract them; those of 0 are dropped."""
+    """Add lists of numbers to ``sums``, or subtract them; those of 0 are dropped.
+
+    A list is replaced and never changed, so that sums may share it.
+    """
+    if not sums and sign > 0:
+        sums.update(counts)
+        return
     for key, numbers in counts.items():
         pairs = zip_longest(sums.get(key, ()), numbers, fillvalue=0)
         totals = [total + sign * number for total, number in pairs]
@@ -189,6 +195,9 @@
 
 def _add(sums: dict, tokens: dict, sign: int) -> None:
     """Add ``tokens`` to ``sums``, or subtract them; sums of 0 are dropped."""
+    if not sums and sign > 0 and all(tokens.values()):
+        sums.update(tokens)
+        return
     for key, count in tokens.items():
         total = sums.get(key, 0) + sign * count
         if total:
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -7,6 +7,7 @@
 import trio
 from starlette.applications import Starlette
 
+from vanillabeam.capacity.gauges import add_capacity_gauges
 from vanillabeam.counters import Counters, CountersApp
 from vanillabeam.decisions import Ready, SeedsChanged, log_record
 from vanillabeam.fleet import Follower
@@ -201,6 +202,8 @@
         )
         self._add_entry_metrics(self.follower)
         self._add_notice_metrics(self.follower, chooser)
+        capacity = chooser.load.capacity
+        add_capacity_gauges(self.counters, capacity, trio.current_time)
         nursery.start_soon(keep_running, "follower", self.follower.run)
         nursery.start_soon(keep_running, "forwarding", app.run)
         nursery.start_soon(keep_running, "ended targets", app.probe.run)
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -15,6 +15,7 @@
     RequestAdmitted,
     RequestAnswered,
     RequestRefused,
+    TargetCapacityChanged,
     log_record,
 )
 from vanillabeam.exceptions import MalformedBody, VanillabeamError
@@ -114,6 +115,8 @@
             incarnations = {record.target.incarnation for record in records}
             now_s = trio.current_time()
             chooser.keep_only(incarnations, now_s)
+            for row in chooser.load.capacity.changes(now_s):
+                log_record(TargetCapacityChanged(*row))
             self._resources.sent_parts.keep_only(incarnations)
             view = self._resources.follower.view
             self._resources.gate.keep_only(view.quarantine)
--- a/tests/fleet/test_loads.py
+++ b/tests/fleet/test_loads.py
@@ -89,3 +89,26 @@
     for each in dicts:
         total.update(each)
     return dict(total)
+
+
+# Guards against sums that change a report, or keep what a VM no longer reports.
+def test_sums_over_answers_are_added_and_taken_back():
+    loads = EntryLoads()
+    first = make_load(prefills={"t": [1, 2, 3, 400, 5_000]}, calls={"t": 1})
+    loads.update("x", first, 0.0)
+    second = make_load(prefills={"t": [1, 1, 9, 100, 1_000], "u": [1, 1, 1, 1, 1]})
+    loads.update("y", second, 0.0)
+    total = loads.total_except("z", 0.0)
+    assert total["prefills"] == {"t": [2, 3, 12, 500, 6_000], "u": [1, 1, 1, 1, 1]}
+    assert loads.total_except("y", 0.0)["prefills"] == {"t": [1, 2, 3, 400, 5_000]}
+    assert first["prefills"] == {"t": [1, 2, 3, 400, 5_000]}
+    loads.update("x", make_load(), 0.0)
+    loads.forget("y")
+    assert loads.total_except("z", 0.0) == make_load()
+
+
+def test_reports_of_older_releases_have_no_sums():
+    loads = EntryLoads()
+    loads.update("x", {"work": {}, "room": {"t": 5}}, 0.0)
+    loads.update("y", make_load(ended={"t": [1, 1, 1, 9, 1]}), 0.0)
+    assert loads.total_except("z", 0.0)["ended"] == {"t": [1, 1, 1, 9, 1]}
