--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -12,12 +12,19 @@
     DeploymentRefused,
     DeploymentUnreadable,
     HomeChosen,
+    LoadsExchanged,
     MemberRemoved,
     OrderRead,
     OrderSettled,
     OrderUnsettled,
     StateInForce,
 )
+from vanillabeam.decisions.exposure import (
+    ExposureChanged,
+    RolloutInForce,
+    VersionHeld,
+    VersionsBarred,
+)
 from vanillabeam.decisions.lines import (
     KINDS,
     LINE_BUDGETS,
@@ -28,6 +35,7 @@
 from vanillabeam.decisions.process import (
     LibraryWarned,
     LinesDropped,
+    OverloadChanged,
     PortFree,
     PortTaken,
     Ready,
@@ -55,6 +63,11 @@
     RequestRefused,
     TargetChosen,
 )
+from vanillabeam.decisions.rollouts import (
+    RolloutOrdered,
+    RolloutStepped,
+    RolloutSuspected,
+)
 from vanillabeam.decisions.targets import (
     AnnouncementUnreadable,
     FenceRaised,
@@ -93,8 +106,10 @@
     "ControlHeard",
     "DeploymentRefused",
     "DeploymentUnreadable",
+    "ExposureChanged",
     "FenceRaised",
     "HomeChosen",
+    "LoadsExchanged",
     "LeavingReported",
     "LibraryWarned",
     "LimitUnreadable",
@@ -103,6 +118,7 @@
     "OrderRead",
     "OrderSettled",
     "OrderUnsettled",
+    "OverloadChanged",
     "PartConvicted",
     "PartsFreed",
     "PartsRetired",
@@ -115,6 +131,10 @@
     "RequestAdmitted",
     "RequestAnswered",
     "RequestRefused",
+    "RolloutInForce",
+    "RolloutOrdered",
+    "RolloutStepped",
+    "RolloutSuspected",
     "SeedsChanged",
     "SettingsUnreadable",
     "Started",
@@ -136,6 +156,8 @@
     "TargetUnlimited",
     "TargetUnlisted",
     "TaskFailed",
+    "VersionHeld",
+    "VersionsBarred",
     "WeightsHeld",
     "WeightsOrdered",
     "event_name",
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from vanillabeam import wire
+from vanillabeam.canary.reporting import NoReports, ReportSource
 from vanillabeam.decisions import (
     ControlForgotten,
     ControlHeard,
@@ -13,7 +14,6 @@
     StateInForce,
     log_record,
 )
-from vanillabeam.fleet.cachescopes import make_scopes
 from vanillabeam.fleet.directory import Directory
 from vanillabeam.fleet.evidence import EvidenceSource, NoEvidence
 from vanillabeam.fleet.limitnews import LimitNews
@@ -26,6 +26,7 @@
     make_load,
 )
 from vanillabeam.fleet.parts import PartView, RecentFetches
+from vanillabeam.fleet.peernews import PeerNews
 from vanillabeam.fleet.polling import (
     REPLY_MARGIN_S,
     ControlVm,
@@ -38,7 +39,7 @@
 from vanillabeam.fleet.records import Deployment, FleetSettings
 from vanillabeam.fleet.sent import SentTargets
 from vanillabeam.fleet.targetnews import TargetNews
-from vanillabeam.fleet.view import FleetView, merge_version_times, read_or_keep
+from vanillabeam.fleet.view import FleetView, make_view
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, digest_names
 from vanillabeam.peercall import PeerCall
 from vanillabeam.tasks import keep_running
@@ -56,6 +57,9 @@
 MAX_WATCHED = 8
 #: Heartbeat periods within which every live target has announced itself.
 DISCOVERY_HEARTBEATS = 1.3
+#: Seconds after the wait within which a leader's reply arrives, as far as its age
+#: matters.
+LEADER_MARGIN_S = 0.3
 #: Quarantined parts in a log line.
 MAX_LOGGED_PARTS = 8
 
@@ -76,9 +80,11 @@
     :ivar control_vms: the polled control VMs by address.
     :ivar load: open work that requests report and replies update.
     :ivar evidence: what this VM has seen of targets that ended.
+    :ivar rollouts: what this VM has seen of rollouts that run.
     :ivar accused: parts that the leader asks about, with the number of targets that
         ended under them one after the other.
     :ivar limits: requests a second that targets take from all VMs together.
+    :ivar peers: entry VMs that this one exchanges loads with.
     :ivar relayed: on a control VM, the load that entry VMs report to each other
         control VM only, by the process id of that one.
 
@@ -101,6 +107,7 @@
         self.entry_vms: tuple[str, ...] = (cfg.vm,)
         self.load: LoadView = NoLoad()
         self.evidence: EvidenceSource = NoEvidence()
+        self.rollouts: ReportSource = NoReports()
         self.accused: dict[str, int] = {}
         self.relayed = EntryLoads()
         self.limits = LimitNews()
@@ -110,11 +117,13 @@
         self.control_vms: dict[str, ControlVm] = {}
         silence_s = cfg.bounds.silence_s
         self.targets = TargetNews(self.directory, self.control_vms, silence_s)
+        self.peers = PeerNews(cfg, self.control_vms)
         self._home = ""
         self._seeds = cfg.seed_addresses
         self._advertised: set[str] = set()
         self._started_s = 0.0
         self._first_reply_s: float | None = None
+        self._leader_s = float("-inf")
         self.is_current = False
         self._current = trio.Event()
 
@@ -154,6 +163,10 @@
         last_seen = [vm.last_seen_s for vm in self.control_vms.values()]
         return trio.current_time() - max(last_seen, default=self._started_s)
 
+    def leader_age_s(self) -> float:
+        """Return the age of the leader's last reply; other VMs may be behind."""
+        return trio.current_time() - self._leader_s
+
     async def wait_for_deployment(self) -> None:
         """Wait until a deployment is in force that is likely to be the newest."""
         await self._current.wait()
@@ -231,6 +244,10 @@
         if reply is None:
             return RETRY_S
         self._apply(reply, control_vm)
+        if control_vm.is_leader:
+            # A process that was paused reads a reply long after it was made.
+            made_s = requested_s + poll.wait_s + LEADER_MARGIN_S
+            self._leader_s = min(trio.current_time(), made_s)
         if poll.scope is not LoadScope.NONE:
             self.load.update_others(reply["others"], trio.current_time())
         if "parts" in reply:
@@ -269,7 +286,7 @@
     async def _ask(
         self, control_vm: ControlVm, poll: Poll, requested_s: float
     ) -> WatchReply | None:
-        reports = poll.scope is not LoadScope.NONE
+        tells_load = poll.scope is not LoadScope.NONE
         request = WatchRequest(
             vm=self._cfg.vm,
             sends=bool(self._cfg.entry_address),
@@ -278,15 +295,19 @@
             index=self.view.index,
             wait_s=poll.wait_s,
             parts=self.parts.request(),
-            load=self.load.own(requested_s) if reports else make_load(),
+            load=self.load.own(requested_s) if tells_load else make_load(),
             fetched=self.fetches.ages_s(requested_s),
             scope=poll.scope,
             entries_digest=digest_names(self.entry_vms),
         )
+        self.peers.add_to(request)
         if self._may_lead(control_vm):
             evidence = self.evidence.evidence(self.accused, requested_s)
             if evidence is not None:
                 request["evidence"] = evidence
+            reports = self.rollouts.reports()
+            if reports:
+                request["rollouts"] = reports
         self.limits.add_to(request, requested_s)
         control_vm.asked_entries = frozenset(self.entry_vms)
         due_s = requested_s + poll.wait_s + REPLY_MARGIN_S
@@ -313,7 +334,8 @@
         control_vm.is_leader = "accused" in reply or "parts" in reply
         control_vm.data_centre = reply.get("data_centre", "")
         if "reported" in reply:
-            self.relayed.update(reply["epoch"], reply["reported"], now_s)
+            groups = reply.get("reported_groups")
+            self.relayed.update(reply["epoch"], reply["reported"], now_s, groups)
         if self._first_reply_s is None:
             self._first_reply_s = now_s
         if "state" in reply:
@@ -323,6 +345,7 @@
         control_vm.last_seen_s, control_vm.due_s = now_s, float("inf")
         self.targets.update_leaving()
         self._apply_entries(reply, control_vm, now_s)
+        self.peers.apply(reply, control_vm, now_s)
         self._apply_addresses(reply, now_s)
         # Only now: a reply that could not be applied is asked for again.
         control_vm.epoch, control_vm.version = reply["epoch"], reply["version"]
@@ -338,28 +361,15 @@
             self._current.set()
 
     def _apply_state(self, reply: WatchReply) -> None:
-        view, state = self.view, reply["state"]
-        if state["index"] <= view.index:
+        state = reply["state"]
+        if state["index"] <= self.view.index:
             return
-        deployment = view.deployment
-        if view.is_older_than(state):
-            deployment = read_or_keep(self._read, state, deployment)
-        is_kept = deployment is view.deployment
-        self.view = FleetView(
-            state["index"],
-            deployment,
-            frozenset(state["evacuated"]),
-            state["weights"],
-            merge_version_times(
-                view.version_times, reply.get("named", {}), trio.current_time()
-            ),
-            state.get("quarantine", {}),
-            view.scopes if is_kept else make_scopes(state, deployment),
-        )
+        named, now_s = reply.get("named", {}), trio.current_time()
+        self.view = make_view(self.view, state, self._read, named, now_s)
         log_record(
             StateInForce(
                 state["index"],
-                deployment.number,
+                self.view.deployment.number,
                 state["evacuated"],
                 state["weights"],
                 sorted(self.view.quarantine)[:MAX_LOGGED_PARTS],
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -1,12 +1,14 @@
 """Messages with which entry VMs poll control VMs for changes."""
 
+from collections import namedtuple
 from collections.abc import Iterable, Sequence
 from hashlib import blake2b
 from typing import NotRequired, TypedDict
 
+from vanillabeam.canary.records import RolloutReport
 from vanillabeam.fleet.directory import Directory, TargetRecord
 from vanillabeam.fleet.evidence import Evidence
-from vanillabeam.fleet.loads import EntryLoad, LoadScope
+from vanillabeam.fleet.loads import EntryLoad, LoadsByGroup, LoadScope
 from vanillabeam.fleet.machine import FleetState
 from vanillabeam.fleet.parts import PartChanges, PartRequest
 from vanillabeam.fleet.ratelimits import RateReport
@@ -45,6 +47,12 @@
     :param entries_digest: digest of the names of entry VMs that it knows.
     :param evidence: what it has seen of targets that ended; omitted if nothing.
     :param limits: limits of targets that it knows of; omitted for none.
+    :param peer: address at which it receives the loads of other entry VMs; omitted if
+        it doesn't exchange loads with them.
+    :param data_centre: its data centre; only with ``peer``.
+    :param group: group that it exchanges loads with; only with ``peer``.
+    :param peers_digest: digest of the names of the VMs of that group that it knows.
+    :param rollouts: what it has seen of running rollouts; omitted if none is running.
     """
 
     vm: str
@@ -60,13 +68,29 @@
     entries_digest: NotRequired[str]
     evidence: NotRequired[Evidence]
     limits: NotRequired[list[RateReport]]
+    peer: NotRequired[str]
+    data_centre: NotRequired[str]
+    group: NotRequired[str]
+    peers_digest: NotRequired[str]
+    rollouts: NotRequired[list[RolloutReport]]
+
+
+#: A target as it is reported: releases of before the software version read targets of
+#: exactly these fields, so the version stands beside them.
+SentTarget = namedtuple(
+    "SentTarget", [name for name in Target._fields if name != "software"]
+)
 
 
 class TargetReport(TypedDict):
-    """A target and the age of its newest announcement in seconds."""
+    """A target and the age of its newest announcement in seconds.
+
+    :param software: version of its software; omitted for none.
+    """
 
     target: Target
     age_s: float
+    software: NotRequired[str]
 
 
 class WatchReply(TypedDict):
@@ -100,6 +124,11 @@
     :param leaving: name and start time of all targets that have told this control VM
         that they leave; omitted for none.
     :param limits: limits of targets that this control VM knows of; omitted for none.
+    :param reported_groups: the open work in ``reported``, by group of entry VMs.
+    :param nearby: number of entry VMs of the requesting VM's data centre that exchange
+        loads; omitted if it doesn't.
+    :param peers: addresses of the other VMs of its group by name; omitted if the
+        requesting VM knows exactly these.
     """
 
     epoch: str
@@ -123,6 +152,9 @@
     accused: NotRequired[dict[str, int]]
     leaving: NotRequired[list[tuple[str, int]]]
     limits: NotRequired[list[RateReport]]
+    reported_groups: NotRequired[LoadsByGroup]
+    nearby: NotRequired[int]
+    peers: NotRequired[dict[str, str]]
 
 
 def make_reply(
@@ -190,4 +222,11 @@
 def _target_report(record: TargetRecord, now_s: float) -> TargetReport:
     cold_s = max(0.0, record.cold_until_s - now_s)
     target = record.target._replace(cold_ms=round(1000 * cold_s, 1))
-    return TargetReport(target=target, age_s=round(now_s - record.last_seen_s, 3))
+    fields = target._asdict()
+    software = fields.pop("software")
+    report = TargetReport(
+        target=SentTarget(**fields), age_s=round(now_s - record.last_seen_s, 3)
+    )
+    if software:
+        report["software"] = software
+    return report
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -19,7 +19,9 @@
 from vanillabeam.listeners import ListenerTask
 from vanillabeam.memory import MemoryBudget
 from vanillabeam.notices import Incarnation
+from vanillabeam.overload.task import Overload
 from vanillabeam.peerhttp import PeerClient, peer_routes
+from vanillabeam.peerloads.task import PeerLoadTask
 from vanillabeam.ports import wait_for_port
 from vanillabeam.readiness import SETTLE_S, Readiness
 from vanillabeam.tasks import TASK_FAILURES, keep_running
@@ -186,7 +188,14 @@
         follower = self.follower
         chooser.rates.ask = PermitClient(call, follower.control_vms)
         chooser.rates.entry_count = lambda: len(follower.entry_vms)
+        chooser.versions.rollouts = lambda: follower.view.rollouts
+        chooser.versions.news_age_s = follower.leader_age_s
+        chooser.versions.count_sent = self.counters.count_version
+        follower.rollouts = chooser.versions
         memory = MemoryBudget.of_memory(self.cfg.memory_bytes)
+        overload = Overload(
+            self.cfg.vm, self.lifecycle, lambda: len(follower.entry_vms)
+        )
         app = ForwardingApp(
             dialect,
             self.follower,
@@ -196,6 +205,7 @@
             self.rng,
             memory,
             self.cfg.vm,
+            overload,
         )
         self.counters.add_gauge(
             "held_bytes", "Bytes of bodies held.", lambda: memory.used_bytes
@@ -206,7 +216,14 @@
         add_capacity_gauges(self.counters, capacity, trio.current_time)
         nursery.start_soon(keep_running, "follower", self.follower.run)
         nursery.start_soon(keep_running, "forwarding", app.run)
+        nursery.start_soon(keep_running, "overload", overload.run)
+        self.counters.add_gauge(
+            "overload_delay_seconds",
+            "Seconds until a request that is read now is sent; 0 with time to spare.",
+            lambda: overload.backlog.delay_s(trio.current_time()),
+        )
         nursery.start_soon(keep_running, "ended targets", app.probe.run)
+        self._exchange_loads(nursery, chooser)
         readiness = self.adapter.readiness_app(self.lifecycle)
         async with trio.open_nursery() as ports:
             address = self.cfg.readiness_address
@@ -215,6 +232,24 @@
             nursery.start_soon(self._become_ready)
             nursery.start_soon(keep_running, "limits", self._sync_limits)
 
+    def _exchange_loads(self, nursery: trio.Nursery, chooser: Chooser) -> None:
+        cfg, load = self.cfg, chooser.load
+        task = PeerLoadTask(
+            cfg.vm,
+            cfg.data_centre,
+            cfg.host,
+            cfg.peer_port,
+            self.follower,
+            load.open_work,
+        )
+        load.peers = task
+        self.counters.add_gauge(
+            "load_peers",
+            "Entry VMs whose load was received lately.",
+            lambda: len(task.loads.vms()),
+        )
+        nursery.start_soon(keep_running, "load exchange", task.run)
+
     async def _listen(
         self,
         nursery: trio.Nursery,
@@ -294,6 +329,8 @@
         )
 
     def _add_control_metrics(self, control: "FleetControl") -> None:
+        from vanillabeam.canary.gauges import add_rollout_gauges
+
         add_gauge = self.counters.add_gauge
         add_gauge("log_term", "Term of the fleet log.", lambda: control.node.term)
         add_gauge("log_applied", "Index applied.", lambda: control.node.applied)
@@ -308,6 +345,8 @@
         if not self.cfg.entry_address:
             self._add_target_metrics(control.follower)
         self._add_weights_metrics(control)
+        if control.rollouts.is_enabled:
+            add_rollout_gauges(self.counters.add_gauges, control.rollouts)
 
     def _add_weights_metrics(self, control: "FleetControl") -> None:
         from vanillabeam.fleet.heldweights import count_behind, count_versions
--- a/src/vanillabeam/forwarding/choosing/load.py
+++ b/src/vanillabeam/forwarding/choosing/load.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from vanillabeam.capacity.core import TargetCapacity
+from vanillabeam.fleet import Target
 from vanillabeam.fleet.loads import EntryLoad, add_loads, make_load
 from vanillabeam.forwarding.choosing.observations import Observations
 from vanillabeam.forwarding.choosing.openwork import (
@@ -11,6 +12,7 @@
     OpenWork,
     UnreportedLoad,
 )
+from vanillabeam.forwarding.choosing.peerwork import PeerWork
 from vanillabeam.forwarding.choosing.silence import Silence
 
 __all__ = ["Load", "OpenRequest", "UnreportedLoad"]
@@ -43,6 +45,19 @@
         #: Seconds until the head of the answer of open plain calls, by number.
         self._call_s: dict[int, float] = {}
 
+    @property
+    def peers(self) -> PeerWork:
+        """Open work that other entry VMs tell this one directly."""
+        return self._work.peers
+
+    @peers.setter
+    def peers(self, peers: PeerWork) -> None:
+        self._work.peers = peers
+
+    def is_near(self, target: Target) -> bool:
+        """Return whether this VM is told at once what is sent to a target."""
+        return self.peers.is_near(target.name, target.data_centre)
+
     @property
     def others(self) -> EntryLoad:
         """Load of all other entry VMs together."""
@@ -68,6 +83,10 @@
         seen_s = self._work.others_seen_s
         return None if seen_s is None else now_s - seen_s
 
+    def open_work(self) -> EntryLoad:
+        """Return the load of this VM's own requests, without what they observed."""
+        return self._work.own()
+
     def used_memory_tokens(self, target: str) -> int:
         """Return the tokens of memory that the requests of all VMs take at a target."""
         return self._work.used_memory_tokens(target)
--- a/src/vanillabeam/forwarding/choosing/openwork.py
+++ b/src/vanillabeam/forwarding/choosing/openwork.py
@@ -5,6 +5,7 @@
 
 from vanillabeam.fleet.loads import EntryLoad, WorkByRank, make_load
 from vanillabeam.forwarding.choosing.othercalls import OtherCalls
+from vanillabeam.forwarding.choosing.peerwork import NoPeers, PeerWork
 
 __all__ = [
     "DEFAULT_HELD_S",
@@ -16,6 +17,9 @@
 
 #: Work of a running stream after the prefill, in tokens to prefill.
 STREAM_WORK_TOKENS = 150
+#: Fewest tokens of a request that other entry VMs are told of at once. Smaller ones
+#: take a target a few milliseconds.
+MIN_TOLD_TOKENS = 300
 #: Time until requests of an entry VM appear in the load reports to the others.
 REPORT_DELAY_S = 0.3
 #: Seconds for which a request is taken to be open where nothing better is known.
@@ -67,13 +71,15 @@
 class OpenWork:
     """Open work of this entry VM and, as last reported, of the others.
 
-    :ivar others: load of all other entry VMs together.
+    :ivar others: load of all other entry VMs together, but for those of ``peers``.
+    :ivar peers: open work that other entry VMs tell this one directly.
     :ivar others_seen_s: monotonic time at which it arrived; ``None`` before.
     """
 
     def __init__(self):
         self.others = make_load()
         self.others_seen_s: float | None = None
+        self.peers: PeerWork = NoPeers()
         self._other_calls = OtherCalls()
         self._own: dict[str, WorkByRank] = {}
         self._open: dict[str, dict[int, OpenRequest]] = {}
@@ -91,7 +97,9 @@
 
     def used_memory_tokens(self, target: str) -> int:
         """Return the tokens of memory that the requests of all VMs take at a target."""
-        return self._own_memory_tokens(target) + self.others["room"].get(target, 0)
+        own_tokens = self._own_memory_tokens(target)
+        loads = (self.others, self.peers.total)
+        return own_tokens + sum(load["room"].get(target, 0) for load in loads)
 
     def unreported_load(
         self, target: str, entries: int, now_s: float
@@ -133,7 +141,8 @@
         :param held_s: seconds for which a request is open.
         """
         expected = self._other_calls.expected(target, held_s, now_s)
-        return self.open_requests(target) + expected
+        told = self.peers.total["calls"].get(target, 0)
+        return self.open_requests(target) + told + expected
 
     def queued_tokens(self, target: str, rank: int) -> int:
         """Return the work that a target does before new requests of ``rank``.
@@ -142,7 +151,11 @@
         """
         return sum(
             tokens
-            for work in (self._own.get(target), self.others["work"].get(target))
+            for work in (
+                self._own.get(target),
+                self.others["work"].get(target),
+                self.peers.total["work"].get(target),
+            )
             if work
             for other, tokens in work.items()
             if other <= rank
@@ -179,12 +192,16 @@
         self._open.setdefault(target, {})[request.number] = request
         self._add(target, rank, tokens)
         self._sent.append(request)
+        if tokens >= MIN_TOLD_TOKENS:
+            self.peers.notify(has_grown=True)
         return request
 
     def record_response(self, request: OpenRequest) -> None:
         """Record the head of an answer, which shows that the prefill is done."""
         self._add(request.target, request.rank, -request.tokens)
         self._add(request.target, 0, min(STREAM_WORK_TOKENS, request.tokens))
+        if request.tokens >= MIN_TOLD_TOKENS:
+            self.peers.notify(has_grown=False)
 
     def record_end(self, request: OpenRequest, was_answered: bool) -> None:
         """Record the end of a request.
@@ -199,6 +216,8 @@
             self._add(request.target, 0, -min(STREAM_WORK_TOKENS, request.tokens))
         else:
             self._add(request.target, request.rank, -request.tokens)
+        if request.tokens >= MIN_TOLD_TOKENS:
+            self.peers.notify(has_grown=False)
 
     def _add(self, target: str, rank: int, tokens: int) -> None:
         work = self._own.setdefault(target, {})
--- a/src/vanillabeam/forwarding/choosing/ordering.py
+++ b/src/vanillabeam/forwarding/choosing/ordering.py
@@ -15,6 +15,11 @@
 
 #: Penalty of targets in other data centres, in tokens of work.
 REMOTE_PENALTY_TOKENS = 400
+#: Rank of which no request is less urgent.
+LEAST_URGENT = 1_000_000
+#: Work that each open request stands for beside its prefill: others take longer beside
+#: it, and it holds one of the target's slots.
+OPEN_TOKENS = 1_000
 #: Penalty of a target all of whose requests fail while those of others succeed, in
 #: objectives of waiting.
 FAILURE_PENALTY_OBJECTIVES = 4.0
@@ -58,9 +63,12 @@
             yield from ((target, 0) for target in calls)
             return
         by_name = {target.name: target for target in usable}
+        near = {target.name for target in usable if load.is_near(target)}
         preferred = rank(costs.affinity_key, by_name)
         if not preferred:
             return
+        # The first one is where prompts of this key meet: one that this VM knows well.
+        preferred.sort(key=lambda name: name not in near)
         failures = load.observed.failure_excess(by_name)
         speed = load.tokens_s(service, now_s)
         unproven = load.unproven(by_name)
@@ -70,10 +78,14 @@
             return costs.work_at(by_name[name], is_preferred=name == preferred[0])
 
         def expected(name: str) -> float:
-            tokens = load.queued_tokens(name, costs.rank)
+            if name in near:
+                tokens = _known_tokens(load, name, now_s)
+            else:
+                tokens = load.queued_tokens(name, costs.rank)
+                tokens += load.unreported_load(name, entries, now_s).tokens
             if name in unproven:
                 tokens = max(tokens, usual)
-            tokens += load.unreported_load(name, entries, now_s).tokens + work(name)
+            tokens += work(name)
             penalty = REMOTE_PENALTY_TOKENS if self._is_remote(by_name[name]) else 0
             if not speed:
                 return tokens + penalty
@@ -82,7 +94,7 @@
             wait_s = load.wait_s(name, service, tokens, now_s)
             return wait_s * _crowding(load, service, by_name[name], now_s) + lost_s
 
-        candidates = self.candidates(preferred, by_name, costs)
+        candidates = self.candidates(preferred, by_name, costs) | near
         compared = sorted((n for n in preferred if n in candidates), key=expected)
         if speed and 0 < costs.objective_s < expected(compared[0]):
             compared = sorted(preferred, key=expected)
@@ -100,6 +112,16 @@
         )
 
 
+def _known_tokens(load: Load, target: str, now_s: float) -> float:
+    """Return the work before and beside a new prompt at a target that is known well.
+
+    A prompt waits for less urgent ones too once they run, and each running stream makes
+    all tokens slower.
+    """
+    open_requests = load.all_open_requests(target, now_s)
+    return load.queued_tokens(target, LEAST_URGENT) + open_requests * OPEN_TOKENS
+
+
 def _usual_queue(load: Load, usable: list[Target], rank: int) -> float:
     """Return the mean of the tokens queued at targets.
 
