--- a/src/vanillabeam/cli/__init__.py
+++ b/src/vanillabeam/cli/__init__.py
@@ -3,6 +3,7 @@
 import typer
 
 from vanillabeam.cli import (
+    capacity,
     data,
     explain,
     keys,
@@ -34,6 +35,7 @@
 app.command("trace")(traces.trace)
 app.command("explain")(explain.explain)
 app.command("late")(late.late)
+app.command("capacity")(capacity.capacity)
 
 
 def main() -> None:
