Move the gauges of a fleet VM out of fleetvm

Change: fleetgauges adds them; names and values are the same. Result: the tests of layers and of the weights' metrics pass.

--- /dev/null
+++ b/src/vanillabeam/fleetgauges.py
@@ -0,0 +1,141 @@
+"""Gauges of a fleet VM that are read from its parts."""
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from vanillabeam.counters import Counters
+from vanillabeam.fleet import Follower
+from vanillabeam.forwarding.choosing.choice import Chooser
+from vanillabeam.lifecycle import Lifecycle
+from vanillabeam.notices import Incarnation
+
+if TYPE_CHECKING:
+    from vanillabeam.fleet.control import FleetControl
+
+__all__ = [
+    "add_control_gauges",
+    "add_entry_gauges",
+    "add_notice_gauges",
+    "add_weights_gauges",
+]
+
+
+def add_entry_gauges(
+    counters: Counters, follower: Follower, lifecycle: Lifecycle
+) -> None:
+    """Add the gauges of an entry VM's state and requests."""
+    add_gauge = counters.add_gauge
+    add_gauge("state_index", "Fleet state in force.", lambda: follower.view.index)
+    add_gauge("deployment_number", "Deployment in force.", follower.deployment_number)
+    _add_target_gauges(counters, follower)
+    add_gauge(
+        "quarantined_parts",
+        "Parts of prompts that are kept from targets.",
+        lambda: len(follower.view.quarantine),
+    )
+    add_gauge("news_age_seconds", "Age of the newest control news.", follower.age_s)
+    add_gauge(
+        "open_requests",
+        "Requests without a whole answer.",
+        lambda: lifecycle.open_requests,
+    )
+
+
+def _add_target_gauges(counters: Counters, follower: Follower) -> None:
+    add_gauge = counters.add_gauge
+    add_gauge("targets", "Targets that are known.", follower.target_count)
+    add_gauge(
+        "unlisted_targets",
+        "Targets that control VMs hear and this VM doesn't list.",
+        lambda: follower.targets.unlisted_count(trio.current_time()),
+    )
+
+
+def add_notice_gauges(counters: Counters, follower: Follower, chooser: Chooser) -> None:
+    """Add the gauges of what targets have asked of an entry VM."""
+
+    def known() -> set[Incarnation]:
+        records = follower.directory.records.values()
+        return {record.target.incarnation for record in records}
+
+    counters.add_gauge(
+        "leaving_targets",
+        "Known targets that told this VM that they leave.",
+        lambda: len(chooser.notices.leaving(known())),
+    )
+    counters.add_gauge(
+        "paused_targets",
+        "Known targets that asked this VM for a pause that runs.",
+        lambda: len(chooser.notices.paused(known(), trio.current_time())),
+    )
+    counters.add_gauges(
+        "target_limit",
+        "Requests a second that a target takes from all VMs together.",
+        ("target",),
+        lambda: {
+            (name,): rate_s
+            for (name, _), rate_s in chooser.rates.limits.limited(
+                trio.current_time()
+            ).items()
+        },
+    )
+
+
+def add_control_gauges(
+    counters: Counters, control: "FleetControl", has_entry: bool
+) -> None:
+    """Add the gauges of a control VM.
+
+    :param has_entry: whether it is an entry VM too, with gauges of its own.
+    """
+    from vanillabeam.canary.gauges import add_rollout_gauges
+
+    add_gauge = counters.add_gauge
+    add_gauge("log_term", "Term of the fleet log.", lambda: control.node.term)
+    add_gauge("log_applied", "Index applied.", lambda: control.node.applied)
+    add_gauge("log_leads", "Whether this VM leads.", lambda: control.node.is_leader)
+    counters.add_gauges(
+        "granted_permits",
+        "Permits of the last 4 s by target that names a limit.",
+        ("target",),
+        control.permits.granted,
+    )
+    add_gauge("kept_parts", "Parts that stores keep.", control.stores.index.count)
+    if not has_entry:
+        _add_target_gauges(counters, control.follower)
+    add_weights_gauges(counters, control)
+    if control.rollouts.is_enabled:
+        add_rollout_gauges(counters.add_gauges, control.rollouts)
+
+
+def add_weights_gauges(counters: Counters, control: "FleetControl") -> None:
+    """Add the gauges of the rollout of new weights."""
+    from vanillabeam.fleet.heldweights import count_behind, count_versions
+
+    def versions() -> list[dict[str, int]]:
+        records = control.follower.directory.records.values()
+        return [record.target.versions for record in records]
+
+    def behind() -> dict[tuple[str], float]:
+        counts = count_behind(versions(), control.machine.state["weights"])
+        return {(model,): count for model, count in counts.items()}
+
+    def ages_s() -> dict[tuple[str], float]:
+        ages_s = control.weight_ages_s(trio.current_time())
+        return {(model,): age_s for model, age_s in ages_s.items()}
+
+    add_gauges = counters.add_gauges
+    add_gauges("targets_behind", "Targets on older weights.", ("model",), behind)
+    add_gauges(
+        "weights_age_seconds",
+        "Age of the newest version that was named.",
+        ("model",),
+        ages_s,
+    )
+    add_gauges(
+        "weights_targets",
+        "Targets by version of their weights.",
+        ("model", "version"),
+        lambda: count_versions(versions()),
+    )
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -13,12 +13,16 @@
 from vanillabeam.fleet import Follower
 from vanillabeam.fleet.permitclient import PermitClient
 from vanillabeam.fleet.records import FleetSettings
+from vanillabeam.fleetgauges import (
+    add_control_gauges,
+    add_entry_gauges,
+    add_notice_gauges,
+)
 from vanillabeam.forwarding import Dialect, ForwardingApp
 from vanillabeam.forwarding.choosing.choice import Chooser
 from vanillabeam.lifecycle import Lifecycle
 from vanillabeam.listeners import ListenerTask
 from vanillabeam.memory import MemoryBudget
-from vanillabeam.notices import Incarnation
 from vanillabeam.overload.task import Overload
 from vanillabeam.peerhttp import PeerClient, peer_routes
 from vanillabeam.peerloads.task import PeerLoadTask
@@ -165,7 +169,8 @@
             nursery, "peers", self.cfg.peer_address, peers, hold_port=True
         )
         await nursery.start(self.control.run)
-        self._add_control_metrics(self.control)
+        has_entry = bool(self.cfg.entry_address)
+        add_control_gauges(self.counters, self.control, has_entry)
         rollout = Rollout(self.control, self.adapter.orders)
         nursery.start_soon(keep_running, "rollout", rollout.run)
         nursery.start_soon(self._transfer_leadership_on_drain)
@@ -208,8 +213,8 @@
         self.counters.add_gauge(
             "held_bytes", "Bytes of bodies held.", lambda: memory.used_bytes
         )
-        self._add_entry_metrics(self.follower)
-        self._add_notice_metrics(self.follower, chooser)
+        add_entry_gauges(self.counters, self.follower, self.lifecycle)
+        add_notice_gauges(self.counters, self.follower, chooser)
         chooser.lines.add_metrics(self.counters)
         capacity = chooser.load.capacity
         add_capacity_gauges(self.counters, capacity, trio.current_time)
@@ -274,111 +279,6 @@
         self._listeners[name] = task
         await nursery.start(task.run)
 
-    def _add_entry_metrics(self, follower: Follower) -> None:
-        add_gauge = self.counters.add_gauge
-        add_gauge("state_index", "Fleet state in force.", lambda: follower.view.index)
-        add_gauge(
-            "deployment_number", "Deployment in force.", follower.deployment_number
-        )
-        self._add_target_metrics(follower)
-        add_gauge(
-            "quarantined_parts",
-            "Parts of prompts that are kept from targets.",
-            lambda: len(follower.view.quarantine),
-        )
-        add_gauge("news_age_seconds", "Age of the newest control news.", follower.age_s)
-        add_gauge(
-            "open_requests",
-            "Requests without a whole answer.",
-            lambda: self.lifecycle.open_requests,
-        )
-
-    def _add_target_metrics(self, follower: Follower) -> None:
-        add_gauge = self.counters.add_gauge
-        add_gauge("targets", "Targets that are known.", follower.target_count)
-        add_gauge(
-            "unlisted_targets",
-            "Targets that control VMs hear and this VM doesn't list.",
-            lambda: follower.targets.unlisted_count(trio.current_time()),
-        )
-
-    def _add_notice_metrics(self, follower: Follower, chooser: Chooser) -> None:
-        def known() -> set[Incarnation]:
-            records = follower.directory.records.values()
-            return {record.target.incarnation for record in records}
-
-        self.counters.add_gauge(
-            "leaving_targets",
-            "Known targets that told this VM that they leave.",
-            lambda: len(chooser.notices.leaving(known())),
-        )
-        self.counters.add_gauge(
-            "paused_targets",
-            "Known targets that asked this VM for a pause that runs.",
-            lambda: len(chooser.notices.paused(known(), trio.current_time())),
-        )
-        self.counters.add_gauges(
-            "target_limit",
-            "Requests a second that a target takes from all VMs together.",
-            ("target",),
-            lambda: {
-                (name,): rate_s
-                for (name, _), rate_s in chooser.rates.limits.limited(
-                    trio.current_time()
-                ).items()
-            },
-        )
-
-    def _add_control_metrics(self, control: "FleetControl") -> None:
-        from vanillabeam.canary.gauges import add_rollout_gauges
-
-        add_gauge = self.counters.add_gauge
-        add_gauge("log_term", "Term of the fleet log.", lambda: control.node.term)
-        add_gauge("log_applied", "Index applied.", lambda: control.node.applied)
-        add_gauge("log_leads", "Whether this VM leads.", lambda: control.node.is_leader)
-        self.counters.add_gauges(
-            "granted_permits",
-            "Permits of the last 4 s by target that names a limit.",
-            ("target",),
-            control.permits.granted,
-        )
-        add_gauge("kept_parts", "Parts that stores keep.", control.stores.index.count)
-        if not self.cfg.entry_address:
-            self._add_target_metrics(control.follower)
-        self._add_weights_metrics(control)
-        if control.rollouts.is_enabled:
-            add_rollout_gauges(self.counters.add_gauges, control.rollouts)
-
-    def _add_weights_metrics(self, control: "FleetControl") -> None:
-        from vanillabeam.fleet.heldweights import count_behind, count_versions
-
-        def versions() -> list[dict[str, int]]:
-            records = control.follower.directory.records.values()
-            return [record.target.versions for record in records]
-
-        def behind() -> dict[tuple[str], float]:
-            counts = count_behind(versions(), control.machine.state["weights"])
-            return {(model,): count for model, count in counts.items()}
-
-        def ages_s() -> dict[tuple[str], float]:
-            ages_s = control.weight_ages_s(trio.current_time())
-            return {(model,): age_s for model, age_s in ages_s.items()}
-
-        add_gauges = self.counters.add_gauges
-        add_gauges("targets_behind", "Targets on older weights.", ("model",), behind)
-        add_gauges(
-            "weights_age_seconds",
-            "Age of the newest version that was named.",
-            ("model",),
-            ages_s,
-        )
-        add_gauges(
-            "weights_targets",
-            "Targets by version of their weights.",
-            ("model", "version"),
-            lambda: count_versions(versions()),
-        )
-
     async def _become_ready(self) -> None:
         await self.follower.wait_ready()
         self.lifecycle.config_ready(self.follower.view.index)
--- a/tests/fleet/test_weightsmetrics.py
+++ b/tests/fleet/test_weightsmetrics.py
@@ -8,7 +8,7 @@
 from bench.rollout_model import StandInControl, StandInTarget
 from tests.fleet.builders import make_target
 from vanillabeam.counters import Counters
-from vanillabeam.fleetvm import FleetVm
+from vanillabeam.fleetgauges import add_weights_gauges
 
 
 def test_targets_on_older_weights_are_counted_with_the_age_of_the_newest():
@@ -21,7 +21,7 @@
         control.name("m", 2)
         await trio.sleep(7.0)
         vm = SimpleNamespace(counters=Counters())
-        FleetVm._add_weights_metrics(vm, control)
+        add_weights_gauges(vm.counters, control)
         return vm.counters.text().decode()
 
     clock = trio.testing.MockClock(autojump_threshold=0)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -28,7 +28,7 @@
         imports lifecycle log members orders overload peerloads readiness remotemembers
         routing spread store targets tickets waiting
     """,
-    "assembly": "components fleetvm",
+    "assembly": "components fleetgauges fleetvm",
     "faces": """
         callers gauges operators targetapp
     """,
@@ -43,8 +43,8 @@
         routing spread store targetapp targets targetwire tickets vm
     """,
     "a fleet on the platform": """
-        canary capacity counters earlysignals fleet fleetvm forwarding overload pauses
-        peerloads platform ports refusals waiting
+        canary capacity counters earlysignals fleet fleetgauges fleetvm forwarding
+        overload pauses peerloads platform ports refusals waiting
     """,
 }
 RANKS = {
