--- a/src/vanillabeam/forwarding/sending/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -5,12 +5,10 @@
 
 import trio
 
-from vanillabeam.canary.counts import CountedRequest
 from vanillabeam.exceptions import Run
 from vanillabeam.fleet import RouteKind, Target
 from vanillabeam.forwarding.admitted import AdmittedRequest
 from vanillabeam.forwarding.choosing.choice import Choice
-from vanillabeam.forwarding.choosing.load import OpenRequest
 from vanillabeam.forwarding.choosing.ratelines import Permit
 from vanillabeam.forwarding.dialect import AnswerKind, Headers
 from vanillabeam.forwarding.exceptions import (
@@ -27,6 +25,7 @@
 from vanillabeam.forwarding.sending.context import make_context
 from vanillabeam.forwarding.sending.downstream import ResponseWriter
 from vanillabeam.forwarding.sending.events import EventCutter
+from vanillabeam.forwarding.sending.opening import OpenAttempt
 from vanillabeam.forwarding.sending.outcomes import AnswerEnd, Delivered, Outcome
 from vanillabeam.forwarding.sending.plain import Prefix, read_plain, read_refusal
 from vanillabeam.forwarding.sending.readahead import read_ahead
@@ -42,12 +41,7 @@
 
 __all__ = ["Attempt"]
 
-CLIENT_ERROR = 400
 SERVER_ERROR = 500
-#: Silence after which a target is suspect: a multiple of the route's latency
-#: objective, or a fixed time where the route has no objective.
-SILENCE_LIMIT_OBJECTIVES = 1.5
-DEFAULT_SILENCE_LIMIT_S = 0.5
 #: Interval of the checks for a target that turned suspect.
 SUSPECT_CHECK_S = 0.1
 
@@ -93,83 +87,29 @@
         self._passage = passage
         self._permit = permit
         self._was_refused = False
-        self._is_return = False
-        self._is_released = False
         self._is_closed = False
-        self._open_request: OpenRequest | None = None
-        self._counted: CountedRequest | None = None
+        self._open: OpenAttempt | None = None
 
     async def run(self) -> Outcome:
         """Send the request and record the target's load, health and outcome."""
-        target, chooser = self._choice.target, self._resources.chooser
-        follower, now_s = self._resources.follower, trio.current_time()
-        chooser.record_sent(
-            self._service, self._choice, follower.view, follower.entry_vms, now_s
-        )
-        self._open_request = chooser.load.record_start(
-            target.name,
-            self._request.rank,
-            self._choice.work,
-            now_s,
-            SILENCE_LIMIT_OBJECTIVES * self._request.route.objective_s
-            or DEFAULT_SILENCE_LIMIT_S,
-            self._choice.memory_tokens,
-        )
-        chooser.lines.line(self._service).window.record_sent()
-        self._is_return = chooser.notices.record_sent(target.incarnation)
-        is_prompt = bool(self._request.metadata.parts)
-        self._counted = chooser.versions.begin(
-            self._choice, self._request.route.name, is_prompt, now_s
+        self._open = OpenAttempt(
+            self._request, self._resources, self._service, self._choice
         )
         outcome: Outcome | None = None
         try:
             outcome = await self._send_and_receive()
             return outcome
         finally:
-            self._end_return(is_answered=False)
-            self._record_call(outcome)
-            self._release()
-            self._count_end(outcome)
+            self._open.end(outcome, self.may_have_run, self._was_refused)
             if outcome is not None:
                 self._record_outcome(outcome)
 
-    def _count_end(self, outcome: Outcome | None) -> None:
-        """Count the end of the attempt for a rollout of its service.
-
-        An answer that isn't whole at the caller's time limit counts as a failure; that
-        a caller leaves before tells nothing.
-        """
-        counted = self._counted
-        is_late = outcome is None and trio.current_time() >= self._request.ends_s
-        if isinstance(outcome, Delivered):
-            counted.record_answer()
-        elif self.may_have_run and not self._was_refused and (outcome or is_late):
-            counted.record_failure()
-        self._resources.chooser.versions.end(counted)
-
-    def _release(self) -> None:
-        """Record that the target has a place again, once."""
-        if self._is_released:
-            return
-        self._is_released = True
-        chooser, now_s = self._resources.chooser, trio.current_time()
-        chooser.load.record_end(self._open_request)
-        window = chooser.lines.line(self._service).window
-        (window.record_refused if self._was_refused else window.record_ended)(now_s)
-        chooser.lines.record_change(self._service, now_s)
-
     async def _record_whole(self, response: OpenResponse) -> None:
         """Record that the target has sent its whole answer.
 
         Its connection and its place don't wait for a caller that reads slowly.
         """
-        if not self._is_released and response.status < 300:
-            took_s = trio.current_time() - self._open_request.began_s
-            line = self._resources.chooser.lines.line(self._service)
-            line.record_took(self._request.route.name, took_s)
-        if not self._is_released:
-            self._end_call(response.status >= CLIENT_ERROR)
-        self._release()
+        self._open.record_whole(response.status)
         self._writer.record_whole()
         await self._close(response)
 
@@ -188,7 +128,7 @@
             return response
         self.was_sent = True
         self.answer_end = AnswerEnd(str(response.framing))
-        self._record_response(trio.current_time())
+        self._open.record_head()
         try:
             return await self._handle_response(response)
         finally:
@@ -200,16 +140,6 @@
             self._is_closed = True
             await close_response(response)
 
-    def _record_response(self, now_s: float) -> None:
-        """Record the time from sending the request to the head of its answer."""
-        load = self._resources.chooser.load
-        load.record_response(self._open_request, self._service, now_s)
-        if not self._counted.is_prompt:
-            self._counted.record_first(now_s)
-        self._resources.chooser.lines.record_change(self._service, now_s)
-        first_s = now_s - self._open_request.began_s
-        self._resources.counters.first_event_s.labels(self._service).observe(first_s)
-
     async def _send_to(
         self, pool, target: Target, headers: Headers
     ) -> OpenResponse | Broken:
@@ -247,16 +177,6 @@
                     nursery.cancel_scope.cancel()
         return result
 
-    def _end_return(self, is_answered: bool) -> None:
-        """Count the end of a request after a pause of its target, once.
-
-        The head of an answer is enough: the target has taken the request.
-        """
-        if self._is_return:
-            self._is_return = False
-            notices = self._resources.chooser.notices
-            notices.record_end(self._choice.target.incarnation, is_answered)
-
     def _may_send(self) -> bool:
         """Return whether the request may still be sent, after a wait for a connection.
 
@@ -273,7 +193,7 @@
             return False
         if not chooser.rates.may_send(self._permit, now_s):
             return False
-        chooser.versions.record_sent(self._counted)
+        chooser.versions.record_sent(self._open.counted)
         if chooser.rates.is_limited(target, now_s):
             self._resources.counters.limited_requests.labels(target.name).inc()
         return True
@@ -316,7 +236,7 @@
                 target,
                 request.metadata.request_id,
                 response,
-                self._open_request.began_s,
+                self._open.began_s,
             )
         headers = self._resources.dialect.answer_headers(
             response.status, response.headers
@@ -325,7 +245,7 @@
         if kind is AnswerKind.UNPROVEN:
             return Broken(RefusalUnproven(f"{target.name}: status {response.status}"))
         if kind is AnswerKind.ANSWER:
-            self._end_return(is_answered=True)
+            self._open.end_return(is_answered=True)
         if kind in (AnswerKind.NOT_RUN, AnswerKind.OTHER_TARGET):
             self.may_have_run = False
         if self._is_stream(response):
@@ -409,22 +329,8 @@
 
     def _record_activity(self) -> None:
         """Record that a part of the answer has arrived."""
-        now_s = trio.current_time()
-        load = self._resources.chooser.load
-        load.record_activity(self._choice.target.name, now_s)
-        self._writer.pace.record(now_s)
-        self._counted.record_first(now_s)
-        self._counted.record_answer()
-
-    def _record_call(self, outcome: Outcome | None) -> None:
-        """Record the time of a plain call, unless its answer is a failure."""
-        is_good = isinstance(outcome, Delivered) and outcome.status < CLIENT_ERROR
-        self._end_call(not is_good)
-
-    def _end_call(self, failed: bool) -> None:
-        self._resources.chooser.load.record_call(
-            self._open_request, self._service, failed, trio.current_time()
-        )
+        self._open.record_part()
+        self._writer.pace.record(trio.current_time())
 
     def _record_outcome(self, outcome: Outcome) -> None:
         recorder = OutcomeRecorder(
@@ -433,7 +339,7 @@
         end = AttemptEnd(
             outcome,
             self.answer_end,
-            self._open_request.began_s,
+            self._open.began_s,
             self.may_have_run,
             self._was_refused,
         )
