Shorten the chooser and the follower

Change: usable_targets is the method itself, two gauges read the follower's parts. Result: tests of choosing, the follower and the layers pass.

--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -150,14 +150,6 @@
         period_s = DISCOVERY_HEARTBEATS * self._cfg.bounds.heartbeat_s
         return now_s - self._first_reply_s < period_s
 
-    def deployment_number(self) -> int:
-        """Return the number of the deployment in force."""
-        return self.view.deployment.number
-
-    def target_count(self) -> int:
-        """Return the number of known targets."""
-        return len(self.directory.records)
-
     def age_s(self) -> float:
         """Return the seconds since the last reply of any control VM."""
         last_seen = [vm.last_seen_s for vm in self.control_vms.values()]
--- a/src/vanillabeam/fleetgauges.py
+++ b/src/vanillabeam/fleetgauges.py
@@ -27,7 +27,11 @@
     """Add the gauges of an entry VM's state and requests."""
     add_gauge = counters.add_gauge
     add_gauge("state_index", "Fleet state in force.", lambda: follower.view.index)
-    add_gauge("deployment_number", "Deployment in force.", follower.deployment_number)
+    add_gauge(
+        "deployment_number",
+        "Deployment in force.",
+        lambda: follower.view.deployment.number,
+    )
     _add_target_gauges(counters, follower)
     add_gauge(
         "quarantined_parts",
@@ -44,7 +48,11 @@
 
 def _add_target_gauges(counters: Counters, follower: Follower) -> None:
     add_gauge = counters.add_gauge
-    add_gauge("targets", "Targets that are known.", follower.target_count)
+    add_gauge(
+        "targets",
+        "Targets that are known.",
+        lambda: len(follower.directory.records),
+    )
     add_gauge(
         "unlisted_targets",
         "Targets that control VMs hear and this VM doesn't list.",
--- a/src/vanillabeam/forwarding/choosing/choice.py
+++ b/src/vanillabeam/forwarding/choosing/choice.py
@@ -121,7 +121,7 @@
         :param now_s: monotonic time in seconds.
         :param costs: costs of a prompt; ``None`` for a plain call.
         """
-        usable = self._usable_targets(service, metadata, view, tried, now_s)
+        usable = self.usable_targets(service, metadata, view, tried, now_s)
         meant = self.versions.preferred(service, usable)
         choice = self._choose_among(service, meant, view, entries, now_s, costs)
         if choice is not None and not _is_late_choice(choice, costs):
@@ -130,7 +130,7 @@
         is_late = choice is not None and _is_late_choice(choice, costs)
         if costs is None or (choice is not None and not is_late):
             return choice
-        wider = self._usable_targets(service, metadata, view, tried, now_s, False)
+        wider = self.usable_targets(service, metadata, view, tried, now_s, False)
         if len(wider) <= len(usable):
             return choice
         older = self._choose_among(service, wider, view, entries, now_s, costs)
@@ -230,7 +230,7 @@
     ) -> str:
         """Return why no target may take a request: the count left after each filter."""
         known = self.targets_of(service)
-        usable = self._usable_targets(service, metadata, view, set(), now_s)
+        usable = self.usable_targets(service, metadata, view, set(), now_s)
         self.versions.log_barred(metadata.request_id, service, now_s)
         fitting = self._with_free_memory(
             usable, service, view.deployment, costs, entries, now_s
@@ -253,11 +253,7 @@
         """Return the known targets of a service that may be used by their version."""
         return self.versions.allowed(service, self.targets_of(service), now_s)
 
-    def usable_targets(self, *args) -> list[Target]:
-        """Return the targets that may take a request but for their places."""
-        return self._usable_targets(*args)
-
-    def _usable_targets(
+    def usable_targets(
         self,
         service: str,
         metadata: RequestMetadata,
@@ -266,6 +262,7 @@
         now_s: float,
         newest_only: bool = True,
     ) -> list[Target]:
+        """Return the targets that may take a request but for their places."""
         return usable_targets(
             self.allowed_targets(service, now_s),
             metadata,
@@ -310,7 +307,7 @@
             could take it otherwise.
         """
         left_out = self.left_out(service, now_s)
-        if not left_out or self._usable_targets(service, metadata, view, tried, now_s):
+        if not left_out or self.usable_targets(service, metadata, view, tried, now_s):
             return None
         paused = [
             target
