Read the deployment's number from the view in a test

Cause: Follower.deployment_number has gone; its gauge reads the view. Change: the test reads the view too, with the same assertion. Result: tests/fleet/test_follower.py passes.

--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -504,7 +504,7 @@
             harness[0].commit(1, 1, document="1")
             await trio.sleep(5.0)
             nursery.cancel_scope.cancel()
-        assert harness.follower.deployment_number() == 1
+        assert harness.follower.view.deployment.number == 1
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
