--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -19,7 +19,7 @@
 DURATION_S = 10.0
 #: Time that each request takes at a worker.
 RUN_S = 0.02
-#: What operators ask for: see docs/work.md.
+#: What operators ask for: see docs/design/exposure.md.
 BOUNDS = {"expose_share": 0.1, "expose_slack": 50, "rollback_ms": 5000}
 BAD_RESPONSES, ROLLBACK_S = 50, 5.0
 #: Longest time from the end of a rollout until it is read, on a busy machine.
