Rely on the rate of free places only once some have become free

Change: fewer than three places in less than a whole window are no rate; a claim that was let in is not judged by the stricter share for new ones again.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -24,8 +24,8 @@
 from vanillabeam.forwarding.choosing.ordering import TargetOrder
 from vanillabeam.forwarding.choosing.selection import (
     MAX_WAIT_OBJECTIVES,
-    MEMORY_WAIT_OBJECTIVES,
     POLL_INTERVAL_S,
+    USABLE_WAIT_OBJECTIVES,
 )
 from vanillabeam.forwarding.dialect import PromptPart, RequestMetadata
 
@@ -248,7 +248,7 @@
             self._send(prompt, submitted_s, choice)
         elif (
             choice is None
-            and now_s < waiting_since_s + MEMORY_WAIT_OBJECTIVES * objective_s
+            and now_s < waiting_since_s + USABLE_WAIT_OBJECTIVES * objective_s
         ):
             simulation.clock.call_at(
                 now_s + POLL_INTERVAL_S,
--- a/src/vanillabeam/waiting/queue.py
+++ b/src/vanillabeam/waiting/queue.py
@@ -6,7 +6,7 @@
 
 from vanillabeam.shares import MIN_WEIGHT, Share, WeightedShares
 from vanillabeam.waiting.claim import Claim
-from vanillabeam.waiting.rates import MIN_RETURN_S, PlaceRate, Returns
+from vanillabeam.waiting.rates import MIN_RETURN_S, OBSERVE_S, PlaceRate, Returns
 
 __all__ = ["WaitingLine"]
 
@@ -244,5 +244,6 @@
             return True
         if not claim.is_likely and expected_s > ENTRY_SHARE * left_s:
             return True
-        claim.is_likely = self._rate.per_s(now_s) is not None
+        has_rate = self._rate.per_s(now_s) is not None
+        claim.is_likely = has_rate or now_s >= claim.arrival_s + OBSERVE_S
         return False
--- a/src/vanillabeam/waiting/rates.py
+++ b/src/vanillabeam/waiting/rates.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-__all__ = ["MIN_RETURN_S", "PlaceRate", "Returns"]
+__all__ = ["MIN_RETURN_S", "OBSERVE_S", "PlaceRate", "Returns"]
 
 #: Seconds over which places that were taken are counted. Long enough for some ends of
 #: streams of several seconds, short enough to follow a target that is lost.
@@ -10,6 +10,10 @@
 #: Seconds of a shortage before its rate is relied on: a burst at an idle VM has seen no
 #: place become free yet.
 OBSERVE_S = 0.5
+#: Places that must have been taken before the rate is relied on, unless a whole window
+#: had fewer: where long requests took all places at once, none becomes free until the
+#: first of these has ended.
+MIN_TAKEN = 3
 #: Shortest time after which a refused caller is asked to return.
 MIN_RETURN_S = 0.2
 
@@ -54,6 +58,8 @@
         seen_s = now_s - since_s
         if seen_s < OBSERVE_S:
             return None
+        if len(self._taken) < MIN_TAKEN and seen_s < WINDOW_S:
+            return None
         return (len(self._taken) + 1) / seen_s
 
 
