--- a/src/vanillabeam/canary/counts.py
+++ b/src/vanillabeam/canary/counts.py
@@ -1,4 +1,4 @@
-"""What one entry VM has sent to each version since a rollout's order, and seen."""
+"""Counts of one entry VM by version, since the order of a rollout."""
 
 import math
 from collections import Counter
--- a/src/vanillabeam/canary/plan.py
+++ b/src/vanillabeam/canary/plan.py
@@ -81,7 +81,7 @@
 
 
 class Situation(NamedTuple):
-    """What a control VM knows of a running rollout.
+    """State of a running rollout, as a control VM knows it.
 
     :param age_s: seconds since the order.
     :param step_s: seconds for which the present step and share have been in force.
--- a/src/vanillabeam/canary/records.py
+++ b/src/vanillabeam/canary/records.py
@@ -80,7 +80,7 @@
 
 
 class RouteCounts(TypedDict):
-    """What one entry VM has sent on one route to one version, and what came back.
+    """Counts of one entry VM for one route and one version.
 
     :param sent: requests sent.
     :param answers: requests that were answered or failed and may have run.
@@ -96,7 +96,7 @@
 
 
 class TargetCounts(TypedDict):
-    """What one entry VM has seen of one target of the new version.
+    """Counts of one entry VM for one target of the new version.
 
     :param slow: answers by bucket of their slowness, as in :class:`RouteCounts`.
     """
@@ -107,7 +107,7 @@
 
 
 class RolloutReport(TypedDict):
-    """What one entry VM has seen of a rollout since its order.
+    """Counts of one entry VM since the order of a rollout.
 
     All counts are cumulative for one process, so a lost report costs nothing.
 
--- a/src/vanillabeam/canary/reporting.py
+++ b/src/vanillabeam/canary/reporting.py
@@ -8,7 +8,7 @@
 
 
 class ReportSource(Protocol):
-    """What an entry VM has seen of running rollouts."""
+    """Source of the reports on running rollouts."""
 
     def reports(self) -> list[RolloutReport]:
         """Return a report on each running rollout."""
--- a/src/vanillabeam/canary/sightings.py
+++ b/src/vanillabeam/canary/sightings.py
@@ -13,7 +13,7 @@
 
 
 class VersionedTarget(Protocol):
-    """What is needed of a target."""
+    """Facts about a target that rollouts need."""
 
     @property
     def name(self) -> str:
--- a/src/vanillabeam/canary/task.py
+++ b/src/vanillabeam/canary/task.py
@@ -94,7 +94,7 @@
 
 
 class _Run:
-    """What this VM keeps of a running rollout beside its record.
+    """State of a running rollout on this VM, beside its record.
 
     :ivar alone_since_s: time since which no target of another version was listed.
     :ivar answers_before: the new version's answers when the present share began.
--- a/src/vanillabeam/capacity/core.py
+++ b/src/vanillabeam/capacity/core.py
@@ -1,4 +1,4 @@
-"""How much load each target handles well, as one entry VM knows it."""
+"""Load that each target handles well, as one entry VM knows it."""
 
 import math
 from collections.abc import Mapping
@@ -47,7 +47,7 @@
 
 
 class CapacityRow(NamedTuple):
-    """What is known of one target.
+    """Evidence on one target.
 
     :param tokens_s: tokens prefilled a second; 0 while unknown.
     :param takes_well: open requests that it takes without slowing; 0 while unknown.
--- a/src/vanillabeam/capacity/figures.py
+++ b/src/vanillabeam/capacity/figures.py
@@ -1,4 +1,4 @@
-"""What is known of one target for one kind of work: its speed, and where it slows."""
+"""Speed of one target for one kind of work, and the load at which it slows."""
 
 import math
 from collections import deque
--- a/src/vanillabeam/cli/latecauses.py
+++ b/src/vanillabeam/cli/latecauses.py
@@ -19,7 +19,7 @@
 
 
 class Cause(StrEnum):
-    """Where the time of a late answer went."""
+    """Causes of a late answer, by time."""
 
     WAITED = "waited for us"
     RETRIED = "retried"
--- a/src/vanillabeam/forwarding/sending/opening.py
+++ b/src/vanillabeam/forwarding/sending/opening.py
@@ -1,4 +1,4 @@
-"""What is recorded of a request while it is open at a target."""
+"""Records of a request while it is open at a target."""
 
 import trio
 
--- a/src/vanillabeam/overload/task.py
+++ b/src/vanillabeam/overload/task.py
@@ -22,7 +22,7 @@
 
 
 class Readiness(Protocol):
-    """What the load balancer is told of this VM.
+    """Readiness of this VM as the load balancer sees it.
 
     :ivar is_withdrawn: whether other VMs are to take the requests for a time.
     """
--- a/src/vanillabeam/requestscope.py
+++ b/src/vanillabeam/requestscope.py
@@ -1,4 +1,4 @@
-"""What the ASGI scope of a request tells of its connection."""
+"""Connection of a request, as its ASGI scope names it."""
 
 from collections.abc import Callable
 from math import inf
