--- a/src/vanillabeam/canary/tally.py
+++ b/src/vanillabeam/canary/tally.py
@@ -165,7 +165,7 @@
             for route, counts in own.items():
                 new.setdefault(route, []).extend(counts)
             by_vm[vm] = {route: _add_routes(of) for route, of in own.items()}
-            # What was open in a process that has ended is open no more.
+            # Requests of a process that has ended are open no more.
             open_old += known.newest[known.boot]["open_old"]
         return Sums(
             {route: _add_routes(of) for route, of in new.items()},
--- a/src/vanillabeam/capacity/evidence.py
+++ b/src/vanillabeam/capacity/evidence.py
@@ -1,4 +1,4 @@
-"""Which answers show a target's speed, and which only that of a link to it."""
+"""Answers as evidence of a target's speed, or only of that of a link to it."""
 
 from collections.abc import Sequence
 
--- a/src/vanillabeam/forwarding/choosing/callorder.py
+++ b/src/vanillabeam/forwarding/choosing/callorder.py
@@ -79,7 +79,7 @@
     def __init__(self, data_centre: str, rng: random.Random):
         self._data_centre = data_centre
         self._rng = rng
-        #: How far each target is from its turn, by service; the largest is next.
+        #: Distance of each target from its turn, by service; the largest is next.
         self._turns: dict[str, dict[str, float]] = {}
         #: Smoothed weight of other data centres, by service, and when it was updated.
         self._shares: dict[str, tuple[float, float]] = {}
