--- a/src/vanillabeam/canary/plan.py
+++ b/src/vanillabeam/canary/plan.py
@@ -286,7 +286,7 @@
         fair = MIN_TRIAL_PART * TRIAL_SHARE * bound.share * (new.sent + old.sent)
         needed = min(needed, max(1.0, fair, MIN_GOOD_PART * new.sent))
     if old.answers:
-        # Fewer good responses are to be had if the old version fails as well.
+        # There are fewer good responses if the old version fails as well.
         needed *= 1 - old.failures / old.answers
     if good < needed:
         return f"{good} good responses of {needed:.0f}"
--- a/src/vanillabeam/overload/backlog.py
+++ b/src/vanillabeam/overload/backlog.py
@@ -90,7 +90,7 @@
         :param ran_s: processor time that this process has used since the last timer.
         """
         if lag_s > PAUSE_S and ran_s < MIN_RUN_SHARE * lag_s:
-            # Requests that arrived meanwhile have waited, but there is time for them now.
+            # Requests that arrived meanwhile waited, but there is time for them now.
             self._lags.clear()
             self._waits.clear()
             self._paused_s = now_s
