--- a/review/6/case.py
+++ b/review/6/case.py
@@ -33,7 +33,7 @@
 NUMBERS = count(1)
 #: Time limit of the clients, and latency objective of the route.
 LIMIT_MS, OBJECTIVE_MS = 200, 150
-WORKERS, SPELLS, SLOTS, CHANNELS = 3, 9, 6, 12
+WORKERS, SPELLS, SLOTS, CHANNELS = 3, 12, 6, 6
 #: Dose of `srv_grey` with `hang`: 1 worker of 3, share of its requests, seconds.
 HANGS, SPELL_S = 0.45, 6.5
 #: Requests a second of each kind, over both entry VMs.
