Show a fleet log that is lost when its control VMs are replaced, listed as red

Of four control VMs two lost ones are still voters beside their successors when the third is lost, 3 of 6 are left and 4 are needed; of three, the second loss leaves 2 of 4.

--- /dev/null
+++ b/tests/fleet/test_replacedcontrol.py
@@ -0,0 +1,122 @@
+"""Control VMs that are replaced for good, one after the other, on virtual time."""
+
+import random
+from functools import partial
+from itertools import permutations
+
+import pytest
+import trio
+import trio.testing
+
+from tests.fleet.builders import BOUNDS
+from tests.log.builders import Network
+from vanillabeam.fleet import FleetSettings
+from vanillabeam.fleet.control import FleetControl
+from vanillabeam.fleet.records import Deployment
+
+PORT = 7420
+#: Seconds from the loss of a VM to the start of its successor.
+SUCCESSOR_S = 1.0
+OPENS_S = 20.0
+#: Seconds from a successor's start to the next loss.
+CATCH_UP_S = 4.0
+
+
+class Store:
+    """Calls of stores; there are none."""
+
+
+class Fleet:
+    """Control VMs of a fleet in one process, by their host."""
+
+    def __init__(self, nursery, folder, seed):
+        self.nursery = nursery
+        self.folder = folder
+        self.seed = seed
+        self.network = Network()
+        self.controls = {}
+        self.scopes = {}
+
+    async def start(self, host, seeds, bootstrap=False):
+        data = self.folder / host
+        data.mkdir()
+        ports = ("", "", f"{host}:1", PORT)
+        cfg = FleetSettings(
+            f"vm-{host}", "a", host, *ports, seeds, bootstrap, str(data), 0, BOUNDS
+        )
+        address = f"{host}:{PORT}"
+        control = FleetControl(
+            cfg,
+            self.network.call_from(address),
+            random.Random(f"{host}/{self.seed}"),
+            lambda document: Deployment(),
+            Store(),
+        )
+        self.network.routes[address] = control.routes()
+        self.controls[host] = control
+        self.scopes[host] = await self.nursery.start(self._run, control)
+
+    async def _run(self, control, *, task_status):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(control.run)
+            task_status.started(nursery.cancel_scope)
+
+    async def lose(self, host):
+        """Lose a VM for good: its process, its disk and its address."""
+        self.scopes.pop(host).cancel()
+        del self.network.routes[f"{host}:{PORT}"]
+        del self.controls[host]
+        await trio.sleep(SUCCESSOR_S)
+
+    @property
+    def leader(self):
+        leading = [h for h, c in self.controls.items() if c.node.is_leader]
+        return leading[0] if len(leading) == 1 else None
+
+    def seeds(self):
+        return tuple(sorted(self.controls)[:3])
+
+
+async def replace_in_order(folder, order, size, seed):
+    """Replace the VMs in turn, each ``CATCH_UP_S`` after the last successor's start.
+
+    :param order: places of the VMs, from the leader on.
+    :returns: the status of the log at its leader, ``None`` without one.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, folder, seed)
+        hosts = [f"10.0.{number}.1" for number in range(1, size + 1)]
+        for host in hosts:
+            await fleet.start(host, tuple(hosts[:3]), bootstrap=True)
+        await trio.sleep(OPENS_S)
+        hosts.remove(fleet.leader)
+        hosts.insert(0, fleet.leader)
+        for step, place in enumerate(order):
+            await fleet.lose(hosts[place])
+            await fleet.start(f"10.0.{place}.{step + 2}", fleet.seeds())
+            await trio.sleep(CATCH_UP_S)
+        statuses = [fleet.controls[fleet.leader].node.status()] if fleet.leader else []
+        nursery.cancel_scope.cancel()
+    return statuses[0] if statuses else None
+
+
+def check_replaced(folder, order, size, seed=1):
+    clock = trio.testing.MockClock(autojump_threshold=0.002)
+    status = trio.run(partial(replace_in_order, folder, order, size, seed), clock=clock)
+    assert status is not None, f"no leader after {order}"
+    voters = [member for member in status["members"] if member["votes"]]
+    assert len(voters) == size
+    assert all(voter["active"] for voter in voters)
+    assert status["losses_left"] == (size - 1) // 2
+
+
+# Guards against a fleet log that never has a leader again, so that no configuration is
+# read back: voters that were lost stayed in the group beside their successors.
+@pytest.mark.parametrize("order", [(1, 0, 3, 2), (0, 1, 2, 3), (3, 2, 1, 0)])
+def test_a_fleet_whose_control_vms_are_all_replaced_keeps_its_log(tmp_path, order):
+    check_replaced(tmp_path, order, size=4)
+
+
+@pytest.mark.parametrize("order", list(permutations(range(3))))
+def test_a_fleet_of_three_whose_control_vms_are_replaced_keeps_its_log(tmp_path, order):
+    check_replaced(tmp_path, order, size=3)
