Log the members, the lost majority and the missing leader of a log's group

- membership-changed: on the leader, at each change of voters or learners: who, why, voters and majority before and after, losses left after it.
The reason is given where the change is started (PendingChange.reason).
- quorum-lost: a leader steps down as no majority replies: the silent voters with the seconds since each was heard.
- leader-missing after 3 s without a leader, again each 10 s, with the voters that didn't answer the pre-votes lately; leader-known once it ends.
- "has not joined yet" is written at most each 10 s, and tells a VM without a group from a member without a leader and from a replica that was removed.
- gauges log_losses_left, log_voters, log_learners, log_silent_voters and log_leaderless_seconds.

The core reports by two effects that aren't stored (MembershipReplaced, QuorumMissed); the loop logs them and watches for the missing leader. No decision of the log changes: losses_left is only split in two functions.

--- a/src/vanillabeam/decisions/control.py
+++ b/src/vanillabeam/decisions/control.py
@@ -8,11 +8,15 @@
     "DeploymentRefused",
     "DeploymentUnreadable",
     "HomeChosen",
+    "LeaderKnown",
+    "LeaderMissing",
     "LoadsExchanged",
     "MemberRemoved",
+    "MembershipChanged",
     "OrderRead",
     "OrderSettled",
     "OrderUnsettled",
+    "QuorumLost",
     "StateInForce",
 ]
 
@@ -126,3 +130,93 @@
 
     peer: str
     failure: str
+
+
+class MembershipChanged(NamedTuple):
+    """The leader put another membership of a log's group into force.
+
+    :param group: name of the group.
+    :param reason: what the change was started for.
+    :param term: the leader's term.
+    :param index: index of the entry with the membership, which isn't committed yet.
+    :param added_voters: VMs whose replicas vote from now on.
+    :param removed_voters: VMs whose replicas vote no more.
+    :param added_learners: VMs whose replicas receive the log and don't vote yet.
+    :param removed_learners: VMs of learners that were removed; promoted ones aren't.
+    :param voters_before: VMs of the voters before the change.
+    :param majority_before: number of voters that were a majority.
+    :param voters: VMs of the voters from now on.
+    :param majority: number of voters that are a majority from now on.
+    :param losses_left: number of voters that may be lost without losing the majority,
+        once the change is committed.
+    """
+
+    group: str
+    reason: str
+    term: int
+    index: int
+    added_voters: list[str]
+    removed_voters: list[str]
+    added_learners: list[str]
+    removed_learners: list[str]
+    voters_before: list[str]
+    majority_before: int
+    voters: list[str]
+    majority: int
+    losses_left: int
+
+
+class QuorumLost(NamedTuple):
+    """A leader of a log's group stepped down: no majority answered it in time.
+
+    :param group: name of the group.
+    :param term: term in which it led.
+    :param voters: VMs of the group's voters.
+    :param majority: number of voters that are a majority.
+    :param silent: voters that didn't answer in time, with the seconds since each was
+        heard, at most those since this VM became leader.
+    """
+
+    group: str
+    term: int
+    voters: list[str]
+    majority: int
+    silent: dict[str, float]
+
+
+class LeaderMissing(NamedTuple):
+    """A replica of a log's group has had no leader for some seconds.
+
+    :param group: name of the group.
+    :param role: role of this replica: ``voter``, ``learner``, or ``removed`` if it is
+        no member by its own log.
+    :param term: term of this replica.
+    :param leaderless_s: seconds since it last had one.
+    :param voters: VMs of the voters, by its own log.
+    :param majority: number of voters that are a majority.
+    :param silent: voters that didn't answer it lately; empty unless it is a voter, as
+        only voters ask.
+    """
+
+    group: str
+    role: str
+    term: int
+    leaderless_s: float
+    voters: list[str]
+    majority: int
+    silent: list[str]
+
+
+class LeaderKnown(NamedTuple):
+    """A replica that logged ``leader-missing`` has a leader again.
+
+    :param group: name of the group.
+    :param term: term of this replica.
+    :param leader: VM of the leader.
+    :param leaderless_s: seconds for which it had none.
+    """
+
+    group: str
+    term: int
+    leader: str
+    leaderless_s: float
--- a/src/vanillabeam/fleetgauges.py
+++ b/src/vanillabeam/fleetgauges.py
@@ -16,10 +16,14 @@
 __all__ = [
     "add_control_gauges",
     "add_entry_gauges",
+    "add_membership_gauges",
     "add_notice_gauges",
     "add_weights_gauges",
 ]
 
+#: Value of ``log_losses_left`` on a VM that doesn't lead the log.
+NOT_LEADER = -1
+
 
 def add_entry_gauges(
     counters: Counters, follower: Follower, lifecycle: Lifecycle
@@ -103,6 +107,7 @@
     add_gauge("log_term", "Term of the fleet log.", lambda: control.node.term)
     add_gauge("log_applied", "Index applied.", lambda: control.node.applied)
     add_gauge("log_leads", "Whether this VM leads.", lambda: control.node.is_leader)
+    add_membership_gauges(counters, control)
     counters.add_gauges(
         "granted_permits",
         "Permits of the last 4 s by target that names a limit.",
@@ -117,6 +122,41 @@
         add_rollout_gauges(counters.add_gauges, control.rollouts)
 
 
+def add_membership_gauges(counters: Counters, control: "FleetControl") -> None:
+    """Add the gauges of the fleet log's members."""
+
+    def losses_left() -> int:
+        left = control.node.status()["losses_left"]
+        return NOT_LEADER if left is None else left
+
+    def count(votes: bool) -> int:
+        members = control.node.status()["members"]
+        return sum(1 for member in members if member["votes"] is votes)
+
+    def silent_voters() -> int:
+        members = control.node.status()["members"]
+        return sum(1 for m in members if m["votes"] and m["active"] is False)
+
+    add_gauge = counters.add_gauge
+    add_gauge(
+        "log_losses_left",
+        "Voters that may still be lost, by the leader; -1 elsewhere.",
+        losses_left,
+    )
+    add_gauge("log_voters", "Voters of the fleet log.", lambda: count(votes=True))
+    add_gauge("log_learners", "Learners of the fleet log.", lambda: count(votes=False))
+    add_gauge(
+        "log_silent_voters",
+        "Voters that don't answer the leader; 0 elsewhere.",
+        silent_voters,
+    )
+    add_gauge(
+        "log_leaderless_seconds",
+        "Time for which this VM's replica has had no leader.",
+        lambda: control.node.leaderless_s,
+    )
+
+
 def add_weights_gauges(counters: Counters, control: "FleetControl") -> None:
     """Add the gauges of the rollout of new weights."""
     from vanillabeam.fleet.heldweights import count_behind, count_versions
--- a/src/vanillabeam/log/bootstrap.py
+++ b/src/vanillabeam/log/bootstrap.py
@@ -20,6 +20,7 @@
 
 from vanillabeam import wire
 from vanillabeam.log.client import LogClient
+from vanillabeam.log.exceptions import LogError
 from vanillabeam.log.founding import BootstrapGroup
 from vanillabeam.log.loop import ReplicaLoop
 from vanillabeam.log.records import Address, Member, Membership
@@ -38,6 +39,8 @@
 #: Retry period of a replica that has a group but no leader.
 MEMBER_RETRY_S = 3.0
 CALL_TIMEOUT_S = 2.0
+#: Shortest time between two warnings of a replica that asks to join.
+WARN_S = 10.0
 
 
 class Bootstrapper:
@@ -73,6 +76,7 @@
         self._loop = loop
         self._client = client
         self._call = call
+        self._warned_s = float("-inf")
 
     async def run(self) -> None:
         """Bootstrap or join whenever this replica has no group or no leader.
@@ -152,8 +156,21 @@
         member = Member(self._loop.replica.member_id, *self._me)
         outcome = await self._client.request(GroupRequest(kind="knock", member=member))
         if isinstance(outcome, Failure):
-            failure = outcome.failure()
+            self._warn(outcome.failure())
+
+    def _warn(self, failure: LogError) -> None:
+        """Log why a request to join had no effect, unless one was logged just now."""
+        now_s = trio.current_time()
+        if now_s < self._warned_s + WARN_S:
+            return
+        self._warned_s = now_s
+        state = self._loop.replica
+        if not state.group_id:
             logger.warning("{} has not joined yet: {}", self._me.vm, failure)
+        elif state.membership.member(state.member_id):
+            logger.warning("{} is a member without a leader: {}", self._me.vm, failure)
+        else:
+            logger.warning("{} is not a member any more: {}", self._me.vm, failure)
 
 
 def is_initial(me: Address, initial: Sequence[Address]) -> bool:
--- a/src/vanillabeam/log/elections.py
+++ b/src/vanillabeam/log/elections.py
@@ -1,8 +1,9 @@
 """Leader election: pre-votes, votes, and leaders that lose their quorum."""
 
-from vanillabeam.log.events import Effect, Role
+from vanillabeam.log.events import Effect, QuorumMissed, Role
 from vanillabeam.log.exceptions import LeaderChanged
 from vanillabeam.log.messages import TimeoutNow, VoteReply, VoteRequest
+from vanillabeam.log.records import Member
 from vanillabeam.log.replica import Replica
 from vanillabeam.log.replication import become_leader, refuse_pending
 
@@ -108,7 +109,9 @@
     limit_s = max(state.settings.election_s, SLOW_ANSWERS * state.answer_s)
     if hears_quorum(state, now_s, limit_s):
         return []
-    return step_down(state, state.term, now_s)
+    silent = _silent_voters(state, now_s, limit_s)
+    report = QuorumMissed(state.term, state.membership, silent)
+    return [*step_down(state, state.term, now_s), report]
 
 
 def hears_quorum(state: Replica, now_s: float, limit_s: float) -> bool:
@@ -122,6 +125,15 @@
     return active >= state.membership.quorum
 
 
+def _silent_voters(
+    state: Replica, now_s: float, limit_s: float
+) -> tuple[tuple[Member, float], ...]:
+    """Return the voters silent for ``limit_s`` or more, with the seconds."""
+    others = [m for m in state.membership.voters if m.member_id != state.member_id]
+    silences = [(m, now_s - state.progress[m.member_id].last_contact_s) for m in others]
+    return tuple(each for each in silences if each[1] >= limit_s)
+
+
 def _start_election(state: Replica, now_s: float, transfer: bool) -> list[Effect]:
     effects: list[Effect] = [state.set_term(state.term + 1, state.member_id)]
     state.role = Role.CANDIDATE
--- a/src/vanillabeam/log/events.py
+++ b/src/vanillabeam/log/events.py
@@ -5,7 +5,7 @@
 
 from vanillabeam.log.exceptions import LogError
 from vanillabeam.log.messages import Envelope
-from vanillabeam.log.records import Entry, Member, Snapshot
+from vanillabeam.log.records import Entry, Member, Membership, Snapshot
 
 __all__ = [
     "NoChangeNeeded",
@@ -18,9 +18,11 @@
     "TransferLeadership",
     "SaveGroupId",
     "JoinRequest",
+    "MembershipReplaced",
     "Propose",
     "Proposed",
     "Read",
+    "QuorumMissed",
     "ReadConfirmed",
     "Received",
     "Refused",
@@ -208,6 +210,33 @@
     failure: LogError
 
 
+class MembershipReplaced(NamedTuple):
+    """Report that the leader appended another membership.
+
+    :param reason: what the change was started for.
+    :param losses_left: number of voters that can fail without losing the quorum, once
+        the change is committed.
+    """
+
+    reason: str
+    term: int
+    before: Membership
+    after: Membership
+    losses_left: int
+
+
+class QuorumMissed(NamedTuple):
+    """Report that a leader steps down, as no quorum replied in time.
+
+    :param silent: voters that didn't reply in time, with the seconds since their last
+        reply to this leader, or since it became leader.
+    """
+
+    term: int
+    membership: Membership
+    silent: tuple[tuple[Member, float], ...]
+
+
 Effect = (
     SaveTerm
     | SaveEntries
@@ -221,4 +250,6 @@
     | NoChangeNeeded
     | ReadConfirmed
     | Refused
+    | MembershipReplaced
+    | QuorumMissed
 )
--- a/src/vanillabeam/log/loop.py
+++ b/src/vanillabeam/log/loop.py
@@ -15,9 +15,12 @@
     Effect,
     Event,
     Flush,
+    MembershipReplaced,
     NoChangeNeeded,
     Proposed,
+    QuorumMissed,
     ReadConfirmed,
+    Received,
     Refused,
     Restore,
     Role,
@@ -40,6 +43,7 @@
     store_promise,
 )
 from vanillabeam.log.messages import Envelope
+from vanillabeam.log.observing import LeaderWatch, log_report
 from vanillabeam.log.outbox import Outbox
 from vanillabeam.log.persistence import (
     load_replica,
@@ -77,6 +81,7 @@
 class ReplicaLoop:
     """Runs a replica with its storage and its state machine.
 
+    :param group: name of the group.
     :ivar applied: highest index applied to the state machine.
     :ivar failure: reason why the loop has stopped, ``None`` while it runs.
     """
@@ -88,6 +93,7 @@
         machine: StateMachine,
         waiters: Waiters,
         outbox: Outbox,
+        group: str = "",
     ):
         self.replica = replica
         self.storage = storage
@@ -96,6 +102,8 @@
         self._machine = machine
         self._waiters = waiters
         self._outbox = outbox
+        self._group = group
+        self._leader_watch = LeaderWatch(group, trio.current_time())
         self._changed = trio.Event()
         self._send, self._receive = trio.open_memory_channel[
             EventBatch | BootstrapGroup | BootstrapPromise
@@ -121,6 +129,11 @@
         while self.applied < index:
             await self._changed.wait()
 
+    @property
+    def leaderless_s(self) -> float:
+        """Seconds for which the replica has had a group and no leader."""
+        return self._leader_watch.leaderless_s(self.replica, trio.current_time())
+
     async def wait_until_not_leading(self) -> None:
         """Wait until the replica is not the leader or has stopped."""
         while self.failure is None and self.replica.role is Role.LEADER:
@@ -205,7 +218,10 @@
             effects += handle(Tick(), self.replica, now_s)
         for item in event_batches:
             for event in item.events:
+                if isinstance(event, Received):
+                    self._leader_watch.hear(event.envelope.sender, now_s)
                 effects += handle(event, self.replica, now_s)
+        self._leader_watch.check(self.replica, now_s)
         return effects + handle(Flush(), self.replica, now_s)
 
     async def _store(self, effects: list[Effect]) -> Result[None, LogError]:
@@ -263,6 +279,8 @@
             self._set_applied(effect.snapshot.index)
         elif isinstance(effect, Proposed | NoChangeNeeded | Refused | ReadConfirmed):
             self._waiters.answer(effect)
+        elif isinstance(effect, MembershipReplaced | QuorumMissed):
+            log_report(self._group, effect)
 
     def _set_applied(self, index: int) -> None:
         if index <= self.applied:
--- a/src/vanillabeam/log/members.py
+++ b/src/vanillabeam/log/members.py
@@ -5,6 +5,7 @@
     AllowVm,
     Effect,
     JoinRequest,
+    MembershipReplaced,
     NoChangeNeeded,
     Proposed,
     Refused,
@@ -55,7 +56,7 @@
         return [NoChangeNeeded(event.request_id)]
     allowed = (*state.membership.allowed, event.vm)
     changed = state.membership._replace(allowed=allowed)
-    return _start_change(event.request_id, changed, state, now_s)
+    return _start_change(event.request_id, changed, "VM allowed", state, now_s)
 
 
 def remove_vm(event: RemoveVm, state: Replica, now_s: float) -> list[Effect]:
@@ -70,7 +71,7 @@
         return [*effects, Refused(event.request_id, failure)]
     allowed = tuple(vm for vm in membership.allowed if vm != event.vm)
     changed = _without_vm(membership._replace(allowed=allowed), event.vm)
-    return _start_change(event.request_id, changed, state, now_s)
+    return _start_change(event.request_id, changed, "removal requested", state, now_s)
 
 
 def handle_join_request(
@@ -90,12 +91,13 @@
     if current is None:
         learners = (*membership.learners, member)
         changed = membership._replace(learners=learners)
-        return _start_change(event.request_id, changed, state, now_s)
+        return _start_change(event.request_id, changed, "join requested", state, now_s)
     if current.member_id == state.member_id or _is_active(state, current, now_s):
         failure = NotAllowed(f"{member.vm} is a member with another disk")
         return [Refused(event.request_id, failure)]
     changed = _without_vm(membership, member.vm)
-    return _start_change(event.request_id, changed, state, now_s)
+    reason = "new disk of the same VM"
+    return _start_change(event.request_id, changed, reason, state, now_s)
 
 
 def promote_learner(state: Replica, now_s: float) -> list[Effect]:
@@ -105,7 +107,8 @@
         return []
     for learner in membership.learners:
         if _is_caught_up(state, learner, now_s):
-            return _start_change(None, _promoted(membership, learner), state, now_s)
+            changed = _promoted(membership, learner)
+            return _start_change(None, changed, "caught up", state, now_s)
     return []
 
 
@@ -121,7 +124,7 @@
         return []
     if _has_replies(state, change):
         state.pending_change = None
-        effects = _append_change(change.membership, state, now_s)
+        effects = _append_change(change.membership, change.reason, state, now_s)
         if change.request_id is None:
             return effects
         index = state.log.last_index
@@ -183,23 +186,30 @@
     if state.role is not Role.LEADER:
         return None
     committed = state.log.membership_at(state.commit)
-    spare = []
     changed = state.pending_change.membership if state.pending_change else committed
-    for membership in (state.membership, committed, changed):
-        healthy = sum(1 for m in membership.voters if _is_caught_up(state, m, now_s))
-        spare.append(healthy - membership.quorum)
-    return max(min(spare), 0)
+    memberships = (state.membership, committed, changed)
+    return max(min(_spare_voters(each, state, now_s) for each in memberships), 0)
+
+
+def _spare_voters(membership: Membership, state: Replica, now_s: float) -> int:
+    """Return the number of healthy voters beyond a quorum."""
+    healthy = sum(1 for m in membership.voters if _is_caught_up(state, m, now_s))
+    return healthy - membership.quorum
 
 
 def _start_change(
-    request_id: int | None, changed: Membership, state: Replica, now_s: float
+    request_id: int | None,
+    changed: Membership,
+    reason: str,
+    state: Replica,
+    now_s: float,
 ) -> list[Effect]:
     failure = _change_failure(changed, state, now_s)
     if failure is not None:
         return [Refused(request_id, failure)]
     deadline_s = now_s + state.settings.election_s
     state.pending_change = PendingChange(
-        request_id, changed, state.read_round(), deadline_s
+        request_id, changed, state.read_round(), deadline_s, reason
     )
     state.round_requested = True
     return []
@@ -217,7 +227,10 @@
     return None
 
 
-def _append_change(changed: Membership, state: Replica, now_s: float) -> list[Effect]:
+def _append_change(
+    changed: Membership, reason: str, state: Replica, now_s: float
+) -> list[Effect]:
+    before = state.membership
     opened = changed.opened or _may_open(changed, state.settings.open_requires_all)
     changed = changed._replace(index=state.log.last_index + 1, opened=opened)
     effects = add_entry(state, EntryKind.MEMBERS, encode_membership(changed))
@@ -227,7 +240,9 @@
         or Progress(state.log.last_index + 1, now_s)
         for peer in state.peers
     }
-    return effects
+    left = max(_spare_voters(changed, state, now_s), 0)
+    report = MembershipReplaced(reason, state.term, before, changed, left)
+    return [*effects, report]
 
 
 def _may_open(membership: Membership, requires_all: bool) -> bool:
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -277,6 +277,11 @@
         """Return the highest index applied to the state machine."""
         return self._loop.applied if self._loop else 0
 
+    @property
+    def leaderless_s(self) -> float:
+        """Return the seconds for which this replica has had a group and no leader."""
+        return self._loop.leaderless_s if self._loop else 0.0
+
     def status(self) -> LogStatus:
         """Return this replica's view of its group."""
         if self._loop is None:
@@ -315,7 +320,9 @@
             ANSWER_ELECTIONS * self.settings.election_s,
             self.settings.slowest_bytes_s,
         )
-        loop = ReplicaLoop(replica, storage, self._machine, self._waiters, outbox)
+        loop = ReplicaLoop(
+            replica, storage, self._machine, self._waiters, outbox, self.group
+        )
         try:
             if replica.group_id:
                 loop.restore(contents.snapshot, self.applied)
--- a/src/vanillabeam/log/replica.py
+++ b/src/vanillabeam/log/replica.py
@@ -63,12 +63,14 @@
         the change.
     :param membership: the new membership.
     :param deadline_s: monotonic time in seconds at which it is given up.
+    :param reason: what it was started for, for operators.
     """
 
     request_id: int | None
     membership: Membership
     round: int
     deadline_s: float
+    reason: str
 
 
 class Replica:
