Continue a group from one replica whose other voters are lost for good

It is refused too where a voter that answers holds a newer log, for which the status now has last_index and last_term. No process does it by itself.

Not played: a whole fleet of processes.

--- a/src/vanillabeam/log/__init__.py
+++ b/src/vanillabeam/log/__init__.py
@@ -9,6 +9,7 @@
 from vanillabeam.log.client import LogClient
 from vanillabeam.log.exceptions import LogError
 from vanillabeam.log.folder import group_folder
+from vanillabeam.log.forcing import ForcePlan, force, plan_force
 from vanillabeam.log.node import LogNode
 from vanillabeam.log.records import (
     Address,
@@ -24,6 +25,7 @@
     "Address",
     "Applied",
     "FolderView",
+    "ForcePlan",
     "GroupCheck",
     "LogClient",
     "LogError",
@@ -34,6 +36,8 @@
     "Membership",
     "StateMachine",
     "check",
+    "force",
     "group_folder",
+    "plan_force",
     "show",
 ]
--- a/src/vanillabeam/log/exceptions.py
+++ b/src/vanillabeam/log/exceptions.py
@@ -149,6 +149,15 @@
     retry_after_s = None
 
 
+class ForceRefused(LogError):
+    """A group may not be continued from one replica alone, or not from this one."""
+
+    type = "log-force-refused"
+    status = HTTPStatus.CONFLICT
+    advice = "See the recovery page; nothing was changed."
+    retry_after_s = None
+
+
 def failure_types() -> dict[str, type[LogError]]:
     """Return the failure classes of the log, keyed by their ``type``."""
     kinds = [LogError, *LogError.__subclasses__()]
--- a/src/vanillabeam/log/requests.py
+++ b/src/vanillabeam/log/requests.py
@@ -111,6 +111,8 @@
     :param losses_left: number of voters that can fail now without losing the
         quorum; ``None`` if the replica is not the leader.
     :param failure: type of the failure that stopped the replica, else empty.
+    :param last_index: index of the last entry that it holds, committed or not.
+    :param last_term: term of that entry.
     """
 
     group: str
@@ -126,6 +128,8 @@
     members: list[MemberStatus]
     losses_left: int | None
     failure: str
+    last_index: NotRequired[int]
+    last_term: NotRequired[int]
 
 
 def messages_path(group: str) -> str:
--- a/src/vanillabeam/log/status.py
+++ b/src/vanillabeam/log/status.py
@@ -38,6 +38,8 @@
         members=[_member(member, state, now_s) for member in state.membership.members],
         losses_left=losses_left(state, now_s),
         failure=failure.type if failure else "",
+        last_index=state.log.last_index,
+        last_term=state.log.last_term,
     )
 
 
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -146,6 +146,28 @@
     assert harness.follower.view.index == 5
 
 
+# Guards against an entry VM that never hears of a log that goes on from an older
+# replica: its index has to be above all that were shown, and its deployment too.
+@with_harness
+async def test_a_log_that_goes_on_from_an_older_replica_is_followed_above_its_index(
+    harness,
+):
+    harness[0].commit(9, 7, document="7", evacuated=["a"])
+    await trio.sleep(1.0)
+    harness[0].epoch = "of the new group"
+    harness[0].commit(8, 6, document="6", evacuated=["b"])
+    await trio.sleep(3.0)
+    view = harness.follower.view
+    assert (view.index, view.evacuated) == (9, {"a"})
+    harness[0].commit(501, 6, document="6", evacuated=["b"])
+    await trio.sleep(1.0)
+    view = harness.follower.view
+    assert (view.index, view.deployment.number, view.evacuated) == (501, 7, {"b"})
+    harness[0].commit(502, 8, document="8")
+    await trio.sleep(1.0)
+    assert harness.follower.view.deployment.number == 8
+
+
 # Guards against the end of every entry VM of an older release, at each start.
 @with_harness
 async def test_a_document_that_cannot_be_read_leaves_the_one_in_force(harness):
