Believe a refusal without an id only on a new connection

What callers saw: 503, which promises that a request has not run, for a request that a target had run; and a second run of a request that may run once. A faulty target had written the refusal of an earlier request once more on a kept connection, and that refusal bore no request id.

Cause: an answer without the request's id belongs to no request, but a refusal without it was taken for what it says. On a kept connection it may be that of an earlier request.

Change: the first answer on a connection can't be an earlier one, so a refusal without the id is believed there; on a kept connection it belongs to no request: the request may have run, and the connection is closed. httpcore's trace tells whether a connection was opened for the request.

The tests of the classification pass whether the answer is the first; they keep what they expected and get the case of a kept connection.

Not known: whether real workers send refusals without the id (docs/questions.md, 17). Where they do, one on a kept connection is now answered 502 for requests that may run once.

--- a/src/vanillabeam/forwarding/dialect.py
+++ b/src/vanillabeam/forwarding/dialect.py
@@ -131,9 +131,12 @@
         """
 
     def classify_answer(
-        self, metadata: RequestMetadata, status: int, headers: Headers
+        self, metadata: RequestMetadata, status: int, headers: Headers, is_first: bool
     ) -> AnswerKind:
-        """Return the kind of a target's answer, by its status and headers."""
+        """Return the kind of a target's answer, by its status and headers.
+
+        :param is_first: whether it is the first answer on its connection.
+        """
 
     def read_notice(self, status: int, headers: Headers) -> Notice:
         """Return what a target said of itself in an answer."""
--- a/src/vanillabeam/forwarding/sending/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -224,7 +224,7 @@
     async def _handle_response(self, response: OpenResponse) -> Outcome:
         request, target = self._request, self._choice.target
         kind = self._resources.dialect.classify_answer(
-            request.metadata, response.status, response.headers
+            request.metadata, response.status, response.headers, response.is_first
         )
         if kind is AnswerKind.WRONG_REQUEST:
             return Broken(MismatchedAnswer(target.name))
--- a/src/vanillabeam/forwarding/sending/upstream.py
+++ b/src/vanillabeam/forwarding/sending/upstream.py
@@ -39,6 +39,8 @@
 POOL_TIMEOUT_S = 0.5
 #: Event of httpcore's trace extension just before the first byte is sent.
 SENDING_EVENT = "http11.send_request_headers.started"
+#: The same when a connection is opened for the request.
+CONNECTING_EVENT = "connection.connect_tcp.started"
 
 _NOT_SENT = (
     httpcore.ConnectError,
@@ -66,11 +68,13 @@
     """An answer whose head has arrived.
 
     :param raw: response to read the body from; the receiver closes it.
+    :param is_first: whether it is the first answer on its connection.
     """
 
     status: int
     headers: Headers
     raw: httpcore.Response
+    is_first: bool = False
 
     @property
     def framing(self) -> Framing:
@@ -126,7 +130,11 @@
         long for a connection.
     """
 
+    is_first = False
+
     async def check_sending(event: str, info: dict) -> None:
+        nonlocal is_first
+        is_first = is_first or event == CONNECTING_EVENT
         if event == SENDING_EVENT and not may_send():
             raise _Withdrawn
 
@@ -154,7 +162,7 @@
         return Broken(failure(f"{target.name}: {type(exc).__name__}"))
     except _BROKEN as exc:
         return Broken(AnswerBroken(f"{target.name}: {type(exc).__name__}"))
-    return OpenResponse(response.status, response.headers, response)
+    return OpenResponse(response.status, response.headers, response, is_first)
 
 
 async def iter_body(
--- a/src/vanillabeam/platform/headers.py
+++ b/src/vanillabeam/platform/headers.py
@@ -128,17 +128,20 @@
         return sent_headers
 
     def classify_answer(
-        self, metadata: RequestMetadata, status: int, headers: Headers
+        self, metadata: RequestMetadata, status: int, headers: Headers, is_first: bool
     ) -> AnswerKind:
         """Return the kind of a worker's answer, by its status and headers.
 
         Workers repeat the id of a request in their answers. A refusal without it is
-        taken for what it says.
+        believed only as the first answer on its connection: on a kept one it may be
+        that of an earlier request, written once more.
+
+        :param is_first: whether it is the first answer on its connection.
         """
         names = {name.lower() for name, _ in headers}
         ids = {value for name, value in headers if name.lower() == REQUEST_ID}
         own_id = metadata.request_id.encode("latin-1")
-        if ids - {own_id}:
+        if ids - {own_id} or (own_id and not ids and not is_first):
             return AnswerKind.WRONG_REQUEST
         if status == MISDIRECTED_REQUEST:
             return AnswerKind.OTHER_TARGET
--- a/tests/forwarding/exchanges.py
+++ b/tests/forwarding/exchanges.py
@@ -75,7 +75,7 @@
     def request_headers(self, headers, context):
         return []
 
-    def classify_answer(self, metadata, status, headers):
+    def classify_answer(self, metadata, status, headers, is_first):
         if status == MISDIRECTED:
             return AnswerKind.OTHER_TARGET
         return AnswerKind.NOT_RUN if status == REFUSED else AnswerKind.ANSWER
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -117,14 +117,29 @@
     ],
 )
 def test_an_answer_is_classified_by_status_and_headers(status, headers, kind):
-    assert DIALECT.classify_answer(make_metadata(), status, headers) is kind
+    assert DIALECT.classify_answer(make_metadata(), status, headers, True) is kind
+
+
+# Guards against a refusal of an earlier request on the connection, written once more
+# without its id, that is taken for the answer to a request that has run.
+@pytest.mark.parametrize("status", [400, 408, 421, 429, 503])
+def test_a_refusal_without_an_id_is_believed_only_on_a_new_connection(status):
+    headers = [(b"X-Vanillabeam-Not-Executed", b"1")]
+    kind = DIALECT.classify_answer(make_metadata(), status, headers, False)
+    assert kind is AnswerKind.WRONG_REQUEST
+    headers.append((b"X-Vanillabeam-Request-Id", b"r-1"))
+    kind = DIALECT.classify_answer(make_metadata(), status, headers, False)
+    assert kind in (AnswerKind.NOT_RUN, AnswerKind.OTHER_TARGET)
 
 
 def test_the_answer_to_a_request_without_an_id_bears_none():
     metadata = make_metadata()._replace(request_id="")
     other = [(b"X-Vanillabeam-Request-Id", b"r-2")]
-    assert DIALECT.classify_answer(metadata, 200, []) is AnswerKind.ANSWER
-    assert DIALECT.classify_answer(metadata, 200, other) is AnswerKind.WRONG_REQUEST
+    for is_first in (True, False):
+        kind = DIALECT.classify_answer(metadata, 200, [], is_first)
+        assert kind is AnswerKind.ANSWER
+        kind = DIALECT.classify_answer(metadata, 200, other, is_first)
+        assert kind is AnswerKind.WRONG_REQUEST
 
 
 # Guards against 404 for a route that is in force: the target may name the host itself.
