Close the answer of a request that is cancelled as its head arrives

Cause: such a request was sent by a child task, which put the open response into a local variable. A cancellation of the request in the same turn of the event loop had the nursery raise, and nobody closed the response: the pool counted its connection as in use for good. Change: the task that owns the response sends the request, a child task watches the target, and the nursery is shielded from outside while it ends. tests/cancelling.py cancels a task after each of its steps. Why it works: between the head and the `finally` that closes the response no cancellation is delivered any more.

--- a/src/vanillabeam/forwarding/sending/attempt.py
+++ b/src/vanillabeam/forwarding/sending/attempt.py
@@ -126,10 +126,10 @@
                 # The request was cancelled with this finding.
                 await trio.lowlevel.checkpoint_if_cancelled()
             return response
-        self.was_sent = True
-        self.answer_end = AnswerEnd(str(response.framing))
-        self._open.record_head()
         try:
+            self.was_sent = True
+            self.answer_end = AnswerEnd(str(response.framing))
+            self._open.record_head()
             return await self._handle_response(response)
         finally:
             await self._close(response)
@@ -161,21 +161,22 @@
         if not self._may_go_elsewhere:
             return await send()
         result: OpenResponse | Broken = Broken(AnswerBroken(f"{target.name}: silent"))
-
-        async def send_and_cancel(scope: trio.CancelScope) -> None:
-            nonlocal result
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_if_suspect, target, nursery.cancel_scope)
             result = await send()
-            scope.cancel()
+            # A cancellation of the request would have the nursery raise, and the
+            # response dropped before anyone can close it.
+            nursery.cancel_scope.shield = True
+            nursery.cancel_scope.cancel()
+        return result
 
+    async def _cancel_if_suspect(self, target: Target, scope: trio.CancelScope) -> None:
+        """Cancel a scope once a target turns suspect."""
         load = self._resources.chooser.load
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(send_and_cancel, nursery.cancel_scope)
-            while True:
-                await trio.sleep(SUSPECT_CHECK_S)
-                now_s = trio.current_time()
-                if load.is_suspect(target.name, self._service, now_s):
-                    nursery.cancel_scope.cancel()
-        return result
+        while True:
+            await trio.sleep(SUSPECT_CHECK_S)
+            if load.is_suspect(target.name, self._service, trio.current_time()):
+                scope.cancel()
 
     def _may_send(self) -> bool:
         """Return whether the request may still be sent, after a wait for a connection.
