Keep what a request has opened when it is cancelled at that moment

Callers saw: nothing that is shown. A prompt whose request is cancelled from outside in the turn in which its answer is opened would keep its permit and its run to their time limits. Change: the nursery is shielded from outside once the result is there.

--- a/src/vanillabeam/callers/streaming.py
+++ b/src/vanillabeam/callers/streaming.py
@@ -75,6 +75,9 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
         result = await act(argument)
+        # A cancellation from outside would have the nursery raise, and a result that
+        # must be closed would be dropped.
+        nursery.cancel_scope.shield = True
         nursery.cancel_scope.cancel()
     return result
 
