Let no announcement of an unnamed service change a target of a named one

Cause: the directory took the newest number of a start for its record whatever the service was, and the draining was committed to the fleet log for the whole start. Change: directories know which services the deployment in force names. A target of another service never replaces one of a named service, by id or by address; a named one replaces it whatever its numbers. The service and address of a start don't change. A control VM that doesn't know the service of a draining announcement catches up with the log, and commits only what the newest deployment names. The deployment is read as it is applied, and not 0.3 s later. Why it works: control VMs and entry VMs judge by the same rule, each by the deployment it knows. A target of a service that was just added is still listed by a VM that is behind.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -104,7 +104,7 @@
     ):
         self.cfg = cfg
         self.read = read
-        self.directory = Directory()
+        self.directory = Directory(self._is_named)
         self.machine = FleetMachine(self._state_changed)
         self._is_running = False
         self.epoch = secrets.token_hex(EPOCH_BYTES)
@@ -129,6 +129,7 @@
         #: Document that was read last.
         self._document = ""
         self.follower = Follower(cfg, call, read)
+        self.follower.directory.is_named = self._is_named
         #: Names of targets that are about to load weights.
         self.paused: set[str] = set()
         self._holders = WeightHolders()
@@ -210,15 +211,38 @@
         """Record a target's announcement and notify watchers if it changed.
 
         A delayed one of an incarnation that another control VM has heard the end of
-        changes nothing, as this VM may have been started since.
+        changes nothing, as this VM may have been started since. Nor does one that
+        contradicts what another control VM has heard.
         """
-        if self.follower.directory.has_ended(target.incarnation):
+        heard = self.follower.directory
+        if heard.has_ended(target.incarnation) or heard.contradicts(target):
             return
         if not self.directory.update(target, trio.current_time()):
             return
         log_target(target, 0.0)
         self._notify()
 
+    async def commit_draining(self, target: Target) -> Result[None, VanillabeamError]:
+        """Wait until it is committed that the target of an announcement drains.
+
+        An announcement that names no target to use changes nothing: its service isn't
+        named by the newest deployment, or it contradicts the target on record.
+        """
+        if not self._is_usable(target):
+            # This VM may not have applied the newest deployment yet.
+            caught_up = await self.catch_up()
+            if isinstance(caught_up, Failure):
+                return caught_up
+            if not self._is_usable(target):
+                return Success(None)
+        return await self.departing.commit_draining(target.incarnation)
+
+    def _is_usable(self, target: Target) -> bool:
+        if not self._is_named(target.service):
+            return False
+        directories = (self.directory, self.follower.directory)
+        return not any(directory.contradicts(target) for directory in directories)
+
     def receive_leave(self, name: str, born_ms: int | None) -> Incarnation | None:
         """Record that a target is leaving; return the start that has ended.
 
@@ -226,11 +250,7 @@
             milliseconds; ``None`` stands for the last one that any control VM listed.
         """
         if born_ms is None:
-            heard = (self.directory, self.follower.directory)
-            starts = [directory.last_start(name) for directory in heard]
-            born_ms = max(
-                (start for start in starts if start is not None), default=None
-            )
+            born_ms = self._last_start(name)
         if born_ms is None:
             return None
         self.directory.mark_ended((name, born_ms))
@@ -238,6 +258,15 @@
         self._notify()
         return (name, born_ms)
 
+    def _last_start(self, name: str) -> int | None:
+        """Return the start that a control VM listed last, named services first."""
+        starts = []
+        for directory in (self.directory, self.follower.directory):
+            start = directory.last_start(name)
+            if start is not None:
+                starts.append((not directory.is_of_unnamed(name), start))
+        return max(starts)[1] if starts else None
+
     def pause(self, target: str) -> None:
         """Ask entry VMs to send no new work to a target."""
         self.paused.add(target)
@@ -253,12 +282,24 @@
 
         Versions restored from disk before this process runs count as old.
         """
+        self._read_deployment()
         at_s = trio.current_time() if self._is_running else float("-inf")
         self._version_times.record(self.machine.state["weights"], at_s)
         self.directory.apply_departures(departures(self.machine.state))
         self.rollouts.observe()
         self._notify()
 
+    def _is_named(self, service: str) -> bool:
+        """Return whether a service is named, by this replica or what others sent."""
+        deployments = (self._deployment, self.follower.view.deployment)
+        return any(service in deployment.services for deployment in deployments)
+
+    def _read_deployment(self) -> None:
+        state = self.machine.state
+        if state["document"] != self._document:
+            self._document = state["document"]
+            self._deployment = read_or_keep(self.read, state, self._deployment)
+
     @property
     def deployment(self) -> Deployment:
         """The deployment in force, as far as this VM can read it."""
@@ -350,10 +391,6 @@
     async def _track_stores(self, nursery: trio.Nursery) -> None:
         """Track the deployment's stores while this VM leads the fleet log."""
         while True:
-            state = self.machine.state
-            if state["document"] != self._document:
-                self._document = state["document"]
-                self._deployment = read_or_keep(self.read, state, self._deployment)
             leads = self.node.is_leader
             await self.stores.track(self._deployment.stores if leads else (), nursery)
             # Until then targets may be missing that use older weights.
--- a/src/vanillabeam/fleet/directory.py
+++ b/src/vanillabeam/fleet/directory.py
@@ -4,7 +4,7 @@
 of control VMs; both apply the same rules.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from vanillabeam.fleet.departures import Departures
@@ -59,6 +59,11 @@
 class Directory:
     """Targets by name, each with its newest incarnation only.
 
+    An announcement with a service that the deployment in force doesn't name may come
+    from another writer. Its target is listed, as this VM may not know the newest
+    deployment yet, but it changes nothing of a target of a named service.
+
+    :param is_named: returns whether the deployment in force names a service.
     :ivar version: increases with each change that watchers must receive.
     :ivar leaving: targets that have told a control VM that they leave. Unlike an
         announcement that a target drains, this may be taken back.
@@ -69,7 +74,8 @@
     >>> directory.mark_ended(target.incarnation)
     """
 
-    def __init__(self):
+    def __init__(self, is_named: Callable[[str], bool] = lambda service: True):
+        self.is_named = is_named
         self.version = 0
         self.records: dict[str, TargetRecord] = {}
         self.leaving: frozenset[Incarnation] = frozenset()
@@ -86,18 +92,25 @@
         """Apply a target's announcement; return whether anything has changed.
 
         An announcement is ignored if it is older than the recorded one, if its
-        incarnation has ended, or if a later-started target now has its address. That
-        a target drains is true at any age, until it starts again.
+        incarnation has ended, if a later-started target now has its address, or if it
+        contradicts the record. That a target drains is true at any age, until it starts
+        again.
 
         :param now_s: monotonic time at which the target made the announcement.
         """
         record = self.records.get(target.name)
         if target.incarnation in self._ended or self._is_superseded(target):
             return False
+        if self.contradicts(target):
+            return False
+        if self.is_of_unnamed(target.name) and self.is_named(target.service):
+            # The record may be of another writer, with any start time and number.
+            record = None
         if target.incarnation in self._draining:
             target = target._replace(draining=True)
         if record is not None and _order(target) <= _order(record.target):
-            return target.draining and self.mark_draining(target.incarnation)
+            is_drain = target.draining and self.is_named(target.service)
+            return is_drain and self.mark_draining(target.incarnation)
         if record is not None and record.target.incarnation == target.incarnation:
             # A draining target stays draining until it restarts.
             target = target._replace(draining=target.draining or record.target.draining)
@@ -113,6 +126,22 @@
         self._drop_predecessors(target)
         return changed
 
+    def contradicts(self, target: Target) -> bool:
+        """Return whether an announcement can't be one of the target on record.
+
+        The service and the address of a start don't change, and a service that isn't
+        named doesn't replace one that is.
+        """
+        record = self.records.get(target.name)
+        if record is None:
+            return False
+        known, was_named = record.target, self.is_named(record.target.service)
+        if was_named != self.is_named(target.service):
+            return was_named
+        if known.incarnation != target.incarnation:
+            return False
+        return (known.service, known.address) != (target.service, target.address)
+
     def update_weight_version(
         self, incarnation: tuple[str, int], model: str, version: int
     ) -> bool:
@@ -220,6 +249,11 @@
             return record.target.born_ms
         return self._starts[name][0] if name in self._starts else None
 
+    def is_of_unnamed(self, name: str) -> bool:
+        """Return whether the target on record belongs to a service that isn't named."""
+        record = self.records.get(name)
+        return record is not None and not self.is_named(record.target.service)
+
     def is_only_start(self, incarnation: Incarnation) -> bool:
         """Return whether no other start of this name was ever listed."""
         name, born_ms = incarnation
@@ -289,6 +323,7 @@
             other.target.address == target.address
             and other.target.name != target.name
             and other.target.born_ms > target.born_ms
+            and self.may_drop(other.target, target)
             for other in self.records.values()
         )
 
@@ -299,9 +334,14 @@
         """
         for other in list(self.records.values()):
             same_address = other.target.address == target.address
-            if same_address and other.target.name != target.name:
+            is_other = same_address and other.target.name != target.name
+            if is_other and self.may_drop(target, other.target):
                 self.forget(other.target.name)
 
+    def may_drop(self, target: Target, other: Target) -> bool:
+        """Return whether a target may stand for another one at its address."""
+        return self.is_named(target.service) or not self.is_named(other.service)
+
 
 def _order(target: Target) -> tuple[int, int]:
     return (target.born_ms, target.sequence)
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -101,7 +101,9 @@
         read: Callable[[str], Deployment],
     ):
         self.view = FleetView()
-        self.directory = Directory()
+        self.directory = Directory(
+            lambda service: service in self.view.deployment.services
+        )
         self.parts = PartView()
         self.fetches = RecentFetches()
         self.entry_vms: tuple[str, ...] = (cfg.vm,)
--- a/src/vanillabeam/fleet/sent.py
+++ b/src/vanillabeam/fleet/sent.py
@@ -114,5 +114,6 @@
         other.target.address == target.address
         and other.target.name != target.name
         and other.last_seen_s > seen_s
+        and directory.may_drop(other.target, target)
         for other in directory.records.values()
     )
--- a/src/vanillabeam/platform/control.py
+++ b/src/vanillabeam/platform/control.py
@@ -110,10 +110,7 @@
         self._control.receive_announcement(target.unwrap())
         if not target.unwrap().draining:
             return Answer(OK)
-        incarnation = target.unwrap().incarnation
-        return _departure_answer(
-            await self._control.departing.commit_draining(incarnation)
-        )
+        return _departure_answer(await self._control.commit_draining(target.unwrap()))
 
     async def _leave(self, call: _Call) -> Answer:
         born = read_leave(call.body)
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -9,12 +9,13 @@
 from returns.result import Failure, Success
 
 from tests.fleet.builders import BOUNDS, make_target
-from vanillabeam.fleet import FleetSettings
+from vanillabeam.fleet import Deployment, FleetSettings, Service
 from vanillabeam.fleet.absence import VOTER_ABSENCE_S
 from vanillabeam.fleet.control import FleetControl
 from vanillabeam.fleet.directory import READ_MARGIN_S
 from vanillabeam.fleet.holders import SILENT_TARGET_S
 from vanillabeam.fleet.view import MAX_VERSIONS_KEPT
+from vanillabeam.log import Applied
 from vanillabeam.log.exceptions import NoLeader
 
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
@@ -297,3 +298,115 @@
     node.read = read
     control.node = node
     assert trio.run(control._confirm_leadership) == leads
+
+
+STRANGE = make_target(service="strange", sequence=2, draining=True)
+READ = Success(1)
+DOCUMENT = Deployment(1, services={"llm": Service("llm")})
+
+
+def name_services(control):
+    """Have the deployment in force name the service of all sound targets."""
+    control._deployment = DOCUMENT
+
+
+# Guards against a sound target that is taken out by an announcement of another writer,
+# to a control VM that hasn't heard the target itself.
+@pytest.mark.parametrize("heard", ["here", "elsewhere"])
+def test_a_service_that_is_not_named_hides_no_target(tmp_path, heard):
+    control = make_control(tmp_path)
+    name_services(control)
+    here = heard == "here"
+    directory = control.directory if here else control.follower.directory
+
+    async def main():
+        directory.update(make_target(), 0.0)
+        version = control.directory.version
+        control.receive_announcement(STRANGE)
+        assert control.directory.version == version
+        assert directory.records["t-1"].target == make_target()
+
+    trio.run(main, clock=make_clock())
+
+
+def test_a_leave_call_without_a_start_time_ends_no_start_of_another_writer(tmp_path):
+    control = make_control(tmp_path)
+    name_services(control)
+
+    async def main():
+        control.receive_announcement(STRANGE._replace(born_ms=9_000))
+        control.follower.directory.update(make_target(), 0.0)
+        return control.receive_leave("t-1", None)
+
+    assert trio.run(main, clock=make_clock()) == ("t-1", 1_000)
+
+
+class LogStandin:
+    """Log whose read applies a deployment, and which counts what is proposed."""
+
+    def __init__(self, control, deployment, result):
+        self.proposed = []
+        self._control = control
+        self._deployment = deployment
+        self._result = result
+
+    async def read(self):
+        await trio.sleep(0.1)
+        self._control._deployment = self._deployment
+        return self._result
+
+    async def propose(self, command, after=None):
+        self.proposed.append(command)
+        return Success(Applied(2, 1, "done"))
+
+
+def commit_draining(tmp_path, target, before, newest, result):
+    """Return the answer to a draining announcement and the commands that were proposed.
+
+    :param before: deployment that the control VM knows.
+    :param newest: deployment that it reads from the log.
+    """
+    control = make_control(tmp_path)
+    control._deployment = before
+    control.node = LogStandin(control, newest, result)
+
+    async def main():
+        control.directory.update(make_target(), 0.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(control.departing.run)
+            control.receive_announcement(target)
+            settled = await control.commit_draining(target)
+            nursery.cancel_scope.cancel()
+        return settled
+
+    settled = trio.run(main, clock=make_clock())
+    return settled, len(control.node.proposed)
+
+
+# Guards against a start that drains for good by the word of another writer.
+@pytest.mark.parametrize("changes", [{}, {"name": "x"}, {"born_ms": 9_000}])
+@pytest.mark.parametrize("before", [Deployment(), DOCUMENT])
+def test_a_service_that_is_not_named_drains_no_target(tmp_path, before, changes):
+    target = STRANGE._replace(**changes)
+    assert commit_draining(tmp_path, target, before, DOCUMENT, READ) == (
+        Success(None),
+        0,
+    )
+
+
+@pytest.mark.parametrize("before", [Deployment(), DOCUMENT])
+def test_a_target_of_a_service_that_was_just_added_drains(tmp_path, before):
+    target = make_target(sequence=2, draining=True)
+    assert commit_draining(tmp_path, target, before, DOCUMENT, READ) == (
+        Success(None),
+        1,
+    )
+
+
+# The caller goes to another control VM, which may know the newest deployment.
+def test_draining_is_not_acknowledged_where_the_deployment_may_be_old(tmp_path):
+    failed = Failure(NoLeader())
+    settled, proposed = commit_draining(
+        tmp_path, STRANGE, Deployment(), Deployment(), failed
+    )
+    assert (settled, proposed) == (failed, 0)
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given, strategies as st
 
 from tests.fleet.builders import make_target
@@ -208,3 +209,94 @@
         directory.refresh(name, float(number) + 5.0)
         by_name = sorted(directory.targets(), key=lambda target: target.name)
         assert sorted(listed(directory), key=lambda target: target.name) == by_name
+
+
+NAMED = {"llm"}
+STRANGE = "strange"
+
+
+def make_directory():
+    """Return a directory under a deployment that names one service."""
+    return Directory(NAMED.__contains__)
+
+
+# Guards against a sound target that is taken out by another writer: an announcement
+# with its name and a service that no deployment names replaced its record.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"sequence": 6, "draining": True},
+        {"sequence": 9_999},
+        {"sequence": 6, "address": "10.9.9.9:80"},
+        {"born_ms": 9_000, "sequence": 1},
+        {"born_ms": 9_000, "sequence": 1, "draining": True},
+        {"sequence": 1, "draining": True},
+    ],
+)
+def test_a_service_that_is_not_named_changes_nothing_of_a_known_target(changes):
+    directory, target = make_directory(), make_target(sequence=5)
+    directory.update(target, 1.0)
+    record, version = directory.records["t-1"], directory.version
+    assert not directory.update(make_target(service=STRANGE, **changes), 2.0)
+    assert (directory.records, directory.version) == ({"t-1": record}, version)
+    directory.update(target._replace(sequence=6), 3.0)
+    assert directory.records["t-1"].target == target._replace(sequence=6)
+
+
+# Guards against the same by the address: a later start there stands for the target.
+def test_a_service_that_is_not_named_takes_no_address():
+    directory, target = make_directory(), make_target()
+    strange = make_target("x", born_ms=9_000, service=STRANGE, address=target.address)
+    directory.update(target, 1.0)
+    directory.update(strange, 2.0)
+    assert "t-1" in directory.records
+    directory.forget("t-1")
+    assert directory.update(target._replace(sequence=2), 3.0)
+    assert names(directory) == ["t-1"]
+
+
+# Guards against a target of a service that was just added, and that a VM which doesn't
+# know the newest deployment refuses.
+def test_a_target_counts_as_soon_as_its_service_is_named():
+    named = set()
+    directory = Directory(named.__contains__)
+    assert directory.update(make_target(), 1.0)
+    named.add("llm")
+    assert not directory.update(make_target(service=STRANGE, sequence=2), 2.0)
+    assert [target.name for target in directory.targets_of("llm")] == ["t-1"]
+
+
+@pytest.mark.parametrize("changes", [{"service": "app"}, {"address": "10.9.9.9:80"}])
+def test_the_service_and_address_of_a_start_do_not_change(changes):
+    directory, target = Directory(), make_target()
+    directory.update(target, 1.0)
+    assert not directory.update(make_target(sequence=2, **changes), 2.0)
+    assert directory.records["t-1"].target == target
+    assert directory.update(make_target(born_ms=2_000, **changes), 3.0)
+
+
+strange_targets = st.builds(
+    make_target,
+    st.sampled_from(["t-1", "t-2", "x"]),
+    service=st.just(STRANGE),
+    born_ms=st.sampled_from([1, 1_000, 9_000]),
+    sequence=st.integers(0, 1_000),
+    address=st.sampled_from(["10.0.0.1:80", "10.0.0.2:80", "10.9.9.9:80"]),
+    draining=st.booleans(),
+)
+
+
+@given(st.lists(st.one_of(st.sampled_from(["t-1", "t-2"]), strange_targets)))
+def test_no_announcements_of_services_that_are_not_named_hide_a_target(played):
+    directory = make_directory()
+    for step, played_target in enumerate(played):
+        if isinstance(played_target, str):
+            address = f"10.0.0.{played_target[-1]}:80"
+            sound = make_target(played_target, sequence=step, address=address)
+            directory.update(sound, float(step))
+            assert directory.records[played_target].target == sound
+        else:
+            directory.update(played_target, float(step))
+    for name in {each for each in played if isinstance(each, str)}:
+        record = directory.records[name].target
+        assert (record.service, record.draining) == ("llm", False)
