--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 from tests.soak.configfaults import grow_config, send_storm
 from tests.soak.limits import name_limits
 from tests.soak.poison import send_poison
+from tests.soak.replacements import replace_control
 from tests.soak.rollouts import ROLLOUT_FAULTS
 from tests.soak.targets import choose_target
 from tests.soak.walls import wall_off
@@ -141,6 +142,7 @@
     kill_all_control,
     kill_all,
     lose_disk,
+    replace_control,
     freeze_any,
     freeze_any,
     stop_any,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+from collections import Counter
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import NamedTuple
@@ -115,6 +116,9 @@
     :ivar started_s: start of the present or last process, since that of the fleet.
     :ivar settings: fields that replace those of the settings file.
     :ivar environment: further variables of its process, from its next start on.
+    :ivar seeds: seeds of its settings; empty for those of the fleet.
+    :ivar is_successor: whether it was started in place of another VM.
+    :ivar is_replaced: whether its process never starts again.
     """
 
     def __init__(self, name, role, data_centre, host):
@@ -127,6 +131,9 @@
         self.starts = 0
         self.settings: dict = {}
         self.environment: dict[str, str] = {}
+        self.seeds: list[str] = []
+        self.is_successor = False
+        self.is_replaced = False
         self.is_wanted = True
         self.down_s = RESTART_DELAY_S
         self.is_ended_by_us = False
@@ -159,6 +166,7 @@
     :param faults: whether the children load ``childfaults``; each has a folder of
         its own for it, ``NAME/faults``.
     :ivar ends: each end of a process, in order.
+    :ivar replaced: VMs that were replaced for good, in order.
 
     >>> async with running_fleet(folder, ICUPA, random.Random(1)) as fleet:
     ...     fleet.kill("core-kgl-a-1")
@@ -173,20 +181,34 @@
         self.faults = faults
         self.ends: list[End] = []
         self.vms: dict[str, VmProcess] = {}
+        self.replaced: list[VmProcess] = []
+        self._places: Counter = Counter()
+        #: Hosts of the control VMs, and since when the operator's list has had them.
+        self._lists: list[tuple[float, list[str]]] = []
+        self._nursery: trio.Nursery | None = None
         self._start_s = trio.current_time()
-        zones = sorted({*shape.entries, *shape.control})
-        for number, zone in enumerate(zones, 1):
-            for place in range(1, shape.entries.get(zone, 0) + 1):
-                self._add("front", "entry", zone, place, f"{number}.{place}")
-            for place in range(1, shape.control.count(zone) + 1):
-                self._add("core", "control", zone, place, f"{number}.{100 + place}")
+        self._zones = sorted({*shape.entries, *shape.control})
+        for zone in self._zones:
+            for _ in range(shape.entries.get(zone, 0)):
+                self._add("entry", zone)
+            for _ in range(shape.control.count(zone)):
+                self._add("control", zone)
+        self._renew_list()
         self.seeds = self.pick_seeds()
 
-    def _add(self, prefix, role, zone, place, suffix):
-        vm = VmProcess(
-            f"{prefix}-{zone}-{place}", role, zone, f"127.{self.net}.{suffix}"
-        )
+    def _add(self, role, zone):
+        """Add a VM whose name and address no VM had before."""
+        self._places[role, zone] += 1
+        place = self._places[role, zone]
+        prefix, offset = ("core", 100) if role == "control" else ("front", 0)
+        number = self._zones.index(zone) + 1
+        host = f"127.{self.net}.{number}.{offset + place}"
+        vm = VmProcess(f"{prefix}-{zone}-{place}", role, zone, host)
         self.vms[vm.name] = vm
+        return vm
+
+    def _renew_list(self):
+        self._lists.append((self.now_s(), [vm.host for vm in self.controls]))
 
     @property
     def entries(self):
@@ -200,9 +222,13 @@
         """Return the seconds since the start of the fleet."""
         return trio.current_time() - self._start_s
 
-    def pick_seeds(self):
-        """Return the control addresses of three control VMs."""
-        hosts = [vm.host for vm in self.controls]
+    def pick_seeds(self, age_s=0.0):
+        """Return the control addresses of three control VMs.
+
+        :param age_s: age of the operator's list that they are taken from.
+        """
+        until_s = max(self.now_s() - age_s, self._lists[0][0])
+        hosts = [hosts for since_s, hosts in self._lists if since_s <= until_s][-1]
         chosen = self.rng.sample(hosts, min(SEED_COUNT, len(hosts)))
         return [f"{host}:{CONTROL_PORT}" for host in chosen]
 
@@ -241,8 +267,8 @@
             "zones": dict.fromkeys(sorted(zones), self.shape.region),
             "listen": listen,
             "port_range": PEER_PORTS,
-            "seeds": self.seeds,
-            "bootstrap": vm.starts == 0,
+            "seeds": vm.seeds or self.seeds,
+            "bootstrap": vm.starts == 0 and not vm.is_successor,
             "counts_as_loss": vm.is_control,
             "limits": {"memory_mb": self.shape.memory_mb, "max_fds": 4100},
             "data_dir": str(self.path(vm.name, "data")) if vm.is_control else None,
@@ -268,6 +294,7 @@
         """Start all VMs within 0.3 s and keep them running until cancelled."""
         try:
             async with trio.open_nursery() as nursery:
+                self._nursery = nursery
                 names = list(self.vms)
                 self.rng.shuffle(names)
                 for name in names:
@@ -275,14 +302,14 @@
                     await trio.sleep(0.25 / len(names))
                 task_status.started()
         finally:
-            for vm in self.vms.values():
+            for vm in (*self.vms.values(), *self.replaced):
                 if vm.process is not None:
                     vm.process.kill()
                     vm.process.wait()
             self._lock.close()
 
     async def _supervise(self, vm):
-        while True:
+        while not vm.is_replaced:
             while not vm.is_wanted:
                 await trio.sleep(POLL_PERIOD_S)
             self._start(vm)
@@ -346,6 +373,42 @@
             return
         process.kill()
 
+    async def replace(self, name, delay_s, planned=False):
+        """Replace a control VM for good; return its successor once both have changed.
+
+        The successor has another name and address, an empty data folder, and the
+        seeds of a list that is at most ``seed_lag_s`` old.
+
+        :param delay_s: seconds from the loss to the successor's start; if planned,
+            from the successor's start to the SIGTERM of the VM that it replaces.
+        """
+        vm = self.vms[name]
+        if planned:
+            successor = self._start_successor(vm)
+            await trio.sleep(delay_s)
+            vm.is_replaced = True
+            await self.terminate(name)
+            self._forget(vm)
+            return successor
+        vm.is_replaced = True
+        self.kill(name)
+        self._forget(vm)
+        await trio.sleep(delay_s)
+        return self._start_successor(vm)
+
+    def _forget(self, vm):
+        del self.vms[vm.name]
+        self.replaced.append(vm)
+        self._renew_list()
+
+    def _start_successor(self, vm):
+        seeds = self.pick_seeds(self.rng.uniform(0.0, BOUNDS["seed_lag_s"]))
+        successor = self._add(vm.role, vm.data_centre)
+        successor.is_successor, successor.seeds = True, seeds
+        self._renew_list()
+        self._nursery.start_soon(self._supervise, successor)
+        return successor
+
     def pause(self, name):
         """Freeze a VM's process."""
         self.signal(name, signal.SIGSTOP)
@@ -357,7 +420,8 @@
     def exchange_seeds(self, *, by_signal=True):
         """Give all VMs new seeds, with SIGHUP or without any signal."""
         self.seeds = self.pick_seeds()
-        for name in self.vms:
+        for name, vm in self.vms.items():
+            vm.seeds = []
             self.write_settings(name)
             if by_signal:
                 self.signal(name, signal.SIGHUP)
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -155,6 +155,8 @@
         self.outages: list[Outage] = []
         self.drained: dict[str, float] = {}
         self.words: list[Word] = []
+        #: For each successor the VM that started first of those that it follows.
+        self.origins: dict[str, str] = {}
         self.version_orders: list[VersionOrder] = []
         #: Data centre of each target that ever was, and the names of those that run.
         self.zones: dict[str, str] = {}
@@ -173,8 +175,13 @@
 
     @contextmanager
     def outage(self, kind, vms, others=()):
-        """Record a fault that lasts as long as the context."""
-        outage = Outage(kind, vms, others, self.now_s())
+        """Record a fault that lasts as long as the context.
+
+        Successors are recorded as the VMs that they follow, so that the core of a run
+        always has the same names.
+        """
+        origins = [[self.origins.get(vm, vm) for vm in side] for side in (vms, others)]
+        outage = Outage(kind, *origins, self.now_s())
         self.outages.append(outage)
         try:
             yield outage
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -117,6 +117,10 @@
         :returns: the VM, status and body; status 0 without an answer.
         """
         vm = self.rng.choice(self.fleet.controls)
+        return await self.call_at(vm, method, path, body)
+
+    async def call_at(self, vm, method, path, body=""):
+        """Call one control VM; return the same as ``call``."""
         url = f"http://{vm.host}:{CONTROL_PORT}{path}"
         with trio.move_on_after(CALL_TIMEOUT_S):
             try:
@@ -226,8 +230,12 @@
 
     async def read(self):
         """Read the configuration at a random control VM; return whether it came."""
+        return await self.read_at(self.rng.choice(self.fleet.controls))
+
+    async def read_at(self, vm):
+        """Read the configuration at one control VM; return whether it came."""
         sent_s = self.history.now_s()
-        vm, status, body = await self.call("GET", "/api/Config.Get")
+        vm, status, body = await self.call_at(vm, "GET", "/api/Config.Get")
         if status == 200:
             number = json.loads(body)["version"]
             self.history.reads.append(Read(vm, sent_s, number, body))
--- a/tests/soak/poison.py
+++ b/tests/soak/poison.py
@@ -50,7 +50,7 @@
     """Return the parts that control VMs have convicted, by their logs."""
     lines = [
         line
-        for vm in fleet.controls
+        for vm in (*fleet.controls, *fleet.replaced)
         for line in fleet.path(vm.name, "log.txt").read_text().splitlines()
         if CONVICTED in line
     ]
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -18,6 +18,7 @@
 from tests.soak.operators import Operator
 from tests.soak.poison import check_convictions, check_poison
 from tests.soak.proxy import running_proxy
+from tests.soak.replacements import SeriesPlay, replace_control
 from tests.soak.summary import summarise
 from tests.soak.targets import TargetPool
 from tests.soak.versions import END_S, check_weights
@@ -93,7 +94,12 @@
         async with trio.open_nursery() as nursery:
             while self.fleet.now_s() < end_s:
                 fault = self.rng.choice(kinds or FAULTS)
-                nursery.start_soon(fault, self)
+                if fault is replace_control:
+                    while nursery.child_tasks:
+                        await trio.sleep(CHECK_PERIOD_S)
+                    await fault(self)
+                else:
+                    nursery.start_soon(fault, self)
                 await trio.sleep(self.rng.choice((0.3, 2.0, 4.0, 7.0)))
 
     async def settle(self, length_s=SETTLE_S):
@@ -197,6 +203,32 @@
     :param naming_s: mean of the seconds between two versions of weights that are
         named beside the faults; ``None`` for none.
     """
+
+    async def disturb(run):
+        with naming(run, naming_s):
+            await run.disturb(length_s, kinds)
+        await run.settle(settle_s)
+
+    return await play_script(folder, shape, seed, disturb)
+
+
+async def play_series(folder, shape, seed, series, settle_s=SETTLE_S):
+    """Play a run in which all control VMs are replaced; return its findings."""
+
+    async def replace_all(run):
+        play = SeriesPlay(run, series)
+        await play.play()
+        await run.settle(settle_s)
+        await play.finish()
+
+    return await play_script(folder, shape, seed, replace_all)
+
+
+async def play_script(folder, shape, seed, script):
+    """Play a run; return its findings.
+
+    :param script: causes the faults and waits until they are over.
+    """
     rng = random.Random(seed)
     with running_proxy() as proxy:
         options = {"rng": rng, "proxy": proxy.address}
@@ -207,9 +239,7 @@
             run = Scenario(fleet, proxy, nursery, rng)
             nursery.start_soon(watch_lag, run.history)
             await run.start()
-            with naming(run, naming_s):
-                await run.disturb(length_s, kinds)
-            await run.settle(settle_s)
+            await script(run)
             await run.wait_for_calm()
             if not calm_attempts(run.history):
                 run.history.report("SHORT", fleet.now_s(), "all", "nothing in calm")
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -284,10 +284,14 @@
                         return True
                 except (httpcore.NetworkError, httpcore.ProtocolError):
                     pass
-            next_host = self.hosts.index(target.host) + 1
-            target.host = self.hosts[next_host % len(self.hosts)]
+            target.host = self._next_host(target.host)
         return False
 
+    def _next_host(self, host):
+        if host not in self.hosts:
+            return self.rng.choice(self.hosts)
+        return self.hosts[(self.hosts.index(host) + 1) % len(self.hosts)]
+
     def _end(self, name):
         """End a target at once; another one of its service starts some time later."""
         if name in self.targets:
--- a/tests/soak/touch.py
+++ b/tests/soak/touch.py
@@ -25,8 +25,7 @@
         return Touch.OUT
     if _lost_core(history, since_s - 2 * CONTACT_S, until_s):
         return Touch.OUT
-    core = set(history.controls)
-    core_faults = [fault for fault in faults if _is_of_core(fault, core)]
+    core_faults = [fault for fault in faults if is_of_core(history, fault)]
     if any(fault.kind == "slow" for fault in core_faults):
         return Touch.OUT
     for at_s in _moments(faults, start_s, until_s):
@@ -90,7 +89,9 @@
     )
 
 
-def _is_of_core(fault, core):
+def is_of_core(history, fault):
+    """Return whether a fault is of control VMs or of the links between them."""
+    core = set(history.controls)
     if fault.kind in VM_KINDS:
         return bool(fault.vms & core)
     return bool(fault.vms & core) and bool(fault.others & core)
