--- a/tests/soak/test_replacements.py
+++ b/tests/soak/test_replacements.py
@@ -78,6 +78,14 @@
     assert {finding.split()[0] for finding in history.findings} == rules
 
 
+# Guards against a core that seems to grow by each VM that is replaced.
+def test_faults_of_successors_are_recorded_as_those_of_the_first_vm():
+    history = make_history()
+    history.origins |= {"core-2b": "core-2", "core-2c": "core-2"}
+    with history.outage("cut", ["core-2c"], ["core-1", "core-2b"]) as outage:
+        assert (outage.vms, outage.others) == ({"core-2"}, {"core-1", "core-2"})
+
+
 # Guards against a group that loses its majority as VM after VM is replaced (issue 56).
 @pytest.mark.parametrize(
     "series",
