--- a/src/vanillabeam/log/members.py
+++ b/src/vanillabeam/log/members.py
@@ -1,14 +1,17 @@
 """Membership changes, one at a time: members join as learners, then vote."""
 
+from vanillabeam.log.absence import due_change
 from vanillabeam.log.entries import encode_membership
 from vanillabeam.log.events import (
     AllowVm,
     Effect,
     JoinRequest,
+    MembershipReplaced,
     NoChangeNeeded,
     Proposed,
     Refused,
     RemoveVm,
+    Resign,
     Role,
 )
 from vanillabeam.log.exceptions import (
@@ -31,10 +34,11 @@
     "cancel_overdue_transfer",
     "finish_change",
     "handle_join_request",
+    "handle_resignation",
     "losses_left",
-    "promote_learner",
     "refuse_unless_leader",
     "remove_vm",
+    "start_due_change",
 ]
 
 
@@ -55,7 +59,7 @@
         return [NoChangeNeeded(event.request_id)]
     allowed = (*state.membership.allowed, event.vm)
     changed = state.membership._replace(allowed=allowed)
-    return _start_change(event.request_id, changed, state, now_s)
+    return _start_change(event.request_id, changed, "VM allowed", state, now_s)
 
 
 def remove_vm(event: RemoveVm, state: Replica, now_s: float) -> list[Effect]:
@@ -70,7 +74,7 @@
         return [*effects, Refused(event.request_id, failure)]
     allowed = tuple(vm for vm in membership.allowed if vm != event.vm)
     changed = _without_vm(membership._replace(allowed=allowed), event.vm)
-    return _start_change(event.request_id, changed, state, now_s)
+    return _start_change(event.request_id, changed, "removal requested", state, now_s)
 
 
 def handle_join_request(
@@ -90,23 +94,42 @@
     if current is None:
         learners = (*membership.learners, member)
         changed = membership._replace(learners=learners)
-        return _start_change(event.request_id, changed, state, now_s)
+        return _start_change(event.request_id, changed, "join requested", state, now_s)
     if current.member_id == state.member_id or _is_active(state, current, now_s):
         failure = NotAllowed(f"{member.vm} is a member with another disk")
         return [Refused(event.request_id, failure)]
     changed = _without_vm(membership, member.vm)
-    return _start_change(event.request_id, changed, state, now_s)
+    reason = "new disk of the same VM"
+    return _start_change(event.request_id, changed, reason, state, now_s)
 
 
-def promote_learner(state: Replica, now_s: float) -> list[Effect]:
-    """Make a learner a voter once it is active and has all committed entries."""
-    membership = state.membership
-    if not membership.learners or _change_failure(membership, state, now_s):
+def handle_resignation(event: Resign, state: Replica, now_s: float) -> list[Effect]:
+    """Remove a voter that is about to stop, if the group bears as many losses after.
+
+    It may be one that never returns. With an even number of voters, all of them active,
+    the group bears no fewer losses without it; one that does return joins again.
+    """
+    membership, cfg = state.membership, state.settings
+    voters = membership.voters
+    is_spare = len(voters) % 2 == 0 and len(voters) - 1 >= 2 * cfg.losses + 1
+    are_active = all(_is_caught_up(state, voter, now_s) for voter in voters)
+    leaves = event.member in voters and event.member.member_id != state.member_id
+    if not (is_spare and are_active and leaves and membership.opened):
+        return [NoChangeNeeded(event.request_id)]
+    changed = membership.without(event.member)
+    return _start_change(event.request_id, changed, "planned stop", state, now_s)
+
+
+def start_due_change(state: Replica, now_s: float) -> list[Effect]:
+    """Start the membership change that is due without a request, if there is one."""
+    if _is_changing(state):
         return []
-    for learner in membership.learners:
-        if _is_caught_up(state, learner, now_s):
-            return _start_change(None, _promoted(membership, learner), state, now_s)
-    return []
+    learners = state.membership.learners
+    caught_up = [m for m in learners if _is_caught_up(state, m, now_s)]
+    due = due_change(caught_up[0] if caught_up else None, state, now_s)
+    if due is None or _change_failure(due.membership, state, now_s):
+        return []
+    return _start_change(None, due.membership, due.reason, state, now_s)
 
 
 def finish_change(state: Replica, now_s: float) -> list[Effect]:
@@ -121,7 +144,7 @@
         return []
     if _has_replies(state, change):
         state.pending_change = None
-        effects = _append_change(change.membership, state, now_s)
+        effects = _append_change(change.membership, change.reason, state, now_s)
         if change.request_id is None:
             return effects
         index = state.log.last_index
@@ -183,33 +206,45 @@
     if state.role is not Role.LEADER:
         return None
     committed = state.log.membership_at(state.commit)
-    spare = []
     changed = state.pending_change.membership if state.pending_change else committed
-    for membership in (state.membership, committed, changed):
-        healthy = sum(1 for m in membership.voters if _is_caught_up(state, m, now_s))
-        spare.append(healthy - membership.quorum)
-    return max(min(spare), 0)
+    memberships = (state.membership, committed, changed)
+    return max(min(_spare_voters(each, state, now_s) for each in memberships), 0)
+
+
+def _spare_voters(membership: Membership, state: Replica, now_s: float) -> int:
+    """Return the number of healthy voters beyond a quorum."""
+    healthy = sum(1 for m in membership.voters if _is_caught_up(state, m, now_s))
+    return healthy - membership.quorum
 
 
 def _start_change(
-    request_id: int | None, changed: Membership, state: Replica, now_s: float
+    request_id: int | None,
+    changed: Membership,
+    reason: str,
+    state: Replica,
+    now_s: float,
 ) -> list[Effect]:
     failure = _change_failure(changed, state, now_s)
     if failure is not None:
         return [Refused(request_id, failure)]
     deadline_s = now_s + state.settings.election_s
     state.pending_change = PendingChange(
-        request_id, changed, state.read_round(), deadline_s
+        request_id, changed, state.read_round(), deadline_s, reason
     )
     state.round_requested = True
     return []
 
 
+def _is_changing(state: Replica) -> bool:
+    """Return whether a change is pending or uncommitted, or the leader too new."""
+    pending = state.pending_change is not None or state.membership.index > state.commit
+    return pending or state.commit < state.term_start_index
+
+
 def _change_failure(
     changed: Membership, state: Replica, now_s: float
 ) -> LogError | None:
-    pending = state.pending_change is not None or state.membership.index > state.commit
-    if pending or state.commit < state.term_start_index:
+    if _is_changing(state):
         return ChangePending()
     active = sum(1 for voter in changed.voters if _is_active(state, voter, now_s))
     if active < changed.quorum:
@@ -217,17 +252,25 @@
     return None
 
 
-def _append_change(changed: Membership, state: Replica, now_s: float) -> list[Effect]:
+def _append_change(
+    changed: Membership, reason: str, state: Replica, now_s: float
+) -> list[Effect]:
+    before = state.membership
     opened = changed.opened or _may_open(changed, state.settings.open_requires_all)
     changed = changed._replace(index=state.log.last_index + 1, opened=opened)
     effects = add_entry(state, EntryKind.MEMBERS, encode_membership(changed))
     previous = state.progress
     state.progress = {
         peer.member_id: previous.get(peer.member_id)
-        or Progress(state.log.last_index + 1, now_s)
+        or Progress(state.log.last_index + 1, now_s, state.read_round())
         for peer in state.peers
     }
-    return effects
+    state.heard_s = {
+        peer.member_id: state.heard_s.get(peer.member_id, now_s) for peer in state.peers
+    }
+    left = max(_spare_voters(changed, state, now_s), 0)
+    report = MembershipReplaced(reason, state.term, before, changed, left)
+    return [*effects, report]
 
 
 def _may_open(membership: Membership, requires_all: bool) -> bool:
@@ -243,11 +286,6 @@
     return len(voters) >= membership.founding and names.issuperset(membership.allowed)
 
 
-def _promoted(membership: Membership, learner: Member) -> Membership:
-    learners = tuple(m for m in membership.learners if m != learner)
-    return membership._replace(voters=(*membership.voters, learner), learners=learners)
-
-
 def _without_vm(membership: Membership, vm: str) -> Membership:
     return membership._replace(
         voters=tuple(m for m in membership.voters if m.vm != vm),
