--- a/tests/log/cluster.py
+++ b/tests/log/cluster.py
@@ -18,6 +18,7 @@
     Apply,
     Flush,
     JoinRequest,
+    NoChangeNeeded,
     Propose,
     Proposed,
     Read,
@@ -91,6 +92,7 @@
 
     :ivar disk_number: number of disks so far; a new disk gives a new member id.
     :ivar state: state of the running replica, ``None`` while the process is down.
+    :ivar gone: whether the VM is lost for good.
     :ivar incarnation: number of starts so far.
     """
 
@@ -100,6 +102,7 @@
         self.disk_number = 0
         self.new_disk()
         self.state = None
+        self.gone = False
         self.incarnation = 0
 
     def new_disk(self):
@@ -169,7 +172,7 @@
                 self.waiters.restore(effect)
             elif isinstance(effect, ReadConfirmed):
                 self.reads.append(effect)
-            elif isinstance(effect, Proposed | Refused):
+            elif isinstance(effect, Proposed | NoChangeNeeded | Refused):
                 self.waiters.answer(effect)
         self.complete_reads()
         self.cluster.collect_answers()
@@ -249,6 +252,7 @@
         self.votes = {}
         self.history = History()
         self.pending = {}
+        self.vm_type = vm_type
         names = [f"vm-{n}" for n in range(1, size + spares + 1)]
         self.vms = {name: vm_type(name, self) for name in names}
         first = self.vms[names[0]]
@@ -275,6 +279,21 @@
             vm.folder.fail_writes = vm.folder.fail_syncs = False
             vm.folder.writes_left = None
 
+    def add_vm(self, name):
+        """Add and start a VM with an empty disk under a name of its own."""
+        vm = self.vms[name] = self.vm_type(name, self)
+        self.start(vm)
+        return vm
+
+    def lose_for_good(self, vm):
+        """Crash a VM that never returns."""
+        self.crash(vm)
+        vm.gone = True
+
+    def present(self):
+        """Return the VMs that are not lost for good."""
+        return [vm for vm in self.vms.values() if not vm.gone]
+
     def replace_disk(self, vm):
         self.crash(vm)
         vm.new_disk()
@@ -292,10 +311,10 @@
 
     def power_off(self):
         """Crash all VMs at once and restart them after 1 s."""
-        for vm in self.vms.values():
+        for vm in self.present():
             self.crash(vm)
         self.run(1.0)
-        for vm in self.vms.values():
+        for vm in self.present():
             self.start(vm)
 
     def _schedule_at(self, at_s, name, state, action):
@@ -461,18 +480,22 @@
         :param checks_liveness: whether the group must also have one leader, all
             committed entries and all allowed VMs as voters.
         """
+        self.end_faults()
+        self.run(SETTLE_S)
+        self.collect_answers()
+        self.history.check()
+        if checks_liveness:
+            self._check_settled()
+
+    def end_faults(self):
+        """End all faults of the network, the disks and the processes."""
         self.cut, self.loss, self.late_share = set(), 0.0, 0.0
         self.frozen_until_s = {}
-        for vm in self.vms.values():
+        for vm in self.present():
             vm.folder.fail_writes = vm.folder.fail_syncs = False
             vm.folder.writes_left = None
             if not vm.up:
                 self.start(vm)
-        self.run(SETTLE_S)
-        self.collect_answers()
-        self.history.check()
-        if checks_liveness:
-            self._check_settled()
 
     def _check_settled(self):
         leaders = self.leading()
