Draw random replacements of control VMs beside other faults

No random run replaced a control VM by one of another name.

The state machine draws replacements at the allowed spacing, one, two at once or one after the other, planned ones, freezes, kills, cuts of one VM (one way too), lost disks, kills and losses of power of all, and halves, and ends with a closing fault. It checks that the group can bear what it has to whenever no loss counts any more.

--- a/tests/log/replacements.py
+++ b/tests/log/replacements.py
@@ -212,14 +212,16 @@
         self._note_list()
         return vm
 
-    def replace_planned(self, vm):
+    def replace_planned(self, vm, planned_s=PLANNED_S):
         """Start the successor first; then the old VM gets SIGTERM and is gone.
 
         The old VM stops counting once its successor has run for ``catch_up_s``.
+
+        :param planned_s: seconds for which both run.
         """
         self.losses.append(self.now_s + self.catch_up_s)
         self.add_successor()
-        self.work_for(PLANNED_S)
+        self.work_for(planned_s)
         self.hand_over(vm)
         self.work_for(HAND_OVER_S)
         self.lose_for_good(vm)
@@ -260,10 +262,10 @@
         """Lose disks of VMs that restart at their old addresses."""
         for vm in vms:
             self.replace_disk(vm)
+            self.losses.append(self.now_s + RESTART_S + self.catch_up_s)
         self.run(RESTART_S)
         for vm in vms:
             self.start(vm)
-        self._count_all()
 
     def freeze_for(self, vm, duration_s):
         """Freeze a VM; it counts as lost until ``catch_up_s`` after that."""
@@ -275,6 +277,31 @@
         self.losses.append(self.now_s + RESTART_S + self.catch_up_s)
         self._kill([vm])
 
+    def cut_off(self, vm, duration_s, ways):
+        """Cut one VM off from all others for a time; it counts as lost.
+
+        :param ways: ``"both"``, or only messages ``"to"`` it or ``"from"`` it.
+        """
+        others = [name for name in self.vms if name != vm.name]
+        to = {(name, vm.name) for name in others} if ways != "from" else set()
+        away = {(vm.name, name) for name in others} if ways != "to" else set()
+        self.losses.append(self.now_s + duration_s + self.catch_up_s)
+        self._cut_for(to | away, duration_s)
+
+    def cut_in_half(self, duration_s):
+        """Cut the group into two halves for a time, whatever the budget is."""
+        names = [vm.name for vm in self.present()]
+        self.rng.shuffle(names)
+        half = len(names) // 2
+        pairs = {(one, other) for one in names[:half] for other in names[half:]}
+        self._cut_for(pairs | {(other, one) for one, other in pairs}, duration_s)
+        self._count_all()
+
+    def _cut_for(self, pairs, duration_s):
+        self.cut |= pairs
+        self.work_for(duration_s)
+        self.cut -= pairs
+
     # Checks
 
     def newest(self):
--- a/tests/log/test_replacements.py
+++ b/tests/log/test_replacements.py
@@ -5,14 +5,28 @@
 majority, for good.
 """
 
+import os
+
 import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
 
 from tests.log.replacements import FleetCluster
 from tests.log.sequences import ALL_KINDS, REPLACEMENTS, Search
+from tests.log.test_runs import VMS, explore
 
 SIZES = (3, 4, 5, 6)
 #: Number of faults in the sequences of the complete search.
 COMPLETE = 6
+CI_RUNS = 60
+CI_STEPS = 20
+SOAK_STEPS = 60
 
 
 def replace_in_turn(cluster, number):
@@ -79,3 +93,144 @@
         f" {found.closed} closed; at most {found.most_voters} voters,"
         f" spare at least {found.least_spare}"
     )
+
+
+def may_lose(runs):
+    return runs.cluster.may_lose()
+
+
+def may_lose_two(runs):
+    return runs.cluster.may_lose(2)
+
+
+class ReplacementRuns(RuleBasedStateMachine):
+    """Replacements at the allowed spacing beside other faults, in any order."""
+
+    sizes = (3, 4, 5, 6)
+
+    @initialize(
+        run_seed=st.integers(0, 2**32),
+        size=st.sampled_from(sizes),
+        late_share=st.sampled_from([0.0, 0.02]),
+    )
+    def begin(self, run_seed, size, late_share):
+        self.cluster = FleetCluster(run_seed, size, late_share=late_share)
+        self.cluster.work_for(3.0)
+
+    def vm(self, number):
+        """Return a VM; number 0 is the leader."""
+        leader = self.cluster.newest()
+        vms = [leader, *(vm for vm in self.cluster.present() if vm is not leader)]
+        return vms[number % len(vms)]
+
+    @rule(duration_s=st.sampled_from([0.3, 1.0, 3.0, 10.0]))
+    def time_passes(self, duration_s):
+        self.cluster.work_for(duration_s)
+
+    @rule()
+    def wait_until_a_loss_is_allowed(self):
+        self.cluster.wait_for()
+
+    @rule()
+    def wait_until_all_losses_are_allowed(self):
+        self.cluster.wait_for(self.cluster.budget)
+
+    @precondition(may_lose)
+    @rule(number=VMS, after_s=st.sampled_from([0.0, 0.5, 1.0, 3.0]))
+    def replace(self, number, after_s):
+        self.cluster.replace([self.vm(number)], after_s)
+
+    @precondition(may_lose)
+    @rule(number=VMS, size=st.integers(1, 6))
+    def replace_one_after_the_other(self, number, size):
+        for _ in range(size):
+            self.cluster.wait_for()
+            self.cluster.replace([self.vm(number)])
+
+    @precondition(may_lose_two)
+    @rule(number=VMS, after_s=st.sampled_from([0.0, 1.0, 3.0]))
+    def replace_two(self, number, after_s):
+        vms = [self.vm(number), self.vm(number + 1)]
+        self.cluster.replace(vms, after_s)
+
+    @precondition(may_lose)
+    @rule(number=VMS)
+    def replace_planned(self, number):
+        self.cluster.replace_planned(self.vm(number))
+
+    @precondition(may_lose)
+    @rule(number=VMS, duration_s=st.sampled_from([0.5, 2.0, 8.0]))
+    def freeze(self, number, duration_s):
+        self.cluster.freeze_for(self.vm(number), duration_s)
+
+    @precondition(may_lose)
+    @rule(number=VMS)
+    def kill(self, number):
+        self.cluster.kill_one(self.vm(number))
+
+    @precondition(may_lose)
+    @rule(
+        number=VMS,
+        duration_s=st.sampled_from([1.0, 3.0, 8.0]),
+        ways=st.sampled_from(["both", "to", "from"]),
+    )
+    def cut_off(self, number, duration_s, ways):
+        self.cluster.cut_off(self.vm(number), duration_s, ways)
+
+    @precondition(may_lose)
+    @rule(number=VMS)
+    def lose_disk(self, number):
+        self.cluster.lose_disks([self.vm(number)])
+
+    @rule()
+    def kill_all(self):
+        self.cluster.kill_all()
+
+    @rule()
+    def power_off(self):
+        self.cluster.power_off()
+
+    @rule(duration_s=st.sampled_from([1.0, 3.0, 8.0]))
+    def cut_in_half(self, duration_s):
+        self.cluster.cut_in_half(duration_s)
+
+    @rule(share=st.sampled_from([0.0, 0.02]))
+    def delay_messages(self, share):
+        self.cluster.late_share = share
+
+    @invariant()
+    def bears_what_it_has_to_when_nothing_is_lost(self):
+        if not hasattr(self, "cluster") or self.cluster.losses_now():
+            return
+        census = self.cluster.census()
+        assert census.spare >= self.cluster.budget, census
+
+    def teardown(self):
+        if hasattr(self, "cluster"):
+            self.close()
+
+    def close(self):
+        """Play one closing fault, and check what the group has kept."""
+        cluster = self.cluster
+        closing = cluster.rng.randrange(5)
+        if closing == 1:
+            cluster.kill_all()
+        elif closing == 2:
+            cluster.power_off()
+        elif closing > 2:
+            cluster.wait_for(cluster.budget)
+            lost = [self.vm(number) for number in range(cluster.budget)]
+            play = cluster.lose_disks if closing == 3 else cluster.power_off
+            play(lost)
+        cluster.settle()
+
+
+def test_random_replacements_and_faults_leave_a_whole_group():
+    explore(ReplacementRuns, CI_RUNS, CI_STEPS, run_seed=1)
+
+
+@pytest.mark.soak
+def test_long_random_replacements_and_faults_leave_a_whole_group():
+    run_seed = int(os.environ.get("SOAK_SEED", "1"))
+    runs = int(os.environ.get("SOAK_RUNS", "50"))
+    explore(ReplacementRuns, runs, SOAK_STEPS, run_seed)
