Show that a removed VM whose seeds are gone never joins again

What callers saw: nothing yet; a control VM that was cut off or frozen for some time, in a fleet whose first three control VMs had been replaced before, stays outside of the fleet log for good.

Cause: Bootstrapper knocks through the seeds of its settings only, and these are the addresses at the start of its process. It never asks the members in its own log.

The model has no other requests of the VM's client: in the product the leader that this client reached last is asked first, if there was such a request, which may hide the fault. It was not shown on real nodes.

--- a/tests/log/test_replacements.py
+++ b/tests/log/test_replacements.py
@@ -249,3 +249,21 @@
     run_seed = int(os.environ.get("SOAK_SEED", "1"))
     runs = int(os.environ.get("SOAK_RUNS", "50"))
     explore(ReplacementRuns, runs, SOAK_STEPS, run_seed)
+
+
+# A VM whose seeds are all gone could join again only through the members that it knows.
+@pytest.mark.parametrize("fault", ["cut", "freeze"])
+@pytest.mark.parametrize("size", [4, 5])
+def test_a_vm_whose_seeds_are_gone_returns_after_its_removal(size, fault):
+    cluster = FleetCluster(1, size)
+    *seeds, last = [f"vm-{number}" for number in (1, 2, 3, size)]
+    for name in seeds:
+        cluster.replace([cluster.vms[name]])
+        cluster.work_for(20.0)
+    absence_s = 3 * cluster.catch_up_s
+    if fault == "cut":
+        cluster.cut_off(cluster.vms[last], absence_s, "both")
+    else:
+        cluster.freeze_for(cluster.vms[last], absence_s)
+        cluster.work_for(absence_s)
+    cluster.settle()
