--- a/tests/log/replacements.py
+++ b/tests/log/replacements.py
@@ -10,9 +10,10 @@
 
 from tests.log.cluster import SETTINGS, Broken, Cluster
 from tests.log.joiner import Joiner, Knock, deliver
-from vanillabeam.fleet.absence import AbsentVoters
+from vanillabeam.fleet import absence
 from vanillabeam.log.elections import hears_quorum
 from vanillabeam.log.events import RemoveVm, Role
+from vanillabeam.log.records import LogSettings
 from vanillabeam.log.status import replica_status
 
 __all__ = ["Census", "FleetCluster", "catch_up_s", "disks_to_lose", "fleet_settings"]
@@ -32,6 +33,8 @@
 SLOW_S = 1.5
 MEMBER_CHECK_S = 1.0
 KEPT_VOTERS = 3
+#: Whether the model removes absent voters, as the core doesn't do it by itself.
+DRIVES_REMOVAL = "losses" not in LogSettings._fields
 SETTLE_S = 40.0
 
 
@@ -47,12 +50,20 @@
 
 def fleet_settings(size):
     """Return the fleet's settings for a group of this size."""
+    times = {}
+    if not DRIVES_REMOVAL:
+        times = {
+            "losses": disks_to_lose(size),
+            "replace_after_s": catch_up_s(size) / 2,
+            "remove_after_s": 2 * catch_up_s(size),
+        }
     return SETTINGS._replace(
         heartbeat_s=0.2,
         election_s=0.7,
         propose_timeout_s=3.0,
         allow_any_vm=True,
         open_requires_all=True,
+        **times,
     )
 
 
@@ -121,8 +132,9 @@
         vm.state.rng = Timeouts(self, vm.name, vm.state.rng)
         vm.state.restart_election_timer(self.now_s)
         self.joiners[vm.name] = Joiner(vm, self._seeds(), self.settings)
-        self.absent[vm.name] = AbsentVoters(kept=KEPT_VOTERS)
-        self.schedule(MEMBER_CHECK_S, vm, "remove-absent")
+        if DRIVES_REMOVAL:
+            self.absent[vm.name] = absence.AbsentVoters(kept=KEPT_VOTERS)
+            self.schedule(MEMBER_CHECK_S, vm, "remove-absent")
 
     def _seeds(self):
         """Return the seeds: lost VMs come first, so that they are as bad as allowed."""
