--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -41,6 +41,7 @@
     Address,
     Applied,
     LogSettings,
+    Member,
     StateMachine,
 )
 from vanillabeam.log.requests import (
@@ -252,6 +253,20 @@
             await self._loop.wait_until_not_leading()
         return not self.is_leader
 
+    async def resign(self) -> None:
+        """Leave the voters before a planned stop, if the group bears as much without.
+
+        Called once leadership is transferred. A VM that starts again joins again.
+        """
+        if self._loop is None or self._bootstrapper is None:
+            return
+        if self.settings.replace_after_s is None:
+            return
+        self._bootstrapper.has_resigned = True
+        self._hint_leader()
+        member = Member(self._loop.replica.member_id, self.vm, self.address)
+        await self._client.request(GroupRequest(kind="resign", member=member))
+
     @property
     def is_leader(self) -> bool:
         """Return whether this replica leads and heard a quorum within ``election_s``.
@@ -277,6 +292,11 @@
         """Return the highest index applied to the state machine."""
         return self._loop.applied if self._loop else 0
 
+    @property
+    def leaderless_s(self) -> float:
+        """Return the seconds for which this replica has had a group and no leader."""
+        return self._loop.leaderless_s if self._loop else 0.0
+
     def status(self) -> LogStatus:
         """Return this replica's view of its group."""
         if self._loop is None:
@@ -315,7 +335,9 @@
             ANSWER_ELECTIONS * self.settings.election_s,
             self.settings.slowest_bytes_s,
         )
-        loop = ReplicaLoop(replica, storage, self._machine, self._waiters, outbox)
+        loop = ReplicaLoop(
+            replica, storage, self._machine, self._waiters, outbox, self.group
+        )
         try:
             if replica.group_id:
                 loop.restore(contents.snapshot, self.applied)
