Model replaced VMs with the changes of membership that the core makes itself

The model's own removal of absent voters goes, as the core has it. Knocks follow the bootstrapper of main: the period of a member is election_s, and members that the replica knows are asked before the seeds. The settings are those of fleet/control.py. A resignation at a planned stop isn't part of the model.

--- a/tests/log/joiner.py
+++ b/tests/log/joiner.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from vanillabeam.log.bootstrap import MEMBER_RETRY_S, RETRY_S
+from vanillabeam.log.bootstrap import RETRY_S
 from vanillabeam.log.client import RETRY_S as ATTEMPT_RETRY_S, LogClient, _may_retry
 from vanillabeam.log.events import JoinRequest
 from vanillabeam.log.exceptions import NoLeader, OutcomeUnknown
@@ -46,7 +46,7 @@
         self.vm = vm
         contacts = [Address(seed, seed) for seed in seeds]
         self.client = LogClient("tickets", contacts, None, settings)
-        self.attempts = 0
+        self.contacts = contacts
         self.attempt = 0
         self.request_ends_s = None
         self.attempt_ends_s = None
@@ -58,23 +58,25 @@
             if self.vm.state.leader:
                 return self._period_s()
             self.request_ends_s = cluster.now_s + self.client.settings.propose_timeout_s
-            self.attempts = 0
+            known = [Address(peer.vm, peer.vm) for peer in self.vm.state.peers]
+            others = [seed for seed in self.contacts if seed.vm != self.vm.name]
+            self.client.set_members([*known, *others])
         if self.attempt_ends_s is None:
             return self._ask(cluster)
         return self._await_answer(cluster)
 
     def _period_s(self):
-        return MEMBER_RETRY_S if self.vm.state.group_id else RETRY_S
+        state = self.vm.state
+        return state.settings.election_s if state.group_id else RETRY_S
 
     def _ask(self, cluster):
         if cluster.now_s >= self.request_ends_s:
             return self._end_request()
         self.attempt += 1
         self.answers = None
-        self.address = self.client._next_address(self.attempts)
+        self.address = self.client._next_address()
         limit_s = self.client._attempt_timeout_s(GroupRequest(kind="knock"))
         self.attempt_ends_s = min(cluster.now_s + limit_s, self.request_ends_s)
-        self.attempts += 1
         receiver = cluster.vms[self.address]
         if cluster.refuses_calls(receiver):
             return self._fail(NoLeader("connection refused"))
--- a/tests/log/replacements.py
+++ b/tests/log/replacements.py
@@ -10,11 +10,8 @@
 
 from tests.log.cluster import SETTINGS, Broken, Cluster
 from tests.log.joiner import Joiner, Knock, deliver
-from vanillabeam.fleet import absence
-from vanillabeam.log.elections import hears_quorum
-from vanillabeam.log.events import RemoveVm, Role
-from vanillabeam.log.records import LogSettings
-from vanillabeam.log.status import replica_status
+from vanillabeam.fleet.control import REMOVE_FACTOR, REPLACE_SHARE
+from vanillabeam.log.events import Role
 
 __all__ = ["Census", "FleetCluster", "catch_up_s", "disks_to_lose", "fleet_settings"]
 
@@ -31,10 +28,6 @@
 FREEZE_S = 2.0
 #: Longest time in seconds that messages of a slow VM take.
 SLOW_S = 1.5
-MEMBER_CHECK_S = 1.0
-KEPT_VOTERS = 3
-#: Whether the model removes absent voters, as the core doesn't do it by itself.
-DRIVES_REMOVAL = "losses" not in LogSettings._fields
 SETTLE_S = 40.0
 
 
@@ -50,20 +43,15 @@
 
 def fleet_settings(size):
     """Return the fleet's settings for a group of this size."""
-    times = {}
-    if not DRIVES_REMOVAL:
-        times = {
-            "losses": disks_to_lose(size),
-            "replace_after_s": catch_up_s(size) / 2,
-            "remove_after_s": 2 * catch_up_s(size),
-        }
     return SETTINGS._replace(
         heartbeat_s=0.2,
         election_s=0.7,
         propose_timeout_s=3.0,
         allow_any_vm=True,
         open_requires_all=True,
-        **times,
+        losses=disks_to_lose(size),
+        replace_after_s=REPLACE_SHARE * catch_up_s(size),
+        remove_after_s=REMOVE_FACTOR * catch_up_s(size),
     )
 
 
@@ -104,7 +92,6 @@
     :ivar losses: ends of the losses that still count, in seconds.
     :ivar lists: times and names of the operator's lists of control VMs.
     :ivar joiners: join requests of each VM's process.
-    :ivar absent: absent voters that each VM's process knows.
     :ivar dark: names of the VMs that have no power.
     """
 
@@ -119,7 +106,6 @@
         self.losses = []
         self.lists = [(0.0, [f"vm-{n}" for n in range(1, size + 1)])]
         self.joiners = {}
-        self.absent = {}
         self.dark = set()
         options = {"settings": fleet_settings(size), "late_share": 0.0} | options
         super().__init__(seed, size, spares=0, **options)
@@ -132,9 +118,6 @@
         vm.state.rng = Timeouts(self, vm.name, vm.state.rng)
         vm.state.restart_election_timer(self.now_s)
         self.joiners[vm.name] = Joiner(vm, self._seeds(), self.settings)
-        if DRIVES_REMOVAL:
-            self.absent[vm.name] = absence.AbsentVoters(kept=KEPT_VOTERS)
-            self.schedule(MEMBER_CHECK_S, vm, "remove-absent")
 
     def _seeds(self):
         """Return the seeds: lost VMs come first, so that they are as bad as allowed."""
@@ -170,27 +153,12 @@
     def _execute(self, vm, action):
         if isinstance(action, Knock):
             deliver(action, vm, self)
-        elif action == "remove-absent":
-            self._remove_absent(vm)
         else:
             super()._execute(vm, action)
 
     def _request_join(self, vm):
         self.schedule(self.joiners[vm.name].step(self), vm, "join-request")
 
-    def _remove_absent(self, vm):
-        """Remove an absent voter, as each control VM does once a second."""
-        self.schedule(MEMBER_CHECK_S, vm, "remove-absent")
-        state = vm.state
-        if state.role is not Role.LEADER:
-            return
-        if not hears_quorum(state, self.now_s, self.settings.election_s):
-            return
-        members = replica_status("tickets", state, 0, None, self.now_s)["members"]
-        absent = self.absent[vm.name].find(members, self.now_s)
-        if absent is not None:
-            self.handle_events(vm, [RemoveVm(0, absent)])
-
     def choose_heir(self, name):
         """Let a VM have the shortest election timeout from now on, or none of them."""
         self.heir = name
