--- a/tests/log/cluster.py
+++ b/tests/log/cluster.py
@@ -18,6 +18,7 @@
     Apply,
     Flush,
     JoinRequest,
+    NoChangeNeeded,
     Propose,
     Proposed,
     Read,
@@ -91,6 +92,7 @@
 
     :ivar disk_number: number of disks so far; a new disk gives a new member id.
     :ivar state: state of the running replica, ``None`` while the process is down.
+    :ivar gone: whether the VM is lost for good.
     :ivar incarnation: number of starts so far.
     """
 
@@ -100,6 +102,7 @@
         self.disk_number = 0
         self.new_disk()
         self.state = None
+        self.gone = False
         self.incarnation = 0
 
     def new_disk(self):
@@ -169,7 +172,7 @@
                 self.waiters.restore(effect)
             elif isinstance(effect, ReadConfirmed):
                 self.reads.append(effect)
-            elif isinstance(effect, Proposed | Refused):
+            elif isinstance(effect, Proposed | NoChangeNeeded | Refused):
                 self.waiters.answer(effect)
         self.complete_reads()
         self.cluster.collect_answers()
@@ -206,8 +209,9 @@
     :param size: number of the group's initial VMs.
     :param spares: number of further VMs, which are not started at first.
     :param replica_type: ``Replica`` or a subclass that breaks a rule.
-    :param late_share: share of messages that may take up to 3 s; the others take
-        at most 10 ms.
+    :param late_share: share of messages that may take up to ``late_s``; the others
+        take at most 10 ms.
+    :cvar late_s: longest time in seconds that a late message takes.
     :ivar queue: heap of timers and messages: time, sequence number, VM, state of
         its replica when the item was scheduled, and action.
     :ivar vm_names: name of the VM by member id.
@@ -220,6 +224,8 @@
     :ivar pending: operations without an answer, by VM, incarnation and request id.
     """
 
+    late_s = 3.0
+
     def __init__(
         self,
         seed,
@@ -249,6 +255,7 @@
         self.votes = {}
         self.history = History()
         self.pending = {}
+        self.vm_type = vm_type
         names = [f"vm-{n}" for n in range(1, size + spares + 1)]
         self.vms = {name: vm_type(name, self) for name in names}
         first = self.vms[names[0]]
@@ -275,6 +282,21 @@
             vm.folder.fail_writes = vm.folder.fail_syncs = False
             vm.folder.writes_left = None
 
+    def add_vm(self, name):
+        """Add and start a VM with an empty disk under a name of its own."""
+        vm = self.vms[name] = self.vm_type(name, self)
+        self.start(vm)
+        return vm
+
+    def lose_for_good(self, vm):
+        """Crash a VM that never returns."""
+        self.crash(vm)
+        vm.gone = True
+
+    def present(self):
+        """Return the VMs that are not lost for good."""
+        return [vm for vm in self.vms.values() if not vm.gone]
+
     def replace_disk(self, vm):
         self.crash(vm)
         vm.new_disk()
@@ -292,10 +314,10 @@
 
     def power_off(self):
         """Crash all VMs at once and restart them after 1 s."""
-        for vm in self.vms.values():
+        for vm in self.present():
             self.crash(vm)
         self.run(1.0)
-        for vm in self.vms.values():
+        for vm in self.present():
             self.start(vm)
 
     def _schedule_at(self, at_s, name, state, action):
@@ -350,10 +372,14 @@
         for _ in range(copies):
             if self.rng.random() < self.loss:
                 continue
-            late = self.rng.random() < self.late_share
-            delay_s = self.rng.uniform(0.0005, 3.0 if late else 0.01)
+            delay_s = self.draw_delay_s(source, receiver)
             self.schedule(delay_s, receiver, encode_message_batch([envelope]))
 
+    def draw_delay_s(self, source, receiver):
+        """Return the seconds that a message takes from one VM to another."""
+        late = self.rng.random() < self.late_share
+        return self.rng.uniform(0.0005, self.late_s if late else 0.01)
+
     def leading(self):
         running = [vm for vm in self.vms.values() if vm.up]
         return [vm for vm in running if vm.state.role is Role.LEADER]
@@ -461,18 +487,22 @@
         :param checks_liveness: whether the group must also have one leader, all
             committed entries and all allowed VMs as voters.
         """
+        self.end_faults()
+        self.run(SETTLE_S)
+        self.collect_answers()
+        self.history.check()
+        if checks_liveness:
+            self._check_settled()
+
+    def end_faults(self):
+        """End all faults of the network, the disks and the processes."""
         self.cut, self.loss, self.late_share = set(), 0.0, 0.0
         self.frozen_until_s = {}
-        for vm in self.vms.values():
+        for vm in self.present():
             vm.folder.fail_writes = vm.folder.fail_syncs = False
             vm.folder.writes_left = None
             if not vm.up:
                 self.start(vm)
-        self.run(SETTLE_S)
-        self.collect_answers()
-        self.history.check()
-        if checks_liveness:
-            self._check_settled()
 
     def _check_settled(self):
         leaders = self.leading()
