--- a/tests/log/replacements.py
+++ b/tests/log/replacements.py
@@ -11,7 +11,8 @@
 from tests.log.cluster import SETTINGS, Broken, Cluster
 from tests.log.joiner import Joiner, Knock, deliver
 from vanillabeam.fleet.control import REMOVE_FACTOR, REPLACE_SHARE
-from vanillabeam.log.events import Role
+from vanillabeam.log.events import Resign, Role
+from vanillabeam.log.records import Member
 
 __all__ = ["Census", "FleetCluster", "catch_up_s", "disks_to_lose", "fleet_settings"]
 
@@ -206,18 +207,24 @@
         self._note_list()
         return vm
 
-    def replace_planned(self, vm, planned_s=PLANNED_S):
+    def replace_planned(self, vm, planned_s=PLANNED_S, resigns=False):
         """Start the successor first; then the old VM gets SIGTERM and is gone.
 
         The old VM stops counting once its successor has run for ``catch_up_s``.
 
         :param planned_s: seconds for which both run.
+        :param resigns: whether the old VM's request to leave the voters arrives.
         """
         self.losses.append(self.now_s + self.catch_up_s)
         self.add_successor()
         self.work_for(planned_s)
         self.hand_over(vm)
-        self.work_for(HAND_OVER_S)
+        self.work_for(HAND_OVER_S / 2)
+        if resigns:
+            member = Member(vm.state.member_id, vm.name, vm.name)
+            for leader in self.leading():
+                self.handle_events(leader, [Resign(0, member)])
+        self.work_for(HAND_OVER_S / 2)
         self.lose_for_good(vm)
         self._note_list()
 
--- a/tests/log/test_replacements.py
+++ b/tests/log/test_replacements.py
@@ -18,7 +18,7 @@
 )
 
 from tests.log.cluster import Broken
-from tests.log.replacements import FleetCluster
+from tests.log.replacements import HAND_OVER_S, FleetCluster
 from tests.log.sequences import ALL_KINDS, REPLACEMENTS, Search
 from tests.log.test_runs import VMS, explore
 
@@ -267,3 +267,16 @@
         cluster.freeze_for(cluster.vms[last], absence_s)
         cluster.work_for(absence_s)
     cluster.settle()
+
+
+# The old VM stops counting at the moment at which it is gone; the next loss follows.
+@pytest.mark.parametrize("size", SIZES)
+def test_a_planned_stop_at_the_end_of_the_wait_weakens_no_group(size):
+    cluster = FleetCluster(1, size)
+    cluster.work_for(3.0)
+    for _ in range(3):
+        both_s = cluster.catch_up_s - HAND_OVER_S
+        cluster.replace_planned(cluster.present()[0], both_s, resigns=True)
+        assert cluster.census().spare >= cluster.budget
+    cluster.lose_disks([cluster.newest()])
+    cluster.settle()
