Soak of replacements: the latest of several views of a leader counts

Cause: of two views of one term within 0.1 s the older one was taken, so a successor that had its vote 3.8 s after its start, by the later view, was reported as late (one run of the series of four lost VMs on, load 30 on 8 cores). Change: by term, then by time; a test of the check, which failed before by that order.

--- a/tests/soak/replacements.py
+++ b/tests/soak/replacements.py
@@ -134,12 +134,13 @@
 
 
 def last_view(views, since_s, until_s):
-    """Return the last view in a span, of the highest term among the last ones."""
+    """Return the last view in a span, of the newest term among the last ones."""
     inside = [view for view in views if since_s <= view.at_s <= until_s]
     if not inside:
         return None
     latest_s = inside[-1].at_s - POLL_PERIOD_S
-    return max((v for v in inside if v.at_s >= latest_s), key=lambda v: v.term)
+    latest = [view for view in inside if view.at_s >= latest_s]
+    return max(latest, key=lambda view: (view.term, view.at_s))
 
 
 def was_unscheduled(history, since_s, until_s):
--- a/tests/soak/test_replacements.py
+++ b/tests/soak/test_replacements.py
@@ -51,6 +51,13 @@
             ],
             set(),
         ),
+        (
+            [
+                make_view(13.85, ("a-1", "b-1", "c-1"), 0),
+                make_view(13.9, ("a-1", "c-1", "b-2")),
+            ],
+            set(),
+        ),
         ([], {"JOIN"}),
     ],
 )
