Replace a control VM that has said that it stops without waiting for its silence

A predecessor had stopped while another one was still silent: of five voters its resignation was refused, and its successor then waited 2 s for its silence.

Cause: what a voter said of its own end counted only for an even number of voters that were all active; else the leader had to find it out by silence. Class: a belief that begins anew although the one concerned has told.

Now a leader takes a voter that has resigned for one that has been silent for long enough, until it is heard again after a pause, which is its next start. The same rules as for silence then remove or replace it, and no others: an odd group without a learner keeps it.

--- a/src/vanillabeam/log/members.py
+++ b/src/vanillabeam/log/members.py
@@ -108,12 +108,15 @@
 
     It may be one that never returns. With an even number of voters, all of them active,
     the group bears no fewer losses without it; one that does return joins again.
+    Otherwise it counts as silent from now on, so that a learner replaces it at once.
     """
     membership, cfg = state.membership, state.settings
     voters = membership.voters
     is_spare = len(voters) % 2 == 0 and len(voters) - 1 >= 2 * cfg.losses + 1
     are_active = all(_is_caught_up(state, voter, now_s) for voter in voters)
     leaves = event.member in voters and event.member.member_id != state.member_id
+    if leaves:
+        state.resigned.add(event.member.member_id)
     if not (is_spare and are_active and leaves and membership.opened):
         return [NoChangeNeeded(event.request_id)]
     changed = membership.without(event.member)
--- a/src/vanillabeam/log/replica.py
+++ b/src/vanillabeam/log/replica.py
@@ -92,6 +92,7 @@
     :ivar leader_contact_s: monotonic time of the leader's last message.
     :ivar heard_s: monotonic time at which each member was last heard, by this replica
         or by a leader that has said so.
+    :ivar resigned: members that have told this leader that they stop as planned.
     :ivar led_since_s: monotonic time at which this replica last became leader.
     :ivar votes: member ids that have granted their vote or pre-vote.
     :ivar election_began_s: monotonic time at which this replica last asked for votes.
@@ -135,6 +136,7 @@
         self.term_leader = (0, "")
         self.leader_contact_s = -settings.election_s
         self.heard_s: dict[str, float] = {}
+        self.resigned: set[str] = set()
         self.led_since_s = now_s
         self.votes: set[str] = set()
         self.election_began_s = now_s
@@ -180,10 +182,23 @@
         return [m for m in members if m.member_id != self.member_id]
 
     def silence_s(self, member_id: str, now_s: float) -> float:
-        """Return for how many seconds a member has not been heard; 0 if unknown."""
+        """Return for how many seconds a member has not been heard; 0 if unknown.
+
+        One that has resigned counts as silent for long enough to be replaced.
+        """
         if member_id == self.member_id:
             return 0.0
-        return now_s - self.heard_s.get(member_id, now_s)
+        silence_s = now_s - self.heard_s.get(member_id, now_s)
+        if member_id in self.resigned:
+            return max(silence_s, self.settings.replace_after_s or 0.0)
+        return silence_s
+
+    def hear(self, member_id: str, now_s: float) -> None:
+        """Record that a member was heard; after a pause it has started again."""
+        heard_s = self.heard_s.get(member_id, now_s)
+        if now_s - heard_s >= self.settings.election_s:
+            self.resigned.discard(member_id)
+        self.heard_s[member_id] = now_s
 
     def restart_election_timer(self, now_s: float) -> None:
         """Restart the election timer with a random timeout.
--- a/src/vanillabeam/log/replication.py
+++ b/src/vanillabeam/log/replication.py
@@ -46,6 +46,7 @@
         for peer in state.peers
     }
     state.led_since_s = now_s
+    state.resigned = set()
     state.heard_s = {
         peer.member_id: state.heard_s.get(peer.member_id, now_s) for peer in state.peers
     }
