Have a restarted store rest although the leader changes

Cause: StoreTracker knew a store's last epoch, and how long the store had rested, only in its own memory. A leader that had started anew or had never led took the epoch that it found for the old one, so parts were saved there while other copies of the index still had them fetched. A store of which the leader had not heard yet didn't rest either.

Change: the replicated state has, for each store, the epoch in which parts may be saved, changed by a field of a restore of no data centre. A store rests unless it has been listed with that epoch; a leader records an epoch at once if none is recorded, otherwise 15 s after its first list. A change names the epoch that it replaces, so that a former leader or a late copy of a command changes nothing that it didn't know.

Why not otherwise: if each new leader let all stores rest, nothing would be saved for 15 s after each change of leader; followers that track epochs know none after all are killed.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -30,7 +30,9 @@
     FleetMachine,
     FleetState,
     departures,
+    make_epoch_change,
     order_subject,
+    store_epochs,
 )
 from vanillabeam.fleet.observed import ObservedVersions
 from vanillabeam.fleet.orderguard import OrderGuard
@@ -124,7 +126,7 @@
             # Without seeds each VM would found a log of its own.
             bootstrap=cfg.bootstrap and bool(cfg.seeds),
         )
-        self.stores = StoreTracker(store_calls, self.epoch)
+        self.stores = StoreTracker(store_calls, self.epoch, self._recorded_epochs)
         self._deployment = Deployment()
         #: Document that was read last.
         self._document = ""
@@ -171,6 +173,7 @@
                 (self.leaving.run,),
                 (self.permits.run,),
                 (self._track_stores, nursery),
+                (self._record_store_epochs,),
                 (self._quarantine.run,),
                 (self.follower.run,),
                 (self.pauses.run,),
@@ -362,6 +365,17 @@
             await self.stores.free(outdated, FETCH_LIMIT_S, self._confirm_leadership)
             await trio.sleep(STORE_CHECK_PERIOD_S)
 
+    def _recorded_epochs(self) -> dict[str, int]:
+        return store_epochs(self.machine.state)
+
+    async def _record_store_epochs(self) -> None:
+        """Record the epochs in which parts may be saved while this VM leads."""
+        while True:
+            changes = self.stores.epoch_changes(trio.current_time())
+            if changes and self.node.is_leader:
+                await self.propose(make_epoch_change(changes))
+            await trio.sleep(STORE_CHECK_PERIOD_S)
+
     async def _confirm_leadership(self) -> bool:
         """Return whether a quorum has confirmed that this VM leads the fleet log."""
         term = self.node.term
--- a/src/vanillabeam/fleet/machine.py
+++ b/src/vanillabeam/fleet/machine.py
@@ -24,6 +24,7 @@
     QuarantinedPart,
     apply_change,
 )
+from vanillabeam.fleet.storeepochs import EpochChange, StoreEpochs, apply_epochs
 
 __all__ = [
     "Command",
@@ -33,10 +34,12 @@
     "fence_offset",
     "make_departure_change",
     "make_deploy",
+    "make_epoch_change",
     "make_fence_raise",
     "make_quarantine_change",
     "make_rollout_command",
     "order_subject",
+    "store_epochs",
 ]
 
 #: Characters from which a document is packed in its command. Replicas send a command
@@ -44,6 +47,8 @@
 #: ones are stored so that replicas of the first release can read them.
 PACKED_LENGTH = 2 * 1024 * 1024
 PACKING_LEVEL = 1
+#: Fields of the state that watchers don't need.
+_UNWATCHED = frozenset({"departures", "store_epochs"})
 
 
 class Command(TypedDict):
@@ -63,6 +68,7 @@
     :param departures: starts of targets that have ended or drain, sent likewise.
     :param rollout: change of a service's rollout to another software version, sent
         likewise.
+    :param store_epochs: changes of the stores' recorded epochs, sent likewise.
     """
 
     kind: Literal["deploy", "evacuate", "restore", "weights"]
@@ -76,6 +82,7 @@
     fence_offset: NotRequired[int]
     departures: NotRequired[Departures]
     rollout: NotRequired[RolloutChange]
+    store_epochs: NotRequired[list[EpochChange]]
 
 
 class FleetState(TypedDict):
@@ -94,6 +101,8 @@
     :param sharers: workspaces that may have put something into it.
     :param rollouts: newest rollout of each service to another software version,
         running or ended; absent for none.
+    :param store_epochs: epoch of each store in which parts may be saved; absent for
+        none.
     """
 
     index: int
@@ -107,6 +116,7 @@
     cache_scope: NotRequired[str]
     sharers: NotRequired[list[str]]
     rollouts: NotRequired[Rollouts]
+    store_epochs: NotRequired[StoreEpochs]
 
 
 def make_deploy(number: int, document: str, sharing: Sharing | None = None) -> Command:
@@ -151,6 +161,11 @@
     return Command(kind="restore", data_centre="", rollout=change)
 
 
+def make_epoch_change(changes: list[EpochChange]) -> Command:
+    """Return the command that records epochs of stores."""
+    return Command(kind="restore", data_centre="", store_epochs=changes)
+
+
 class _RolloutRecord(TypedDict):
     service: str
 
@@ -191,8 +206,8 @@
     """Replicated state, built from the same log on every control VM.
 
     :param on_change: called after each applied command or restored snapshot.
-    :ivar news_index: index of the last command that changed more than departures:
-        watchers hear of those by their lists of targets.
+    :ivar news_index: index of the last command that changed more than departures,
+        of which watchers hear by their lists of targets, and epochs of stores.
 
     >>> machine = FleetMachine()
     >>> machine.apply(1, '{"kind":"weights","model":"m","number":2}')
@@ -222,7 +237,7 @@
         except (msgspec.MsgspecError, ValueError, KeyError, zlib.error) as exc:
             raise InvariantBroken(f"no command of this release: {exc!r}") from exc
         self.state = _replace(self.state, changes) | {"index": index}
-        if "departures" not in changes:
+        if not changes or changes.keys() - _UNWATCHED:
             self.news_index = index
         self._notify()
         return "done"
@@ -260,6 +275,11 @@
     return state.get("departures") or make_departures()
 
 
+def store_epochs(state: FleetState) -> dict[str, int]:
+    """Return the recorded epoch of each store, by its address."""
+    return dict(state.get("store_epochs", ()))
+
+
 def _replace(state: FleetState, changes: dict) -> FleetState:
     """Return the state with changed fields, without those that are ``None``."""
     merged = state | changes
@@ -276,6 +296,9 @@
     if "departures" in command:
         change = apply_departures(departures(state), command["departures"])
         return {"departures": change}
+    if "store_epochs" in command:
+        known = state.get("store_epochs", [])
+        return {"store_epochs": apply_epochs(known, command["store_epochs"])}
     if "rollout" in command:
         known = state.get("rollouts", {})
         return {"rollouts": apply_rollout(known, command["rollout"], index)}
--- a/src/vanillabeam/fleet/stores.py
+++ b/src/vanillabeam/fleet/stores.py
@@ -1,7 +1,6 @@
 """Tracking of the parts that each KV cache store holds, by the leader."""
 
 from collections.abc import Awaitable, Callable
-from math import inf
 from typing import NamedTuple, Protocol
 
 import trio
@@ -23,6 +22,7 @@
 )
 from vanillabeam.fleet.reclaimer import MARGIN_S, PartReclaimer
 from vanillabeam.fleet.records import Store
+from vanillabeam.fleet.storeepochs import EpochChange
 from vanillabeam.tasks import keep_running
 
 __all__ = ["StoreCalls", "StoreList", "StoreEvents", "StoreTracker"]
@@ -99,18 +99,21 @@
 
     :param calls: client of the stores.
     :param epoch: id of this VM's index.
+    :param recorded: returns the replicated epoch of each store in which parts may be
+        saved, by the store's address. This VM may not have led when a store restarted.
     """
 
-    def __init__(self, calls: StoreCalls, epoch: str):
+    def __init__(
+        self, calls: StoreCalls, epoch: str, recorded: Callable[[], dict[str, int]]
+    ):
         self.index = PartIndex(epoch)
         self.reclaimer = PartReclaimer(self.index)
         self._calls = calls
+        self._recorded = recorded
         self._scopes: dict[Store, trio.CancelScope] = {}
         self._epochs: dict[Store, int] = {}
-        #: Epoch of each store that was ever heard of, in which it was last.
-        self._last_epochs: dict[str, int] = {}
-        #: Monotonic time until which no part is saved in a store, by its address.
-        self._rests_until_s: dict[str, float] = {}
+        #: Newest epoch of each store, with the monotonic time of its first list.
+        self._first_listed: dict[str, tuple[int, float]] = {}
         self._clock_ms = 0.0
         self._clock_at_s = 0.0
 
@@ -124,10 +127,31 @@
     ) -> PartChanges:
         """Return the changes that a reader has not received yet."""
         changes = self.index.changes_since(request, term, self._clock(now_s))
-        rests = self._rests_until_s.items()
-        resting = sorted(address for address, until_s in rests if now_s < until_s)
+        recorded = self._recorded()
+        # One that doesn't answer may have restarted: entry VMs that don't hear of it
+        # go on fetching.
+        resting = [
+            store.address
+            for store in self._scopes
+            if store not in self._epochs
+            or recorded.get(store.address) != self._epochs[store]
+        ]
         if resting:
-            changes["resting"] = resting
+            changes["resting"] = sorted(resting)
+        return changes
+
+    def epoch_changes(self, now_s: float) -> list[EpochChange]:
+        """Return the changes of the recorded epochs that are due."""
+        recorded = self._recorded()
+        changes = []
+        for store, epoch in self._epochs.items():
+            basis = recorded.get(store.address)
+            _, first_listed_s = self._first_listed[store.address]
+            if basis is None:
+                changes.append(EpochChange(store=store.address, epoch=epoch))
+            elif basis != epoch and now_s - first_listed_s >= REST_S:
+                change = EpochChange(store=store.address, basis=basis, epoch=epoch)
+                changes.append(change)
         return changes
 
     async def track(self, stores: tuple[Store, ...], nursery: trio.Nursery) -> None:
@@ -159,12 +183,11 @@
     def _begin_epoch(self, store: Store, listed: StoreList) -> None:
         if self._epochs.get(store) != listed.epoch:
             self.reclaimer.forget_store(store)
-        last_epoch = self._last_epochs.get(store.address, listed.epoch)
-        if last_epoch == listed.epoch:
-            self._rests_until_s.pop(store.address, None)
-        else:
-            self._rests_until_s[store.address] = trio.current_time() + REST_S
-        self._epochs[store] = self._last_epochs[store.address] = listed.epoch
+        epoch, _ = self._first_listed.get(store.address, (None, 0.0))
+        if epoch != listed.epoch:
+            now_s = trio.current_time()
+            self._first_listed[store.address] = (listed.epoch, now_s)
+        self._epochs[store] = listed.epoch
         self._apply_list(store, listed)
         log_record(StoreHeard(store.name, listed.epoch, len(listed.parts)))
 
@@ -202,8 +225,6 @@
             self.index.mark_used((event.salt, event.part), now_s)
 
     def _forget(self, store: Store) -> None:
-        # It may have restarted: entry VMs that don't hear of it go on fetching.
-        self._rests_until_s[store.address] = inf
         self.index.reset(store.address, [])
         self.reclaimer.forget_store(store)
         self._epochs.pop(store, None)
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -25,8 +25,9 @@
 
 WATCH_PATH = "/peer/fleet/watch"
 DIGEST_BYTES = 8
-#: Fields of the state that watchers don't need: they hear of targets otherwise.
-KEPT_BACK = ("departures", "sharers")
+#: Fields of the state that watchers don't need: they hear of targets and of stores
+#: otherwise.
+KEPT_BACK = ("departures", "sharers", "store_epochs")
 
 
 class WatchRequest(TypedDict):
--- a/tests/fleet/test_stores.py
+++ b/tests/fleet/test_stores.py
@@ -6,8 +6,9 @@
 import trio.testing
 
 from vanillabeam.fleet import Store
-from vanillabeam.fleet.control import LOG_SETTINGS
+from vanillabeam.fleet.control import LOG_SETTINGS, STORE_CHECK_PERIOD_S
 from vanillabeam.fleet.parts import StoreEvent
+from vanillabeam.fleet.storeepochs import apply_epochs
 from vanillabeam.fleet.stores import (
     FREE_TIMEOUT_S,
     LIST_PERIOD_S,
@@ -66,16 +67,29 @@
         return StoreEvents(self.epoch, len(self.events), False, events, 5_000.0)
 
 
+def make_tracker(vm, recorded):
+    calls = SimpleNamespace(
+        list_parts=vm.answer_list, read_events=vm.answer_events, free=vm.free
+    )
+    return StoreTracker(calls, "e", lambda: dict(recorded))
+
+
+async def record_epochs(stores, recorded):
+    """Commit the changes of epochs as the control VM does."""
+    while True:
+        changes = stores.epoch_changes(trio.current_time())
+        recorded[:] = apply_epochs(recorded, changes)
+        await trio.sleep(STORE_CHECK_PERIOD_S)
+
+
 def with_store(function):
     def test():
         async def main():
-            vm = StoreVm()
-            calls = SimpleNamespace(
-                list_parts=vm.answer_list, read_events=vm.answer_events, free=vm.free
-            )
-            stores = StoreTracker(calls, "e")
+            vm, recorded = StoreVm(), []
+            stores = make_tracker(vm, recorded)
             async with trio.open_nursery() as nursery:
                 await stores.track((STORE,), nursery)
+                nursery.start_soon(record_epochs, stores, recorded)
                 await function(vm, stores)
                 nursery.cancel_scope.cancel()
 
@@ -177,6 +191,44 @@
     assert resting(stores) == []
 
 
+# Guards against a rest that ends with the leader that began it: each later leader knew
+# only the epoch that it found.
+def test_a_restarted_store_rests_although_leaders_change_meanwhile():
+    async def lead(vm, recorded, lead_s):
+        stores = make_tracker(vm, recorded)
+        async with trio.open_nursery() as nursery:
+            await stores.track((STORE,), nursery)
+            nursery.start_soon(record_epochs, stores, recorded)
+            await trio.sleep(lead_s)
+            nursery.cancel_scope.cancel()
+        return resting(stores)
+
+    async def main():
+        vm, recorded = StoreVm(), []
+        assert await lead(vm, recorded, 1.0) == []
+        vm.restart()
+        for _ in range(3):
+            assert await lead(vm, recorded, REST_S - 1.0) == [STORE.address]
+        assert await lead(vm, recorded, REST_S + 1.0) == []
+        assert await lead(vm, recorded, 1.0) == []
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+# Guards against parts that are saved in a store before the leader has heard of it.
+def test_a_store_that_has_not_answered_yet_rests():
+    async def main():
+        vm, recorded = StoreVm(), [(STORE.address, 1)]
+        vm.answers_list_requests = False
+        stores = make_tracker(vm, recorded)
+        async with trio.open_nursery() as nursery:
+            await stores.track((STORE,), nursery)
+            assert resting(stores) == [STORE.address]
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 @with_store
 async def test_the_clock_is_known_soon_without_any_event(vm, stores):
     await trio.sleep(0.3)
