Let a planned stop of a control VM count whatever else is lost beside it

Class: one that has told of its end is treated as if it had not.

Now the leader removes whoever resigns if 2 x losses + 1 voters remain, whatever the others do: it stops in any case, so the others bear no fewer losses without it, and the change still waits for a majority of the new voters. A leader that is asked to remove itself hands over first. The one that leaves asks the members of its log, until a leader has answered, for 3 s at most within the grace period.

--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -50,6 +50,8 @@
 EXIT_MARGIN_S = 0.7
 #: Seconds for which a stopping control VM keeps answering after its handover.
 CONTROL_LINGER_S = 0.5
+#: Longest time for which it asks to be removed from the voters: an election and more.
+RESIGN_S = 3.0
 #: Listeners that a planned stop closes before the others.
 CLOSED_ON_DRAIN = ("entry", "control")
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -112,6 +114,8 @@
         self._are_closed = False
         self._held_port: socket.socket | None = None
         self._stopped = trio.Event()
+        #: Monotonic time by which a planned stop has ended.
+        self._exit_s = float("inf")
 
     def drain(self) -> None:
         """Begin a planned stop; a second call ends it at once."""
@@ -293,18 +297,26 @@
 
     async def _transfer_leadership_on_drain(self) -> None:
         await self.lifecycle.draining.wait()
+        self._exit_s = trio.current_time() + self.cfg.bounds.grace_s - EXIT_MARGIN_S
         await self.control.node.transfer_leadership()
 
     async def _run_lifecycle(self) -> None:
         await self.lifecycle.run()
         if self.control is not None:
             await self.control.node.transfer_leadership()
-            deadline_s = trio.current_time() + CONTROL_LINGER_S
-            with trio.move_on_at(deadline_s):
-                await self.control.node.resign()
-            await trio.sleep_until(deadline_s)
+            await self._resign()
         self._stopped.set()
 
+    async def _resign(self) -> None:
+        """Resign from the fleet log, and answer the other control VMs for a while.
+
+        An election may be under way, so there is time for one within the grace period.
+        """
+        now_s = trio.current_time()
+        with trio.move_on_at(min(now_s + RESIGN_S, self._exit_s)):
+            await self.control.node.resign()
+        await trio.sleep_until(now_s + CONTROL_LINGER_S)
+
     def _close_listeners(self) -> None:
         self._are_closed = True
         for name in CLOSED_ON_DRAIN:
--- a/src/vanillabeam/log/events.py
+++ b/src/vanillabeam/log/events.py
@@ -102,7 +102,7 @@
 
 
 class Resign(NamedTuple):
-    """Remove a voter that stops as planned, if the group bears as much without it."""
+    """Remove a voter that stops as planned, if enough voters remain."""
 
     request_id: int
     member: Member
--- a/src/vanillabeam/log/members.py
+++ b/src/vanillabeam/log/members.py
@@ -104,22 +104,24 @@
 
 
 def handle_resignation(event: Resign, state: Replica, now_s: float) -> list[Effect]:
-    """Remove a voter that is about to stop, if the group bears as many losses after.
+    """Remove a voter that is about to stop, if enough voters remain.
 
-    It may be one that never returns. With an even number of voters, all of them active,
-    the group bears no fewer losses without it; one that does return joins again.
-    Otherwise it counts as silent from now on, so that a learner replaces it at once.
+    It may be one that never returns, and as it stops in any case, the others bear no
+    fewer losses without it. One that does return joins again. Where too few would
+    remain it counts as silent from now on, so that a learner replaces it at once.
     """
-    membership, cfg = state.membership, state.settings
+    membership, member = state.membership, event.member
     voters = membership.voters
-    is_spare = len(voters) % 2 == 0 and len(voters) - 1 >= 2 * cfg.losses + 1
-    are_active = all(_is_caught_up(state, voter, now_s) for voter in voters)
-    leaves = event.member in voters and event.member.member_id != state.member_id
-    if leaves:
-        state.resigned.add(event.member.member_id)
-    if not (is_spare and are_active and leaves and membership.opened):
+    if member not in voters:
+        return [NoChangeNeeded(event.request_id)]
+    if member.member_id == state.member_id:
+        effects = begin_leadership_transfer(state, now_s)
+        failure = LeaderChanged("the leader hands over before it resigns")
+        return [*effects, Refused(event.request_id, failure)]
+    state.resigned.add(member.member_id)
+    if not membership.opened or len(voters) - 1 < 2 * state.settings.losses + 1:
         return [NoChangeNeeded(event.request_id)]
-    changed = membership.without(event.member)
+    changed = membership.without(member)
     return _start_change(event.request_id, changed, "planned stop", state, now_s)
 
 
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -254,15 +254,18 @@
         return not self.is_leader
 
     async def resign(self) -> None:
-        """Leave the voters before a planned stop, if the group bears as much without.
+        """Leave the voters before a planned stop, if enough of them remain.
 
-        Called once leadership is transferred. A VM that starts again joins again.
+        Called once leadership is transferred; asks until a leader has answered. A VM
+        that starts again joins again.
         """
         if self._loop is None or self._bootstrapper is None:
             return
         if self.settings.replace_after_s is None:
             return
         self._bootstrapper.has_resigned = True
+        self._client.leader = ""
+        self._client.set_members(self._loop.replica.peers)
         self._hint_leader()
         member = Member(self._loop.replica.member_id, self.vm, self.address)
         await self._client.request(GroupRequest(kind="resign", member=member))
--- a/tests/fleet/test_replacedcontrol.py
+++ b/tests/fleet/test_replacedcontrol.py
@@ -3,6 +3,7 @@
 import random
 from functools import partial
 from itertools import permutations
+from typing import NamedTuple
 
 import pytest
 import trio
@@ -13,6 +14,7 @@
 from vanillabeam.fleet import FleetSettings
 from vanillabeam.fleet.control import FleetControl
 from vanillabeam.fleet.records import Deployment
+from vanillabeam.fleetvm import RESIGN_S
 
 PORT = 7420
 #: Seconds from the loss of a VM to the start of its successor.
@@ -62,12 +64,12 @@
             await nursery.start(control.run)
             task_status.started(nursery.cancel_scope)
 
-    async def lose(self, host):
+    async def lose(self, host, wait_s=SUCCESSOR_S):
         """Lose a VM for good: its process, its disk and its address."""
         self.scopes.pop(host).cancel()
         del self.network.routes[f"{host}:{PORT}"]
         del self.controls[host]
-        await trio.sleep(SUCCESSOR_S)
+        await trio.sleep(wait_s)
 
     @property
     def leader(self):
@@ -156,3 +158,78 @@
     clock = trio.testing.MockClock(autojump_threshold=0.002)
     leave = partial(leave_as_planned, tmp_path, size, losses)
     assert trio.run(leave, clock=clock)
+
+
+class Leave(NamedTuple):
+    """A planned stop, and what is lost beside it.
+
+    :param lost_before_s: seconds from the loss of another VM to the stop.
+    :param leads: whether the VM that stops leads the log then.
+    :param first: number of VMs that were replaced as planned before.
+    """
+
+    lost_before_s: float | None
+    leads: bool
+    first: int
+
+
+async def stop_as_planned(fleet, host):
+    """Stop a VM as its process does, with the time for it bounded."""
+    control = fleet.controls[host]
+    await control.node.transfer_leadership()
+    with trio.move_on_after(RESIGN_S):
+        await control.node.resign()
+    await fleet.lose(host, wait_s=0.0)
+
+
+async def play_leave(folder, leave):
+    """Return the status of the log at its leader at the end, ``None`` without one."""
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, folder, 1)
+        hosts = [f"10.0.{number}.1" for number in range(1, 4)]
+        for host in hosts:
+            await fleet.start(host, tuple(hosts), bootstrap=True)
+        await trio.sleep(OPENS_S)
+        old = sorted(hosts, key=lambda host: host == fleet.leader)
+        if not leave.leads:
+            old.reverse()
+        for number in range(leave.first + 1):
+            await fleet.start(f"10.0.9.{number + 1}", fleet.seeds())
+            await trio.sleep(CATCH_UP_S)
+            if number < leave.first:
+                await stop_as_planned(fleet, old.pop(0))
+                await trio.sleep(1.0)
+        stopping = fleet.leader if leave.leads else old[-1]
+        others = [host for host in fleet.controls if host != stopping]
+        if leave.lost_before_s is not None:
+            await fleet.lose(others[0], wait_s=leave.lost_before_s)
+            await stop_as_planned(fleet, stopping)
+        else:
+            await stop_as_planned(fleet, stopping)
+            await fleet.lose(others[0], wait_s=0.0)
+        await trio.sleep(1.0)
+        await fleet.start("10.0.8.1", fleet.seeds())
+        await trio.sleep(2 * CATCH_UP_S)
+        status = fleet.controls[fleet.leader].node.status() if fleet.leader else None
+        nursery.cancel_scope.cancel()
+    return status
+
+
+# Guards against a fleet log without a majority: what a control VM said of its planned
+# stop had no effect if another one had just been lost, if it had led, or if all seeds
+# of its own start were gone.
+@pytest.mark.parametrize(
+    "leave",
+    [
+        Leave(lost_before_s=1.0, leads=False, first=0),
+        Leave(lost_before_s=0.4, leads=True, first=0),
+        Leave(lost_before_s=None, leads=True, first=0),
+        Leave(lost_before_s=None, leads=True, first=2),
+    ],
+)
+def test_a_planned_stop_beside_a_loss_keeps_the_log(tmp_path, leave):
+    clock = trio.testing.MockClock(autojump_threshold=0.002)
+    status = trio.run(partial(play_leave, tmp_path, leave), clock=clock)
+    assert status is not None
+    assert all(m["active"] for m in status["members"] if m["votes"])
+    assert status["losses_left"] == 1
--- a/tests/log/test_absence.py
+++ b/tests/log/test_absence.py
@@ -164,9 +164,12 @@
 
 # Guards against a group that can't elect: a control VM that stopped for good counted
 # until its silence was noticed, and others were lost at the moment of its end.
-@pytest.mark.parametrize(("size", "leaves"), [(3, False), (4, True), (5, False)])
-def test_a_voter_that_stops_leaves_an_even_number_of_voters(size, leaves):
-    cluster = make_cluster(size)
+@pytest.mark.parametrize(
+    ("size", "losses", "leaves"),
+    [(3, 1, False), (4, 1, True), (5, 1, True), (5, 2, False), (6, 2, True)],
+)
+def test_a_voter_that_stops_leaves_if_enough_voters_remain(size, losses, leaves):
+    cluster = make_cluster(size, losses=losses)
     vm = followers_of(cluster)[0]
     resign(cluster, vm)
     assert (vm.name not in voters_of(cluster)) == leaves
@@ -188,9 +191,9 @@
 
 # Guards against a successor that gets its vote too late: the voter that it came for had
 # said that it stops, and its silence was waited for all the same.
-@pytest.mark.parametrize("size", [3, 5])
-def test_a_voter_that_stops_is_replaced_by_a_learner_at_once(size):
-    cluster = make_cluster(size, spares=1)
+@pytest.mark.parametrize(("size", "losses"), [(3, 1), (5, 2)])
+def test_a_voter_that_stops_is_replaced_by_a_learner_at_once(size, losses):
+    cluster = make_cluster(size, spares=1, losses=losses)
     vm, successor = followers_of(cluster)[0], spare_of(cluster)
     resign(cluster, vm)
     assert voters_of(cluster) == set(cluster.vms) - {successor.name}
@@ -203,7 +206,7 @@
 # Guards against a rolling restart after which a learner takes the place of a voter that
 # has long been back.
 def test_a_voter_that_has_started_again_has_not_resigned():
-    cluster = make_cluster(5, spares=1)
+    cluster = make_cluster(5, spares=1, losses=2)
     vm, further = followers_of(cluster)[0], spare_of(cluster)
     resign(cluster, vm)
     cluster.crash(vm)
