Give control VMs the seeds of changed settings

The settings that name new seeds reached entry VMs only: a VM without the entry role has no follower of its own in FleetVm, and neither its control follower nor its search for the log took them.

Now both take them. tests/fleet/test_replacedcontrol.py has the case; update_seeds of a control VM is new, so it can't be asked for before.

--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -21,13 +21,13 @@
 from vanillabeam.fleet.holders import WeightHolders
 from vanillabeam.fleet.leavingtask import LeavingTask
 from vanillabeam.fleet.loadnews import LoadNews
+from vanillabeam.fleet.logsettings import log_settings
 from vanillabeam.fleet.machine import (
     Command,
     FleetMachine,
     FleetState,
     departures,
     make_epoch_change,
-    order_subject,
     store_epochs,
 )
 from vanillabeam.fleet.observed import ObservedVersions
@@ -38,53 +38,27 @@
 from vanillabeam.fleet.quarantine import QUARANTINE_PATH
 from vanillabeam.fleet.quarantining import QuarantineTask
 from vanillabeam.fleet.reclaimer import is_outdated
-from vanillabeam.fleet.records import Bounds, Deployment, FleetSettings, Target
+from vanillabeam.fleet.records import Deployment, FleetSettings, Target
 from vanillabeam.fleet.stores import StoreCalls, StoreTracker
 from vanillabeam.fleet.targetlog import log_target
 from vanillabeam.fleet.versionrollouts import make_rollouts
 from vanillabeam.fleet.versiontimes import VersionTimes
 from vanillabeam.fleet.view import read_or_keep
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, make_reply
-from vanillabeam.log import Address, Applied, LogNode, LogSettings
+from vanillabeam.log import Address, Applied, LogNode
 from vanillabeam.log.exceptions import LogError
 from vanillabeam.pauses import PauseDetector
 from vanillabeam.peercall import PeerCall, PeerRoutes
 from vanillabeam.tasks import keep_running
 
-__all__ = ["FLEET_GROUP", "FleetControl", "log_settings"]
+__all__ = ["FLEET_GROUP", "FleetControl"]
 
 FLEET_GROUP = "fleet"
-LOG_SETTINGS = LogSettings(
-    heartbeat_s=0.2,
-    election_s=0.7,
-    propose_timeout_s=3.0,
-    allow_any_vm=True,
-    open_requires_all=True,
-    subject=order_subject,
-)
 EPOCH_BYTES = 6
 MAX_WAIT_S = 2.0
-#: Share of the time to catch up after which a silent voter gives way to a learner; the
-#: rest is for an election, a join and two changes of membership.
-REPLACE_SHARE = 0.5
-#: Multiple of that time after which a voter is removed without one.
-REMOVE_FACTOR = 2.0
 STORE_CHECK_PERIOD_S = 0.3
 
 
-def log_settings(bounds: Bounds) -> LogSettings:
-    """Return the settings of the fleet log for an operator's bounds.
-
-    A voter is never found absent before its silence has lasted for two elections.
-    """
-    shortest_s = 2 * LOG_SETTINGS.election_s
-    return LOG_SETTINGS._replace(
-        losses=bounds.losses,
-        replace_after_s=max(REPLACE_SHARE * bounds.catch_up_s, shortest_s),
-        remove_after_s=max(REMOVE_FACTOR * bounds.catch_up_s, shortest_s),
-    )
-
-
 class FleetControl:
     """Replica of the fleet log and directory of the targets that announce here.
 
@@ -129,10 +103,7 @@
             cfg.peer_address,
             Path(cfg.data_folder),
             self.machine,
-            [
-                Address(*seed)
-                for seed in zip(cfg.seeds, cfg.seed_addresses, strict=True)
-            ],
+            _addresses(cfg),
             call,
             rng,
             log_settings(cfg.bounds),
@@ -195,6 +166,11 @@
             self._is_running = True
             task_status.started()
 
+    def update_seeds(self, cfg: FleetSettings) -> None:
+        """Use the seeds of changed settings from now on."""
+        self.follower.update_seeds(cfg)
+        self.node.set_seeds(_addresses(cfg))
+
     async def propose(
         self, command: Command, after: int | None = None
     ) -> Result[Applied, LogError]:
@@ -444,3 +420,8 @@
             return is_outdated(salt, versions) or is_ended_scope(salt, scopes)
 
         return is_unused
+
+
+def _addresses(cfg: FleetSettings) -> list[Address]:
+    seeds = zip(cfg.seeds, cfg.seed_addresses, strict=True)
+    return [Address(*seed) for seed in seeds]
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -129,6 +129,8 @@
         self.cfg = cfg
         if self.follower is not None:
             self.follower.update_seeds(cfg)
+        if self.control is not None:
+            self.control.update_seeds(cfg)
 
     async def wait_stopped(self) -> int:
         """Wait until a planned stop has completed; return the exit code."""
--- a/src/vanillabeam/log/bootstrap.py
+++ b/src/vanillabeam/log/bootstrap.py
@@ -49,6 +49,7 @@
     :param initial: VMs of the group's initial membership; this VM alone if empty.
     :param bootstrap: whether this VM may bootstrap the group, by its settings or by
         what it stored at its first start.
+    :ivar seeds: further VMs to ask, of settings that have changed since the start.
     :ivar has_resigned: whether this replica stops and joins no group any more.
     :ivar founds: whether this VM may bootstrap the group if none before it may.
     :param loop: loop of this VM's replica.
@@ -73,6 +74,7 @@
         self._before = [vm for vm in self._initial if vm.vm < me.vm]
         self.founds = bootstrap and is_initial(me, self._initial)
         self.has_resigned = False
+        self.seeds: tuple[Address, ...] = ()
         self._loop = loop
         self._client = client
         self._call = call
@@ -156,8 +158,9 @@
         )
 
     async def _request_join(self) -> None:
-        """Ask the members that this replica knows, and the initial VMs."""
-        known = [*self._loop.replica.peers, *self._others]
+        """Ask the members that this replica knows, the initial VMs and the seeds."""
+        seeds = [seed for seed in self.seeds if seed.vm != self._me.vm]
+        known = [*self._loop.replica.peers, *self._others, *seeds]
         if not known:
             return
         self._client.set_members(known)
--- a/src/vanillabeam/log/node.py
+++ b/src/vanillabeam/log/node.py
@@ -127,6 +127,7 @@
         self._folder = folder
         self._machine = machine
         self._initial = tuple(Address(*member) for member in initial_members)
+        self._seeds: tuple[Address, ...] = ()
         self._peer_call = call
         self._rng = rng
         self._bootstrap = bootstrap
@@ -253,6 +254,12 @@
             await self._loop.wait_until_not_leading()
         return not self.is_leader
 
+    def set_seeds(self, seeds: Sequence[Address]) -> None:
+        """Ask these VMs too from now on, where this replica looks for its group."""
+        self._seeds = tuple(seeds)
+        if self._bootstrapper is not None:
+            self._bootstrapper.seeds = self._seeds
+
     async def resign(self) -> None:
         """Leave the voters before a planned stop, if enough of them remain.
 
@@ -350,7 +357,7 @@
 
     def _make_bootstrapper(self) -> Bootstrapper:
         stored = self._loop.storage.identity.get("initial")
-        return Bootstrapper(
+        bootstrapper = Bootstrapper(
             self.group,
             Address(self.vm, self.address),
             stored or self._initial,
@@ -359,6 +366,8 @@
             self._client,
             self._peer_call,
         )
+        bootstrapper.seeds = self._seeds
+        return bootstrapper
 
     def _hint_leader(self) -> None:
         if self._loop is None:
--- a/tests/fleet/test_replacedcontrol.py
+++ b/tests/fleet/test_replacedcontrol.py
@@ -233,3 +233,43 @@
     assert status is not None
     assert all(m["active"] for m in status["members"] if m["votes"])
     assert status["losses_left"] == 1
+
+
+async def cut_off_while_replaced(folder):
+    """Cut a VM off, replace all others as planned, end the cut, renew its seeds.
+
+    :returns: the voters' hosts afterwards.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, folder, 1)
+        hosts = [f"10.0.{number}.1" for number in range(1, 5)]
+        for host in hosts:
+            await fleet.start(host, tuple(hosts[:3]), bootstrap=True)
+        await trio.sleep(OPENS_S)
+        away = next(host for host in hosts if host != fleet.leader)
+        address = f"{away}:{PORT}"
+        hosts.remove(away)
+        new = [f"10.0.9.{number}" for number in range(1, 4)]
+        others = [f"{host}:{PORT}" for host in (*hosts, *new)]
+        cut = {(address, other) for other in others}
+        fleet.network.cut = cut | {(other, address) for _, other in cut}
+        for host, successor in zip(hosts, new, strict=True):
+            await fleet.start(successor, tuple(set(fleet.controls) - {away}))
+            await trio.sleep(CATCH_UP_S)
+            await stop_as_planned(fleet, host)
+            await trio.sleep(1.0)
+        fleet.network.cut = set()
+        control = fleet.controls[away]
+        control.update_seeds(control.cfg._replace(seeds=tuple(new)))
+        await trio.sleep(2 * CATCH_UP_S)
+        members = fleet.controls[fleet.leader].node.status()["members"]
+        nursery.cancel_scope.cancel()
+    return away, {member["vm"] for member in members if member["votes"]}
+
+
+# Guards against a control VM that never votes again: all members that it knew were
+# replaced while it was cut off, and it took no new seeds.
+def test_a_control_vm_joins_again_by_the_seeds_of_changed_settings(tmp_path):
+    clock = trio.testing.MockClock(autojump_threshold=0.002)
+    away, voters = trio.run(partial(cut_off_while_replaced, tmp_path), clock=clock)
+    assert away in voters
--- a/tests/fleet/test_stores.py
+++ b/tests/fleet/test_stores.py
@@ -6,7 +6,8 @@
 import trio.testing
 
 from vanillabeam.fleet import Store
-from vanillabeam.fleet.control import LOG_SETTINGS, STORE_CHECK_PERIOD_S
+from vanillabeam.fleet.control import STORE_CHECK_PERIOD_S
+from vanillabeam.fleet.logsettings import LOG_SETTINGS
 from vanillabeam.fleet.parts import StoreEvent
 from vanillabeam.fleet.storeepochs import apply_epochs
 from vanillabeam.fleet.stores import (
