--- a/tests/log/replacements.py
+++ b/tests/log/replacements.py
@@ -10,7 +10,7 @@
 
 from tests.log.cluster import SETTINGS, Broken, Cluster
 from tests.log.joiner import Joiner, Knock, deliver
-from vanillabeam.fleet.control import REMOVE_FACTOR, REPLACE_SHARE
+from vanillabeam.fleet.logsettings import REMOVE_FACTOR, REPLACE_SHARE
 from vanillabeam.log.events import Resign, Role
 from vanillabeam.log.records import Member
 
