Take only replies for a sign that a leader's member is there

The voter that received nothing asked for votes again and again; these requests reached the leader, so it never was silent, and as it answered no heartbeat it never was there either.

--- a/src/vanillabeam/log/core.py
+++ b/src/vanillabeam/log/core.py
@@ -149,7 +149,8 @@
         effects.append(SaveGroupId(envelope.group_id))
     if envelope.group_id != state.group_id:
         return []
-    state.hear(envelope.sender, now_s)
+    if state.role is not Role.LEADER:
+        state.hear(envelope.sender, now_s)
     return effects + _receive(envelope.message, envelope.sender, state, now_s)
 
 
--- a/src/vanillabeam/log/replica.py
+++ b/src/vanillabeam/log/replica.py
@@ -194,7 +194,10 @@
         return silence_s
 
     def hear(self, member_id: str, now_s: float) -> None:
-        """Record that a member was heard; after a pause it has started again."""
+        """Record that a member was heard; after a pause it has started again.
+
+        A leader hears only replies: one that asks for votes may receive nothing.
+        """
         heard_s = self.heard_s.get(member_id, now_s)
         if now_s - heard_s >= self.settings.election_s:
             self.resigned.discard(member_id)
@@ -273,6 +276,7 @@
         if self.role is not Role.LEADER or progress is None:
             return None
         progress.last_contact_s = now_s
+        self.hear(sender, now_s)
         progress.round = max(progress.round, round_)
         return progress
 
--- a/tests/log/test_absence.py
+++ b/tests/log/test_absence.py
@@ -225,3 +225,15 @@
     document = encode_envelope(Envelope("g", "a", "b", message))
     del document["body"]["silent"]
     assert decode_envelope(document).unwrap().message == message
+
+
+# Guards against a learner that waits for as long as a voter is cut off one way: its
+# requests for votes arrived, so it was not silent, and it answered no heartbeat.
+def test_a_voter_that_receives_nothing_is_replaced_by_a_learner():
+    cluster = make_cluster(5, spares=1, losses=2)
+    deaf, successor = followers_of(cluster)[0], spare_of(cluster)
+    for name in cluster.vms:
+        cluster.cut.add((name, deaf.name))
+    cluster.start(successor)
+    cluster.run(2 * REPLACE_S)
+    assert voters_of(cluster) == set(cluster.vms) - {deaf.name}
