--- a/src/vanillabeam/forwarding/sending/events.py
+++ b/src/vanillabeam/forwarding/sending/events.py
@@ -37,9 +37,9 @@
         self.is_misplaced = False
         self._buffer = b""
         self._is_resumed = False
-        #: Whether the ids have increased by one from event to event.
+        #: True while the ids increase by one from event to event.
         self._is_counting = True
-        #: Whether the present answer has brought an event.
+        #: True once the present answer has brought an event.
         self._has_event = False
 
     def resume(self) -> None:
--- a/src/vanillabeam/log/forcing.py
+++ b/src/vanillabeam/log/forcing.py
@@ -63,7 +63,7 @@
 
 
 class _Survey(NamedTuple):
-    """What was found at the addresses of the voters.
+    """Answers from the addresses of the voters.
 
     :param answers: statuses of the voters that answered as replicas of the group.
     :param silent: voters that nothing answers for, or another replica does.
