Take an answer without length for whole only if its connection was not reset

Callers saw: a worker answered an upload of 3 MB at once with a 200 (or 404, or an event stream) that had neither a length nor chunks, sent a part and reset the connection while the upload was being written.

Cause: the kernel tells a reset to one call on the socket. Here that is the write of the upload. httpcore takes a failed write for a sign that an early answer may have come and reads on, which is right; but the read then gives the bytes that had come and an end in order, and an answer that ends with its connection is whole at such an end.

Evidence: two plain sockets: after a write that failed with ECONNRESET, recv gives the part, then b"", TCP_INFO says state CLOSE (7); after an end in order CLOSE_WAIT (8).

Why this works: every connection that this program opens now comes from vanillabeam.connecting, which knows of a failed write and asks the kernel at the end of the connection whether it was reset or holds bytes that were not acknowledged. Either makes the end an error for the reader, as the same reset is when the read is told. Answers that mark their own end stop reading before it: early refusals, by length or chunks, still reach callers.

--- a/src/vanillabeam/answers/connection.py
+++ b/src/vanillabeam/answers/connection.py
@@ -13,6 +13,7 @@
 import trio
 
 from vanillabeam.addresses import split_address
+from vanillabeam.connecting import open_connection
 from vanillabeam.exceptions import Run
 from vanillabeam.notices import Notice
 
@@ -197,7 +198,7 @@
             "write": self.timeouts.idle_timeout_s,
         }
         async with (
-            httpcore.AsyncHTTPConnection(origin, retries=0) as connection,
+            open_connection(origin) as connection,
             connection.stream(
                 self.request.method,
                 f"http://{self.request.address}{self.request.target}",
--- a/src/vanillabeam/cli/capacity.py
+++ b/src/vanillabeam/cli/capacity.py
@@ -8,7 +8,12 @@
 from rich.console import Console
 from rich.table import Table
 
-from vanillabeam.cli.client import EXIT_UNREACHABLE, JsonOption, print_json
+from vanillabeam.cli.client import (
+    EXIT_UNREACHABLE,
+    JsonOption,
+    print_json,
+    request_once,
+)
 
 __all__ = ["capacity", "read_rows"]
 
@@ -33,9 +38,7 @@
 ) -> None:
     """Show the speed of each target, and the open requests from which it slows."""
     try:
-        response = httpcore.request(
-            "GET", f"http://{address}/metrics", extensions={"timeout": TIMEOUTS_S}
-        )
+        response = request_once("GET", f"http://{address}/metrics", TIMEOUTS_S)
     except (httpcore.NetworkError, httpcore.TimeoutException, OSError) as exc:
         _exit(f"{address} can't be reached: {exc}")
     except (httpcore.ProtocolError, httpcore.UnsupportedProtocol, ValueError) as exc:
--- a/src/vanillabeam/cli/client.py
+++ b/src/vanillabeam/cli/client.py
@@ -1,15 +1,18 @@
 """HTTP client of the command-line tool for the operator API of a VM."""
 
 import ssl
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Annotated, Any, NamedTuple, NoReturn, TypeVar
 
 import httpcore
 import msgspec
+import trio
 import typer
 from returns.result import Failure, Result, Success
 from rich.console import Console
 
+from vanillabeam.connecting import open_pool
 from vanillabeam.exceptions import (
     PeerSilent,
     PeerUnreachable,
@@ -17,6 +20,7 @@
     Run,
     VanillabeamError,
 )
+from vanillabeam.httpread import request_bounded
 from vanillabeam.problems import from_problem
 
 __all__ = [
@@ -27,6 +31,7 @@
     "OperatorClient",
     "exit_with",
     "print_json",
+    "request_once",
     "unwrap_or_exit",
 ]
 
@@ -34,6 +39,8 @@
 
 CONNECT_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 60.0
+#: Longest answer, such as a whole configuration or a trace.
+MAX_ANSWER_BYTES = 2**30
 
 EXIT_REFUSED = 1
 EXIT_UNKNOWN = 3
@@ -95,15 +102,9 @@
             headers.append(("Authorization", f"Bearer {_read_key(self.key_file)}"))
         scheme = "http" if self.ca is None else "https"
         tls = None if self.ca is None else ssl.create_default_context(cafile=self.ca)
+        url = f"{scheme}://{self.address}{path}"
         try:
-            with httpcore.ConnectionPool(ssl_context=tls) as pool:
-                res = pool.request(
-                    method,
-                    f"{scheme}://{self.address}{path}",
-                    headers=headers,
-                    content=body,
-                    extensions={"timeout": _timeouts()},
-                )
+            res = request_once(method, url, _timeouts(), headers, body, tls)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             return Failure(PeerUnreachable(f"{self.address}: {exc}"))
         except (
@@ -120,6 +121,35 @@
             return Failure(RemoteFailure(f"{self.address} sent no JSON"))
 
 
+def request_once(
+    method: str,
+    url: str,
+    timeouts_s: dict[str, float],
+    headers: Sequence[tuple[str, str]] = (),
+    body: bytes = b"",
+    tls: ssl.SSLContext | None = None,
+) -> httpcore.Response:
+    """Send a request over a connection of its own and return the whole answer.
+
+    :param timeouts_s: seconds for each step, as httpcore names them.
+    :param tls: context that verifies the VM, or ``None`` for plain HTTP.
+    """
+
+    async def request() -> httpcore.Response:
+        async with open_pool(ssl_context=tls) as pool:
+            return await request_bounded(
+                pool,
+                method,
+                url,
+                MAX_ANSWER_BYTES,
+                headers=list(headers),
+                content=body,
+                extensions={"timeout": timeouts_s},
+            )
+
+    return trio.run(request)
+
+
 def exit_with(exc: VanillabeamError, as_json: bool = False) -> NoReturn:
     """Print ``exc`` and its advice, and exit with the matching exit code.
 
--- /dev/null
+++ b/src/vanillabeam/connecting.py
@@ -0,0 +1,108 @@
+"""Connections that this process opens, whose broken answers it recognises.
+
+All answers of other processes are read over these connections, whoever asks.
+"""
+
+import ssl
+from typing import Any
+
+import httpcore
+
+from vanillabeam.socketstate import is_cut
+
+__all__ = ["open_connection", "open_pool"]
+
+
+class CheckedStream(httpcore.AsyncNetworkStream):
+    """Connection whose end counts as an error if the request wasn't taken whole.
+
+    An answer with neither a length nor chunks is whole once its connection ends. A
+    reset says otherwise, but the kernel tells it only once: if a write of the request
+    was told, after which httpcore reads the answer, that seems to end in order.
+
+    :param stream: stream of httpcore that sends and receives.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream):
+        self._stream = stream
+        self._has_failed_write = False
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return received bytes; none at an end in order.
+
+        :raises httpcore.ReadError: if the connection was reset, or ended before all of
+            the request was taken.
+        """
+        data = await self._stream.read(max_bytes, timeout)
+        if not data and self._is_cut():
+            raise httpcore.ReadError("ended before the request was taken")
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send bytes."""
+        try:
+            await self._stream.write(buffer, timeout)
+        except httpcore.WriteError:
+            self._has_failed_write = True
+            raise
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> "CheckedStream":
+        """Return the connection over TLS."""
+        stream = await self._stream.start_tls(ssl_context, server_hostname, timeout)
+        return CheckedStream(stream)
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return what the stream tells of itself, as httpcore names it."""
+        return self._stream.get_extra_info(info)
+
+    def _is_cut(self) -> bool:
+        if self._has_failed_write:
+            return True
+        sock = self.get_extra_info("socket")
+        return sock is not None and is_cut(sock)
+
+
+class CheckedNetwork(httpcore.AsyncNetworkBackend):
+    """Network of a pool whose connections are checked.
+
+    :param network: opens the connections; ``None`` for those of this machine.
+    """
+
+    def __init__(self, network: httpcore.AsyncNetworkBackend | None = None):
+        self._network = network or httpcore.TrioBackend()
+
+    async def connect_tcp(self, *args: Any, **options: Any) -> CheckedStream:
+        """Open a TCP connection."""
+        return CheckedStream(await self._network.connect_tcp(*args, **options))
+
+    async def connect_unix_socket(self, *args: Any, **options: Any) -> CheckedStream:
+        """Open a connection to a socket in the file system."""
+        return CheckedStream(await self._network.connect_unix_socket(*args, **options))
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep between two attempts to connect."""
+        await self._network.sleep(seconds)
+
+
+def open_pool(**options: Any) -> httpcore.AsyncConnectionPool:
+    """Return a pool of checked connections.
+
+    :param options: as httpcore takes them.
+    """
+    return httpcore.AsyncConnectionPool(network_backend=CheckedNetwork(), **options)
+
+
+def open_connection(origin: httpcore.Origin) -> httpcore.AsyncHTTPConnection:
+    """Return one checked connection, which is opened by its request."""
+    return httpcore.AsyncHTTPConnection(
+        origin, retries=0, network_backend=CheckedNetwork()
+    )
--- a/src/vanillabeam/forwarding/sending/pools.py
+++ b/src/vanillabeam/forwarding/sending/pools.py
@@ -4,6 +4,7 @@
 
 import httpcore
 
+from vanillabeam.connecting import open_pool
 from vanillabeam.fleet import Target
 
 __all__ = ["Pools"]
@@ -48,7 +49,7 @@
         made_with = self._limits.get(target.incarnation, limit)
         if pool is None or limit <= REMAKE_SHARE * made_with:
             self._limits[target.incarnation] = limit
-            pool = httpcore.AsyncConnectionPool(
+            pool = open_pool(
                 max_connections=limit,
                 max_keepalive_connections=limit,
                 keepalive_expiry=self._expiry_s.get(target.service, DEFAULT_EXPIRY_S),
--- a/src/vanillabeam/peerhttp.py
+++ b/src/vanillabeam/peerhttp.py
@@ -11,6 +11,7 @@
 from starlette.routing import Route
 
 from vanillabeam.addresses import is_address
+from vanillabeam.connecting import open_pool
 from vanillabeam.exceptions import (
     InvariantBroken,
     PeerSilent,
@@ -128,7 +129,7 @@
         """Return the pool of an address; close those that have not been used lately."""
         self._used_s[address] = now_s = trio.current_time()
         if address not in self.pools:
-            self.pools[address] = httpcore.AsyncConnectionPool(
+            self.pools[address] = open_pool(
                 ssl_context=self._tls,
                 max_connections=MAX_CONNECTIONS,
                 keepalive_expiry=IDLE_EXPIRY_S,
--- a/src/vanillabeam/platform/client.py
+++ b/src/vanillabeam/platform/client.py
@@ -8,6 +8,7 @@
 
 from vanillabeam import wire
 from vanillabeam.addresses import is_address, split_address
+from vanillabeam.connecting import open_pool
 from vanillabeam.fleet.deployments import MAX_NUMBER
 from vanillabeam.httpread import request_bounded
 
@@ -36,10 +37,10 @@
     """
 
     def __init__(self):
-        self._reading_pool = httpcore.AsyncConnectionPool(
+        self._reading_pool = open_pool(
             max_connections=MAX_CONNECTIONS, keepalive_expiry=IDLE_EXPIRY_S
         )
-        self._changing_pool = httpcore.AsyncConnectionPool(
+        self._changing_pool = open_pool(
             max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
         )
 
