Take an answer whose status is none for broken, by a rule for the whole range

Cause: nothing of ours looked at the status. Below 200 the HTTP library refuses most values in passing (000 to 099, and 101 since no change of protocols was offered); above 599 it takes three digits of any kind.

Why this works: connections that this program opens check the head of each answer before the HTTP library reads it. A status outside of 100 to 599 (RFC 9110, 15), or 101, ends the answer as broken, for each reader; interim heads are checked as well, and bytes of bodies aren't looked at. The request may have run, so it goes elsewhere only if it may be repeated.

--- a/src/vanillabeam/connecting.py
+++ b/src/vanillabeam/connecting.py
@@ -8,13 +8,14 @@
 
 import httpcore
 
+from vanillabeam.answerheads import HeadCheck, HeadFault
 from vanillabeam.socketstate import is_cut
 
 __all__ = ["open_connection", "open_pool"]
 
 
 class CheckedStream(httpcore.AsyncNetworkStream):
-    """Connection whose end counts as an error if the request wasn't taken whole.
+    """Connection on which the heads of answers and the end are checked.
 
     An answer with neither a length nor chunks is whole once its connection ends. A
     reset says otherwise, but the kernel tells it only once: if a write of the request
@@ -26,20 +27,27 @@
     def __init__(self, stream: httpcore.AsyncNetworkStream):
         self._stream = stream
         self._has_failed_write = False
+        self._head = HeadCheck()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return received bytes; none at an end in order.
 
         :raises httpcore.ReadError: if the connection was reset, or ended before all of
             the request was taken.
+        :raises httpcore.RemoteProtocolError: if the head of an answer is none.
         """
         data = await self._stream.read(max_bytes, timeout)
         if not data and self._is_cut():
             raise httpcore.ReadError("ended before the request was taken")
+        try:
+            self._head.feed(data)
+        except HeadFault as exc:
+            raise httpcore.RemoteProtocolError(f"no answer: {exc}") from exc
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Send bytes."""
+        """Send bytes of a request; an answer follows."""
+        self._head.begin()
         try:
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError:
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -173,6 +173,15 @@
     assert serve(call, PART, close_at_once, read_all=True) == b'{"part": 1}'
 
 
+# Guards against an answer whose status is none, whoever reads it.
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+@pytest.mark.parametrize("reader", READERS)
+def test_no_reader_takes_an_answer_whose_status_is_none(reader, status):
+    call = partial(READERS[reader], body=b"{}")
+    answer = WHOLE.replace(b"200", status)
+    assert serve(call, answer, close_at_once, read_all=True) is None
+
+
 async def fetch(address, pool, body=b""):
     return (
         await request_bounded(
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,8 +20,8 @@
     """,
     "settings": "logs reference settings settingschecks settingsrecords",
     "connections": """
-        accepting connecting httpread httpserver limits listeners middleware peerhttp
-        ports requestscope socketstate tls
+        accepting answerheads connecting httpread httpserver limits listeners middleware
+        peerhttp ports requestscope socketstate tls
     """,
     "parts": """
         admission answers burn cache canary capacity claims control fleet forwarding
