Refuse answers whose heads hold a folded line or a control byte

Cause: the HTTP library goes by a rule that RFC 9112 (5.2) has withdrawn, by which a line that begins with a blank goes on with the one before, and allows any byte in values but NUL and line ends. It tells nobody that it has joined lines. Which length or framing was meant, and so which body is the worker's, can't be known then.

Why this works: the check of heads sees the bytes before the library joins anything. A line that begins with a blank, a control byte but a tab, or a CR that ends no line makes the answer broken, in interim heads too, for each reader. Other rare bytes (above 0x7f, tabs and blanks around values, all characters of tokens) pass as before.

--- a/src/vanillabeam/answerheads.py
+++ b/src/vanillabeam/answerheads.py
@@ -14,6 +14,11 @@
 MAX_END_BYTES = 3
 
 _END = re.compile(rb"\n\r?\n")
+#: Line that begins with a blank; by a rule that RFC 9112 (5.2) has withdrawn it goes on
+#: with the line before.
+_FOLDED = re.compile(rb"\n[ \t]")
+#: Control bytes that a head can't hold (RFC 9110, 5.5), and a CR that ends no line.
+_CONTROL = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|\r(?!\n)")
 _STATUS = re.compile(rb"HTTP/[0-9]\.[0-9] ([0-9]{3})(?: |\r?\n)")
 
 
@@ -73,4 +78,8 @@
     status = int(status_line[1])
     if not LOWEST_STATUS <= status <= HIGHEST_STATUS or status == SWITCHING_PROTOCOLS:
         raise HeadFault(f"status {status}")
+    if _FOLDED.search(head):
+        raise HeadFault("a line begins with a blank")
+    if _CONTROL.search(head):
+        raise HeadFault("a control byte")
     return status
--- a/tests/platform/test_oddheads.py
+++ b/tests/platform/test_oddheads.py
@@ -126,3 +126,110 @@
         tmp_path, "plain", [partial(make_answer, kind="plain", status=status)]
     )
     assert result[:2] == (int(status[:3]), BODY)
+
+
+#: Lines with a blank or a control byte in the name of a field, or before it.
+ODD_LINES = [
+    b"Content-Length : 9",
+    b"Content-Length\t: 9",
+    b"Content Length: 9",
+    b"Content\tLength: 9",
+    b"X-Note : a",
+    b"X Note: a",
+    b"X-\x00Note: a",
+    b"X-\x01Note: a",
+    b"X-\x0bNote: a",
+    b"X-\x1fNote: a",
+    b"X-\x7fNote: a",
+    b"X-\rNote: a",
+    b"\x00: a",
+    b"\x01X-Note: a",
+    b": a",
+    b"X-Note",
+    b"\xc2\xa0X-Note: a",
+    # Lines that begin with a blank, which belong to the line before by an old rule.
+    b" Content-Length: 9",
+    b"\tContent-Length: 9",
+    b" Transfer-Encoding: chunked",
+    b"\tX-Note: a",
+    b" X-Note: a",
+    b" ",
+    # Control bytes in values.
+    b"X-Note: a\x01b",
+    b"X-Note: a\x00b",
+    b"X-Note: a\rb",
+    b"X-Note: \x7f",
+    b"X-Note: a\x1b[31m",
+]
+PLACES = ("first", "middle", "last")
+
+
+# Guards against a head that two readers understand in two ways: a line was passed on,
+# or joined to the one before, and another body could be meant.
+@pytest.mark.parametrize("kind", PATHS)
+def test_an_answer_with_an_odd_line_in_its_head_is_not_passed_on(tmp_path, kind):
+    cases = [(line, place) for line in ODD_LINES for place in PLACES]
+    answers = [
+        partial(make_answer, kind=kind, odd=line, place=place) for line, place in cases
+    ]
+    results = ask(tmp_path, kind, answers)
+    passed = {
+        case: result
+        for case, result in zip(cases, results, strict=True)
+        if result[0] != 502
+    }
+    assert passed == {}
+
+
+# The same in a head before the answer.
+@pytest.mark.parametrize("kind", PATHS)
+def test_an_interim_head_with_an_odd_line_is_not_skipped(tmp_path, kind):
+    lines = [b"X Note: a", b"X-\x01Note: a", b"X-Note: a\r\n Content-Length: 9"]
+    answers = [
+        partial(
+            make_answer, kind=kind, before=b"HTTP/1.1 103 Hints\r\n" + line + HEAD_END
+        )
+        for line in lines
+    ]
+    assert [status for status, _, _ in ask(tmp_path, kind, answers)] == [502] * 3
+
+
+# Lines that are in order, though rare.
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"X-Note:",
+        b"X-Note:   a \t b  ",
+        b"x!#$%&'*+-.^_`|~9: a",
+        b"X-Note: caf\xc3\xa9 \xff",
+        b"X-Note: a: b",
+    ],
+)
+def test_an_answer_with_a_rare_line_is_passed_on(tmp_path, line):
+    answers = [partial(make_answer, kind="plain", odd=line, place=p) for p in PLACES]
+    results = ask(tmp_path, "plain", answers)
+    assert [(status, body) for status, body, _ in results] == [(200, BODY)] * 3
+
+
+# What follows the last chunk of an answer, and what stands beside the size of a chunk,
+# never reaches callers, and the body stays the worker's.
+@pytest.mark.parametrize(
+    "trailer",
+    [b"X-Extra: a", b"X Extra: a", b"X-\x01Extra: a", b"X-Extra: a\r\n Set-Cookie: b"],
+)
+def test_trailers_are_not_passed_on(tmp_path, trailer):
+    answer = partial(make_answer, kind="plain", trailer=trailer)
+    ((status, body, names),) = ask(tmp_path, "plain", [answer])
+    assert not names & {b"x-extra", b"set-cookie"}
+    assert (status, body) == (200, BODY) or status == 502
+
+
+@pytest.mark.parametrize("extension", [b";a=b", b";a=\x01", b' ; a="b"', b"\x01"])
+def test_extensions_of_chunks_are_not_passed_on(tmp_path, extension):
+    def answer(request_id):
+        size, rest = b"%x" % len(BODY), b"\r\n" + BODY + b"\r\n0\r\n\r\n"
+        whole = make_answer(request_id, "plain")
+        return whole.replace(size + rest, size + extension + rest)
+
+    ((status, body, _),) = ask(tmp_path, "plain", [answer])
+    assert (status, body) == (200, BODY) or status == 502
--- a/tests/test_answerheads.py
+++ b/tests/test_answerheads.py
@@ -39,6 +39,23 @@
         feed(check, BAD)
 
 
+ODD_LINES = [b" X-Note: a", b"\tX-Note: a", b" ", b"X-\x01: a", b"X: \x7f", b"X: a\rb"]
+
+
+@pytest.mark.parametrize("line", ODD_LINES)
+@pytest.mark.parametrize("before", [b"", INTERIM])
+def test_odd_lines_are_found_in_any_place(line, before):
+    for lines in ([line], [b"X: a", line], [line, b"X: a"]):
+        head = b"\r\n".join([b"HTTP/1.1 200 OK", *lines])
+        with pytest.raises(HeadFault):
+            feed(HeadCheck(), before + head + b"\r\n\r\nbody")
+
+
+@pytest.mark.parametrize("line", [b"X:", b"X: \t a", b"X: \xff\x80", b"X: a  "])
+def test_rare_lines_are_in_order(line):
+    feed(HeadCheck(), b"HTTP/1.1 200 OK\r\n" + line + b"\r\n\r\n")
+
+
 @pytest.mark.parametrize("status", range(100, 600))
 def test_statuses_from_100_to_599_are_valid(status):
     head = b"HTTP/1.1 %d\r\n\r\n" % status
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -182,6 +182,17 @@
     assert serve(call, answer, close_at_once, read_all=True) is None
 
 
+# Guards against a head that two readers may understand in two ways, whoever reads it.
+@pytest.mark.parametrize(
+    "line", [b" Content-Length: 9", b"X Note: a", b"X-\x01: a", b"X-Note: \x01"]
+)
+@pytest.mark.parametrize("reader", READERS)
+def test_no_reader_takes_an_answer_with_an_odd_line(reader, line):
+    call = partial(READERS[reader], body=b"{}")
+    answer = WHOLE.replace(b"200 OK\r\n", b"200 OK\r\nX-Note: a\r\n" + line + b"\r\n")
+    assert serve(call, answer, close_at_once, read_all=True) is None
+
+
 async def fetch(address, pool, body=b""):
     return (
         await request_bounded(
