Name the two breaks of an answer, and what every reader takes for one

Two answers that count as broken now had the names of other failures in log lines (ReadError, RemoteProtocolError), and nothing told why. AnswerCutShort and AnswerMalformed stand in the detail of attempt-failed and of the failures of calls; they hold nothing that a target sent. The three failures that mean "no whole answer" stood in five readers; they stand once, as connecting.BROKEN. No behaviour changes but for the two names.

--- a/src/vanillabeam/answers/connection.py
+++ b/src/vanillabeam/answers/connection.py
@@ -13,7 +13,7 @@
 import trio
 
 from vanillabeam.addresses import split_address
-from vanillabeam.connecting import open_connection
+from vanillabeam.connecting import BROKEN, open_connection
 from vanillabeam.exceptions import Run
 from vanillabeam.notices import Notice
 
@@ -29,9 +29,7 @@
 RUN_HEADER = "vanillabeam-run"
 UNAVAILABLE = 503
 CONNECTION_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
+    *BROKEN,
     httpcore.UnsupportedProtocol,
     OSError,
     ValueError,
--- a/src/vanillabeam/cli/client.py
+++ b/src/vanillabeam/cli/client.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 from rich.console import Console
 
-from vanillabeam.connecting import open_pool
+from vanillabeam.connecting import BROKEN, open_pool
 from vanillabeam.exceptions import (
     PeerSilent,
     PeerUnreachable,
@@ -107,11 +107,7 @@
             res = request_once(method, url, _timeouts(), headers, body, tls)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             return Failure(PeerUnreachable(f"{self.address}: {exc}"))
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as exc:
+        except BROKEN as exc:
             return Failure(PeerSilent(f"{self.address}: {type(exc).__name__}"))
         if res.status >= 300:
             return Failure(from_problem(res.status, res.content))
--- a/src/vanillabeam/connecting.py
+++ b/src/vanillabeam/connecting.py
@@ -11,7 +11,24 @@
 from vanillabeam.answerheads import HeadCheck, HeadFault
 from vanillabeam.socketstate import is_cut
 
-__all__ = ["open_connection", "open_pool"]
+__all__ = [
+    "BROKEN",
+    "AnswerCutShort",
+    "AnswerMalformed",
+    "open_connection",
+    "open_pool",
+]
+
+#: Failures of a call without a whole answer, those to connect included.
+BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
+
+class AnswerCutShort(httpcore.ReadError):
+    """The connection was reset, or ended before all of the request was taken."""
+
+
+class AnswerMalformed(httpcore.RemoteProtocolError):
+    """The head of an answer is none."""
 
 
 class CheckedStream(httpcore.AsyncNetworkStream):
@@ -32,17 +49,16 @@
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return received bytes; none at an end in order.
 
-        :raises httpcore.ReadError: if the connection was reset, or ended before all of
-            the request was taken.
-        :raises httpcore.RemoteProtocolError: if the head of an answer is none.
+        :raises AnswerCutShort: at an end that isn't one.
+        :raises AnswerMalformed: if the head of an answer is none.
         """
         data = await self._stream.read(max_bytes, timeout)
         if not data and self._is_cut():
-            raise httpcore.ReadError("ended before the request was taken")
+            raise AnswerCutShort("ended before the request was taken")
         try:
             self._head.feed(data)
         except HeadFault as exc:
-            raise httpcore.RemoteProtocolError(f"no answer: {exc}") from exc
+            raise AnswerMalformed(str(exc)) from exc
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
--- a/src/vanillabeam/forwarding/sending/upstream.py
+++ b/src/vanillabeam/forwarding/sending/upstream.py
@@ -8,6 +8,7 @@
 import trio
 
 from vanillabeam.addresses import split_address
+from vanillabeam.connecting import BROKEN
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet import Target
 from vanillabeam.forwarding.dialect import Headers, RequestMetadata
@@ -48,7 +49,6 @@
     httpcore.PoolTimeout,
     httpcore.ConnectionNotAvailable,
 )
-_BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 
 class Framing(StrEnum):
@@ -160,7 +160,7 @@
     except _NOT_SENT as exc:
         failure = NotListening if is_refusal(exc) else NotSent
         return Broken(failure(f"{target.name}: {type(exc).__name__}"))
-    except _BROKEN as exc:
+    except BROKEN as exc:
         return Broken(AnswerBroken(f"{target.name}: {type(exc).__name__}"))
     return OpenResponse(response.status, response.headers, response, is_first)
 
@@ -176,7 +176,7 @@
             parts += 1
             if parts % PARTS_PER_TURN == 0:
                 await trio.lowlevel.checkpoint()
-    except _BROKEN as exc:
+    except BROKEN as exc:
         yield Broken(AnswerBroken(f"{target.name}: {type(exc).__name__}"))
 
 
--- a/src/vanillabeam/peerhttp.py
+++ b/src/vanillabeam/peerhttp.py
@@ -11,7 +11,7 @@
 from starlette.routing import Route
 
 from vanillabeam.addresses import is_address
-from vanillabeam.connecting import open_pool
+from vanillabeam.connecting import BROKEN, open_pool
 from vanillabeam.exceptions import (
     InvariantBroken,
     PeerSilent,
@@ -114,12 +114,7 @@
                 )
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout):
             return Failure(PeerUnreachable(address))
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            trio.TooSlowError,
-        ) as exc:
+        except (*BROKEN, trio.TooSlowError) as exc:
             return Failure(PeerSilent(f"{address}: {type(exc).__name__}"))
         if res.status >= 300:
             return Failure(from_problem(res.status, res.content))
--- a/src/vanillabeam/platform/client.py
+++ b/src/vanillabeam/platform/client.py
@@ -8,7 +8,7 @@
 
 from vanillabeam import wire
 from vanillabeam.addresses import is_address, split_address
-from vanillabeam.connecting import open_pool
+from vanillabeam.connecting import BROKEN, open_pool
 from vanillabeam.fleet.deployments import MAX_NUMBER
 from vanillabeam.httpread import request_bounded
 
@@ -81,11 +81,7 @@
                     headers=all_headers,
                     content=body,
                 )
-            except (
-                httpcore.NetworkError,
-                httpcore.ProtocolError,
-                httpcore.TimeoutException,
-            ):
+            except BROKEN:
                 return None
         return None
 
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -5,7 +5,6 @@
 from functools import partial
 from pathlib import Path
 
-import httpcore
 import pytest
 import trio
 from returns.result import Failure
@@ -15,7 +14,7 @@
 from vanillabeam import connecting, socketstate
 from vanillabeam.answers.connection import Connection, ConnectionTimeouts, Request
 from vanillabeam.cli.client import OperatorClient
-from vanillabeam.connecting import open_pool
+from vanillabeam.connecting import AnswerCutShort, AnswerMalformed, open_pool
 from vanillabeam.httpread import request_bounded
 from vanillabeam.peerhttp import PeerClient
 from vanillabeam.platform.client import PlatformClient
@@ -211,7 +210,7 @@
     monkeypatch.setattr(socketstate, "_tcp_info", lambda sock, size_bytes: None)
 
     async def call(address):
-        with pytest.raises(httpcore.ReadError):
+        with pytest.raises(AnswerCutShort):
             await fetch(address, open_pool(), b"u" * SIZES["long"])
 
     serve(call, PART, close_unread)
@@ -229,12 +228,21 @@
     monkeypatch.setattr(connecting.CheckedStream, "read", read_late)
 
     async def call(address):
-        with pytest.raises(httpcore.ReadError):
+        with pytest.raises(AnswerCutShort):
             await fetch(address, open_pool(), b"u" * SIZES["short"])
 
     serve(call, PART, reset)
 
 
+# Log lines name the type of a failure, but nothing that a target sent.
+def test_a_head_that_is_none_says_why():
+    async def call(address):
+        with pytest.raises(AnswerMalformed, match="status 600"):
+            await fetch(address, open_pool())
+
+    serve(call, WHOLE.replace(b"200", b"600"), close_at_once)
+
+
 #: Calls of httpcore that open connections.
 OPENING = {
     "AsyncConnectionPool",
