--- a/src/vanillabeam/connecting.py
+++ b/src/vanillabeam/connecting.py
@@ -95,26 +95,12 @@
         return sock is not None and is_cut(sock)
 
 
-class CheckedNetwork(httpcore.AsyncNetworkBackend):
-    """Network of a pool whose connections are checked.
-
-    :param network: opens the connections; ``None`` for those of this machine.
-    """
-
-    def __init__(self, network: httpcore.AsyncNetworkBackend | None = None):
-        self._network = network or httpcore.TrioBackend()
+class CheckedNetwork(httpcore.TrioBackend):
+    """Network of a pool whose connections are checked."""
 
     async def connect_tcp(self, *args: Any, **options: Any) -> CheckedStream:
         """Open a TCP connection."""
-        return CheckedStream(await self._network.connect_tcp(*args, **options))
-
-    async def connect_unix_socket(self, *args: Any, **options: Any) -> CheckedStream:
-        """Open a connection to a socket in the file system."""
-        return CheckedStream(await self._network.connect_unix_socket(*args, **options))
-
-    async def sleep(self, seconds: float) -> None:
-        """Sleep between two attempts to connect."""
-        await self._network.sleep(seconds)
+        return CheckedStream(await super().connect_tcp(*args, **options))
 
 
 def open_pool(**options: Any) -> httpcore.AsyncConnectionPool:
--- a/src/vanillabeam/socketstate.py
+++ b/src/vanillabeam/socketstate.py
@@ -12,16 +12,16 @@
 _END = (
     getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR | select.POLLNVAL
 )
-#: Offsets in Linux's ``struct tcp_info``, of ``tcpi_state`` and of three numbers:
+#: Offsets in Linux's ``struct tcp_info``, whose first byte is ``tcpi_state``, of
 #: ``tcpi_unacked`` (segments), ``tcpi_last_data_recv`` (milliseconds) and
 #: ``tcpi_notsent_bytes``.
-_STATE_OFFSET = 0
 _UNACKED_OFFSET = 24
 _LAST_DATA_OFFSET = 52
 _UNSENT_OFFSET = 144
 _NUMBER = struct.Struct("=I")
+_INFO_BYTES = _UNSENT_OFFSET + _NUMBER.size
 #: ``TCP_CLOSE``: after a reset, or after an end in order of both sides.
-_CLOSED = 7
+_CLOSED = b"\x07"
 #: Longest age that is believed.
 MAX_AGE_S = 60.0
 
@@ -44,11 +44,10 @@
 
     :returns: ``False`` where the kernel doesn't tell.
     """
-    info = _tcp_info(sock, _UNSENT_OFFSET + _NUMBER.size)
-    if info is None:
-        return False
-    unacked, unsent = _number(info, _UNACKED_OFFSET), _number(info, _UNSENT_OFFSET)
-    return info[_STATE_OFFSET] == _CLOSED or unacked > 0 or unsent > 0
+    info = _tcp_info(sock)
+    if info[:1] == _CLOSED:
+        return True
+    return _number(info, _UNACKED_OFFSET) > 0 or _number(info, _UNSENT_OFFSET) > 0
 
 
 def received_age_s(sock: socket.socket | trio.socket.SocketType) -> float:
@@ -56,26 +55,23 @@
 
     :returns: 0 where the kernel doesn't tell.
     """
-    info = _tcp_info(sock, _LAST_DATA_OFFSET + _NUMBER.size)
-    if info is None:
-        return 0.0
-    age_s = _number(info, _LAST_DATA_OFFSET) / 1000
+    age_s = _number(_tcp_info(sock), _LAST_DATA_OFFSET) / 1000
     return age_s if age_s <= MAX_AGE_S else 0.0
 
 
-def _tcp_info(
-    sock: socket.socket | trio.socket.SocketType, size_bytes: int
-) -> bytes | None:
-    """Return the begin of the kernel's figures; ``None`` where it has fewer of them."""
+def _tcp_info(sock: socket.socket | trio.socket.SocketType) -> bytes:
+    """Return the kernel's figures: fewer of an older kernel, none of another system."""
     option = getattr(socket, "TCP_INFO", None)
     if option is None:
-        return None
+        return b""
     try:
-        info = sock.getsockopt(socket.IPPROTO_TCP, option, size_bytes)
+        return sock.getsockopt(socket.IPPROTO_TCP, option, _INFO_BYTES)
     except OSError:
-        return None
-    return info if len(info) == size_bytes else None
+        return b""
 
 
 def _number(info: bytes, offset: int) -> int:
+    """Return a number of the figures; 0 if they end before it."""
+    if len(info) < offset + _NUMBER.size:
+        return 0
     return _NUMBER.unpack_from(info, offset)[0]
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -207,7 +207,7 @@
 
 # Where the kernel tells nothing of a connection, a failed write still does.
 def test_a_failed_write_is_enough(monkeypatch):
-    monkeypatch.setattr(socketstate, "_tcp_info", lambda sock, size_bytes: None)
+    monkeypatch.setattr(socketstate, "_tcp_info", lambda sock: b"")
 
     async def call(address):
         with pytest.raises(AnswerCutShort):
