--- a/tests/platform/rawworker.py
+++ b/tests/platform/rawworker.py
@@ -1,5 +1,6 @@
 """A worker that writes the bytes of its answers itself."""
 
+import math
 import socket
 import struct
 
@@ -36,8 +37,11 @@
         await answer(head, stream)
 
 
-async def read_head(stream):
-    """Return the headers of a request and read its body; ``None`` without one."""
+async def read_head(stream, body_bytes=math.inf):
+    """Return the headers of a request and read its body; ``None`` without one.
+
+    :param body_bytes: bytes of the body from which on no more of it is read.
+    """
     received = b""
     while HEAD_END not in received:
         data = await stream.receive_some(RECEIVE_BYTES)
@@ -47,7 +51,7 @@
     head, _, body = received.partition(HEAD_END)
     lines = [line.partition(b":") for line in head.split(b"\r\n")[1:]]
     headers = {name.lower(): value.strip() for name, _, value in lines}
-    while len(body) < int(headers.get(b"content-length", b"0")):
+    while len(body) < min(body_bytes, int(headers.get(b"content-length", b"0"))):
         body += await stream.receive_some(RECEIVE_BYTES)
     return headers
 
--- a/tests/platform/test_resetanswers.py
+++ b/tests/platform/test_resetanswers.py
@@ -10,13 +10,18 @@
 import trio
 
 from tests.platform.builders import make_document
-from tests.platform.rawworker import HEAD_END, RawWorker, chunked, reset_on_close
+from tests.platform.rawworker import (
+    HEAD_END,
+    RawWorker,
+    chunked,
+    read_head,
+    reset_on_close,
+)
 from tests.platform.standin import running_platform, wait_until
 
 REQUEST_ID = b"x-vanillabeam-request-id"
 LONG = b"u" * 3_000_000
 BODIES = {"short": b"{}", "medium": b"u" * 100_000, "long": LONG}
-RECEIVE_BYTES = 65_536
 
 
 class HastyWorker(RawWorker):
@@ -34,19 +39,10 @@
     lingers = False
 
     async def _serve(self, stream):
-        received = b""
-        while HEAD_END not in received:
-            data = await stream.receive_some(RECEIVE_BYTES)
-            if not data:
-                return
-            received += data
-        head, _, body = received.partition(HEAD_END)
-        lines = [line.partition(b":") for line in head.split(b"\r\n")[1:]]
-        headers = {name.lower(): value.strip() for name, _, value in lines}
+        headers = await read_head(stream, self.read_bytes)
+        if headers is None:
+            return
         self.received_headers.append(headers)
-        size = len(body)
-        while size < min(self.read_bytes, int(headers.get(b"content-length", b"0"))):
-            size += len(await stream.receive_some(RECEIVE_BYTES))
         with suppress(trio.BrokenResourceError):
             await stream.send_all(self.make(headers[REQUEST_ID]))
         await trio.sleep(self.wait_s)
