Let the next claim try when the one that was woken is refused

What callers saw: calls of one entry VM waited, and were refused at the end of their time, while the targets had room and later stood empty; until a new call came to that VM.

Cause: a place that becomes free wakes one claim, which wakes the next one once it is sent or fits nowhere.

--- a/src/vanillabeam/forwarding/choosing/lines.py
+++ b/src/vanillabeam/forwarding/choosing/lines.py
@@ -117,7 +117,11 @@
         self.wake_next(now_s)
 
     def _refuse_hopeless(self, claim: Claim, now_s: float) -> None:
-        """Refuse the claim, and now and then all, if they can't be served in time."""
+        """Refuse the claim, and now and then all, if they can't be served in time.
+
+        One of them may have been woken for its turn, so the next one is.
+        """
+        length = len(self.line)
         if now_s >= self._swept_s + SWEEP_INTERVAL_S:
             self._swept_s = now_s
             self.line.set_needed(self.needed_s)
@@ -125,6 +129,8 @@
                 self._refuse(other, now_s)
         if claim in self.line:
             self._refuse(claim, now_s)
+        if len(self.line) < length:
+            self.wake_next(now_s)
 
     def _refuse(self, claim: Claim, now_s: float) -> None:
         retry_s = self.line.refusal(claim, now_s)
--- a/tests/waiting/test_lines.py
+++ b/tests/waiting/test_lines.py
@@ -221,3 +221,34 @@
         return max(turns.values()) - began_s
 
     assert play(main) <= 0.3
+
+
+# Guards against a line that stands still beside free places: the claim that was woken
+# for its turn was refused as too late, and nobody woke the next one.
+def test_a_claim_refused_at_its_turn_lets_the_next_one_try():
+    line = ServiceLines().line("llm")
+    tries = []
+
+    async def wait(claim):
+        while await line.sleep(claim, trio.current_time()) is None:
+            tries.append((claim, trio.current_time()))
+            line.line.record_no_fit(claim, trio.current_time())
+            line.wake_next(trio.current_time())
+
+    async def main():
+        late, patient = Claim(0, "a", 0.0, 0.8), Claim(0, "a", 0.0, 2.0)
+        async with trio.open_nursery() as nursery:
+            for claim in (late, patient):
+                line.line.enter(claim, 0.0)
+                line.line.record_no_fit(claim, 0.0)
+                nursery.start_soon(wait, claim)
+            await trio.sleep(0.45)
+            # Answers are found to take long, so the first claim is too late now.
+            late.needed_s = 0.4
+            line.record_change(trio.current_time())
+            await trio.sleep(0.01)
+            assert late not in line.line
+            assert tries[-1] == (patient, pytest.approx(0.45))
+            nursery.cancel_scope.cancel()
+
+    play(main)
