--- a/src/vanillabeam/forwarding/choosing/lines.py
+++ b/src/vanillabeam/forwarding/choosing/lines.py
@@ -119,7 +119,7 @@
     def _refuse_hopeless(self, claim: Claim, now_s: float) -> None:
         """Refuse the claim, and now and then all, if they can't be served in time.
 
-        One of them may have been woken for its turn, so the next one is.
+        The turn of a refused claim passes to the next one.
         """
         length = len(self.line)
         if now_s >= self._swept_s + SWEEP_INTERVAL_S:
