Log and count watch requests without a whole reply, and the reading of deployments

The logs could not tell the hypotheses apart: bytes on an entry VM's link, replies that are given up and asked for again, the time from the commit to each control VM, the event loop held up by the reading of the document.

control-unanswered (address, time waited, reason), deployment-applied on control VMs (index, length, time to read), read_s in state-in-force, and gauges of the bytes of whole replies and of requests without one. No change of behaviour.

--- a/src/vanillabeam/decisions/__init__.py
+++ b/src/vanillabeam/decisions/__init__.py
@@ -9,6 +9,8 @@
 from vanillabeam.decisions.control import (
     ControlForgotten,
     ControlHeard,
+    ControlUnanswered,
+    DeploymentApplied,
     DeploymentRefused,
     DeploymentUnreadable,
     HomeChosen,
@@ -110,6 +112,8 @@
     "ConnectionStalled",
     "ControlForgotten",
     "ControlHeard",
+    "ControlUnanswered",
+    "DeploymentApplied",
     "DeploymentRefused",
     "DeploymentUnreadable",
     "ExposureChanged",
--- a/src/vanillabeam/decisions/control.py
+++ b/src/vanillabeam/decisions/control.py
@@ -5,6 +5,8 @@
 __all__ = [
     "ControlForgotten",
     "ControlHeard",
+    "ControlUnanswered",
+    "DeploymentApplied",
     "DeploymentRefused",
     "DeploymentUnreadable",
     "HomeChosen",
@@ -25,6 +27,7 @@
 
     :param quarantined: parts of prompts that are kept from targets; some of them if
         there are many.
+    :param read_s: seconds for which this process read a new deployment; 0 without one.
     """
 
     index: int
@@ -32,6 +35,7 @@
     evacuated: list[str]
     weights: dict[str, int]
     quarantined: list[str]
+    read_s: float
 
 
 class OrderRead(NamedTuple):
@@ -84,6 +88,31 @@
     detail: str
 
 
+class DeploymentApplied(NamedTuple):
+    """A control VM's replica has applied the commit of another deployment.
+
+    :param characters: length of the document.
+    :param read_s: seconds for which this process read it.
+    """
+
+    index: int
+    number: int
+    characters: int
+    read_s: float
+
+
+class ControlUnanswered(NamedTuple):
+    """A control VM gave no whole reply to a watch request in time.
+
+    :param waited_s: seconds since the request was made.
+    :param reason: type of the failure; ``timeout`` if the whole reply was late.
+    """
+
+    address: str
+    waited_s: float
+    reason: str
+
+
 class ControlHeard(NamedTuple):
     """A control VM's process answered for the first time."""
 
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -10,7 +10,7 @@
 
 from vanillabeam import wire
 from vanillabeam.canary.messages import ROLLOUT_PATH
-from vanillabeam.decisions import TargetLeft, log_record
+from vanillabeam.decisions import DeploymentApplied, TargetLeft, log_record
 from vanillabeam.exceptions import VanillabeamError
 from vanillabeam.fleet.absence import drop_silent
 from vanillabeam.fleet.ages import add_merged_ages
@@ -286,9 +286,17 @@
 
     def _read_deployment(self) -> None:
         state = self.machine.state
-        if state["document"] != self._document:
-            self._document = state["document"]
-            self._deployment = read_or_keep(self.read, state, self._deployment)
+        if state["document"] == self._document:
+            return
+        self._document = state["document"]
+        began_s = trio.current_time()
+        self._deployment = read_or_keep(self.read, state, self._deployment)
+        read_s = round(trio.current_time() - began_s, 3)
+        log_record(
+            DeploymentApplied(
+                state["index"], state["number"], len(self._document), read_s
+            )
+        )
 
     @property
     def deployment(self) -> Deployment:
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -10,6 +10,7 @@
 from vanillabeam.decisions import (
     ControlForgotten,
     ControlHeard,
+    ControlUnanswered,
     HomeChosen,
     StateInForce,
     log_record,
@@ -84,6 +85,8 @@
     :ivar accused: parts that the leader asks about, with the number of targets that
         ended under them one after the other.
     :ivar limits: requests a second that targets take from all VMs together.
+    :ivar reply_bytes: bytes of whole replies to watch requests.
+    :ivar unanswered: watch requests without a whole reply in time.
     :ivar peers: entry VMs that this one exchanges loads with.
     :ivar relayed: on a control VM, the load that entry VMs report to each other
         control VM only, by the process id of that one.
@@ -113,6 +116,8 @@
         self.accused: dict[str, int] = {}
         self.relayed = EntryLoads()
         self.limits = LimitNews()
+        self.reply_bytes = 0
+        self.unanswered = 0
         self._cfg = cfg
         self._call = call
         self._read = read
@@ -306,15 +311,26 @@
         control_vm.asked_entries = frozenset(self.entry_vms)
         due_s = requested_s + poll.wait_s + REPLY_MARGIN_S
         control_vm.due_s = min(control_vm.due_s, due_s)
+        reason = "timeout"
         with trio.move_on_after(REPLY_TIMEOUT_S):
             answer = await self._call(
                 control_vm.address, WATCH_PATH, wire.encode(request)
             )
-            if isinstance(answer, Failure):
-                return None
-            return wire.decode(WatchReply, answer.unwrap()).value_or(None)
+            if not isinstance(answer, Failure):
+                self.reply_bytes += len(answer.unwrap())
+                answer = wire.decode(WatchReply, answer.unwrap())
+            if not isinstance(answer, Failure):
+                return answer.unwrap()
+            reason = type(answer.failure()).__name__
+        self._record_unanswered(control_vm, trio.current_time() - requested_s, reason)
         return None
 
+    def _record_unanswered(
+        self, control_vm: ControlVm, waited_s: float, reason: str
+    ) -> None:
+        self.unanswered += 1
+        log_record(ControlUnanswered(control_vm.address, round(waited_s, 3), reason))
+
     def _may_lead(self, control_vm: ControlVm) -> bool:
         """Return whether a control VM led at its last reply, or none is known to."""
         known = any(other.is_leader for other in self.control_vms.values())
@@ -367,6 +383,7 @@
                 state["evacuated"],
                 state["weights"],
                 sorted(self.view.quarantine)[:MAX_LOGGED_PARTS],
+                round(trio.current_time() - now_s, 3),
             )
         )
 
--- a/src/vanillabeam/fleetgauges.py
+++ b/src/vanillabeam/fleetgauges.py
@@ -43,6 +43,16 @@
         lambda: len(follower.view.quarantine),
     )
     add_gauge("news_age_seconds", "Age of the newest control news.", follower.age_s)
+    add_gauge(
+        "watch_reply_bytes",
+        "Bytes of whole replies of control VMs since the start.",
+        lambda: follower.reply_bytes,
+    )
+    add_gauge(
+        "watch_unanswered",
+        "Watch requests without a whole reply in time since the start.",
+        lambda: follower.unanswered,
+    )
     add_gauge(
         "open_requests",
         "Requests without a whole answer.",
