Fetch deployments in pieces from one control VM, and send all other news without them

What callers saw: a configuration of 1,400 routes is confirmed within 0.3 s, and from 2.5 s after that on entry VMs still answer 404 on its new routes (CONFIG), besides other refusals (DENIED).

Cause: each of eight control VMs put the whole document into its reply to a watch request of a VM with an older state, all at the moment of the commit. Over 5 Mbit/s none of the eight copies was whole within the 2.5 s that a reply may last; what had arrived was dropped and asked for again. Any other news of the state came in these replies, behind the document, and sent it again.

In the logs of six entry VMs 71 watch requests were given up after 2.50 s; four VMs had the deployment in force 2.1 to 2.5 s after the commit, two never. Ruled out: the commit (applied within 0.24 s by the other logged control VM), reading (0.013 to 0.028 s), control VMs' processor time (0.61 of 1.29 cores at most).

Fix: a reply names the document by its digest. The VM fetches it from one control VM that has named it, in pieces and bounded replies; what has arrived is kept when that VM fails, pieces of the last document count too, and the rest of the state is in force at once. Releases that don't know this get and send whole documents as before. No time limit was changed. State and documents have a module of their own now (fleet.statenews), out of fleet.follower.

--- a/src/vanillabeam/decisions/control.py
+++ b/src/vanillabeam/decisions/control.py
@@ -9,6 +9,8 @@
     "DeploymentApplied",
     "DeploymentRefused",
     "DeploymentUnreadable",
+    "DocumentDelayed",
+    "DocumentFetched",
     "HomeChosen",
     "LeaderKnown",
     "LeaderMissing",
@@ -101,6 +103,39 @@
     read_s: float
 
 
+class DocumentFetched(NamedTuple):
+    """All pieces of a deployment's document have arrived.
+
+    :param address: control VM that sent the last of them.
+    :param characters: length of the document.
+    :param pieces: number of its pieces, with those that were here already.
+    :param received_bytes: bytes of all replies with pieces since the process started.
+    :param waited_s: seconds since a control VM named a document that isn't here.
+    """
+
+    address: str
+    number: int
+    characters: int
+    pieces: int
+    received_bytes: int
+    waited_s: float
+
+
+class DocumentDelayed(NamedTuple):
+    """A control VM that has a document sent none of its pieces; another one is asked.
+
+    :param reason: type of the failure; ``timeout`` if the whole reply was late.
+    :param pieces: number of the document's pieces; 0 while it isn't known.
+    :param missing: number of those that aren't here yet.
+    """
+
+    address: str
+    number: int
+    reason: str
+    pieces: int
+    missing: int
+
+
 class ControlUnanswered(NamedTuple):
     """A control VM gave no whole reply to a watch request in time.
 
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -92,6 +92,8 @@
     control.DeploymentApplied: Kind("INFO", _RARE_LINES_S),
     control.DeploymentRefused: Kind("WARNING", _RARE_LINES_S),
     control.DeploymentUnreadable: Kind("ERROR", _RARE_LINES_S),
+    control.DocumentFetched: Kind("INFO", _RARE_LINES_S),
+    control.DocumentDelayed: Kind("WARNING", _RARE_LINES_S),
     targets.FenceRaised: Kind("WARNING", _RARE_LINES_S),
     targets.WeightsHeld: Kind("INFO", _RARE_LINES_S),
     targets.WeightsOrdered: Kind("INFO", _RARE_LINES_S),
--- a/src/vanillabeam/fleet/control.py
+++ b/src/vanillabeam/fleet/control.py
@@ -17,6 +17,11 @@
 from vanillabeam.fleet.cachescopes import is_ended_scope, make_scopes
 from vanillabeam.fleet.departing import DepartingTask
 from vanillabeam.fleet.directory import Directory, Incarnation
+from vanillabeam.fleet.documents import (
+    DOCUMENT_PATH,
+    DocumentRequest,
+    DocumentSource,
+)
 from vanillabeam.fleet.follower import Follower
 from vanillabeam.fleet.holders import WeightHolders
 from vanillabeam.fleet.leavingtask import LeavingTask
@@ -72,6 +77,7 @@
     :ivar observed: weight versions that were read from targets.
     :ivar leaving: targets that have told this VM that they leave.
     :ivar departing: commits what targets say of their end.
+    :ivar documents: pieces of the newest deployment's document.
     :ivar pauses: pauses of this process.
     :ivar orders: puts orders into the log that undo each other.
     :ivar permits: grants permits of targets that name a limit.
@@ -111,6 +117,7 @@
             bootstrap=cfg.bootstrap and bool(cfg.seeds),
         )
         self.stores = StoreTracker(store_calls, self.epoch, self._recorded_epochs)
+        self.documents = DocumentSource()
         self._deployment = Deployment()
         #: Document that was read last.
         self._document = ""
@@ -141,6 +148,7 @@
         return {
             **self.node.routes(),
             WATCH_PATH: self._handle_watch,
+            DOCUMENT_PATH: self._handle_document,
             QUARANTINE_PATH: self._quarantine.handle,
             PERMIT_PATH: self.permits.handle,
             ROLLOUT_PATH: self.rollouts.handle,
@@ -335,6 +343,13 @@
                 await self._changed.wait()
         return Success(wire.encode(self._reply(request)))
 
+    async def _handle_document(self, body: bytes) -> Result[bytes, VanillabeamError]:
+        request = wire.decode(DocumentRequest, body)
+        if isinstance(request, Failure):
+            return request
+        document = self.machine.state["document"]
+        return Success(wire.encode(self.documents.reply(document, request.unwrap())))
+
     def _has_changes(self, request: WatchRequest) -> bool:
         if request["epoch"] != self.epoch:
             return True
--- a/src/vanillabeam/fleet/follower.py
+++ b/src/vanillabeam/fleet/follower.py
@@ -12,10 +12,10 @@
     ControlHeard,
     ControlUnanswered,
     HomeChosen,
-    StateInForce,
     log_record,
 )
 from vanillabeam.fleet.directory import Directory
+from vanillabeam.fleet.documentfetch import DocumentFetcher
 from vanillabeam.fleet.evidence import EvidenceSource, NoEvidence
 from vanillabeam.fleet.limitnews import LimitNews
 from vanillabeam.fleet.loads import (
@@ -39,8 +39,9 @@
 )
 from vanillabeam.fleet.records import Deployment, FleetSettings
 from vanillabeam.fleet.sent import SentTargets
+from vanillabeam.fleet.statenews import StateNews
 from vanillabeam.fleet.targetnews import TargetNews
-from vanillabeam.fleet.view import FleetView, make_view
+from vanillabeam.fleet.view import FleetView
 from vanillabeam.fleet.watch import WATCH_PATH, WatchReply, WatchRequest, digest_names
 from vanillabeam.peercall import PeerCall
 from vanillabeam.tasks import keep_running
@@ -61,8 +62,6 @@
 #: Seconds after the wait within which a leader's reply arrives, as far as its age
 #: matters.
 LEADER_MARGIN_S = 0.3
-#: Quarantined parts in a log line.
-MAX_LOGGED_PARTS = 8
 
 
 class Follower:
@@ -70,7 +69,6 @@
 
     :param call: sends requests to the control VMs.
     :param read: parses an operator's document into a deployment.
-    :ivar view: newest fleet state that a control VM has sent.
     :ivar is_current: whether :attr:`is_ready` was true once: the state never goes back
         from then on.
     :ivar directory: targets that announced themselves to any control VM.
@@ -103,7 +101,6 @@
         call: PeerCall,
         read: Callable[[str], Deployment],
     ):
-        self.view = FleetView()
         self.directory = Directory(
             lambda service: service in self.view.deployment.services
         )
@@ -120,11 +117,11 @@
         self.unanswered = 0
         self._cfg = cfg
         self._call = call
-        self._read = read
         self.control_vms: dict[str, ControlVm] = {}
         silence_s = cfg.bounds.silence_s
         self.targets = TargetNews(self.directory, self.control_vms, silence_s)
         self.peers = PeerNews(cfg, self.control_vms)
+        self._state = StateNews(cfg, call, self.control_vms, read, self._update_current)
         self._home = ""
         self._seeds = cfg.seed_addresses
         self._advertised: set[str] = set()
@@ -134,16 +131,29 @@
         self.is_current = False
         self._current = trio.Event()
 
+    @property
+    def view(self) -> FleetView:
+        """Newest fleet state that a control VM has sent."""
+        return self._state.view
+
+    @property
+    def documents(self) -> DocumentFetcher:
+        """Client that fetches deployments."""
+        return self._state.documents
+
     @property
     def is_ready(self) -> bool:
         """Whether a deployment is in force and is likely to be the newest.
 
-        Most control VMs must have replied, or had the time for a reply.
+        Most control VMs must have replied, and no newer deployment be on its way, or
+        there was the time for both.
         """
         if not self.view.is_known:
             return False
         replied = [vm for vm in self.control_vms.values() if vm.epoch]
         waited = trio.current_time() - self._started_s > REPLY_TIMEOUT_S
+        if self.documents.wanted is not None:
+            return waited
         return waited or len(replied) > len(self.control_vms) // 2
 
     def is_discovering(self, now_s: float) -> bool:
@@ -198,6 +208,7 @@
         self._started_s = trio.current_time()
         self.control_vms.clear()
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep_running, "documents", self.documents.run)
             while True:
                 for address in self._addresses_to_add():
                     if address not in self.control_vms:
@@ -291,13 +302,14 @@
             sends=bool(self._cfg.entry_address),
             epoch=control_vm.epoch,
             version=control_vm.version,
-            index=self.view.index,
+            index=self._state.index_for(control_vm),
             wait_s=poll.wait_s,
             parts=self.parts.request(),
             load=self.load.own(requested_s) if tells_load else make_load(),
             fetched=self.fetches.ages_s(requested_s),
             scope=poll.scope,
             entries_digest=digest_names(self.entry_vms),
+            document=self._state.known,
         )
         self.peers.add_to(request)
         if self._may_lead(control_vm):
@@ -340,7 +352,7 @@
         now_s = trio.current_time()
         if control_vm.epoch != reply["epoch"]:
             log_record(ControlHeard(control_vm.address, reply["epoch"], reply["index"]))
-            control_vm.sent = SentTargets()
+            control_vm.sent, control_vm.document = SentTargets(), ""
         control_vm.is_leader = "accused" in reply or "parts" in reply
         control_vm.data_centre = reply.get("data_centre", "")
         if "reported" in reply:
@@ -348,8 +360,7 @@
             self.relayed.update(reply["epoch"], reply["reported"], now_s, groups)
         if self._first_reply_s is None:
             self._first_reply_s = now_s
-        if "state" in reply:
-            self._apply_state(reply)
+        self._state.apply(reply, control_vm)
         self.targets.apply(reply, control_vm, now_s)
         self.limits.apply(reply.get("limits", []), control_vm.address, now_s)
         control_vm.last_seen_s, control_vm.due_s = now_s, float("inf")
@@ -370,23 +381,6 @@
             self.is_current = True
             self._current.set()
 
-    def _apply_state(self, reply: WatchReply) -> None:
-        state = reply["state"]
-        if state["index"] <= self.view.index:
-            return
-        named, now_s = reply.get("named", {}), trio.current_time()
-        self.view = make_view(self.view, state, self._read, named, now_s)
-        log_record(
-            StateInForce(
-                state["index"],
-                self.view.deployment.number,
-                state["evacuated"],
-                state["weights"],
-                sorted(self.view.quarantine)[:MAX_LOGGED_PARTS],
-                round(trio.current_time() - now_s, 3),
-            )
-        )
-
     def _apply_entries(
         self, reply: WatchReply, control_vm: ControlVm, now_s: float
     ) -> None:
--- a/src/vanillabeam/fleet/polling.py
+++ b/src/vanillabeam/fleet/polling.py
@@ -59,6 +59,8 @@
     :ivar epoch: process id in its last reply; empty before the first.
     :ivar data_centre: its data centre, by its last reply; empty if unknown.
     :ivar version: directory version in its last reply.
+    :ivar document: digest of the last document that it has named; empty for a release
+        that sends documents with the state only.
     :ivar entries: entry VMs that it knew at its last reply.
     :ivar asked_entries: entry VMs that this VM knew at its last request.
     :ivar is_leader: whether its last reply came from the fleet log's leader.
@@ -79,6 +81,7 @@
         self.epoch = ""
         self.data_centre = ""
         self.version = 0
+        self.document = ""
         self.entries: frozenset[str] = frozenset()
         self.asked_entries: frozenset[str] = frozenset()
         self.is_leader = False
--- a/src/vanillabeam/fleet/watch.py
+++ b/src/vanillabeam/fleet/watch.py
@@ -7,6 +7,7 @@
 
 from vanillabeam.canary.records import RolloutReport
 from vanillabeam.fleet.directory import Directory, TargetRecord
+from vanillabeam.fleet.documents import INLINE_CHARACTERS, DocumentRef, make_ref
 from vanillabeam.fleet.evidence import Evidence
 from vanillabeam.fleet.loads import EntryLoad, LoadsByGroup, LoadScope
 from vanillabeam.fleet.machine import FleetState
@@ -54,6 +55,8 @@
     :param group: group that it exchanges loads with; only with ``peer``.
     :param peers_digest: digest of the names of the VMs of that group that it knows.
     :param rollouts: what it has seen of running rollouts; omitted if none is running.
+    :param document: digest of the document that it has, empty for none; omitted by a
+        release that takes documents with the state only.
     """
 
     vm: str
@@ -74,6 +77,7 @@
     group: NotRequired[str]
     peers_digest: NotRequired[str]
     rollouts: NotRequired[list[RolloutReport]]
+    document: NotRequired[str]
 
 
 #: A target as it is reported: releases of before the software version read targets of
@@ -98,7 +102,9 @@
     """Changes since the version and index of the request.
 
     :param data_centre: data centre of the control VM.
-    :param state: fleet state, if newer than the index of the request.
+    :param state: fleet state, if newer than the index of the request; its document is
+        empty if the requesting VM has it, or fetches it by its name.
+    :param document: name of the state's document, for VMs that fetch documents.
     :param targets: targets whose records have changed.
     :param ages_s: age of every target's newest announcement, by name; for entry VMs
         as far as the control VM knows from the others too.
@@ -137,6 +143,7 @@
     version: int
     index: int
     state: NotRequired[FleetState]
+    document: NotRequired[DocumentRef]
     targets: list[TargetReport]
     ages_s: dict[str, float]
     starts: NotRequired[dict[str, int]]
@@ -201,13 +208,22 @@
         reply["leaving"] = sorted(directory.leaving)
     newest = state["index"] if news_index is None else news_index
     if newest > request["index"]:
-        reply["state"] = _for_watchers(state)
+        _add_state(reply, state, request.get("document"))
     return reply
 
 
-def _for_watchers(state: FleetState) -> FleetState:
-    """Return a state without what only control VMs need."""
-    return FleetState(**{key: state[key] for key in state if key not in KEPT_BACK})
+def _add_state(reply: WatchReply, state: FleetState, known: str | None) -> None:
+    """Add a state without what only control VMs need, or the VM has or fetches.
+
+    :param known: digest of the document that the requesting VM has.
+    """
+    fields = {key: state[key] for key in state if key not in KEPT_BACK}
+    if known is not None:
+        reply["document"] = ref = make_ref(state)
+        is_long = len(state["document"]) > INLINE_CHARACTERS
+        if is_long or known == ref["digest"]:
+            fields["document"] = ""
+    reply["state"] = FleetState(**fields)
 
 
 def digest_names(names: Iterable[str]) -> str:
--- a/src/vanillabeam/fleetgauges.py
+++ b/src/vanillabeam/fleetgauges.py
@@ -53,6 +53,16 @@
         "Watch requests without a whole reply in time since the start.",
         lambda: follower.unanswered,
     )
+    add_gauge(
+        "document_bytes",
+        "Bytes of replies with pieces of deployments since the start.",
+        lambda: follower.documents.received_bytes,
+    )
+    add_gauge(
+        "document_waiting_seconds",
+        "Seconds for which a newer deployment has been fetched; 0 for none.",
+        lambda: follower.documents.waiting_s(trio.current_time()),
+    )
     add_gauge(
         "open_requests",
         "Requests without a whole answer.",
@@ -117,6 +127,11 @@
     add_gauge("log_term", "Term of the fleet log.", lambda: control.node.term)
     add_gauge("log_applied", "Index applied.", lambda: control.node.applied)
     add_gauge("log_leads", "Whether this VM leads.", lambda: control.node.is_leader)
+    add_gauge(
+        "document_sent_bytes",
+        "Bytes of pieces of deployments sent since the start.",
+        lambda: control.documents.sent_bytes,
+    )
     add_membership_gauges(counters, control)
     counters.add_gauges(
         "granted_permits",
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -368,14 +368,14 @@
 # Guards against targets that are lost for good with a reply that could not be applied.
 @with_harness
 async def test_a_reply_that_could_not_be_applied_is_asked_for_again(harness):
-    failures, read = [TypeError()], harness.follower._read
+    failures, read = [TypeError()], harness.follower._state._read
 
     def fail_once(document):
         if failures:
             raise failures.pop()
         return read(document)
 
-    harness.follower._read = fail_once
+    harness.follower._state._read = fail_once
     harness[0].commit(5, 7, document="7")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(announce, harness[0], make_target("t-1"))
