Drop connections that belong to a request which was given up as it got them

What callers would see: an entry VM loses connections to a target until it refuses every request for it, for good.

Cause: httpcore's pool assigns a connection to a request before the request's task runs again. If the request is cancelled meanwhile (time limit, caller left, end of the wait for a connection), it leaves the pool and its connection stays, neither idle nor closed: one that is never opened, if the request before it in line ended in that turn of the event loop, or an open one, if the cancellation came in the turn in which it was opened.

Fix: whenever a request comes or goes, the pool drops connections in use that no request holds, before it gives places to those in line. It holds for each pool of this process.

--- a/src/vanillabeam/connecting.py
+++ b/src/vanillabeam/connecting.py
@@ -7,14 +7,17 @@
 from typing import Any
 
 import httpcore
+from httpcore import AsyncConnectionInterface
 
 from vanillabeam.answerheads import HeadCheck, HeadFault
+from vanillabeam.decisions import ConnectionUnowned, log_record
 from vanillabeam.socketstate import is_cut
 
 __all__ = [
     "BROKEN",
     "AnswerCutShort",
     "AnswerMalformed",
+    "CheckedPool",
     "open_connection",
     "open_pool",
 ]
@@ -103,12 +106,50 @@
         return CheckedStream(await super().connect_tcp(*args, **options))
 
 
-def open_pool(**options: Any) -> httpcore.AsyncConnectionPool:
+class CheckedPool(httpcore.AsyncConnectionPool):
+    """Pool of checked connections that drops those that belong to no request.
+
+    httpcore assigns a connection to a request before the request's task runs again. If
+    the request is cancelled meanwhile, it leaves the pool, and its connection stays:
+    neither idle nor closed, and counted as in use for good. Hence the private methods.
+    """
+
+    def _assign_requests_to_connections(self) -> list[AsyncConnectionInterface]:
+        """Assign connections to waiting requests; return those to be closed.
+
+        The pool calls it whenever a request comes or goes.
+        """
+        assigned = {request.connection for request in self._requests}
+        unowned = [
+            connection
+            for connection in self._connections
+            if connection not in assigned and not _is_at_rest(connection)
+        ]
+        for connection in unowned:
+            self._connections.remove(connection)
+            log_record(ConnectionUnowned(connection.info()))
+        return [*unowned, *super()._assign_requests_to_connections()]
+
+    def counts(self) -> dict[str, int]:
+        """Return the number of connections by state, and of requests in line."""
+        idle = sum(1 for each in self.connections if each.is_idle())
+        return {
+            "idle": idle,
+            "in_use": len(self.connections) - idle,
+            "waiting": sum(1 for each in self._requests if each.is_queued()),
+        }
+
+
+def _is_at_rest(connection: AsyncConnectionInterface) -> bool:
+    return connection.is_idle() or connection.is_closed()
+
+
+def open_pool(**options: Any) -> CheckedPool:
     """Return a pool of checked connections.
 
     :param options: as httpcore takes them.
     """
-    return httpcore.AsyncConnectionPool(network_backend=CheckedNetwork(), **options)
+    return CheckedPool(network_backend=CheckedNetwork(), **options)
 
 
 def open_connection(origin: httpcore.Origin) -> httpcore.AsyncHTTPConnection:
--- a/src/vanillabeam/decisions/lines.py
+++ b/src/vanillabeam/decisions/lines.py
@@ -56,6 +56,7 @@
     requests.CallerGone: Kind("INFO", _RARE_LINES_S),
     requests.ConnectionFailed: Kind("ERROR", _RARE_LINES_S),
     requests.ConnectionStalled: Kind("INFO", _RARE_LINES_S),
+    requests.ConnectionUnowned: Kind("WARNING", _RARE_LINES_S),
     targets.TargetCapacityChanged: Kind("INFO", _FREQUENT_LINES_S),
     targets.TargetChanged: Kind("INFO", _RARE_LINES_S),
     targets.TargetLeft: Kind("INFO", _RARE_LINES_S),
--- a/src/vanillabeam/decisions/requests.py
+++ b/src/vanillabeam/decisions/requests.py
@@ -8,6 +8,7 @@
     "CallerGone",
     "ConnectionFailed",
     "ConnectionStalled",
+    "ConnectionUnowned",
     "PermitDenied",
     "RequestAdmitted",
     "RequestAnswered",
@@ -160,6 +161,15 @@
     reason: str
 
 
+class ConnectionUnowned(NamedTuple):
+    """A connection of this VM is dropped whose request was given up as it got it.
+
+    :param connection: origin and state of the connection.
+    """
+
+    connection: str
+
+
 class ConnectionStalled(NamedTuple):
     """A connection was closed because its caller read none of its answer.
 
--- a/src/vanillabeam/fleetvm.py
+++ b/src/vanillabeam/fleetvm.py
@@ -219,6 +219,12 @@
         self.counters.add_gauge(
             "held_bytes", "Bytes of bodies held.", lambda: memory.used_bytes
         )
+        self.counters.add_gauges(
+            "target_connections",
+            "Connections to targets by state, and requests in line for one.",
+            ("target", "state"),
+            app.connection_counts,
+        )
         add_entry_gauges(self.counters, self.follower, self.lifecycle)
         add_notice_gauges(self.counters, self.follower, chooser)
         chooser.lines.add_metrics(self.counters)
--- a/src/vanillabeam/forwarding/app.py
+++ b/src/vanillabeam/forwarding/app.py
@@ -113,6 +113,10 @@
         self._table = RouteTable(Deployment())
         self._numbers = itertools.count(1)
 
+    def connection_counts(self) -> dict[tuple[str, str], int]:
+        """Return the number of connections by target and state."""
+        return self._resources.pools.counts()
+
     async def run(self) -> None:
         """Drop the state of targets that are no longer known, until cancelled."""
         while True:
--- a/src/vanillabeam/forwarding/sending/pools.py
+++ b/src/vanillabeam/forwarding/sending/pools.py
@@ -1,10 +1,9 @@
 """Connection pools, one for each incarnation of a target."""
 
 import re
+from collections import Counter
 
-import httpcore
-
-from vanillabeam.connecting import open_pool
+from vanillabeam.connecting import CheckedPool, open_pool
 from vanillabeam.fleet import Target
 
 __all__ = ["Pools"]
@@ -31,12 +30,12 @@
     """
 
     def __init__(self):
-        self._pools: dict[tuple[str, int], httpcore.AsyncConnectionPool] = {}
+        self._pools: dict[tuple[str, int], CheckedPool] = {}
         #: Maximum number of connections of each pool.
         self._limits: dict[tuple[str, int], int] = {}
         self._expiry_s: dict[str, float] = {}
 
-    def pool(self, target: Target, connections: int) -> httpcore.AsyncConnectionPool:
+    def pool(self, target: Target, connections: int) -> CheckedPool:
         """Return the pool of a target.
 
         It is replaced when this VM's share has become much smaller, as more entry VMs
@@ -73,6 +72,14 @@
         self._pools.pop(target.incarnation, None)
         self._limits.pop(target.incarnation, None)
 
+    def counts(self) -> dict[tuple[str, str], int]:
+        """Return the number of connections by target and state."""
+        totals = Counter()
+        for (target, _), pool in self._pools.items():
+            for state, count in pool.counts().items():
+                totals[target, state] += count
+        return dict(totals)
+
     async def keep_only(self, incarnations: set[tuple[str, int]]) -> None:
         """Close the pools of all other incarnations, once they are idle."""
         for incarnation in [
