Look the kind of a route up in one table

The table was made anew for each route of a document. The entry VM's event loop stands still while a document is read: 5,600 routes take 0.04 to 0.07 s of a core of this machine, and by the profile 0.07 of 0.16 s went into that table.

--- a/src/vanillabeam/platform/documents.py
+++ b/src/vanillabeam/platform/documents.py
@@ -25,6 +25,8 @@
 #: Bytes a second in one unit of ``link_mbps``, which is a million bits a second.
 BYTES_S_PER_MBPS = 1_000_000 / 8
 
+_KINDS = {kind.value: kind for kind in RouteKind}
+
 
 class _Backend(TypedDict):
     service: str
@@ -166,8 +168,7 @@
 
 def _make_kind(kind: str) -> RouteKind:
     """Return the kind; one that is not known here is served once at most."""
-    known = {known.value: known for known in RouteKind}
-    return known.get(kind, RouteKind.UNSAFE)
+    return _KINDS.get(kind, RouteKind.UNSAFE)
 
 
 def _make_service(service: _Service) -> Service:
