--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -12,6 +12,8 @@
 from tests.platform.standin import running_platform, send_answer, wait_until
 
 LARGE_CHARACTERS = 3_500_000
+#: Seconds within which a confirmed configuration is in force.
+APPLY_S = 2.5
 
 
 def make_notes(name):
@@ -42,6 +44,40 @@
     trio.run(main)
 
 
+async def wait_served(platform, host):
+    """Wait until a route is served; other requests may be refused meanwhile."""
+    with trio.fail_after(APPLY_S):
+        while await ask(platform, host, b"key-1") != 200:
+            await trio.sleep(0.05)
+
+
+# Guards against a large configuration that is confirmed and reaches no entry VM in
+# time, and against a small change after it that comes as late.
+def test_a_large_configuration_and_a_small_change_of_it_are_served(tmp_path):
+    async def main():
+        async with running_platform(tmp_path) as platform:
+            orders = make_document()["routes"][1]
+            added = [
+                orders | {"name": f"r-{n}", "host": f"h-{n}.example"}
+                for n in range(1_400)
+            ]
+            document = make_document()
+            document["routes"] += added
+            await platform.call_control("POST", "/api/Config.Put", document)
+            await platform.start_worker("i-1", service="app")
+            await platform.wait_ready()
+            await wait_until(partial(platform.has_target, "i-1"))
+            await wait_served(platform, "h-1399.example")
+            document["version"] += 1
+            document["routes"][700]["host"] = "new.example"
+            await platform.call_control("POST", "/api/Config.Put", document)
+            await wait_served(platform, "new.example")
+            follower = platform.vms["front"][0].follower
+            assert 0 < follower.documents.received_bytes < len(json.dumps(document)) / 2
+
+    trio.run(main)
+
+
 # Guards against a number that no worker can have, after which no newer one is ordered.
 def test_weight_versions_in_and_out_of_range(tmp_path):
     async def main():
