--- a/src/vanillabeam/decisions/requests.py
+++ b/src/vanillabeam/decisions/requests.py
@@ -164,7 +164,7 @@
 class ConnectionUnowned(NamedTuple):
     """A connection of this VM is dropped whose request was given up as it got it.
 
-    :param connection: origin and state of the connection.
+    :param connection: its state, with its origin if it has been opened.
     """
 
     connection: str
