--- a/src/vanillabeam/fleet/documentfetch.py
+++ b/src/vanillabeam/fleet/documentfetch.py
@@ -207,6 +207,6 @@
         try:
             self._put_in_force(text)
         except Exception:
-            # It is tried again once this task goes on.
+            # The document is wanted again when this task goes on.
             self.want(ref)
             raise
